--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,477 @@
+// Package admission is the gate before one back end: the load bound, the fair
+// queue, deadlines and the memory of unrepeatable requests.
+//
+// The Gate is a state machine without I/O. Its owner passes typed events and
+// the time to Step and carries out the actions that come back, in order. It is
+// not safe for concurrent use.
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// RequestID identifies a request at one agent.
+type RequestID uint64
+
+// Request is what the gate needs to know of a request.
+type Request struct {
+	// ID is chosen by the owner and unique in the life of the gate.
+	ID RequestID
+	// Tenant is the caller's tenant.
+	Tenant string
+	// Priority is the request's class.
+	Priority Priority
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Affine says that the request gains by being served here and may wait a
+	// little for a place under the bound.
+	Affine bool
+	// Evidence holds the loads met where the request was refused before.
+	Evidence []int
+	// Key is set for an unrepeatable request with a key that this agent owns.
+	Key *Key
+}
+
+// Config sets up a gate.
+type Config struct {
+	// Bound is the pool's load bound.
+	Bound BoundPolicy
+	// AffinityWait is how long an affine request may wait for the bound.
+	AffinityWait time.Duration
+	// OwnerWait is how long a keyed request may wait for the bound: no other
+	// back end may run it.
+	OwnerWait time.Duration
+	// MaxRunning is how many requests run at a time.
+	MaxRunning int
+	// MaxQueued is how many accepted requests may wait to run.
+	MaxQueued int
+	// Weights are the tenants' shares of the queue; 1 where absent.
+	Weights map[string]float64
+}
+
+// Event is something that happened; see the types below.
+type Event interface{ isEvent() }
+
+// Arrive is a new request.
+type Arrive struct{ Request Request }
+
+// Finished ends a request that was started.
+type Finished struct {
+	ID RequestID
+	// NotRun says that the back end certainly did not run it.
+	NotRun bool
+	// Outcome is kept for a keyed request.
+	Outcome Outcome
+}
+
+// Cancelled says that the caller left before the request was started.
+type Cancelled struct{ ID RequestID }
+
+// PoolObserved replaces the loads of the pool's other live members.
+type PoolObserved struct{ Others []ObservedLoad }
+
+// Configured replaces the gate's settings.
+type Configured struct{ Config Config }
+
+// Leave closes the gate for new work for good.
+type Leave struct{}
+
+// Tick lets time-based decisions take place.
+type Tick struct{}
+
+func (Arrive) isEvent()       {}
+func (Finished) isEvent()     {}
+func (Cancelled) isEvent()    {}
+func (PoolObserved) isEvent() {}
+func (Configured) isEvent()   {}
+func (Leave) isEvent()        {}
+func (Tick) isEvent()         {}
+
+// Action is something the owner must do; see the types below.
+type Action interface{ isAction() }
+
+// Start hands the request to the back end.
+type Start struct {
+	ID RequestID
+	// Load is the gate's load with this request.
+	Load int
+	// Limit is the bound under which it was accepted.
+	Limit int
+}
+
+// Refuse answers that the request was not run here.
+type Refuse struct {
+	ID RequestID
+	// Kind says why.
+	Kind failure.Kind
+	// RetryAfter is when to come back; 0 for the kind's default.
+	RetryAfter time.Duration
+	// Load is the gate's load.
+	Load int
+}
+
+// Replay answers with the outcome of the first run under the request's key.
+type Replay struct {
+	ID      RequestID
+	Outcome Outcome
+}
+
+func (Start) isAction()  {}
+func (Refuse) isAction() {}
+func (Replay) isAction() {}
+
+// waiter is a request that waits for the bound; it isn't accepted yet.
+type waiter struct {
+	request Request
+	until   time.Time
+}
+
+// accepted is a request under the bound: running or queued.
+type accepted struct {
+	request   Request
+	limit     int
+	startedAt time.Time
+	running   bool
+}
+
+// maxWaiters bounds the requests that wait for the bound.
+const maxWaiters = 256
+
+// serviceSmoothing is the weight of a new service time in the running average.
+const serviceSmoothing = 0.1
+
+// Gate admits requests to one back end.
+type Gate struct {
+	config  Config
+	once    *onceTable
+	others  []ObservedLoad
+	waiters []waiter
+	queue   *fairQueue
+	held    map[RequestID]*accepted
+	running int
+	leaving bool
+	// service is the average time a request runs; 0 until one finished.
+	service time.Duration
+}
+
+// NewGate returns an empty gate.
+func NewGate(config Config, once OnceConfig) *Gate {
+	g := &Gate{once: newOnceTable(once), queue: newFairQueue(), held: map[RequestID]*accepted{}}
+	g.configure(config)
+	return g
+}
+
+func (g *Gate) configure(config Config) {
+	g.config = config
+	g.queue.weights = config.Weights
+}
+
+// Load returns the number of accepted requests that have not finished: those
+// that run and those that are queued. It is the load that the bound speaks of.
+func (g *Gate) Load() int { return len(g.held) }
+
+// Running returns the number of requests at the back end.
+func (g *Gate) Running() int { return g.running }
+
+// Waiting returns the number of requests that wait for the bound.
+func (g *Gate) Waiting() int { return len(g.waiters) }
+
+// IsLeaving tells whether the gate is closed for new work.
+func (g *Gate) IsLeaving() bool { return g.leaving }
+
+// Limit returns the bound at the moment, without evidence.
+func (g *Gate) Limit(now time.Time) Limit {
+	return g.config.Bound.LimitFor(now, g.Load(), g.others, nil)
+}
+
+// Step takes one event and returns the actions that it causes.
+func (g *Gate) Step(now time.Time, event Event) []Action {
+	switch e := event.(type) {
+	case Arrive:
+		return g.arrive(now, e.Request)
+	case Finished:
+		return g.finished(now, e)
+	case Cancelled:
+		return g.cancelled(now, e.ID)
+	case PoolObserved:
+		g.others = e.Others
+		return g.admitWaiters(now)
+	case Configured:
+		g.configure(e.Config)
+		return g.admitWaiters(now)
+	case Leave:
+		return g.leave()
+	case Tick:
+		return g.tick(now)
+	}
+	return nil
+}
+
+func (g *Gate) arrive(now time.Time, request Request) []Action {
+	if g.leaving {
+		return []Action{g.refuse(request, failure.Leaving, 0)}
+	}
+	if !now.Before(request.Deadline) {
+		return []Action{g.refuse(request, failure.DeadlineUnmeetable, 0)}
+	}
+	if request.Key != nil {
+		if action, settled := g.checkKey(now, request); settled {
+			return []Action{action}
+		}
+	}
+	limit := g.limitFor(now, request)
+	if g.Load()+1 <= limit.Max {
+		return g.accept(now, request, limit.Max)
+	}
+	if wait := g.waitFor(request); wait > 0 && len(g.waiters) < maxWaiters {
+		return g.hold(now, request, wait)
+	}
+	return []Action{g.refuseReleasing(request, failure.OverBound, g.expectedRoom())}
+}
+
+// checkKey answers keyed requests that must not run; settled is false when the
+// request may go on, and its key is then remembered.
+func (g *Gate) checkKey(now time.Time, request Request) (action Action, settled bool) {
+	verdict, outcome := g.once.begin(now, *request.Key)
+	switch verdict {
+	case verdictReplay:
+		return Replay{ID: request.ID, Outcome: outcome}, true
+	case verdictInProgress:
+		return g.refuse(request, failure.KeyInProgress, 0), true
+	case verdictReused:
+		return g.refuse(request, failure.KeyReused, 0), true
+	case verdictUnknown:
+		return g.refuse(request, failure.OutcomeUnknown, 0), true
+	case verdictFuture:
+		return g.refuse(request, failure.InvalidRequest, 0), true
+	default:
+		return nil, false
+	}
+}
+
+func (g *Gate) limitFor(now time.Time, request Request) Limit {
+	return g.config.Bound.LimitFor(now, g.Load(), g.others, request.Evidence)
+}
+
+func (g *Gate) waitFor(request Request) time.Duration {
+	if request.Key != nil {
+		return g.config.OwnerWait
+	}
+	if request.Affine {
+		return g.config.AffinityWait
+	}
+	return 0
+}
+
+func (g *Gate) hold(now time.Time, request Request, wait time.Duration) []Action {
+	until := now.Add(wait)
+	if request.Deadline.Before(until) {
+		until = request.Deadline
+	}
+	g.waiters = append(g.waiters, waiter{request: request, until: until})
+	slices.SortStableFunc(g.waiters, func(a, b waiter) int {
+		return int(a.request.Priority) - int(b.request.Priority)
+	})
+	return nil
+}
+
+// accept takes the request under the bound; it runs at once or is queued.
+func (g *Gate) accept(now time.Time, request Request, limit int) []Action {
+	if g.running < g.config.MaxRunning {
+		g.held[request.ID] = &accepted{request: request, limit: limit}
+		return []Action{g.start(now, request.ID)}
+	}
+	if wait := g.expectedWait(g.queue.len()); now.Add(wait).After(request.Deadline) {
+		return []Action{g.refuseReleasing(request, failure.DeadlineUnmeetable, wait)}
+	}
+	var actions []Action
+	if g.queue.len() >= g.config.MaxQueued {
+		victim, displaced := g.queue.displace(request)
+		if !displaced {
+			return []Action{g.refuseReleasing(request, failure.QueueFull, g.expectedWait(g.queue.len()))}
+		}
+		delete(g.held, victim.ID)
+		actions = append(actions, g.refuseReleasing(victim, failure.QueueFull, g.expectedWait(g.queue.len())))
+	}
+	g.held[request.ID] = &accepted{request: request, limit: limit}
+	g.queue.push(request)
+	return actions
+}
+
+func (g *Gate) start(now time.Time, id RequestID) Start {
+	entry := g.held[id]
+	entry.running = true
+	entry.startedAt = now
+	g.running++
+	return Start{ID: id, Load: g.Load(), Limit: entry.limit}
+}
+
+func (g *Gate) finished(now time.Time, event Finished) []Action {
+	entry, known := g.held[event.ID]
+	if !known || !entry.running {
+		return nil
+	}
+	delete(g.held, event.ID)
+	g.running--
+	g.learnService(now.Sub(entry.startedAt))
+	g.settleKey(entry.request, event)
+	return append(g.startQueued(now), g.admitWaiters(now)...)
+}
+
+func (g *Gate) settleKey(request Request, event Finished) {
+	switch {
+	case request.Key == nil:
+	case event.NotRun:
+		g.once.release(*request.Key)
+	default:
+		g.once.finish(*request.Key, event.Outcome)
+	}
+}
+
+func (g *Gate) learnService(took time.Duration) {
+	if g.service == 0 {
+		g.service = took
+		return
+	}
+	g.service += time.Duration(serviceSmoothing * float64(took-g.service))
+}
+
+// startQueued starts queued requests while there is capacity. One whose
+// deadline has passed is refused instead of started.
+func (g *Gate) startQueued(now time.Time) []Action {
+	var actions []Action
+	for g.running < g.config.MaxRunning {
+		request, ok := g.queue.pop()
+		if !ok {
+			break
+		}
+		if !now.Before(request.Deadline) {
+			delete(g.held, request.ID)
+			actions = append(actions, g.refuseReleasing(request, failure.DeadlineUnmeetable, g.expectedWait(0)))
+			continue
+		}
+		actions = append(actions, g.start(now, request.ID))
+	}
+	return actions
+}
+
+// admitWaiters accepts waiting requests that have come under the bound.
+func (g *Gate) admitWaiters(now time.Time) []Action {
+	var actions []Action
+	var remaining []waiter
+	for _, waiting := range g.waiters {
+		limit := g.limitFor(now, waiting.request)
+		if g.Load()+1 <= limit.Max {
+			actions = append(actions, g.accept(now, waiting.request, limit.Max)...)
+			continue
+		}
+		remaining = append(remaining, waiting)
+	}
+	g.waiters = remaining
+	return actions
+}
+
+// cancelled drops a request that has not started. One that runs is ended by
+// Finished, once the back end has let go of it.
+func (g *Gate) cancelled(now time.Time, id RequestID) []Action {
+	for i, waiting := range g.waiters {
+		if waiting.request.ID == id {
+			g.waiters = slices.Delete(g.waiters, i, i+1)
+			g.releaseKey(waiting.request)
+			return nil
+		}
+	}
+	if request, queued := g.queue.remove(id); queued {
+		delete(g.held, id)
+		g.releaseKey(request)
+		return g.admitWaiters(now)
+	}
+	return nil
+}
+
+// leave closes the gate. Accepted work is finished; what only waits for the
+// bound is refused, since it can still go elsewhere.
+func (g *Gate) leave() []Action {
+	if g.leaving {
+		return nil
+	}
+	g.leaving = true
+	var actions []Action
+	for _, waiting := range g.waiters {
+		actions = append(actions, g.refuseReleasing(waiting.request, failure.Leaving, 0))
+	}
+	g.waiters = nil
+	return actions
+}
+
+// tick refuses, at once, what can no longer be served in time.
+func (g *Gate) tick(now time.Time) []Action {
+	actions := g.admitWaiters(now)
+	var remaining []waiter
+	for _, waiting := range g.waiters {
+		if now.Before(waiting.until) {
+			remaining = append(remaining, waiting)
+			continue
+		}
+		actions = append(actions, g.refuseReleasing(waiting.request, failure.OverBound, g.expectedRoom()))
+	}
+	g.waiters = remaining
+	return append(actions, g.refuseHopeless(now)...)
+}
+
+// refuseHopeless refuses queued requests that, by their place in the queue,
+// would start after their deadline.
+func (g *Gate) refuseHopeless(now time.Time) []Action {
+	var hopeless []Request
+	ahead := 0
+	g.queue.each(func(request Request) {
+		if now.Add(g.expectedWait(ahead)).After(request.Deadline) {
+			hopeless = append(hopeless, request)
+			return
+		}
+		ahead++
+	})
+	var actions []Action
+	for _, request := range hopeless {
+		g.queue.remove(request.ID)
+		delete(g.held, request.ID)
+		actions = append(actions, g.refuseReleasing(request, failure.DeadlineUnmeetable, g.expectedWait(g.queue.len())))
+	}
+	return actions
+}
+
+// expectedWait estimates the time until a request with so many ahead starts.
+func (g *Gate) expectedWait(ahead int) time.Duration {
+	if g.config.MaxRunning == 0 {
+		return g.service
+	}
+	return time.Duration(float64(g.service) * float64(ahead) / float64(g.config.MaxRunning))
+}
+
+// expectedRoom estimates the time until one of the held requests finishes.
+func (g *Gate) expectedRoom() time.Duration {
+	if g.running == 0 {
+		return g.service
+	}
+	return g.service / time.Duration(g.running)
+}
+
+func (g *Gate) refuse(request Request, kind failure.Kind, wait time.Duration) Refuse {
+	return Refuse{ID: request.ID, Kind: kind, RetryAfter: wait, Load: g.Load()}
+}
+
+// refuseReleasing refuses a request that was certainly not run and forgets its
+// key, so that the caller's next attempt may run.
+func (g *Gate) refuseReleasing(request Request, kind failure.Kind, wait time.Duration) Refuse {
+	g.releaseKey(request)
+	return g.refuse(request, kind, wait)
+}
+
+func (g *Gate) releaseKey(request Request) {
+	if request.Key != nil {
+		g.once.release(*request.Key)
+	}
+}
--- /dev/null
+++ b/internal/admission/once.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"container/list"
+	"time"
+)
+
+// Key is a caller's idempotency key on an unrepeatable request.
+type Key struct {
+	// Value identifies the key; it includes the tenant.
+	Value string
+	// Issued is the time of issue that the key itself carries.
+	Issued time.Time
+	// Digest is a hash of the request, to notice a key used for another one.
+	Digest uint64
+}
+
+// Outcome is how the first run under a key ended.
+type Outcome struct {
+	// Known is false when it can't be told whether the run took place.
+	Known bool
+	// Reply is the shell's handle on the stored answer, opaque to the core;
+	// nil when the answer was too large to keep.
+	Reply any
+}
+
+// verdict says what to do with a keyed request.
+type verdict uint8
+
+const (
+	verdictRun verdict = iota
+	verdictReplay
+	verdictInProgress
+	verdictReused
+	verdictUnknown
+	verdictFuture
+)
+
+// OnceConfig sets up the memory of keys.
+type OnceConfig struct {
+	// StartedAt is when this agent's memory began.
+	StartedAt time.Time
+	// ClockError bounds the difference between two clocks.
+	ClockError time.Duration
+	// Memory is how long an outcome is remembered.
+	Memory time.Duration
+	// Capacity is the largest number of remembered keys.
+	Capacity int
+	// Disabled forgets everything; only checks of the checkers set it.
+	Disabled bool
+}
+
+// onceTable lets every key run at most once on this agent.
+//
+// It has no disk, so it can't know what ran before it started. It relies on the
+// time of issue instead: a key is taken only if it was issued after the start,
+// by more than the clocks can differ. A key that an earlier incarnation took at
+// a moment A was issued no later than A plus the clock error (later ones are
+// refused as dated in the future), and A is before the start; so with a second
+// clock error for a machine whose clock changed in between, no key can be taken
+// by both.
+type onceTable struct {
+	config    OnceConfig
+	entries   map[string]*onceEntry
+	order     *list.List
+	forgotten time.Time
+}
+
+type onceEntry struct {
+	key     Key
+	done    bool
+	outcome Outcome
+	element *list.Element
+}
+
+func newOnceTable(config OnceConfig) *onceTable {
+	return &onceTable{
+		config:    config,
+		entries:   map[string]*onceEntry{},
+		order:     list.New(),
+		forgotten: config.StartedAt.Add(2 * config.ClockError),
+	}
+}
+
+// begin decides about a keyed request and, on verdictRun, remembers the key.
+func (t *onceTable) begin(now time.Time, key Key) (verdict, Outcome) {
+	if t.config.Disabled {
+		return verdictRun, Outcome{}
+	}
+	t.expire(now)
+	if entry, known := t.entries[key.Value]; known {
+		return entry.verdict(key), entry.outcome
+	}
+	if key.Issued.After(now.Add(t.config.ClockError)) {
+		return verdictFuture, Outcome{}
+	}
+	if !key.Issued.After(t.forgotten) {
+		return verdictUnknown, Outcome{}
+	}
+	entry := &onceEntry{key: key}
+	entry.element = t.order.PushBack(entry)
+	t.entries[key.Value] = entry
+	return verdictRun, Outcome{}
+}
+
+func (e *onceEntry) verdict(key Key) verdict {
+	switch {
+	case e.key.Digest != key.Digest:
+		return verdictReused
+	case !e.done:
+		return verdictInProgress
+	case !e.outcome.Known:
+		return verdictUnknown
+	default:
+		return verdictReplay
+	}
+}
+
+// finish records how the run under the key ended.
+func (t *onceTable) finish(key Key, outcome Outcome) {
+	if entry, known := t.entries[key.Value]; known {
+		entry.done = true
+		entry.outcome = outcome
+	}
+}
+
+// release forgets a key whose request was certainly not run.
+func (t *onceTable) release(key Key) {
+	if entry, known := t.entries[key.Value]; known {
+		t.order.Remove(entry.element)
+		delete(t.entries, key.Value)
+	}
+}
+
+// expire forgets old outcomes, and remembers up to which time of issue keys may
+// have been forgotten. A run in progress is never forgotten.
+func (t *onceTable) expire(now time.Time) {
+	for element := t.order.Front(); element != nil; {
+		entry, ok := element.Value.(*onceEntry)
+		next := element.Next()
+		old := now.Sub(entry.key.Issued) > t.config.Memory
+		over := t.order.Len() > t.config.Capacity
+		if !ok || !old && !over {
+			break
+		}
+		if entry.done {
+			t.forget(entry)
+		}
+		element = next
+	}
+	if horizon := now.Add(-t.config.Memory); horizon.After(t.forgotten) {
+		t.forgotten = horizon
+	}
+}
+
+func (t *onceTable) forget(entry *onceEntry) {
+	t.order.Remove(entry.element)
+	delete(t.entries, entry.key.Value)
+	if entry.key.Issued.After(t.forgotten) {
+		t.forgotten = entry.key.Issued
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,183 @@
+package admission
+
+import (
+	"slices"
+)
+
+// Priority is a request's class. A lower value goes first.
+type Priority uint8
+
+// The priorities.
+const (
+	// Interactive is for callers who wait for the answer.
+	Interactive Priority = iota
+	// Batch is for work that can wait.
+	Batch
+
+	priorityCount
+)
+
+// batchTurn is the share of starts, one in so many, that batch work gets while
+// interactive work waits too, so that it never starves.
+const batchTurn = 8
+
+// queued is one waiting request with its place in the fair order.
+type queued struct {
+	request  Request
+	finish   float64
+	sequence uint64
+}
+
+// fairQueue orders accepted requests: interactive before batch, and within a
+// priority weighted-fair across tenants by start-time fair queueing (Goyal, Vin
+// and Cheng, 1996). A tenant's requests keep their order of arrival.
+type fairQueue struct {
+	classes  [priorityCount][]queued
+	virtual  [priorityCount]float64
+	finishes [priorityCount]map[string]float64
+	weights  map[string]float64
+	sequence uint64
+	starts   int
+}
+
+func newFairQueue() *fairQueue {
+	q := &fairQueue{weights: map[string]float64{}}
+	for class := range q.finishes {
+		q.finishes[class] = map[string]float64{}
+	}
+	return q
+}
+
+func (q *fairQueue) weight(tenant string) float64 {
+	if weight := q.weights[tenant]; weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+func (q *fairQueue) len() int {
+	total := 0
+	for _, class := range q.classes {
+		total += len(class)
+	}
+	return total
+}
+
+// push puts the request in its fair place.
+func (q *fairQueue) push(request Request) {
+	class := request.Priority
+	start := max(q.virtual[class], q.finishes[class][request.Tenant])
+	finish := start + 1/q.weight(request.Tenant)
+	q.finishes[class][request.Tenant] = finish
+	q.sequence++
+	entry := queued{request: request, finish: finish, sequence: q.sequence}
+	at, _ := slices.BinarySearchFunc(q.classes[class], entry, compareQueued)
+	q.classes[class] = slices.Insert(q.classes[class], at, entry)
+}
+
+func compareQueued(a, b queued) int {
+	if a.finish != b.finish {
+		if a.finish < b.finish {
+			return -1
+		}
+		return 1
+	}
+	if a.sequence < b.sequence {
+		return -1
+	}
+	return 1
+}
+
+// pop takes the request that starts next.
+func (q *fairQueue) pop() (Request, bool) {
+	class := q.nextClass()
+	if len(q.classes[class]) == 0 {
+		return Request{}, false
+	}
+	q.starts++
+	entry := q.classes[class][0]
+	q.classes[class] = slices.Delete(q.classes[class], 0, 1)
+	q.virtual[class] = entry.finish
+	if len(q.classes[class]) == 0 {
+		// Nobody waits: old finish times have no meaning for the next backlog.
+		clear(q.finishes[class])
+		q.virtual[class] = 0
+	}
+	return entry.request, true
+}
+
+func (q *fairQueue) nextClass() Priority {
+	if len(q.classes[Interactive]) == 0 {
+		return Batch
+	}
+	if len(q.classes[Batch]) > 0 && (q.starts+1)%batchTurn == 0 {
+		return Batch
+	}
+	return Interactive
+}
+
+// remove takes the request out wherever it stands.
+func (q *fairQueue) remove(id RequestID) (Request, bool) {
+	for class := range q.classes {
+		for i, entry := range q.classes[class] {
+			if entry.request.ID == id {
+				q.classes[class] = slices.Delete(q.classes[class], i, i+1)
+				return entry.request, true
+			}
+		}
+	}
+	return Request{}, false
+}
+
+// displace makes room for an arriving request in a full queue: it takes out the
+// last request of the tenant that holds most of the queue for its weight, in
+// the lowest class that isn't above the arriving one's. A tenant that surges
+// therefore displaces its own requests, never another's smaller share.
+func (q *fairQueue) displace(arriving Request) (Request, bool) {
+	for class := priorityCount; class > 0; class-- {
+		low := class - 1
+		if low < arriving.Priority {
+			break
+		}
+		if victim, ok := q.largestShare(low, arriving); ok {
+			return q.remove(victim)
+		}
+	}
+	return Request{}, false
+}
+
+// largestShare returns the last request of the tenant with the largest share of
+// the class, if that share exceeds what the arriving tenant's would become. In
+// a class below the arriving one's, any tenant's last request may go.
+func (q *fairQueue) largestShare(class Priority, arriving Request) (RequestID, bool) {
+	counts := map[string]int{}
+	for _, entry := range q.classes[class] {
+		counts[entry.request.Tenant]++
+	}
+	var victim RequestID
+	largest := 0.0
+	if class == arriving.Priority {
+		largest = float64(counts[arriving.Tenant]+1) / q.weight(arriving.Tenant)
+	}
+	found := false
+	// Walking the entries in order, not the map, keeps the choice deterministic;
+	// the last entry of the tenant with the largest share wins.
+	for _, entry := range q.classes[class] {
+		tenant := entry.request.Tenant
+		share := float64(counts[tenant]) / q.weight(tenant)
+		if share > largest || found && share == largest {
+			largest, victim, found = share, entry.request.ID, true
+		}
+	}
+	return victim, found
+}
+
+// each calls visit for every queued request in the order of their start within
+// their class.
+func (q *fairQueue) each(visit func(Request)) {
+	for _, class := range q.classes {
+		for _, entry := range class {
+			visit(entry.request)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/agenthttp/server.go
@@ -0,0 +1,237 @@
+// Package agenthttp is the shell of an agent: it takes requests from routers
+// over HTTP, asks the core about each, and passes on what the core starts.
+package agenthttp
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/admission"
+	"github.com/harriernotch/harriernotch/internal/agent"
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/peering"
+)
+
+// Config sets up a Server.
+type Config struct {
+	// Core decides.
+	Core *agent.Core
+	// Credential proves membership of the cluster.
+	Credential hop.Credential
+	// BackEnd is the base URL of the engine or plain service.
+	BackEnd string
+	// Transport reaches the back end; it must come from hop.NewTransport.
+	Transport http.RoundTripper
+	// Log and Metrics take what operators should know.
+	Log     logrus.FieldLogger
+	Metrics tally.Scope
+}
+
+// Server is an agent's peer listener.
+type Server struct {
+	config  Config
+	peering *peering.Peering
+
+	// mutex guards the core and the pending requests.
+	mutex   sync.Mutex
+	core    *agent.Core
+	pending map[admission.RequestID]chan decision
+	lastID  admission.RequestID
+
+	admitted tally.Counter
+	refused  tally.Counter
+	load     tally.Gauge
+}
+
+// decision is the core's word on a request, with the time it was given.
+type decision struct {
+	action admission.Action
+	at     time.Time
+}
+
+// New returns a server. SetPeering must follow before it serves.
+func New(config Config) *Server {
+	return &Server{
+		config:   config,
+		core:     config.Core,
+		pending:  map[admission.RequestID]chan decision{},
+		admitted: config.Metrics.Counter("requests_started"),
+		refused:  config.Metrics.Counter("requests_refused"),
+		load:     config.Metrics.Gauge("load"),
+	}
+}
+
+// SetPeering connects the control plane.
+func (s *Server) SetPeering(p *peering.Peering) { s.peering = p }
+
+// Deliver passes a control event to the core.
+func (s *Server) Deliver(event coordination.Event) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.perform(s.core.Control(time.Now(), event))
+}
+
+// Tick must be called once a gossip period.
+func (s *Server) Tick() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.perform(s.core.Tick(time.Now()))
+	s.load.Update(float64(s.core.Gate().Load()))
+}
+
+// View calls read with the core, which it must not keep.
+func (s *Server) View(read func(*agent.Core)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	read(s.core)
+}
+
+// Ready tells whether the agent takes new work.
+func (s *Server) Ready() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Node().Ready(time.Now()) && !s.core.Gate().IsLeaving()
+}
+
+// Drain closes the gate first and spreads the word second. Work in flight goes
+// on.
+func (s *Server) Drain() {
+	s.Deliver(coordination.LocalState{State: membership.StateLeaving})
+}
+
+// perform carries out effects. The mutex is held; nothing here blocks.
+func (s *Server) perform(effects agent.Effects) {
+	if s.peering != nil {
+		s.peering.Perform(effects.Control)
+	}
+	now := time.Now()
+	for _, action := range effects.Requests {
+		switch a := action.(type) {
+		case admission.Start:
+			s.admitted.Inc(1)
+			s.decide(a.ID, decision{a, now})
+		case admission.Refuse:
+			s.refused.Inc(1)
+			s.decide(a.ID, decision{a, now})
+		case admission.Replay:
+			s.decide(a.ID, decision{a, now})
+		}
+	}
+}
+
+func (s *Server) decide(id admission.RequestID, d decision) {
+	if waiting, known := s.pending[id]; known {
+		waiting <- d // the channel holds the one decision a request gets
+		delete(s.pending, id)
+	}
+}
+
+// ServeHTTP implements http.Handler for the peer listener.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if err := s.config.Credential.Check(r.Header); err != nil {
+		s.config.Log.WithField("remote", r.RemoteAddr).Warn("peer without the cluster key refused")
+		failure.WriteHTTP(w, err)
+		return
+	}
+	if r.URL.Path == peering.Path && strings.EqualFold(r.Header.Get("Upgrade"), "websocket") {
+		s.peering.ServeHTTP(w, r)
+		return
+	}
+	head, err := hop.ParseHead(r.Header)
+	if err != nil {
+		failure.WriteHTTP(w, err)
+		return
+	}
+	s.serveRequest(w, r, head)
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, head hop.Head) {
+	id, waiting := s.arrive(head)
+	select {
+	case d := <-waiting:
+		s.carryOut(w, r, head, id, d)
+	case <-r.Context().Done():
+		s.abandon(id, waiting)
+	}
+}
+
+// arrive hands the request to the core.
+func (s *Server) arrive(head hop.Head) (admission.RequestID, chan decision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastID++
+	id := s.lastID
+	waiting := make(chan decision, 1)
+	s.pending[id] = waiting
+	s.perform(s.core.Arrive(time.Now(), id, head))
+	return id, waiting
+}
+
+// abandon takes back a request whose caller left before it was started.
+func (s *Server) abandon(id admission.RequestID, waiting chan decision) {
+	s.mutex.Lock()
+	delete(s.pending, id)
+	s.perform(s.core.Cancelled(time.Now(), id))
+	s.mutex.Unlock()
+	select {
+	case d := <-waiting:
+		// It was started at the same moment: give the place back.
+		if _, started := d.action.(admission.Start); started {
+			s.finish(admission.Finished{ID: id, NotRun: true})
+		}
+	default:
+	}
+}
+
+func (s *Server) finish(event admission.Finished) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.perform(s.core.Finished(time.Now(), event))
+}
+
+// maxDecisionAge is how old a decision to start a keyed request may be. A
+// process that was paused between the decision and the call must not make it.
+const maxDecisionAge = 500 * time.Millisecond
+
+func (s *Server) carryOut(w http.ResponseWriter, r *http.Request, head hop.Head, id admission.RequestID, d decision) {
+	switch action := d.action.(type) {
+	case admission.Refuse:
+		s.answerRefusal(w, action)
+	case admission.Replay:
+		s.answerReplay(w, action.Outcome)
+	case admission.Start:
+		if head.Key != "" && time.Since(d.at) > maxDecisionAge {
+			s.finish(admission.Finished{ID: id, NotRun: true})
+			s.answerRefusal(w, admission.Refuse{ID: id, Kind: failure.LeaseLapsed})
+			return
+		}
+		s.forward(w, r, head, id)
+	}
+}
+
+// answerRefusal tells the router that the request was not run here.
+func (s *Server) answerRefusal(w http.ResponseWriter, refused admission.Refuse) {
+	s.setReply(w.Header(), &refused)
+	failure.WriteHTTP(w, &failure.Error{
+		Kind:       refused.Kind,
+		Message:    "the agent did not take the request",
+		RetryAfter: refused.RetryAfter,
+	})
+}
+
+func (s *Server) setReply(header http.Header, refused *admission.Refuse) {
+	s.mutex.Lock()
+	reply := s.core.Reply(time.Now(), refused)
+	s.mutex.Unlock()
+	if err := hop.SetReply(header, reply); err != nil {
+		s.config.Log.WithError(err).Error("encode a reply")
+	}
+}
--- /dev/null
+++ b/internal/bundle/model.go
@@ -0,0 +1,238 @@
+// Package bundle holds the operators' signed, numbered configuration: its
+// model, its checks, its signature and the rule by which a node accepts it.
+//
+// The package does no I/O and reads no clock; times are passed in.
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/tomlfile"
+)
+
+// FormatVersion is the only document format this version reads.
+const FormatVersion = 1
+
+// MaxSize is the largest signed bundle in bytes: the platform's value limit.
+const MaxSize = 1 << 20
+
+// Content is the TOML document that operators write.
+type Content struct {
+	// Format is the document format; 1.
+	Format int `toml:"format"`
+	// Control tunes how nodes coordinate.
+	Control Control `toml:"control"`
+	// Objectives are the service-level targets that the burn report uses.
+	Objectives Objectives `toml:"objectives"`
+	// Pools group back ends that can serve the same requests.
+	Pools []Pool `toml:"pools"`
+	// Tenants are the callers' organisations.
+	Tenants []Tenant `toml:"tenants"`
+
+	// index speeds up look-ups; Parse builds it.
+	index index
+}
+
+// Control tunes how nodes coordinate.
+type Control struct {
+	// OwnershipLease is how long an agent may go on running keyed unrepeatable
+	// requests without a confirmation from the platform that its bundle is the
+	// newest. A longer lease outlives longer platform outages; a key that moves
+	// to another owner waits that long. Default 15m.
+	OwnershipLease tomlfile.Duration `toml:"ownership_lease"`
+	// ClockError bounds the difference between two machines' clocks. Default 2s.
+	ClockError tomlfile.Duration `toml:"clock_error"`
+}
+
+// Objectives are service-level targets.
+type Objectives struct {
+	// FirstToken is the target time to the first token. Default 1.2s.
+	FirstToken tomlfile.Duration `toml:"first_token"`
+	// BetweenTokens is the target time between two tokens. Default 48ms.
+	BetweenTokens tomlfile.Duration `toml:"between_tokens"`
+	// Fraction is the share of requests that must meet both. Default 0.95.
+	Fraction float64 `toml:"fraction"`
+	// AnsweredWhole is the share of accepted requests whose answer must arrive
+	// whole. Default 0.999.
+	AnsweredWhole float64 `toml:"answered_whole"`
+}
+
+// PoolKind tells what stands behind a pool.
+type PoolKind string
+
+// The kinds of pool.
+const (
+	// PoolEngine is a pool of model engines behind the chat API.
+	PoolEngine PoolKind = "engine"
+	// PoolService is a pool of plain HTTP services behind a path prefix.
+	PoolService PoolKind = "service"
+)
+
+// Rounding tells how a fractional load bound becomes a whole number.
+type Rounding string
+
+// The roundings of the load bound.
+const (
+	// RoundUp keeps more cache reuse; the load may pass the exact multiple by
+	// less than one request.
+	RoundUp Rounding = "up"
+	// RoundDown keeps the load below the exact multiple, for less skew.
+	RoundDown Rounding = "down"
+)
+
+// Pool is a group of back ends that can serve the same requests.
+type Pool struct {
+	// Name identifies the pool in logs, metrics and reports.
+	Name string `toml:"name"`
+	// Kind is "engine" or "service".
+	Kind PoolKind `toml:"kind"`
+	// Models are the model names that an engine pool serves.
+	Models []string `toml:"models"`
+	// PathPrefix is the path, such as "/loans/", that a service pool owns.
+	PathPrefix string `toml:"path_prefix"`
+	// UnrepeatableMethods are the HTTP methods that a service pool must not run
+	// twice unless the caller says otherwise. Default: POST and PATCH.
+	UnrepeatableMethods []string `toml:"unrepeatable_methods"`
+	// LoadMultiple is c: no back end carries more than c times the pool's mean
+	// load. From 1.05 to 10; default 1.25.
+	LoadMultiple float64 `toml:"load_multiple"`
+	// Rounding is "up" or "down"; default "up".
+	Rounding Rounding `toml:"rounding"`
+	// MeanWindow is the age to which a reported load counts towards the mean.
+	// Default 1s.
+	MeanWindow tomlfile.Duration `toml:"mean_window"`
+	// AffinityWait is how long a returning chat may wait at the engine that
+	// caches its context for a place under the bound. Longer keeps more reuse
+	// and delays some first tokens. Default 0.
+	AffinityWait tomlfile.Duration `toml:"affinity_wait"`
+	// MaxRunning is how many requests one back end runs at a time. Default 32.
+	MaxRunning int `toml:"max_running"`
+	// MaxQueued is how many accepted requests may wait at one agent. Default 64.
+	MaxQueued int `toml:"max_queued"`
+	// BackEnds are the pool's members.
+	BackEnds []BackEnd `toml:"back_ends"`
+
+	// memberIDs are the IDs of BackEnds; Parse fills it.
+	memberIDs []string
+}
+
+// BackEnd is one engine or plain service with its agent.
+type BackEnd struct {
+	// ID is unique in the whole bundle.
+	ID string `toml:"id"`
+	// Agent is the agent's IP address and port.
+	Agent string `toml:"agent"`
+	// Region and Zone place the machine.
+	Region string `toml:"region"`
+	Zone   string `toml:"zone"`
+	// Leaving withdraws the back end: it gets no new work.
+	Leaving bool `toml:"leaving"`
+	// ChecksFence says that the back end refuses orders with an old epoch.
+	ChecksFence bool `toml:"checks_fence"`
+}
+
+// Tenant is one organisation's share of the fleet.
+type Tenant struct {
+	// Name identifies the tenant in logs, metrics and reports.
+	Name string `toml:"name"`
+	// KeySHA256 are hex SHA-256 hashes of the tenant's bearer keys.
+	KeySHA256 []string `toml:"key_sha256"`
+	// Weight is the tenant's share where requests queue. Default 1.
+	Weight float64 `toml:"weight"`
+	// RequestsPerSecond limits the tenant across the fleet; 0 sets no limit.
+	RequestsPerSecond float64 `toml:"requests_per_second"`
+	// Burst is how many requests may come at once above the rate. Default: two
+	// seconds of the rate.
+	Burst float64 `toml:"burst"`
+}
+
+// Defaults of the optional fields.
+const (
+	defaultOwnershipLease = 15 * time.Minute
+	defaultClockError     = 2 * time.Second
+	defaultFirstToken     = 1200 * time.Millisecond
+	defaultBetweenTokens  = 48 * time.Millisecond
+	defaultFraction       = 0.95
+	defaultAnsweredWhole  = 0.999
+	defaultLoadMultiple   = 1.25
+	defaultMeanWindow     = time.Second
+	defaultMaxRunning     = 32
+	defaultMaxQueued      = 64
+	defaultBurstSeconds   = 2
+)
+
+// applyDefaults fills every optional field that the document left out.
+func (c *Content) applyDefaults() {
+	setDuration(&c.Control.OwnershipLease, defaultOwnershipLease)
+	setDuration(&c.Control.ClockError, defaultClockError)
+	setDuration(&c.Objectives.FirstToken, defaultFirstToken)
+	setDuration(&c.Objectives.BetweenTokens, defaultBetweenTokens)
+	setNumber(&c.Objectives.Fraction, defaultFraction)
+	setNumber(&c.Objectives.AnsweredWhole, defaultAnsweredWhole)
+	for i := range c.Pools {
+		c.Pools[i].applyDefaults()
+	}
+	for i := range c.Tenants {
+		tenant := &c.Tenants[i]
+		setNumber(&tenant.Weight, 1)
+		setNumber(&tenant.Burst, defaultBurstSeconds*tenant.RequestsPerSecond)
+	}
+}
+
+func (p *Pool) applyDefaults() {
+	setNumber(&p.LoadMultiple, defaultLoadMultiple)
+	setNumber(&p.MaxRunning, defaultMaxRunning)
+	setNumber(&p.MaxQueued, defaultMaxQueued)
+	setDuration(&p.MeanWindow, defaultMeanWindow)
+	if p.Rounding == "" {
+		p.Rounding = RoundUp
+	}
+	if p.Kind == PoolService && p.UnrepeatableMethods == nil {
+		p.UnrepeatableMethods = []string{"POST", "PATCH"}
+	}
+}
+
+func setDuration(field *tomlfile.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = tomlfile.Duration(value)
+	}
+}
+
+func setNumber[T int | float64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// MemberIDs lists the pool's back ends in the bundle's order. The caller must
+// not change the list.
+func (p *Pool) MemberIDs() []string { return p.memberIDs }
+
+// Serves tells whether the pool serves the model.
+func (p *Pool) Serves(model string) bool {
+	for _, name := range p.Models {
+		if name == model {
+			return true
+		}
+	}
+	return false
+}
+
+// IsUnrepeatable tells whether the pool's calls by the HTTP method must run at
+// most once when the caller says nothing.
+func (p *Pool) IsUnrepeatable(method string) bool {
+	for _, name := range p.UnrepeatableMethods {
+		if name == method {
+			return true
+		}
+	}
+	return false
+}
+
+// HashKey returns the form in which the bundle holds a tenant's bearer key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/bundle/owner.go
@@ -0,0 +1,96 @@
+package bundle
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+// OwnerOf returns the one back end that may run an unrepeatable request with
+// the key. It depends on the key, its time of issue and the bundle's lists
+// alone, never on who looks alive, so churn can't move a key.
+func (b *Bundle) OwnerOf(pool *Pool, key string, issued time.Time) string {
+	return routing.Owner(key, b.ownersAt(pool, issued))
+}
+
+// ownersAt returns the member list that owns keys issued at the moment: that of
+// the first handover which had not ended, else the current one.
+func (b *Bundle) ownersAt(pool *Pool, issued time.Time) []string {
+	for _, handover := range b.Handovers {
+		if handover.Pool == pool.Name && issued.Before(handover.Until()) {
+			return handover.Members
+		}
+	}
+	return pool.MemberIDs()
+}
+
+// PublishSlack is the longest time from signing to publishing. A bundle that
+// changes a member list and is signed longer ago must be signed anew, since its
+// handovers were reckoned from the time of signing.
+const PublishSlack = 5 * time.Minute
+
+// Succession is what a new version must carry from the one before it.
+type Succession struct {
+	// Handovers is the new header's list.
+	Handovers []Handover
+	// StaleUntil is when the last node that missed the new version has lost its
+	// lease, whichever earlier version it holds.
+	StaleUntil time.Time
+}
+
+// SuccessionOf returns what a successor of previous needs, given the new
+// document and the time of signing. Ended handovers are dropped after one more
+// KeyMemory, since no owner knows an older key.
+func SuccessionOf(previous *Bundle, next *Content, signedAt time.Time) Succession {
+	if previous == nil {
+		return Succession{}
+	}
+	succession := Succession{StaleUntil: staleUntil(previous, signedAt)}
+	for _, old := range previous.Handovers {
+		if signedAt.Sub(old.Until()) < KeyMemory {
+			succession.Handovers = append(succession.Handovers, old)
+		}
+	}
+	for i := range previous.Content.Pools {
+		pool := &previous.Content.Pools[i]
+		successor := next.Pool(pool.Name)
+		if successor == nil || slices.Equal(pool.MemberIDs(), successor.MemberIDs()) {
+			continue
+		}
+		succession.Handovers = append(succession.Handovers, Handover{
+			Pool: pool.Name, Members: pool.MemberIDs(), UntilMillis: succession.StaleUntil.UnixMilli(),
+		})
+	}
+	return succession
+}
+
+// staleUntil covers the lease of the previous version and, through its header,
+// longer leases of versions before it.
+func staleUntil(previous *Bundle, signedAt time.Time) time.Time {
+	control := previous.Content.Control
+	until := signedAt.Add(PublishSlack + control.OwnershipLease.Std() + 2*control.ClockError.Std())
+	earlier := time.UnixMilli(previous.StaleUntilMillis)
+	if earlier.After(until) {
+		return earlier
+	}
+	return until
+}
+
+// KeyMemory is how long an owner remembers the outcome of a key.
+const KeyMemory = 24 * time.Hour
+
+// HandoversMissing tells whether next changes a member list of previous without
+// the handover that keeps keys at their owners.
+func HandoversMissing(previous, next *Bundle) bool {
+	needed := SuccessionOf(previous, next.Content, next.SignedAt())
+	for _, handover := range needed.Handovers {
+		covered := slices.ContainsFunc(next.Handovers, func(have Handover) bool {
+			return have.Pool == handover.Pool && slices.Equal(have.Members, handover.Members) && have.UntilMillis >= handover.UntilMillis
+		})
+		if !covered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/bundle/sign.go
@@ -0,0 +1,194 @@
+package bundle
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// signatureContext separates bundle signatures from any other use of a key.
+const signatureContext = "harriernotch bundle v1\n"
+
+// Header is the signed description of one published version.
+type Header struct {
+	// Number orders versions; every publication takes a higher one.
+	Number uint64 `cbor:"1,keyasint"`
+	// Identifier is the writer's own random identifier. After a lost answer it
+	// tells whether the write took effect.
+	Identifier string `cbor:"2,keyasint"`
+	// SignedAtMillis is the signer's clock, in Unix milliseconds.
+	SignedAtMillis int64 `cbor:"3,keyasint"`
+	// Handovers keep the owners of unrepeatable keys stable while a member
+	// list changes, oldest first.
+	Handovers []Handover `cbor:"4,keyasint,omitempty"`
+	// StaleUntilMillis is when the last node that missed this version has lost
+	// its lease, in Unix milliseconds; 0 for the first version.
+	StaleUntilMillis int64 `cbor:"5,keyasint,omitempty"`
+	// Note is the operator's remark.
+	Note string `cbor:"6,keyasint,omitempty"`
+}
+
+// Handover says which member list owns the keys issued before a moment.
+type Handover struct {
+	// Pool is the pool's name.
+	Pool string `cbor:"1,keyasint"`
+	// Members is the list in force before the change.
+	Members []string `cbor:"2,keyasint"`
+	// UntilMillis is a Unix time in milliseconds: keys issued before it belong
+	// to Members.
+	UntilMillis int64 `cbor:"3,keyasint"`
+}
+
+// Until returns the end of the handover.
+func (h Handover) Until() time.Time { return time.UnixMilli(h.UntilMillis) }
+
+// signedPart is what a signature covers.
+type signedPart struct {
+	Header  Header `cbor:"1,keyasint"`
+	Content []byte `cbor:"2,keyasint"`
+}
+
+// envelope is the stored and relayed form.
+type envelope struct {
+	// Signed is the compressed CBOR of signedPart.
+	Signed    []byte `cbor:"1,keyasint"`
+	Signature []byte `cbor:"2,keyasint"`
+	KeyID     string `cbor:"3,keyasint"`
+}
+
+// Bundle is a verified version.
+type Bundle struct {
+	Header
+	// Content is the parsed document with defaults.
+	Content *Content
+	// Source is the document as the operator wrote it.
+	Source []byte
+	// Raw is the signed form, as stored and relayed.
+	Raw []byte
+	// KeyID names the key that signed it.
+	KeyID string
+}
+
+// SignedAt returns the signer's time.
+func (h Header) SignedAt() time.Time { return time.UnixMilli(h.SignedAtMillis) }
+
+// KeyID returns the short name of a public key.
+func KeyID(key ed25519.PublicKey) string {
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:8])
+}
+
+// Sign returns the signed form of a document. The document must pass Parse.
+func Sign(header Header, source []byte, key ed25519.PrivateKey) ([]byte, error) {
+	if _, err := Parse("bundle", source); err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "the document doesn't pass its checks")
+	}
+	if header.Number == 0 || header.Identifier == "" {
+		return nil, failure.New(failure.InvalidBundle, "a version needs a number above 0 and an identifier")
+	}
+	plain, err := cbor.Marshal(signedPart{Header: header, Content: source})
+	if err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "encode")
+	}
+	packed, err := compress(plain)
+	if err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "compress")
+	}
+	public, ok := key.Public().(ed25519.PublicKey)
+	if !ok {
+		return nil, failure.New(failure.InvalidBundle, "the signing key has no Ed25519 public half")
+	}
+	raw, err := cbor.Marshal(envelope{
+		Signed:    packed,
+		Signature: ed25519.Sign(key, signedBytes(packed)),
+		KeyID:     KeyID(public),
+	})
+	if err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "encode")
+	}
+	if len(raw) > MaxSize {
+		return nil, failure.New(failure.InvalidBundle, "the signed bundle is over 1 MiB; remove unused tenants or back ends")
+	}
+	return raw, nil
+}
+
+// Open verifies a signed form and parses its document.
+func Open(raw []byte, trusted []ed25519.PublicKey) (*Bundle, error) {
+	if len(raw) > MaxSize {
+		return nil, failure.New(failure.InvalidBundle, "the signed bundle is over 1 MiB")
+	}
+	var sealed envelope
+	if err := cbor.Unmarshal(raw, &sealed); err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "not a signed bundle")
+	}
+	// The signature is checked before anything inside is decompressed or
+	// decoded, so that only trusted bytes reach those decoders.
+	if !verified(sealed, trusted) {
+		return nil, failure.New(failure.BadSignature, "no trusted key made the signature; sign with a key listed in trusted_keys")
+	}
+	plain, err := decompress(sealed.Signed)
+	if err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "decompress")
+	}
+	var part signedPart
+	if err := cbor.Unmarshal(plain, &part); err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "decode")
+	}
+	content, err := Parse("bundle", part.Content)
+	if err != nil {
+		return nil, failure.Wrap(failure.InvalidBundle, err, "the document doesn't pass its checks")
+	}
+	return &Bundle{Header: part.Header, Content: content, Source: part.Content, Raw: raw, KeyID: sealed.KeyID}, nil
+}
+
+func verified(sealed envelope, trusted []ed25519.PublicKey) bool {
+	message := signedBytes(sealed.Signed)
+	for _, key := range trusted {
+		if len(key) == ed25519.PublicKeySize && ed25519.Verify(key, message, sealed.Signature) {
+			return true
+		}
+	}
+	return false
+}
+
+func signedBytes(packed []byte) []byte {
+	return append([]byte(signatureContext), packed...)
+}
+
+func compress(plain []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(plain); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// maxPlainSize bounds what a compressed bundle may unpack to, in bytes.
+const maxPlainSize = 16 << 20
+
+func decompress(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, maxPlainSize+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(plain) > maxPlainSize {
+		return nil, failure.New(failure.InvalidBundle, "the bundle unpacks to over 16 MiB")
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/internal/cli/daemon.go
@@ -0,0 +1,128 @@
+// Package cli holds the commands of the two programs.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/harriernotch/harriernotch/internal/daemon"
+	"github.com/harriernotch/harriernotch/internal/demo"
+	"github.com/harriernotch/harriernotch/internal/settings"
+	"github.com/harriernotch/harriernotch/internal/telemetry"
+)
+
+// NewDaemonCommand returns the commands of harriernotchd.
+func NewDaemonCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:           "harriernotchd",
+		Short:         "Run one node of the router fleet",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runNode(cmd.Context(), path)
+		},
+	}
+	command.Flags().StringVar(&path, "config", "", "the settings file (required)")
+	_ = command.MarkFlagRequired("config")
+	command.AddCommand(newCheckConfigCommand(), newDemoCommand(), newStandInCommand())
+	return command
+}
+
+func runNode(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	node, err := daemon.Start(s, daemon.Environment{Log: log})
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(context.Background(), s.DrainTimeout.Std())
+	defer cancel()
+	node.Stop(drain)
+	return nil
+}
+
+func newCheckConfigCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-config FILE",
+		Short: "Check a settings file and name every problem with its remedy",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := settings.Load(args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of %s %s are in order\n", args[0], s.Role, s.ID)
+			return err
+		},
+	}
+}
+
+func newDemoCommand() *cobra.Command {
+	var listen, level string
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Serve a small fleet on loopback with everything embedded",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			log, err := telemetry.NewLogger(os.Stderr, level, "text")
+			if err != nil {
+				return err
+			}
+			return runDemo(cmd, listen, log)
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "127.0.0.1:18080", "the callers' address; port 0 picks a free one")
+	command.Flags().StringVar(&level, "log-level", "warning", "the log level")
+	return command
+}
+
+func runDemo(cmd *cobra.Command, listen string, log logrus.FieldLogger) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	fleet, err := demo.Start(ctx, listen, log)
+	if err != nil {
+		return err
+	}
+	if err := printDemo(cmd, fleet); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	fleet.Stop(context.Background())
+	return nil
+}
+
+func printDemo(cmd *cobra.Command, fleet *demo.Fleet) error {
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), `Serving on http://%[1]s with tenant %[2]s, key %[3]s
+Status and metrics on http://%[4]s/status and /metrics
+
+A chat:
+curl -si http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' -d '{"model":"%[5]s","messages":[{"role":"user","content":"Hello there"}]}'
+
+The same as a stream: add "stream":true to the body. For the next turn, send the
+answer's Harriernotch-Chat-Token header back; usage.prompt_tokens_details.cached_tokens
+tells how much of the context was reused.
+
+A call that must not run twice:
+curl -si http://%[1]s%[6]sbadge -H 'Authorization: Bearer %[3]s' -d 'award a badge'
+
+Stop with Ctrl-C.
+`, fleet.Address, demo.Tenant, fleet.Key, fleet.AdminAddress, demo.Model, demo.ServicePath)
+	return err
+}
--- /dev/null
+++ b/internal/coordination/gossip.go
@@ -0,0 +1,208 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/membership"
+)
+
+// minRecordsPerLink lets every link carry the node's own record and one more.
+const minRecordsPerLink = 2
+
+func (n *Node) linkUp(now time.Time, event LinkUp) []Action {
+	n.links = append(n.links, &link{id: event.Link, peer: event.Peer, dialed: event.Dialed, gossip: membership.NewLink()})
+	return n.gossip(now, true)
+}
+
+func (n *Node) linkDown(now time.Time, event LinkDown) []Action {
+	if event.Link == 0 {
+		n.dialing[event.Address] = now
+		return nil
+	}
+	n.links = slices.DeleteFunc(n.links, func(l *link) bool { return l.id == event.Link })
+	return nil
+}
+
+func (n *Node) findLink(id LinkID) *link {
+	for _, l := range n.links {
+		if l.id == id {
+			return l
+		}
+	}
+	return nil
+}
+
+// gossip sends each link what its peer lacks. A link with nothing new is used
+// only once a heartbeat period, unless forced.
+func (n *Node) gossip(now time.Time, force bool) []Action {
+	if len(n.links) == 0 {
+		return nil
+	}
+	limit := max(minRecordsPerLink, n.config.RecordsPerPeriod/len(n.links))
+	var actions []Action
+	for _, l := range n.links {
+		records := l.gossip.Pending(now, n.table, limit, n.recordFilter(l))
+		message := n.message(now, l)
+		current := news{number: message.Number, confirmed: message.ConfirmedAgeMillis != noConfirmation}
+		due := force || len(records) > 0 || l.sentNews != current || now.Sub(l.sentAt) >= n.config.HeartbeatPeriod
+		if !due {
+			continue
+		}
+		message.Records = records
+		l.sentAt = now
+		l.sentNews = current
+		actions = append(actions, Send{Link: l.id, Message: message})
+	}
+	return actions
+}
+
+// message returns a message for the link without records.
+func (n *Node) message(now time.Time, l *link) Message {
+	message := Message{
+		From:               n.identity.ID,
+		Number:             n.acceptor.Number(),
+		ConfirmedAgeMillis: noConfirmation,
+		Stamp:              n.clock.stamp(now),
+		Echo:               l.stamp,
+	}
+	if age, ok := n.acceptor.ConfirmedAge(now); ok {
+		message.ConfirmedAgeMillis = age.Milliseconds()
+	}
+	return message
+}
+
+// recordFilter keeps from a link what its peer has no use for: an agent needs
+// the loads of its own pool and the routers of its zone, a router needs all.
+func (n *Node) recordFilter(l *link) func(membership.Record) bool {
+	peer := n.table.Entry(l.peer)
+	peerIsRouter := peer != nil && peer.Role == membership.RoleRouter
+	if peerIsRouter {
+		return func(membership.Record) bool { return true }
+	}
+	zone := n.zoneOf(l.peer)
+	poolMember := n.poolMembership(l.peer)
+	return func(record membership.Record) bool {
+		if record.Role == membership.RoleRouter {
+			return zone == "" || record.Zone == zone
+		}
+		return poolMember(record.ID)
+	}
+}
+
+// poolMembership returns a test for the members of the back end's pool.
+func (n *Node) poolMembership(backEnd string) func(string) bool {
+	current := n.Bundle()
+	if current == nil {
+		return func(string) bool { return false }
+	}
+	pool, _ := current.Content.PoolOf(backEnd)
+	if pool == nil {
+		return func(string) bool { return false }
+	}
+	return func(id string) bool {
+		other, _ := current.Content.PoolOf(id)
+		return other == pool
+	}
+}
+
+// zoneOf returns the zone of a back end, or "" when it is unknown.
+func (n *Node) zoneOf(id string) string {
+	if current := n.Bundle(); current != nil {
+		if _, backEnd := current.Content.PoolOf(id); backEnd != nil {
+			return backEnd.Zone
+		}
+	}
+	return ""
+}
+
+func (n *Node) received(now time.Time, event Received) []Action {
+	l := n.findLink(event.Link)
+	if l == nil {
+		return nil
+	}
+	message := event.Message
+	l.stamp = max(l.stamp, message.Stamp)
+	n.noteContact(now)
+	n.noteHeardFrom(now, message)
+	l.gossip.Received(message.Records)
+	raised := n.clock.echoed(now, message.Echo)
+	n.table.Merge(now.Add(-raised), message.Records)
+	n.followOwnRecord()
+	var actions []Action
+	if len(message.Bundle) > 0 {
+		actions = append(actions, n.offer(now, l.peer, message.Bundle)...)
+	}
+	n.noteNumber(message)
+	if message.Want {
+		actions = append(actions, n.answerWant(now, l)...)
+	}
+	return append(actions, n.fetchIfBehind(now, l, message.Number)...)
+}
+
+func (n *Node) noteHeardFrom(now time.Time, message Message) {
+	if n.join.done || message.Number == 0 {
+		return
+	}
+	if n.join.firstHeard.IsZero() {
+		n.join.firstHeard = now
+	}
+	n.join.heardFrom[message.From] = true
+}
+
+// followOwnRecord takes over what others know about this node's own state, such
+// as that the machine list says it is leaving.
+func (n *Node) followOwnRecord() {
+	n.state = max(n.state, n.table.Self().State)
+}
+
+// noteNumber takes the news of a number and of its confirmation. The age is
+// reckoned from the echoed stamp, not from the arrival: the message may have
+// lain in a buffer, and a confirmation dated too late would stretch the lease.
+func (n *Node) noteNumber(message Message) {
+	n.acceptor.Heard(message.Number)
+	if message.ConfirmedAgeMillis >= 0 && message.Echo > 0 {
+		age := time.Duration(message.ConfirmedAgeMillis) * time.Millisecond
+		n.acceptor.Confirm(message.Number, n.clock.echoTime(message.Echo).Add(-age))
+	}
+}
+
+func (n *Node) answerWant(now time.Time, l *link) []Action {
+	current := n.Bundle()
+	if current == nil {
+		return nil
+	}
+	message := n.message(now, l)
+	message.Bundle = current.Raw
+	return []Action{Send{Link: l.id, Message: message}}
+}
+
+// fetchIfBehind asks the peer for its bundle if that is newer, unless another
+// peer was asked a moment ago.
+func (n *Node) fetchIfBehind(now time.Time, l *link, number uint64) []Action {
+	if number <= n.acceptor.Number() {
+		return nil
+	}
+	outstanding := n.fetch.link != 0 && n.findLink(n.fetch.link) != nil && now.Sub(n.fetch.at) < n.config.FetchTimeout
+	if outstanding {
+		return nil
+	}
+	n.fetch = fetchState{link: l.id, at: now}
+	message := n.message(now, l)
+	message.Want = true
+	return []Action{Send{Link: l.id, Message: message}}
+}
+
+// offer takes a bundle from a peer or the platform into force if it is newer.
+func (n *Node) offer(now time.Time, from string, raw []byte) []Action {
+	n.fetch = fetchState{}
+	opened, err := n.open(raw)
+	if err == nil {
+		err = n.accept(opened)
+	}
+	if err != nil {
+		return n.refusal(from, err)
+	}
+	actions := []Action{Adopt{Bundle: opened}}
+	return append(actions, n.gossip(now, true)...)
+}
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,221 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+// redialAfter is the pause before an address that failed is dialed again.
+const redialAfter = time.Second
+
+// peer is a node that can be dialed.
+type peer struct {
+	id      string
+	address string
+}
+
+// reviewPeriod is the time between two reviews of the node's peers.
+const reviewPeriod = 500 * time.Millisecond
+
+// maintainPeers reviews the peers and the watchers now and then: both need a
+// walk over the whole table.
+func (n *Node) maintainPeers(now time.Time) []Action {
+	if now.Sub(n.peersAt) < reviewPeriod {
+		return nil
+	}
+	n.peersAt = now
+	n.watcher = n.isWatcher(now)
+	return n.connectPeers(now)
+}
+
+// connectPeers dials the peers that the node should have and lacks, and closes
+// links it dialed that are no longer wanted.
+//
+// Every group of nodes (the agents of a pool, the routers of a zone, all
+// routers) forms a ring in hash order, so the graph is connected whatever the
+// other links are; one chord for each node keeps paths short. An agent also
+// links to two routers of its zone, which ties the pools together.
+func (n *Node) connectPeers(now time.Time) []Action {
+	wanted := n.wantedPeers(now)
+	if len(wanted) == 0 && len(n.links) == 0 {
+		return n.dialSeed(now)
+	}
+	var actions []Action
+	for _, p := range wanted {
+		if !n.linked(p.id) && n.mayDial(now, p.address) {
+			actions = append(actions, Connect{Address: p.address, Peer: p.id})
+		}
+	}
+	if len(n.links) == 0 {
+		actions = append(actions, n.dialSeed(now)...)
+	}
+	return append(actions, n.dropUnwanted(wanted)...)
+}
+
+// dialSeed tries the seeds in turn while the node has no link.
+func (n *Node) dialSeed(now time.Time) []Action {
+	for range n.identity.Seeds {
+		address := n.identity.Seeds[n.seedNext%len(n.identity.Seeds)]
+		n.seedNext++
+		if address != n.identity.Address && n.mayDial(now, address) {
+			return []Action{Connect{Address: address}}
+		}
+	}
+	return nil
+}
+
+// mayDial allows one dial to an address in each pause and notes it.
+func (n *Node) mayDial(now time.Time, address string) bool {
+	if at, tried := n.dialing[address]; tried && now.Sub(at) < redialAfter {
+		return false
+	}
+	n.dialing[address] = now
+	return true
+}
+
+func (n *Node) linked(id string) bool {
+	return slices.ContainsFunc(n.links, func(l *link) bool { return l.peer == id })
+}
+
+// maxDialedLinks is the number of dialed links above which unwanted ones close.
+const maxDialedLinks = 8
+
+func (n *Node) dropUnwanted(wanted []peer) []Action {
+	dialed := 0
+	for _, l := range n.links {
+		if l.dialed {
+			dialed++
+		}
+	}
+	var actions []Action
+	for _, l := range n.links {
+		if dialed <= maxDialedLinks {
+			break
+		}
+		isWanted := slices.ContainsFunc(wanted, func(p peer) bool { return p.id == l.peer })
+		if l.dialed && !isWanted {
+			actions = append(actions, Disconnect{Link: l.id})
+			dialed--
+		}
+	}
+	return actions
+}
+
+func (n *Node) wantedPeers(now time.Time) []peer {
+	if n.identity.Role == membership.RoleRouter {
+		return n.wantedByRouter(now)
+	}
+	return n.wantedByAgent(now)
+}
+
+// routersPerAgent is the number of routers that an agent links to.
+const routersPerAgent = 2
+
+func (n *Node) wantedByAgent(now time.Time) []peer {
+	wanted := ringPeers(n.identity.ID, n.poolPeers(now))
+	zone := n.routers(now, n.identity.Zone)
+	if len(zone) == 0 {
+		zone = n.routers(now, "")
+	}
+	for i, p := range rankPeers("router/"+n.identity.ID, zone) {
+		if i >= routersPerAgent {
+			break
+		}
+		wanted = append(wanted, p)
+	}
+	return wanted
+}
+
+func (n *Node) wantedByRouter(now time.Time) []peer {
+	wanted := ringPeers(n.identity.ID, n.routers(now, n.identity.Zone))
+	return append(wanted, ringPeers(n.identity.ID, n.routers(now, ""))...)
+}
+
+// poolPeers lists the other agents of the node's pool that may be alive. One
+// never heard of counts as alive: it may be starting.
+func (n *Node) poolPeers(now time.Time) []peer {
+	pool := n.ownPool()
+	if pool == nil {
+		return nil
+	}
+	var peers []peer
+	for _, backEnd := range pool.BackEnds {
+		if backEnd.ID == n.identity.ID || n.isGone(now, backEnd.ID) {
+			continue
+		}
+		peers = append(peers, peer{id: backEnd.ID, address: backEnd.Agent})
+	}
+	return peers
+}
+
+func (n *Node) isGone(now time.Time, id string) bool {
+	entry := n.table.Entry(id)
+	return entry != nil && n.table.Liveness(now, entry) != membership.Live
+}
+
+// routers lists the other routers of the zone, or of all zones when zone is "".
+func (n *Node) routers(now time.Time, zone string) []peer {
+	var peers []peer
+	n.table.Entries(func(entry *membership.Entry) {
+		if entry.Role != membership.RoleRouter || zone != "" && entry.Zone != zone {
+			return
+		}
+		if n.isUsableRouter(now, entry) {
+			peers = append(peers, peer{id: entry.ID, address: entry.Address})
+		}
+	})
+	return peers
+}
+
+// isUsableRouter takes a router for alive for longer than an agent, since a
+// router's records come more rarely in a large fleet.
+func (n *Node) isUsableRouter(now time.Time, entry *membership.Entry) bool {
+	if entry.State != membership.StateServing {
+		return false
+	}
+	allowed := 4 * max(n.config.HeartbeatPeriod, time.Duration(n.routerCount())*n.config.RouterBeatPerRouter)
+	return now.Sub(entry.At) <= max(allowed, n.config.Membership.SilentAfter)
+}
+
+// ringPeers returns the next node in hash order and one chord.
+func ringPeers(self string, others []peer) []peer {
+	if len(others) == 0 {
+		return nil
+	}
+	selfHash := xxhash.Sum64String(self)
+	next := slices.MinFunc(others, func(a, b peer) int {
+		// Unsigned wrap-around makes the distance that of a ring.
+		distanceA := xxhash.Sum64String(a.id) - selfHash
+		distanceB := xxhash.Sum64String(b.id) - selfHash
+		if distanceA < distanceB {
+			return -1
+		}
+		return 1
+	})
+	wanted := []peer{next}
+	for _, p := range rankPeers("chord/"+self, others) {
+		if p.id != next.id {
+			return append(wanted, p)
+		}
+	}
+	return wanted
+}
+
+func rankPeers(key string, peers []peer) []peer {
+	ids := make([]string, len(peers))
+	byID := make(map[string]peer, len(peers))
+	for i, p := range peers {
+		ids[i] = p.id
+		byID[p.id] = p
+	}
+	ranked := make([]peer, len(peers))
+	for i, id := range routing.Rank(key, ids) {
+		ranked[i] = byID[id]
+	}
+	return ranked
+}
--- /dev/null
+++ b/internal/coordination/platform.go
@@ -0,0 +1,177 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+// platformState follows the calls to the platform.
+type platformState struct {
+	// reading is true while a call is under way.
+	reading bool
+	// version is the bundle object's version last seen.
+	version uint64
+	// notBefore is when the next call may be made.
+	notBefore time.Time
+	backoff   time.Duration
+	failures  uint64
+	machines  time.Time
+}
+
+// readPlatform issues the platform calls that are due. Only watchers call it as
+// a matter of course; any other node does so only while it has no bundle and
+// its peers gave none.
+func (n *Node) readPlatform(now time.Time) []Action {
+	var actions []Action
+	if (n.watcher || n.needsPlatform(now)) && !n.platform.reading && !now.Before(n.platform.notBefore) {
+		n.platform.reading = true
+		read := ReadPlatform{After: n.platform.version}
+		if n.platform.version != 0 {
+			read.Wait = n.config.WatchWait
+		}
+		actions = append(actions, read)
+	}
+	if n.watcher && now.Sub(n.platform.machines) >= n.config.MachineListPeriod {
+		n.platform.machines = now
+		actions = append(actions, ReadMachines{})
+	}
+	return actions
+}
+
+// needsPlatform tells whether a node that doesn't watch should read once: it
+// has joined nothing, and has waited for peers. The wait is spread by the
+// node's name, so that a zone that returns doesn't call all at once.
+func (n *Node) needsPlatform(now time.Time) bool {
+	if n.join.platformRed || n.Bundle() != nil {
+		return false
+	}
+	spread := time.Duration(n.spread(0) * float64(n.config.JoinWait))
+	return now.Sub(n.join.startedAt) >= n.config.JoinWait/2+spread
+}
+
+// spread returns a number from 0 to 1 that depends on the node and the salt.
+func (n *Node) spread(salt uint64) float64 {
+	hash := xxhash.Sum64String(n.identity.ID) ^ (salt * 0x9e3779b97f4a7c15)
+	return float64(xxhash.Sum64([]byte{
+		byte(hash), byte(hash >> 8), byte(hash >> 16), byte(hash >> 24),
+		byte(hash >> 32), byte(hash >> 40), byte(hash >> 48), byte(hash >> 56),
+	})>>11) / (1 << 53)
+}
+
+// isWatcher tells whether this router is among the few of its zone that watch
+// the platform. Every router reckons it from its own view; when views differ
+// for a moment there are a few watchers more or fewer, which harms nothing.
+func (n *Node) isWatcher(now time.Time) bool {
+	if n.identity.Role != membership.RoleRouter || n.state != membership.StateServing {
+		return false
+	}
+	candidates := []string{n.identity.ID}
+	n.table.Entries(func(entry *membership.Entry) {
+		if entry.Role == membership.RoleRouter && entry.Zone == n.identity.Zone && n.table.Liveness(now, entry) == membership.Live {
+			candidates = append(candidates, entry.ID)
+		}
+	})
+	for i, id := range routing.Rank("watch/"+n.identity.Zone, candidates) {
+		if i >= n.config.WatchersPerZone {
+			break
+		}
+		if id == n.identity.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) platformBundle(now time.Time, event PlatformBundle) []Action {
+	n.platform.reading = false
+	n.platform.backoff = 0
+	n.platform.failures = 0
+	n.platform.version = event.Version
+	n.join.platformRed = true
+	if event.Unchanged {
+		n.acceptor.Confirm(n.acceptor.Number(), event.AskedAt)
+		return nil
+	}
+	if event.Raw == nil {
+		// Nothing was published yet: look again, without haste.
+		n.platform.notBefore = now.Add(n.config.HeartbeatPeriod)
+		return nil
+	}
+	return n.offerFromPlatform(now, event)
+}
+
+func (n *Node) offerFromPlatform(now time.Time, event PlatformBundle) []Action {
+	opened, err := n.open(event.Raw)
+	if err != nil {
+		return n.refusal("platform", err)
+	}
+	var actions []Action
+	if err := n.accept(opened); err == nil {
+		actions = append(actions, Adopt{Bundle: opened})
+	} else if opened.Number != n.acceptor.Number() {
+		return n.refusal("platform", err)
+	}
+	n.acceptor.Confirm(opened.Number, event.AskedAt)
+	return append(actions, n.gossip(now, true)...)
+}
+
+func (n *Node) accept(opened *bundle.Bundle) error {
+	if n.config.AcceptAnyOrder {
+		n.acceptor.ForceForMeasurement(opened)
+		return nil
+	}
+	return n.acceptor.OfferOpened(opened)
+}
+
+// refusal reports a refused bundle. One that is merely not newer is the normal
+// end of a race between two sources and needs no report.
+func (n *Node) refusal(from string, err error) []Action {
+	typed := failure.From(err)
+	if typed.Kind == failure.StaleBundle && from != "platform" {
+		return nil
+	}
+	return []Action{RefusedBundle{From: from, Err: typed}}
+}
+
+// platformFailed backs off with jitter, so that an outage's end meets no storm.
+func (n *Node) platformFailed(now time.Time) {
+	n.platform.reading = false
+	n.platform.failures++
+	n.platform.backoff = min(max(2*n.platform.backoff, n.config.PlatformBackoff), n.config.PlatformBackoffMax)
+	jitter := 0.5 + n.spread(n.platform.failures)
+	n.platform.notBefore = now.Add(time.Duration(jitter * float64(n.platform.backoff)))
+}
+
+// machineList takes the list as a hint: routers it names may be dialed, and a
+// node that it calls leaving is told so and gets no new work.
+func (n *Node) machineList(now time.Time, event MachineList) {
+	for _, machine := range event.Machines {
+		if machine.ID == n.identity.ID {
+			if machine.Leaving {
+				n.advanceState(membership.StateLeaving)
+			}
+			continue
+		}
+		if machine.Leaving {
+			n.table.NoteLeaving(machine.ID)
+			continue
+		}
+		if machine.Role == membership.RoleRouter && n.table.Entry(machine.ID) == nil {
+			n.learnRouter(now, machine)
+		}
+	}
+}
+
+// learnRouter adds a router from the list with the lowest incarnation: whatever
+// the router says about itself replaces it.
+func (n *Node) learnRouter(now time.Time, machine Machine) {
+	n.table.Merge(now, []membership.Record{{
+		ID: machine.ID, Role: membership.RoleRouter, Address: machine.Address, Zone: machine.Zone,
+	}})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,340 @@
+// Package daemon assembles one node from its settings and runs it: listeners,
+// control plane, ticks, admin and drain.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/harriernotch/harriernotch/internal/agent"
+	"github.com/harriernotch/harriernotch/internal/agent/agenthttp"
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/peering"
+	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/router"
+	"github.com/harriernotch/harriernotch/internal/router/routerhttp"
+	"github.com/harriernotch/harriernotch/internal/routing"
+	"github.com/harriernotch/harriernotch/internal/settings"
+	"github.com/harriernotch/harriernotch/internal/slo"
+	"github.com/harriernotch/harriernotch/internal/telemetry"
+)
+
+// Environment is what a node takes from its surroundings. Tests and the demo
+// replace parts of it.
+type Environment struct {
+	// Listen opens listeners; nil uses net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+	// Dial opens connections; nil uses TCP.
+	Dial hop.DialFunc
+	// Platform replaces the client that the settings name.
+	Platform platform.Client
+	// Log is the node's logger.
+	Log logrus.FieldLogger
+}
+
+// role is what the two roles' servers have in common.
+type role interface {
+	http.Handler
+	Deliver(coordination.Event)
+	SetPeering(*peering.Peering)
+	Tick()
+	Ready() bool
+	Drain()
+}
+
+// Node is one running node.
+type Node struct {
+	settings   *settings.Settings
+	log        logrus.FieldLogger
+	role       role
+	control    *peering.Peering
+	metrics    *telemetry.Metrics
+	objectives *slo.Recorder
+	status     func() Status
+	period     time.Duration
+
+	callers   net.Listener
+	peers     net.Listener
+	admin     net.Listener
+	servers   []*http.Server
+	serving   conc.WaitGroup
+	stopTicks context.CancelFunc
+}
+
+// Start opens the listeners and begins to serve.
+func Start(s *settings.Settings, environment Environment) (*Node, error) {
+	if environment.Listen == nil {
+		environment.Listen = net.Listen
+	}
+	if environment.Platform == nil && s.Platform.URL != "" {
+		environment.Platform = platform.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial})
+	}
+	n := &Node{
+		settings:   s,
+		log:        environment.Log.WithFields(logrus.Fields{"node": s.ID, "role": s.Role}),
+		metrics:    telemetry.NewMetrics(),
+		objectives: slo.NewRecorder(),
+	}
+	if err := n.listen(environment); err != nil {
+		return nil, err
+	}
+	n.assemble(environment)
+	n.serve()
+	n.log.WithFields(logrus.Fields{"peers": s.Listen.Peers, "admin": n.AdminAddress(), "callers": n.CallersAddress()}).Info("node started")
+	return n, nil
+}
+
+func (n *Node) listen(environment Environment) error {
+	var err error
+	if n.peers, err = environment.Listen("tcp", n.settings.Listen.Peers); err != nil {
+		return failure.Wrap(failure.InvalidSettings, err, "listen.peers can't be opened; free the port or choose another")
+	}
+	if n.admin, err = environment.Listen("tcp", n.settings.Listen.Admin); err != nil {
+		return failure.Wrap(failure.InvalidSettings, err, "listen.admin can't be opened; free the port or choose another")
+	}
+	if n.settings.Role != settings.RoleRouter {
+		return nil
+	}
+	if n.callers, err = environment.Listen("tcp", n.settings.Listen.Callers); err != nil {
+		return failure.Wrap(failure.InvalidSettings, err, "listen.callers can't be opened; free the port or choose another")
+	}
+	return nil
+}
+
+// assemble builds the role's core and shell and joins them to the control plane.
+func (n *Node) assemble(environment Environment) {
+	credential := hop.NewCredential(n.settings.ClusterKeyBytes())
+	trusted := n.settings.PublicKeys()
+	acceptor := bundle.NewAcceptor(trusted)
+	open := func(raw []byte) (*bundle.Bundle, error) { return bundle.Open(raw, trusted) }
+	transport := hop.NewTransport(hop.TransportConfig{Protocol: n.settings.HopProtocol, Dial: environment.Dial})
+	now := time.Now()
+	if n.settings.Role == settings.RoleRouter {
+		config := router.DefaultConfig(n.settings.Identity())
+		n.period = config.Coordination.GossipPeriod
+		n.assembleRouter(router.New(config, open, acceptor, now), credential, transport)
+	} else {
+		config := agent.DefaultConfig(n.settings.Identity())
+		n.period = config.Coordination.GossipPeriod
+		// Back ends speak HTTP/1.1, whatever the hop between nodes does.
+		transport = hop.NewTransport(hop.TransportConfig{Protocol: hop.HTTP1, Dial: environment.Dial})
+		n.assembleAgent(agent.New(config, open, acceptor, now), credential, transport)
+	}
+	n.control = peering.New(peering.Config{
+		NodeID:     n.settings.ID,
+		Credential: credential,
+		Platform:   environment.Platform,
+		Dial:       environment.Dial,
+		Deliver:    n.role.Deliver,
+		Log:        n.log,
+		Metrics:    n.metrics.Scope,
+	})
+	n.role.SetPeering(n.control)
+}
+
+func (n *Node) assembleRouter(core *router.Core, credential hop.Credential, transport http.RoundTripper) {
+	server := routerhttp.New(routerhttp.Config{
+		Core:         core,
+		Credential:   credential,
+		Sealer:       routing.NewTokenSealer(n.settings.ClusterKeyBytes()),
+		Transport:    transport,
+		MaxBodyBytes: n.settings.Router.MaxBodyBytes,
+		Timeouts: routerhttp.TimeoutLimits{
+			Default: n.settings.Router.DefaultTimeout.Std(),
+			Max:     n.settings.Router.MaxTimeout.Std(),
+		},
+		Log:        n.log,
+		Metrics:    n.metrics.Scope,
+		Objectives: n.objectives,
+	})
+	n.role = server
+	n.status = func() (status Status) {
+		server.View(func(c *router.Core) { status = statusOf(time.Now(), c.Node(), c.Ready(time.Now())) })
+		return status
+	}
+}
+
+func (n *Node) assembleAgent(core *agent.Core, credential hop.Credential, transport http.RoundTripper) {
+	server := agenthttp.New(agenthttp.Config{
+		Core:       core,
+		Credential: credential,
+		BackEnd:    n.settings.Agent.BackEnd,
+		Transport:  transport,
+		Log:        n.log,
+		Metrics:    n.metrics.Scope,
+	})
+	n.role = server
+	n.status = func() (status Status) {
+		server.View(func(c *agent.Core) {
+			ready := c.Node().Ready(time.Now()) && !c.Gate().IsLeaving()
+			status = statusOf(time.Now(), c.Node(), ready)
+		})
+		return status
+	}
+}
+
+// serve starts the servers and the ticks.
+func (n *Node) serve() {
+	if n.callers != nil {
+		n.serveOn(n.callers, n.role)
+		n.serveOn(n.peers, n.peerHandler())
+	} else {
+		n.serveOn(n.peers, n.role)
+	}
+	n.serveOn(n.admin, n.adminHandler())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopTicks = cancel
+	n.serving.Go(func() { n.tick(ctx) })
+}
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+func (n *Node) serveOn(listener net.Listener, handler http.Handler) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		Protocols:         protocols,
+		ErrorLog:          newServerLog(n.log),
+	}
+	n.servers = append(n.servers, server)
+	n.serving.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.WithError(err).Error("a listener failed")
+		}
+	})
+}
+
+// peerHandler takes control connections; a router has no other use for its peer
+// listener.
+func (n *Node) peerHandler() http.Handler {
+	credential := hop.NewCredential(n.settings.ClusterKeyBytes())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := credential.Check(r.Header); err != nil {
+			n.log.WithField("remote", r.RemoteAddr).Warn("peer without the cluster key refused")
+			failure.WriteHTTP(w, err)
+			return
+		}
+		if r.URL.Path != peering.Path {
+			failure.WriteHTTP(w, failure.New(failure.UnknownRoute, "a router's peer listener serves "+peering.Path+" alone"))
+			return
+		}
+		n.control.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) tick(ctx context.Context) {
+	ticker := time.NewTicker(n.period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			n.role.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.Handle("GET /metrics", n.metrics.Handler)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
+	mux.HandleFunc("GET /slo", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.objectives.Snapshot()) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.role.Drain()
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return mux
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.role.Ready() {
+		failure.WriteHTTP(w, failure.New(failure.NotReady, "the node takes no new work"))
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// CallersAddress returns the address that callers use, or "" for an agent.
+func (n *Node) CallersAddress() string {
+	if n.callers == nil {
+		return ""
+	}
+	return n.callers.Addr().String()
+}
+
+// AdminAddress returns the address of the admin listener.
+func (n *Node) AdminAddress() string { return n.admin.Addr().String() }
+
+// Ready tells whether the node takes work.
+func (n *Node) Ready() bool { return n.role.Ready() }
+
+// Stop drains the node: readiness fails at once, work in flight ends whole, and
+// only then the node stops. The context bounds the wait.
+func (n *Node) Stop(ctx context.Context) {
+	n.log.Info("draining")
+	n.role.Drain()
+	if n.callers != nil {
+		n.awaitBalancer(ctx)
+	}
+	n.shutdown(ctx)
+	n.stopTicks()
+	n.control.Close()
+	n.serving.Wait()
+	_ = n.metrics.Close()
+	n.log.Info("stopped")
+}
+
+// awaitBalancer goes on serving until the balancer has seen the failed
+// readiness.
+func (n *Node) awaitBalancer(ctx context.Context) {
+	timer := time.NewTimer(n.settings.DrainDelay.Std())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// shutdown closes the listeners and waits for requests in flight. The admin
+// server goes last, so that the drain can be watched.
+func (n *Node) shutdown(ctx context.Context) {
+	for _, server := range n.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			n.log.WithError(err).Warn("work in flight was cut off at the end of drain_timeout")
+			_ = server.Close()
+		}
+	}
+}
+
+// Kill ends the node at once, as a crash would; for tests.
+func (n *Node) Kill() {
+	n.stopTicks()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.control.Close()
+	n.serving.Wait()
+	_ = n.metrics.Close()
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/membership"
+)
+
+// Status is a node's view of the fleet, as its admin listener shows it.
+type Status struct {
+	// Node is the answering node, Role its role and Ready its readiness.
+	Node  string `json:"node"`
+	Role  string `json:"role"`
+	Ready bool   `json:"ready"`
+	// Bundle is the number in force, Note the operator's remark.
+	Bundle uint64 `json:"bundle"`
+	Note   string `json:"note,omitempty"`
+	// ConfirmedSeconds is how long ago the bundle was known to be the newest;
+	// -1 when never.
+	ConfirmedSeconds float64 `json:"confirmed_seconds"`
+	// Links is the number of control connections.
+	Links int `json:"links"`
+	// Routers are the routers known, this one included.
+	Routers []NodeStatus `json:"routers"`
+	// Pools are the bundle's pools.
+	Pools []PoolStatus `json:"pools"`
+}
+
+// PoolStatus is a pool with its members.
+type PoolStatus struct {
+	Name    string       `json:"name"`
+	Kind    string       `json:"kind"`
+	Mean    float64      `json:"mean_load"`
+	Members []NodeStatus `json:"members"`
+}
+
+// NodeStatus is what the answering node knows of another.
+type NodeStatus struct {
+	ID string `json:"id"`
+	// Health is serving, doubtful, leaving or unknown.
+	Health string `json:"health"`
+	Zone   string `json:"zone,omitempty"`
+	// Bundle is the number that the node had in force.
+	Bundle uint64 `json:"bundle"`
+	Load   uint32 `json:"load"`
+	// AgeSeconds is how old this knowledge is.
+	AgeSeconds float64 `json:"age_seconds"`
+}
+
+// statusOf reads a node's view.
+func statusOf(now time.Time, node *coordination.Node, ready bool) Status {
+	self := node.Table().Self()
+	status := Status{Node: self.ID, Role: roleName(self.Role), Ready: ready, ConfirmedSeconds: -1, Links: node.Links()}
+	if age, ok := node.ConfirmedAge(now); ok {
+		status.ConfirmedSeconds = age.Seconds()
+	}
+	if self.Role == membership.RoleRouter {
+		status.Routers = append(status.Routers, ownStatus(self))
+	}
+	node.Table().Entries(func(entry *membership.Entry) {
+		if entry.Role == membership.RoleRouter {
+			status.Routers = append(status.Routers, nodeStatus(now, node.Table(), entry))
+		}
+	})
+	current := node.Bundle()
+	if current == nil {
+		return status
+	}
+	status.Bundle = current.Number
+	status.Note = current.Note
+	for i := range current.Content.Pools {
+		pool := &current.Content.Pools[i]
+		poolStatus := PoolStatus{Name: pool.Name, Kind: string(pool.Kind)}
+		total, known := 0.0, 0
+		for _, backEnd := range pool.BackEnds {
+			member := memberStatus(now, node.Table(), backEnd.ID)
+			member.Zone = backEnd.Zone
+			if member.Health == healthServing {
+				total += float64(member.Load)
+				known++
+			}
+			poolStatus.Members = append(poolStatus.Members, member)
+		}
+		if known > 0 {
+			poolStatus.Mean = total / float64(known)
+		}
+		status.Pools = append(status.Pools, poolStatus)
+	}
+	return status
+}
+
+// Words for a node's health.
+const (
+	healthServing  = "serving"
+	healthDoubtful = "doubtful"
+	healthLeaving  = "leaving"
+	healthUnknown  = "unknown"
+)
+
+func roleName(role membership.Role) string {
+	if role == membership.RoleRouter {
+		return "router"
+	}
+	return "agent"
+}
+
+func memberStatus(now time.Time, table *membership.Table, id string) NodeStatus {
+	if self := table.Self(); self.ID == id {
+		return ownStatus(self)
+	}
+	if entry := table.Entry(id); entry != nil {
+		return nodeStatus(now, table, entry)
+	}
+	return NodeStatus{ID: id, Health: healthUnknown}
+}
+
+func ownStatus(self membership.Record) NodeStatus {
+	health := healthServing
+	if self.State != membership.StateServing {
+		health = healthLeaving
+	}
+	return NodeStatus{ID: self.ID, Health: health, Zone: self.Zone, Bundle: self.Number, Load: self.Load}
+}
+
+func nodeStatus(now time.Time, table *membership.Table, entry *membership.Entry) NodeStatus {
+	status := NodeStatus{
+		ID: entry.ID, Zone: entry.Zone, Bundle: entry.Number, Load: entry.Load,
+		AgeSeconds: now.Sub(entry.At).Seconds(), Health: healthDoubtful,
+	}
+	switch table.Liveness(now, entry) {
+	case membership.Live:
+		status.Health = healthServing
+	case membership.Gone:
+		status.Health = healthLeaving
+	}
+	return status
+}
--- /dev/null
+++ b/internal/failure/failure_test.go
@@ -0,0 +1,46 @@
+package failure
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+func TestEveryKindHasADistinctCompleteRow(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for _, kind := range Kinds() {
+		answer := kind.Answer()
+		is.True(answer.Name != "")    // every kind has a name
+		is.True(!seen[answer.Name])   // names are distinct
+		is.True(answer.Status >= 400) // a failure is never a success
+		is.True(answer.Ran != "")     // the caller always learns whether it ran
+		seen[answer.Name] = true
+		parsed, ok := Parse(answer.Name)
+		is.True(ok)
+		is.Equal(parsed, kind)
+		if answer.Retry {
+			is.True(answer.RetryAfter > 0) // whoever may retry is told when
+		}
+	}
+}
+
+func TestErrorWithoutKindIsNeverReportedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	recorder := httptest.NewRecorder()
+	WriteHTTP(recorder, errors.New("plain"))
+	is.Equal(recorder.Code, 500)
+	is.Equal(recorder.Header().Get(HeaderRan), string(RanUnknown))
+}
+
+func TestRetryAfterRoundsUp(t *testing.T) {
+	is := is.New(t)
+	recorder := httptest.NewRecorder()
+	WriteHTTP(recorder, errors.Wrap(&Error{Kind: RateLimited, Message: "m", RetryAfter: 1100 * time.Millisecond}, "outer"))
+	is.Equal(recorder.Code, 429)
+	is.Equal(recorder.Header().Get("Retry-After"), "2")
+	is.Equal(recorder.Header().Get(HeaderKind), "rate_limited")
+}
--- /dev/null
+++ b/internal/failure/http.go
@@ -0,0 +1,67 @@
+package failure
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers that carry a failure next to its JSON body.
+const (
+	// HeaderKind carries the kind's stable name.
+	HeaderKind = "Harriernotch-Error"
+	// HeaderRan carries no, yes or unknown.
+	HeaderRan = "Harriernotch-Ran"
+)
+
+// Body is the JSON form of a failure, in the shape that OpenAI-style clients
+// expect, with the system's own fields added.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the content of Body.
+type BodyError struct {
+	Message           string  `json:"message"`
+	Type              string  `json:"type"`
+	Ran               Ran     `json:"ran"`
+	Retry             bool    `json:"retry"`
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+}
+
+// BodyOf returns the JSON form of err.
+func BodyOf(err error) Body {
+	typed := From(err)
+	answer := typed.Kind.Answer()
+	return Body{Error: BodyError{
+		Message:           typed.Message,
+		Type:              answer.Name,
+		Ran:               answer.Ran,
+		Retry:             answer.Retry,
+		RetryAfterSeconds: typed.Wait().Seconds(),
+	}}
+}
+
+// WriteHTTP answers a request with err. It must be called before any part of
+// another answer was written.
+func WriteHTTP(w http.ResponseWriter, err error) {
+	typed := From(err)
+	answer := typed.Kind.Answer()
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderKind, answer.Name)
+	header.Set(HeaderRan, string(answer.Ran))
+	if wait := typed.Wait(); answer.Retry && wait > 0 {
+		header.Set("Retry-After", retryAfterSeconds(wait))
+	}
+	w.WriteHeader(answer.Status)
+	// The caller may have left; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(BodyOf(typed))
+}
+
+// retryAfterSeconds rounds up to whole seconds, as the header requires.
+func retryAfterSeconds(wait time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
--- /dev/null
+++ b/internal/hop/headers.go
@@ -0,0 +1,43 @@
+package hop
+
+import (
+	"net/http"
+	"strings"
+)
+
+// HeaderReplayed marks an answer that was kept from the first run under an
+// idempotency key.
+const HeaderReplayed = "Harriernotch-Replayed"
+
+// ownHeaderPrefix begins the system's own headers; they are set anew at every
+// hop and never passed on.
+const ownHeaderPrefix = "Harriernotch-"
+
+// notPassed are the headers that belong to one connection, carry the caller's
+// secret, or would let a transport replay the request.
+var notPassed = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Idempotency-Key":     true,
+	"Keep-Alive":          true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"X-Idempotency-Key":   true,
+}
+
+// CopyHeaders copies what may pass from one hop to the next.
+func CopyHeaders(to, from http.Header) {
+	for name, values := range from {
+		if notPassed[name] || strings.HasPrefix(name, ownHeaderPrefix) {
+			continue
+		}
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,254 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// Config tunes a table.
+type Config struct {
+	// SilentAfter is how long a node may be silent before it is doubtful. It
+	// must cover a few beats and the time that gossip takes. Default 4s.
+	SilentAfter time.Duration
+	// ForgetAfter is how long a silent node is kept. Default 10m.
+	ForgetAfter time.Duration
+	// UnreachableFor is how long a node stays doubtful after a failed
+	// connection. Default 2s.
+	UnreachableFor time.Duration
+	// NoDamping trusts a flapping node at every return; for measurement.
+	NoDamping bool
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{SilentAfter: 4 * time.Second, ForgetAfter: 10 * time.Minute, UnreachableFor: 2 * time.Second}
+}
+
+// Entry is the table's knowledge of one node.
+type Entry struct {
+	Record
+	// At is the local time at which the record was made.
+	At time.Time
+
+	damper           damper
+	unreachableUntil time.Time
+	silent           bool
+}
+
+// Table is one node's view of the fleet. It is not safe for concurrent use.
+type Table struct {
+	config  Config
+	self    Record
+	entries map[string]*Entry
+	// ids holds the keys of entries in order, so that no decision depends on
+	// the order of a map.
+	ids        []string
+	superseded bool
+	version    uint64
+}
+
+// NewTable returns a table that knows the node itself.
+func NewTable(config Config, self Record) *Table {
+	self.Beat = 1
+	return &Table{config: config, self: self, entries: map[string]*Entry{}}
+}
+
+// Self returns the node's own record.
+func (t *Table) Self() Record { return t.self }
+
+// Version changes whenever the table's content does.
+func (t *Table) Version() uint64 { return t.version }
+
+// Superseded tells whether another process with this node's ID and a higher
+// incarnation was heard of: this one must take no new work.
+func (t *Table) Superseded() bool { return t.superseded }
+
+// Beat makes a new record of the node itself. number is its bundle's.
+func (t *Table) Beat(state State, load uint32, number uint64) {
+	t.self.State = max(t.self.State, state)
+	t.self.Load = load
+	t.self.Number = number
+	t.self.Beat++
+	t.version++
+}
+
+// Entry returns what is known of a node, or nil.
+func (t *Table) Entry(id string) *Entry { return t.entries[id] }
+
+// Entries calls visit for every known node in the order of their IDs.
+func (t *Table) Entries(visit func(*Entry)) {
+	for _, id := range t.ids {
+		visit(t.entries[id])
+	}
+}
+
+// Len returns the number of other nodes known.
+func (t *Table) Len() int { return len(t.ids) }
+
+// Merge takes records that were received at the time. It returns the entries
+// that are news.
+func (t *Table) Merge(now time.Time, records []Record) []*Entry {
+	var news []*Entry
+	for _, record := range records {
+		if entry := t.mergeOne(now, record); entry != nil {
+			news = append(news, entry)
+		}
+	}
+	return news
+}
+
+func (t *Table) mergeOne(now time.Time, record Record) *Entry {
+	if record.ID == t.self.ID {
+		t.hearOfSelf(record)
+		return nil
+	}
+	at := now.Add(-time.Duration(record.AgeMillis) * time.Millisecond)
+	entry, known := t.entries[record.ID]
+	if !known {
+		entry = &Entry{}
+		t.insert(record.ID, entry)
+	} else if !newer(record, entry.Record) {
+		return nil
+	}
+	if known && record.Incarnation > entry.Incarnation && !t.config.NoDamping {
+		entry.damper.lost(now)
+	}
+	entry.Record = record
+	entry.At = at
+	entry.silent = false
+	t.version++
+	return entry
+}
+
+// hearOfSelf takes what others say about this node: a higher incarnation means
+// that another process took its place, a later state that it must leave.
+func (t *Table) hearOfSelf(record Record) {
+	if record.Incarnation > t.self.Incarnation {
+		t.superseded = true
+	}
+	if record.Incarnation == t.self.Incarnation && record.State > t.self.State {
+		t.self.State = record.State
+		t.version++
+	}
+}
+
+func (t *Table) insert(id string, entry *Entry) {
+	t.entries[id] = entry
+	at, _ := slices.BinarySearch(t.ids, id)
+	t.ids = slices.Insert(t.ids, at, id)
+}
+
+// NoteUnreachable records that a connection to the node failed, also when the
+// node was never heard of.
+func (t *Table) NoteUnreachable(now time.Time, id string) {
+	entry, known := t.entries[id]
+	if !known {
+		entry = &Entry{Record: Record{ID: id}, At: now}
+		t.insert(id, entry)
+	}
+	if now.After(entry.unreachableUntil) && !t.config.NoDamping {
+		entry.damper.lost(now)
+	}
+	entry.unreachableUntil = now.Add(t.config.UnreachableFor)
+	t.version++
+}
+
+// NoteLeaving records that the node takes no new work, as it answered itself or
+// as the machine list says. The news spreads with the node's record.
+func (t *Table) NoteLeaving(id string) {
+	if entry, known := t.entries[id]; known && entry.State < StateLeaving {
+		entry.State = StateLeaving
+		t.version++
+	}
+}
+
+// Expire notes nodes that have fallen silent and forgets those silent for long.
+func (t *Table) Expire(now time.Time) {
+	t.ids = slices.DeleteFunc(t.ids, func(id string) bool {
+		entry := t.entries[id]
+		age := now.Sub(entry.At)
+		if age > t.config.SilentAfter && !entry.silent {
+			entry.silent = true
+			if !t.config.NoDamping {
+				entry.damper.lost(now)
+			}
+			t.version++
+		}
+		if age <= t.config.ForgetAfter {
+			return false
+		}
+		delete(t.entries, id)
+		t.version++
+		return true
+	})
+}
+
+// Liveness is a judgement of a node at one moment.
+type Liveness uint8
+
+// The values of Liveness.
+const (
+	// Live is heard from and serving.
+	Live Liveness = iota
+	// Doubtful is silent, unreachable or flapping.
+	Doubtful
+	// Gone is leaving or has left.
+	Gone
+)
+
+// Liveness judges the entry.
+func (t *Table) Liveness(now time.Time, entry *Entry) Liveness {
+	switch {
+	case entry.State != StateServing:
+		return Gone
+	case now.Sub(entry.At) > t.config.SilentAfter,
+		now.Before(entry.unreachableUntil),
+		entry.damper.isSuppressed(now):
+		return Doubtful
+	default:
+		return Live
+	}
+}
+
+// Freshest returns up to limit records of the named nodes, the latest measured
+// first. The node's own record comes before all others if it is named.
+func (t *Table) Freshest(now time.Time, limit int, ids []string) []Record {
+	var latest []*Entry
+	var chosen []Record
+	for _, id := range ids {
+		if id == t.self.ID {
+			chosen = append(chosen, t.self)
+			continue
+		}
+		if entry, known := t.entries[id]; known {
+			latest = insertLatest(latest, entry, limit)
+		}
+	}
+	for _, entry := range latest {
+		if len(chosen) >= limit {
+			break
+		}
+		chosen = append(chosen, aged(now, entry))
+	}
+	return chosen
+}
+
+// insertLatest keeps the list of the limit latest entries in order.
+func insertLatest(latest []*Entry, entry *Entry, limit int) []*Entry {
+	at := len(latest)
+	for at > 0 && entry.At.After(latest[at-1].At) {
+		at--
+	}
+	if at >= limit {
+		return latest
+	}
+	latest = slices.Insert(latest, at, entry)
+	return latest[:min(len(latest), limit)]
+}
+
+// aged returns the entry's record with its age at the moment of sending.
+func aged(now time.Time, entry *Entry) Record {
+	record := entry.Record
+	record.AgeMillis = uint32(max(0, now.Sub(entry.At).Milliseconds()))
+	return record
+}
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,298 @@
+// Package peering carries out a node's control actions: connections to peers
+// over WebSocket with CBOR, and calls to the platform. It holds no rule of its
+// own; every event goes to the node's core.
+package peering
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/platform"
+)
+
+// Path is where a node takes control connections on its peer listener.
+const Path = "/control"
+
+const (
+	// sendQueue is the number of messages that may wait for a slow peer before
+	// its connection is closed.
+	sendQueue = 64
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 3 * time.Second
+	// writeTimeout bounds the sending of one message.
+	writeTimeout = 5 * time.Second
+)
+
+// Config sets up a Peering.
+type Config struct {
+	// NodeID is this node.
+	NodeID string
+	// Credential proves membership of the cluster.
+	Credential hop.Credential
+	// Platform is the platform; nil for none.
+	Platform platform.Client
+	// Dial opens connections to peers; nil uses TCP.
+	Dial hop.DialFunc
+	// Deliver passes an event to the node's core and carries out its actions.
+	Deliver func(coordination.Event)
+	// Log takes what operators should know.
+	Log logrus.FieldLogger
+	// Metrics counts messages and bytes.
+	Metrics tally.Scope
+}
+
+// Peering runs a node's connections. Close ends them.
+type Peering struct {
+	config Config
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+	lastID atomic.Uint64
+
+	mutex  sync.Mutex
+	closed bool
+	links  map[coordination.LinkID]*connection
+}
+
+// connection is one open link.
+type connection struct {
+	id     coordination.LinkID
+	socket *websocket.Conn
+	queue  chan []byte
+	cancel context.CancelFunc
+}
+
+// New returns a Peering without connections.
+func New(config Config) *Peering {
+	ctx, cancel := context.WithCancel(context.Background())
+	transport := &http.Transport{DialContext: config.Dial, DisableKeepAlives: true}
+	return &Peering{
+		config: config,
+		client: &http.Client{Transport: transport},
+		ctx:    ctx,
+		cancel: cancel,
+		links:  map[coordination.LinkID]*connection{},
+	}
+}
+
+// Close ends all connections and waits for their tasks.
+func (p *Peering) Close() {
+	p.mutex.Lock()
+	p.closed = true
+	p.mutex.Unlock()
+	p.cancel()
+	p.tasks.Wait()
+}
+
+// spawn runs a task until Close, unless Close has begun.
+func (p *Peering) spawn(task func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.closed {
+		p.tasks.Go(task)
+	}
+}
+
+// Perform carries out actions. It doesn't block.
+func (p *Peering) Perform(actions []coordination.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case coordination.Send:
+			p.send(a)
+		case coordination.Connect:
+			p.spawn(func() { p.dial(a) })
+		case coordination.Disconnect:
+			p.disconnect(a.Link)
+		case coordination.ReadPlatform:
+			p.spawn(func() { p.readPlatform(a) })
+		case coordination.ReadMachines:
+			p.spawn(p.readMachines)
+		case coordination.Adopt:
+			p.config.Log.WithFields(logrus.Fields{"number": a.Bundle.Number, "note": a.Bundle.Note}).Info("bundle in force")
+			p.config.Metrics.Gauge("bundle_number").Update(float64(a.Bundle.Number))
+		case coordination.RefusedBundle:
+			p.config.Log.WithFields(logrus.Fields{"from": a.From, "kind": a.Err.Kind.String()}).WithError(a.Err).Warn("bundle refused; the old one stays in force")
+			p.config.Metrics.Tagged(map[string]string{"kind": a.Err.Kind.String()}).Counter("bundles_refused").Inc(1)
+		}
+	}
+}
+
+func (p *Peering) find(id coordination.LinkID) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.links[id]
+}
+
+// send queues a message. A peer that doesn't keep up loses its connection: what
+// it missed is sent anew on the next one.
+func (p *Peering) send(action coordination.Send) {
+	link := p.find(action.Link)
+	if link == nil {
+		return
+	}
+	raw, err := action.Message.Encode()
+	if err != nil {
+		p.config.Log.WithError(err).Error("encode a control message")
+		return
+	}
+	select {
+	case link.queue <- raw:
+	default:
+		link.cancel()
+	}
+}
+
+func (p *Peering) disconnect(id coordination.LinkID) {
+	if link := p.find(id); link != nil {
+		link.cancel()
+	}
+}
+
+func (p *Peering) dial(action coordination.Connect) {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
+	defer cancel()
+	header := http.Header{}
+	p.config.Credential.Set(header)
+	header.Set(hop.HeaderNode, p.config.NodeID)
+	socket, response, err := websocket.Dial(ctx, "ws://"+action.Address+Path, &websocket.DialOptions{HTTPClient: p.client, HTTPHeader: header})
+	if err != nil {
+		p.config.Log.WithField("address", action.Address).WithError(err).Debug("no control connection")
+		p.config.Deliver(coordination.LinkDown{Address: action.Address, Peer: action.Peer})
+		return
+	}
+	peer := response.Header.Get(hop.HeaderNode)
+	if peer == "" || peer == p.config.NodeID {
+		_ = socket.CloseNow()
+		p.config.Deliver(coordination.LinkDown{Address: action.Address, Peer: action.Peer})
+		return
+	}
+	p.serve(socket, peer, true)
+}
+
+// ServeHTTP takes a control connection from a peer.
+func (p *Peering) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	peer := r.Header.Get(hop.HeaderNode)
+	if peer == "" || peer == p.config.NodeID {
+		http.Error(w, "the header "+hop.HeaderNode+" must name another node", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(hop.HeaderNode, p.config.NodeID)
+	socket, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	p.serve(socket, peer, false)
+}
+
+// serve runs a connection until it ends.
+func (p *Peering) serve(socket *websocket.Conn, peer string, dialed bool) {
+	socket.SetReadLimit(coordination.MaxMessageSize)
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	link := &connection{
+		id:     coordination.LinkID(p.lastID.Add(1)),
+		socket: socket,
+		queue:  make(chan []byte, sendQueue),
+		cancel: cancel,
+	}
+	p.mutex.Lock()
+	p.links[link.id] = link
+	p.mutex.Unlock()
+	var writer conc.WaitGroup
+	writer.Go(func() { p.write(ctx, link) })
+	p.config.Deliver(coordination.LinkUp{Link: link.id, Peer: peer, Dialed: dialed})
+	p.read(ctx, link)
+	cancel()
+	_ = socket.CloseNow()
+	writer.Wait()
+	p.mutex.Lock()
+	delete(p.links, link.id)
+	p.mutex.Unlock()
+	p.config.Deliver(coordination.LinkDown{Link: link.id, Peer: peer})
+}
+
+func (p *Peering) read(ctx context.Context, link *connection) {
+	for {
+		_, raw, err := link.socket.Read(ctx)
+		if err != nil {
+			return
+		}
+		p.config.Metrics.Counter("control_bytes_received").Inc(int64(len(raw)))
+		message, err := coordination.DecodeMessage(raw)
+		if err != nil {
+			p.config.Log.WithError(err).Warn("control message refused")
+			return
+		}
+		p.config.Deliver(coordination.Received{Link: link.id, Message: message})
+	}
+}
+
+func (p *Peering) write(ctx context.Context, link *connection) {
+	defer link.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case raw := <-link.queue:
+			if err := p.writeOne(ctx, link, raw); err != nil {
+				return
+			}
+			p.config.Metrics.Counter("control_bytes_sent").Inc(int64(len(raw)))
+		}
+	}
+}
+
+func (p *Peering) writeOne(ctx context.Context, link *connection, raw []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return link.socket.Write(ctx, websocket.MessageBinary, raw)
+}
+
+func (p *Peering) readPlatform(action coordination.ReadPlatform) {
+	if p.config.Platform == nil {
+		p.config.Deliver(coordination.PlatformFailed{})
+		return
+	}
+	askedAt := time.Now()
+	object, err := p.readBundle(action)
+	if err != nil {
+		if p.ctx.Err() == nil {
+			p.config.Log.WithError(err).Debug("the platform gave no bundle")
+			p.config.Metrics.Counter("platform_failures").Inc(1)
+			p.config.Deliver(coordination.PlatformFailed{})
+		}
+		return
+	}
+	unchanged := action.After != 0 && object.Version == action.After
+	p.config.Deliver(coordination.PlatformBundle{Raw: object.Value, Unchanged: unchanged, Version: object.Version, AskedAt: askedAt})
+}
+
+func (p *Peering) readBundle(action coordination.ReadPlatform) (platform.Object, error) {
+	if action.Wait > 0 {
+		return p.config.Platform.Watch(p.ctx, platform.BundleKey, action.After, action.Wait)
+	}
+	return p.config.Platform.Get(p.ctx, platform.BundleKey)
+}
+
+func (p *Peering) readMachines() {
+	if p.config.Platform == nil {
+		return
+	}
+	machines, err := p.config.Platform.Machines(p.ctx)
+	if err != nil {
+		p.config.Log.WithError(err).Debug("no machine list")
+		return
+	}
+	p.config.Deliver(coordination.MachineList{Machines: machines})
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,158 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/membership"
+)
+
+// MaxValueSize is the platform's limit for one value, in bytes.
+const MaxValueSize = 1 << 20
+
+// callTimeout bounds a call beyond the time that a watch waits.
+const callTimeout = 3 * time.Second
+
+// HTTPClient speaks the HTTP form of the object API: GET and PUT on
+// /objects/KEY, with ETag, If-Match and, for a watch, ?after=VERSION&wait=SECONDS;
+// and GET on /machines.
+type HTTPClient struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPClient returns a client for the base URL. transport may be nil.
+func NewHTTPClient(base string, transport http.RoundTripper) *HTTPClient {
+	return &HTTPClient{base: base, client: &http.Client{Transport: transport}}
+}
+
+// MachineEntry is the JSON form of a machine.
+type MachineEntry struct {
+	ID      string `json:"id"`
+	Role    string `json:"role"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Get implements Objects.
+func (c *HTTPClient) Get(ctx context.Context, key string) (Object, error) {
+	return c.read(ctx, "/objects/"+key, callTimeout)
+}
+
+// Watch implements Objects.
+func (c *HTTPClient) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error) {
+	query := "?after=" + strconv.FormatUint(after, 10) + "&wait=" + strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)
+	return c.read(ctx, "/objects/"+key+query, wait+callTimeout)
+}
+
+func (c *HTTPClient) read(ctx context.Context, path string, timeout time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, body, err := c.call(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	switch response.StatusCode {
+	case http.StatusNotFound:
+		return Object{}, nil
+	case http.StatusOK:
+	default:
+		return Object{}, unavailable(response)
+	}
+	version, err := strconv.ParseUint(response.Header.Get("ETag"), 10, 64)
+	if err != nil {
+		return Object{}, failure.Wrap(failure.PlatformUnavailable, err, "the platform's answer has no version")
+	}
+	return Object{Value: body, Version: version}, nil
+}
+
+// Put implements Objects.
+func (c *HTTPClient) Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	header := http.Header{"If-Match": {strconv.FormatUint(expected, 10)}}
+	response, _, err := c.call(ctx, http.MethodPut, "/objects/"+key, header, value)
+	if err != nil {
+		return 0, err
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusPreconditionFailed:
+		return 0, failure.New(failure.Conflict, "the object has changed since it was read")
+	case http.StatusRequestEntityTooLarge:
+		return 0, failure.New(failure.TooLarge, "the value is over the platform's limit")
+	default:
+		return 0, unavailable(response)
+	}
+	version, err := strconv.ParseUint(response.Header.Get("ETag"), 10, 64)
+	if err != nil {
+		return 0, failure.Wrap(failure.PlatformUnavailable, err, "the platform's answer has no version")
+	}
+	return version, nil
+}
+
+// Machines implements MachineList.
+func (c *HTTPClient) Machines(ctx context.Context) ([]coordination.Machine, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, body, err := c.call(ctx, http.MethodGet, "/machines", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, unavailable(response)
+	}
+	var entries []MachineEntry
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return nil, failure.Wrap(failure.PlatformUnavailable, err, "the machine list is not JSON")
+	}
+	machines := make([]coordination.Machine, len(entries))
+	for i, entry := range entries {
+		machines[i] = coordination.Machine{
+			ID: entry.ID, Role: roleOf(entry.Role), Address: entry.Address, Zone: entry.Zone, Leaving: entry.Leaving,
+		}
+	}
+	return machines, nil
+}
+
+func roleOf(name string) membership.Role {
+	if name == "router" {
+		return membership.RoleRouter
+	}
+	return membership.RoleAgent
+}
+
+func (c *HTTPClient) call(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, failure.Wrap(failure.Internal, err, "make a platform call")
+	}
+	// A write must not be replayed by the transport: its answer would then
+	// tell of the second write, and its own first one would look like a race.
+	request.GetBody = nil
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, nil, failure.Wrap(failure.PlatformUnavailable, err, "the platform did not answer")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, MaxValueSize+1))
+	if err != nil {
+		return nil, nil, failure.Wrap(failure.PlatformUnavailable, err, "the platform's answer broke off")
+	}
+	return response, content, nil
+}
+
+func unavailable(response *http.Response) error {
+	return failure.New(failure.PlatformUnavailable, "the platform answered "+response.Status)
+}
--- /dev/null
+++ b/internal/router/routerhttp/route.go
@@ -0,0 +1,154 @@
+package routerhttp
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/router"
+	"github.com/harriernotch/harriernotch/internal/slo"
+)
+
+// maxRefusalBody bounds what is read of a refusal before its connection is
+// given back, in bytes.
+const maxRefusalBody = 4 << 10
+
+// route sends the request where the core says until a back end takes it or the
+// core gives up.
+func (s *Server) route(w http.ResponseWriter, r *http.Request, p *parsed) {
+	watch := s.config.Objectives.Begin(time.Now(), slo.Labels{Tenant: p.Tenant, Pool: p.Pool, Priority: uint8(p.Priority)})
+	exchange, decision := s.begin(p)
+	for decision.Send != nil {
+		s.attempts.Inc(1)
+		response, err := s.send(r, p, decision.Send)
+		if err != nil {
+			decision = s.sendFailed(r, p, exchange, decision.Send, err)
+			continue
+		}
+		reply, err := hop.ParseReply(response.Header)
+		if err != nil {
+			// Whoever answered isn't an agent of this version: nothing is known.
+			_ = response.Body.Close()
+			decision = s.sendFailed(r, p, exchange, decision.Send, err)
+			continue
+		}
+		if reply.Refused {
+			discard(response)
+			decision = s.decide(func(now time.Time) router.Decision { return s.core.Refused(now, exchange, reply) })
+			continue
+		}
+		s.passOn(w, r, p, exchange, decision.Send, response, reply, watch)
+		return
+	}
+	watch.Failed(decision.GiveUp.Kind)
+	s.answerFailure(w, p, decision.GiveUp)
+}
+
+func (s *Server) begin(p *parsed) (exchange *router.Exchange, decision router.Decision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Begin(time.Now(), p.Request)
+}
+
+func (s *Server) decide(step func(now time.Time) router.Decision) router.Decision {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return step(time.Now())
+}
+
+// send makes one attempt.
+func (s *Server) send(r *http.Request, p *parsed, target *router.Send) (*http.Response, error) {
+	body := io.NopCloser(bytes.NewReader(p.body))
+	url := "http://" + target.Address + r.URL.RequestURI()
+	request, err := hop.NewRequest(r.Context(), r.Method, url, body, int64(len(p.body)))
+	if err != nil {
+		return nil, err
+	}
+	hop.CopyHeaders(request.Header, r.Header)
+	s.config.Credential.Set(request.Header)
+	if err := hop.SetHead(request.Header, target.Head); err != nil {
+		return nil, err
+	}
+	return s.config.Transport.RoundTrip(request)
+}
+
+// sendFailed asks the core what to do after an attempt without an answer.
+func (s *Server) sendFailed(r *http.Request, p *parsed, exchange *router.Exchange, target *router.Send, cause error) router.Decision {
+	if r.Context().Err() != nil {
+		return router.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
+	}
+	notSent := hop.NothingSent(cause)
+	s.config.Log.WithFields(logrus.Fields{
+		"request": p.ID, "back_end": target.BackEnd, "not_sent": notSent,
+	}).WithError(cause).Info("attempt failed")
+	return s.decide(func(now time.Time) router.Decision {
+		if notSent {
+			return s.core.NotSent(now, exchange)
+		}
+		return s.core.Lost(now, exchange)
+	})
+}
+
+// discard reads the little that a refusal holds, so that its connection can be
+// used again.
+func discard(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBody))
+	_ = response.Body.Close()
+}
+
+// passOn copies the back end's answer to the caller. Once it has begun, a break
+// is made visible by cutting the connection: a stream first gets an event that
+// says so.
+func (s *Server) passOn(w http.ResponseWriter, r *http.Request, p *parsed, exchange *router.Exchange, target *router.Send, response *http.Response, reply hop.Reply, watch *slo.Watch) {
+	defer response.Body.Close()
+	token := ""
+	s.mutex.Lock()
+	s.core.Heard(time.Now(), reply)
+	if p.isChat {
+		token = s.config.Sealer.Seal(p.Tenant, s.core.Token(time.Now(), exchange, p.ChatKey, reply.Incarnation))
+	}
+	s.mutex.Unlock()
+	header := w.Header()
+	hop.CopyHeaders(header, response.Header)
+	setAnswerHeaders(header, exchange, target.BackEnd)
+	copyOwnHeaders(header, response.Header)
+	if token != "" {
+		header.Set(HeaderChatToken, token)
+	}
+	w.WriteHeader(response.StatusCode)
+	copier := hop.NewCopier(r.URL.Path, response.Header)
+	copier.Observe = func([]byte) { watch.Piece(time.Now()) }
+	if err := copier.Copy(w, response.Body); err != nil {
+		s.broken(w, r, p, target, copier.Stream, err, watch)
+	}
+	watch.Whole(time.Now())
+}
+
+// copyOwnHeaders passes on the few headers of an agent that callers see.
+func copyOwnHeaders(to, from http.Header) {
+	for _, name := range []string{hop.HeaderReplayed, failure.HeaderKind, failure.HeaderRan} {
+		if value := from.Get(name); value != "" {
+			to.Set(name, value)
+		}
+	}
+}
+
+// broken ends an answer that can't be completed. It doesn't return.
+func (s *Server) broken(w http.ResponseWriter, r *http.Request, p *parsed, target *router.Send, stream bool, cause error, watch *slo.Watch) {
+	if r.Context().Err() != nil {
+		watch.Failed(failure.CallerGone)
+		panic(http.ErrAbortHandler)
+	}
+	watch.Failed(failure.StreamBroken)
+	s.config.Metrics.Tagged(map[string]string{"kind": failure.StreamBroken.String()}).Counter("failures").Inc(1)
+	s.config.Log.WithFields(logrus.Fields{"request": p.ID, "back_end": target.BackEnd}).WithError(cause).Warn("answer broke off")
+	if stream {
+		writeBrokenEvent(w)
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/routing/rendezvous.go
@@ -0,0 +1,62 @@
+// Package routing decides which back end gets a request: rendezvous hashing,
+// the chat token, and the choice of the next back end after a refusal.
+//
+// The package does no I/O and reads no clock.
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// score is the rendezvous weight of a member for a key. The two hashes are
+// mixed by hashing them together, so one pass over the key serves all members.
+func score(keyHash, memberHash uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], keyHash)
+	binary.LittleEndian.PutUint64(pair[8:], memberHash)
+	return xxhash.Sum64(pair[:])
+}
+
+// Owner returns the member with the highest rendezvous weight for the key, or
+// "" when there is no member. Equal weights go to the smaller name.
+func Owner(key string, members []string) string {
+	keyHash := xxhash.Sum64String(key)
+	owner := ""
+	var best uint64
+	for _, member := range members {
+		weight := score(keyHash, xxhash.Sum64String(member))
+		if owner == "" || weight > best || weight == best && member < owner {
+			owner, best = member, weight
+		}
+	}
+	return owner
+}
+
+// Rank returns the members by falling rendezvous weight for the key. When a
+// member joins or leaves, the order of the others doesn't change.
+func Rank(key string, members []string) []string {
+	type weighted struct {
+		member string
+		weight uint64
+	}
+	keyHash := xxhash.Sum64String(key)
+	list := make([]weighted, len(members))
+	for i, member := range members {
+		list[i] = weighted{member, score(keyHash, xxhash.Sum64String(member))}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		if order := cmp.Compare(b.weight, a.weight); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.member, b.member)
+	})
+	ranked := make([]string, len(list))
+	for i, entry := range list {
+		ranked[i] = entry.member
+	}
+	return ranked
+}
--- /dev/null
+++ b/internal/routing/route.go
@@ -0,0 +1,332 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// Health is what a router believes about a back end.
+type Health uint8
+
+// The values of Health, from best to worst.
+const (
+	// HealthAlive may be tried in the usual order.
+	HealthAlive Health = iota
+	// HealthDoubtful is silent, unreachable or flapping: tried last.
+	HealthDoubtful
+	// HealthLeaving takes no new work and isn't tried.
+	HealthLeaving
+)
+
+// Member is a router's view of one back end at one moment.
+type Member struct {
+	// ID is the back end.
+	ID string
+	// Health is what the router believes about it.
+	Health Health
+	// Incarnation is its agent's incarnation; 0 when unknown.
+	Incarnation uint32
+	// Load is the last heard load in requests, and LoadAge its age.
+	Load int
+	// LoadAge is the age of Load; LoadKnown is false when none was heard.
+	LoadAge   time.Duration
+	LoadKnown bool
+}
+
+// Policy decides the order in which a pool's back ends are tried. The product
+// uses PolicyTokenThenHash; the others are baselines for measurement.
+type Policy uint8
+
+// The policies.
+const (
+	// PolicyTokenThenHash tries the engine that the chat token names, then the
+	// rendezvous order.
+	PolicyTokenThenHash Policy = iota
+	// PolicyHash uses the rendezvous order alone.
+	PolicyHash
+	// PolicyRandom tries back ends in a random order.
+	PolicyRandom
+	// PolicyTwoChoices tries the less loaded of two random back ends first.
+	PolicyTwoChoices
+)
+
+// Request is what the choice of a back end depends on.
+type Request struct {
+	// ChatKey spreads chats over the pool; it stays the same for a chat.
+	ChatKey string
+	// Token is the caller's chat token, or nil.
+	Token *ChatToken
+	// Owner is the only back end that may run the request, or "".
+	Owner string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// LoadMet is the load that a refusing back end reported: evidence of the pool's
+// load that travels with the next attempt.
+type LoadMet struct {
+	// BackEnd refused the request.
+	BackEnd string `cbor:"1,keyasint"`
+	// Load is its load in requests.
+	Load int `cbor:"2,keyasint"`
+}
+
+// Refusal is an agent's "not run".
+type Refusal struct {
+	// Kind says why.
+	Kind failure.Kind
+	// RetryAfter is when this back end may have room again; 0 when unknown.
+	RetryAfter time.Duration
+	// Load is the back end's load.
+	Load int
+}
+
+// Attempt says where to send the request next.
+type Attempt struct {
+	// BackEnd is the target.
+	BackEnd string
+	// Affine is true when the target is believed to hold the chat's context,
+	// or owns the request's key.
+	Affine bool
+	// LoadsMet is the evidence gathered so far.
+	LoadsMet []LoadMet
+}
+
+// Route is the routing state of one request. It gives one attempt at a time and
+// never gives the same back end twice.
+type Route struct {
+	request  Request
+	order    []Member
+	tried    int
+	loadsMet []LoadMet
+	refusals []Refusal
+}
+
+// RandomSource is the part of math/rand/v2 that the baselines need.
+type RandomSource interface {
+	IntN(n int) int
+}
+
+// NewRoute orders the pool for a request. random is used by the random
+// policies alone and may be nil otherwise.
+func NewRoute(request Request, members []Member, policy Policy, random RandomSource) *Route {
+	route := &Route{request: request}
+	if request.Owner != "" {
+		route.order = onlyOwner(request.Owner, members)
+		return route
+	}
+	ordered := orderMembers(request, members, policy, random)
+	route.order = doubtfulLast(ordered)
+	return route
+}
+
+func onlyOwner(owner string, members []Member) []Member {
+	for _, member := range members {
+		if member.ID == owner && member.Health != HealthLeaving {
+			return []Member{member}
+		}
+	}
+	return nil
+}
+
+func orderMembers(request Request, members []Member, policy Policy, random RandomSource) []Member {
+	switch policy {
+	case PolicyRandom:
+		return shuffled(members, random)
+	case PolicyTwoChoices:
+		list := shuffled(members, random)
+		if len(list) > 1 && list[1].Load < list[0].Load {
+			list[0], list[1] = list[1], list[0]
+		}
+		return list
+	case PolicyHash:
+		return byRank(request.ChatKey, members)
+	default:
+		return tokenFirst(request.Token, byRank(request.ChatKey, members))
+	}
+}
+
+func shuffled(members []Member, random RandomSource) []Member {
+	list := append([]Member(nil), members...)
+	for i := len(list) - 1; i > 0; i-- {
+		j := random.IntN(i + 1)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list
+}
+
+func byRank(key string, members []Member) []Member {
+	ids := make([]string, len(members))
+	byID := make(map[string]Member, len(members))
+	for i, member := range members {
+		ids[i] = member.ID
+		byID[member.ID] = member
+	}
+	list := make([]Member, 0, len(members))
+	for _, id := range Rank(key, ids) {
+		list = append(list, byID[id])
+	}
+	return list
+}
+
+// tokenFirst moves the token's engine to the front, unless its agent is known to
+// have restarted since: its context is gone then, and the hash spreads better.
+func tokenFirst(token *ChatToken, list []Member) []Member {
+	if token == nil {
+		return list
+	}
+	for i, member := range list {
+		if member.ID != token.Engine {
+			continue
+		}
+		if member.Incarnation != 0 && member.Incarnation != token.Incarnation {
+			return list
+		}
+		copy(list[1:i+1], list[:i])
+		list[0] = member
+		return list
+	}
+	return list
+}
+
+// doubtfulLast keeps the order but moves doubtful members behind the others and
+// drops leaving ones.
+func doubtfulLast(list []Member) []Member {
+	var alive, doubtful []Member
+	for _, member := range list {
+		switch member.Health {
+		case HealthAlive:
+			alive = append(alive, member)
+		case HealthDoubtful:
+			doubtful = append(doubtful, member)
+		}
+	}
+	return append(alive, doubtful...)
+}
+
+// freshLoad is the age to which a heard load may reorder the later attempts.
+const freshLoad = 2 * time.Second
+
+// Next returns the next attempt; ok is false when every member was tried.
+//
+// The first attempt follows the policy alone, since a wrong guess about load
+// would cost the chat its context. Later attempts have no context to win, so
+// after the first refusal they go to members that are believed to have room.
+func (r *Route) Next() (attempt Attempt, ok bool) {
+	if r.tried >= len(r.order) {
+		return Attempt{}, false
+	}
+	if len(r.loadsMet) > 0 {
+		r.preferRoom()
+	}
+	member := r.order[r.tried]
+	r.tried++
+	return Attempt{
+		BackEnd:  member.ID,
+		Affine:   r.isAffine(member),
+		LoadsMet: r.loadsMet,
+	}, true
+}
+
+func (r *Route) isAffine(member Member) bool {
+	if r.request.Owner != "" {
+		return true
+	}
+	token := r.request.Token
+	if token == nil || token.Engine != member.ID {
+		return false
+	}
+	return member.Incarnation == 0 || member.Incarnation == token.Incarnation
+}
+
+// crowdedAttempts is the number of refusals after which the least loaded member
+// is tried next instead of the next in rendezvous order.
+const crowdedAttempts = 2
+
+// preferRoom brings the best remaining member to the position to be tried next.
+func (r *Route) preferRoom() {
+	threshold := r.meanMet()
+	best := r.tried
+	for i := r.tried; i < len(r.order); i++ {
+		if r.order[i].Health != r.order[r.tried].Health {
+			break
+		}
+		if len(r.loadsMet) < crowdedAttempts && r.hasRoom(r.order[i], threshold) {
+			best = i
+			break
+		}
+		if len(r.loadsMet) >= crowdedAttempts && r.lessLoaded(r.order[i], r.order[best]) {
+			best = i
+		}
+	}
+	chosen := r.order[best]
+	copy(r.order[r.tried+1:best+1], r.order[r.tried:best])
+	r.order[r.tried] = chosen
+}
+
+func (r *Route) meanMet() float64 {
+	total := 0
+	for _, met := range r.loadsMet {
+		total += met.Load
+	}
+	return float64(total) / float64(len(r.loadsMet))
+}
+
+func (r *Route) hasRoom(member Member, threshold float64) bool {
+	if !member.LoadKnown || member.LoadAge > freshLoad {
+		return true
+	}
+	return float64(member.Load) < threshold
+}
+
+func (r *Route) lessLoaded(a, b Member) bool {
+	aKnown := a.LoadKnown && a.LoadAge <= freshLoad
+	bKnown := b.LoadKnown && b.LoadAge <= freshLoad
+	if aKnown != bKnown {
+		return aKnown
+	}
+	return aKnown && a.Load < b.Load
+}
+
+// Refused notes a refusal of the latest attempt.
+func (r *Route) Refused(backEnd string, refusal Refusal) {
+	r.refusals = append(r.refusals, refusal)
+	if refusal.Kind == failure.OverBound || refusal.Kind == failure.QueueFull {
+		r.loadsMet = append(r.loadsMet, LoadMet{BackEnd: backEnd, Load: refusal.Load})
+	}
+}
+
+// Attempts returns how many attempts were given.
+func (r *Route) Attempts() int { return r.tried }
+
+// GiveUp returns the final answer of a request that no back end took. A sole
+// refusal is passed on; otherwise the answer is PoolExhausted, with the
+// shortest time after which a back end may have room.
+func (r *Route) GiveUp() *failure.Error {
+	if r.request.Owner != "" && len(r.refusals) == 0 {
+		return failure.New(failure.OwnerAway, "the back end that owns this key can't be reached; this attempt was not run")
+	}
+	if len(r.refusals) == 0 {
+		return failure.New(failure.BackendUnreachable, "no back end of the pool can be reached; the request was not run")
+	}
+	if r.request.Owner != "" || len(r.refusals) == 1 {
+		sole := r.refusals[len(r.refusals)-1]
+		return &failure.Error{Kind: sole.Kind, Message: "the back end did not take the request; it was not run", RetryAfter: sole.RetryAfter}
+	}
+	return &failure.Error{
+		Kind:       failure.PoolExhausted,
+		Message:    "no back end of the pool has room; the request was not run",
+		RetryAfter: r.shortestWait(),
+	}
+}
+
+func (r *Route) shortestWait() time.Duration {
+	var shortest time.Duration
+	for _, refusal := range r.refusals {
+		if refusal.RetryAfter > 0 && (shortest == 0 || refusal.RetryAfter < shortest) {
+			shortest = refusal.RetryAfter
+		}
+	}
+	return shortest
+}
--- /dev/null
+++ b/internal/routing/token.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// ChatToken tells where a chat's context lies. The caller returns it with the
+// chat's next turn, so that any router finds the engine with no state and no
+// message. It is a hint: a wrong one costs a rebuilt context, nothing else.
+type ChatToken struct {
+	// Chat identifies the chat.
+	Chat string `cbor:"1,keyasint"`
+	// Engine is the back end that served the last turn.
+	Engine string `cbor:"2,keyasint"`
+	// Incarnation is that engine's agent's incarnation; the context is lost
+	// once it differs.
+	Incarnation uint32 `cbor:"3,keyasint"`
+	// IssuedAt is the router's clock in Unix seconds.
+	IssuedAt int64 `cbor:"4,keyasint"`
+	// ContextTokens is the length of the context served, in model tokens.
+	ContextTokens int `cbor:"5,keyasint"`
+}
+
+const (
+	tokenMACSize = 16
+	// MaxTokenLength bounds the encoded token, in bytes.
+	MaxTokenLength = 512
+	tokenContext   = "harriernotch chat token v1\n"
+)
+
+// TokenSealer makes and opens chat tokens with the cluster key.
+type TokenSealer struct {
+	key []byte
+}
+
+// NewTokenSealer returns a sealer; every router must use the same key.
+func NewTokenSealer(clusterKey []byte) *TokenSealer {
+	return &TokenSealer{key: clusterKey}
+}
+
+// Seal returns the opaque form of a token that only the tenant can use.
+func (s *TokenSealer) Seal(tenant string, token ChatToken) string {
+	body, err := cbor.Marshal(token)
+	if err != nil {
+		// Plain fields of fixed types always encode.
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(append(s.mac(tenant, body), body...))
+}
+
+// Open checks and returns a token. A token of another tenant, or one altered,
+// is refused.
+func (s *TokenSealer) Open(tenant, text string) (ChatToken, error) {
+	invalid := failure.New(failure.InvalidRequest, "the chat token is not valid; send it as it was received, or leave it out")
+	if len(text) > MaxTokenLength {
+		return ChatToken{}, invalid
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) <= tokenMACSize {
+		return ChatToken{}, invalid
+	}
+	body := raw[tokenMACSize:]
+	if !hmac.Equal(raw[:tokenMACSize], s.mac(tenant, body)) {
+		return ChatToken{}, invalid
+	}
+	var token ChatToken
+	if err := cbor.Unmarshal(body, &token); err != nil {
+		return ChatToken{}, invalid
+	}
+	return token, nil
+}
+
+// mac authenticates the tenant and the body; the tenant's length keeps the two
+// apart.
+func (s *TokenSealer) mac(tenant string, body []byte) []byte {
+	hash := hmac.New(sha256.New, s.key)
+	hash.Write([]byte(tokenContext))
+	hash.Write([]byte{byte(len(tenant))})
+	hash.Write([]byte(tenant))
+	hash.Write(body)
+	return hash.Sum(nil)[:tokenMACSize]
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,53 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is a plain HTTP service. It answers every call with the method, the
+// path and the body it got, and remembers what it ran.
+type Service struct {
+	// Delay is how long a call takes.
+	Delay time.Duration
+
+	mutex sync.Mutex
+	runs  []Run
+}
+
+// Run is one call that a back end ran.
+type Run struct {
+	// RequestID is the system's identifier of the request.
+	RequestID string
+	// Body is what the call carried.
+	Body string
+}
+
+// HeaderRequestID carries the system's identifier of a request to back ends.
+const HeaderRequestID = "X-Request-Id"
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mutex.Lock()
+	s.runs = append(s.runs, Run{RequestID: r.Header.Get(HeaderRequestID), Body: string(body)})
+	count := len(s.runs)
+	s.mutex.Unlock()
+	time.Sleep(s.Delay)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Service-Run", fmt.Sprint(count))
+	_, _ = fmt.Fprintf(w, "%s %s %s\n", r.Method, r.URL.Path, body)
+}
+
+// Runs returns what was run so far.
+func (s *Service) Runs() []Run {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]Run(nil), s.runs...)
+}
