--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,42 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRetryBudgetBoundsAttempts(t *testing.T) {
+	is := is.New(t)
+	budget := NewRetryBudget(0.25, 10)
+	further := 0
+	for range 1000 {
+		budget.Earn()
+		for budget.Spend() {
+			further++
+		}
+	}
+	is.Equal(further, 10+249) // what was saved up, and a quarter of the requests
+}
+
+func TestTenantGetsItsShareOfTheFleet(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_800_000_000, 0)
+	limiter := NewTenantLimiter()
+	limiter.SetRouters(start, 4)
+	limiter.Configure(start, map[string]Limit{"t": {PerSecond: 40, Burst: 40}})
+	allowed := 0
+	for i := range 1000 { // 100 a second for ten seconds at one of four routers
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		ok, wait := limiter.Allow(now, "t")
+		if ok {
+			allowed++
+		} else {
+			is.True(wait > 0 && wait <= 100*time.Millisecond) // when the next token comes
+		}
+		unlimited, _ := limiter.Allow(now, "unlimited")
+		is.True(unlimited)
+	}
+	is.True(allowed >= 109 && allowed <= 111) // 10 a second and a burst of 10
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTable() *Table { return NewTable(DefaultConfig(), Record{ID: "self", Incarnation: 5}) }
+
+func TestNewestRecordWinsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rapid.Custom(func(t *rapid.T) Record {
+			return Record{
+				ID:          "e1",
+				Incarnation: Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+				State:       State(rapid.IntRange(0, 2).Draw(t, "state")),
+				Beat:        uint32(rapid.IntRange(0, 5).Draw(t, "beat")),
+			}
+		})
+		records := rapid.SliceOfN(draw, 1, 10).Draw(t, "records")
+		table := newTable()
+		best := records[0]
+		for _, record := range records {
+			table.Merge(start, []Record{record})
+			if newer(record, best) {
+				best = record
+			}
+		}
+		if got := table.Entry("e1").Record; got != best {
+			t.Fatalf("got %v, want %v", got, best)
+		}
+	})
+}
+
+func TestLivenessFollowsSilenceAndReturn(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.Merge(start, []Record{{ID: "e1", Incarnation: 1, Beat: 1}})
+	is.Equal(table.Liveness(start, table.Entry("e1")), Live)
+	later := start.Add(5 * time.Second)
+	is.Equal(table.Liveness(later, table.Entry("e1")), Doubtful)
+	table.Merge(later, []Record{{ID: "e1", Incarnation: 1, Beat: 2}})
+	is.Equal(table.Liveness(later, table.Entry("e1")), Live)
+	table.Merge(later, []Record{{ID: "e1", Incarnation: 1, Beat: 3, AgeMillis: 6000}})
+	is.Equal(table.Liveness(later, table.Entry("e1")), Doubtful) // old news is no sign of life
+}
+
+func TestFlappingNodeIsDampedAndTrustedAgain(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	now := start
+	for incarnation := Incarnation(1); incarnation <= 4; incarnation++ {
+		table.Merge(now, []Record{{ID: "e1", Incarnation: incarnation}})
+		now = now.Add(time.Second)
+	}
+	is.Equal(table.Liveness(now, table.Entry("e1")), Doubtful) // three restarts in three seconds
+	now = now.Add(time.Minute)
+	table.Merge(now, []Record{{ID: "e1", Incarnation: 4, Beat: 9}})
+	is.Equal(table.Liveness(now, table.Entry("e1")), Live)
+}
+
+func TestOthersCanTellANodeThatItIsLeaving(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.Merge(start, []Record{{ID: "self", Incarnation: 4, State: StateLeaving}})
+	is.Equal(table.Self().State, StateServing) // that was an earlier incarnation
+	table.Merge(start, []Record{{ID: "self", Incarnation: 5, State: StateLeaving}})
+	is.Equal(table.Self().State, StateLeaving)
+	is.True(!table.Superseded())
+	table.Merge(start, []Record{{ID: "self", Incarnation: 6}})
+	is.True(table.Superseded())
+}
+
+func TestUnreachableNodeIsDoubtfulForAWhile(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	table.NoteUnreachable(start, "e1")
+	is.Equal(table.Liveness(start, table.Entry("e1")), Doubtful)
+	is.Equal(table.Liveness(start.Add(3*time.Second), table.Entry("e1")), Live)
+}
+
+func all(Record) bool { return true }
+
+func TestLinkCarriesEveryRecordOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	link := NewLink()
+	table.Merge(start, []Record{{ID: "e1", Incarnation: 1, Beat: 1}, {ID: "e2", Incarnation: 1, Beat: 1}})
+	is.Equal(len(link.Pending(start, table, 10, all)), 3) // with the node's own
+	is.Equal(len(link.Pending(start, table, 10, all)), 0)
+	link.Received([]Record{{ID: "e1", Incarnation: 1, Beat: 2}})
+	table.Merge(start, []Record{{ID: "e1", Incarnation: 1, Beat: 2}})
+	is.Equal(len(link.Pending(start, table, 10, all)), 0) // the peer told it itself
+}
+
+func TestLinkSendsChangesOfStateBeforeLoads(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	link := NewLink()
+	table.Merge(start, []Record{{ID: "e1", Incarnation: 1, Beat: 1}, {ID: "e2", Incarnation: 1, Beat: 1}})
+	link.Pending(start, table, 10, all)
+	table.Merge(start.Add(time.Second), []Record{{ID: "e1", Incarnation: 1, Beat: 2}})
+	table.NoteLeaving("e2")
+	pending := link.Pending(start.Add(time.Second), table, 1, all)
+	is.Equal(pending[0].ID, "e2")
+	is.Equal(pending[0].State, StateLeaving)
+}
+
+func TestFreshestReturnsTheLatestWithTheirAge(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	for i, id := range []string{"e1", "e2", "e3"} {
+		table.Merge(start.Add(time.Duration(i)*time.Second), []Record{{ID: id, Incarnation: 1}})
+	}
+	got := table.Freshest(start.Add(3*time.Second), 3, []string{"e1", "e2", "e3", "self"})
+	is.Equal(len(got), 3)
+	is.Equal(got[0].ID, "self")
+	is.Equal(got[1].ID, "e3")
+	is.Equal(got[1].AgeMillis, uint32(1000))
+	is.Equal(got[2].ID, "e2")
+}
