A dead member's last load no longer holds down the others' bound

Cause: after an agent was killed under load, its pool's other agent answered over_bound 130 times in ten seconds although it had room: until the silence of four seconds was noticed, it reckoned its bound with the dead member's last load. Ruled out: the retry budget (the other back end was asked and refused by itself) and the queue (it was empty).

Change: a request carries the members that its router could not reach a moment ago; a member that was also silent for the pool's window doesn't count.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -147,6 +147,9 @@
 		Number:     head.News.Number,
 		ContactAge: time.Duration(head.News.ContactAgeMillis) * time.Millisecond,
 	})
+	for _, member := range head.Unreachable {
+		c.node.Step(now, coordination.Unreachable{ID: member})
+	}
 	if kind, refused := c.refusal(now, head); refused {
 		refuse := admission.Refuse{ID: id, Kind: kind, Load: c.gate.Load()}
 		effects.Requests = append(effects.Requests, refuse)
@@ -293,7 +296,7 @@
 		if entry == nil || backEnd.ID == c.config.Identity.ID || table.Liveness(now, entry) == membership.Gone {
 			continue
 		}
-		if now.Sub(entry.At) > c.config.Coordination.Membership.SilentAfter {
+		if c.isSilent(now, pool, entry) {
 			continue
 		}
 		observed.Others = append(observed.Others, admission.ObservedLoad{Load: int(entry.Load), At: entry.At})
@@ -301,6 +304,17 @@
 	return observed
 }
 
+// isSilent tells whether a member is taken for dead: it was silent for long, or
+// for one window while a router could not reach it either. Neither sign alone
+// is enough within that time: a router may be cut off, and gossip may be late.
+func (c *Core) isSilent(now time.Time, pool *bundle.Pool, entry *membership.Entry) bool {
+	age := now.Sub(entry.At)
+	if age > c.config.Coordination.Membership.SilentAfter {
+		return true
+	}
+	return age > pool.MeanWindow.Std() && c.node.Table().IsUnreachable(now, entry)
+}
+
 // Reply returns what goes back to the router beside the answer. refused is nil
 // when the answer is the back end's.
 func (c *Core) Reply(now time.Time, refused *admission.Refuse) hop.Reply {
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/admission"
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+var key = ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", ed25519.SeedSize)))
+
+func signed(t *testing.T, number uint64, leaving bool) []byte {
+	t.Helper()
+	text := "format = 1\n[control]\nownership_lease = \"1m\"\n[[tenants]]\nname = \"t\"\nkey_sha256 = [\"" + bundle.HashKey("k") + "\"]\n" +
+		"[[pools]]\nname = \"p\"\nkind = \"service\"\npath_prefix = \"/p/\"\n"
+	for _, id := range []string{"a", "b"} {
+		text += fmt.Sprintf("[[pools.back_ends]]\nid = %q\nagent = \"10.0.0.1:7300\"\nzone = \"z\"\nleaving = %v\n", id, leaving && id == "a")
+	}
+	raw, err := bundle.Sign(bundle.Header{Number: number, Identifier: fmt.Sprint(number)}, []byte(text), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// newAgent returns the agent of a with a confirmed bundle.
+func newAgent(t *testing.T, now time.Time) *Core {
+	t.Helper()
+	trusted := []ed25519.PublicKey{key.Public().(ed25519.PublicKey)}
+	open := func(raw []byte) (*bundle.Bundle, error) { return bundle.Open(raw, trusted) }
+	identity := coordination.Identity{ID: "a", Role: membership.RoleAgent, Zone: "z"}
+	core := New(DefaultConfig(identity), open, bundle.NewAcceptor(trusted), now)
+	core.Control(now, coordination.PlatformBundle{Raw: signed(t, 1, false), Version: 1, AskedAt: now})
+	return core
+}
+
+// tickTo lets the agent run until the time.
+func tickTo(core *Core, from, to time.Time) {
+	for now := from; !now.After(to); now = now.Add(150 * time.Millisecond) {
+		core.Tick(now)
+	}
+}
+
+func head(now time.Time) hop.Head {
+	return hop.Head{BackEnd: "a", Tenant: "t", RemainingMillis: 60_000, News: hop.News{Number: 1}}
+}
+
+// word returns what the effects say about a request.
+func word(effects Effects) any {
+	for _, action := range effects.Requests {
+		switch a := action.(type) {
+		case admission.Refuse:
+			return a.Kind
+		case admission.Start:
+			return "start"
+		}
+	}
+	return nil
+}
+
+func TestAgentRefusesWhatIsMeantForAnother(t *testing.T) {
+	is := is.New(t)
+	core := newAgent(t, start)
+	wrong := head(start)
+	wrong.BackEnd = "b"
+	is.Equal(word(core.Arrive(start, 1, wrong)), failure.WrongOwner)
+	is.Equal(word(core.Arrive(start, 2, head(start))), "start")
+}
+
+func TestDeadMembersLoadDoesNotHoldDownTheBound(t *testing.T) {
+	is := is.New(t)
+	core := newAgent(t, start)
+	core.Control(start, coordination.RecordsHeard{Records: []membership.Record{{ID: "b", Incarnation: 1, Load: 0}}})
+	now := start.Add(1500 * time.Millisecond)
+	is.Equal(word(core.Arrive(now, 1, head(now))), "start")
+	is.Equal(word(core.Arrive(now, 2, head(now))), "start")
+	is.Equal(word(core.Arrive(now, 3, head(now))), failure.OverBound) // b may be idle: mean 1.5, bound 2
+	reported := head(now)
+	reported.Unreachable = []string{"b"}
+	is.Equal(word(core.Arrive(now, 4, reported)), "start") // silent for the window, and a router can't reach it
+}
+
+func keyedHead(now time.Time, owner string) hop.Head {
+	h := head(now)
+	h.KeyIssuedMillis = now.UnixMilli()
+	members := []string{"a", "b"}
+	for i := 0; ; i++ {
+		h.Key = fmt.Sprint("key-", i)
+		if routing.Owner(h.Key, members) == owner {
+			return h
+		}
+	}
+}
+
+func TestKeyedRequestNeedsOwnershipAndLease(t *testing.T) {
+	is := is.New(t)
+	core := newAgent(t, start)
+	now := start.Add(10 * time.Second)
+	tickTo(core, start, now)
+	is.Equal(word(core.Arrive(now, 1, keyedHead(now, "b"))), failure.WrongOwner)
+	is.Equal(word(core.Arrive(now, 2, keyedHead(now, "a"))), "start")
+	late := now.Add(time.Minute)
+	tickTo(core, now, late)
+	contact := keyedHead(late, "a")
+	is.Equal(word(core.Arrive(late, 3, contact)), failure.LeaseLapsed) // nothing confirmed for over a minute
+}
+
+func TestPausedAgentWaitsForFreshContact(t *testing.T) {
+	is := is.New(t)
+	core := newAgent(t, start)
+	core.Control(start, coordination.LinkUp{Link: 1, Peer: "b"})
+	now := start.Add(10 * time.Second)
+	tickTo(core, start, now)
+	thawed := now.Add(20 * time.Second) // no ticks: the process was paused
+	is.Equal(word(core.Arrive(thawed, 1, keyedHead(thawed, "a"))), failure.NotReady) // nobody was heard since
+	// A message that lay in the buffer echoes a stamp from before the pause.
+	old := coordination.Message{From: "b", Number: 1, ConfirmedAgeMillis: 0, Stamp: 1, Echo: 5000}
+	core.Control(thawed, coordination.Received{Link: 1, Message: old})
+	is.Equal(word(core.Arrive(thawed, 2, keyedHead(thawed, "a"))), failure.LeaseLapsed)
+	fresh := coordination.Message{From: "b", Number: 1, ConfirmedAgeMillis: 0, Stamp: 2, Echo: 30_001 + 50}
+	core.Control(thawed.Add(100*time.Millisecond), coordination.Received{Link: 1, Message: fresh})
+	is.Equal(word(core.Arrive(thawed.Add(100*time.Millisecond), 3, keyedHead(thawed, "a"))), "start")
+}
+
+func TestIsolatedAgentTakesNoNewWork(t *testing.T) {
+	is := is.New(t)
+	core := newAgent(t, start)
+	now := start.Add(6 * time.Second)
+	tickTo(core, start, now)
+	isolated := head(now)
+	isolated.News.ContactAgeMillis = 6000 // the router hears from nobody either
+	is.Equal(word(core.Arrive(now, 1, isolated)), failure.NotReady)
+	is.Equal(word(core.Arrive(now, 2, head(now))), "start") // this router does
+}
+
+func TestAgentLeavesWhenToldByAnyone(t *testing.T) {
+	incarnation := membership.IncarnationAt(start)
+	tell := map[string]func(core *Core){
+		"signal": func(c *Core) { c.Control(start, coordination.LocalState{State: membership.StateLeaving}) },
+		"machine list": func(c *Core) {
+			c.Control(start, coordination.MachineList{Machines: []coordination.Machine{{ID: "a", Leaving: true}}})
+		},
+		"bundle": func(c *Core) {
+			c.Control(start, coordination.PlatformBundle{Raw: signed(t, 2, true), Version: 2, AskedAt: start})
+		},
+		"traffic": func(c *Core) {
+			c.Control(start, coordination.RecordsHeard{Records: []membership.Record{{ID: "a", Incarnation: incarnation, State: membership.StateLeaving}}})
+		},
+		"its successor": func(c *Core) {
+			c.Control(start, coordination.RecordsHeard{Records: []membership.Record{{ID: "a", Incarnation: incarnation + 1}}})
+		},
+	}
+	for name, how := range tell {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			core := newAgent(t, start)
+			how(core)
+			is.Equal(word(core.Arrive(start, 1, head(start))), failure.Leaving)
+			is.Equal(core.Node().Table().Self().State, membership.StateLeaving)
+		})
+	}
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -12,6 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newBundleCommand(), newStatusCommand())
+	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand())
 	return command
 }
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -61,6 +61,9 @@
 	Affine bool `cbor:"6,keyasint"`
 	// LoadsMet are the loads of the back ends that refused before.
 	LoadsMet []routing.LoadMet `cbor:"7,keyasint,omitempty"`
+	// Unreachable are members of the pool that the router could not reach a
+	// moment ago.
+	Unreachable []string `cbor:"12,keyasint,omitempty"`
 	// Key is the idempotency key of an unrepeatable request, or "".
 	Key string `cbor:"8,keyasint,omitempty"`
 	// KeyIssuedMillis is the key's time of issue in Unix milliseconds.
--- /dev/null
+++ b/internal/loadgen/loadgen.go
@@ -0,0 +1,293 @@
+// Package loadgen sends returning chats to a fleet and judges every answer: it
+// must be whole and the caller's own, or a clear error that says whether the
+// request ran.
+package loadgen
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/router/routerhttp"
+)
+
+// Config sets up a run.
+type Config struct {
+	// Targets are routers' base URLs; they must be on loopback.
+	Targets []string
+	// Key is the tenant's bearer key.
+	Key string
+	// Model is the model to ask.
+	Model string
+	// Rate is the number of turns begun each second.
+	Rate float64
+	// Chats is the number of chats that take turns.
+	Chats int
+	// Duration is how long turns are begun.
+	Duration time.Duration
+	// StreamEvery streams every so-manieth turn; 0 streams none.
+	StreamEvery int
+	// MaxTokens is the length of an answer.
+	MaxTokens int
+}
+
+// Result counts what the callers saw.
+type Result struct {
+	// Whole answers came entire and were the caller's own.
+	Whole int
+	// Broken answers began and were visibly cut.
+	Broken int
+	// Failed counts clear errors by kind.
+	Failed map[string]int
+	// Unclear answers are faults: mixed up, short but seemingly whole, or an
+	// error that doesn't say whether the request ran.
+	Unclear int
+	// Returning counts turns that brought a token, Reused those of them that
+	// found their context cached.
+	Returning int
+	Reused    int
+	// FirstByte is the time to the first byte of whole answers, in µs.
+	FirstByte *hdrhistogram.Histogram
+	// Examples are a few of the unclear answers.
+	Examples []string
+}
+
+const maxExamples = 5
+
+// CheckTargets refuses targets that aren't on loopback.
+func CheckTargets(targets []string) error {
+	for _, target := range targets {
+		parsed, err := url.Parse(target)
+		if err != nil {
+			return failure.Wrap(failure.InvalidRequest, err, "--target must be a URL such as http://127.0.0.1:18080")
+		}
+		address, err := netip.ParseAddrPort(parsed.Host)
+		if err != nil || !address.Addr().IsLoopback() {
+			return failure.New(failure.InvalidRequest, "--target must be on loopback, such as http://127.0.0.1:18080")
+		}
+	}
+	return nil
+}
+
+// generator is one run.
+type generator struct {
+	config Config
+	client *http.Client
+
+	mutex  sync.Mutex
+	result Result
+	chats  []chatState
+}
+
+// chatState is one returning chat.
+type chatState struct {
+	busy     bool
+	token    string
+	messages []message
+}
+
+// message is one message of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Run begins turns at the rate until the duration or the context ends, and
+// waits for their answers.
+func Run(ctx context.Context, config Config) Result {
+	const highestMicros = int64(10 * time.Minute / time.Microsecond)
+	g := &generator{
+		config: config,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: config.Chats}},
+		result: Result{Failed: map[string]int{}, FirstByte: hdrhistogram.New(1, highestMicros, 2)},
+		chats:  make([]chatState, config.Chats),
+	}
+	turns := pool.New().WithMaxGoroutines(config.Chats)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / config.Rate))
+	defer ticker.Stop()
+	end := time.After(config.Duration)
+	for turn := 0; ; turn++ {
+		select {
+		case <-ticker.C:
+			turns.Go(func() { g.turn(ctx, turn) })
+			continue
+		case <-end:
+		case <-ctx.Done():
+		}
+		break
+	}
+	turns.Wait()
+	return g.result
+}
+
+// take picks a chat that has no turn under way.
+func (g *generator) take(turn int) (int, chatState) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for offset := range g.chats {
+		index := (turn + offset) % len(g.chats)
+		if !g.chats[index].busy {
+			g.chats[index].busy = true
+			return index, g.chats[index]
+		}
+	}
+	return -1, chatState{}
+}
+
+func (g *generator) turn(ctx context.Context, turn int) {
+	index, chat := g.take(turn)
+	if index < 0 {
+		return
+	}
+	text := fmt.Sprintf("chat %d turn %d", index, turn)
+	messages := append(chat.messages, message{Role: "user", Content: text})
+	stream := g.config.StreamEvery > 0 && turn%g.config.StreamEvery == 0
+	seen := g.ask(ctx, g.config.Targets[turn%len(g.config.Targets)], chat.token, messages, stream)
+	g.note(index, chat, messages, text, seen)
+}
+
+// seen is what came back for one turn.
+type seen struct {
+	err       error
+	status    int
+	header    http.Header
+	words     string
+	whole     bool
+	cached    int
+	firstByte time.Duration
+}
+
+// chatBody is the request's JSON.
+type chatBody struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []message `json:"messages"`
+}
+
+func (g *generator) ask(ctx context.Context, target, token string, messages []message, stream bool) seen {
+	body, err := json.Marshal(chatBody{Model: g.config.Model, Stream: stream, MaxTokens: g.config.MaxTokens, Messages: messages})
+	if err != nil {
+		return seen{err: err}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/v1/chat/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return seen{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+g.config.Key)
+	if token != "" {
+		request.Header.Set(routerhttp.HeaderChatToken, token)
+	}
+	begun := time.Now()
+	response, err := g.client.Do(request)
+	if err != nil {
+		return seen{err: err}
+	}
+	defer response.Body.Close()
+	got := seen{status: response.StatusCode, header: response.Header, firstByte: time.Since(begun)}
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, response.Body)
+		return got
+	}
+	if stream {
+		got.readStream(response.Body)
+	} else {
+		got.readWhole(response.Body)
+	}
+	return got
+}
+
+// piece is an answer, or one event of a stream.
+type piece struct {
+	Choices []struct {
+		Message *message `json:"message"`
+		Delta   *message `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+func (s *seen) take(part piece) {
+	for _, choice := range part.Choices {
+		if choice.Message != nil {
+			s.words += choice.Message.Content
+		}
+		if choice.Delta != nil {
+			s.words += choice.Delta.Content
+		}
+	}
+	if part.Usage != nil {
+		s.cached = part.Usage.PromptTokensDetails.CachedTokens
+	}
+}
+
+func (s *seen) readWhole(body io.Reader) {
+	var part piece
+	s.err = json.NewDecoder(body).Decode(&part)
+	s.whole = s.err == nil
+	s.take(part)
+}
+
+func (s *seen) readStream(body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		raw, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if raw == "[DONE]" {
+			s.whole = true
+			break
+		}
+		var part piece
+		if json.Unmarshal([]byte(raw), &part) == nil {
+			s.take(part)
+		}
+	}
+	s.err = scanner.Err()
+}
+
+// note judges the turn and puts the chat back.
+func (g *generator) note(index int, chat chatState, messages []message, text string, got seen) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.chats[index].busy = false
+	if chat.token != "" {
+		g.result.Returning++
+	}
+	own := strings.HasPrefix(got.words, "You said: "+text)
+	switch {
+	case got.status == http.StatusOK && got.whole && own:
+		g.result.Whole++
+		_ = g.result.FirstByte.RecordValue(got.firstByte.Microseconds())
+		if chat.token != "" && got.cached > 0 {
+			g.result.Reused++
+		}
+		g.chats[index].token = got.header.Get(routerhttp.HeaderChatToken)
+		g.chats[index].messages = append(messages, message{Role: "assistant", Content: got.words})
+	case got.status == http.StatusOK && !got.whole:
+		g.result.Broken++
+	case got.status != 0 && got.status != http.StatusOK && got.header.Get(failure.HeaderRan) != "":
+		g.result.Failed[got.header.Get(failure.HeaderKind)+" ran="+got.header.Get(failure.HeaderRan)]++
+	default:
+		g.result.Unclear++
+		if len(g.result.Examples) < maxExamples {
+			g.result.Examples = append(g.result.Examples, fmt.Sprintf("%q got %d %q %v", text, got.status, got.words, got.err))
+		}
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -153,6 +153,11 @@
 	t.version++
 }
 
+// IsUnreachable tells whether a connection to the node failed a moment ago.
+func (t *Table) IsUnreachable(now time.Time, entry *Entry) bool {
+	return now.Before(entry.unreachableUntil)
+}
+
 // NoteLeaving records that the node takes no new work, as it answered itself or
 // as the machine list says. The news spreads with the node's record.
 func (t *Table) NoteLeaving(id string) {
@@ -202,7 +207,7 @@
 	case entry.State != StateServing:
 		return Gone
 	case now.Sub(entry.At) > t.config.SilentAfter,
-		now.Before(entry.unreachableUntil),
+		t.IsUnreachable(now, entry),
 		entry.damper.isSuppressed(now):
 		return Doubtful
 	default:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -283,6 +283,7 @@
 		RemainingMillis: request.Deadline.Sub(now).Milliseconds(),
 		Affine:          attempt.Affine,
 		LoadsMet:        attempt.LoadsMet,
+		Unreachable:     c.unreachable(now, request.Pool),
 		News:            c.news(now, request.Pool),
 	}
 	if request.Key != "" {
@@ -293,6 +294,24 @@
 	return head
 }
 
+// unreachable lists the members that could not be reached a moment ago. A dead
+// member's last load would else hold down the bound at the others until its
+// silence is noticed.
+func (c *Core) unreachable(now time.Time, poolName string) []string {
+	pool := c.node.Bundle().Content.Pool(poolName)
+	if pool == nil {
+		return nil
+	}
+	table := c.node.Table()
+	var ids []string
+	for _, id := range pool.MemberIDs() {
+		if entry := table.Entry(id); entry != nil && table.IsUnreachable(now, entry) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // news returns the pool's freshest loads.
 func (c *Core) news(now time.Time, poolName string) hop.News {
 	current := c.node.Bundle()
