A dead member's last load no longer holds down the others' bound

Cause: after an agent was killed under load, its pool's other agent answered over_bound 130 times in ten seconds although it had room: until the silence of four seconds was noticed, it reckoned its bound with the dead member's last load. Ruled out: the retry budget (the other back end was asked and refused by itself) and the queue (it was empty).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -142,14 +142,14 @@
 // Arrive takes a request from a router under the identifier that the owner
 // chose.
 func (c *Core) Arrive(now time.Time, id admission.RequestID, head hop.Head) Effects {
+	for _, member := range head.Unreachable {
+		c.node.Step(now, coordination.Unreachable{ID: member})
+	}
 	effects := c.Control(now, coordination.RecordsHeard{
 		Records:    head.News.Records,
 		Number:     head.News.Number,
 		ContactAge: time.Duration(head.News.ContactAgeMillis) * time.Millisecond,
 	})
-	for _, member := range head.Unreachable {
-		c.node.Step(now, coordination.Unreachable{ID: member})
-	}
 	if kind, refused := c.refusal(now, head); refused {
 		refuse := admission.Refuse{ID: id, Kind: kind, Load: c.gate.Load()}
 		effects.Requests = append(effects.Requests, refuse)
