--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -124,7 +124,7 @@
 	core.Control(start, coordination.LinkUp{Link: 1, Peer: "b"})
 	now := start.Add(10 * time.Second)
 	tickTo(core, start, now)
-	thawed := now.Add(20 * time.Second) // no ticks: the process was paused
+	thawed := now.Add(20 * time.Second)                                              // no ticks: the process was paused
 	is.Equal(word(core.Arrive(thawed, 1, keyedHead(thawed, "a"))), failure.NotReady) // nobody was heard since
 	// A message that lay in the buffer echoes a stamp from before the pause.
 	old := coordination.Message{From: "b", Number: 1, ConfirmedAgeMillis: 0, Stamp: 1, Echo: 5000}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -340,3 +340,19 @@
 		is.True(f.nodes["router-2"].Ready())
 	})
 }
+
+func TestDeadlineWithoutAnAnswerIsToldAtOnce(t *testing.T) {
+	inFleet(t, hop.HTTP1, func(f *fleet) {
+		is := is.New(f.t)
+		for _, service := range f.services {
+			service.Delay = time.Minute
+		}
+		begun := time.Now()
+		got, err := f.call(f.t.Context(), http.MethodPost, "router-1", "/loans/letters", "plan", http.Header{"Harriernotch-Timeout": {"3s"}})
+		is.NoErr(err)
+		is.Equal(time.Since(begun).Round(time.Second), 3*time.Second)
+		is.Equal(got.header.Get(failure.HeaderKind), failure.BackendFailed.String())
+		is.Equal(got.header.Get(failure.HeaderRan), string(failure.RanUnknown))
+		f.settle(2 * time.Minute) // the plain service ends its call
+	})
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -45,6 +45,10 @@
 	http2PingWithin = 2 * time.Second
 )
 
+// keepAlive finds a peer that vanished without a word within eight seconds,
+// while a request waits for its answer.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: 2 * time.Second, Count: 3}
+
 // TransportConfig sets up a transport to agents or back ends.
 type TransportConfig struct {
 	// Protocol is the HTTP version.
@@ -60,7 +64,7 @@
 func NewTransport(config TransportConfig) *http.Transport {
 	dial := config.Dial
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 		dial = dialer.DialContext
 	}
 	protocols := &http.Protocols{}
--- a/internal/platform/publish.go
+++ b/internal/platform/publish.go
@@ -29,6 +29,13 @@
 	return &Publisher{objects: objects, trusted: trusted, now: now, pause: pauseFor}
 }
 
+// WithPause replaces the wait between two looks at a doubtful write; the
+// simulation has a clock of its own.
+func (p *Publisher) WithPause(pause func(context.Context, time.Duration) error) *Publisher {
+	p.pause = pause
+	return p
+}
+
 func pauseFor(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/internal/router/routerhttp/route.go
+++ b/internal/router/routerhttp/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -61,20 +62,44 @@
 	return step(time.Now())
 }
 
-// send makes one attempt.
+// send makes one attempt. An answer that hasn't begun by the deadline is given
+// up; one that has begun may go on.
 func (s *Server) send(r *http.Request, p *parsed, target *router.Send) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(r.Context())
+	expired := time.AfterFunc(time.Until(p.Deadline), cancel)
+	defer expired.Stop()
 	body := io.NopCloser(bytes.NewReader(p.body))
 	url := "http://" + target.Address + r.URL.RequestURI()
-	request, err := hop.NewRequest(r.Context(), r.Method, url, body, int64(len(p.body)))
+	request, err := hop.NewRequest(ctx, r.Method, url, body, int64(len(p.body)))
 	if err != nil {
+		cancel()
 		return nil, err
 	}
 	hop.CopyHeaders(request.Header, r.Header)
 	s.config.Credential.Set(request.Header)
 	if err := hop.SetHead(request.Header, target.Head); err != nil {
+		cancel()
 		return nil, err
 	}
-	return s.config.Transport.RoundTrip(request)
+	response, err := s.config.Transport.RoundTrip(request)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
+	return response, nil
+}
+
+// cancellingBody ends an attempt's context with its answer.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
 }
 
 // sendFailed asks the core what to do after an attempt without an answer.
--- /dev/null
+++ b/internal/simulation/exchange.go
@@ -0,0 +1,362 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/admission"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/router"
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+// request is one attempt of a caller: one HTTP request to one router.
+type request struct {
+	id       string
+	caller   *caller
+	tenant   string
+	pool     string
+	chat     *chat
+	prompt   int
+	output   int
+	priority admission.Priority
+	// key is the idempotency key and issued its time by the caller's clock.
+	key     string
+	issued  time.Time
+	begun   time.Time
+	timeout time.Duration
+
+	router   *node
+	exchange *router.Exchange
+	current  *attempt
+	done     bool
+}
+
+// attempt is one request from a router to an agent.
+type attempt struct {
+	request   *request
+	router    *node
+	routerGen int
+	agent     *node
+	agentGen  int
+	head      hop.Head
+	id        admission.RequestID
+	arrived   bool
+	arrivedAt time.Time
+	started   bool
+	// answering is set once the answer has begun, ended once the run is over.
+	answering bool
+	ended     bool
+	// abandoned is set once the router no longer waits.
+	abandoned bool
+	service   service
+}
+
+// begin takes a caller's request at a router.
+func (n *node) begin(r *request) {
+	n.exchanges[r] = true
+	r.router = n
+	deadline := n.clock().Add(r.timeout)
+	exchange, decision := n.router.Begin(n.clock(), router.Request{
+		ID: r.id, Tenant: r.tenant, Pool: r.pool, Priority: r.priority, Deadline: deadline,
+		ChatKey: r.chatKey(), Token: r.token(), Key: r.key, KeyIssued: r.issued, KeyDigest: 1,
+	})
+	r.exchange = exchange
+	generation := n.process.generation
+	n.s.loop.after(r.timeout, func() {
+		n.process.deliver(generation, func() { n.deadlinePassed(r) })
+	})
+	n.follow(r, decision)
+}
+
+func (r *request) chatKey() string {
+	if r.chat == nil {
+		return r.id
+	}
+	return r.chat.key
+}
+
+func (r *request) token() *routing.ChatToken {
+	if r.chat == nil {
+		return nil
+	}
+	return r.chat.token
+}
+
+// deadlinePassed gives up a request whose answer hasn't begun.
+func (n *node) deadlinePassed(r *request) {
+	a := r.current
+	if r.done || a == nil || a.abandoned || a.answering {
+		return
+	}
+	a.abandoned = true
+	n.s.disconnect(a)
+	n.follow(r, n.router.Lost(n.clock(), r.exchange))
+}
+
+// follow carries out a router's decision.
+func (n *node) follow(r *request, decision router.Decision) {
+	if decision.GiveUp != nil {
+		n.s.measure.gaveUp(n, r, decision.GiveUp.Kind)
+		n.s.checks.gaveUp(n, r, decision.GiveUp)
+		n.answer(r, outcome{kind: decision.GiveUp.Kind, wait: decision.GiveUp.Wait()})
+		return
+	}
+	n.dispatch(r, decision.Send)
+}
+
+// dispatch sends one attempt on its way.
+func (n *node) dispatch(r *request, send *router.Send) {
+	target := n.s.nodes[send.BackEnd]
+	a := &attempt{request: r, router: n, routerGen: n.process.generation, agent: target, agentGen: target.process.generation, head: send.Head}
+	r.current = a
+	n.s.measure.attempt(r, send.Head)
+	there := n.s.network.latency(&n.process, &target.process)
+	switch {
+	case n.s.network.blocked(&n.process, &target.process) || n.s.network.blocked(&target.process, &n.process):
+		n.intoCut(a)
+	case !target.process.up && target.machineDown:
+		n.later(a, dialTimeout, n.notSent)
+	case !target.process.up:
+		n.later(a, 2*there, n.notSent)
+	default:
+		n.s.loop.after(there, func() {
+			target.process.deliver(a.agentGen, func() { target.arrive(a) })
+			if !target.process.up || target.process.generation != a.agentGen {
+				n.later(a, there, n.lost) // it died while the request was on its way
+			}
+		})
+	}
+}
+
+// intoCut loses an attempt in a cut: a new connection can't be made, while an
+// old one takes the request and is found dead later.
+func (n *node) intoCut(a *attempt) {
+	if n.s.loop.random.IntN(2) == 0 {
+		n.later(a, dialTimeout, n.notSent)
+		return
+	}
+	n.later(a, brokenAfter, n.lost)
+}
+
+// later lets something happen to an attempt at its router.
+func (n *node) later(a *attempt, wait time.Duration, happen func(*attempt)) {
+	n.s.loop.after(wait, func() {
+		n.process.deliver(a.routerGen, func() {
+			if !a.abandoned && !a.request.done {
+				happen(a)
+			}
+		})
+	})
+}
+
+func (n *node) notSent(a *attempt) {
+	a.abandoned = true
+	n.follow(a.request, n.router.NotSent(n.clock(), a.request.exchange))
+}
+
+func (n *node) lost(a *attempt) {
+	a.abandoned = true
+	n.s.disconnect(a)
+	n.follow(a.request, n.router.Lost(n.clock(), a.request.exchange))
+}
+
+// arrive takes an attempt at its agent.
+func (n *node) arrive(a *attempt) {
+	n.lastID++
+	a.id = n.lastID
+	a.arrived = true
+	a.arrivedAt = n.s.loop.now
+	n.pending[a.id] = a
+	n.perform(n.agent.Arrive(n.clock(), a.id, a.head))
+	if a.abandoned {
+		n.s.disconnect(a) // the router has gone; the agent notices a moment later
+	}
+}
+
+func (n *node) startAttempt(action admission.Start) {
+	a := n.pending[action.ID]
+	a.started = true
+	n.s.checks.started(n, a)
+	a.service = n.backEnd.begin(n.s, a.request)
+	n.s.loop.log("%s runs %s at load %d", n.process.id, a.request.id, action.Load)
+	n.s.measure.started(a)
+	generation := n.process.generation
+	n.s.loop.after(a.service.firstToken, func() {
+		if !a.ended {
+			n.process.deliver(generation, func() { a.answering = true })
+		}
+	})
+	n.s.loop.after(a.service.whole, func() {
+		if a.ended || !n.process.up || n.process.generation != generation {
+			return
+		}
+		n.backEnd.end(a.request, true)
+		a.ended = true
+		n.process.deliver(generation, func() { n.finishAttempt(a) })
+	})
+}
+
+// finishAttempt ends a run and sends its answer.
+func (n *node) finishAttempt(a *attempt) {
+	delete(n.pending, a.id)
+	n.perform(n.agent.Finished(n.clock(), admission.Finished{ID: a.id, Outcome: admission.Outcome{Known: true}}))
+	n.reply(a, n.agent.Reply(n.clock(), nil))
+}
+
+func (n *node) refuseAttempt(action admission.Refuse) {
+	a := n.pending[action.ID]
+	delete(n.pending, action.ID)
+	n.s.measure.refused(action.Kind)
+	n.reply(a, n.agent.Reply(n.clock(), &action))
+}
+
+func (n *node) replayAttempt(action admission.Replay) {
+	a := n.pending[action.ID]
+	delete(n.pending, action.ID)
+	n.reply(a, n.agent.Reply(n.clock(), nil))
+}
+
+// reply sends an answer back to the router. A cut holds it up until the
+// connection is found dead.
+func (n *node) reply(a *attempt, reply hop.Reply) {
+	back := n.s.network.latency(&n.process, &a.router.process)
+	deadline := n.s.loop.now.Add(brokenAfter)
+	n.s.loop.after(back, func() { n.replyArrives(a, reply, deadline) })
+}
+
+func (n *node) replyArrives(a *attempt, reply hop.Reply, deadline time.Time) {
+	if a.abandoned || a.request.done {
+		return
+	}
+	if n.s.network.blocked(&n.process, &a.router.process) {
+		if n.s.loop.now.After(deadline) {
+			a.router.process.deliver(a.routerGen, func() {
+				if !a.abandoned && !a.request.done {
+					a.router.lost(a)
+				}
+			})
+			return
+		}
+		n.s.loop.after(cutProbe, func() { n.replyArrives(a, reply, deadline) })
+		return
+	}
+	a.router.process.deliver(a.routerGen, func() {
+		if !a.abandoned && !a.request.done {
+			a.router.replied(a, reply)
+		}
+	})
+}
+
+// replied takes an agent's reply at the router.
+func (n *node) replied(a *attempt, reply hop.Reply) {
+	a.abandoned = true
+	r := a.request
+	if reply.Refused {
+		n.follow(r, n.router.Refused(n.clock(), r.exchange, reply))
+		return
+	}
+	n.router.Heard(n.clock(), reply)
+	o := outcome{served: true, service: a.service, attempt: a}
+	if r.chat != nil {
+		token := n.router.Token(n.clock(), r.exchange, r.chat.key, reply.Incarnation)
+		o.token = &token
+	}
+	n.answer(r, o)
+}
+
+// outcome is what a caller is told.
+type outcome struct {
+	served  bool
+	kind    failure.Kind
+	wait    time.Duration
+	token   *routing.ChatToken
+	service service
+	attempt *attempt
+}
+
+// String returns "served" or the kind of the failure.
+func (o outcome) String() string {
+	if o.served {
+		return "served"
+	}
+	return o.kind.String()
+}
+
+// answer ends a request at its router.
+func (n *node) answer(r *request, o outcome) {
+	if r.done {
+		n.s.checks.fail("whole and own answers", "request %s got two answers", r.id)
+		return
+	}
+	r.done = true
+	delete(n.exchanges, r)
+	n.s.loop.log("%s answers %s: %s after %d attempts", n.process.id, r.id, o, r.exchange.Attempts())
+	n.s.loop.after(latencyCallers, func() { r.caller.answered(r, o) })
+}
+
+// disconnect tells the agent that the router no longer waits: what is not keyed
+// is cancelled.
+func (s *Simulation) disconnect(a *attempt) {
+	n := a.agent
+	s.loop.after(s.network.latency(&a.router.process, &n.process), func() {
+		n.process.deliver(a.agentGen, func() { n.cancel(a) })
+	})
+}
+
+func (n *node) cancel(a *attempt) {
+	if !a.arrived || a.ended || n.pending[a.id] != a {
+		return
+	}
+	if !a.started {
+		delete(n.pending, a.id)
+		n.perform(n.agent.Cancelled(n.clock(), a.id))
+		return
+	}
+	if a.request.key != "" {
+		return
+	}
+	n.backEnd.end(a.request, false)
+	a.ended = true
+	delete(n.pending, a.id)
+	n.perform(n.agent.Finished(n.clock(), admission.Finished{ID: a.id}))
+}
+
+// loseRouter breaks the requests that a dead router had under way.
+func (s *Simulation) loseRouter(n *node) {
+	for _, r := range sortedRequests(n.exchanges) {
+		r.done = true
+		if a := r.current; a != nil && !a.abandoned {
+			a.abandoned = true
+			s.disconnect(a)
+		}
+		s.checks.cut(n, r)
+		s.loop.after(latencyCallers, func() { r.caller.answered(r, outcome{kind: failure.BackendFailed}) })
+	}
+	n.exchanges = nil
+}
+
+// loseAgent breaks the requests that a dead agent held.
+func (s *Simulation) loseAgent(n *node, machine bool) {
+	for id := admission.RequestID(1); id <= n.lastID; id++ {
+		a := n.pending[id]
+		if a == nil {
+			continue
+		}
+		if a.started && !a.ended {
+			n.backEnd.end(a.request, false)
+			a.ended = true
+		}
+		wait := s.network.latency(&n.process, &a.router.process)
+		if machine {
+			wait = brokenAfter
+		}
+		s.checks.cut(n, a.request)
+		a.router.later(a, wait, a.router.lost)
+	}
+	n.pending = nil
+	n.lastID = 0
+	if machine {
+		n.backEnd.clearCache()
+	}
+}
--- /dev/null
+++ b/internal/simulation/faults.go
@@ -0,0 +1,284 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/membership"
+)
+
+// FaultKind names a fault.
+type FaultKind uint8
+
+// The faults.
+const (
+	// FaultKill ends a process at once and starts it again after Span.
+	FaultKill FaultKind = iota
+	// FaultMachine loses a machine with its back end's cache; it returns after
+	// Span.
+	FaultMachine
+	// FaultFreeze pauses a process for Span.
+	FaultFreeze
+	// FaultStop stops a process as planned and starts it again after Span.
+	FaultStop
+	// FaultCut cuts a node off from all others for Span.
+	FaultCut
+	// FaultCutOneWay cuts what a node sends for Span.
+	FaultCutOneWay
+	// FaultRegions cuts the regions, or the first zone where there is one
+	// region, from the others for Span.
+	FaultRegions
+	// FaultPlatformDown takes the platform away for Span.
+	FaultPlatformDown
+	// FaultPlatformSlow slows the platform for Span.
+	FaultPlatformSlow
+	// FaultLoseAnswer loses the answer of the next write.
+	FaultLoseAnswer
+	// FaultPublish publishes a bundle.
+	FaultPublish
+	// FaultRace lets two operators publish at once.
+	FaultRace
+	// FaultMembers publishes a bundle without one back end, and one with it
+	// again after Span.
+	FaultMembers
+	// FaultWithdraw puts a node on the machine list as leaving; it is replaced
+	// after Span.
+	FaultWithdraw
+	// FaultClock puts a machine's clock off.
+	FaultClock
+	// FaultSurge multiplies the traffic for Span.
+	FaultSurge
+	// FaultTenantSurge multiplies the largest tenant's traffic for Span.
+	FaultTenantSurge
+
+	faultKinds
+)
+
+var faultNames = [faultKinds]string{
+	"kill", "machine", "freeze", "stop", "cut", "cut-one-way", "regions", "platform-down", "platform-slow",
+	"lose-answer", "publish", "race", "members", "withdraw", "clock", "surge", "tenant-surge",
+}
+
+// String returns the fault's name.
+func (k FaultKind) String() string { return faultNames[k] }
+
+// Fault is something that goes wrong at a moment.
+type Fault struct {
+	// At is the time from the start.
+	At time.Duration
+	// Kind says what.
+	Kind FaultKind
+	// Target picks the node: its index among all nodes, modulo their number.
+	Target int
+	// Span is how long it lasts.
+	Span time.Duration
+}
+
+// String formats the fault for a log.
+func (f Fault) String() string {
+	return fmt.Sprintf("%v %v target %d for %v", f.At, f.Kind, f.Target, f.Span)
+}
+
+// schedule plans the faults.
+func (s *Simulation) schedule(faults []Fault) {
+	for _, fault := range faults {
+		s.loop.after(fault.At, func() { s.strike(fault) })
+	}
+}
+
+// strike lets a fault happen.
+func (s *Simulation) strike(fault Fault) {
+	target := s.nodes[s.ids[fault.Target%len(s.ids)]]
+	s.loop.log("fault %v %s for %v", fault.Kind, target.process.id, fault.Span)
+	switch fault.Kind {
+	case FaultKill:
+		s.kill(target, false, fault.Span)
+	case FaultMachine:
+		s.kill(target, true, fault.Span)
+	case FaultFreeze:
+		s.freeze(target, fault.Span)
+	case FaultStop:
+		s.stopPlanned(target, fault.Span)
+	case FaultCut, FaultCutOneWay, FaultRegions:
+		s.cutOff(target, fault)
+	case FaultPlatformDown:
+		s.platform.setDown(true)
+		s.loop.after(fault.Span, func() { s.platform.setDown(false) })
+	case FaultPlatformSlow:
+		s.platform.slow = true
+		s.loop.after(fault.Span, func() { s.platform.slow = false })
+	case FaultLoseAnswer:
+		s.platform.loseAnswers++
+	case FaultPublish:
+		s.operators.publish()
+	case FaultRace:
+		s.operators.race()
+	case FaultMembers:
+		s.changeMembers(target, fault.Span)
+	case FaultWithdraw:
+		s.withdraw(target, fault.Span)
+	case FaultClock:
+		target.process.clockError = s.loop.between(-s.options.ClockError/2, s.options.ClockError/2)
+	case FaultSurge:
+		s.surge(-1, fault.Span)
+	case FaultTenantSurge:
+		s.surge(0, fault.Span)
+	}
+}
+
+func (s *Simulation) kill(n *node, machine bool, span time.Duration) {
+	if !n.process.up {
+		return
+	}
+	s.checks.disturb(n)
+	s.checks.killed = true
+	n.machineDown = machine
+	n.stop(machine)
+	s.loop.after(max(span, time.Second), func() { s.restart(n) })
+}
+
+func (s *Simulation) restart(n *node) {
+	if n.process.up {
+		return
+	}
+	n.machineDown = false
+	delete(s.platform.leaving, n.process.id)
+	s.checks.restarted(n)
+	s.checks.disturb(n)
+	n.start()
+}
+
+func (s *Simulation) freeze(n *node, span time.Duration) {
+	if !n.process.up || n.process.frozen {
+		return
+	}
+	generation := n.process.generation
+	n.process.frozen = true
+	s.checks.disturb(n)
+	s.loop.after(span, func() {
+		if n.process.up && n.process.generation == generation {
+			s.checks.disturb(n)
+			n.process.thaw()
+		}
+	})
+}
+
+// stopPlanned drains a process as its SIGTERM does: it leaves, waits for the
+// work in flight, then ends.
+func (s *Simulation) stopPlanned(n *node, span time.Duration) {
+	if !n.process.up || n.process.frozen {
+		return
+	}
+	s.checks.leavingSince(n)
+	s.checks.disturb(n)
+	if n.isRouter() {
+		n.performControl(n.router.Drain(n.clock()))
+	} else {
+		n.control(coordination.LocalState{State: membership.StateLeaving})
+	}
+	s.awaitDrained(n, n.process.generation, s.loop.now.Add(balancerLag+time.Second), span)
+}
+
+// awaitDrained ends the process once nothing is in flight, and no earlier than
+// the balancer has noticed.
+func (s *Simulation) awaitDrained(n *node, generation int, earliest time.Time, span time.Duration) {
+	if !n.process.up || n.process.generation != generation {
+		return
+	}
+	busy := len(n.exchanges) > 0 || len(n.pending) > 0
+	if s.options.Break == BreakDrain {
+		busy = false
+	}
+	if busy || s.loop.now.Before(earliest) {
+		s.loop.after(100*time.Millisecond, func() { s.awaitDrained(n, generation, earliest, span) })
+		return
+	}
+	s.checks.planned = true
+	n.stop(false)
+	s.checks.planned = false
+	s.loop.after(max(span, time.Second), func() { s.restart(n) })
+}
+
+// cutOff cuts traffic for a while.
+func (s *Simulation) cutOff(target *node, fault Fault) {
+	isTarget := func(p *process) bool { return p == &target.process }
+	isOther := func(p *process) bool { return p != &target.process }
+	cuts := []*cut{{from: isTarget, to: isOther}}
+	switch fault.Kind {
+	case FaultCut:
+		cuts = append(cuts, &cut{from: isOther, to: isTarget})
+		target.platformCut = true
+	case FaultRegions:
+		inside, outside := s.firstPart()
+		cuts = []*cut{{from: inside, to: outside}, {from: outside, to: inside}}
+	}
+	for _, c := range cuts {
+		s.network.add(c)
+	}
+	s.disturbAll(fault.Kind, target)
+	s.loop.after(fault.Span, func() {
+		for _, c := range cuts {
+			s.network.remove(c)
+		}
+		target.platformCut = false
+		s.disturbAll(fault.Kind, target)
+	})
+}
+
+// firstPart returns tests for the first region and the rest, or for the first
+// zone where there is one region.
+func (s *Simulation) firstPart() (inside, outside func(*process) bool) {
+	inside = func(p *process) bool { return p.region == "r0" && (s.options.Size.Regions > 1 || p.zone == "r0z0") }
+	return inside, func(p *process) bool { return !inside(p) }
+}
+
+func (s *Simulation) disturbAll(kind FaultKind, target *node) {
+	if kind != FaultRegions {
+		s.checks.disturb(target)
+		return
+	}
+	for _, id := range s.ids {
+		s.checks.disturb(s.nodes[id])
+	}
+}
+
+// changeMembers drops a back end from the bundle and brings it back.
+func (s *Simulation) changeMembers(target *node, span time.Duration) {
+	if target.isRouter() || s.operators.without[target.process.id] {
+		return
+	}
+	s.operators.without[target.process.id] = true
+	s.operators.publish()
+	s.loop.after(max(span, 5*time.Second), func() {
+		delete(s.operators.without, target.process.id)
+		s.operators.publish()
+		// An agent that left the bundle takes no work until it is restarted.
+		s.loop.after(10*time.Second, func() { s.stopPlanned(target, time.Second) })
+	})
+}
+
+func (s *Simulation) withdraw(n *node, span time.Duration) {
+	if _, already := s.platform.leaving[n.process.id]; already || !n.process.up {
+		return
+	}
+	s.platform.leaving[n.process.id] = s.loop.now
+	s.loop.after(max(span, 20*time.Second), func() { s.stopPlanned(n, time.Second) })
+}
+
+// surgeFactor is how much a surge multiplies the traffic.
+const surgeFactor = 3
+
+func (s *Simulation) surge(tenant int, span time.Duration) {
+	s.callers.surge, s.callers.surgeTenant = surgeFactor, tenant
+	if tenant >= 0 {
+		s.callers.surge = 10
+	}
+	s.loop.after(span, func() { s.callers.surge, s.callers.surgeTenant = 1, -1 })
+	// Chats that pause now come back sooner.
+	for _, ch := range s.callers.chats {
+		if !ch.busy && (tenant < 0 || ch.tenant == tenant) && s.loop.random.IntN(2) == 0 {
+			s.loop.after(s.loop.between(0, span/2), func() { s.callers.turn(ch) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/simulation/network.go
@@ -0,0 +1,202 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+)
+
+// Latencies of one way.
+const (
+	latencyInZone       = 300 * time.Microsecond
+	latencyBetweenZones = 1500 * time.Microsecond
+	latencyRegions      = 30 * time.Millisecond
+	latencyCallers      = 4 * time.Millisecond
+	// brokenAfter is how long a connection survives a cut: see the keep-alive
+	// settings of the hop.
+	brokenAfter = 8 * time.Second
+	// dialTimeout is how long a dial into a cut takes to fail.
+	dialTimeout = time.Second
+	// cutProbe is how often a waiting message tries again.
+	cutProbe = 250 * time.Millisecond
+)
+
+// cut blocks traffic in one direction between two groups of processes.
+type cut struct {
+	from, to func(*process) bool
+}
+
+// network carries messages between processes.
+type network struct {
+	s    *Simulation
+	cuts []*cut
+	// duplicate is the share of control messages that arrive twice, reorder of
+	// those that are overtaken. TCP does neither; the cores stand both.
+	duplicate float64
+	reorder   float64
+}
+
+func (n *network) add(c *cut) { n.cuts = append(n.cuts, c) }
+
+func (n *network) remove(c *cut) {
+	n.cuts = slices.DeleteFunc(n.cuts, func(other *cut) bool { return other == c })
+}
+
+func (n *network) blocked(from, to *process) bool {
+	for _, c := range n.cuts {
+		if c.from(from) && c.to(to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *network) latency(from, to *process) time.Duration {
+	base := latencyInZone
+	switch {
+	case from.region != to.region:
+		base = latencyRegions
+	case from.zone != to.zone:
+		base = latencyBetweenZones
+	}
+	return base + n.s.loop.exponential(base/5)
+}
+
+// simLink is one control connection.
+type simLink struct {
+	ends   [2]*node
+	ids    [2]coordination.LinkID
+	open   [2]bool
+	gens   [2]int
+	queues [2]time.Time // the arrival of the last message towards each end
+}
+
+// connect opens a connection as the daemon's peering would.
+func (n *network) connect(from *node, action coordination.Connect) {
+	to := n.s.byAddress[action.Address]
+	generation := from.process.generation
+	fail := func(wait time.Duration) {
+		n.s.loop.after(wait, func() {
+			from.process.deliver(generation, func() {
+				from.control(coordination.LinkDown{Address: action.Address, Peer: action.Peer})
+			})
+		})
+	}
+	if to == nil || n.blocked(&from.process, &to.process) || n.blocked(&to.process, &from.process) || to.process.frozen {
+		fail(dialTimeout)
+		return
+	}
+	wait := 2 * n.latency(&from.process, &to.process)
+	if !to.process.up {
+		fail(wait)
+		return
+	}
+	n.s.loop.after(wait, func() {
+		if !from.process.up || from.process.generation != generation || !to.process.up {
+			return
+		}
+		n.open(from, to)
+	})
+}
+
+func (n *network) open(from, to *node) {
+	l := &simLink{ends: [2]*node{from, to}, open: [2]bool{true, true}}
+	for i, end := range l.ends {
+		end.lastLink++
+		l.ids[i] = end.lastLink
+		l.gens[i] = end.process.generation
+		end.links[l.ids[i]] = l
+	}
+	for i, end := range l.ends {
+		end.process.deliver(l.gens[i], func() {
+			end.control(coordination.LinkUp{Link: l.ids[i], Peer: l.ends[1-i].process.id, Dialed: i == 0})
+		})
+	}
+}
+
+// side returns which end the node is.
+func (l *simLink) side(of *node) int {
+	if l.ends[0] == of {
+		return 0
+	}
+	return 1
+}
+
+// send carries a message; the bytes are those of its real encoding.
+func (n *network) send(from *node, action coordination.Send) {
+	l := from.links[action.Link]
+	if l == nil {
+		return
+	}
+	size := n.s.measure.controlMessage(from, action.Message)
+	side := l.side(from)
+	to := l.ends[1-side]
+	n.s.measure.controlReceived(to, size)
+	arrival := n.s.loop.now.Add(n.latency(&from.process, &to.process))
+	if n.s.loop.random.Float64() >= n.reorder && arrival.Before(l.queues[1-side]) {
+		arrival = l.queues[1-side] // TCP keeps the order
+	}
+	l.queues[1-side] = arrival
+	deadline := n.s.loop.now.Add(brokenAfter)
+	n.s.loop.after(arrival.Sub(n.s.loop.now), func() { n.arrive(l, side, action.Message, deadline) })
+	if n.s.loop.random.Float64() < n.duplicate {
+		n.s.loop.after(arrival.Sub(n.s.loop.now)+n.latency(&from.process, &to.process), func() { n.arrive(l, side, action.Message, deadline) })
+	}
+}
+
+// arrive delivers a message, or holds it while the way is cut, until the
+// connection breaks.
+func (n *network) arrive(l *simLink, side int, message coordination.Message, deadline time.Time) {
+	from, to := l.ends[side], l.ends[1-side]
+	if !l.open[1-side] {
+		return
+	}
+	if n.blocked(&from.process, &to.process) {
+		if n.s.loop.now.After(deadline) {
+			n.breakLink(l)
+			return
+		}
+		n.s.loop.after(cutProbe, func() { n.arrive(l, side, message, deadline) })
+		return
+	}
+	to.process.deliver(l.gens[1-side], func() {
+		if l.open[1-side] {
+			to.control(coordination.Received{Link: l.ids[1-side], Message: message})
+		}
+	})
+}
+
+// breakLink ends a connection at both ends.
+func (n *network) breakLink(l *simLink) {
+	for i, end := range l.ends {
+		if !l.open[i] {
+			continue
+		}
+		l.open[i] = false
+		delete(end.links, l.ids[i])
+		end.process.deliver(l.gens[i], func() {
+			end.control(coordination.LinkDown{Link: l.ids[i], Peer: l.ends[1-i].process.id})
+		})
+	}
+}
+
+// closeAll ends the connections of a process that died. When its machine died
+// with it, nobody tells the peers, and they notice after a while.
+func (n *network) closeAll(of *node, machine bool) {
+	var links []*simLink
+	for id := coordination.LinkID(1); id <= of.lastLink; id++ {
+		if l := of.links[id]; l != nil {
+			links = append(links, l)
+		}
+	}
+	of.links = map[coordination.LinkID]*simLink{}
+	for _, l := range links {
+		l.open[l.side(of)] = false
+		wait := n.latency(&of.process, &l.ends[1-l.side(of)].process)
+		if machine {
+			wait = brokenAfter
+		}
+		n.s.loop.after(wait, func() { n.breakLink(l) })
+	}
+}
--- /dev/null
+++ b/internal/simulation/operators.go
@@ -0,0 +1,97 @@
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/platform"
+)
+
+// operators publish bundles through the same code as the command line.
+type operators struct {
+	s        *Simulation
+	attempts int
+	// without and leaving describe the next document.
+	without map[string]bool
+	leaving map[string]bool
+}
+
+func newOperators(s *Simulation) *operators {
+	return &operators{s: s, without: map[string]bool{}, leaving: map[string]bool{}}
+}
+
+func (o *operators) publisher() *platform.Publisher {
+	now := func() time.Time { return o.s.loop.now }
+	// Operators act at one moment here; a doubtful write is looked at again at
+	// once.
+	atOnce := func(context.Context, time.Duration) error { return nil }
+	return platform.NewPublisher(o.s.platform, o.s.trusted, now).WithPause(atOnce)
+}
+
+// sign returns the present document as the successor of what is published.
+func (o *operators) sign() ([]byte, *bundle.Bundle, error) {
+	o.attempts++
+	current, _, err := o.publisher().Current(context.Background())
+	if err != nil {
+		return nil, nil, err
+	}
+	source := o.s.options.Size.document(o.without, o.leaving, o.attempts)
+	content, err := bundle.Parse("bundle", source)
+	if err != nil {
+		return nil, nil, err
+	}
+	header := bundle.Header{Number: 1, Identifier: fmt.Sprintf("operator-%d", o.attempts), SignedAtMillis: o.s.loop.now.UnixMilli()}
+	if current != nil {
+		header.Number = current.Number + 1
+	}
+	succession := bundle.SuccessionOf(current, content, o.s.loop.now)
+	header.Handovers = succession.Handovers
+	if !succession.StaleUntil.IsZero() {
+		header.StaleUntilMillis = succession.StaleUntil.UnixMilli()
+	}
+	raw, err := bundle.Sign(header, source, o.s.signingKey)
+	return raw, current, err
+}
+
+// publish publishes the present document.
+func (o *operators) publish() {
+	raw, _, err := o.sign()
+	if err != nil {
+		o.s.loop.log("operator could not sign: %v", failure.KindOf(err))
+		return
+	}
+	published, err := o.publisher().Publish(context.Background(), raw)
+	if err != nil {
+		o.s.loop.log("operator could not publish: %v", failure.KindOf(err))
+		return
+	}
+	o.s.loop.log("number %d published", published.Number)
+	o.s.checks.published(published)
+}
+
+// race lets two operators publish at the same moment: exactly one may win.
+func (o *operators) race() {
+	first, _, err := o.sign()
+	if err != nil {
+		return
+	}
+	second, _, err := o.sign()
+	if err != nil {
+		return
+	}
+	var winner, loser error
+	o.s.platform.beforeWrite = func() { _, winner = o.publisher().Publish(context.Background(), second) }
+	published, loser := o.publisher().Publish(context.Background(), first)
+	o.s.platform.beforeWrite = nil
+	o.s.checks.raced(winner, loser)
+	if loser == nil {
+		o.s.checks.published(published)
+		return
+	}
+	if current, _, err := o.publisher().Current(context.Background()); err == nil && current != nil {
+		o.s.checks.published(current)
+	}
+}
--- /dev/null
+++ b/internal/simulation/result.go
@@ -0,0 +1,174 @@
+package simulation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// Result is what a run has shown.
+type Result struct {
+	// Size, Policy and Seed name the run.
+	Size   string
+	Policy string
+	Seed   uint64
+	// Digest is a hash of the event log, LogLines its length.
+	Digest   uint64
+	LogLines uint64
+	// Violations are the broken promises, at most the first twenty; Counts
+	// holds their number by promise.
+	Violations []Violation
+	Counts     map[string]int
+	// LastEvents are the last lines of the event log.
+	LastEvents []string `json:"-"`
+
+	// Requests and Attempts are those of callers and routers; Served is how
+	// many requests were answered whole.
+	Requests           int
+	Attempts           int
+	Served             int
+	AttemptsPerRequest float64
+	// Finals are the requests that were given up, by kind.
+	Finals map[string]int
+	// RefusedWithRoom is the share of requests that were finally refused while
+	// a member of their pool had room.
+	RefusedWithRoom float64
+	// Admissions, and the share of them over the bound by the mean of the very
+	// moment; Violations speaks of the window.
+	Admissions      int
+	OverBoundStrict float64
+	// ReuseTurns is the share of returning turns that found their context
+	// cached, ReuseTokens the share of its tokens.
+	ReuseTurns  float64
+	ReuseTokens float64
+	// PeakOverMean and P99OverMean are the median over time of the highest and
+	// the 99th percentile load in a pool, as multiples of the mean;
+	// PeakOverMeanWorst is the 99th percentile over time of the first.
+	PeakOverMean      float64
+	P99OverMean       float64
+	PeakOverMeanWorst float64
+	// Control traffic of a node, sent and received together, in bytes and
+	// messages a second.
+	ControlBytesMedian   float64
+	ControlBytesP99      float64
+	ControlBytesPeak     float64
+	ControlMessagesP99   float64
+	NewsBytesPerRequest  float64
+	PlatformCallsMean    float64
+	PlatformCallsPeak    int
+	FirstTokenMedian     time.Duration
+	FirstTokenP95        time.Duration
+	UnknownOutcomeShare  float64
+	SmallestTenantServed float64
+}
+
+func (s *Simulation) result() Result {
+	m := s.measure
+	r := Result{
+		Size: s.options.Size.Name, Policy: s.options.Policy.Name, Seed: s.options.Seed,
+		Digest: s.loop.digest.Sum64(), LogLines: s.loop.logged,
+		Violations: s.checks.violations, Counts: s.checks.counts, LastEvents: slices.Clone(s.loop.lines),
+		Requests: m.requests, Attempts: m.attempts, Served: m.served, Finals: map[string]int{},
+		AttemptsPerRequest: ratio(m.attempts, m.requests),
+		RefusedWithRoom:    ratio(m.finalsWithRoom, m.requests),
+		Admissions:         s.checks.admissions,
+		OverBoundStrict:    ratio(s.checks.boundStrict, s.checks.admissions),
+		ReuseTurns:         ratio(m.reused, m.returning),
+		ReuseTokens:        ratio(m.cachedTokens, m.contextTokens),
+		FirstTokenMedian:   time.Duration(m.firstToken.ValueAtQuantile(50)) * time.Microsecond,
+		FirstTokenP95:      time.Duration(m.firstToken.ValueAtQuantile(95)) * time.Microsecond,
+	}
+	unknown := 0
+	for kind, count := range m.finals {
+		r.Finals[kind.String()] = count
+		if kind.Answer().Ran == failure.RanUnknown {
+			unknown += count
+		}
+	}
+	r.UnknownOutcomeShare = ratio(unknown, m.requests)
+	r.NewsBytesPerRequest = ratio(m.newsBytes, m.attempts)
+	r.addSkew(m.skew)
+	r.addControl(s)
+	r.addPlatform(m)
+	r.SmallestTenantServed = s.smallestTenantServed()
+	return r
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// quantile returns the value of a sorted list at a share of its length.
+func quantile(sorted []float64, share float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+func (r *Result) addSkew(samples []skewSample) {
+	var peaks, p99s []float64
+	for _, sample := range samples {
+		peaks = append(peaks, sample.peak)
+		p99s = append(p99s, sample.p99)
+	}
+	slices.Sort(peaks)
+	slices.Sort(p99s)
+	r.PeakOverMean = quantile(peaks, 0.5)
+	r.PeakOverMeanWorst = quantile(peaks, 0.99)
+	r.P99OverMean = quantile(p99s, 0.5)
+}
+
+func (r *Result) addControl(s *Simulation) {
+	seconds := s.loop.now.Sub(s.measure.from).Seconds()
+	if seconds <= 0 {
+		return
+	}
+	var bytes, messages []float64
+	for _, id := range s.ids {
+		total := traffic{}
+		for _, table := range []map[string]*traffic{s.measure.sent, s.measure.received} {
+			if t := table[id]; t != nil {
+				total.bytes += t.bytes
+				total.messages += t.messages
+			}
+		}
+		bytes = append(bytes, float64(total.bytes)/seconds)
+		messages = append(messages, float64(total.messages)/seconds)
+	}
+	slices.Sort(bytes)
+	slices.Sort(messages)
+	r.ControlBytesMedian = quantile(bytes, 0.5)
+	r.ControlBytesP99 = quantile(bytes, 0.99)
+	r.ControlBytesPeak = quantile(bytes, 1)
+	r.ControlMessagesP99 = quantile(messages, 0.99)
+}
+
+func (r *Result) addPlatform(m *measure) {
+	total := 0
+	for _, calls := range m.platformCalls {
+		total += calls
+		r.PlatformCallsPeak = max(r.PlatformCallsPeak, calls)
+	}
+	r.PlatformCallsMean = ratio(total, int(m.s.loop.now.Sub(m.from).Seconds()))
+}
+
+// smallestTenantServed is the lowest served share among the tenants that asked
+// for more than a few requests.
+func (s *Simulation) smallestTenantServed() float64 {
+	const few = 20
+	lowest := 1.0
+	for tenant, asked := range s.measure.tenantAsked {
+		if asked > few {
+			lowest = min(lowest, ratio(s.measure.tenantServed[tenant], asked))
+		}
+	}
+	return lowest
+}
+
+// Broken tells whether any promise was broken.
+func (r Result) Broken() bool { return len(r.Violations) > 0 }
--- /dev/null
+++ b/internal/simulation/simplatform.go
@@ -0,0 +1,172 @@
+package simulation
+
+import (
+	"context"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/platform"
+)
+
+const (
+	platformLatency = 3 * time.Millisecond
+	// slowLatency is a call's time while the platform is slow; longer than a
+	// client waits.
+	slowLatency = 4 * time.Second
+	// callTimeout is how long a client waits beyond a watch's own wait.
+	callTimeout = 3 * time.Second
+	machineLag  = 2 * time.Second
+)
+
+// simPlatform is the modelled object API and machine list. For operators, who
+// act at one moment, it implements platform.Objects.
+type simPlatform struct {
+	s       *Simulation
+	objects map[string]platform.Object
+	version uint64
+	down    bool
+	slow    bool
+	// loseAnswers is the number of next writes whose answer is lost.
+	loseAnswers int
+	watches     []*watch
+	// leaving is when each machine was put on the list as leaving.
+	leaving map[string]time.Time
+	// beforeWrite runs once before the next write: another operator's move.
+	beforeWrite func()
+}
+
+// watch is a waiting read.
+type watch struct {
+	done  bool
+	reply func()
+}
+
+// read answers a node's read of the bundle.
+func (p *simPlatform) read(n *node, action coordination.ReadPlatform) {
+	p.s.measure.platformCall(p.s.loop.now)
+	asked := n.clock()
+	generation := n.process.generation
+	deliver := func(event coordination.Event) {
+		n.process.deliver(generation, func() { n.control(event) })
+	}
+	fail := func(wait time.Duration) {
+		p.s.loop.after(wait, func() { deliver(coordination.PlatformFailed{}) })
+	}
+	switch {
+	case n.platformCut:
+		fail(callTimeout)
+		return
+	case p.down:
+		fail(platformLatency)
+		return
+	case p.slow:
+		fail(callTimeout)
+		return
+	}
+	w := &watch{}
+	w.reply = func() {
+		if w.done {
+			return
+		}
+		w.done = true
+		object := p.objects[platform.BundleKey]
+		unchanged := action.After != 0 && object.Version == action.After
+		if p.down || n.platformCut {
+			fail(platformLatency)
+			return
+		}
+		p.s.loop.after(platformLatency, func() {
+			deliver(coordination.PlatformBundle{Raw: object.Value, Unchanged: unchanged, Version: object.Version, AskedAt: asked})
+		})
+	}
+	if action.Wait == 0 || p.objects[platform.BundleKey].Version != action.After {
+		p.s.loop.after(platformLatency, w.reply)
+		return
+	}
+	p.watches = append(p.watches, w)
+	p.s.loop.after(action.Wait, w.reply)
+}
+
+// wake answers the waiting watches.
+func (p *simPlatform) wake() {
+	waiting := p.watches
+	p.watches = nil
+	for _, w := range waiting {
+		w.reply()
+	}
+}
+
+// setDown begins or ends an outage; an outage breaks the waiting watches.
+func (p *simPlatform) setDown(down bool) {
+	p.down = down
+	p.s.loop.log("platform down %v", down)
+	if down {
+		p.wake()
+	}
+}
+
+// readMachines answers a node's read of the machine list.
+func (p *simPlatform) readMachines(n *node) {
+	p.s.measure.platformCall(p.s.loop.now)
+	if p.down || p.slow || n.platformCut {
+		return
+	}
+	var list []coordination.Machine
+	for _, id := range p.s.ids {
+		other := p.s.nodes[id]
+		since, isLeaving := p.leaving[id]
+		leaving := isLeaving && p.s.loop.now.Sub(since) >= machineLag
+		if !leaving && other.identity.Role != membership.RoleRouter {
+			continue
+		}
+		list = append(list, coordination.Machine{
+			ID: id, Role: other.identity.Role, Address: other.identity.Address, Zone: other.identity.Zone, Leaving: leaving,
+		})
+	}
+	generation := n.process.generation
+	p.s.loop.after(platformLatency, func() {
+		n.process.deliver(generation, func() {
+			p.s.checks.leavingKnown(list)
+			n.control(coordination.MachineList{Machines: list})
+		})
+	})
+}
+
+// Get implements platform.Objects for operators.
+func (p *simPlatform) Get(_ context.Context, key string) (platform.Object, error) {
+	if p.down || p.slow {
+		return platform.Object{}, failure.New(failure.PlatformUnavailable, "the platform is down")
+	}
+	return p.objects[key], nil
+}
+
+// Watch implements platform.Objects; operators don't watch.
+func (p *simPlatform) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Object, error) {
+	return p.Get(ctx, key)
+}
+
+// Put implements platform.Objects for operators.
+func (p *simPlatform) Put(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	if race := p.beforeWrite; race != nil {
+		p.beforeWrite = nil
+		race()
+	}
+	if p.down || p.slow {
+		return 0, failure.New(failure.PlatformUnavailable, "the platform is down")
+	}
+	if p.objects[key].Version != expected {
+		return 0, failure.New(failure.Conflict, "the version differs")
+	}
+	p.version++
+	p.objects[key] = platform.Object{Value: value, Version: p.version}
+	if key == platform.BundleKey {
+		p.wake()
+	}
+	if p.loseAnswers > 0 {
+		p.loseAnswers--
+		return 0, failure.New(failure.PlatformUnavailable, "the answer was lost")
+	}
+	return p.version, nil
+}
--- /dev/null
+++ b/internal/simulation/simulation.go
@@ -0,0 +1,149 @@
+package simulation
+
+import (
+	"crypto/ed25519"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/membership"
+	"github.com/harriernotch/harriernotch/internal/platform"
+)
+
+// Simulation is one run.
+type Simulation struct {
+	options    Options
+	loop       *loop
+	network    *network
+	platform   *simPlatform
+	operators  *operators
+	callers    *callers
+	checks     *checks
+	measure    *measure
+	nodes      map[string]*node
+	byAddress  map[string]*node
+	ids        []string
+	pools      map[string]*poolState
+	poolNames  []string
+	signingKey ed25519.PrivateKey
+	trusted    []ed25519.PublicKey
+	// opened keeps verified bundles, so that a thousand hollow nodes don't
+	// parse the same bytes a thousand times.
+	opened        map[uint64]*bundle.Bundle
+	lastPublished uint64
+}
+
+// New builds a fleet that hasn't started.
+func New(options Options) (*Simulation, error) {
+	s := &Simulation{
+		options: options,
+		loop:    newLoop(options.Seed),
+		nodes:   map[string]*node{}, byAddress: map[string]*node{}, pools: map[string]*poolState{},
+		opened:     map[uint64]*bundle.Bundle{},
+		signingKey: ed25519.NewKeyFromSeed([]byte(strings.Repeat("s", ed25519.SeedSize))),
+	}
+	s.loop.sink = options.Log
+	public, _ := s.signingKey.Public().(ed25519.PublicKey)
+	s.trusted = []ed25519.PublicKey{public}
+	s.network = &network{s: s, duplicate: options.Duplicate, reorder: options.Reorder}
+	s.platform = &simPlatform{s: s, objects: map[string]platform.Object{}, leaving: map[string]time.Time{}}
+	s.operators = newOperators(s)
+	s.checks = newChecks(s)
+	s.measure = newMeasure(s)
+	s.callers = newCallers(s)
+	content, err := bundle.Parse("bundle", options.Size.document(nil, nil, 0))
+	if err != nil {
+		return nil, err
+	}
+	s.addNodes(content)
+	return s, nil
+}
+
+// open verifies a bundle once for all nodes.
+func (s *Simulation) open(raw []byte) (*bundle.Bundle, error) {
+	digest := xxhash.Sum64(raw)
+	if known := s.opened[digest]; known != nil {
+		return known, nil
+	}
+	opened, err := bundle.Open(raw, s.trusted)
+	if err == nil {
+		s.opened[digest] = opened
+	}
+	return opened, err
+}
+
+func (s *Simulation) addNodes(content *bundle.Content) {
+	size := s.options.Size
+	var seeds []string
+	for i := range size.Routers {
+		p := size.place(routerName(i), i, 3)
+		if i < 3 {
+			seeds = append(seeds, p.address)
+		}
+		s.add(p, membership.RoleRouter, seeds, nil)
+	}
+	perEngine := size.ChatRate * (size.Pause.Seconds() + 6) / float64(size.Models*size.Engines)
+	const meanContext = 4000
+	capacity := int(perEngine * size.CacheShare * meanContext)
+	for i := range content.Pools {
+		pool := &content.Pools[i]
+		state := &poolState{s: s, pool: pool}
+		s.pools[pool.Name] = state
+		s.poolNames = append(s.poolNames, pool.Name)
+		for _, p := range size.layout()[pool.Name] {
+			n := s.add(p, membership.RoleAgent, seeds, newBackEnd(p.id, pool, capacity))
+			state.members = append(state.members, n)
+		}
+	}
+}
+
+func routerName(index int) string {
+	return "router-" + string(rune('a'+index/26%26)) + string(rune('a'+index%26))
+}
+
+func (s *Simulation) add(p place, role membership.Role, seeds []string, backEnd *backEnd) *node {
+	n := &node{
+		s:       s,
+		process: process{id: p.id, zone: p.zone, region: p.region},
+		identity: coordination.Identity{
+			ID: p.id, Role: role, Address: p.address, Region: p.region, Zone: p.zone, Seeds: seeds,
+		},
+		backEnd:   backEnd,
+		adoptedAt: map[uint64]time.Time{},
+	}
+	n.process.clockError = s.loop.between(-s.options.ClockError/2, s.options.ClockError/2)
+	s.nodes[p.id] = n
+	s.byAddress[p.address] = n
+	s.ids = append(s.ids, p.id)
+	return n
+}
+
+// checkPeriod is the time between two looks at every node.
+const checkPeriod = time.Second
+
+// Run runs the simulation to its end and returns what was seen.
+func (s *Simulation) Run() Result {
+	s.operators.publish()
+	for _, id := range s.ids {
+		s.nodes[id].start()
+	}
+	s.loop.every(checkPeriod, checkPeriod, s.checks.lookAtNodes)
+	// The fleet comes up before the callers.
+	const comeUp = 10 * time.Second
+	s.loop.runUntil(epoch.Add(comeUp), never)
+	s.callers.start()
+	s.loop.runUntil(epoch.Add(comeUp+s.options.Warmup), never)
+	s.measure.start()
+	s.schedule(s.options.Faults)
+	s.loop.runUntil(epoch.Add(comeUp+s.options.Warmup+s.options.Duration), s.tooMany)
+	s.checks.finish()
+	return s.result()
+}
+
+func never() bool { return false }
+
+// tooMany ends a run that has broken promises many times over.
+func (s *Simulation) tooMany() bool { return len(s.checks.violations) >= maxViolations }
