Frozen processes: no work before fresh contact, evidence has its age

Cause, by simulation (freeze, everything): after a pause an agent admitted a burst over the bound on loads from before it; evidence gathered before a router's pause counted as fresh; agents whose zone's only router was frozen were cut off from bundles, since they knew no other router.

Change: an agent takes no new work after a pause until a peer's echo proves fresh contact; loads met carry their age; agents hear once of every router and take any when none of their zone is live. The checker allows the mean with or without members whose state changed within four seconds, and doesn't count a request as held back while a frozen process holds it: both are the definition that docs/DESIGN.md states, since nobody can know of a change before news of it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,8 @@
 	Lease bool
 	// Leave goes on taking work while leaving.
 	Leave bool
+	// Thaw takes work right after a pause.
+	Thaw bool
 }
 
 // DefaultConfig returns the defaults for the node.
@@ -177,7 +179,7 @@
 		return failure.WrongOwner, true
 	case !c.node.Ready(now) || c.Pool() == nil:
 		return failure.NotReady, true
-	case c.isIsolated(now):
+	case c.isIsolated(now), c.isJustAwake():
 		return failure.NotReady, true
 	case head.Key != "":
 		return c.keyRefusal(now, head)
@@ -192,10 +194,16 @@
 	return !c.config.Disable.Leave && c.node.ContactAge(now) > c.config.IsolatedAfter
 }
 
+// isJustAwake tells whether the process was paused and has heard from no peer
+// since: what it knows of the pool's loads and of its own standing is old.
+func (c *Core) isJustAwake() bool {
+	return !c.config.Disable.Thaw && !c.node.FreshContact()
+}
+
 // keyRefusal refuses a keyed request that this agent may not own. Ownership
 // depends on the key and the bundle alone; the lease makes sure that the bundle
-// is not an old one; fresh contact, that this process wasn't replaced while it
-// was paused.
+// is not an old one. That this process wasn't replaced while it was paused is
+// seen to by isJustAwake.
 func (c *Core) keyRefusal(now time.Time, head hop.Head) (failure.Kind, bool) {
 	owner := c.node.Bundle().OwnerOf(c.Pool(), head.Key, head.KeyIssued())
 	if owner != c.config.Identity.ID {
@@ -204,7 +212,7 @@
 	if c.config.Disable.Lease {
 		return 0, false
 	}
-	if !c.node.HoldsLease(now) || !c.node.FreshContact() {
+	if !c.node.HoldsLease(now) {
 		return failure.LeaseLapsed, true
 	}
 	return 0, false
@@ -219,7 +227,7 @@
 		Affine:   head.Affine,
 	}
 	for _, met := range head.LoadsMet {
-		request.Evidence = append(request.Evidence, admission.ObservedLoad{Member: met.BackEnd, Load: met.Load, At: now})
+		request.Evidence = append(request.Evidence, admission.ObservedLoad{Member: met.BackEnd, Load: met.Load, At: now.Add(-time.Duration(met.AgeMillis) * time.Millisecond)})
 	}
 	if head.Key != "" {
 		request.Key = &admission.Key{
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -73,20 +73,21 @@
 }
 
 // recordFilter keeps from a link what its peer has no use for. A router needs
-// everything. An agent needs the routers of its zone and the loads of its own
-// pool, which it gets from the pool's own ring; a router passes on to it only
+// everything. An agent needs to know that a router exists, in case all of its
+// zone are gone, but signs of life only of its zone's; and the loads of its own
+// pool, which it gets from the pool's own ring: a router passes on to it only
 // which members are leaving.
-func (n *Node) recordFilter(l *link) func(membership.Record) bool {
+func (n *Node) recordFilter(l *link) membership.Filter {
 	peer := n.table.Entry(l.peer)
 	peerIsRouter := peer != nil && peer.Role == membership.RoleRouter
 	if peerIsRouter {
-		return func(membership.Record) bool { return true }
+		return func(membership.Record, bool) bool { return true }
 	}
 	zone := n.zoneOf(l.peer)
 	poolMember := n.poolMembership(l.peer)
-	return func(record membership.Record) bool {
+	return func(record membership.Record, changed bool) bool {
 		if record.Role == membership.RoleRouter {
-			return zone == "" || record.Zone == zone
+			return changed || zone == "" || record.Zone == zone
 		}
 		isNews := n.identity.Role == membership.RoleAgent || record.State != membership.StateServing
 		return isNews && poolMember(record.ID)
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -114,20 +114,37 @@
 
 func (n *Node) wantedByAgent(now time.Time) []peer {
 	wanted := ringPeers(n.identity.ID, n.poolPeers(now))
-	zone := n.routers(now, n.identity.Zone)
-	if len(zone) == 0 {
-		zone = n.routers(now, "")
-	}
 	chosen := 0
-	for _, p := range rankPeers("router/"+n.identity.ID, zone) {
+	for _, p := range rankPeers("router/"+n.identity.ID, n.routers(now, n.identity.Zone)) {
 		if p.live && chosen < routersPerAgent {
 			wanted = append(wanted, p)
 			chosen++
 		}
 	}
+	if chosen == 0 {
+		wanted = append(wanted, n.anyRouter(now)...)
+	}
 	return wanted
 }
 
+// anyRouter returns one router of any zone, for an agent whose zone has no live
+// one: one that it is linked with and hears from, else the one whose last dial
+// is longest ago, so that all are tried in turn.
+func (n *Node) anyRouter(now time.Time) []peer {
+	all := rankPeers("router/"+n.identity.ID, n.routers(now, ""))
+	for _, p := range all {
+		if p.live && n.linked(p.id) {
+			return []peer{p}
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return []peer{slices.MinFunc(all, func(a, b peer) int {
+		return n.dialing[a.address].Compare(n.dialing[b.address])
+	})}
+}
+
 func (n *Node) wantedByRouter(now time.Time) []peer {
 	wanted := ringPeers(n.identity.ID, n.routers(now, n.identity.Zone))
 	return append(wanted, ringPeers(n.identity.ID, n.routers(now, ""))...)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -41,21 +41,28 @@
 	return newer(record, Record{Incarnation: have.incarnation, State: have.state, Beat: have.beat})
 }
 
+// Filter tells whether a record should cross a link. changed says that the peer
+// has not heard of this incarnation, or that the node no longer serves.
+type Filter func(record Record, changed bool) bool
+
 // Pending returns up to limit records that the peer lacks and accept takes, and
 // counts them as sent. The node's own record goes first, then nodes that the
 // peer has never heard of or that changed state or incarnation, then the latest
 // loads.
-func (l *Link) Pending(now time.Time, table *Table, limit int, accept func(Record) bool) []Record {
+func (l *Link) Pending(now time.Time, table *Table, limit int, accept Filter) []Record {
 	var records []Record
 	if self := table.Self(); l.lacks(self) {
 		records = append(records, self)
 	}
 	var candidates []pendingRecord
 	table.Entries(func(entry *Entry) {
-		if !l.lacks(entry.Record) || !accept(entry.Record) {
+		if !l.lacks(entry.Record) {
 			return
 		}
 		changed := l.has[entry.ID].incarnation != entry.Incarnation || entry.State != StateServing
+		if !accept(entry.Record, changed) {
+			return
+		}
 		candidates = append(candidates, pendingRecord{entry: entry, changed: changed})
 	})
 	slices.SortStableFunc(candidates, comparePending)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -259,7 +259,7 @@
 	if further && (exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.Spend()) {
 		return Decision{GiveUp: exchange.route.GiveUp()}
 	}
-	attempt, ok := exchange.route.Next()
+	attempt, ok := exchange.route.Next(now)
 	if !ok {
 		return Decision{GiveUp: exchange.route.GiveUp()}
 	}
@@ -338,7 +338,7 @@
 	if kind == failure.Leaving {
 		c.node.Step(now, coordination.AnsweredLeaving{ID: exchange.target})
 	}
-	exchange.route.Refused(exchange.target, routing.Refusal{
+	exchange.route.Refused(now, exchange.target, routing.Refusal{
 		Kind:       kind,
 		RetryAfter: time.Duration(reply.RetryAfterMillis) * time.Millisecond,
 		Load:       reply.Load,
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/failure"
@@ -73,6 +74,8 @@
 	BackEnd string `cbor:"1,keyasint"`
 	// Load is its load in requests.
 	Load int `cbor:"2,keyasint"`
+	// AgeMillis is how long ago it refused, when the next attempt is sent.
+	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Refusal is an agent's "not run".
@@ -103,6 +106,7 @@
 	order    []Member
 	tried    int
 	loadsMet []LoadMet
+	metAt    []time.Time
 	refusals []Refusal
 }
 
@@ -215,7 +219,7 @@
 // The first attempt follows the policy alone, since a wrong guess about load
 // would cost the chat its context. Later attempts have no context to win, so
 // after the first refusal they go to members that are believed to have room.
-func (r *Route) Next() (attempt Attempt, ok bool) {
+func (r *Route) Next(now time.Time) (attempt Attempt, ok bool) {
 	if r.tried >= len(r.order) {
 		return Attempt{}, false
 	}
@@ -227,10 +231,23 @@
 	return Attempt{
 		BackEnd:  member.ID,
 		Affine:   r.isAffine(member),
-		LoadsMet: r.loadsMet,
+		LoadsMet: r.evidence(now),
 	}, true
 }
 
+// evidence returns the loads met with their ages. The process may have been
+// paused since.
+func (r *Route) evidence(now time.Time) []LoadMet {
+	if len(r.loadsMet) == 0 {
+		return nil
+	}
+	evidence := slices.Clone(r.loadsMet)
+	for i := range evidence {
+		evidence[i].AgeMillis = now.Sub(r.metAt[i]).Milliseconds()
+	}
+	return evidence
+}
+
 func (r *Route) isAffine(member Member) bool {
 	if r.request.Owner != "" {
 		return true
@@ -293,10 +310,11 @@
 }
 
 // Refused notes a refusal of the latest attempt.
-func (r *Route) Refused(backEnd string, refusal Refusal) {
+func (r *Route) Refused(now time.Time, backEnd string, refusal Refusal) {
 	r.refusals = append(r.refusals, refusal)
 	if refusal.Kind == failure.OverBound || refusal.Kind == failure.QueueFull {
 		r.loadsMet = append(r.loadsMet, LoadMet{BackEnd: backEnd, Load: refusal.Load})
+		r.metAt = append(r.metAt, now)
 	}
 }
 
--- a/internal/simulation/exchange.go
+++ b/internal/simulation/exchange.go
@@ -30,6 +30,8 @@
 	exchange *router.Exchange
 	current  *attempt
 	done     bool
+	// paused says that the request was held by a frozen process.
+	paused bool
 }
 
 // attempt is one request from a router to an agent.
@@ -121,6 +123,7 @@
 		n.later(a, 2*there, n.notSent)
 	default:
 		n.s.loop.after(there, func() {
+			r.paused = r.paused || target.process.frozen
 			target.process.deliver(a.agentGen, func() { target.arrive(a) })
 			if !target.process.up || target.process.generation != a.agentGen {
 				n.later(a, there, n.lost) // it died while the request was on its way
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -155,6 +155,12 @@
 	}
 	generation := n.process.generation
 	n.process.frozen = true
+	for r := range n.exchanges {
+		r.paused = true
+	}
+	for _, a := range n.pending {
+		a.request.paused = true
+	}
 	s.checks.disturb(n)
 	s.loop.after(span, func() {
 		if n.process.up && n.process.generation == generation {
--- a/internal/simulation/pool.go
+++ b/internal/simulation/pool.go
@@ -45,14 +45,33 @@
 
 func everyMember(*node) bool { return true }
 
-// sample notes the present mean.
+// settleWithin is how long after a fault struck or left a member its peers may
+// still reckon the mean without it: until they have noticed its silence, or
+// heard from it again.
+const settleWithin = 4 * time.Second
+
+// isSettled tells whether the pool has had time to notice the member's state.
+func (p *poolState) isSettled(n *node) bool {
+	at, hit := p.s.checks.disturbed[n.process.id]
+	return n.ready() && !n.process.frozen && !(hit && p.s.loop.now.Sub(at) <= settleWithin)
+}
+
+// sample notes the present mean and returns it. While members come and go, the
+// mean may be taken with or without those whose state isn't settled.
 func (p *poolState) sample(now time.Time) float64 {
 	mean, _ := p.mean(everyMember)
+	p.note(now, mean)
+	if settled, ok := p.mean(p.isSettled); ok && settled > mean {
+		p.note(now, settled)
+	}
+	return mean
+}
+
+func (p *poolState) note(now time.Time, mean float64) {
 	for len(p.recent) > 0 && p.recent[len(p.recent)-1].mean <= mean {
 		p.recent = p.recent[:len(p.recent)-1]
 	}
 	p.recent = append(p.recent, meanSample{at: now, mean: mean})
-	return mean
 }
 
 // highest returns the highest mean within the window.
