A process that woke or started takes silent members for idle, not for dead

Cause: right after a pause every other member had been silent for long by the agent's clock, so it took itself for alone and admitted without limit (15 of 16 requests of a pool at one agent). Ruled out: buffered messages (their ages were raised) and the margin. A restarted agent did the same until its first news.

Change: for the time of silence after waking or starting, members not heard of since count as idle.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -290,28 +290,49 @@
 	return effects
 }
 
-// observePool lists the loads of the pool's other live members. A member that
-// was never heard of, or that is gone, doesn't count towards the mean.
+// observePool lists the loads of the pool's other members. One that is gone or
+// taken for dead doesn't count towards the mean.
 func (c *Core) observePool(now time.Time) admission.PoolObserved {
 	var observed admission.PoolObserved
 	pool := c.Pool()
 	if pool == nil {
 		return observed
 	}
-	table := c.node.Table()
-	for _, backEnd := range pool.BackEnds {
-		entry := table.Entry(backEnd.ID)
-		if entry == nil || backEnd.ID == c.config.Identity.ID || table.Liveness(now, entry) == membership.Gone {
+	for _, id := range pool.MemberIDs() {
+		if id == c.config.Identity.ID {
 			continue
 		}
-		if c.isSilent(now, pool, entry) {
-			continue
+		if load, counts := c.observeMember(now, pool, id); counts {
+			observed.Others = append(observed.Others, load)
 		}
-		observed.Others = append(observed.Others, admission.ObservedLoad{Member: backEnd.ID, Load: int(entry.Load), At: entry.At})
 	}
 	return observed
 }
 
+// observeMember returns a member's load, and whether it counts. A member that
+// was not heard of since this process woke or started may be there with any
+// load: it counts as idle, which keeps the bound low, until its silence has
+// lasted long enough to mean something.
+func (c *Core) observeMember(now time.Time, pool *bundle.Pool, id string) (load admission.ObservedLoad, counts bool) {
+	awake := c.node.AwakeSince()
+	settling := now.Sub(awake) <= c.config.Coordination.Membership.SilentAfter
+	table := c.node.Table()
+	entry := table.Entry(id)
+	if entry == nil {
+		return admission.ObservedLoad{Member: id, At: now}, settling
+	}
+	if table.Liveness(now, entry) == membership.Gone {
+		return admission.ObservedLoad{}, false
+	}
+	if settling && entry.At.Before(awake) {
+		return admission.ObservedLoad{Member: id, At: now}, true
+	}
+	if c.isSilent(now, pool, entry) {
+		return admission.ObservedLoad{}, false
+	}
+	return admission.ObservedLoad{Member: id, Load: int(entry.Load), At: entry.At}, true
+}
+
 // isSilent tells whether a member is taken for dead: it was silent for long, or
 // for one window while a router could not reach it either. Neither sign alone
 // is enough within that time: a router may be cut off, and gossip may be late.
--- a/internal/coordination/freeze.go
+++ b/internal/coordination/freeze.go
@@ -30,6 +30,13 @@
 	}
 }
 
+func (c *freezeClock) awakeSince() time.Time {
+	if c.thawedAt.After(c.startedAt) {
+		return c.thawedAt
+	}
+	return c.startedAt
+}
+
 // stamp returns the present moment as a Stamp.
 func (c *freezeClock) stamp(now time.Time) int64 {
 	return max(1, now.Sub(c.startedAt).Milliseconds()+1)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -127,6 +127,10 @@
 // last woke from a pause. Until then the node must not rely on what it knew.
 func (n *Node) FreshContact() bool { return !n.clock.echoedAt.Before(n.clock.thawedAt) }
 
+// AwakeSince returns when the process started or last woke from a pause. What it
+// knew before may be long out of date.
+func (n *Node) AwakeSince() time.Time { return n.clock.awakeSince() }
+
 // Links returns the number of open connections.
 func (n *Node) Links() int { return len(n.links) }
 
