--- a/internal/cli/simulate.go
+++ b/internal/cli/simulate.go
@@ -23,7 +23,7 @@
 	scenario, size, policy string
 	seed                   uint64
 	seeds                  int
-	duration               time.Duration
+	duration, warmup       time.Duration
 	breaks                 string
 	output                 string
 	logPath                string
@@ -45,6 +45,7 @@
 	f.Uint64Var(&flags.seed, "seed", 1, "the first seed")
 	f.IntVar(&flags.seeds, "seeds", 1, "how many seeds to run")
 	f.DurationVar(&flags.duration, "duration", 0, "simulated time after the warm-up (default: the scenario's)")
+	f.DurationVar(&flags.warmup, "warmup", 0, "simulated time before anything is counted (default: the scenario's)")
 	f.StringVar(&flags.breaks, "break", "", "switch one mechanism off; a violation must be found then")
 	f.StringVar(&flags.output, "output", "table", `"table" or "json"`)
 	f.StringVar(&flags.logPath, "log", "", "write the event log of the last run to a file")
@@ -92,6 +93,9 @@
 	for seed := flags.seed; seed < flags.seed+uint64(flags.seeds); seed++ {
 		for _, policy := range policies {
 			options := scenario.Options(seed, size, policy, flags.duration)
+			if flags.warmup > 0 {
+				options.Warmup = flags.warmup
+			}
 			options.Break = simulation.Break(flags.breaks)
 			result, err := runOne(options, flags.logPath)
 			if err != nil {
--- a/internal/simulation/simplatform.go
+++ b/internal/simulation/simplatform.go
@@ -12,9 +12,6 @@
 
 const (
 	platformLatency = 3 * time.Millisecond
-	// slowLatency is a call's time while the platform is slow; longer than a
-	// client waits.
-	slowLatency = 4 * time.Second
 	// callTimeout is how long a client waits beyond a watch's own wait.
 	callTimeout = 3 * time.Second
 	machineLag  = 2 * time.Second
