--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,36 @@
+// Package examples holds the two users' deployments. The tests keep them valid.
+package examples
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/settings"
+)
+
+func TestExamplesPassTheirChecks(t *testing.T) {
+	for _, deployment := range []string{"swan-coast", "beridze"} {
+		t.Run(deployment, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(deployment, "bundle.toml")
+			source, err := os.ReadFile(path)
+			is.NoErr(err)
+			content, err := bundle.Parse(path, source)
+			is.NoErr(err)
+			is.Equal(len(content.Pools[0].BackEnds), 18)
+			for _, role := range []string{"router", "agent"} {
+				s, err := settings.Load(filepath.Join(deployment, role+".toml"))
+				is.NoErr(err)
+				is.Equal(s.Role, role)
+				if role == "agent" {
+					pool, _ := content.PoolOf(s.ID)
+					is.True(pool != nil) // the agent's name stands in the bundle
+				}
+			}
+		})
+	}
+}
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -1,7 +1,10 @@
 package failure
 
 import (
+	"fmt"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +47,20 @@
 	is.Equal(recorder.Header().Get("Retry-After"), "2")
 	is.Equal(recorder.Header().Get(HeaderKind), "rate_limited")
 }
+
+func TestOperatorsPageHasEveryRow(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for _, kind := range Kinds() {
+		answer := kind.Answer()
+		retry, wait := "no", "-"
+		if answer.Retry {
+			retry, wait = "yes", answer.RetryAfter.String()
+		}
+		row := fmt.Sprintf("| `%s` | %d | %s | %s | %s |", answer.Name, answer.Status, answer.Ran, retry, wait)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("the page lacks the row %s", row)
+		}
+	}
+}
