Walk the membership table without map look-ups; count routers once a review

Cause: a profile of 250 hollow nodes gave a third of the time to walks over the table, and the count of routers was taken anew for every router looked at.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -66,7 +66,9 @@
 	// peersAt is when the peers were last reviewed.
 	peersAt time.Time
 	watcher bool
-	clock   freezeClock
+	// routersKnown is the number of routers at the last review.
+	routersKnown int
+	clock        freezeClock
 }
 
 // joinState follows a fresh node until it may trust its bundle.
@@ -233,7 +235,7 @@
 // that the records a node receives each second stay bounded.
 func (n *Node) beatPeriods() (shortest, longest time.Duration) {
 	if n.identity.Role == membership.RoleRouter {
-		longest = max(n.config.HeartbeatPeriod, time.Duration(n.routerCount())*n.config.RouterBeatPerRouter)
+		longest = max(n.config.HeartbeatPeriod, time.Duration(n.routersKnown)*n.config.RouterBeatPerRouter)
 		return longest, longest
 	}
 	shortest = n.config.TickPeriod
@@ -243,14 +245,16 @@
 	return min(shortest, n.config.HeartbeatPeriod), n.config.HeartbeatPeriod
 }
 
-func (n *Node) routerCount() int {
+// countRouters notes the number of routers; it is needed too often to be counted
+// each time.
+func (n *Node) countRouters() {
 	count := 0
 	n.table.Entries(func(entry *membership.Entry) {
 		if entry.Role == membership.RoleRouter {
 			count++
 		}
 	})
-	return count
+	n.routersKnown = count
 }
 
 func (n *Node) ownPool() *bundle.Pool {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -31,6 +31,7 @@
 		return nil
 	}
 	n.peersAt = now
+	n.countRouters()
 	n.watcher = n.isWatcher(now)
 	return n.connectPeers(now)
 }
@@ -190,7 +191,7 @@
 // isLiveRouter takes a router for alive for longer than an agent, since a
 // router's records come more rarely in a large fleet.
 func (n *Node) isLiveRouter(now time.Time, entry *membership.Entry) bool {
-	allowed := 4 * max(n.config.HeartbeatPeriod, time.Duration(n.routerCount())*n.config.RouterBeatPerRouter)
+	allowed := 4 * max(n.config.HeartbeatPeriod, time.Duration(n.routersKnown)*n.config.RouterBeatPerRouter)
 	return now.Sub(entry.At) <= max(allowed, n.config.Membership.SilentAfter)
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -50,9 +51,9 @@
 	config  Config
 	self    Record
 	entries map[string]*Entry
-	// ids holds the keys of entries in order, so that no decision depends on
-	// the order of a map.
-	ids        []string
+	// ordered holds the entries in the order of their IDs, so that no decision
+	// depends on the order of a map.
+	ordered    []*Entry
 	superseded bool
 	version    uint64
 }
@@ -87,13 +88,13 @@
 
 // Entries calls visit for every known node in the order of their IDs.
 func (t *Table) Entries(visit func(*Entry)) {
-	for _, id := range t.ids {
-		visit(t.entries[id])
+	for _, entry := range t.ordered {
+		visit(entry)
 	}
 }
 
 // Len returns the number of other nodes known.
-func (t *Table) Len() int { return len(t.ids) }
+func (t *Table) Len() int { return len(t.ordered) }
 
 // Merge takes records that were received at the time. It returns the entries
 // that are news.
@@ -115,8 +116,8 @@
 	at := now.Add(-time.Duration(record.AgeMillis) * time.Millisecond)
 	entry, known := t.entries[record.ID]
 	if !known {
-		entry = &Entry{}
-		t.insert(record.ID, entry)
+		entry = &Entry{Record: record}
+		t.insert(entry)
 	} else if !newer(record, entry.Record) {
 		return nil
 	}
@@ -142,10 +143,10 @@
 	}
 }
 
-func (t *Table) insert(id string, entry *Entry) {
-	t.entries[id] = entry
-	at, _ := slices.BinarySearch(t.ids, id)
-	t.ids = slices.Insert(t.ids, at, id)
+func (t *Table) insert(entry *Entry) {
+	t.entries[entry.ID] = entry
+	at, _ := slices.BinarySearchFunc(t.ordered, entry.ID, func(e *Entry, id string) int { return strings.Compare(e.ID, id) })
+	t.ordered = slices.Insert(t.ordered, at, entry)
 }
 
 // NoteUnreachable records that a connection to the node failed, also when the
@@ -154,7 +155,7 @@
 	entry, known := t.entries[id]
 	if !known {
 		entry = &Entry{Record: Record{ID: id}, At: now}
-		t.insert(id, entry)
+		t.insert(entry)
 	}
 	entry.noteLoss(now)
 	entry.unreachableUntil = now.Add(t.config.UnreachableFor)
@@ -177,8 +178,7 @@
 
 // Expire notes nodes that have fallen silent and forgets those silent for long.
 func (t *Table) Expire(now time.Time) {
-	t.ids = slices.DeleteFunc(t.ids, func(id string) bool {
-		entry := t.entries[id]
+	t.ordered = slices.DeleteFunc(t.ordered, func(entry *Entry) bool {
 		age := now.Sub(entry.At)
 		if age > t.config.SilentAfter && !entry.lost {
 			entry.noteLoss(now)
@@ -187,7 +187,7 @@
 		if age <= t.config.ForgetAfter {
 			return false
 		}
-		delete(t.entries, id)
+		delete(t.entries, entry.ID)
 		t.version++
 		return true
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// sharePeriod is the time between two counts of the routers that share the
+// tenants' limits.
+const sharePeriod = time.Second
+
 // newsRecords is the number of records that ride on one request.
 const newsRecords = 4
 
@@ -114,6 +118,8 @@
 	node    *coordination.Node
 	budget  *limits.RetryBudget
 	tenants *limits.TenantLimiter
+	// sharedAt is when the shares of the limits were last reckoned.
+	sharedAt time.Time
 	// draining is set once the router is about to stop.
 	draining bool
 }
@@ -144,7 +150,10 @@
 
 // Tick lets time-based decisions take place. It comes once a tick period.
 func (c *Core) Tick(now time.Time) []coordination.Action {
-	c.tenants.SetRouters(now, c.liveRouters(now))
+	if now.Sub(c.sharedAt) >= sharePeriod {
+		c.sharedAt = now
+		c.tenants.SetRouters(now, c.liveRouters(now))
+	}
 	return c.Control(now, coordination.Tick{})
 }
 
