Report on service-level burn by tenant, pool and priority

Cause: nobody could see who burns an error budget, and since when.

What: routers count requests against the bundle's objectives in slots of five minutes (six hours kept, about 4 KB a busy label set) and keep histograms by pool and priority; harriernotch report slo merges what the nodes hand out, over four windows at once, as a table and a plot. Percentiles come from merged histograms.

Ruled out: histograms for each tenant and minute, as first written: 10 KB a slot would have cost hundreds of megabytes at 520 tenants.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -12,6 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand())
+	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand(), newReportCommand())
 	return command
 }
--- a/internal/router/routerhttp/request.go
+++ b/internal/router/routerhttp/request.go
@@ -17,6 +17,7 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/router"
 	"github.com/harriernotch/harriernotch/internal/routing"
+	"github.com/harriernotch/harriernotch/internal/slo"
 )
 
 // Headers that callers may send.
@@ -52,6 +53,8 @@
 	router.Request
 	body   []byte
 	isChat bool
+	// targets are the objectives in force when the request came.
+	targets slo.Targets
 }
 
 // chatHead is the part of a chat request that routing needs.
--- a/internal/router/routerhttp/route.go
+++ b/internal/router/routerhttp/route.go
@@ -22,7 +22,8 @@
 // route sends the request where the core says until a back end takes it or the
 // core gives up.
 func (s *Server) route(w http.ResponseWriter, r *http.Request, p *parsed) {
-	watch := s.config.Objectives.Begin(time.Now(), slo.Labels{Tenant: p.Tenant, Pool: p.Pool, Priority: uint8(p.Priority)})
+	labels := slo.Labels{Tenant: p.Tenant, Pool: p.Pool, Priority: uint8(p.Priority)}
+	watch := s.config.Objectives.Begin(time.Now(), labels, p.targets)
 	exchange, decision := s.begin(p)
 	for decision.Send != nil {
 		s.attempts.Inc(1)
@@ -151,7 +152,7 @@
 	if err := copier.Copy(w, response.Body); err != nil {
 		s.broken(w, r, p, target, copier.Stream, err, watch)
 	}
-	watch.Whole(time.Now())
+	watch.Whole()
 }
 
 // copyOwnHeaders passes on the few headers of an agent that callers see.
--- a/internal/router/routerhttp/server.go
+++ b/internal/router/routerhttp/server.go
@@ -213,6 +213,10 @@
 		return err
 	}
 	p.Tenant = tenant.Name
+	p.targets = slo.Targets{
+		FirstToken:    content.Objectives.FirstToken.Std(),
+		BetweenTokens: content.Objectives.BetweenTokens.Std(),
+	}
 	if err := p.parseHeaders(time.Now(), r.Header, s.config.Timeouts); err != nil {
 		return err
 	}
--- a/internal/slo/recorder.go
+++ b/internal/slo/recorder.go
@@ -18,100 +18,147 @@
 	Priority uint8
 }
 
-// Histogram limits, in microseconds: from 1 µs to 10 minutes with two digits.
+// Targets are the objectives in force, from the bundle.
+type Targets struct {
+	// FirstToken and BetweenTokens are the longest times that count as met.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+}
+
+// SlotLength is the span over which requests are counted together.
+const SlotLength = 5 * time.Minute
+
+// slotsKept is how many slots are kept: six hours. A label set costs about 4 KB
+// when it is busy all the time.
+const slotsKept = 72
+
+// Counts are the requests of one label set in one slot.
+type Counts struct {
+	// Start is when the slot began.
+	Start time.Time `json:"start"`
+	// Answered requests came whole; SlowFirst and SlowBetween of them missed a
+	// target.
+	Answered    int64 `json:"answered"`
+	SlowFirst   int64 `json:"slow_first"`
+	SlowBetween int64 `json:"slow_between"`
+	// Slow missed either target.
+	Slow int64 `json:"slow"`
+	// Broken requests got no whole answer after a back end may have run them.
+	Broken int64 `json:"broken"`
+	// Refused requests were told that they were not run.
+	Refused int64 `json:"refused"`
+}
+
+// Latency histograms, in units of 100 µs up to ten minutes, with one digit.
 const (
-	lowestMicros  = 1
-	highestMicros = int64(10 * time.Minute / time.Microsecond)
-	digits        = 2
+	histogramUnit = 100 * time.Microsecond
+	highestUnits  = int64(10 * time.Minute / histogramUnit)
+	digits        = 1
 )
 
-// slotLength is the span of one slot of records.
-const slotLength = time.Minute
-
-// slotsKept is how many slots are kept: six hours.
-const slotsKept = 360
+// poolLabels name a histogram; tenants share them to keep memory small.
+type poolLabels struct {
+	pool     string
+	priority uint8
+}
 
-// slot holds the records of one label set in one minute.
-type slot struct {
-	start         time.Time
+// latencies are the histograms of one pool and priority.
+type latencies struct {
 	firstToken    *hdrhistogram.Histogram
 	betweenTokens *hdrhistogram.Histogram
-	whole         int64
-	broken        int64
-	refused       int64
-}
-
-func newSlot(start time.Time) *slot {
-	return &slot{
-		start:         start,
-		firstToken:    hdrhistogram.New(lowestMicros, highestMicros, digits),
-		betweenTokens: hdrhistogram.New(lowestMicros, highestMicros, digits),
-	}
 }
 
 // Recorder collects the records of one node. It is safe for concurrent use.
 type Recorder struct {
-	mutex sync.Mutex
-	slots map[Labels][]*slot
+	mutex     sync.Mutex
+	counts    map[Labels][]Counts
+	latencies map[poolLabels]*latencies
 }
 
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{slots: map[Labels][]*slot{}}
+	return &Recorder{counts: map[Labels][]Counts{}, latencies: map[poolLabels]*latencies{}}
 }
 
 // current returns the slot of the moment. The mutex is held.
-func (r *Recorder) current(now time.Time, labels Labels) *slot {
-	start := now.Truncate(slotLength)
-	slots := r.slots[labels]
-	if count := len(slots); count > 0 && slots[count-1].start.Equal(start) {
-		return slots[count-1]
+func (r *Recorder) current(now time.Time, labels Labels) *Counts {
+	start := now.Truncate(SlotLength)
+	slots := r.counts[labels]
+	if count := len(slots); count > 0 && slots[count-1].Start.Equal(start) {
+		return &slots[count-1]
 	}
-	slots = append(slots, newSlot(start))
-	if len(slots) > slotsKept {
-		slots = slots[1:]
+	if len(slots) == slotsKept {
+		slots = append(slots[:0], slots[1:]...)
 	}
-	r.slots[labels] = slots
-	return slots[len(slots)-1]
+	slots = append(slots, Counts{Start: start})
+	r.counts[labels] = slots
+	return &slots[len(slots)-1]
+}
+
+func (r *Recorder) latenciesOf(labels Labels) *latencies {
+	key := poolLabels{labels.Pool, labels.Priority}
+	if r.latencies[key] == nil {
+		r.latencies[key] = &latencies{
+			firstToken:    hdrhistogram.New(1, highestUnits, digits),
+			betweenTokens: hdrhistogram.New(1, highestUnits, digits),
+		}
+	}
+	return r.latencies[key]
 }
 
 // Watch follows one request.
 type Watch struct {
 	recorder *Recorder
 	labels   Labels
+	targets  Targets
 	begun    time.Time
+	first    time.Time
 	last     time.Time
 	pieces   int
 }
 
 // Begin follows a new request.
-func (r *Recorder) Begin(now time.Time, labels Labels) *Watch {
-	return &Watch{recorder: r, labels: labels, begun: now}
+func (r *Recorder) Begin(now time.Time, labels Labels, targets Targets) *Watch {
+	return &Watch{recorder: r, labels: labels, targets: targets, begun: now}
 }
 
-// Piece notes that a piece of the answer came. The mean time between pieces is
-// recorded at the end, so that a token costs no lock.
+// Piece notes that a piece of the answer came.
 func (w *Watch) Piece(now time.Time) {
 	if w.pieces == 0 {
-		w.recorder.mutex.Lock()
-		_ = w.recorder.current(now, w.labels).firstToken.RecordValue(clampMicros(now.Sub(w.begun)))
-		w.recorder.mutex.Unlock()
-		w.begun = now
+		w.first = now
 	}
 	w.pieces++
 	w.last = now
 }
 
 // Whole notes that the answer came whole.
-func (w *Watch) Whole(now time.Time) {
+func (w *Watch) Whole() {
+	if w.pieces == 0 {
+		w.first = w.begun
+	}
+	toFirst := w.first.Sub(w.begun)
+	between := time.Duration(0)
+	if w.pieces > 1 {
+		between = w.last.Sub(w.first) / time.Duration(w.pieces-1)
+	}
 	w.recorder.mutex.Lock()
 	defer w.recorder.mutex.Unlock()
-	current := w.recorder.current(now, w.labels)
-	current.whole++
-	if w.pieces > 1 {
-		mean := w.last.Sub(w.begun) / time.Duration(w.pieces-1)
-		_ = current.betweenTokens.RecordValue(clampMicros(mean))
+	counts := w.recorder.current(w.begun, w.labels)
+	counts.Answered++
+	slowFirst := toFirst > w.targets.FirstToken
+	slowBetween := between > w.targets.BetweenTokens
+	if slowFirst {
+		counts.SlowFirst++
+	}
+	if slowBetween {
+		counts.SlowBetween++
+	}
+	if slowFirst || slowBetween {
+		counts.Slow++
 	}
+	histograms := w.recorder.latenciesOf(w.labels)
+	_ = histograms.firstToken.RecordValue(units(toFirst))
+	_ = histograms.betweenTokens.RecordValue(units(between))
 }
 
 // Failed notes that the request got no whole answer.
@@ -119,17 +166,16 @@
 	if kind == failure.CallerGone {
 		return
 	}
-	now := time.Now()
 	w.recorder.mutex.Lock()
 	defer w.recorder.mutex.Unlock()
-	current := w.recorder.current(now, w.labels)
+	counts := w.recorder.current(w.begun, w.labels)
 	if kind.Answer().Ran == failure.RanNo {
-		current.refused++
+		counts.Refused++
 		return
 	}
-	current.broken++
+	counts.Broken++
 }
 
-func clampMicros(span time.Duration) int64 {
-	return min(max(span.Microseconds(), lowestMicros), highestMicros)
+func units(span time.Duration) int64 {
+	return min(max(int64(span/histogramUnit), 1), highestUnits)
 }
--- /dev/null
+++ b/internal/slo/report.go
@@ -0,0 +1,181 @@
+package slo
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Goals are the shares of requests that must meet the objectives.
+type Goals struct {
+	// Fraction is the share of answered requests that must meet both latency
+	// targets.
+	Fraction float64
+	// AnsweredWhole is the share of accepted requests that must be answered
+	// whole.
+	AnsweredWhole float64
+}
+
+// Windows are the spans that a report looks at together: a short one shows what
+// burns now, a long one what has burnt.
+var Windows = []time.Duration{SlotLength, 30 * time.Minute, time.Hour, 6 * time.Hour}
+
+// Burn is how many times faster than allowed a label set spends its error
+// budget. 1 spends exactly what the goal allows.
+type Burn struct {
+	Series
+	// Latency and Whole are the burns of the two goals, one for each window.
+	Latency []float64
+	Whole   []float64
+	// Requests is the number of accepted requests in the longest window.
+	Requests int64
+	// Refused is the number of requests told that they were not run.
+	Refused int64
+	// Since is when the present run of slots that burn too fast began; zero when
+	// the latest slot doesn't.
+	Since time.Time
+}
+
+// Worst returns the fastest burn over both goals in the window.
+func (b Burn) Worst(window int) float64 { return max(b.Latency[window], b.Whole[window]) }
+
+// Percentiles of one pool and priority, over all nodes.
+type Percentiles struct {
+	Pool              string
+	Priority          uint8
+	FirstTokenP95     time.Duration
+	BetweenTokensP95  time.Duration
+	AnsweredInAllTime int64
+}
+
+// Report merges what nodes handed out.
+type Report struct {
+	Burns       []Burn
+	Percentiles []Percentiles
+}
+
+// Merge makes a report at the time, the fastest present burn first.
+func Merge(now time.Time, goals Goals, snapshots []Snapshot) Report {
+	report := Report{}
+	for _, series := range mergeSeries(snapshots) {
+		report.Burns = append(report.Burns, burnOf(now, goals, series))
+	}
+	slices.SortStableFunc(report.Burns, func(a, b Burn) int { return cmp.Compare(b.Worst(0), a.Worst(0)) })
+	report.Percentiles = mergeLatencies(snapshots)
+	return report
+}
+
+// mergeSeries adds up the slots of equal labels and start.
+func mergeSeries(snapshots []Snapshot) []Series {
+	merged := map[Labels]map[time.Time]Counts{}
+	for _, snapshot := range snapshots {
+		for _, series := range snapshot.Series {
+			labels := Labels{series.Tenant, series.Pool, series.Priority}
+			if merged[labels] == nil {
+				merged[labels] = map[time.Time]Counts{}
+			}
+			for _, slot := range series.Slots {
+				start := slot.Start.UTC()
+				merged[labels][start] = add(merged[labels][start], slot)
+			}
+		}
+	}
+	var list []Series
+	for labels, slots := range merged {
+		series := Series{Tenant: labels.Tenant, Pool: labels.Pool, Priority: labels.Priority}
+		for start, slot := range slots {
+			slot.Start = start
+			series.Slots = append(series.Slots, slot)
+		}
+		slices.SortFunc(series.Slots, func(a, b Counts) int { return a.Start.Compare(b.Start) })
+		list = append(list, series)
+	}
+	slices.SortFunc(list, compareSeries)
+	return list
+}
+
+func add(a, b Counts) Counts {
+	a.Answered += b.Answered
+	a.SlowFirst += b.SlowFirst
+	a.SlowBetween += b.SlowBetween
+	a.Slow += b.Slow
+	a.Broken += b.Broken
+	a.Refused += b.Refused
+	return a
+}
+
+func burnOf(now time.Time, goals Goals, series Series) Burn {
+	burn := Burn{Series: series}
+	for _, window := range Windows {
+		total := Counts{}
+		for _, slot := range series.Slots {
+			// A slot counts when any part of it lies in the window.
+			if slot.Start.Add(SlotLength).After(now.Add(-window)) {
+				total = add(total, slot)
+			}
+		}
+		burn.Latency = append(burn.Latency, rate(total.Slow, total.Answered, goals.Fraction))
+		burn.Whole = append(burn.Whole, rate(total.Broken, total.Answered+total.Broken, goals.AnsweredWhole))
+		burn.Requests = total.Answered + total.Broken
+		burn.Refused = total.Refused
+	}
+	burn.Since = burningSince(goals, series.Slots)
+	return burn
+}
+
+// rate is the share of bad requests over the share that the goal allows.
+func rate(bad, all int64, goal float64) float64 {
+	if all == 0 {
+		return 0
+	}
+	return float64(bad) / float64(all) / (1 - goal)
+}
+
+// burningSince walks back from the latest slot while slots burn too fast.
+func burningSince(goals Goals, slots []Counts) time.Time {
+	var since time.Time
+	for i := len(slots) - 1; i >= 0; i-- {
+		if SlotBurn(goals, slots[i]) <= 1 {
+			break
+		}
+		since = slots[i].Start
+	}
+	return since
+}
+
+// SlotBurn returns the faster burn of the two goals in one slot.
+func SlotBurn(goals Goals, slot Counts) float64 {
+	latency := rate(slot.Slow, slot.Answered, goals.Fraction)
+	whole := rate(slot.Broken, slot.Answered+slot.Broken, goals.AnsweredWhole)
+	return max(latency, whole)
+}
+
+func mergeLatencies(snapshots []Snapshot) []Percentiles {
+	merged := map[poolLabels]*latencies{}
+	for _, snapshot := range snapshots {
+		for _, l := range snapshot.Latencies {
+			key := poolLabels{l.Pool, l.Priority}
+			if merged[key] == nil {
+				merged[key] = &latencies{hdrhistogram.Import(l.FirstToken), hdrhistogram.Import(l.BetweenTokens)}
+				continue
+			}
+			merged[key].firstToken.Merge(hdrhistogram.Import(l.FirstToken))
+			merged[key].betweenTokens.Merge(hdrhistogram.Import(l.BetweenTokens))
+		}
+	}
+	var list []Percentiles
+	for key, histograms := range merged {
+		list = append(list, Percentiles{
+			Pool: key.pool, Priority: key.priority,
+			FirstTokenP95:     time.Duration(histograms.firstToken.ValueAtQuantile(95)) * histogramUnit,
+			BetweenTokensP95:  time.Duration(histograms.betweenTokens.ValueAtQuantile(95)) * histogramUnit,
+			AnsweredInAllTime: histograms.firstToken.TotalCount(),
+		})
+	}
+	slices.SortFunc(list, func(a, b Percentiles) int {
+		return compareSeries(Series{Pool: a.Pool, Priority: a.Priority}, Series{Pool: b.Pool, Priority: b.Priority})
+	})
+	return list
+}
--- a/internal/slo/snapshot.go
+++ b/internal/slo/snapshot.go
@@ -3,46 +3,53 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Snapshot is what a node hands out of its records.
 type Snapshot struct {
-	Series []Series `json:"series"`
+	Series    []Series    `json:"series"`
+	Latencies []Latencies `json:"latencies"`
 }
 
-// Series is one label set in one minute.
+// Series holds the counts of one label set, the oldest slot first.
 type Series struct {
-	Tenant   string    `json:"tenant"`
-	Pool     string    `json:"pool"`
-	Priority uint8     `json:"priority"`
-	Start    time.Time `json:"start"`
-	// FirstToken and BetweenTokens are histograms in microseconds, so that the
-	// histograms of many nodes can be merged.
+	Tenant   string   `json:"tenant"`
+	Pool     string   `json:"pool"`
+	Priority uint8    `json:"priority"`
+	Slots    []Counts `json:"slots"`
+}
+
+// Latencies are the histograms of one pool and priority, in units of 100 µs.
+// Histograms of several nodes can be merged; percentiles can't.
+type Latencies struct {
+	Pool          string                 `json:"pool"`
+	Priority      uint8                  `json:"priority"`
 	FirstToken    *hdrhistogram.Snapshot `json:"first_token"`
 	BetweenTokens *hdrhistogram.Snapshot `json:"between_tokens"`
-	Whole         int64                  `json:"whole"`
-	Broken        int64                  `json:"broken"`
-	Refused       int64                  `json:"refused"`
 }
 
 // Snapshot copies the records, in a fixed order.
 func (r *Recorder) Snapshot() Snapshot {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	snapshot := Snapshot{Series: []Series{}}
-	for labels, slots := range r.slots {
-		for _, slot := range slots {
-			snapshot.Series = append(snapshot.Series, Series{
-				Tenant: labels.Tenant, Pool: labels.Pool, Priority: labels.Priority, Start: slot.start,
-				FirstToken: slot.firstToken.Export(), BetweenTokens: slot.betweenTokens.Export(),
-				Whole: slot.whole, Broken: slot.broken, Refused: slot.refused,
-			})
-		}
+	snapshot := Snapshot{Series: []Series{}, Latencies: []Latencies{}}
+	for labels, slots := range r.counts {
+		snapshot.Series = append(snapshot.Series, Series{
+			Tenant: labels.Tenant, Pool: labels.Pool, Priority: labels.Priority, Slots: slices.Clone(slots),
+		})
+	}
+	for labels, histograms := range r.latencies {
+		snapshot.Latencies = append(snapshot.Latencies, Latencies{
+			Pool: labels.pool, Priority: labels.priority,
+			FirstToken: histograms.firstToken.Export(), BetweenTokens: histograms.betweenTokens.Export(),
+		})
 	}
 	slices.SortFunc(snapshot.Series, compareSeries)
+	slices.SortFunc(snapshot.Latencies, func(a, b Latencies) int {
+		return compareSeries(Series{Pool: a.Pool, Priority: a.Priority}, Series{Pool: b.Pool, Priority: b.Priority})
+	})
 	return snapshot
 }
 
@@ -53,8 +60,5 @@
 	if order := strings.Compare(a.Pool, b.Pool); order != 0 {
 		return order
 	}
-	if a.Priority != b.Priority {
-		return int(a.Priority) - int(b.Priority)
-	}
-	return a.Start.Compare(b.Start)
+	return int(a.Priority) - int(b.Priority)
 }
