--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -47,14 +47,14 @@
 // the observed loads may lag behind a surge; without them, a pool whose mean
 // rises fast would refuse work that it has room for. Their average alone would
 // not do as an estimate: members that refuse are the loaded ones.
-func (p BoundPolicy) LimitFor(now time.Time, own int, others, evidence []ObservedLoad, rate float64) Limit {
+func (p BoundPolicy) LimitFor(now time.Time, own int, others, evidence []ObservedLoad, service time.Duration) Limit {
 	if p.Disabled {
 		return Limit{Max: math.MaxInt32}
 	}
 	others = replace(others, evidence)
 	mean := p.mean(now, own, others)
 	if len(evidence) < min(fullEvidence, len(others)) {
-		mean -= p.margin(now, others, rate)
+		mean -= p.margin(now, others, service)
 	}
 	return Limit{Max: p.round(mean), Mean: mean}
 }
@@ -98,15 +98,17 @@
 	return confidenceUp
 }
 
-// margin is how far the true mean may be below the estimate. A member that
-// takes and finishes rate requests a second changes its load by a random walk of
-// twice that many steps; the steps of all members since they were measured add
-// up by their squares.
-func (p BoundPolicy) margin(now time.Time, others []ObservedLoad, rate float64) float64 {
+// margin is how far the true mean may be below the estimate. Requests that come
+// at random and take about service make a member's load change, over an age, with
+// the variance 2·load·(1-exp(-age/service)): in proportion to the age while that
+// is short, and never more than two independent loads differ. The changes of all
+// members add up by their variances.
+func (p BoundPolicy) margin(now time.Time, others []ObservedLoad, service time.Duration) float64 {
 	variance := 0.0
 	for _, other := range others {
 		age := min(max(now.Sub(other.At), 0), p.Window)
-		variance += 2 * rate * age.Seconds()
+		forgotten := 1 - math.Exp(-age.Seconds()/service.Seconds())
+		variance += 2 * float64(max(1, other.Load)) * forgotten
 	}
 	return p.confidence() * math.Sqrt(variance) / float64(len(others)+1)
 }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -187,7 +187,7 @@
 
 // Limit returns the bound at the moment, without evidence.
 func (g *Gate) Limit(now time.Time) Limit {
-	return g.config.Bound.LimitFor(now, g.Load(), g.others, nil, g.rate())
+	return g.config.Bound.LimitFor(now, g.Load(), g.others, nil, g.serviceTime())
 }
 
 // Step takes one event and returns the actions that it causes.
@@ -256,17 +256,16 @@
 }
 
 func (g *Gate) limitFor(now time.Time, request Request) Limit {
-	return g.config.Bound.LimitFor(now, g.Load(), g.others, request.Evidence, g.rate())
+	return g.config.Bound.LimitFor(now, g.Load(), g.others, request.Evidence, g.serviceTime())
 }
 
-// rate estimates how many requests a second this back end, and so its like,
-// takes and finishes.
-func (g *Gate) rate() float64 {
-	service := g.service
-	if service <= 0 {
-		service = assumedService
+// serviceTime returns how long a request takes here, and so at the pool's other
+// members.
+func (g *Gate) serviceTime() time.Duration {
+	if g.service <= 0 {
+		return assumedService
 	}
-	return float64(g.running+1) / service.Seconds()
+	return g.service
 }
 
 func (g *Gate) waitFor(request Request) time.Duration {
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -99,8 +99,8 @@
 	LoadsMet []LoadMet
 }
 
-// Route is the routing state of one request. It gives one attempt at a time and
-// never gives the same back end twice.
+// Route is the routing state of one request. It gives one attempt at a time, and
+// no back end twice but for one second look; see Next.
 type Route struct {
 	request  Request
 	order    []Member
@@ -108,6 +108,8 @@
 	loadsMet []LoadMet
 	metAt    []time.Time
 	refusals []Refusal
+	// lookedAgain is set once a member got its second attempt.
+	lookedAgain bool
 }
 
 // RandomSource is the part of math/rand/v2 that the baselines need.
@@ -219,9 +221,13 @@
 // The first attempt follows the policy alone, since a wrong guess about load
 // would cost the chat its context. Later attempts have no context to win, so
 // after the first refusal they go to members that are believed to have room.
+//
+// When all have refused, the least loaded one that was met is asked once more. It
+// may have refused since it knew too little of the others to be sure of the
+// bound; now the request brings what all the others carry.
 func (r *Route) Next(now time.Time) (attempt Attempt, ok bool) {
 	if r.tried >= len(r.order) {
-		return Attempt{}, false
+		return r.lookAgain(now)
 	}
 	if len(r.loadsMet) > 0 {
 		r.preferRoom()
@@ -235,6 +241,21 @@
 	}, true
 }
 
+func (r *Route) lookAgain(now time.Time) (Attempt, bool) {
+	if r.lookedAgain || r.request.Owner != "" || len(r.loadsMet) < 2 {
+		return Attempt{}, false
+	}
+	r.lookedAgain = true
+	least := 0
+	for i, met := range r.loadsMet {
+		if met.Load < r.loadsMet[least].Load {
+			least = i
+		}
+	}
+	evidence := r.evidence(now)
+	return Attempt{BackEnd: r.loadsMet[least].BackEnd, LoadsMet: slices.Delete(evidence, least, least+1)}, true
+}
+
 // evidence returns the loads met with their ages. The process may have been
 // paused since.
 func (r *Route) evidence(now time.Time) []LoadMet {
@@ -319,7 +340,12 @@
 }
 
 // Attempts returns how many attempts were given.
-func (r *Route) Attempts() int { return r.tried }
+func (r *Route) Attempts() int {
+	if r.lookedAgain {
+		return r.tried + 1
+	}
+	return r.tried
+}
 
 // GiveUp returns the final answer of a request that no back end took. A sole
 // refusal is passed on; otherwise the answer is PoolExhausted, with the
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -158,6 +158,24 @@
 	is.Equal(second.LoadsMet, []LoadMet{{BackEnd: ranked[0], Load: 10}})
 }
 
+func TestLeastLoadedMemberIsAskedAgainWithAllTheEvidence(t *testing.T) {
+	is := is.New(t)
+	ranked := Rank("chat", names(2))
+	route := NewRoute(Request{ChatKey: "chat"}, members(2), PolicyTokenThenHash, nil)
+	for _, load := range []int{4, 9} {
+		attempt, _ := route.Next(start)
+		route.Refused(start, attempt.BackEnd, Refusal{Kind: failure.OverBound, Load: load})
+	}
+	again, ok := route.Next(start)
+	is.True(ok)
+	is.Equal(again.BackEnd, ranked[0])
+	is.Equal(again.LoadsMet, []LoadMet{{BackEnd: ranked[1], Load: 9}})
+	route.Refused(start, again.BackEnd, Refusal{Kind: failure.OverBound, Load: 4})
+	_, ok = route.Next(start)
+	is.True(!ok) // once only
+	is.Equal(route.Attempts(), 3)
+}
+
 func TestOwnedRequestGoesNowhereElse(t *testing.T) {
 	is := is.New(t)
 	route := NewRoute(Request{Owner: "e02"}, members(5), PolicyTokenThenHash, nil)
