--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -13,28 +13,6 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 )
 
-// RequestID identifies a request at one agent.
-type RequestID uint64
-
-// Request is what the gate needs to know of a request.
-type Request struct {
-	// ID is chosen by the owner and unique in the life of the gate.
-	ID RequestID
-	// Tenant is the caller's tenant.
-	Tenant string
-	// Priority is the request's class.
-	Priority Priority
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
-	// Affine says that the request gains by being served here and may wait a
-	// little for a place under the bound.
-	Affine bool
-	// Evidence holds the loads met where the request was refused before.
-	Evidence []ObservedLoad
-	// Key is set for an unrepeatable request with a key that this agent owns.
-	Key *Key
-}
-
 // Config sets up a gate.
 type Config struct {
 	// Bound is the pool's load bound.
@@ -52,77 +30,6 @@
 	Weights map[string]float64
 }
 
-// Event is something that happened; see the types below.
-type Event interface{ isEvent() }
-
-// Arrive is a new request.
-type Arrive struct{ Request Request }
-
-// Finished ends a request that was started.
-type Finished struct {
-	ID RequestID
-	// NotRun says that the back end certainly did not run it.
-	NotRun bool
-	// Outcome is kept for a keyed request.
-	Outcome Outcome
-}
-
-// Cancelled says that the caller left before the request was started.
-type Cancelled struct{ ID RequestID }
-
-// PoolObserved replaces the loads of the pool's other live members.
-type PoolObserved struct{ Others []ObservedLoad }
-
-// Configured replaces the gate's settings.
-type Configured struct{ Config Config }
-
-// Leave closes the gate for new work for good.
-type Leave struct{}
-
-// Tick lets time-based decisions take place.
-type Tick struct{}
-
-func (Arrive) isEvent()       {}
-func (Finished) isEvent()     {}
-func (Cancelled) isEvent()    {}
-func (PoolObserved) isEvent() {}
-func (Configured) isEvent()   {}
-func (Leave) isEvent()        {}
-func (Tick) isEvent()         {}
-
-// Action is something the owner must do; see the types below.
-type Action interface{ isAction() }
-
-// Start hands the request to the back end.
-type Start struct {
-	ID RequestID
-	// Load is the gate's load with this request.
-	Load int
-	// Limit is the bound under which it was accepted.
-	Limit int
-}
-
-// Refuse answers that the request was not run here.
-type Refuse struct {
-	ID RequestID
-	// Kind says why.
-	Kind failure.Kind
-	// RetryAfter is when to come back; 0 for the kind's default.
-	RetryAfter time.Duration
-	// Load is the gate's load.
-	Load int
-}
-
-// Replay answers with the outcome of the first run under the request's key.
-type Replay struct {
-	ID      RequestID
-	Outcome Outcome
-}
-
-func (Start) isAction()  {}
-func (Refuse) isAction() {}
-func (Replay) isAction() {}
-
 // waiter is a request that waits for the bound; it isn't accepted yet.
 type waiter struct {
 	request Request
@@ -419,58 +326,6 @@
 	return actions
 }
 
-// tick refuses, at once, what can no longer be served in time.
-func (g *Gate) tick(now time.Time) []Action {
-	actions := g.admitWaiters(now)
-	var remaining []waiter
-	for _, waiting := range g.waiters {
-		if now.Before(waiting.until) {
-			remaining = append(remaining, waiting)
-			continue
-		}
-		actions = append(actions, g.refuseReleasing(waiting.request, failure.OverBound, g.expectedRoom()))
-	}
-	g.waiters = remaining
-	return append(actions, g.refuseHopeless(now)...)
-}
-
-// refuseHopeless refuses queued requests that, by their place in the queue,
-// would start after their deadline.
-func (g *Gate) refuseHopeless(now time.Time) []Action {
-	var hopeless []Request
-	ahead := 0
-	g.queue.each(func(request Request) {
-		if now.Add(g.expectedWait(ahead)).After(request.Deadline) {
-			hopeless = append(hopeless, request)
-			return
-		}
-		ahead++
-	})
-	var actions []Action
-	for _, request := range hopeless {
-		g.queue.remove(request.ID)
-		delete(g.held, request.ID)
-		actions = append(actions, g.refuseReleasing(request, failure.DeadlineUnmeetable, g.expectedWait(g.queue.len())))
-	}
-	return actions
-}
-
-// expectedWait estimates the time until a request with so many ahead starts.
-func (g *Gate) expectedWait(ahead int) time.Duration {
-	if g.config.MaxRunning == 0 {
-		return g.service
-	}
-	return time.Duration(float64(g.service) * float64(ahead) / float64(g.config.MaxRunning))
-}
-
-// expectedRoom estimates the time until one of the held requests finishes.
-func (g *Gate) expectedRoom() time.Duration {
-	if g.running == 0 {
-		return g.service
-	}
-	return g.service / time.Duration(g.running)
-}
-
 func (g *Gate) refuse(request Request, kind failure.Kind, wait time.Duration) Refuse {
 	return Refuse{ID: request.ID, Kind: kind, RetryAfter: wait, Load: g.Load()}
 }
--- /dev/null
+++ b/internal/admission/timing.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// tick refuses, at once, what can no longer be served in time.
+func (g *Gate) tick(now time.Time) []Action {
+	actions := g.admitWaiters(now)
+	var remaining []waiter
+	for _, waiting := range g.waiters {
+		if now.Before(waiting.until) {
+			remaining = append(remaining, waiting)
+			continue
+		}
+		actions = append(actions, g.refuseReleasing(waiting.request, failure.OverBound, g.expectedRoom()))
+	}
+	g.waiters = remaining
+	return append(actions, g.refuseHopeless(now)...)
+}
+
+// refuseHopeless refuses queued requests that, by their place in the queue,
+// would start after their deadline.
+func (g *Gate) refuseHopeless(now time.Time) []Action {
+	var hopeless []Request
+	ahead := 0
+	g.queue.each(func(request Request) {
+		if now.Add(g.expectedWait(ahead)).After(request.Deadline) {
+			hopeless = append(hopeless, request)
+			return
+		}
+		ahead++
+	})
+	var actions []Action
+	for _, request := range hopeless {
+		g.queue.remove(request.ID)
+		delete(g.held, request.ID)
+		actions = append(actions, g.refuseReleasing(request, failure.DeadlineUnmeetable, g.expectedWait(g.queue.len())))
+	}
+	return actions
+}
+
+// expectedWait estimates the time until a request with so many ahead starts.
+func (g *Gate) expectedWait(ahead int) time.Duration {
+	if g.config.MaxRunning == 0 {
+		return g.service
+	}
+	return time.Duration(float64(g.service) * float64(ahead) / float64(g.config.MaxRunning))
+}
+
+// expectedRoom estimates the time until one of the held requests finishes.
+func (g *Gate) expectedRoom() time.Duration {
+	if g.running == 0 {
+		return g.service
+	}
+	return g.service / time.Duration(g.running)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,9 +57,6 @@
 // tenants' limits.
 const sharePeriod = time.Second
 
-// newsRecords is the number of records that ride on one request.
-const newsRecords = 4
-
 // Request is what the core needs to know of a caller's request.
 type Request struct {
 	// ID names the request in logs.
@@ -174,17 +171,6 @@
 	c.tenants.Configure(now, shares)
 }
 
-func (c *Core) liveRouters(now time.Time) int {
-	routers := 1
-	table := c.node.Table()
-	table.Entries(func(entry *membership.Entry) {
-		if entry.Role == membership.RoleRouter && table.Liveness(now, entry) == membership.Live {
-			routers++
-		}
-	})
-	return routers
-}
-
 // Begin takes a new request.
 func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
 	exchange := &Exchange{request: request, route: &routing.Route{}}
@@ -227,43 +213,6 @@
 	return nil
 }
 
-// members returns the router's view of the pool, in the bundle's order.
-func (c *Core) members(now time.Time, pool *bundle.Pool) []routing.Member {
-	table := c.node.Table()
-	members := make([]routing.Member, 0, len(pool.BackEnds))
-	for _, backEnd := range pool.BackEnds {
-		member := routing.Member{ID: backEnd.ID}
-		if entry := table.Entry(backEnd.ID); entry != nil {
-			member.Health = c.health(table.Liveness(now, entry))
-			member.Incarnation = uint32(entry.Incarnation)
-			member.Load = int(entry.Load)
-			member.LoadAge = now.Sub(entry.At)
-			member.LoadKnown = entry.Incarnation != 0
-		}
-		if backEnd.Leaving {
-			member.Health = routing.HealthLeaving
-		}
-		members = append(members, member)
-	}
-	return members
-}
-
-func (c *Core) health(liveness membership.Liveness) routing.Health {
-	switch liveness {
-	case membership.Gone:
-		if c.config.IgnoreLeaving {
-			return routing.HealthAlive
-		}
-		return routing.HealthLeaving
-	case membership.Flapping:
-		return routing.HealthFlapping
-	case membership.Doubtful:
-		return routing.HealthDoubtful
-	default:
-		return routing.HealthAlive
-	}
-}
-
 // next gives the next attempt, or the final answer. It answers at once when the
 // deadline has passed, the attempts or the retry budget are spent, or no back
 // end is left.
@@ -311,34 +260,6 @@
 	return head
 }
 
-// unreachable lists the members that could not be reached a moment ago. A dead
-// member's last load would else hold down the bound at the others until its
-// silence is noticed.
-func (c *Core) unreachable(now time.Time, poolName string) []string {
-	pool := c.node.Bundle().Content.Pool(poolName)
-	if pool == nil {
-		return nil
-	}
-	table := c.node.Table()
-	var ids []string
-	for _, id := range pool.MemberIDs() {
-		if entry := table.Entry(id); entry != nil && table.IsUnreachable(now, entry) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// news returns the pool's freshest loads.
-func (c *Core) news(now time.Time, poolName string) hop.News {
-	current := c.node.Bundle()
-	news := hop.News{Number: current.Number, ContactAgeMillis: c.node.ContactAge(now).Milliseconds()}
-	if pool := current.Content.Pool(poolName); pool != nil {
-		news.Records = c.node.Table().Freshest(now, newsRecords, pool.MemberIDs())
-	}
-	return news
-}
-
 // Refused takes an agent's "not run" and returns what to do next.
 func (c *Core) Refused(now time.Time, exchange *Exchange, reply hop.Reply) Decision {
 	c.Heard(now, reply)
--- a/internal/simulation/exchange.go
+++ b/internal/simulation/exchange.go
@@ -112,7 +112,7 @@
 	target := n.s.nodes[send.BackEnd]
 	a := &attempt{request: r, router: n, routerGen: n.process.generation, agent: target, agentGen: target.process.generation, head: send.Head}
 	r.current = a
-	n.s.measure.attempt(r, send.Head)
+	n.s.measure.attempt(send.Head)
 	there := n.s.network.latency(&n.process, &target.process)
 	switch {
 	case n.s.network.blocked(&n.process, &target.process) || n.s.network.blocked(&target.process, &n.process):
--- a/internal/simulation/measure.go
+++ b/internal/simulation/measure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/failure"
@@ -109,13 +110,16 @@
 	}
 }
 
-// headBytes is a rough size of the news that rides on a request, for the report.
-const recordBytes = 22
+// base64Growth is how much longer a header gets by its encoding.
+const base64Growth = 4.0 / 3
 
-func (m *measure) attempt(_ *request, head hop.Head) {
-	if m.counting {
-		m.attempts++
-		m.newsBytes += recordBytes * len(head.News.Records)
+func (m *measure) attempt(head hop.Head) {
+	if !m.counting {
+		return
+	}
+	m.attempts++
+	if raw, err := cbor.Marshal(head.News); err == nil {
+		m.newsBytes += int(base64Growth * float64(len(raw)))
 	}
 }
 
