--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -25,7 +25,7 @@
 }
 
 func testOnce() OnceConfig {
-	return OnceConfig{StartedAt: start, ClockError: time.Second, Memory: time.Hour, Capacity: 4}
+	return OnceConfig{StartedAt: start, ClockError: time.Second, Memory: time.Hour, Capacity: 4, ReplyBytes: 100}
 }
 
 func observed(loads ...int) []ObservedLoad {
@@ -347,6 +347,22 @@
 	is.Equal(kindOf(arrive(g, now, other)), failure.KeyReused)
 }
 
+func TestOldAnswersAreDroppedButTheirKeysNeverRunAgain(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(testConfig(), testOnce())
+	now := start.Add(10 * time.Second)
+	for id := RequestID(1); id <= 3; id++ {
+		is.Equal(kindOf(arrive(g, now, keyed(id, fmt.Sprint(id), now))), "start")
+		g.Step(now, Finished{ID: id, Outcome: Outcome{Known: true, Reply: "answer", Size: 40}})
+	}
+	first, ok := arrive(g, now, keyed(11, "1", now))[0].(Replay)
+	is.True(ok)
+	is.Equal(first.Outcome.Reply, nil) // 120 bytes were too many
+	last, ok := arrive(g, now, keyed(13, "3", now))[0].(Replay)
+	is.True(ok)
+	is.Equal(last.Outcome.Reply, "answer")
+}
+
 func TestKeyOfARequestThatDidNotRunMayRun(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(testConfig(), testOnce())
--- a/internal/admission/once.go
+++ b/internal/admission/once.go
@@ -22,6 +22,8 @@
 	// Reply is the shell's handle on the stored answer, opaque to the core;
 	// nil when the answer was too large to keep.
 	Reply any
+	// Size is the memory that Reply takes, in bytes.
+	Size int
 }
 
 // verdict says what to do with a keyed request.
@@ -46,6 +48,9 @@
 	Memory time.Duration
 	// Capacity is the largest number of remembered keys.
 	Capacity int
+	// ReplyBytes bounds the memory of all kept answers. The oldest are dropped
+	// first; that their keys ran is remembered all the same.
+	ReplyBytes int
 	// Disabled forgets everything; only checks of the checkers set it.
 	Disabled bool
 }
@@ -64,6 +69,8 @@
 	entries   map[string]*onceEntry
 	order     *list.List
 	forgotten time.Time
+	// replyBytes is the memory of the kept answers.
+	replyBytes int
 }
 
 type onceEntry struct {
@@ -121,9 +128,26 @@
 	if entry, known := t.entries[key.Value]; known {
 		entry.done = true
 		entry.outcome = outcome
+		t.replyBytes += outcome.Size
+		t.dropReplies()
 	}
 }
 
+// dropReplies drops the oldest answers until the rest fit.
+func (t *onceTable) dropReplies() {
+	for element := t.order.Front(); element != nil && t.replyBytes > t.config.ReplyBytes; element = element.Next() {
+		if entry, ok := element.Value.(*onceEntry); ok {
+			entry.dropReply(t)
+		}
+	}
+}
+
+func (e *onceEntry) dropReply(t *onceTable) {
+	t.replyBytes -= e.outcome.Size
+	e.outcome.Reply = nil
+	e.outcome.Size = 0
+}
+
 // release forgets a key whose request was certainly not run.
 func (t *onceTable) release(key Key) {
 	if entry, known := t.entries[key.Value]; known {
@@ -154,6 +178,7 @@
 }
 
 func (t *onceTable) forget(entry *onceEntry) {
+	entry.dropReply(t)
 	t.order.Remove(entry.element)
 	delete(t.entries, entry.key.Value)
 	if entry.key.Issued.After(t.forgotten) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,8 +27,10 @@
 	// OwnerWait is how long a keyed request may wait for the load bound.
 	// Default 2s.
 	OwnerWait time.Duration
-	// KeyCapacity is the number of keys remembered. Default 100000.
+	// KeyCapacity is the number of keys remembered, ReplyBytes the memory of
+	// their kept answers. Defaults 20000 and 8 MiB.
 	KeyCapacity int
+	ReplyBytes  int
 	// Disable switches mechanisms off to show that the checkers notice.
 	Disable Disable
 }
@@ -54,7 +56,8 @@
 		Coordination:  coordination.DefaultConfig(),
 		IsolatedAfter: 5 * time.Second,
 		OwnerWait:     2 * time.Second,
-		KeyCapacity:   100_000,
+		KeyCapacity:   20_000,
+		ReplyBytes:    8 << 20,
 	}
 }
 
@@ -89,6 +92,7 @@
 		ClockError: defaultClockError,
 		Memory:     bundle.KeyMemory,
 		Capacity:   config.KeyCapacity,
+		ReplyBytes: config.ReplyBytes,
 		Disabled:   config.Disable.Keys,
 	}
 	if config.Disable.KeyAge {
--- a/internal/agent/agenthttp/forward.go
+++ b/internal/agent/agenthttp/forward.go
@@ -23,6 +23,9 @@
 // maxKeptReply bounds the answer that is kept for a repeat, in bytes.
 const maxKeptReply = 64 << 10
 
+// keptReplyOverhead is the rough memory of a kept answer beside its body.
+const keptReplyOverhead = 1 << 10
+
 // keptReply is a whole answer under an idempotency key.
 type keptReply struct {
 	status int
@@ -123,6 +126,7 @@
 		header := http.Header{}
 		hop.CopyHeaders(header, response.Header)
 		outcome.Reply = &keptReply{status: response.StatusCode, header: header, body: k.body.Bytes()}
+		outcome.Size = k.body.Len() + keptReplyOverhead
 	}
 	return outcome
 }
