--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bundle"
+	"github.com/harriernotch/harriernotch/internal/coordination"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/membership"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// newRouter returns a ready router before a pool of three engines.
+func newRouter(t *testing.T, change func(*Config)) *Core {
+	t.Helper()
+	key := ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", ed25519.SeedSize)))
+	trusted := []ed25519.PublicKey{key.Public().(ed25519.PublicKey)}
+	text := "format = 1\n[[tenants]]\nname = \"t\"\nrequests_per_second = 10.0\nburst = 5.0\nkey_sha256 = [\"" + bundle.HashKey("k") + "\"]\n" +
+		"[[tenants]]\nname = \"free\"\nkey_sha256 = [\"" + bundle.HashKey("f") + "\"]\n" +
+		"[[pools]]\nname = \"p\"\nkind = \"engine\"\nmodels = [\"m\"]\n"
+	for i := range 3 {
+		text += fmt.Sprintf("[[pools.back_ends]]\nid = \"e%d\"\nagent = \"10.0.0.%d:7300\"\nzone = \"z\"\n", i, i+1)
+	}
+	raw, err := bundle.Sign(bundle.Header{Number: 1, Identifier: "x"}, []byte(text), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := DefaultConfig(coordination.Identity{ID: "r", Role: membership.RoleRouter, Zone: "z"})
+	if change != nil {
+		change(&config)
+	}
+	open := func(raw []byte) (*bundle.Bundle, error) { return bundle.Open(raw, trusted) }
+	core := New(config, open, bundle.NewAcceptor(trusted), start)
+	core.Control(start, coordination.PlatformBundle{Raw: raw, Version: 1, AskedAt: start})
+	return core
+}
+
+func request(tenant string) Request {
+	return Request{ID: "id", Tenant: tenant, Pool: "p", ChatKey: "chat", Deadline: start.Add(time.Minute)}
+}
+
+func refusal(kind failure.Kind) hop.Reply {
+	return hop.Reply{Refused: true, Kind: kind.String(), Load: 3, RetryAfterMillis: 700}
+}
+
+func TestNotRunGoesOnAndUnknownDoesNot(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, nil)
+	exchange, first := core.Begin(start, request("free"))
+	second := core.Refused(start, exchange, refusal(failure.OverBound))
+	is.True(second.Send != nil)
+	is.True(second.Send.BackEnd != first.Send.BackEnd)
+	is.Equal(second.Send.Head.LoadsMet[0].BackEnd, first.Send.BackEnd)
+	third := core.NotSent(start, exchange)
+	is.True(third.Send != nil)
+	is.Equal(third.Send.Head.Unreachable, []string{second.Send.BackEnd})
+	last := core.Lost(start, exchange)
+	is.Equal(last.GiveUp.Kind, failure.BackendFailed)
+	is.Equal(last.GiveUp.Kind.Answer().Ran, failure.RanUnknown)
+}
+
+func TestFinalRefusalsAreNotTriedElsewhere(t *testing.T) {
+	for _, kind := range []failure.Kind{failure.OutcomeUnknown, failure.KeyReused, failure.KeyInProgress} {
+		is := is.New(t)
+		core := newRouter(t, nil)
+		exchange, _ := core.Begin(start, request("free"))
+		is.Equal(core.Refused(start, exchange, refusal(kind)).GiveUp.Kind, kind)
+	}
+}
+
+func TestGivesUpAtOnceWhenTheBudgetOrTheTimeIsSpent(t *testing.T) {
+	is := is.New(t)
+	poor := newRouter(t, func(c *Config) { c.RetryRatio, c.RetryCapacity = 0, 0 })
+	exchange, _ := poor.Begin(start, request("free"))
+	given := poor.Refused(start, exchange, refusal(failure.OverBound))
+	is.Equal(given.GiveUp.Kind, failure.OverBound)
+	is.Equal(given.GiveUp.Wait(), 700*time.Millisecond) // when to come back
+	late := newRouter(t, nil)
+	exchange, _ = late.Begin(start, request("free"))
+	is.Equal(late.Refused(start.Add(2*time.Minute), exchange, refusal(failure.OverBound)).GiveUp.Kind, failure.DeadlineUnmeetable)
+}
+
+func TestTenantOverItsLimitIsToldWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, nil)
+	for range 5 {
+		_, decision := core.Begin(start, request("t"))
+		is.True(decision.Send != nil)
+	}
+	_, decision := core.Begin(start, request("t"))
+	is.Equal(decision.GiveUp.Kind, failure.RateLimited)
+	is.Equal(decision.GiveUp.Wait(), 100*time.Millisecond)
+	_, decision = core.Begin(start, request("free"))
+	is.True(decision.Send != nil) // another tenant isn't touched
+}
+
+func TestLeavingMemberGetsNothingMore(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, nil)
+	exchange, first := core.Begin(start, request("free"))
+	reply := refusal(failure.Leaving)
+	reply.News.Records = []membership.Record{{ID: first.Send.BackEnd, Incarnation: 1}}
+	is.True(core.Refused(start, exchange, reply).Send != nil)
+	_, next := core.Begin(start, request("free"))
+	is.True(next.Send.BackEnd != first.Send.BackEnd)
+}
+
+func TestDrainingRouterFailsReadinessAndStillServes(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, nil)
+	is.True(core.Ready(start))
+	core.Drain(start)
+	is.True(!core.Ready(start))
+	_, decision := core.Begin(start, request("free"))
+	is.True(decision.Send != nil) // until the balancer has noticed
+}
