--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -317,7 +317,7 @@
 // lasted long enough to mean something.
 func (c *Core) observeMember(now time.Time, pool *bundle.Pool, id string) (load admission.ObservedLoad, counts bool) {
 	awake := c.node.AwakeSince()
-	settling := now.Sub(awake) <= c.config.Coordination.Membership.SilentAfter
+	settling := now.Sub(awake) <= c.settleTime(pool)
 	table := c.node.Table()
 	entry := table.Entry(id)
 	if entry == nil {
@@ -335,6 +335,14 @@
 	return admission.ObservedLoad{Member: id, Load: int(entry.Load), At: entry.At}, true
 }
 
+// settlePerMember stretches the time that a process takes to learn of its pool.
+const settlePerMember = 30 * time.Millisecond
+
+// settleTime is how long after a start or a pause silence means nothing yet.
+func (c *Core) settleTime(pool *bundle.Pool) time.Duration {
+	return c.config.Coordination.Membership.SilentAfter + time.Duration(len(pool.BackEnds))*settlePerMember
+}
+
 // isSilent tells whether a member is taken for dead: it was silent for long, or
 // for one window while a router could not reach it either. Neither sign alone
 // is enough within that time: a router may be cut off, and gossip may be late.
--- a/internal/bundle/model.go
+++ b/internal/bundle/model.go
@@ -129,8 +129,6 @@
 	Zone   string `toml:"zone"`
 	// Leaving withdraws the back end: it gets no new work.
 	Leaving bool `toml:"leaving"`
-	// ChecksFence says that the back end refuses orders with an old epoch.
-	ChecksFence bool `toml:"checks_fence"`
 }
 
 // Tenant is one organisation's share of the fleet.
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -47,8 +47,8 @@
 
 // Pending returns up to limit records that the peer lacks and accept takes, and
 // counts them as sent. The node's own record goes first, then nodes that the
-// peer has never heard of or that changed state or incarnation, then the latest
-// loads.
+// peer has never heard of or that changed state or incarnation, agents before
+// routers, then the latest loads.
 func (l *Link) Pending(now time.Time, table *Table, limit int, accept Filter) []Record {
 	var records []Record
 	if self := table.Self(); l.lacks(self) {
@@ -88,5 +88,8 @@
 		}
 		return 1
 	}
+	if a.changed && a.entry.Role != b.entry.Role {
+		return cmp.Compare(a.entry.Role, b.entry.Role)
+	}
 	return cmp.Compare(b.entry.At.UnixNano(), a.entry.At.UnixNano())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -184,9 +184,8 @@
 	}
 	c.budget.Earn()
 	routed := routing.Request{
-		ChatKey:  request.ChatKey,
-		Token:    request.Token,
-		Deadline: request.Deadline,
+		ChatKey: request.ChatKey,
+		Token:   request.Token,
 	}
 	if request.Key != "" {
 		routed.Owner = current.OwnerOf(pool, request.Key, request.KeyIssued)
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -63,8 +63,6 @@
 	Token *ChatToken
 	// Owner is the only back end that may run the request, or "".
 	Owner string
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
 }
 
 // LoadMet is the load that a refusing back end reported: evidence of the pool's
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -22,11 +22,6 @@
 	PromiseStorm   = "no retry storm"
 )
 
-// Promises lists them all.
-func Promises() []string {
-	return []string{PromiseBound, PromiseOwn, PromiseNotRun, PromiseOnce, PromiseLeaving, PromiseStop, PromiseBundle, PromiseAtOnce, PromiseStorm}
-}
-
 const (
 	// leavingWithin is how long after leaving is known anywhere an agent may
 	// still begin to take work.
@@ -65,7 +60,6 @@
 	unsettled map[string]time.Time
 	leaving   map[string]time.Time
 	planned   bool
-	killed    bool
 	toldNo    map[string]bool
 }
 
@@ -299,8 +293,8 @@
 
 func (c *checks) restarted(n *node) { delete(c.leaving, n.process.id) }
 
-// attemptsPerRequest bounds a router's attempts: one each, the ratio of the
-// retry budget, and what the budget had saved up.
+// finish checks the attempts of the whole run: one for each request, the ratio of
+// the retry budget, and what the budgets had saved up.
 func (c *checks) finish() {
 	m := c.s.measure
 	allowed := float64(m.requests)*1.5 + 50*float64(c.s.options.Size.Routers+m.routerStarts)
--- a/internal/simulation/exchange.go
+++ b/internal/simulation/exchange.go
@@ -295,6 +295,8 @@
 	r.done = true
 	delete(n.exchanges, r)
 	n.s.loop.log("%s answers %s: %s after %d attempts", n.process.id, r.id, o, r.exchange.Attempts())
+	// The request itself is kept until its deadline; its route is large.
+	r.exchange = nil
 	n.s.loop.after(latencyCallers, func() { r.caller.answered(r, o) })
 }
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -132,7 +132,6 @@
 		return
 	}
 	s.checks.disturb(n)
-	s.checks.killed = true
 	n.machineDown = machine
 	n.stop(machine)
 	s.loop.after(max(span, time.Second), func() { s.restart(n) })
--- a/internal/simulation/size.go
+++ b/internal/simulation/size.go
@@ -57,13 +57,13 @@
 	fleet.loadMultiple, fleet.maxRunning = 1.25, 96
 	quarter := fleet
 	quarter.Name, quarter.Routers, quarter.Engines, quarter.ChatRate, quarter.Tenants = "quarter", 85, 33, 1075, 130
-	// The fleet's nodes under a tenth of its traffic, for its control plane.
-	light := fleet
-	light.Name, light.ChatRate = "fleet-light", 430
+	// One of the fleet's five pools with its share of routers and traffic.
+	fifth := fleet
+	fifth.Name, fifth.Models, fifth.Routers, fifth.ChatRate, fifth.Tenants = "fifth", 1, 68, 860, 104
 	small := swanCoast
 	small.Name, small.Zones, small.Routers, small.Engines, small.Services = "small", 3, 3, 6, 3
 	small.ChatRate, small.ServiceRate, small.Tenants, small.Pause = 6, 4, 4, 30*time.Second
-	return []Size{swanCoast, beridze, fleet, quarter, light, small}
+	return []Size{swanCoast, beridze, fleet, quarter, fifth, small}
 }
 
 // SizeByName returns the size with the name.
