--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -41,7 +41,7 @@
 	var events []CacheEvent
 	is.NoErr(json.NewDecoder(call(t, handler, "GET", "/cache/events?after=0", "").Body).Decode(&events))
 	is.Equal(len(events), 5) // three stored, two evicted
-	exported := call(t, handler, "GET", fmt.Sprintf("/kv/%d", events[4].Prefix), "")
+	exported := call(t, handler, "GET", fmt.Sprintf("/kv/%d", events[3].Prefix), "")
 	is.Equal(exported.Code, http.StatusNotFound) // it was evicted
 }
 
