Neither routers nor agents hold up the others' records on a link

Cause: 1000 nodes that just came up broke the load bound (load 2 where 1 was the bound, mean 0.6). The existence of 340 routers went before the loads of agents on every link and took them 18 s. Ruled out: the settling time after a start (longer by 30 ms a member, with the same result) and one pool of 132 alone, which holds.

Change: routers get a quarter of the places on a link, agents the rest.

--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -46,15 +46,17 @@
 type Filter func(record Record, changed bool) bool
 
 // Pending returns up to limit records that the peer lacks and accept takes, and
-// counts them as sent. The node's own record goes first, then nodes that the
-// peer has never heard of or that changed state or incarnation, agents before
-// routers, then the latest loads.
+// counts them as sent. The node's own record goes first. Among the others those
+// come first that the peer has never heard of or that changed state or
+// incarnation, then the latest. Routers get a quarter of the places, so that
+// neither a flood of new routers holds up the loads of agents, nor the loads of
+// many agents the news of routers.
 func (l *Link) Pending(now time.Time, table *Table, limit int, accept Filter) []Record {
 	var records []Record
 	if self := table.Self(); l.lacks(self) {
 		records = append(records, self)
 	}
-	var candidates []pendingRecord
+	var agents, routers []pendingRecord
 	table.Entries(func(entry *Entry) {
 		if !l.lacks(entry.Record) {
 			return
@@ -63,13 +65,14 @@
 		if !accept(entry.Record, changed) {
 			return
 		}
-		candidates = append(candidates, pendingRecord{entry: entry, changed: changed})
-	})
-	slices.SortStableFunc(candidates, comparePending)
-	for _, candidate := range candidates {
-		if len(records) >= limit {
-			break
+		candidate := pendingRecord{entry: entry, changed: changed}
+		if entry.Role == RoleRouter {
+			routers = append(routers, candidate)
+		} else {
+			agents = append(agents, candidate)
 		}
+	})
+	for _, candidate := range share(agents, routers, limit-len(records)) {
 		records = append(records, aged(now, candidate.entry))
 	}
 	l.Received(records)
@@ -81,6 +84,20 @@
 	changed bool
 }
 
+// routerShare is the part of the places, one in so many, that routers get.
+const routerShare = 4
+
+// share divides the places between agents and routers. What one side doesn't
+// need the other gets.
+func share(agents, routers []pendingRecord, places int) []pendingRecord {
+	slices.SortStableFunc(agents, comparePending)
+	slices.SortStableFunc(routers, comparePending)
+	reserved := min(len(routers), (places+routerShare-1)/routerShare)
+	taken := agents[:min(len(agents), max(0, places-reserved))]
+	left := max(0, places-len(taken))
+	return append(taken, routers[:min(len(routers), left)]...)
+}
+
 func comparePending(a, b pendingRecord) int {
 	if a.changed != b.changed {
 		if a.changed {
@@ -88,8 +105,5 @@
 		}
 		return 1
 	}
-	if a.changed && a.entry.Role != b.entry.Role {
-		return cmp.Compare(a.entry.Role, b.entry.Role)
-	}
 	return cmp.Compare(b.entry.At.UnixNano(), a.entry.At.UnixNano())
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,6 +128,27 @@
 	is.Equal(pending[0].State, StateLeaving)
 }
 
+func TestNeitherRoutersNorAgentsHoldUpTheOthers(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	link := NewLink()
+	for i := range 20 {
+		table.Merge(start, []Record{
+			{ID: fmt.Sprint("e", i), Incarnation: 1},
+			{ID: fmt.Sprint("r", i), Role: RoleRouter, Incarnation: 1},
+		})
+	}
+	pending := link.Pending(start, table, 9, all) // the node's own and eight more
+	routers := 0
+	for _, record := range pending {
+		if record.Role == RoleRouter {
+			routers++
+		}
+	}
+	is.Equal(len(pending), 9)
+	is.Equal(routers, 2)
+}
+
 func TestFreshestReturnsTheLatestWithTheirAge(t *testing.T) {
 	is := is.New(t)
 	table := newTable()
