--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -76,7 +76,7 @@
 	startedAt   time.Time
 	firstHeard  time.Time
 	heardFrom   map[string]bool
-	platformRed bool
+	platformAnswered bool
 	done        bool
 }
 
@@ -152,7 +152,7 @@
 		return
 	}
 	heardLong := !n.join.firstHeard.IsZero() && now.Sub(n.join.firstHeard) >= n.config.JoinWait
-	n.join.done = n.join.platformRed || len(n.join.heardFrom) >= n.config.JoinPeers || heardLong
+	n.join.done = n.join.platformAnswered || len(n.join.heardFrom) >= n.config.JoinPeers || heardLong
 }
 
 // Step takes one event and returns the actions that it causes.
--- a/internal/coordination/platform.go
+++ b/internal/coordination/platform.go
@@ -48,7 +48,7 @@
 // has joined nothing, and has waited for peers. The wait is spread by the
 // node's name, so that a zone that returns doesn't call all at once.
 func (n *Node) needsPlatform(now time.Time) bool {
-	if n.join.platformRed || n.Bundle() != nil {
+	if n.join.platformAnswered || n.Bundle() != nil {
 		return false
 	}
 	spread := time.Duration(n.spread(0) * float64(n.config.JoinWait))
@@ -93,7 +93,7 @@
 	n.platform.backoff = 0
 	n.platform.failures = 0
 	n.platform.version = event.Version
-	n.join.platformRed = true
+	n.join.platformAnswered = true
 	if event.Unchanged {
 		n.acceptor.Confirm(n.acceptor.Number(), event.AskedAt)
 		return nil
