--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -73,11 +73,11 @@
 
 // joinState follows a fresh node until it may trust its bundle.
 type joinState struct {
-	startedAt   time.Time
-	firstHeard  time.Time
-	heardFrom   map[string]bool
+	startedAt        time.Time
+	firstHeard       time.Time
+	heardFrom        map[string]bool
 	platformAnswered bool
-	done        bool
+	done             bool
 }
 
 // fetchState is the one outstanding request for a bundle.
