--- /dev/null
+++ b/internal/admission/bound_test.go
@@ -0,0 +1,66 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestLimitFor(t *testing.T) {
+	up := BoundPolicy{Multiple: 1.25, Window: time.Second}
+	down := BoundPolicy{Multiple: 1.25, Window: time.Second, RoundDown: true}
+	old := []ObservedLoad{{Load: 50, At: start.Add(-2 * time.Second)}}
+	cases := map[string]struct {
+		policy   BoundPolicy
+		own      int
+		others   []ObservedLoad
+		evidence []ObservedLoad
+		want     int
+	}{
+		"alone, idle":                         {up, 0, nil, nil, 2},
+		"alone, busy":                         {up, 9, nil, nil, 13},
+		"alone, rounded down":                 {down, 9, nil, nil, 12},
+		"empty pool":                          {up, 0, observed(0, 0, 0), nil, 1},
+		"empty pool, rounded down":            {down, 0, observed(0, 0, 0), nil, 1},
+		"mean 8":                              {up, 7, observed(8, 8, 8), nil, 10},
+		"mean 8.25 up":                        {up, 8, observed(8, 8, 8), nil, 11},
+		"mean 8.25 down":                      {down, 8, observed(8, 8, 8), nil, 10},
+		"down never below the rounded mean":   {down, 1, observed(1, 1, 2), nil, 2},
+		"an old high load can't raise":        {up, 1, append(observed(1), old...), nil, 2},
+		"nor can it beside a high own load":   {up, 11, append(observed(3), old...), nil, 8},
+		"nothing fresh: the old is believed":  {up, 1, old, nil, 33},
+		"evidence replaces what was observed": {up, 1, observed(1, 1), met(6, 6), 6},
+		"evidence of one member":              {up, 1, observed(1, 1), met(6), 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(c.policy.LimitFor(start, c.own, c.others, c.evidence, 24*time.Hour).Max, c.want)
+		})
+	}
+}
+
+// TestSomeMemberAlwaysHasRoom: whatever the loads, a member with the least load
+// that knows them all admits, so that a pool never refuses everywhere.
+func TestSomeMemberAlwaysHasRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.IntRange(0, 60), 1, 30).Draw(t, "loads")
+		policy := BoundPolicy{Multiple: rapid.Float64Range(1.05, 3).Draw(t, "c"), RoundDown: rapid.Bool().Draw(t, "down"), Window: time.Second}
+		least := 0
+		for i, load := range loads {
+			if load < loads[least] {
+				least = i
+			}
+		}
+		var others []ObservedLoad
+		for i, load := range loads {
+			if i != least {
+				others = append(others, ObservedLoad{Load: load, At: start})
+			}
+		}
+		if limit := policy.LimitFor(start, loads[least], others, nil, time.Second); loads[least]+1 > limit.Max {
+			t.Fatalf("loads %v: the least loaded member refuses at %d", loads, limit.Max)
+		}
+	})
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -131,6 +131,18 @@
 
 const benchWorkers = 16
 
+// runEach runs a case against the back end itself and through the two hops.
+func runEach(b *testing.B, handler http.Handler, run func(b *testing.B, url string)) {
+	b.Run("direct", func(b *testing.B) {
+		run(b, startBenchFleet(b, hop.HTTP1, handler).backEnd)
+	})
+	for _, protocol := range []hop.Protocol{hop.HTTP1, hop.HTTP2} {
+		b.Run(string(protocol), func(b *testing.B) {
+			run(b, startBenchFleet(b, protocol, handler).router)
+		})
+	}
+}
+
 // BenchmarkRequest measures plain chats. Compare direct with the two protocols.
 func BenchmarkRequest(b *testing.B) {
 	answer := bytes.Repeat([]byte("x"), 400)
@@ -155,14 +167,7 @@
 			wait.Wait()
 		})
 	}
-	b.Run("direct", func(b *testing.B) {
-		run(b, startBenchFleet(b, hop.HTTP1, handler).backEnd)
-	})
-	for _, protocol := range []hop.Protocol{hop.HTTP1, hop.HTTP2} {
-		b.Run(string(protocol), func(b *testing.B) {
-			run(b, startBenchFleet(b, protocol, handler).router)
-		})
-	}
+	runEach(b, handler, run)
 }
 
 // BenchmarkEvent measures streamed events, paced as an engine would, so that
@@ -200,12 +205,5 @@
 			})
 		}
 	}
-	b.Run("direct", func(b *testing.B) {
-		run(b, startBenchFleet(b, hop.HTTP1, handler).backEnd)
-	})
-	for _, protocol := range []hop.Protocol{hop.HTTP1, hop.HTTP2} {
-		b.Run(string(protocol), func(b *testing.B) {
-			run(b, startBenchFleet(b, protocol, handler).router)
-		})
-	}
+	runEach(b, handler, run)
 }
