--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -163,3 +163,17 @@
 		})
 	}
 }
+
+// TestColdFleetTakesWorkWithRoom starts the callers' full traffic before a fleet
+// that has just come up. Pools fill from nothing, and must not refuse what they
+// have room for.
+func TestColdFleetTakesWorkWithRoom(t *testing.T) {
+	chosen, _ := ScenarioByName("steady")
+	size, _ := SizeByName("swan-coast")
+	o := chosen.Options(1, size, Policies()[0], 10*time.Second)
+	o.Warmup = 100 * time.Millisecond
+	const allowed = 0.01
+	if refused := run(t, o).RefusedWithRoom; refused > allowed {
+		t.Fatalf("%.1f%% of the requests were refused although their pool had room", 100*refused)
+	}
+}
