A stream cut by its engine never looks whole, nor is it replayed as whole

Cause, found by reading the change once more: (1) after any failure to pass a keyed answer on, the agent took the rest of it and kept it for a repeat; a stream that the engine had ended without its closing event was then kept as whole. (2) The new test showed that a short cut stream reached its caller with a Content-Length and so ended as a whole answer. Ruled out: unkeyed streams with chunked encoding, which were broken off visibly before.

Change: the rest is taken only when the receiver broke off; a stream's length is not passed on.

--- a/internal/agent/agenthttp/forward.go
+++ b/internal/agent/agenthttp/forward.go
@@ -87,7 +87,7 @@
 	copier.Observe = kept.observe
 	if err := copier.Copy(w, response.Body); err != nil {
 		s.config.Log.WithField("request", head.RequestID).WithError(err).Info("answer broke off")
-		if head.Key != "" {
+		if head.Key != "" && hop.ReceiverGone(err) {
 			// The run went on without its caller; take the rest of the answer.
 			if _, err := io.Copy(kept, response.Body); err == nil {
 				return kept.outcome(response)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -239,6 +239,30 @@
 	})
 }
 
+// TestCutStreamIsNeverReplayedAsWhole lets an engine end keyed streams without
+// their closing event: a repeat must hear that the outcome is unknown.
+func TestCutStreamIsNeverReplayedAsWhole(t *testing.T) {
+	inFleet(t, hop.HTTP1, func(f *fleet) {
+		is := is.New(f.t)
+		cut := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", hop.EventStream)
+			_, _ = w.Write([]byte("data: {}\n\n"))
+		})
+		for _, id := range []string{"engine-1", "engine-2"} {
+			is.NoErr(f.network.listeners[addressOf(id, "back-end")].Close())
+			f.serveStandIn(id, cut)
+		}
+		c := chat{text: "verdict", stream: true, header: http.Header{"Idempotency-Key": {newKey()}, "Harriernotch-Repeatable": {"no"}}}
+		first, err := f.chat(c)
+		is.NoErr(err)
+		is.True(first.readErr != nil) // visibly broken
+		c.router = "router-2"
+		again, err := f.chat(c)
+		is.NoErr(err)
+		is.Equal(again.header.Get(failure.HeaderKind), failure.OutcomeUnknown.String())
+	})
+}
+
 func TestRestartedOwnerNeverRunsAnOldKey(t *testing.T) {
 	inFleet(t, hop.HTTP1, func(f *fleet) {
 		is := is.New(f.t)
--- a/internal/hop/copy.go
+++ b/internal/hop/copy.go
@@ -33,6 +33,19 @@
 // ErrStreamCut means that a stream ended without its closing event.
 var ErrStreamCut = errors.New("the stream ended without its closing event")
 
+// receiverError marks a failure to pass an answer on: its source is still whole.
+type receiverError struct{ cause error }
+
+func (e *receiverError) Error() string { return "pass the answer on: " + e.cause.Error() }
+func (e *receiverError) Unwrap() error { return e.cause }
+
+// ReceiverGone tells whether a copy failed since its receiver broke off, and not
+// its source.
+func ReceiverGone(err error) bool {
+	var gone *receiverError
+	return errors.As(err, &gone)
+}
+
 // Copier passes an answer's body on.
 type Copier struct {
 	// Stream flushes every piece.
@@ -45,10 +58,14 @@
 
 // NewCopier returns the copier for an answer to a request for the path.
 func NewCopier(path string, header http.Header) Copier {
-	stream := strings.HasPrefix(header.Get("Content-Type"), EventStream)
+	stream := isEventStream(header)
 	return Copier{Stream: stream, RequireEnd: stream && strings.HasPrefix(path, ChatPathPrefix)}
 }
 
+func isEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), EventStream)
+}
+
 // Copy copies until the end. An error means that the answer is not whole,
 // whether its source or its receiver broke off.
 func (c Copier) Copy(w http.ResponseWriter, source io.Reader) error {
@@ -84,13 +101,13 @@
 		c.Observe(piece)
 	}
 	if _, err := w.Write(piece); err != nil {
-		return errors.Wrap(err, "pass the answer on")
+		return &receiverError{err}
 	}
 	if !c.Stream {
 		return nil
 	}
 	if err := controller.Flush(); err != nil {
-		return errors.Wrap(err, "pass the answer on")
+		return &receiverError{err}
 	}
 	return nil
 }
--- a/internal/hop/headers.go
+++ b/internal/hop/headers.go
@@ -44,10 +44,11 @@
 }
 
 // CopyAnswerHeaders copies an answer's headers to the next hop. A known length
-// is passed on, so that a short answer can't look whole.
+// is passed on, so that a short answer can't look whole. A stream's is not: one
+// that lacks its closing event must still be broken off visibly at its end.
 func CopyAnswerHeaders(to http.Header, answer *http.Response) {
 	CopyHeaders(to, answer.Header)
-	if answer.ContentLength >= 0 {
+	if answer.ContentLength >= 0 && !isEventStream(answer.Header) {
 		to.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
 }
