--- a/cmd/harriernotchd/main.go
+++ b/cmd/harriernotchd/main.go
@@ -6,10 +6,15 @@
 	"os"
 
 	"github.com/harriernotch/harriernotch/internal/cli"
+	"github.com/harriernotch/harriernotch/platform"
 )
 
 func main() {
-	if err := cli.NewDaemonCommand().Execute(); err != nil {
+	command := cli.NewDaemonCommand(cli.Platform{
+		Adapter:      platform.Adapter{},
+		SettingsPath: platform.SettingsPath(),
+	})
+	if err := command.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "harriernotchd:", err)
 		os.Exit(1)
 	}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -13,12 +13,21 @@
 
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/demo"
+	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/telemetry"
 )
 
+// Platform is the platform that gateways of this program run on.
+type Platform struct {
+	// Adapter joins a gateway to it.
+	Adapter daemon.Adapter
+	// SettingsPath is where it laid the settings file, or "".
+	SettingsPath string
+}
+
 // NewDaemonCommand returns the commands of harriernotchd.
-func NewDaemonCommand() *cobra.Command {
+func NewDaemonCommand(platform Platform) *cobra.Command {
 	var path string
 	command := &cobra.Command{
 		Use:           "harriernotchd",
@@ -27,20 +36,29 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runNode(cmd.Context(), path)
+			if path == "" {
+				return failure.New(failure.InvalidSettings, "no settings file is named; give one with --config")
+			}
+			return run(cmd.Context(), path, platform)
 		},
 	}
-	command.Flags().StringVar(&path, "config", "", "the settings file (required)")
-	_ = command.MarkFlagRequired("config")
+	command.Flags().StringVar(&path, "config", platform.SettingsPath, "the settings file")
 	command.AddCommand(newCheckConfigCommand(), newDemoCommand(), newStandInCommand())
 	return command
 }
 
-func runNode(ctx context.Context, path string) error {
+func run(ctx context.Context, path string, platform Platform) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
+	if s.Role == settings.RoleGateway {
+		return runGateway(ctx, path, s, platform.Adapter)
+	}
+	return runNode(ctx, s)
+}
+
+func runNode(ctx context.Context, s *settings.Settings) error {
 	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/daemon"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/settings"
+)
+
+// runGateway runs a gateway until SIGTERM; SIGHUP reads the settings anew.
+func runGateway(ctx context.Context, path string, s *settings.Settings, adapter daemon.Adapter) error {
+	// Signals are taken before anything else: a reload may come while the gateway
+	// starts, and must not end it.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return failure.Wrap(failure.InvalidSettings, err, "log.level")
+	}
+	log := eventlog.New(os.Stdout, level, logrus.Fields{"node": s.ID, "role": s.Role})
+	defer log.Close()
+	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Log: log})
+	if err != nil {
+		return err
+	}
+	awaitStop(ctx, path, node, signals, log)
+	drain, cancel := context.WithTimeout(context.Background(), node.DrainTimeout())
+	defer cancel()
+	node.Stop(drain)
+	return nil
+}
+
+// awaitStop returns when the gateway is to stop, and reloads until then.
+func awaitStop(ctx context.Context, path string, node *daemon.Gateway, signals <-chan os.Signal, log *eventlog.Log) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+			reload(path, node, log)
+		}
+	}
+}
+
+// reload reads the settings anew. Settings that can't be used leave the old ones
+// in force.
+func reload(path string, node *daemon.Gateway, log *eventlog.Log) {
+	s, err := settings.Load(path)
+	if err != nil {
+		log.Urgent(eventlog.ReloadFailed, logrus.Fields{"cause": err.Error()})
+		return
+	}
+	node.Reload(s)
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,202 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/follower"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/relay"
+	"github.com/harriernotch/harriernotch/internal/settings"
+	"github.com/harriernotch/harriernotch/internal/telemetry"
+)
+
+// Adapter joins a gateway to the platform that it runs on.
+type Adapter interface {
+	// Dialect returns the headers of the platform's callers and back ends.
+	Dialect() gateway.Dialect
+	// Source returns the platform's store at the base URL.
+	Source(url string, transport http.RoundTripper) follower.Source
+}
+
+// GatewayEnvironment is what a gateway takes from its surroundings.
+type GatewayEnvironment struct {
+	// Adapter joins the gateway to the platform.
+	Adapter Adapter
+	// Listen opens listeners; nil uses net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+	// Dial opens connections; nil uses TCP.
+	Dial hop.DialFunc
+	// Log takes the gateway's decisions.
+	Log *eventlog.Log
+}
+
+// Gateway is one running gateway.
+type Gateway struct {
+	settings *settings.Settings
+	log      *eventlog.Log
+	metrics  *telemetry.Metrics
+	state    *gateway.State
+	follower *follower.Follower
+	relay    *relay.Relay
+
+	callers *http.Server
+	others  []*http.Server
+	serving conc.WaitGroup
+}
+
+const (
+	// callerIdleTimeout is how long a caller's connection may rest.
+	callerIdleTimeout = 60 * time.Second
+	// callerHeaderTimeout bounds a caller's headers.
+	callerHeaderTimeout = 5 * time.Second
+	// killMargin is how long before the platform's kill a stop ends.
+	killMargin = 400 * time.Millisecond
+)
+
+// StartGateway opens the listeners and begins to serve.
+func StartGateway(s *settings.Settings, environment GatewayEnvironment) (*Gateway, error) {
+	if environment.Listen == nil {
+		environment.Listen = net.Listen
+	}
+	config := dispatch.DefaultConfig()
+	config.Zone = s.Zone
+	config.RetryRatio = *s.Gateway.RetryRatio
+	config.RetryExtra = *s.Gateway.RetryExtra
+	config.LoadMultiple = s.Gateway.LoadMultiple
+	config.LoadSlack = *s.Gateway.LoadSlack
+	g := &Gateway{
+		settings: s,
+		log:      environment.Log,
+		metrics:  telemetry.NewMetrics(),
+		state:    gateway.NewState(dispatch.New(config), environment.Log),
+	}
+	if err := g.serve(environment); err != nil {
+		return nil, err
+	}
+	g.follow(environment)
+	g.log.Urgent(eventlog.Started, logrus.Fields{
+		"callers": s.Listen.Callers, "peers": s.Listen.Peers, "admin": s.Listen.Admin, "zone": s.Zone,
+	})
+	return g, nil
+}
+
+// serve opens the three listeners.
+func (g *Gateway) serve(environment GatewayEnvironment) error {
+	listeners := map[string]net.Listener{}
+	for field, address := range map[string]string{
+		"listen.callers": g.settings.Listen.Callers,
+		"listen.peers":   g.settings.Listen.Peers,
+		"listen.admin":   g.settings.Listen.Admin,
+	} {
+		listener, err := environment.Listen("tcp", address)
+		if err != nil {
+			return failure.Wrap(failure.InvalidSettings, err, field+" can't be opened; free the port or choose another")
+		}
+		listeners[field] = listener
+	}
+	g.relay = relay.Start(relay.Config{
+		ID: g.settings.ID, Address: g.settings.Listen.Peers, Seeds: g.settings.Seeds,
+		State: g.state, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
+	})
+	handler := gateway.NewHandler(gateway.Config{
+		State:        g.state,
+		Dialect:      environment.Adapter.Dialect(),
+		Reused:       hop.NewDirectTransport(environment.Dial, true),
+		Fresh:        hop.NewDirectTransport(environment.Dial, false),
+		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
+		Log:          g.log,
+		Metrics:      g.metrics.Scope,
+	})
+	g.callers = g.newServer(handler)
+	g.callers.IdleTimeout = callerIdleTimeout
+	g.run(g.callers, listeners["listen.callers"])
+	for field, handler := range map[string]http.Handler{"listen.peers": g.relay, "listen.admin": g.adminHandler()} {
+		server := g.newServer(handler)
+		g.others = append(g.others, server)
+		g.run(server, listeners[field])
+	}
+	return nil
+}
+
+func (g *Gateway) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: newServerLog(g.log.Entry())}
+}
+
+func (g *Gateway) run(server *http.Server, listener net.Listener) {
+	g.serving.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.log.Entry().WithError(err).Error("a listener failed")
+		}
+	})
+}
+
+func (g *Gateway) follow(environment GatewayEnvironment) {
+	g.follower = follower.Start(follower.Config{
+		Source:     environment.Adapter.Source(g.settings.Platform.URL, hop.NewDirectTransport(environment.Dial, true)),
+		State:      g.state,
+		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
+		Log:        g.log,
+		Metrics:    g.metrics.Scope,
+	})
+}
+
+func (g *Gateway) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.state.Ready() {
+			failure.WriteHTTP(w, failure.New(failure.NotReady, "the gateway takes no new work"))
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.Handle("GET /metrics", g.metrics.Handler)
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.state.Status()) })
+	return mux
+}
+
+// Ready tells whether the gateway takes work.
+func (g *Gateway) Ready() bool { return g.state.Ready() }
+
+// Reload takes the settings that may change while the gateway runs: the seeds.
+func (g *Gateway) Reload(s *settings.Settings) {
+	g.relay.SetSeeds(s.Seeds)
+	g.log.Urgent(eventlog.Reloaded, logrus.Fields{"seeds": len(s.Seeds)})
+}
+
+// Stop drains the gateway: readiness fails at once, callers that still come are
+// served until the balancer has noticed, work in flight ends whole. The context
+// bounds the wait.
+func (g *Gateway) Stop(ctx context.Context) {
+	g.log.Urgent(eventlog.Stopping, logrus.Fields{"drain_delay": g.settings.DrainDelay.Std().String()})
+	g.state.Drain()
+	delay, cancel := context.WithTimeout(ctx, g.settings.DrainDelay.Std())
+	<-delay.Done()
+	cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.log.Entry().WithError(err).Warn("work in flight was cut off at the end of drain_timeout")
+		_ = g.callers.Close()
+	}
+	g.follower.Close()
+	g.relay.Close()
+	for _, server := range g.others {
+		_ = server.Close()
+	}
+	g.serving.Wait()
+	_ = g.metrics.Close()
+	g.log.Urgent(eventlog.Stopped, nil)
+}
+
+// DrainTimeout is how long a stop may take.
+func (g *Gateway) DrainTimeout() time.Duration { return g.settings.DrainTimeout.Std() - killMargin }
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,167 @@
+// Package dispatch decides, for one gateway, which back end gets a request, what
+// follows from each outcome of an attempt, and what the gateway believes of each
+// back end. A gateway sends straight to back ends: no agent stands between, so
+// the bound on load, at-most-once and drain are all decided here.
+//
+// Core is a state machine without I/O: callers pass in the time.
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/limits"
+)
+
+// Config tunes a Core.
+type Config struct {
+	// Zone is the gateway's own zone.
+	Zone string
+	// LoadMultiple and LoadSlack bound the load of a back end that caches
+	// prefixes: it gets a request only while its load is at most LoadMultiple
+	// times its pool's mean plus LoadSlack. Higher values keep more chats at the
+	// back end that caches them, and leave the pool less even.
+	LoadMultiple float64
+	LoadSlack    float64
+	// QueueFactor is how many requests per slot a back end is given before the
+	// gateway refuses instead.
+	QueueFactor float64
+	// RetryRatio and RetryExtra bound the further attempts of all gateways
+	// together in any window; see limits.ShareOfBudget.
+	RetryRatio float64
+	RetryExtra float64
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		LoadMultiple: 1.7,
+		LoadSlack:    1.5,
+		QueueFactor:  3,
+		RetryRatio:   0.2,
+		RetryExtra:   20,
+	}
+}
+
+// Core decides for one gateway. It is not safe for concurrent use.
+type Core struct {
+	config   Config
+	pools    map[string]*pool
+	members  map[string]*member
+	peers    peerLoads
+	holders  *holderMemory
+	paths    *pathMemory
+	budgets  map[string]*limits.ShareOfBudget
+	gateways int
+}
+
+// pool is the back ends of one service, by ID.
+type pool struct {
+	members []*member
+}
+
+// New returns a core that knows no back end.
+func New(config Config) *Core {
+	return &Core{
+		config:   config,
+		pools:    map[string]*pool{},
+		members:  map[string]*member{},
+		peers:    newPeerLoads(),
+		holders:  newHolderMemory(),
+		paths:    newPathMemory(),
+		budgets:  map[string]*limits.ShareOfBudget{},
+		gateways: 1,
+	}
+}
+
+// SetBackEnds replaces the list of back ends, which is ordered by ID. What is
+// believed of those that stay is kept.
+func (c *Core) SetBackEnds(now time.Time, list []catalog.BackEnd) {
+	members := make(map[string]*member, len(list))
+	pools := map[string]*pool{}
+	for _, backEnd := range list {
+		known := c.members[backEnd.ID]
+		if known == nil {
+			known = newMember(now)
+		}
+		known.backEnd = backEnd
+		members[backEnd.ID] = known
+		if pools[backEnd.Service] == nil {
+			pools[backEnd.Service] = &pool{}
+		}
+		pools[backEnd.Service].members = append(pools[backEnd.Service].members, known)
+	}
+	c.members = members
+	c.pools = pools
+}
+
+// SetGateways notes how many gateways share the work, this one included.
+func (c *Core) SetGateways(count int) {
+	c.gateways = max(count, 1)
+	for _, budget := range c.budgets {
+		budget.SetGateways(c.gateways)
+	}
+}
+
+// budget returns the service's budget for further attempts.
+func (c *Core) budget(service string) *limits.ShareOfBudget {
+	budget := c.budgets[service]
+	if budget == nil {
+		budget = limits.NewShareOfBudget(c.config.RetryRatio, c.config.RetryExtra, c.gateways)
+		c.budgets[service] = budget
+	}
+	return budget
+}
+
+// Load is the number of requests that a gateway has under way at a back end.
+type Load struct {
+	// BackEnd is the back end's ID.
+	BackEnd string `cbor:"1,keyasint"`
+	// Requests counts requests sent and not finished.
+	Requests int `cbor:"2,keyasint"`
+}
+
+// Loads returns this gateway's own loads for its peers, without zeros.
+func (c *Core) Loads() []Load {
+	var loads []Load
+	for _, pool := range c.pools {
+		for _, m := range pool.members {
+			if m.own > 0 {
+				loads = append(loads, Load{BackEnd: m.backEnd.ID, Requests: m.own})
+			}
+		}
+	}
+	return loads
+}
+
+// PeerLoads takes a peer's loads, which replace what it told before.
+func (c *Core) PeerLoads(now time.Time, peer string, loads []Load) {
+	c.peers.set(now, peer, loads)
+}
+
+// Belief is what the gateway believes of one back end, for status and logs.
+type Belief struct {
+	BackEnd catalog.BackEnd
+	Health  Health
+	// Own is this gateway's load, and Estimate that of all gateways.
+	Own      int
+	Estimate float64
+}
+
+// Beliefs returns the beliefs on all back ends by service and ID.
+func (c *Core) Beliefs(now time.Time) []Belief {
+	var beliefs []Belief
+	for _, service := range slices.Sorted(maps.Keys(c.pools)) {
+		for _, m := range c.pools[service].members {
+			beliefs = append(beliefs, Belief{
+				BackEnd:  m.backEnd,
+				Health:   m.health.status(now),
+				Own:      m.own,
+				Estimate: c.estimate(now, m),
+			})
+		}
+	}
+	return beliefs
+}
--- /dev/null
+++ b/internal/dispatch/exchange.go
@@ -0,0 +1,337 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// Part is one part of a prompt. Parts are shared between requests; the last one
+// belongs to the request or its chat.
+type Part struct {
+	// ID is the same wherever the part occurs.
+	ID string
+	// Tokens is its length.
+	Tokens int
+}
+
+// Request is what the core needs to know of a caller's request.
+type Request struct {
+	// ID is the request's own.
+	ID string
+	// Route is the route in force when it came.
+	Route *catalog.Route
+	// Path is the whole path, for failures that belong to it.
+	Path string
+	// Parts are the prompt's parts in order, or none.
+	Parts []Part
+	// Deadline is when the caller or the route ends the request.
+	Deadline time.Time
+}
+
+// affinity returns the ID of the last shared part, or "".
+func (r *Request) affinity() string {
+	switch len(r.Parts) {
+	case 0:
+		return ""
+	case 1:
+		return r.Parts[0].ID
+	default:
+		return r.Parts[len(r.Parts)-2].ID
+	}
+}
+
+// Phase is where an exchange stands.
+type Phase uint8
+
+// The phases of an exchange.
+const (
+	// Received: no attempt is under way.
+	Received Phase = iota
+	// Sent: an attempt waits for its answer.
+	Sent
+	// Answering: an answer is passed on.
+	Answering
+	// Ended: the caller has its final answer, or left.
+	Ended
+)
+
+// Exchange is one request on its way. The methods of Core drive it.
+type Exchange struct {
+	request Request
+	service string
+	phase   Phase
+	// attempts counts back ends that may have received the request.
+	attempts int
+	// connects counts connections that could not be made.
+	connects int
+	tried    []string
+	current  *member
+	// ran is what is known of all attempts so far.
+	ran    failure.Ran
+	ranked []string
+}
+
+// Attempts returns how many back ends may have received the request.
+func (x *Exchange) Attempts() int { return x.attempts }
+
+// Ran tells whether a back end ran the request, as far as is known.
+func (x *Exchange) Ran() failure.Ran { return x.ran }
+
+// Service returns the service that the request goes to.
+func (x *Exchange) Service() string { return x.service }
+
+func (x *Exchange) wasTried(m *member) bool {
+	for _, id := range x.tried {
+		if id == m.backEnd.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Send is an attempt to make.
+type Send struct {
+	// BackEnd is the target.
+	BackEnd catalog.BackEnd
+	// FetchFrom is the address of a back end that the target may copy the
+	// prompt's parts from, or "".
+	FetchFrom string
+	// Patience is how long to wait for the answer's head before another back end
+	// is tried; 0 means until the deadline.
+	Patience time.Duration
+	// Estimate is the load that decided, and Candidates among how many.
+	Estimate   float64
+	Candidates int
+}
+
+// Decision is what to do next: send, give up with an error, or, when both are
+// nil, pass on the answer at hand.
+type Decision struct {
+	Send   *Send
+	GiveUp *failure.Error
+}
+
+const (
+	// maxConnects bounds the back ends tried that can't be connected to.
+	maxConnects = 4
+	// leastPatience and patienceObjectives bound the wait for a head while
+	// another back end may be tried.
+	leastPatience      = time.Second
+	patienceObjectives = 3
+)
+
+// Begin takes a request and decides its first attempt.
+func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
+	x := &Exchange{request: request, ran: failure.RanNo}
+	seed := request.ID
+	if part := request.affinity(); part != "" {
+		seed = part
+	}
+	x.service = request.Route.Target(seed)
+	c.budget(x.service).Earn()
+	return x, c.attempt(now, x)
+}
+
+// attempt chooses a back end and notes the attempt.
+func (c *Core) attempt(now time.Time, x *Exchange) Decision {
+	if !now.Before(x.request.Deadline) {
+		return c.giveUp(x, failure.DeadlineUnmeetable, "the deadline passed before a back end answered")
+	}
+	chosen := c.choose(now, x)
+	if chosen == nil {
+		return c.giveUp(x, failure.PoolExhausted, "no back end of "+x.service+" has room")
+	}
+	send := &Send{
+		BackEnd:   chosen.backEnd,
+		FetchFrom: c.fetchSource(now, x, chosen),
+		Patience:  c.patience(x),
+		Estimate:  c.estimate(now, chosen),
+	}
+	if pool := c.pools[x.service]; pool != nil {
+		send.Candidates = len(pool.members)
+	}
+	x.phase = Sent
+	x.attempts++
+	x.tried = append(x.tried, chosen.backEnd.ID)
+	x.current = chosen
+	chosen.own++
+	chosen.health.sent(now)
+	return Decision{Send: send}
+}
+
+// patience bounds the wait for a head only while another attempt is allowed.
+func (c *Core) patience(x *Exchange) time.Duration {
+	route := x.request.Route
+	if !route.MayRepeat() || x.attempts+1 >= route.MaxAttempts || c.budget(x.service).Tokens() < 1 {
+		return 0
+	}
+	return max(leastPatience, patienceObjectives*route.Objective)
+}
+
+// giveUp ends the exchange. A request that may have run gets an answer that
+// promises nothing, whatever the last cause.
+func (c *Core) giveUp(x *Exchange, kind failure.Kind, message string) Decision {
+	x.phase = Ended
+	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
+		kind = failure.BackendFailed
+		message += "; an earlier attempt may have run"
+	}
+	return Decision{GiveUp: failure.New(kind, message)}
+}
+
+// release ends the current attempt.
+func (x *Exchange) release() *member {
+	m := x.current
+	x.current = nil
+	if m == nil {
+		return nil
+	}
+	m.own = max(m.own-1, 0)
+	return m
+}
+
+// NotConnected notes that nothing was sent, since no connection could be made.
+func (c *Core) NotConnected(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.settled()
+	m.health.unreachable(now)
+	x.attempts--
+	x.connects++
+	if x.connects >= maxConnects {
+		return c.giveUp(x, failure.BackendUnreachable, "no back end can be connected to")
+	}
+	return c.attempt(now, x)
+}
+
+// Refused notes that the back end said that it did not run the request.
+func (c *Core) Refused(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.settled()
+	if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
+		m.health.bad(now, c.errorRate(x.service, m))
+	} else {
+		m.health.answered(now)
+	}
+	return c.again(now, x, failure.PoolExhausted, "the back end did not take the request")
+}
+
+// Misdirected notes that the address belongs to another back end by now.
+func (c *Core) Misdirected(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.settled()
+	m.health.unreachable(now)
+	return c.again(now, x, failure.PoolExhausted, "the back end has gone")
+}
+
+// Broken notes that the attempt ended without an answer that can be used: the
+// request may have run.
+func (c *Core) Broken(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.settled()
+	m.health.broke(now)
+	x.ran = failure.RanUnknown
+	return c.again(now, x, failure.BackendFailed, "the back end broke off before it answered")
+}
+
+// Expired notes that no head came within the attempt's patience.
+func (c *Core) Expired(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.settled()
+	m.health.broke(now)
+	x.ran = failure.RanUnknown
+	return c.again(now, x, failure.TimedOut, "the back end did not answer in time")
+}
+
+// Failed notes an answer that reports a failure of the back end's own. It is
+// passed on unless another attempt may help.
+func (c *Core) Failed(now time.Time, x *Exchange) Decision {
+	m := x.current
+	x.ran = failure.RanYes
+	everywhere := c.paths.failsEverywhere(now, x.request.Path)
+	c.paths.note(now, x.request.Path, m.backEnd.ID)
+	if everywhere {
+		m.health.answered(now)
+	} else {
+		m.health.bad(now, c.errorRate(x.service, m))
+	}
+	if everywhere || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
+		x.phase = Answering
+		m.health.settled()
+		return Decision{}
+	}
+	x.release()
+	m.health.settled()
+	return c.attempt(now, x)
+}
+
+// Answered notes the head of an answer that can be passed on. load is the load
+// that it tells, or below 0.
+func (c *Core) Answered(now time.Time, x *Exchange, load int) {
+	m := x.current
+	x.phase = Answering
+	x.ran = failure.RanYes
+	m.health.settled()
+	m.health.good(now)
+	c.paths.clear(x.request.Path)
+	if load >= 0 {
+		m.report(now, load)
+	}
+	if part := x.request.affinity(); part != "" {
+		c.holders.note(now, part, m.backEnd.ID)
+	}
+}
+
+// Cut notes that an answer broke off after its head, and decides whether the
+// stream is continued elsewhere.
+func (c *Core) Cut(now time.Time, x *Exchange) Decision {
+	m := x.release()
+	m.health.broke(now)
+	if !x.request.Route.Resumable || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
+		x.phase = Ended
+		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
+	}
+	return c.attempt(now, x)
+}
+
+// Done notes that the exchange ended, whether whole or since the caller left.
+func (c *Core) Done(x *Exchange) {
+	waiting := x.phase == Sent
+	if m := x.release(); m != nil && waiting {
+		m.health.settled()
+	}
+	x.phase = Ended
+}
+
+// again decides on another attempt after one that gave no answer.
+func (c *Core) again(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
+	if x.ran != failure.RanNo && !x.request.Route.MayRepeat() {
+		return c.giveUp(x, kind, message)
+	}
+	if x.attempts >= x.request.Route.MaxAttempts || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
+		return c.giveUp(x, kind, message)
+	}
+	return c.attempt(now, x)
+}
+
+func (c *Core) mayRepeat(x *Exchange) bool {
+	return x.request.Route.MayRepeat() && x.attempts < x.request.Route.MaxAttempts
+}
+
+func (c *Core) hasOther(now time.Time, x *Exchange) bool { return len(c.candidates(now, x)) > 0 }
+
+// errorRate is the mean error rate of the service's other members.
+func (c *Core) errorRate(service string, but *member) float64 {
+	pool := c.pools[service]
+	if pool == nil || len(pool.members) < 2 {
+		return 1
+	}
+	total := 0.0
+	for _, m := range pool.members {
+		if m != but {
+			total += m.health.errorRate
+		}
+	}
+	return total / float64(len(pool.members)-1)
+}
--- /dev/null
+++ b/internal/dispatch/health.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import "time"
+
+// Health is what a gateway believes of a back end from the answers it gets; no
+// probe is sent.
+type Health uint8
+
+// The values of Health.
+const (
+	// Healthy back ends are chosen as usual.
+	Healthy Health = iota
+	// OnTrial means that its ejection has ended: one request at a time that may
+	// be repeated finds out whether it is back.
+	OnTrial
+	// Silent back ends have let requests wait without any answer.
+	Silent
+	// Ejected back ends broke off, could not be reached, or failed much more
+	// often than their pool.
+	Ejected
+)
+
+var healthNames = map[Health]string{Healthy: "healthy", OnTrial: "on_trial", Silent: "silent", Ejected: "ejected"}
+
+// String returns the name used in logs.
+func (h Health) String() string { return healthNames[h] }
+
+const (
+	// firstEjection and longestEjection bound the time without requests; it
+	// doubles with each failure in a row.
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+	// breaksToEject is the number of breaks in a row that eject. A connection
+	// that can't be made ejects at once.
+	breaksToEject = 2
+	// silenceLimit is how long requests may wait without any answer.
+	silenceLimit = time.Second
+	// errorWeight is the weight of the newest outcome in the error rate.
+	errorWeight = 0.15
+	// errorsToEject is the least error rate that ejects, and errorsOverPool how
+	// many times its pool's rate it must be.
+	errorsToEject  = 0.35
+	errorsOverPool = 2.0
+	// errorEjection is how long a failing back end is left alone.
+	errorEjection = 2 * time.Second
+	// trialPatience is how long after an ejection only requests that may be
+	// repeated are tried.
+	trialPatience = 2 * time.Second
+)
+
+// health is the state machine behind Health.
+type health struct {
+	failures     int
+	ejectedUntil time.Time
+	onTrial      bool
+	trials       int
+	errorRate    float64
+	awaiting     int
+	quietSince   time.Time
+}
+
+func (h *health) status(now time.Time) Health {
+	if now.Before(h.ejectedUntil) {
+		return Ejected
+	}
+	if h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit {
+		return Silent
+	}
+	if h.onTrial {
+		return OnTrial
+	}
+	return Healthy
+}
+
+// usable tells whether a request may go to the back end while others would do.
+func (h *health) usable(now time.Time, mayRepeat bool) bool {
+	switch h.status(now) {
+	case Healthy:
+		return true
+	case OnTrial:
+		return h.trials == 0 && (mayRepeat || now.Sub(h.ejectedUntil) > trialPatience)
+	default:
+		return false
+	}
+}
+
+// sent notes a request that waits for its answer.
+func (h *health) sent(now time.Time) {
+	if h.awaiting == 0 {
+		h.quietSince = now
+	}
+	h.awaiting++
+	if h.onTrial {
+		h.trials++
+	}
+}
+
+// settled notes the end of a wait, however it ended.
+func (h *health) settled() {
+	h.awaiting = max(h.awaiting-1, 0)
+	h.trials = max(h.trials-1, 0)
+}
+
+// answered notes an answer of the back end's own.
+func (h *health) answered(now time.Time) {
+	h.quietSince = now
+	h.failures = 0
+}
+
+// good notes an answer that shows that the back end works.
+func (h *health) good(now time.Time) {
+	h.answered(now)
+	h.onTrial = false
+	h.errorRate -= errorWeight * h.errorRate
+}
+
+// bad notes an answer that the back end failed or refused without need.
+func (h *health) bad(now time.Time, poolRate float64) {
+	h.answered(now)
+	h.errorRate += errorWeight * (1 - h.errorRate)
+	if h.onTrial || h.errorRate > errorsToEject && h.errorRate > errorsOverPool*poolRate {
+		h.eject(now, errorEjection)
+		h.errorRate = errorsToEject / 2
+	}
+}
+
+// broke notes a connection that ended without an answer.
+func (h *health) broke(now time.Time) {
+	h.failures++
+	if h.failures >= breaksToEject || h.onTrial {
+		h.eject(now, h.backOff())
+	}
+}
+
+// unreachable notes a connection that could not be made.
+func (h *health) unreachable(now time.Time) {
+	h.failures++
+	h.eject(now, h.backOff())
+}
+
+func (h *health) backOff() time.Duration {
+	wait := firstEjection
+	for i := 1; i < h.failures && wait < longestEjection; i++ {
+		wait *= 2
+	}
+	return min(wait, longestEjection)
+}
+
+func (h *health) eject(now time.Time, wait time.Duration) {
+	h.onTrial = true
+	if until := now.Add(wait); until.After(h.ejectedUntil) {
+		h.ejectedUntil = until
+	}
+}
--- /dev/null
+++ b/internal/dispatch/member.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// member is what the gateway knows of one back end.
+type member struct {
+	backEnd catalog.BackEnd
+	// since is when this gateway first heard of it.
+	since time.Time
+	// own counts this gateway's requests under way.
+	own    int
+	health health
+	// reported is the load that the back end told last, reportedAt when, and
+	// reportedOwn this gateway's share in it.
+	reported    int
+	reportedOwn int
+	reportedAt  time.Time
+}
+
+func newMember(now time.Time) *member { return &member{since: now} }
+
+// report takes the load that came with an answer.
+func (m *member) report(now time.Time, load int) {
+	m.reported = load
+	m.reportedOwn = m.own
+	m.reportedAt = now
+}
+
+// freshReport is the age to which a reported load counts.
+const freshReport = time.Second
+
+// reportedEstimate returns the load by the last report and this gateway's own
+// requests since; ok is false when the report is too old.
+func (m *member) reportedEstimate(now time.Time) (load float64, ok bool) {
+	if m.reportedAt.IsZero() || now.Sub(m.reportedAt) > freshReport {
+		return 0, false
+	}
+	return max(float64(m.reported+m.own-m.reportedOwn), float64(m.own)), true
+}
+
+// peerLoads holds what the other gateways told of their requests under way.
+type peerLoads struct {
+	byPeer map[string]peerLoad
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]int
+}
+
+func newPeerLoads() peerLoads { return peerLoads{byPeer: map[string]peerLoad{}} }
+
+// freshPeer is the age to which a peer's loads count.
+const freshPeer = 1500 * time.Millisecond
+
+func (p peerLoads) set(now time.Time, peer string, loads []Load) {
+	byBackEnd := make(map[string]int, len(loads))
+	for _, load := range loads {
+		byBackEnd[load.BackEnd] = load.Requests
+	}
+	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd}
+}
+
+// sum returns the requests of the peers heard of late, and how many these are.
+func (p peerLoads) sum(now time.Time, backEnd string) (requests, heard int) {
+	for _, peer := range p.byPeer {
+		if now.Sub(peer.at) > freshPeer {
+			continue
+		}
+		heard++
+		requests += peer.loads[backEnd]
+	}
+	return requests, heard
+}
+
+// estimate returns the load of all gateways at a back end. Where every other
+// gateway was heard of late, their counts are added; else the back end's own
+// report is used, or the counts at hand are scaled to the number of gateways.
+func (c *Core) estimate(now time.Time, m *member) float64 {
+	requests, heard := c.peers.sum(now, m.backEnd.ID)
+	counted := float64(m.own + requests)
+	if heard >= c.gateways-1 {
+		return counted
+	}
+	if load, ok := m.reportedEstimate(now); ok {
+		return max(load, counted)
+	}
+	return counted * float64(c.gateways) / float64(heard+1)
+}
--- /dev/null
+++ b/internal/dispatch/placement.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/harriernotch/harriernotch/internal/routing"
+)
+
+// choose returns the member for the next attempt, or nil when none has room.
+func (c *Core) choose(now time.Time, x *Exchange) *member {
+	candidates := c.candidates(now, x)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if x.request.affinity() != "" {
+		return c.chooseCaching(now, x, candidates)
+	}
+	return c.chooseLeastLoaded(now, x, candidates)
+}
+
+// candidates returns the members that may take the request: the usable ones, or,
+// where there is none, all that aren't leaving and weren't tried.
+func (c *Core) candidates(now time.Time, x *Exchange) []*member {
+	pool := c.pools[x.service]
+	if pool == nil {
+		return nil
+	}
+	var usable, others []*member
+	for _, m := range pool.members {
+		if m.backEnd.Leaving || x.wasTried(m) {
+			continue
+		}
+		if m.health.usable(now, x.request.Route.MayRepeat()) {
+			usable = append(usable, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	if len(usable) > 0 {
+		return usable
+	}
+	return others
+}
+
+// capacity is the load up to which a back end is given requests.
+func (c *Core) capacity(m *member) float64 {
+	if m.backEnd.Slots <= 0 {
+		return defaultCapacity
+	}
+	return float64(m.backEnd.Slots) * c.config.QueueFactor
+}
+
+// defaultCapacity is used for back ends that don't tell their slots.
+const defaultCapacity = 64
+
+// chooseCaching returns the first member in rendezvous order that is within the
+// bound on load. All gateways find the same order, so a prompt's parts are read
+// by the same few members whichever gateway a caller meets.
+func (c *Core) chooseCaching(now time.Time, x *Exchange, candidates []*member) *member {
+	byID := make(map[string]*member, len(candidates))
+	ids := make([]string, len(candidates))
+	loads := make(map[string]float64, len(candidates))
+	for i, m := range candidates {
+		ids[i] = m.backEnd.ID
+		byID[ids[i]] = m
+		loads[ids[i]] = c.estimate(now, m)
+	}
+	bound := c.bound(loads)
+	ranked := routing.Rank(x.request.affinity(), ids)
+	x.ranked = ranked
+	for _, id := range ranked {
+		if load := loads[id] + 1; load <= bound && load <= c.capacity(byID[id]) {
+			return byID[id]
+		}
+	}
+	return c.leastLoaded(now, x, candidates)
+}
+
+// bound is the load that a member may have with the new request. A pool that is
+// nearly idle may give a member a few requests whatever the mean.
+func (c *Core) bound(loads map[string]float64) float64 {
+	total := 1.0
+	for _, load := range loads {
+		total += load
+	}
+	return c.config.LoadMultiple*total/float64(len(loads)) + c.config.LoadSlack
+}
+
+func (c *Core) chooseLeastLoaded(now time.Time, x *Exchange, candidates []*member) *member {
+	return c.leastLoaded(now, x, candidates)
+}
+
+// otherZone is added to the load of a member in another zone, so that an equal
+// choice stays in the zone.
+const otherZone = 0.5
+
+// leastLoaded returns the member with the least load for its slots, or nil when
+// all are full. Ties are broken by a hash of the request, so that gateways don't
+// all pick the same member.
+func (c *Core) leastLoaded(now time.Time, x *Exchange, candidates []*member) *member {
+	var best *member
+	var bestLoad float64
+	var bestHash uint64
+	for _, m := range candidates {
+		load := c.estimate(now, m)
+		if load+1 > c.capacity(m) {
+			continue
+		}
+		if m.backEnd.Zone != c.config.Zone {
+			load += otherZone
+		}
+		load /= float64(max(m.backEnd.Slots, 1))
+		hash := xxhash.Sum64String(x.request.ID + m.backEnd.ID)
+		if best == nil || load < bestLoad || load == bestLoad && hash < bestHash {
+			best, bestLoad, bestHash = m, load, hash
+		}
+	}
+	return best
+}
+
+// fetchSource returns the address of a back end from which the chosen one can
+// copy the prompt's shared parts instead of reading them, or "". It is the last
+// one known to have read them, else the first in rendezvous order.
+func (c *Core) fetchSource(now time.Time, x *Exchange, chosen *member) string {
+	part := x.request.affinity()
+	if part == "" {
+		return ""
+	}
+	holding := c.holders.holding(now, part)
+	for _, id := range holding {
+		if id == chosen.backEnd.ID {
+			return ""
+		}
+	}
+	for _, id := range append(holding, x.ranked...) {
+		m := c.members[id]
+		if m != nil && m != chosen && m.health.status(now) == Healthy {
+			return m.backEnd.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,175 @@
+// Package eventlog writes a gateway's decisions as JSON lines. Writing never
+// blocks a request: lines wait in a bounded queue, and what doesn't fit is
+// counted and told later. Failures and changed beliefs have a budget of their
+// own, so that ordinary lines can't starve them.
+package eventlog
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+)
+
+// Event names a kind of line. docs/OPERATIONS.md explains each.
+type Event string
+
+// The closed list of events.
+const (
+	Started        Event = "node.started"
+	Stopping       Event = "node.stopping"
+	Stopped        Event = "node.stopped"
+	Reloaded       Event = "node.reloaded"
+	ReloadFailed   Event = "node.reload_failed"
+	Ready          Event = "node.ready"
+	StoreLost      Event = "store.lost"
+	StoreRegained  Event = "store.regained"
+	PeerLost       Event = "peer.lost"
+	PeerRegained   Event = "peer.regained"
+	Configured     Event = "configuration.adopted"
+	Misconfigured  Event = "configuration.refused"
+	BackEndChanged Event = "back_end.changed"
+	BackEndHealth  Event = "back_end.health"
+	RequestSent    Event = "request.sent"
+	RequestDone    Event = "request.answered"
+	RequestRetried Event = "request.attempt_failed"
+	RequestResumed Event = "request.resumed"
+	RequestFailed  Event = "request.failed"
+	RequestRefused Event = "request.refused"
+	CallerLeft     Event = "request.caller_left"
+	LinesLeftOut   Event = "log.left_out"
+)
+
+// Events lists every event.
+func Events() []Event {
+	return []Event{
+		Started, Stopping, Stopped, Reloaded, ReloadFailed, Ready,
+		StoreLost, StoreRegained, PeerLost, PeerRegained,
+		Configured, Misconfigured, BackEndChanged, BackEndHealth,
+		RequestSent, RequestDone, RequestRetried, RequestResumed,
+		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut,
+	}
+}
+
+const (
+	// queueLines is the number of lines that may wait for the output.
+	queueLines = 512
+	// ordinaryPerSecond and urgentPerSecond bound the lines written; as many may
+	// come at once.
+	ordinaryPerSecond = 20
+	urgentPerSecond   = 100
+	// summaryPeriod is the time between two lines on what was left out.
+	summaryPeriod = 5 * time.Second
+)
+
+// Log writes lines. It is safe for concurrent use.
+type Log struct {
+	logger   *logrus.Entry
+	queue    chan []byte
+	ordinary *rate.Limiter
+	urgent   *rate.Limiter
+	leftOut  atomic.Int64
+	done     chan struct{}
+	writer   conc.WaitGroup
+}
+
+// New returns a log to the output; fields stand in every line. Close ends it.
+func New(output io.Writer, level logrus.Level, fields logrus.Fields) *Log {
+	l := &Log{
+		queue:    make(chan []byte, queueLines),
+		ordinary: rate.NewLimiter(ordinaryPerSecond, ordinaryPerSecond),
+		urgent:   rate.NewLimiter(urgentPerSecond, urgentPerSecond),
+		done:     make(chan struct{}),
+	}
+	logger := logrus.New()
+	logger.SetOutput(queueWriter{l})
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	l.logger = logger.WithFields(fields)
+	l.writer.Go(func() { l.write(output) })
+	return l
+}
+
+// Entry returns the logger for code that logs through logrus itself.
+func (l *Log) Entry() *logrus.Entry { return l.logger }
+
+// Ordinary writes a line on something that happens all the time.
+func (l *Log) Ordinary(event Event, fields logrus.Fields) {
+	l.line(l.ordinary, logrus.InfoLevel, event, fields)
+}
+
+// Urgent writes a line on a failure or a changed belief.
+func (l *Log) Urgent(event Event, fields logrus.Fields) {
+	l.line(l.urgent, logrus.WarnLevel, event, fields)
+}
+
+func (l *Log) line(budget *rate.Limiter, level logrus.Level, event Event, fields logrus.Fields) {
+	if !l.logger.Logger.IsLevelEnabled(level) {
+		return
+	}
+	if !budget.Allow() {
+		l.leftOut.Add(1)
+		return
+	}
+	l.logger.WithFields(fields).Log(level, string(event))
+}
+
+// LeftOut returns the number of lines left out since the last summary.
+func (l *Log) LeftOut() int64 { return l.leftOut.Load() }
+
+// Close writes what waits, as far as the output takes it at once.
+func (l *Log) Close() {
+	close(l.done)
+	l.writer.Wait()
+}
+
+// queueWriter puts lines into the queue, or counts them as left out.
+type queueWriter struct{ log *Log }
+
+// Write implements io.Writer. It never blocks.
+func (q queueWriter) Write(line []byte) (int, error) {
+	select {
+	case q.log.queue <- append([]byte(nil), line...):
+	default:
+		q.log.leftOut.Add(1)
+	}
+	return len(line), nil
+}
+
+func (l *Log) write(output io.Writer) {
+	summary := time.NewTicker(summaryPeriod)
+	defer summary.Stop()
+	for {
+		select {
+		case line := <-l.queue:
+			// A broken output leaves nobody to tell.
+			_, _ = output.Write(line)
+		case <-summary.C:
+			l.summarize()
+		case <-l.done:
+			l.drain(output)
+			return
+		}
+	}
+}
+
+func (l *Log) summarize() {
+	if count := l.leftOut.Swap(0); count > 0 {
+		l.logger.WithField("lines", count).Info(string(LinesLeftOut))
+	}
+}
+
+func (l *Log) drain(output io.Writer) {
+	l.summarize()
+	for {
+		select {
+		case line := <-l.queue:
+			_, _ = output.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -68,6 +68,9 @@
 	BackendFailed
 	// StreamBroken means an answer broke off after it had begun.
 	StreamBroken
+	// TimedOut means that the deadline passed before an answer began; the
+	// request may have run.
+	TimedOut
 	// CallerGone means the caller left before the answer.
 	CallerGone
 	// NotReady means a node that has no bundle yet.
@@ -140,6 +143,7 @@
 	BackendUnreachable:  {"backend_unreachable", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	BackendFailed:       {"backend_failed", http.StatusBadGateway, RanUnknown, false, 0},
 	StreamBroken:        {"stream_broken", http.StatusBadGateway, RanYes, false, 0},
+	TimedOut:            {"timed_out", http.StatusGatewayTimeout, RanUnknown, false, 0},
 	CallerGone:          {"caller_gone", statusCallerGone, RanUnknown, false, 0},
 	NotReady:            {"not_ready", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	Conflict:            {"conflict", http.StatusConflict, RanNo, false, 0},
--- a/internal/failure/http.go
+++ b/internal/failure/http.go
@@ -47,6 +47,12 @@
 // WriteHTTP answers a request with err. It must be called before any part of
 // another answer was written.
 func WriteHTTP(w http.ResponseWriter, err error) {
+	WriteHTTPWith(w, err, retryAfterSeconds)
+}
+
+// WriteHTTPWith is WriteHTTP with another form of the Retry-After header, for
+// callers that understand fractions of a second.
+func WriteHTTPWith(w http.ResponseWriter, err error, formatWait func(time.Duration) string) {
 	typed := From(err)
 	answer := typed.Kind.Answer()
 	header := w.Header()
@@ -54,7 +60,7 @@
 	header.Set(HeaderKind, answer.Name)
 	header.Set(HeaderRan, string(answer.Ran))
 	if wait := typed.Wait(); answer.Retry && wait > 0 {
-		header.Set("Retry-After", retryAfterSeconds(wait))
+		header.Set("Retry-After", formatWait(wait))
 	}
 	w.WriteHeader(answer.Status)
 	// The caller may have left; there is nobody else to tell.
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,203 @@
+// Package follower keeps a gateway's view of the platform's store fresh: it
+// reads, watches, and reads again after a while. A watch alone isn't trusted: it
+// may hear nothing for seconds while changes are made.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// ErrHistoryGone means that a watch can't go on from its revision.
+var ErrHistoryGone = errors.New("the store has dropped that part of its history")
+
+// Source is the platform's store.
+type Source interface {
+	// Configuration returns the newest document, or nil when there is none.
+	Configuration(ctx context.Context) (*catalog.Configuration, uint64, error)
+	// AwaitConfiguration waits for a change after the revision. It returns nil
+	// when there was none in time, and the revision to go on from.
+	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error)
+	// BackEnds returns all back ends and the revision of the list.
+	BackEnds(ctx context.Context) ([]catalog.Entry, uint64, error)
+	// AwaitBackEnds waits for changes after the revision.
+	AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error)
+}
+
+// Config sets up a Follower.
+type Config struct {
+	// Source is the store.
+	Source Source
+	// State takes the news.
+	State *gateway.State
+	// ReadPeriod is the time between two plain reads of each list. The longer it
+	// is, the longer a change may go unnoticed while a watch hears nothing; each
+	// read is a call to the store.
+	ReadPeriod time.Duration
+	// Log and Metrics take what operators should know.
+	Log     *eventlog.Log
+	Metrics tally.Scope
+}
+
+const (
+	// callTimeout bounds a plain call.
+	callTimeout = 1200 * time.Millisecond
+	// watchTime is how long a watch waits for a change; watchGrace is how much
+	// longer its answer may take.
+	watchTime  = 10 * time.Second
+	watchGrace = 2 * time.Second
+	// firstPause and longestPause bound the wait after a failed call.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
+// Follower follows one store.
+type Follower struct {
+	config Config
+	tasks  conc.WaitGroup
+	cancel context.CancelFunc
+	lost   atomic.Bool
+}
+
+// Start begins to follow.
+func Start(config Config) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{config: config, cancel: cancel}
+	f.tasks.Go(func() { f.readLoop(ctx, "configuration", f.readConfiguration) })
+	f.tasks.Go(func() { f.readLoop(ctx, "back_ends", f.readBackEnds) })
+	f.tasks.Go(func() { f.watchLoop(ctx, "configuration", f.readConfiguration, f.watchConfiguration) })
+	f.tasks.Go(func() { f.watchLoop(ctx, "back_ends", f.readBackEnds, f.watchBackEnds) })
+	return f
+}
+
+// Close ends all calls and waits for them.
+func (f *Follower) Close() {
+	f.cancel()
+	f.tasks.Wait()
+}
+
+// read makes a plain call and returns the revision that it saw.
+type read func(ctx context.Context) (uint64, error)
+
+// watch waits for changes after a revision and returns the one to go on from.
+type watch func(ctx context.Context, after uint64) (uint64, error)
+
+func (f *Follower) readConfiguration(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	configuration, revision, err := f.config.Source.Configuration(ctx)
+	if err == nil && configuration != nil {
+		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
+	}
+	return revision, err
+}
+
+func (f *Follower) readBackEnds(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, revision, err := f.config.Source.BackEnds(ctx)
+	if err == nil {
+		f.config.State.OfferList(entries, revision, gateway.SourceStore)
+	}
+	return revision, err
+}
+
+func (f *Follower) watchConfiguration(ctx context.Context, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
+	defer cancel()
+	configuration, at, err := f.config.Source.AwaitConfiguration(ctx, after, watchTime)
+	if err == nil && configuration != nil {
+		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
+	}
+	return at, err
+}
+
+func (f *Follower) watchBackEnds(ctx context.Context, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
+	defer cancel()
+	entries, at, err := f.config.Source.AwaitBackEnds(ctx, after, watchTime)
+	if err == nil {
+		f.config.State.OfferEntries(entries, gateway.SourceStore)
+	}
+	return at, err
+}
+
+// readLoop reads again and again, whatever the watch says.
+func (f *Follower) readLoop(ctx context.Context, what string, step read) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		_, err := step(ctx)
+		f.note(ctx, what, err)
+		wait := jitter(f.config.ReadPeriod)
+		if err != nil {
+			wait = jitter(pause)
+			pause = min(2*pause, longestPause)
+		} else {
+			pause = firstPause
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// watchLoop watches from the revision of a plain read, and reads anew whenever
+// the watch fails.
+func (f *Follower) watchLoop(ctx context.Context, what string, first read, next watch) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		at, err := first(ctx)
+		for err == nil && ctx.Err() == nil {
+			at, err = next(ctx, at)
+			if err == nil {
+				pause = firstPause
+			}
+		}
+		f.config.Metrics.Tagged(map[string]string{"what": what}).Counter("watches_ended").Inc(1)
+		if errors.Is(err, ErrHistoryGone) {
+			continue
+		}
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// note logs when the store is lost or regained.
+func (f *Follower) note(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.config.Metrics.Tagged(map[string]string{"what": what}).Counter("reads_failed").Inc(1)
+		if !f.lost.Swap(true) {
+			f.config.Log.Urgent(eventlog.StoreLost, logrus.Fields{"what": what, "cause": err.Error()})
+		}
+		return
+	}
+	if f.lost.Swap(false) {
+		f.config.Log.Urgent(eventlog.StoreRegained, logrus.Fields{"what": what})
+	}
+}
+
+// jitter spreads calls of many gateways.
+func jitter(wait time.Duration) time.Duration {
+	return wait*3/4 + time.Duration(rand.Int64N(int64(wait)/2+1))
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/eventstream"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+)
+
+// passOn gives the caller a back end's answer.
+func (h *Handler) passOn(ctx context.Context, c *call, result outcome) {
+	defer func() { result.cancel() }()
+	if result.body != nil {
+		hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
+		c.writer.WriteHeader(result.answer.StatusCode)
+		// A caller that left can't be told.
+		_, _ = c.writer.Write(result.body)
+		h.logDone(c, result, 0)
+		return
+	}
+	h.passStream(ctx, c, result)
+}
+
+// stream is an answer of events on its way to the caller.
+type stream struct {
+	controller *http.ResponseController
+	// lastID is the last event that the caller has.
+	lastID string
+	events int
+}
+
+// errBehind means that a continued stream doesn't follow the last event.
+var errBehind = errors.New("the continued stream leaves out an event")
+
+// passStream passes events on as they come, and continues a stream that breaks
+// off at another back end where the route allows it. An answer that can't be
+// completed is cut visibly.
+func (h *Handler) passStream(ctx context.Context, c *call, result outcome) {
+	s := &stream{controller: http.NewResponseController(c.writer)}
+	for {
+		err := h.copyEvents(c, s, result)
+		_ = result.answer.Body.Close()
+		result.cancel()
+		if err == nil {
+			h.logDone(c, result, s.events)
+			return
+		}
+		next, resumed := h.resume(ctx, c, s, result, err)
+		if !resumed {
+			h.cut(c, result, s, err)
+			return
+		}
+		result = next
+	}
+}
+
+// callerError marks a failure to write to the caller.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "write to the caller: " + e.cause.Error() }
+func (e *callerError) Unwrap() error { return e.cause }
+
+const (
+	// pausesUntilSilent and leastSilence bound the pause after which a stream
+	// that can be continued elsewhere is given up.
+	pausesUntilSilent = 4
+	leastSilence      = time.Second
+)
+
+// copyEvents passes whole events on until the stream ends.
+func (h *Handler) copyEvents(c *call, s *stream, result outcome) error {
+	watch := h.watchPauses(c, result)
+	defer watch.stop()
+	reader := eventstream.NewReader(result.answer.Body)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) && s.events > 0 {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		watch.reset()
+		if s.events == 0 {
+			// The head goes out with the first event: until then another back end's
+			// answer, or a refusal, can still take this one's place.
+			hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
+			c.writer.WriteHeader(result.answer.StatusCode)
+		}
+		fresh, err := s.follows(event.ID)
+		if err != nil {
+			return err
+		}
+		if !fresh {
+			continue
+		}
+		if err := s.pass(c.writer, event); err != nil {
+			return &callerError{err}
+		}
+	}
+}
+
+// follows tells whether the event is the next one; one that the caller has is
+// passed over.
+func (s *stream) follows(id string) (fresh bool, err error) {
+	if id == "" || s.lastID == "" {
+		return true, nil
+	}
+	last, lastErr := strconv.ParseInt(s.lastID, 10, 64)
+	now, nowErr := strconv.ParseInt(id, 10, 64)
+	if lastErr != nil || nowErr != nil {
+		return true, nil
+	}
+	if now > last+1 {
+		return false, errBehind
+	}
+	return now > last, nil
+}
+
+func (s *stream) pass(w http.ResponseWriter, event eventstream.Event) error {
+	if _, err := w.Write(event.Raw); err != nil {
+		return err
+	}
+	if event.ID != "" {
+		s.lastID = event.ID
+	}
+	s.events++
+	return s.controller.Flush()
+}
+
+// pauseWatch ends an attempt that has been silent for too long.
+type pauseWatch struct {
+	timer  *time.Timer
+	limit  time.Duration
+	silent atomic.Bool
+}
+
+func (h *Handler) watchPauses(c *call, result outcome) *pauseWatch {
+	watch := &pauseWatch{limit: max(leastSilence, pausesUntilSilent*c.route.PauseObjective)}
+	if c.route.Resumable && c.exchange.Attempts() < c.route.MaxAttempts {
+		watch.timer = time.AfterFunc(watch.limit, func() { watch.silent.Store(true); result.cancel() })
+	}
+	return watch
+}
+
+func (p *pauseWatch) reset() {
+	if p.timer != nil {
+		p.timer.Reset(p.limit)
+	}
+}
+
+func (p *pauseWatch) stop() {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+}
+
+// resume tries to continue a broken stream at another back end.
+func (h *Handler) resume(ctx context.Context, c *call, s *stream, broken outcome, cause error) (outcome, bool) {
+	var caller *callerError
+	if c.request.Context().Err() != nil || errors.As(cause, &caller) {
+		return outcome{}, false
+	}
+	h.logFailure(c, broken.send, logrus.Fields{"cause": cause.Error(), "events": s.events})
+	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		return core.Cut(now, c.exchange)
+	})
+	for decision.Send != nil {
+		result := h.attempt(ctx, c, *decision.Send, s.lastID)
+		if result.answer == nil {
+			decision = result.next
+			continue
+		}
+		if result.answer.StatusCode == http.StatusOK {
+			return result, true
+		}
+		result.cancel()
+		break
+	}
+	return outcome{}, false
+}
+
+// cut ends an answer that can't be completed: with an error while nothing of it
+// was sent, else by closing the caller's connection, for which it doesn't return.
+func (h *Handler) cut(c *call, result outcome, s *stream, cause error) {
+	fields := h.fields(c)
+	fields["back_end"] = result.send.BackEnd.ID
+	fields["events"] = s.events
+	fields["cause"] = cause.Error()
+	if c.request.Context().Err() != nil {
+		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
+	} else {
+		h.config.Metrics.Counter("streams_cut").Inc(1)
+		h.config.Log.Urgent(eventlog.RequestFailed, fields)
+	}
+	if s.events == 0 && c.request.Context().Err() == nil {
+		failure.WriteHTTPWith(c.writer, failure.Wrap(failure.StreamBroken, cause, "the back end broke off in its answer"), h.config.Dialect.FormatWait)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (h *Handler) logDone(c *call, result outcome, events int) {
+	fields := h.fields(c)
+	fields["back_end"] = result.send.BackEnd.ID
+	fields["status"] = result.answer.StatusCode
+	fields["events"] = events
+	h.config.Metrics.Counter("answers").Inc(1)
+	h.config.Log.Ordinary(eventlog.RequestDone, fields)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
+)
+
+// outcome is what came of an attempt: an answer to pass on, or what to do next.
+type outcome struct {
+	answer *http.Response
+	facts  AnswerFacts
+	// body is the whole body of an answer that isn't a stream.
+	body []byte
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+	send   dispatch.Send
+	next   dispatch.Decision
+}
+
+// maxHeldBytes bounds an answer that is read whole before it is passed on.
+const maxHeldBytes = 8 << 20
+
+// attempt sends the request to one back end.
+func (h *Handler) attempt(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) outcome {
+	h.logSend(c, send, resumeAfter)
+	ctx, cancel := context.WithCancel(ctx)
+	var expired atomic.Bool
+	if send.Patience > 0 {
+		timer := time.AfterFunc(send.Patience, func() { expired.Store(true); cancel() })
+		defer timer.Stop()
+	}
+	response, err := h.roundTrip(ctx, c, send, resumeAfter)
+	if err != nil {
+		cancel()
+		return outcome{next: h.noAnswer(c, send, err, expired.Load())}
+	}
+	result := h.judge(c, send, response)
+	if result.answer == nil {
+		_ = response.Body.Close()
+		cancel()
+		return result
+	}
+	result.cancel = cancel
+	result.send = send
+	return result
+}
+
+func (h *Handler) roundTrip(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) (*http.Response, error) {
+	var body io.ReadCloser
+	if len(c.body) > 0 {
+		body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	request, err := hop.NewRequest(ctx, c.request.Method, "http://"+send.BackEnd.Address, body, int64(len(c.body)))
+	if err != nil {
+		return nil, err
+	}
+	path, query, _ := strings.Cut(c.request.RequestURI, "?")
+	request.URL = &url.URL{Scheme: "http", Host: send.BackEnd.Address, Opaque: path, RawQuery: query}
+	request.Host = c.request.Host
+	hop.CopyEndToEnd(request.Header, c.request.Header)
+	if request.Header.Get("User-Agent") == "" {
+		// An empty value keeps the transport from adding its own.
+		request.Header["User-Agent"] = []string{""}
+	}
+	h.config.Dialect.WriteForward(request.Header, Forward{
+		Remaining:   time.Until(c.deadline),
+		BackEnd:     send.BackEnd.ID,
+		Tenant:      c.tenant,
+		Urgency:     c.urgency,
+		FetchFrom:   send.FetchFrom,
+		ResumeAfter: resumeAfter,
+	})
+	if c.route.MayRepeat() {
+		return h.config.Reused.RoundTrip(request)
+	}
+	return h.config.Fresh.RoundTrip(request)
+}
+
+// noAnswer asks the core what follows from an attempt without an answer.
+func (h *Handler) noAnswer(c *call, send dispatch.Send, cause error, expired bool) dispatch.Decision {
+	if c.request.Context().Err() != nil {
+		return dispatch.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
+	}
+	notSent := hop.NothingSent(cause)
+	passed := !time.Now().Before(c.deadline)
+	h.logFailure(c, send, logrus.Fields{"cause": cause.Error(), "not_sent": notSent, "expired": expired, "deadline_passed": passed})
+	return h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		switch {
+		case notSent:
+			return core.NotConnected(now, c.exchange)
+		case expired || passed:
+			return core.Expired(now, c.exchange)
+		default:
+			return core.Broken(now, c.exchange)
+		}
+	})
+}
+
+// judge decides whether an answer is the back end's own to this request.
+func (h *Handler) judge(c *call, send dispatch.Send, response *http.Response) outcome {
+	facts := h.config.Dialect.ReadAnswer(response.StatusCode, response.Header)
+	foreign := facts.ID != c.facts.ID && (facts.ID != "" || !facts.NotRun)
+	switch {
+	case foreign || facts.Encoded:
+		return h.unusable(c, send, response, "the answer isn't one to this request")
+	case facts.Elsewhere:
+		return h.decided(c, send, response, "another back end has the address", (*dispatch.Core).Misdirected)
+	case facts.NotRun:
+		return h.decided(c, send, response, "the back end refused", (*dispatch.Core).Refused)
+	case !facts.Signed || promisesNotRun(response.StatusCode):
+		return h.unusable(c, send, response, "the answer lacks the back end's signature")
+	}
+	result := outcome{answer: response, facts: facts}
+	if !c.route.Stream || response.StatusCode >= http.StatusMultipleChoices {
+		body, err := readWhole(response.Body)
+		if err != nil {
+			return outcome{next: h.noAnswer(c, send, err, false)}
+		}
+		result.body = body
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return h.failed(c, send, response, result)
+	}
+	h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		core.Answered(now, c.exchange, facts.Load)
+		return dispatch.Decision{}
+	})
+	return result
+}
+
+// promisesNotRun tells whether callers take the status for a promise that the
+// request was not run; a back end's own answer with it can't be passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// readWhole reads a body to its end, so that one that is cut is never passed on
+// as whole.
+func readWhole(body io.ReadCloser) ([]byte, error) {
+	defer body.Close()
+	whole, err := io.ReadAll(io.LimitReader(body, maxHeldBytes+1))
+	if err == nil && len(whole) > maxHeldBytes {
+		err = errors.Errorf("the answer is larger than %d bytes", maxHeldBytes)
+	}
+	return whole, err
+}
+
+func (h *Handler) unusable(c *call, send dispatch.Send, response *http.Response, why string) outcome {
+	return h.decided(c, send, response, why, (*dispatch.Core).Broken)
+}
+
+func (h *Handler) decided(c *call, send dispatch.Send, response *http.Response, why string, step func(*dispatch.Core, time.Time, *dispatch.Exchange) dispatch.Decision) outcome {
+	h.logFailure(c, send, logrus.Fields{"cause": why, "status": response.StatusCode})
+	return outcome{next: h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		return step(core, now, c.exchange)
+	})}
+}
+
+// failed asks the core whether another attempt may help after a failure of the
+// back end's own; if not, its answer is passed on.
+func (h *Handler) failed(c *call, send dispatch.Send, response *http.Response, result outcome) outcome {
+	tried := h.decided(c, send, response, "the back end failed", (*dispatch.Core).Failed)
+	if tried.next.Send == nil && tried.next.GiveUp == nil {
+		return result
+	}
+	return tried
+}
+
+func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
+	fields := h.fields(c)
+	fields["back_end"] = send.BackEnd.ID
+	fields["address"] = send.BackEnd.Address
+	fields["load_estimate"] = send.Estimate
+	fields["candidates"] = send.Candidates
+	fields["fetch_from"] = send.FetchFrom
+	if resumeAfter != "" {
+		fields["resume_after"] = resumeAfter
+		h.config.Log.Urgent(eventlog.RequestResumed, fields)
+		return
+	}
+	h.config.Log.Ordinary(eventlog.RequestSent, fields)
+}
+
+func (h *Handler) logFailure(c *call, send dispatch.Send, more logrus.Fields) {
+	fields := h.fields(c)
+	fields["back_end"] = send.BackEnd.ID
+	for name, value := range more {
+		fields[name] = value
+	}
+	h.config.Metrics.Counter("attempts_failed").Inc(1)
+	h.config.Log.Urgent(eventlog.RequestRetried, fields)
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// Config sets up a Handler.
+type Config struct {
+	// State decides.
+	State *State
+	// Dialect translates headers.
+	Dialect Dialect
+	// Reused carries requests that may repeat, on kept connections; Fresh carries
+	// the others, each on a connection of its own: a kept one may be closed by the
+	// back end while a request is on its way, and the outcome is then unknown.
+	Reused http.RoundTripper
+	Fresh  http.RoundTripper
+	// MaxBodyBytes bounds a body where the configuration doesn't.
+	MaxBodyBytes int64
+	// Log and Metrics take what operators should know.
+	Log     *eventlog.Log
+	Metrics tally.Scope
+}
+
+// Handler serves callers.
+type Handler struct {
+	config Config
+}
+
+// NewHandler returns a handler.
+func NewHandler(config Config) *Handler { return &Handler{config: config} }
+
+// call is one caller's request.
+type call struct {
+	request  *http.Request
+	writer   http.ResponseWriter
+	facts    RequestFacts
+	tenant   string
+	route    *catalog.Route
+	version  uint64
+	body     []byte
+	began    time.Time
+	deadline time.Time
+	urgency  int
+	exchange *dispatch.Exchange
+}
+
+// defaultTimeout is used for callers that don't say how long they wait and
+// routes without a time-out.
+const defaultTimeout = time.Minute
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{request: r, writer: w, began: time.Now(), facts: h.config.Dialect.ReadRequest(r.Header)}
+	if h.config.State.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := h.prepare(c); err != nil {
+		h.refuse(c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	h.route(ctx, c)
+}
+
+// prepare finds the route and the tenant and reads the body.
+func (h *Handler) prepare(c *call) error {
+	index := h.config.State.Index()
+	if index == nil {
+		return failure.New(failure.NotReady, "this gateway has no configuration yet; ask another")
+	}
+	c.version = index.Version()
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	c.route = index.Route(c.request.Host, path)
+	if c.route == nil {
+		return failure.New(failure.UnknownRoute, "no route has the host and path")
+	}
+	if err := h.authenticate(c, index); err != nil {
+		return err
+	}
+	if c.facts.ID == "" {
+		return failure.New(failure.InvalidRequest, "the request's ID is missing; send one that is unique")
+	}
+	c.deadline = c.began.Add(earliest(c.facts.Timeout, c.route.Timeout))
+	return h.readBody(c, index.Configuration().Limits.MaxBodyBytes)
+}
+
+func (h *Handler) authenticate(c *call, index *catalog.Index) error {
+	tenant := index.Tenant(c.facts.Key)
+	if tenant == nil {
+		if c.route.Public || len(index.Configuration().Tenants) == 0 {
+			c.urgency = urgency(0, c.route.Priority)
+			return nil
+		}
+		return failure.New(failure.Unauthenticated, "the key is missing or unknown")
+	}
+	c.tenant = tenant.Name
+	c.urgency = urgency(tenant.Priority, c.route.Priority)
+	return nil
+}
+
+// Ranks of requests: routes within tenants.
+const (
+	routeRanks = 3
+	lastRank   = 9
+)
+
+// urgency ranks a request by its tenant before its route.
+func urgency(tenantPriority, routePriority int) int {
+	rank := tenantPriority*routeRanks + min(routePriority, routeRanks-1)
+	return max(0, min(rank, lastRank))
+}
+
+func earliest(times ...time.Duration) time.Duration {
+	shortest := defaultTimeout
+	for _, each := range times {
+		if each > 0 && each < shortest {
+			shortest = each
+		}
+	}
+	return shortest
+}
+
+func (h *Handler) readBody(c *call, limit int64) error {
+	if limit <= 0 {
+		limit = h.config.MaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return failure.Wrap(failure.TooLarge, err, "the body is too large; send less")
+		}
+		return failure.Wrap(failure.CallerGone, err, "the caller broke off in its body")
+	}
+	c.body = body
+	return nil
+}
+
+// route makes attempts until one of them has answered the caller.
+func (h *Handler) route(ctx context.Context, c *call) {
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
+		c.exchange, d = core.Begin(now, dispatch.Request{
+			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts, Deadline: c.deadline,
+		})
+		return d
+	})
+	defer h.config.State.decide(func(_ time.Time, core *dispatch.Core) dispatch.Decision {
+		core.Done(c.exchange)
+		return dispatch.Decision{}
+	})
+	for decision.Send != nil {
+		outcome := h.attempt(ctx, c, *decision.Send, "")
+		if outcome.answer != nil {
+			h.passOn(ctx, c, outcome)
+			return
+		}
+		decision = outcome.next
+	}
+	h.refuse(c, decision.GiveUp)
+}
+
+// refuse gives the caller its final answer at once.
+func (h *Handler) refuse(c *call, err error) {
+	kind := failure.KindOf(err)
+	h.config.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
+	fields := h.fields(c)
+	fields["kind"] = kind.String()
+	fields["cause"] = err.Error()
+	if c.request.Context().Err() != nil || kind == failure.CallerGone {
+		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
+		panic(http.ErrAbortHandler)
+	}
+	h.config.Log.Urgent(eventlog.RequestRefused, fields)
+	failure.WriteHTTPWith(c.writer, err, h.config.Dialect.FormatWait)
+}
+
+func (h *Handler) fields(c *call) logrus.Fields {
+	fields := logrus.Fields{
+		"request":     c.facts.ID,
+		"version":     c.version,
+		"tenant":      c.tenant,
+		"elapsed_ms":  time.Since(c.began).Milliseconds(),
+		"deadline_ms": c.facts.Timeout.Milliseconds(),
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
+	}
+	if c.exchange != nil {
+		fields["service"] = c.exchange.Service()
+		fields["attempts"] = c.exchange.Attempts()
+		fields["ran"] = c.exchange.Ran()
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+)
+
+// State joins the view and the dispatch core and guards both. Its methods are
+// short and do no I/O, so that one lock serves.
+type State struct {
+	log *eventlog.Log
+
+	mutex    sync.Mutex
+	view     *catalog.View
+	core     *dispatch.Core
+	listed   bool
+	draining bool
+	// changed is closed and replaced whenever the view changes.
+	changed chan struct{}
+}
+
+// NewState returns a state that knows nothing yet.
+func NewState(core *dispatch.Core, log *eventlog.Log) *State {
+	return &State{log: log, view: catalog.NewView(), core: core, changed: make(chan struct{})}
+}
+
+// Index returns the configuration in force, or nil.
+func (s *State) Index() *catalog.Index {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view.Index()
+}
+
+// Ready tells whether the gateway knows enough to serve, and isn't draining.
+func (s *State) Ready() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view.Index() != nil && s.listed && !s.draining
+}
+
+// Draining tells whether the gateway is about to stop.
+func (s *State) Draining() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.draining
+}
+
+// Drain makes the gateway unready.
+func (s *State) Drain() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = true
+}
+
+// OfferConfiguration takes a document from the store or a peer.
+func (s *State) OfferConfiguration(configuration *catalog.Configuration, source string) {
+	if err := configuration.Check(); err != nil {
+		s.log.Urgent(eventlog.Misconfigured, logrus.Fields{"version": configuration.Version, "source": source, "cause": err.Error()})
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.view.Version()
+	if !s.view.OfferConfiguration(configuration) {
+		return
+	}
+	s.announce()
+	s.log.Urgent(eventlog.Configured, logrus.Fields{
+		"version": configuration.Version, "before": before, "source": source,
+		"routes": len(configuration.Routes), "tenants": len(configuration.Tenants),
+	})
+}
+
+// OfferList takes a complete list of back ends.
+func (s *State) OfferList(entries []catalog.Entry, revision uint64, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listed = true
+	s.apply(s.view.OfferList(entries, revision), source)
+}
+
+// OfferEntries takes changes of back ends.
+func (s *State) OfferEntries(entries []catalog.Entry, source string) {
+	if len(entries) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if source != SourceStore {
+		// A peer's entries are complete when it has a list of its own.
+		s.listed = true
+	}
+	s.apply(s.view.OfferEntries(entries), source)
+}
+
+// Sources of news, for logs.
+const (
+	SourceStore = "store"
+	SourcePeer  = "peer"
+)
+
+func (s *State) apply(news []catalog.Entry, source string) {
+	if len(news) == 0 {
+		return
+	}
+	s.core.SetBackEnds(time.Now(), s.view.BackEnds())
+	s.announce()
+	for _, entry := range news {
+		s.log.Urgent(eventlog.BackEndChanged, logrus.Fields{
+			"back_end": entry.BackEnd.ID, "service": entry.BackEnd.Service, "address": entry.BackEnd.Address,
+			"leaving": entry.BackEnd.Leaving, "gone": entry.Gone, "revision": entry.Revision, "source": source,
+		})
+	}
+}
+
+func (s *State) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// News is what a peer lacks.
+type News struct {
+	Version       uint64
+	Configuration *catalog.Configuration
+	Entries       []catalog.Entry
+	Change        uint64
+	Loads         []dispatch.Load
+	// Changed is closed with the next change.
+	Changed <-chan struct{}
+}
+
+// NewsSince returns what a peer lacks that has the version and the changes, and
+// the loads of the moment.
+func (s *State) NewsSince(version, change uint64) News {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	news := News{Version: s.view.Version(), Loads: s.core.Loads(), Changed: s.changed}
+	if news.Version > version {
+		news.Configuration = s.view.Index().Configuration()
+	}
+	if s.listed {
+		news.Entries, news.Change = s.view.Since(change)
+	}
+	return news
+}
+
+// PeerLoads takes a peer's loads.
+func (s *State) PeerLoads(peer string, loads []dispatch.Load) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.PeerLoads(time.Now(), peer, loads)
+}
+
+// SetGateways notes how many gateways are live.
+func (s *State) SetGateways(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.SetGateways(count)
+}
+
+// decide runs a step of the core.
+func (s *State) decide(step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return step(time.Now(), s.core)
+}
+
+// Status is a gateway's knowledge for operators.
+type Status struct {
+	// Ready and Draining are the gateway's own state.
+	Ready    bool `json:"ready"`
+	Draining bool `json:"draining"`
+	// Version is the configuration in force; 0 for none.
+	Version uint64 `json:"version"`
+	// BackEnds are those in service.
+	BackEnds []BackEndStatus `json:"back_ends"`
+}
+
+// BackEndStatus is what a gateway believes of one back end.
+type BackEndStatus struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Leaving  bool    `json:"leaving"`
+	Health   string  `json:"health"`
+	Own      int     `json:"own"`
+	Estimate float64 `json:"estimate"`
+}
+
+// Status returns the state of the moment.
+func (s *State) Status() Status {
+	ready := s.Ready()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	status := Status{Ready: ready, Draining: s.draining, Version: s.view.Version(), BackEnds: []BackEndStatus{}}
+	for _, belief := range s.core.Beliefs(time.Now()) {
+		status.BackEnds = append(status.BackEnds, BackEndStatus{
+			ID: belief.BackEnd.ID, Service: belief.BackEnd.Service, Address: belief.BackEnd.Address,
+			Zone: belief.BackEnd.Zone, Leaving: belief.BackEnd.Leaving, Health: belief.Health.String(),
+			Own: belief.Own, Estimate: belief.Estimate,
+		})
+	}
+	return status
+}
--- a/internal/hop/headers.go
+++ b/internal/hop/headers.go
@@ -33,6 +33,39 @@
 	"X-Idempotency-Key":   true,
 }
 
+// connectionHeaders are the headers that belong to one connection.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// CopyEndToEnd copies every header but those that belong to one connection,
+// whether by custom or because the Connection header names them.
+func CopyEndToEnd(to, from http.Header) {
+	named := map[string]bool{}
+	for _, list := range from["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range from {
+		if connectionHeaders[name] || named[name] {
+			continue
+		}
+		to[name] = values
+	}
+}
+
 // CopyHeaders copies what may pass from one hop to the next.
 func CopyHeaders(to, from http.Header) {
 	for name, values := range from {
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -108,3 +108,28 @@
 	request.ContentLength = length
 	return request, nil
 }
+
+const (
+	// directDialTimeout bounds a connection straight to a back end: a machine that
+	// is gone answers nothing, and another back end can be tried.
+	directDialTimeout = 500 * time.Millisecond
+	// directIdleTimeout is shorter than back ends keep idle connections, so that a
+	// request seldom meets one that is being closed.
+	directIdleTimeout = 3 * time.Second
+	// unacknowledgedLimit is how long sent bytes may go unacknowledged before the
+	// connection counts as dead.
+	unacknowledgedLimit = 1200 * time.Millisecond
+)
+
+// NewDirectTransport returns a transport to back ends without an agent. reuse
+// keeps connections for further requests. A nil dial uses TCP.
+func NewDirectTransport(dial DialFunc, reuse bool) *http.Transport {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: directDialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
+		dial = dialer.DialContext
+	}
+	transport := NewTransport(TransportConfig{Protocol: HTTP1, Dial: dial})
+	transport.DisableKeepAlives = !reuse
+	transport.IdleConnTimeout = directIdleTimeout
+	return transport
+}
--- /dev/null
+++ b/internal/relay/book.go
@@ -0,0 +1,193 @@
+// Package relay lets gateways pass on to each other what they know:
+// configurations, back ends, loads, and where other gateways are. A gateway that
+// the platform's store turns away still learns what its peers learn.
+//
+// Book is the state machine of who is known and whom to connect to; Relay is its
+// shell, over WebSocket with CBOR.
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is another gateway as it is told to others.
+type Peer struct {
+	// ID is the gateway's name.
+	ID string `cbor:"1,keyasint"`
+	// Address is its listener for peers.
+	Address string `cbor:"2,keyasint"`
+	// AgeMillis is how long ago it was last heard of.
+	AgeMillis int64 `cbor:"3,keyasint"`
+}
+
+const (
+	// liveAge is how long a gateway counts as live after it was heard of.
+	liveAge = 6 * time.Second
+	// forgetAge is how long its address is kept.
+	forgetAge = 5 * time.Minute
+	// meshSize is the number of gateways up to which all are connected.
+	meshSize = 10
+	// redialPause is the time between two tries at the same address.
+	redialPause = 700 * time.Millisecond
+)
+
+// Book knows the other gateways. It is not safe for concurrent use.
+type Book struct {
+	id      string
+	address string
+	seeds   []string
+	peers   map[string]*known
+	dialed  map[string]time.Time
+}
+
+type known struct {
+	address string
+	heardAt time.Time
+	links   int
+}
+
+// NewBook returns the book of a gateway that knows its seeds' addresses alone.
+func NewBook(id, address string, seeds []string) *Book {
+	return &Book{id: id, address: address, seeds: seeds, peers: map[string]*known{}, dialed: map[string]time.Time{}}
+}
+
+// SetSeeds replaces the seeds.
+func (b *Book) SetSeeds(seeds []string) { b.seeds = seeds }
+
+// Heard notes a message from a peer, with the peers that it knows.
+func (b *Book) Heard(now time.Time, id, address string, others []Peer) {
+	b.note(now, id, address)
+	for _, other := range others {
+		b.note(now.Add(-time.Duration(other.AgeMillis)*time.Millisecond), other.ID, other.Address)
+	}
+}
+
+func (b *Book) note(heardAt time.Time, id, address string) {
+	if id == b.id || id == "" || address == "" {
+		return
+	}
+	peer := b.peers[id]
+	if peer == nil {
+		peer = &known{}
+		b.peers[id] = peer
+	}
+	if heardAt.After(peer.heardAt) {
+		peer.heardAt = heardAt
+		peer.address = address
+	}
+}
+
+// LinkUp and LinkDown count the open connections to a peer.
+func (b *Book) LinkUp(id string) {
+	if b.peers[id] == nil {
+		b.peers[id] = &known{}
+	}
+	b.peers[id].links++
+}
+
+// LinkDown is the end of a connection.
+func (b *Book) LinkDown(id string) {
+	if peer := b.peers[id]; peer != nil {
+		peer.links--
+	}
+}
+
+// Live returns the number of live gateways, this one included.
+func (b *Book) Live(now time.Time) int {
+	count := 1
+	for _, peer := range b.peers {
+		if now.Sub(peer.heardAt) <= liveAge {
+			count++
+		}
+	}
+	return count
+}
+
+// Known returns the live peers for a message.
+func (b *Book) Known(now time.Time) []Peer {
+	var list []Peer
+	for _, id := range b.ids() {
+		peer := b.peers[id]
+		if age := now.Sub(peer.heardAt); age <= liveAge {
+			list = append(list, Peer{ID: id, Address: peer.address, AgeMillis: age.Milliseconds()})
+		}
+	}
+	return list
+}
+
+func (b *Book) ids() []string {
+	ids := make([]string, 0, len(b.peers))
+	for id := range b.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Dial returns the addresses to connect to now.
+func (b *Book) Dial(now time.Time) []string {
+	b.forget(now)
+	var wanted []string
+	for _, id := range b.neighbours() {
+		if peer := b.peers[id]; peer.links <= 0 && peer.address != "" {
+			wanted = append(wanted, peer.address)
+		}
+	}
+	wanted = append(wanted, b.unmetSeeds()...)
+	var due []string
+	for _, address := range wanted {
+		if now.Sub(b.dialed[address]) >= redialPause && !slices.Contains(due, address) {
+			b.dialed[address] = now
+			due = append(due, address)
+		}
+	}
+	return due
+}
+
+// unmetSeeds returns the seeds that no linked peer has as its address.
+func (b *Book) unmetSeeds() []string {
+	linked := map[string]bool{b.address: true}
+	for _, peer := range b.peers {
+		if peer.links > 0 {
+			linked[peer.address] = true
+		}
+	}
+	var unmet []string
+	for _, seed := range b.seeds {
+		if !linked[seed] {
+			unmet = append(unmet, seed)
+		}
+	}
+	return unmet
+}
+
+// neighbours returns the peers to be connected to: all of a few; of many those
+// at distances 1, 2, 4, ... on a ring in hash order. So news reaches every
+// gateway in a logarithmic number of steps, and a gateway's cost grows as
+// slowly.
+func (b *Book) neighbours() []string {
+	ring := b.ids()
+	if len(ring) < meshSize {
+		return ring
+	}
+	ring = append(ring, b.id)
+	slices.SortFunc(ring, func(a, c string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)) })
+	own := slices.Index(ring, b.id)
+	var chosen []string
+	for distance := 1; distance < len(ring); distance *= 2 {
+		chosen = append(chosen, ring[(own+distance)%len(ring)])
+	}
+	return chosen
+}
+
+func (b *Book) forget(now time.Time) {
+	for id, peer := range b.peers {
+		if peer.links <= 0 && now.Sub(peer.heardAt) > forgetAge {
+			delete(b.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,281 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/hop"
+)
+
+// Path is where a gateway takes connections of its peers.
+const Path = "/relay"
+
+// Message is what a gateway tells a peer.
+type Message struct {
+	// From and Address name the sender and its listener for peers.
+	From    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	// Peers are the live gateways that the sender knows.
+	Peers []Peer `cbor:"3,keyasint,omitempty"`
+	// Version is the sender's configuration; Configuration is set when the
+	// receiver may lack it.
+	Version       uint64                 `cbor:"4,keyasint"`
+	Configuration *catalog.Configuration `cbor:"5,keyasint,omitempty"`
+	// Entries are the back ends that changed since the last message.
+	Entries []catalog.Entry `cbor:"6,keyasint,omitempty"`
+	// Loads are the sender's requests under way.
+	Loads []dispatch.Load `cbor:"7,keyasint,omitempty"`
+}
+
+const (
+	// period is the time between two messages on a connection; a change is told
+	// at once.
+	period = 200 * time.Millisecond
+	// silence is how long a connection may be without a message.
+	silence = 2 * time.Second
+	// dialTimeout and writeTimeout bound one step.
+	dialTimeout  = 600 * time.Millisecond
+	writeTimeout = time.Second
+	// maxMessageBytes bounds a message: a configuration and all back ends.
+	maxMessageBytes = 16 << 20
+	// peersEvery is how many messages go without the list of peers.
+	peersEvery = 5
+)
+
+// Config sets up a Relay.
+type Config struct {
+	// ID and Address name this gateway and its listener for peers.
+	ID      string
+	Address string
+	// Seeds are addresses to try first.
+	Seeds []string
+	// State has the knowledge.
+	State *gateway.State
+	// Dial opens connections; nil uses TCP.
+	Dial hop.DialFunc
+	// Log and Metrics take what operators should know.
+	Log     *eventlog.Log
+	Metrics tally.Scope
+}
+
+// Relay runs the connections to peers.
+type Relay struct {
+	config Config
+	client *http.Client
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
+
+	mutex  sync.Mutex
+	closed bool
+	book   *Book
+}
+
+// Start begins to connect.
+func Start(config Config) *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Relay{
+		config: config,
+		client: &http.Client{Transport: &http.Transport{DialContext: config.Dial, DisableKeepAlives: true}},
+		ctx:    ctx,
+		cancel: cancel,
+		book:   NewBook(config.ID, config.Address, config.Seeds),
+	}
+	r.spawn(r.connect)
+	return r
+}
+
+// Close ends all connections.
+func (r *Relay) Close() {
+	r.mutex.Lock()
+	r.closed = true
+	r.mutex.Unlock()
+	r.cancel()
+	r.tasks.Wait()
+}
+
+// SetSeeds replaces the seeds.
+func (r *Relay) SetSeeds(seeds []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.book.SetSeeds(seeds)
+}
+
+func (r *Relay) spawn(task func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.closed {
+		r.tasks.Go(task)
+	}
+}
+
+// connect opens the connections that the book wants.
+func (r *Relay) connect() {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		r.mutex.Lock()
+		due := r.book.Dial(time.Now())
+		live := r.book.Live(time.Now())
+		r.mutex.Unlock()
+		r.config.State.SetGateways(live)
+		for _, address := range due {
+			r.spawn(func() { r.dial(address) })
+		}
+		select {
+		case <-ticker.C:
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) dial(address string) {
+	ctx, cancel := context.WithTimeout(r.ctx, dialTimeout)
+	defer cancel()
+	header := http.Header{hop.HeaderNode: []string{r.config.ID}}
+	socket, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: r.client, HTTPHeader: header})
+	if err != nil {
+		return
+	}
+	r.serve(socket, response.Header.Get(hop.HeaderNode))
+}
+
+// ServeHTTP takes a connection from a peer.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != Path {
+		http.NotFound(w, request)
+		return
+	}
+	w.Header().Set(hop.HeaderNode, r.config.ID)
+	socket, err := websocket.Accept(w, request, nil)
+	if err != nil {
+		return
+	}
+	r.serve(socket, request.Header.Get(hop.HeaderNode))
+}
+
+// serve runs a connection until it ends.
+func (r *Relay) serve(socket *websocket.Conn, peer string) {
+	defer socket.CloseNow()
+	if peer == "" || peer == r.config.ID {
+		return
+	}
+	socket.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.mutex.Lock()
+	r.book.LinkUp(peer)
+	r.mutex.Unlock()
+	r.config.Log.Urgent(eventlog.PeerRegained, logrus.Fields{"peer": peer})
+	var writer conc.WaitGroup
+	writer.Go(func() { defer cancel(); r.write(ctx, socket) })
+	err := r.read(ctx, socket)
+	cancel()
+	_ = socket.CloseNow()
+	writer.Wait()
+	r.mutex.Lock()
+	r.book.LinkDown(peer)
+	r.mutex.Unlock()
+	r.config.Log.Urgent(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": err.Error()})
+}
+
+func (r *Relay) read(ctx context.Context, socket *websocket.Conn) error {
+	for {
+		message, err := r.readOne(ctx, socket)
+		if err != nil {
+			return err
+		}
+		r.take(message)
+	}
+}
+
+func (r *Relay) readOne(ctx context.Context, socket *websocket.Conn) (Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	_, raw, err := socket.Read(ctx)
+	if err != nil {
+		return Message{}, err
+	}
+	r.config.Metrics.Counter("relay_bytes_received").Inc(int64(len(raw)))
+	return decode(raw)
+}
+
+// decode parses a peer's message.
+func decode(raw []byte) (Message, error) {
+	var message Message
+	err := cbor.Unmarshal(raw, &message)
+	return message, err
+}
+
+func (r *Relay) take(message Message) {
+	now := time.Now()
+	r.mutex.Lock()
+	r.book.Heard(now, message.From, message.Address, message.Peers)
+	r.mutex.Unlock()
+	if message.Configuration != nil {
+		r.config.State.OfferConfiguration(message.Configuration, gateway.SourcePeer)
+	}
+	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
+	r.config.State.PeerLoads(message.From, message.Loads)
+}
+
+// write tells the peer what it lacks, at once after a change and every period.
+func (r *Relay) write(ctx context.Context, socket *websocket.Conn) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	var version, change uint64
+	for count := 0; ; count++ {
+		news := r.config.State.NewsSince(version, change)
+		if err := r.writeOne(ctx, socket, r.message(news, count)); err != nil {
+			return
+		}
+		version, change = news.Version, news.Change
+		select {
+		case <-news.Changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) message(news gateway.News, count int) Message {
+	message := Message{
+		From:          r.config.ID,
+		Address:       r.config.Address,
+		Version:       news.Version,
+		Configuration: news.Configuration,
+		Entries:       news.Entries,
+		Loads:         news.Loads,
+	}
+	if count%peersEvery == 0 {
+		r.mutex.Lock()
+		message.Peers = r.book.Known(time.Now())
+		r.mutex.Unlock()
+	}
+	return message
+}
+
+func (r *Relay) writeOne(ctx context.Context, socket *websocket.Conn, message Message) error {
+	raw, err := cbor.Marshal(message)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	r.config.Metrics.Counter("relay_bytes_sent").Inc(int64(len(raw)))
+	return socket.Write(ctx, websocket.MessageBinary, raw)
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/tomlfile"
+)
+
+// Gateway tunes a gateway.
+type Gateway struct {
+	// RetryRatio and RetryExtra bound the further attempts that all gateways make
+	// for one service in any window: RetryRatio times its requests plus
+	// RetryExtra. Higher values mend more failures and load a failing service
+	// more. Defaults 0.2 and 20; both from 0.
+	RetryRatio *float64 `toml:"retry_ratio"`
+	RetryExtra *float64 `toml:"retry_extra"`
+	// LoadMultiple bounds a caching back end's load in multiples of its pool's
+	// mean. Lower values are more even and read more prompts anew. Default 1.7;
+	// from 1 to 10.
+	LoadMultiple float64 `toml:"load_multiple"`
+	// LoadSlack is how many requests a caching back end may have beyond that.
+	// Default 1.5; from 0 to 100.
+	LoadSlack *float64 `toml:"load_slack"`
+	// ReadPeriod is the time between two plain reads of the store's lists, beside
+	// the watches. Lower values learn sooner what a watch missed and cost more
+	// calls. Default 800ms; from 100ms to 1m.
+	ReadPeriod tomlfile.Duration `toml:"read_period"`
+}
+
+// Defaults and limits of a gateway's settings.
+const (
+	defaultRetryRatio   = 0.2
+	defaultRetryExtra   = 20
+	defaultLoadMultiple = 1.7
+	defaultLoadSlack    = 1.5
+	defaultReadPeriod   = 800 * time.Millisecond
+	longestReadPeriod   = time.Minute
+	shortestReadPeriod  = 100 * time.Millisecond
+	maxLoadMultiple     = 10
+	maxLoadSlack        = 100
+	maxRetryRatio       = 10
+	maxRetryExtra       = 1e6
+)
+
+func (g *Gateway) applyDefaults() {
+	g.RetryRatio = withDefault(g.RetryRatio, defaultRetryRatio)
+	g.RetryExtra = withDefault(g.RetryExtra, defaultRetryExtra)
+	g.LoadSlack = withDefault(g.LoadSlack, defaultLoadSlack)
+	if g.LoadMultiple == 0 {
+		g.LoadMultiple = defaultLoadMultiple
+	}
+	if g.ReadPeriod == 0 {
+		g.ReadPeriod = tomlfile.Duration(defaultReadPeriod)
+	}
+}
+
+func withDefault(value *float64, fallback float64) *float64 {
+	if value == nil {
+		return &fallback
+	}
+	return value
+}
+
+func (c *checker) checkGateway(s *Settings) {
+	c.address("listen.callers", s.Listen.Callers)
+	if s.Platform.URL == "" {
+		c.add("platform.url", "is missing", "name the platform's store, which lists routes and back ends")
+	}
+	g := s.Gateway
+	c.number("gateway.retry_ratio", *g.RetryRatio, 0, maxRetryRatio)
+	c.number("gateway.retry_extra", *g.RetryExtra, 0, maxRetryExtra)
+	c.number("gateway.load_multiple", g.LoadMultiple, 1, maxLoadMultiple)
+	c.number("gateway.load_slack", *g.LoadSlack, 0, maxLoadSlack)
+	c.duration("gateway.read_period", g.ReadPeriod, shortestReadPeriod, longestReadPeriod)
+}
+
+func (c *checker) number(field string, value, low, high float64) {
+	// Written so that NaN is out of range too.
+	if !(value >= low && value <= high) {
+		c.add(field, fmt.Sprintf("%v is out of range", value), fmt.Sprintf("write a value from %v to %v", low, high))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,13 +20,16 @@
 
 // Roles in a settings file.
 const (
-	RoleRouter = "router"
-	RoleAgent  = "agent"
+	RoleRouter  = "router"
+	RoleAgent   = "agent"
+	RoleGateway = "gateway"
 )
 
 // Settings is the daemon's TOML file.
 type Settings struct {
-	// Role is "router" or "agent".
+	// Role is "router", "agent" or "gateway". A gateway is a router that sends
+	// straight to back ends, which the platform's store lists with the routes; it
+	// needs neither agents nor bundles, so neither keys.
 	Role string `toml:"role"`
 	// ID is unique in the fleet. An agent's is its back end's in the bundle.
 	ID string `toml:"id"`
@@ -51,6 +54,8 @@
 	Router Router `toml:"router"`
 	// Agent is for agents alone.
 	Agent Agent `toml:"agent"`
+	// Gateway is for gateways alone.
+	Gateway Gateway `toml:"gateway"`
 	// Log is the node's log.
 	Log Log `toml:"log"`
 	// DrainDelay is how long a stopping router goes on taking requests after its
@@ -157,6 +162,7 @@
 	if s.Router.MaxTimeout == 0 {
 		s.Router.MaxTimeout = tomlfile.Duration(defaultMaxTimeout)
 	}
+	s.Gateway.applyDefaults()
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
@@ -175,12 +181,14 @@
 }
 
 func (c *checker) checkAll(s *Settings) {
-	if s.Role != RoleRouter && s.Role != RoleAgent {
-		c.add("role", fmt.Sprintf("%q is unknown", s.Role), `write "router" or "agent"`)
+	if s.Role != RoleRouter && s.Role != RoleAgent && s.Role != RoleGateway {
+		c.add("role", fmt.Sprintf("%q is unknown", s.Role), `write "router", "agent" or "gateway"`)
 	}
 	c.required("id", s.ID, "name this node; an agent's name is its back end's in the bundle")
 	c.required("zone", s.Zone, "name the zone of this machine")
-	c.checkKeys(s)
+	if s.Role != RoleGateway {
+		c.checkKeys(s)
+	}
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.admin", s.Listen.Admin)
 	for i, seed := range s.Seeds {
@@ -201,6 +209,9 @@
 	if s.Role == RoleAgent {
 		c.checkAgent(s)
 	}
+	if s.Role == RoleGateway {
+		c.checkGateway(s)
+	}
 }
 
 func (c *checker) checkKeys(s *Settings) {
