--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,7 +23,7 @@
 func TestParseNamesLineFieldAndRemedy(t *testing.T) {
 	cases := map[string]struct{ from, to, want string }{
 		"unknown key":  {`zone =`, `zoen =`, "s.toml:3: zoen: unknown key; remove it"},
-		"bad role":     {`"router"`, `"proxy"`, `s.toml:1: role: "proxy" is unknown; write "router" or "agent"`},
+		"bad role":     {`"router"`, `"proxy"`, `s.toml:1: role: "proxy" is unknown; write "router", "agent" or "gateway"`},
 		"short key":    {`0123456789abcdef"`, `"`, "s.toml:4: cluster_key: is not 64 hex digits"},
 		"host name":    {`peers = "127.0.0.1:0"`, `peers = "localhost:0"`, `s.toml:8: listen.peers: "localhost:0" is not an IP address and port`},
 		"missing zone": {`zone = "a"`, ``, "s.toml: zone: is missing; name the zone of this machine"},
