--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -122,18 +122,20 @@
 	if entry.Gone && exists {
 		entry.BackEnd = known.BackEnd
 	}
+	// The revision is kept even where nothing else changed: an entry between the
+	// two revisions may still arrive, and must not count as newer.
 	v.entries[id] = entry
 	v.changes++
 	v.changeOf[id] = v.changes
-	if entry.Gone {
+	if entry.Gone && !known.Gone {
 		v.order = append(v.order, id)
 	}
-	return true
+	return !exists || entry.BackEnd != known.BackEnd || entry.Gone != known.Gone
 }
 
 func supersedes(entry, known Entry) bool {
 	if entry.Revision != known.Revision {
-		return entry.Revision > known.Revision && (entry.BackEnd != known.BackEnd || entry.Gone != known.Gone)
+		return entry.Revision > known.Revision
 	}
 	return entry.Gone && !known.Gone
 }
--- /dev/null
+++ b/internal/catalog/view_test.go
@@ -0,0 +1,138 @@
+package catalog
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func entry(id string, revision uint64) Entry {
+	return Entry{BackEnd: BackEnd{ID: id, Service: "s", Address: "10.0.0.1:1"}, Revision: revision}
+}
+
+func ids(view *View) []string {
+	var list []string
+	for _, backEnd := range view.BackEnds() {
+		list = append(list, backEnd.ID)
+	}
+	return list
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	is.True(view.OfferConfiguration(&Configuration{Version: 7}))
+	is.True(!view.OfferConfiguration(&Configuration{Version: 5})) // a lagging peer
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7}))
+	is.Equal(view.Version(), uint64(7))
+}
+
+func TestStaleListNeitherRemovesNorRevives(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, 2)
+	view.OfferEntries([]Entry{entry("c", 9), {BackEnd: BackEnd{ID: "a"}, Gone: true, Revision: 8}})
+	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, 5) // older than c and than the removal of a
+	is.Equal(ids(view), []string{"b", "c"})
+	view.OfferList([]Entry{entry("b", 2)}, 12)
+	is.Equal(ids(view), []string{"b"}) // a newer list removes c
+	view.OfferEntries([]Entry{entry("c", 13)})
+	is.Equal(ids(view), []string{"b", "c"}) // listed anew after it had been gone
+}
+
+func TestRemovalKnownByItsLastRevision(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	view.OfferEntries([]Entry{entry("a", 4)})
+	view.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "a"}, Gone: true, Revision: 4}})
+	is.Equal(len(ids(view)), 0)
+	is.Equal(len(view.OfferEntries([]Entry{entry("a", 4)})), 0) // a peer's older word
+}
+
+func TestReadersFollowChanges(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	view.OfferEntries([]Entry{entry("a", 1), entry("b", 2)})
+	entries, change := view.Since(0)
+	is.Equal(len(entries), 2)
+	view.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "a"}, Gone: true, Revision: 3}})
+	entries, _ = view.Since(change)
+	is.Equal(len(entries), 1)
+	is.True(entries[0].Gone)
+}
+
+// Two views that were offered the same news in different orders agree: this is
+// what lets peers relay entries without any agreement.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		revision := uint64(0)
+		var news []Entry
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			revision++
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			next := entry(id, revision)
+			next.BackEnd.Leaving = rapid.Bool().Draw(t, "leaving")
+			next.Gone = rapid.Bool().Draw(t, "gone")
+			news = append(news, next)
+		}
+		shuffled := rapid.Permutation(news).Draw(t, "order")
+		first, second := NewView(), NewView()
+		first.OfferEntries(news)
+		for _, each := range shuffled {
+			second.OfferEntries([]Entry{each})
+		}
+		if !slices.Equal(first.BackEnds(), second.BackEnds()) {
+			t.Fatalf("%v in order, %v shuffled", first.BackEnds(), second.BackEnds())
+		}
+	})
+}
+
+func TestRouteWithTheLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	index := NewIndex(&Configuration{
+		Version: 1,
+		Routes: []Route{
+			{Name: "short", Host: "A.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		},
+		Tenants: []Tenant{{Name: "t", Keys: []string{"k"}}},
+	})
+	is.Equal(index.Route("a.example:80", "/x/y/z").Name, "long")
+	is.Equal(index.Route("a.EXAMPLE", "/x/yy").Name, "short")
+	is.True(index.Route("a.example", "/x") == nil) // prefixes end with a slash
+	is.True(index.Route("b.example", "/x/y/z") == nil)
+	is.Equal(index.Tenant("k").Name, "t")
+	is.True(index.Tenant("") == nil)
+}
+
+func TestTargetFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	route := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	counts := map[string]int{}
+	for i := range 10000 {
+		counts[route.Target(string(rune(i)))]++
+	}
+	is.True(counts["a"] > 8700 && counts["a"] < 9300)
+	is.Equal(counts["c"], 0) // a weight of 0 gets nothing
+}
+
+func TestCheckNamesTheField(t *testing.T) {
+	is := is.New(t)
+	good := Route{Name: "r", Prefix: "/x/", Targets: []Target{{Service: "s", Weight: 1}}, Timeout: time.Second}
+	for _, spoil := range []func(*Route){
+		func(r *Route) { r.Prefix = "x/" },
+		func(r *Route) { r.Targets = nil },
+		func(r *Route) { r.Targets[0].Service = "" },
+		func(r *Route) { r.Timeout = 0 },
+	} {
+		route := good
+		route.Targets = slices.Clone(good.Targets)
+		spoil(&route)
+		is.True((&Configuration{Version: 1, Routes: []Route{route}}).Check() != nil)
+	}
+	is.NoErr((&Configuration{Version: 1, Routes: []Route{good}}).Check())
+	is.True((&Configuration{}).Check() != nil)
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -249,7 +249,7 @@
 			_, _ = w.Write([]byte("data: {}\n\n"))
 		})
 		for _, id := range []string{"engine-1", "engine-2"} {
-			is.NoErr(f.network.listeners[addressOf(id, "back-end")].Close())
+			f.network.Close(addressOf(id, "back-end"))
 			f.serveStandIn(id, cut)
 		}
 		c := chat{text: "verdict", stream: true, header: http.Header{"Idempotency-Key": {newKey()}, "Harriernotch-Repeatable": {"no"}}}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/pipenet"
 	"github.com/harriernotch/harriernotch/internal/platform"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/standin"
@@ -35,7 +36,7 @@
 // as whole nodes on an in-memory network.
 type fleet struct {
 	t        *testing.T
-	network  *pipeNetwork
+	network  *pipenet.Network
 	store    *standin.Platform
 	nodes    map[string]*Node
 	engines  map[string]*standin.Engine
@@ -49,10 +50,10 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
-			t: t, network: newPipeNetwork(), store: standin.NewPlatform(), protocol: protocol,
+			t: t, network: pipenet.New(), store: standin.NewPlatform(), protocol: protocol,
 			nodes: map[string]*Node{}, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
 		}
-		f.client = &http.Client{Transport: &http.Transport{DialContext: f.network.dial, DisableKeepAlives: true}}
+		f.client = &http.Client{Transport: &http.Transport{DialContext: f.network.Dial, DisableKeepAlives: true}}
 		f.publish(1, signingKey, f.document(""))
 		for _, id := range []string{"engine-1", "engine-2"} {
 			f.engines[id] = standin.NewEngine(standin.EngineConfig{Models: []string{"m"}, DecodeStep: 10 * time.Millisecond})
@@ -114,7 +115,7 @@
 }
 
 func (f *fleet) serveStandIn(id string, handler http.Handler) {
-	listener, err := f.network.listen("pipe", addressOf(id, "back-end"))
+	listener, err := f.network.Listen("pipe", addressOf(id, "back-end"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -140,7 +141,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	node, err := Start(parsed, Environment{Listen: f.network.listen, Dial: f.network.dial, Platform: f.store, Log: log})
+	node, err := Start(parsed, Environment{Listen: f.network.Listen, Dial: f.network.Dial, Platform: f.store, Log: log})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,72 @@
+package eventstream
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+func TestWholeEventsAlone(t *testing.T) {
+	is := is.New(t)
+	text := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n"
+	reader := NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	first, err := reader.Next()
+	is.NoErr(err)
+	is.Equal(first.ID, "1")
+	is.Equal(string(first.Raw), "id: 1\ndata: a\n\n")
+	second, err := reader.Next()
+	is.NoErr(err)
+	is.Equal(second.ID, "2")
+	_, err = reader.Next()
+	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // the third was cut
+}
+
+func TestStreamThatEndsWhole(t *testing.T) {
+	is := is.New(t)
+	reader := NewReader(strings.NewReader("data: a\n\n"))
+	_, err := reader.Next()
+	is.NoErr(err)
+	_, err = reader.Next()
+	is.True(errors.Is(err, io.EOF))
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	is := is.New(t)
+	reader := NewReader(io.LimitReader(endless{}, 2*MaxEventBytes))
+	_, err := reader.Next()
+	is.True(errors.Is(err, ErrTooLarge))
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+// What is passed on is always a beginning of what came, cut after an event.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Add([]byte("\n\nid:\n\n:"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		reader := NewReader(bytes.NewReader(raw))
+		var passed []byte
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				break
+			}
+			passed = append(passed, event.Raw...)
+		}
+		if !bytes.HasPrefix(raw, passed) {
+			t.Fatalf("%q isn't a beginning of %q", passed, raw)
+		}
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -163,11 +163,10 @@
 			}
 		}
 		f.config.Metrics.Tagged(map[string]string{"what": what}).Counter("watches_ended").Inc(1)
-		if errors.Is(err, ErrHistoryGone) {
-			continue
-		}
 		sleep(ctx, jitter(pause))
-		pause = min(2*pause, longestPause)
+		if !errors.Is(err, ErrHistoryGone) {
+			pause = min(2*pause, longestPause)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/limits/window_test.go
@@ -0,0 +1,41 @@
+package limits
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// However requests fall on the gateways, all together stay within the allowance
+// of any window.
+func TestSharesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, extra = 0.2, 56
+		gateways := rapid.IntRange(1, 9).Draw(t, "gateways")
+		budgets := make([]*ShareOfBudget, gateways)
+		for i := range budgets {
+			budgets[i] = NewShareOfBudget(ratio, extra, gateways)
+		}
+		requests, further := 0, 0
+		for range rapid.IntRange(0, 400).Draw(t, "requests") {
+			budget := budgets[rapid.IntRange(0, gateways-1).Draw(t, "gateway")]
+			budget.Earn()
+			requests++
+			for rapid.Bool().Draw(t, "fails") && budget.Spend() {
+				further++
+			}
+		}
+		if float64(further) > ratio*float64(requests)+extra {
+			t.Fatalf("%d further attempts for %d requests", further, requests)
+		}
+	})
+}
+
+func TestShareShrinksWithMoreGateways(t *testing.T) {
+	is := is.New(t)
+	budget := NewShareOfBudget(0.2, 50, 1)
+	is.True(budget.Tokens() > 20)
+	budget.SetGateways(10)
+	is.True(budget.Tokens() <= 5) // what was saved up as the only one is gone
+}
--- a/internal/daemon/network_test.go
+++ b/internal/pipenet/pipenet.go
@@ -1,4 +1,6 @@
-package daemon
+// Package pipenet connects listeners and dialers in memory, so that whole nodes run
+// on the virtual clock of a test.
+package pipenet
 
 import (
 	"context"
@@ -8,18 +10,19 @@
 	"github.com/go-faster/errors"
 )
 
-// pipeNetwork connects listeners and dialers in memory, so that whole nodes run
-// on the virtual clock of a bubble.
-type pipeNetwork struct {
+// Network is a network of its own.
+type Network struct {
 	mutex     sync.Mutex
 	listeners map[string]*pipeListener
 }
 
-func newPipeNetwork() *pipeNetwork {
-	return &pipeNetwork{listeners: map[string]*pipeListener{}}
+// New returns a network without listeners.
+func New() *Network {
+	return &Network{listeners: map[string]*pipeListener{}}
 }
 
-func (n *pipeNetwork) listen(_, address string) (net.Listener, error) {
+// Listen opens an address.
+func (n *Network) Listen(_, address string) (net.Listener, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.listeners[address] != nil {
@@ -30,7 +33,8 @@
 	return listener, nil
 }
 
-func (n *pipeNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial connects to an address. It fails at once where nobody listens.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mutex.Lock()
 	listener := n.listeners[address]
 	n.mutex.Unlock()
@@ -49,7 +53,7 @@
 }
 
 type pipeListener struct {
-	network *pipeNetwork
+	network *Network
 	address string
 	conns   chan net.Conn
 	closed  chan struct{}
@@ -81,3 +85,14 @@
 
 func (pipeAddress) Network() string  { return "pipe" }
 func (a pipeAddress) String() string { return string(a) }
+
+// Close ends the listener at the address, if there is one: connections to it
+// fail from now on.
+func (n *Network) Close(address string) {
+	n.mutex.Lock()
+	listener := n.listeners[address]
+	n.mutex.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
