A few gateways read the store for all; the others learn from them

Change: five live gateways that the store answers, the first in hash order, read and watch all the time; the others read seldom, the less often the larger the fleet, and at once again when no peer is heard. Messages between gateways tell how long ago the store answered.

Conclusion: calls no longer grow with gateways times changes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -60,6 +60,10 @@
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// stretchPerGateways and longestStretch bound the time between two reads of a
+	// gateway that isn't a reader: one read period for so many gateways.
+	stretchPerGateways = 2
+	longestStretch     = 10 * time.Second
 )
 
 // Follower follows one store.
@@ -139,7 +143,7 @@
 	for ctx.Err() == nil {
 		_, err := step(ctx)
 		f.note(ctx, what, err)
-		wait := jitter(f.config.ReadPeriod)
+		wait := jitter(f.readPeriod())
 		if err != nil {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
@@ -150,13 +154,28 @@
 	}
 }
 
+// readPeriod is the time to the next plain read. A gateway that isn't a reader
+// stretches it with the size of the fleet, so that all together make about as
+// many calls as a few.
+func (f *Follower) readPeriod() time.Duration {
+	gateways, reader := f.config.State.Fleet()
+	if reader {
+		return f.config.ReadPeriod
+	}
+	return min(f.config.ReadPeriod*time.Duration(gateways)/stretchPerGateways, longestStretch)
+}
+
 // watchLoop watches from the revision of a plain read, and reads anew whenever
 // the watch fails.
 func (f *Follower) watchLoop(ctx context.Context, what string, first read, next watch) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if !f.isReader() {
+			sleep(ctx, jitter(f.config.ReadPeriod))
+			continue
+		}
 		at, err := first(ctx)
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && f.isReader() {
 			at, err = next(ctx, at)
 			if err == nil {
 				pause = firstPause
@@ -170,6 +189,11 @@
 	}
 }
 
+func (f *Follower) isReader() bool {
+	_, reader := f.config.State.Fleet()
+	return reader
+}
+
 // note logs when the store is lost or regained.
 func (f *Follower) note(ctx context.Context, what string, err error) {
 	if ctx.Err() != nil {
@@ -182,6 +206,7 @@
 		}
 		return
 	}
+	f.config.State.StoreAnswered()
 	if f.lost.Swap(false) {
 		f.config.Log.Urgent(eventlog.StoreRegained, logrus.Fields{"what": what})
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -21,13 +21,21 @@
 	core     *dispatch.Core
 	listed   bool
 	draining bool
+	// storeAt is when the store last answered.
+	storeAt time.Time
+	// gateways and reader are this gateway's place in the fleet.
+	gateways int
+	reader   bool
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
 }
 
 // NewState returns a state that knows nothing yet.
 func NewState(core *dispatch.Core, log *eventlog.Log) *State {
-	return &State{log: log, view: catalog.NewView(), core: core, changed: make(chan struct{})}
+	return &State{
+		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}),
+		gateways: 1, reader: true,
+	}
 }
 
 // Index returns the configuration in force, or nil.
@@ -131,6 +139,8 @@
 	Entries       []catalog.Entry
 	Change        uint64
 	Loads         []dispatch.Load
+	// StoreAge is how long ago the store last answered.
+	StoreAge time.Duration
 	// Changed is closed with the next change.
 	Changed <-chan struct{}
 }
@@ -140,7 +150,7 @@
 func (s *State) NewsSince(version, change uint64) News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	news := News{Version: s.view.Version(), Loads: s.core.Loads(), Changed: s.changed}
+	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: time.Since(s.storeAt), Changed: s.changed}
 	if news.Version > version {
 		news.Configuration = s.view.Index().Configuration()
 	}
@@ -157,11 +167,28 @@
 	s.core.PeerLoads(time.Now(), peer, loads)
 }
 
-// SetGateways notes how many gateways are live.
-func (s *State) SetGateways(count int) {
+// SetFleet notes how many gateways are live, and whether this one is among those
+// that read the store all the time.
+func (s *State) SetFleet(gateways int, reader bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gateways = gateways
+	s.reader = reader
+	s.core.SetGateways(gateways)
+}
+
+// Fleet returns what SetFleet noted.
+func (s *State) Fleet() (gateways int, reader bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.gateways, s.reader
+}
+
+// StoreAnswered notes an answer of the store.
+func (s *State) StoreAnswered() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.SetGateways(count)
+	s.storeAt = time.Now()
 }
 
 // decide runs a step of the core.
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -22,6 +22,9 @@
 	Address string `cbor:"2,keyasint"`
 	// AgeMillis is how long ago it was last heard of.
 	AgeMillis int64 `cbor:"3,keyasint"`
+	// StoreAgeMillis is how long ago, when it was last heard of, the store had
+	// answered it.
+	StoreAgeMillis int64 `cbor:"4,keyasint"`
 }
 
 const (
@@ -33,6 +36,16 @@
 	meshSize = 10
 	// redialPause is the time between two tries at the same address.
 	redialPause = 700 * time.Millisecond
+	// readers is the number of gateways that read and watch the store all the time;
+	// the others learn from them and read seldom. So the calls to the store don't
+	// grow with the fleet. More of them cost more calls, and make it less likely
+	// that all are turned away at once.
+	readers = 5
+	// freshStore is the age to which a gateway's last answer of the store counts.
+	freshStore = 2 * time.Second
+	// freshLink is how long ago a peer must have been heard directly for a gateway
+	// to leave the reading to others.
+	freshLink = time.Second
 )
 
 // Book knows the other gateways. It is not safe for concurrent use.
@@ -47,6 +60,10 @@
 type known struct {
 	address string
 	heardAt time.Time
+	// directAt is when its last own message came.
+	directAt time.Time
+	// storeAt is when the store last answered it.
+	storeAt time.Time
 	links   int
 }
 
@@ -59,26 +76,47 @@
 func (b *Book) SetSeeds(seeds []string) { b.seeds = seeds }
 
 // Heard notes a message from a peer, with the peers that it knows.
-func (b *Book) Heard(now time.Time, id, address string, others []Peer) {
-	b.note(now, id, address)
+func (b *Book) Heard(now time.Time, from Peer, others []Peer) {
+	b.note(now, from)
+	if sender := b.peers[from.ID]; sender != nil {
+		sender.directAt = now
+	}
 	for _, other := range others {
-		b.note(now.Add(-time.Duration(other.AgeMillis)*time.Millisecond), other.ID, other.Address)
+		b.note(now, other)
 	}
 }
 
-func (b *Book) note(heardAt time.Time, id, address string) {
-	if id == b.id || id == "" || address == "" {
+func (b *Book) note(now time.Time, told Peer) {
+	if told.ID == b.id || told.ID == "" || told.Address == "" || told.AgeMillis < 0 {
 		return
 	}
-	peer := b.peers[id]
+	peer := b.peers[told.ID]
 	if peer == nil {
 		peer = &known{}
-		b.peers[id] = peer
+		b.peers[told.ID] = peer
 	}
+	heardAt := now.Add(-time.Duration(told.AgeMillis) * time.Millisecond)
 	if heardAt.After(peer.heardAt) {
 		peer.heardAt = heardAt
-		peer.address = address
+		peer.address = told.Address
+		peer.storeAt = heardAt.Add(-time.Duration(told.StoreAgeMillis) * time.Millisecond)
+	}
+}
+
+// IsReader tells whether this gateway is one of those that read the store all the
+// time: the first few, in hash order, of the live ones that the store answers. A
+// gateway that hears of no peer reads for itself. The gateways may disagree for
+// a moment: then a few more read, or the others' seldom reads make up for it.
+func (b *Book) IsReader(now time.Time) bool {
+	own := xxhash.Sum64String(b.id)
+	before, linked := 0, false
+	for id, peer := range b.peers {
+		linked = linked || now.Sub(peer.directAt) <= freshLink
+		if now.Sub(peer.heardAt) <= freshStore && now.Sub(peer.storeAt) <= freshStore && xxhash.Sum64String(id) < own {
+			before++
+		}
 	}
+	return !linked || before < readers
 }
 
 // LinkUp and LinkDown count the open connections to a peer.
@@ -113,7 +151,10 @@
 	for _, id := range b.ids() {
 		peer := b.peers[id]
 		if age := now.Sub(peer.heardAt); age <= liveAge {
-			list = append(list, Peer{ID: id, Address: peer.address, AgeMillis: age.Milliseconds()})
+			list = append(list, Peer{
+				ID: id, Address: peer.address, AgeMillis: age.Milliseconds(),
+				StoreAgeMillis: min(peer.heardAt.Sub(peer.storeAt), forgetAge).Milliseconds(),
+			})
 		}
 	}
 	return list
--- /dev/null
+++ b/internal/relay/book_test.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func name(i int) string    { return fmt.Sprint("g", i) }
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+func TestSeedsLeadToAllGateways(t *testing.T) {
+	is := is.New(t)
+	book := NewBook(name(1), address(1), []string{address(1), address(2)})
+	is.Equal(book.Dial(start), []string{address(2)}) // not its own
+	is.Equal(len(book.Dial(start.Add(time.Millisecond))), 0)
+	book.LinkUp(name(2))
+	book.Heard(start, Peer{ID: name(2), Address: address(2)}, []Peer{
+		{ID: name(3), Address: address(3)},
+		{ID: name(1), Address: address(1)},
+	})
+	is.Equal(book.Dial(start.Add(time.Second)), []string{address(3)})
+	is.Equal(book.Live(start.Add(time.Second)), 3)
+	is.Equal(book.Live(start.Add(time.Minute)), 1) // silent ones don't count
+}
+
+func TestOldNewsOfAPeerDoesNotReviveIt(t *testing.T) {
+	is := is.New(t)
+	book := NewBook(name(1), address(1), nil)
+	book.Heard(start, Peer{ID: name(2), Address: address(2)}, []Peer{{ID: name(3), Address: address(3), AgeMillis: 5000}})
+	is.Equal(book.Live(start), 3)
+	is.Equal(book.Live(start.Add(2*time.Second)), 2)
+}
+
+// fleet returns the books of gateways that know each other; the store answers
+// those for which answered is true.
+func fleet(count int, answered func(i int) bool) []*Book {
+	books := make([]*Book, count)
+	for i := range books {
+		books[i] = NewBook(name(i), address(i), nil)
+		for j := range count {
+			storeAge := int64(0)
+			if !answered(j) {
+				storeAge = 60_000
+			}
+			books[i].Heard(start, Peer{ID: name(j), Address: address(j), StoreAgeMillis: storeAge}, nil)
+		}
+	}
+	return books
+}
+
+func countReaders(books []*Book, now time.Time, counts func(i int) bool) int {
+	count := 0
+	for i, book := range books {
+		if counts(i) && book.IsReader(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func all(int) bool { return true }
+
+func TestAFewGatewaysRead(t *testing.T) {
+	is := is.New(t)
+	is.Equal(countReaders(fleet(340, all), start, all), readers)
+	is.Equal(countReaders(fleet(4, all), start, all), 4) // of a small fleet all
+}
+
+func TestReadersTurnedAwayAreReplaced(t *testing.T) {
+	is := is.New(t)
+	first := fleet(40, all)
+	away := map[int]bool{}
+	for i, book := range first {
+		away[i] = book.IsReader(start)
+	}
+	answered := func(i int) bool { return !away[i] }
+	is.Equal(countReaders(fleet(40, answered), start, answered), readers)
+}
+
+func TestGatewayWithoutPeersReadsForItself(t *testing.T) {
+	is := is.New(t)
+	books := fleet(40, all)
+	is.Equal(countReaders(books, start.Add(3*time.Second), all), 40)
+}
+
+func TestLinksGrowSlowerThanTheFleet(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(fleet(6, all)[0].neighbours()), 5)
+	is.True(len(fleet(340, all)[0].neighbours()) <= 9)
+}
+
+// Whatever a few gateways know reaches all over the links of a large fleet.
+func TestNeighboursConnectTheFleet(t *testing.T) {
+	is := is.New(t)
+	books := fleet(200, all)
+	reached := map[string]bool{name(0): true}
+	frontier := []string{name(0)}
+	steps := 0
+	for len(frontier) > 0 {
+		steps++
+		var next []string
+		for i, book := range books {
+			for _, neighbour := range book.neighbours() {
+				for _, at := range frontier {
+					next = reach(reached, next, at, name(i), neighbour)
+				}
+			}
+		}
+		frontier = next
+	}
+	is.Equal(len(reached), 200)
+	is.True(steps <= 8)
+}
+
+// reach follows one link, which carries news both ways.
+func reach(reached map[string]bool, next []string, at, one, other string) []string {
+	for _, pair := range [][2]string{{one, other}, {other, one}} {
+		if pair[0] == at && !reached[pair[1]] {
+			reached[pair[1]] = true
+			next = append(next, pair[1])
+		}
+	}
+	return next
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		message, err := decode(raw)
+		if err != nil {
+			return
+		}
+		book := NewBook(name(1), address(1), nil)
+		book.Heard(start, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis}, message.Peers)
+		book.Dial(start)
+		book.IsReader(start)
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,8 @@
 	Entries []catalog.Entry `cbor:"6,keyasint,omitempty"`
 	// Loads are the sender's requests under way.
 	Loads []dispatch.Load `cbor:"7,keyasint,omitempty"`
+	// StoreAgeMillis is how long ago the store last answered the sender.
+	StoreAgeMillis int64 `cbor:"8,keyasint"`
 }
 
 const (
@@ -129,8 +131,9 @@
 		r.mutex.Lock()
 		due := r.book.Dial(time.Now())
 		live := r.book.Live(time.Now())
+		reader := r.book.IsReader(time.Now())
 		r.mutex.Unlock()
-		r.config.State.SetGateways(live)
+		r.config.State.SetFleet(live, reader)
 		for _, address := range due {
 			r.spawn(func() { r.dial(address) })
 		}
@@ -223,7 +226,7 @@
 func (r *Relay) take(message Message) {
 	now := time.Now()
 	r.mutex.Lock()
-	r.book.Heard(now, message.From, message.Address, message.Peers)
+	r.book.Heard(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis}, message.Peers)
 	r.mutex.Unlock()
 	if message.Configuration != nil {
 		r.config.State.OfferConfiguration(message.Configuration, gateway.SourcePeer)
@@ -260,6 +263,8 @@
 		Configuration: news.Configuration,
 		Entries:       news.Entries,
 		Loads:         news.Loads,
+
+		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	if count%peersEvery == 0 {
 		r.mutex.Lock()
