Configurations cross one link between gateways, on demand

Every gateway sent the whole document to every neighbour, so each was encoded and decoded some ten times on a seventh of a core, while streams waited.

Change: messages tell the version alone; a gateway with an older one asks one peer. The document is encoded once a version, and a read that finds the revision known isn't parsed.

Conclusion: a change costs each gateway one decoding.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -21,6 +22,9 @@
 	core     *dispatch.Core
 	listed   bool
 	draining bool
+	// document is the configuration encoded for peers, of documentVersion.
+	document        []byte
+	documentVersion uint64
 	// storeAt is when the store last answered.
 	storeAt time.Time
 	// gateways and reader are this gateway's place in the fleet.
@@ -134,32 +138,58 @@
 
 // News is what a peer lacks.
 type News struct {
-	Version       uint64
-	Configuration *catalog.Configuration
-	Entries       []catalog.Entry
-	Change        uint64
-	Loads         []dispatch.Load
+	// Version is the configuration in force.
+	Version uint64
+	// Entries are the back ends that changed since, and Change the number to go
+	// on from.
+	Entries []catalog.Entry
+	Change  uint64
+	// Loads are this gateway's requests under way.
+	Loads []dispatch.Load
 	// StoreAge is how long ago the store last answered.
 	StoreAge time.Duration
 	// Changed is closed with the next change.
 	Changed <-chan struct{}
 }
 
-// NewsSince returns what a peer lacks that has the version and the changes, and
-// the loads of the moment.
-func (s *State) NewsSince(version, change uint64) News {
+// NewsSince returns what a peer lacks that has the changes, and the loads of the
+// moment.
+func (s *State) NewsSince(change uint64) News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: time.Since(s.storeAt), Changed: s.changed}
-	if news.Version > version {
-		news.Configuration = s.view.Index().Configuration()
-	}
 	if s.listed {
 		news.Entries, news.Change = s.view.Since(change)
 	}
 	return news
 }
 
+// Version returns the configuration's version in force, or 0.
+func (s *State) Version() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view.Version()
+}
+
+// Document returns the configuration in force, encoded for peers, or nil. It is
+// encoded once a version, and only when a peer asks.
+func (s *State) Document() []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.view.Index() == nil {
+		return nil
+	}
+	if s.documentVersion != s.view.Version() {
+		encoded, err := cbor.Marshal(s.view.Index().Configuration())
+		if err != nil {
+			s.log.Urgent(eventlog.Misconfigured, logrus.Fields{"version": s.view.Version(), "cause": err.Error()})
+			return nil
+		}
+		s.document, s.documentVersion = encoded, s.view.Version()
+	}
+	return s.document
+}
+
 // PeerLoads takes a peer's loads.
 func (s *State) PeerLoads(peer string, loads []dispatch.Load) {
 	s.mutex.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -29,10 +30,11 @@
 	Address string `cbor:"2,keyasint"`
 	// Peers are the live gateways that the sender knows.
 	Peers []Peer `cbor:"3,keyasint,omitempty"`
-	// Version is the sender's configuration; Configuration is set when the
-	// receiver may lack it.
-	Version       uint64                 `cbor:"4,keyasint"`
-	Configuration *catalog.Configuration `cbor:"5,keyasint,omitempty"`
+	// Version is the sender's configuration. A receiver with an older one asks for
+	// the document with Want; so it crosses one link, not every one.
+	Version  uint64          `cbor:"4,keyasint"`
+	Document cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	Want     bool            `cbor:"9,keyasint,omitempty"`
 	// Entries are the back ends that changed since the last message.
 	Entries []catalog.Entry `cbor:"6,keyasint,omitempty"`
 	// Loads are the sender's requests under way.
@@ -52,6 +54,8 @@
 	writeTimeout = time.Second
 	// maxMessageBytes bounds a message: a configuration and all back ends.
 	maxMessageBytes = 16 << 20
+	// askAgain is how long a question for a document may go without an answer.
+	askAgain = 400 * time.Millisecond
 	// peersEvery is how many messages go without the list of peers.
 	peersEvery = 5
 )
@@ -83,6 +87,27 @@
 	mutex  sync.Mutex
 	closed bool
 	book   *Book
+	// askedVersion is the document last asked for, and askedAt when.
+	askedVersion uint64
+	askedAt      time.Time
+}
+
+// link is one open connection.
+type link struct {
+	socket *websocket.Conn
+	// wake makes the writer send at once.
+	wake chan struct{}
+	// ask and give are what the next message carries: a question for the peer's
+	// document, and the answer to the peer's.
+	ask  atomic.Bool
+	give atomic.Bool
+}
+
+func (l *link) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Start begins to connect.
@@ -183,9 +208,10 @@
 	r.book.LinkUp(peer)
 	r.mutex.Unlock()
 	r.config.Log.Urgent(eventlog.PeerRegained, logrus.Fields{"peer": peer})
+	opened := &link{socket: socket, wake: make(chan struct{}, 1)}
 	var writer conc.WaitGroup
-	writer.Go(func() { defer cancel(); r.write(ctx, socket) })
-	err := r.read(ctx, socket)
+	writer.Go(func() { defer cancel(); r.write(ctx, opened) })
+	err := r.read(ctx, opened)
 	cancel()
 	_ = socket.CloseNow()
 	writer.Wait()
@@ -195,16 +221,41 @@
 	r.config.Log.Urgent(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": err.Error()})
 }
 
-func (r *Relay) read(ctx context.Context, socket *websocket.Conn) error {
+func (r *Relay) read(ctx context.Context, from *link) error {
 	for {
-		message, err := r.readOne(ctx, socket)
+		message, err := r.readOne(ctx, from.socket)
 		if err != nil {
 			return err
 		}
 		r.take(message)
+		if message.Want {
+			from.give.Store(true)
+			from.wakeUp()
+		}
+		if r.shouldAsk(message.Version) {
+			from.ask.Store(true)
+			from.wakeUp()
+		}
 	}
 }
 
+// shouldAsk tells whether a document is newer than this gateway's, and nobody
+// was asked for it of late.
+func (r *Relay) shouldAsk(version uint64) bool {
+	if version <= r.config.State.Version() {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	if version <= r.askedVersion && now.Sub(r.askedAt) < askAgain {
+		return false
+	}
+	r.askedVersion = version
+	r.askedAt = now
+	return true
+}
+
 func (r *Relay) readOne(ctx context.Context, socket *websocket.Conn) (Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
@@ -228,25 +279,40 @@
 	r.mutex.Lock()
 	r.book.Heard(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis}, message.Peers)
 	r.mutex.Unlock()
-	if message.Configuration != nil {
-		r.config.State.OfferConfiguration(message.Configuration, gateway.SourcePeer)
+	if message.Document != nil && message.Version > r.config.State.Version() {
+		r.takeDocument(message)
 	}
 	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
 	r.config.State.PeerLoads(message.From, message.Loads)
 }
 
+func (r *Relay) takeDocument(message Message) {
+	var configuration catalog.Configuration
+	if err := cbor.Unmarshal(message.Document, &configuration); err != nil {
+		r.config.Log.Urgent(eventlog.Misconfigured, logrus.Fields{"version": message.Version, "source": message.From, "cause": err.Error()})
+		return
+	}
+	r.config.State.OfferConfiguration(&configuration, gateway.SourcePeer)
+}
+
 // write tells the peer what it lacks, at once after a change and every period.
-func (r *Relay) write(ctx context.Context, socket *websocket.Conn) {
+func (r *Relay) write(ctx context.Context, to *link) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
-	var version, change uint64
+	var change uint64
 	for count := 0; ; count++ {
-		news := r.config.State.NewsSince(version, change)
-		if err := r.writeOne(ctx, socket, r.message(news, count)); err != nil {
+		news := r.config.State.NewsSince(change)
+		message := r.message(news, count)
+		message.Want = to.ask.Swap(false)
+		if to.give.Swap(false) {
+			message.Document = r.config.State.Document()
+		}
+		if err := r.writeOne(ctx, to.socket, message); err != nil {
 			return
 		}
-		version, change = news.Version, news.Change
+		change = news.Change
 		select {
+		case <-to.wake:
 		case <-news.Changed:
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -257,12 +323,11 @@
 
 func (r *Relay) message(news gateway.News, count int) Message {
 	message := Message{
-		From:          r.config.ID,
-		Address:       r.config.Address,
-		Version:       news.Version,
-		Configuration: news.Configuration,
-		Entries:       news.Entries,
-		Loads:         news.Loads,
+		From:    r.config.ID,
+		Address: r.config.Address,
+		Version: news.Version,
+		Entries: news.Entries,
+		Loads:   news.Loads,
 
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
