Logs of gateways: every event in the operators' page; health changes logged

Cause: two events were named but never written, the standard logger of libraries wrote plain text, and nothing checked the list of events against its page. Two things were called platform.

The product's own object API client is internal/objectstore now. A refusal by one back end says to come back after 250 ms.

--- a/internal/cli/bundle.go
+++ b/internal/cli/bundle.go
@@ -16,7 +16,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/failure"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 //go:embed bundle.toml
@@ -46,7 +46,7 @@
 }
 
 // publisher returns a publisher that trusts the flags' keys and own, if given.
-func (f *platformFlags) publisher(own ed25519.PrivateKey) (*platform.Publisher, error) {
+func (f *platformFlags) publisher(own ed25519.PrivateKey) (*objectstore.Publisher, error) {
 	trusted, err := parsePublicKeys(f.trusted)
 	if err != nil {
 		return nil, err
@@ -57,7 +57,7 @@
 	if len(trusted) == 0 {
 		return nil, failure.New(failure.InvalidRequest, "--trusted: there is none; name the public key that `bundle init` printed")
 	}
-	return platform.NewPublisher(platform.NewHTTPClient(f.url, nil), trusted, time.Now), nil
+	return objectstore.NewPublisher(objectstore.NewHTTPClient(f.url, nil), trusted, time.Now), nil
 }
 
 func newBundleCommand() *cobra.Command {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,6 +28,8 @@
 	}
 	log := eventlog.New(os.Stdout, level, logrus.Fields{"node": s.ID, "role": s.Role})
 	defer log.Close()
+	// Libraries complain on the standard logger; standard output holds JSON alone.
+	stdlog.SetOutput(log.Entry().WriterLevel(logrus.DebugLevel))
 	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Log: log})
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,8 +19,8 @@
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 	"github.com/harriernotch/harriernotch/internal/peering"
-	"github.com/harriernotch/harriernotch/internal/platform"
 	"github.com/harriernotch/harriernotch/internal/router"
 	"github.com/harriernotch/harriernotch/internal/router/routerhttp"
 	"github.com/harriernotch/harriernotch/internal/routing"
@@ -37,7 +37,7 @@
 	// Dial opens connections; nil uses TCP.
 	Dial hop.DialFunc
 	// Platform replaces the client that the settings name.
-	Platform platform.Client
+	Platform objectstore.Client
 	// Log is the node's logger.
 	Log logrus.FieldLogger
 }
@@ -77,7 +77,7 @@
 		environment.Listen = net.Listen
 	}
 	if environment.Platform == nil && s.Platform.URL != "" {
-		environment.Platform = platform.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial})
+		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial})
 	}
 	n := &Node{
 		settings:   s,
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 	"github.com/harriernotch/harriernotch/internal/pipenet"
-	"github.com/harriernotch/harriernotch/internal/platform"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/standin"
 )
@@ -105,11 +105,11 @@
 		f.t.Fatal(err)
 	}
 	f.store.SetFaults(standin.PlatformFaults{})
-	current, err := f.store.Get(f.t.Context(), platform.BundleKey)
+	current, err := f.store.Get(f.t.Context(), objectstore.BundleKey)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if _, err := f.store.Put(f.t.Context(), platform.BundleKey, raw, current.Version); err != nil {
+	if _, err := f.store.Put(f.t.Context(), objectstore.BundleKey, raw, current.Version); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,7 +19,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/daemon"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/standin"
 )
@@ -152,14 +152,14 @@
 	return text
 }
 
-func publish(ctx context.Context, store platform.Objects, key ed25519.PrivateKey, text string) error {
+func publish(ctx context.Context, store objectstore.Objects, key ed25519.PrivateKey, text string) error {
 	header := bundle.Header{Number: 1, Identifier: uuid.NewString(), SignedAtMillis: time.Now().UnixMilli(), Note: "demo"}
 	raw, err := bundle.Sign(header, []byte(text), key)
 	if err != nil {
 		return errors.Wrap(err, "sign the demo's bundle")
 	}
 	public, _ := key.Public().(ed25519.PublicKey)
-	_, err = platform.NewPublisher(store, []ed25519.PublicKey{public}, time.Now).Publish(ctx, raw)
+	_, err = objectstore.NewPublisher(store, []ed25519.PublicKey{public}, time.Now).Publish(ctx, raw)
 	return err
 }
 
@@ -173,7 +173,7 @@
 `, clusterKey, base64.StdEncoding.EncodeToString(public))
 }
 
-func (f *Fleet) startNodes(common, listen string, backEnds []backEnd, store platform.Client, log logrus.FieldLogger) error {
+func (f *Fleet) startNodes(common, listen string, backEnds []backEnd, store objectstore.Client, log logrus.FieldLogger) error {
 	routerPeers, err := freeAddress()
 	if err != nil {
 		return err
@@ -208,7 +208,7 @@
 	return nil
 }
 
-func (f *Fleet) startNode(name, text string, store platform.Client, log logrus.FieldLogger) (*daemon.Node, error) {
+func (f *Fleet) startNode(name, text string, store objectstore.Client, log logrus.FieldLogger) (*daemon.Node, error) {
 	parsed, err := settings.Parse(name, []byte(text))
 	if err != nil {
 		return nil, err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -55,6 +55,37 @@
 	paths    *pathMemory
 	budgets  map[string]*limits.ShareOfBudget
 	gateways int
+	changes  []HealthChange
+}
+
+// HealthChange is a changed belief on a back end.
+type HealthChange struct {
+	BackEnd string
+	From    Health
+	To      Health
+	// Failures is the number of breaks in a row, and ErrorRate the recent share
+	// of failed answers: what the change was decided by.
+	Failures  int
+	ErrorRate float64
+}
+
+// TakeHealthChanges returns the changed beliefs since the last call.
+func (c *Core) TakeHealthChanges() []HealthChange {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
+// noteHealth records a change of the member's health since it was last noted.
+func (c *Core) noteHealth(now time.Time, m *member) {
+	status := m.health.status(now)
+	if status == m.noted {
+		return
+	}
+	c.changes = append(c.changes, HealthChange{
+		BackEnd: m.backEnd.ID, From: m.noted, To: status, Failures: m.health.failures, ErrorRate: m.health.errorRate,
+	})
+	m.noted = status
 }
 
 // pool is the back ends of one service, by ID.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -118,6 +118,8 @@
 	maxConnects = 4
 	// leastPatience and patienceObjectives bound the wait for a head while
 	// another back end may be tried.
+	// refusedWait is when to come back after one back end's refusal.
+	refusedWait        = 250 * time.Millisecond
 	leastPatience      = time.Second
 	patienceObjectives = 3
 )
@@ -157,6 +159,7 @@
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	chosen.own++
+	c.noteHealth(now, chosen)
 	chosen.health.sent(now)
 	return Decision{Send: send}
 }
@@ -178,7 +181,12 @@
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
 	}
-	return Decision{GiveUp: failure.New(kind, message)}
+	refusal := failure.New(kind, message)
+	if kind == failure.PoolExhausted && x.attempts > 0 {
+		// One back end refused; another may take the request at once.
+		refusal.RetryAfter = refusedWait
+	}
+	return Decision{GiveUp: refusal}
 }
 
 // release ends the current attempt.
@@ -197,6 +205,7 @@
 	m := x.release()
 	m.health.settled()
 	m.health.unreachable(now)
+	c.noteHealth(now, m)
 	x.attempts--
 	x.connects++
 	if x.connects >= maxConnects {
@@ -214,6 +223,7 @@
 	} else {
 		m.health.answered(now)
 	}
+	c.noteHealth(now, m)
 	return c.again(now, x, failure.PoolExhausted, "the back end did not take the request")
 }
 
@@ -222,6 +232,7 @@
 	m := x.release()
 	m.health.settled()
 	m.health.unreachable(now)
+	c.noteHealth(now, m)
 	return c.again(now, x, failure.PoolExhausted, "the back end has gone")
 }
 
@@ -231,6 +242,7 @@
 	m := x.release()
 	m.health.settled()
 	m.health.broke(now)
+	c.noteHealth(now, m)
 	x.ran = failure.RanUnknown
 	return c.again(now, x, failure.BackendFailed, "the back end broke off before it answered")
 }
@@ -240,6 +252,7 @@
 	m := x.release()
 	m.health.settled()
 	m.health.broke(now)
+	c.noteHealth(now, m)
 	x.ran = failure.RanUnknown
 	return c.again(now, x, failure.TimedOut, "the back end did not answer in time")
 }
@@ -256,6 +269,7 @@
 	} else {
 		m.health.bad(now, c.errorRate(x.service, m))
 	}
+	c.noteHealth(now, m)
 	if everywhere || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		x.phase = Answering
 		m.health.settled()
@@ -274,6 +288,7 @@
 	x.ran = failure.RanYes
 	m.health.settled()
 	m.health.good(now)
+	c.noteHealth(now, m)
 	c.paths.clear(x.request.Path)
 	if load >= 0 {
 		m.report(now, load)
@@ -288,6 +303,7 @@
 func (c *Core) Cut(now time.Time, x *Exchange) Decision {
 	m := x.release()
 	m.health.broke(now)
+	c.noteHealth(now, m)
 	if !x.request.Route.Resumable || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		x.phase = Ended
 		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -14,6 +14,8 @@
 	// own counts this gateway's requests under way.
 	own    int
 	health health
+	// noted is the health that was last told.
+	noted Health
 	// reported is the load that the back end told last, reportedAt when, and
 	// reportedOwn this gateway's share in it.
 	reported    int
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,100 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// stalled is an output whose reader has stopped reading.
+type stalled struct{ release chan struct{} }
+
+func (s stalled) Write(line []byte) (int, error) {
+	<-s.release
+	return len(line), nil
+}
+
+func TestStalledReaderBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		output := stalled{release: make(chan struct{})}
+		log := New(output, logrus.InfoLevel, nil)
+		began := time.Now()
+		for range 100 {
+			for range 100 {
+				log.Urgent(RequestFailed, logrus.Fields{"request": "a"})
+				log.Ordinary(RequestDone, nil)
+			}
+			time.Sleep(time.Second)
+		}
+		is.Equal(time.Since(began), 100*time.Second) // only the sleeps took time
+		is.True(log.LeftOut() > 0)
+		close(output.release)
+		log.Close()
+	})
+}
+
+func TestNumberOfLinesLeftOutIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var output bytes.Buffer
+		log := New(&output, logrus.InfoLevel, logrus.Fields{"node": "n"})
+		for range 1000 {
+			log.Ordinary(RequestDone, nil)
+		}
+		log.Urgent(RequestFailed, logrus.Fields{"request": "a"}) // not starved
+		time.Sleep(2 * summaryPeriod)
+		log.Close()
+		left, failed := 0, 0
+		for _, line := range strings.Split(strings.TrimSpace(output.String()), "\n") {
+			var fields map[string]any
+			is.NoErr(json.Unmarshal([]byte(line), &fields))
+			is.Equal(fields["node"], "n")
+			switch fields["msg"] {
+			case string(LinesLeftOut):
+				left += int(fields["lines"].(float64))
+			case string(RequestFailed):
+				failed++
+			}
+		}
+		is.Equal(left, 1000-ordinaryPerSecond)
+		is.Equal(failed, 1)
+	})
+}
+
+// Every event stands in the operators' page, and every event there exists.
+func TestOperatorsPageHasEveryEvent(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	var listed []string
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-z_]+\\.[a-z_]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		listed = append(listed, match[1])
+	}
+	var known []string
+	for _, event := range Events() {
+		known = append(known, string(event))
+	}
+	slices.Sort(listed)
+	slices.Sort(known)
+	is.Equal(listed, known)
+}
+
+func BenchmarkOrdinaryLine(b *testing.B) {
+	log := New(io.Discard, logrus.InfoLevel, logrus.Fields{"node": "n"})
+	defer log.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Ordinary(RequestSent, logrus.Fields{"request": "9c41d07be2a35f68", "back_end": "i-7f3a91c2", "load_estimate": 3.5})
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -60,6 +60,8 @@
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// sharedReads is the number of readers up to which each reads less often.
+	sharedReads = 3
 	// stretchPerGateways and longestStretch bound the time between two reads of a
 	// gateway that isn't a reader: one read period for so many gateways.
 	stretchPerGateways = 2
@@ -154,13 +156,15 @@
 	}
 }
 
-// readPeriod is the time to the next plain read. A gateway that isn't a reader
-// stretches it with the size of the fleet, so that all together make about as
-// many calls as a few.
+// readPeriod is the time to the next plain read. Readers share the work: what one
+// of them reads, the others hear at once. A gateway that isn't a reader stretches
+// it with the size of the fleet, so that all together make about as many calls as
+// a few.
 func (f *Follower) readPeriod() time.Duration {
 	gateways, reader := f.config.State.Fleet()
 	if reader {
-		return f.config.ReadPeriod
+		sharing := time.Duration(min(gateways, sharedReads))
+		return f.config.ReadPeriod * (sharing + 1) / 2
 	}
 	return min(f.config.ReadPeriod*time.Duration(gateways)/stretchPerGateways, longestStretch)
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -22,6 +22,8 @@
 	core     *dispatch.Core
 	listed   bool
 	draining bool
+	// wasReady is set once the gateway was ready for the first time.
+	wasReady bool
 	// document is the configuration encoded for peers, of documentVersion.
 	document        []byte
 	documentVersion uint64
@@ -132,6 +134,10 @@
 }
 
 func (s *State) announce() {
+	if !s.wasReady && s.listed && s.view.Index() != nil {
+		s.wasReady = true
+		s.log.Urgent(eventlog.Ready, logrus.Fields{"version": s.view.Version(), "back_ends": len(s.view.BackEnds())})
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -224,8 +230,16 @@
 // decide runs a step of the core.
 func (s *State) decide(step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return step(time.Now(), s.core)
+	decision := step(time.Now(), s.core)
+	changes := s.core.TakeHealthChanges()
+	s.mutex.Unlock()
+	for _, change := range changes {
+		s.log.Urgent(eventlog.BackEndHealth, logrus.Fields{
+			"back_end": change.BackEnd, "from": change.From.String(), "to": change.To.String(),
+			"failures": change.Failures, "error_rate": change.ErrorRate,
+		})
+	}
+	return decision
 }
 
 // Status is a gateway's knowledge for operators.
--- a/internal/platform/client.go
+++ b/internal/objectstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 const callTimeout = 3 * time.Second
 
 // HTTPClient speaks the HTTP form of the object API: GET and PUT on
-// /objects/KEY, with ETag, If-Match and, for a watch, ?after=VERSION&wait=SECONDS;
+// /store/KEY, with ETag, If-Match and, for a watch, ?after=VERSION&wait=SECONDS;
 // and GET on /machines.
 type HTTPClient struct {
 	base   string
@@ -44,13 +44,13 @@
 
 // Get implements Objects.
 func (c *HTTPClient) Get(ctx context.Context, key string) (Object, error) {
-	return c.read(ctx, "/objects/"+key, callTimeout)
+	return c.read(ctx, "/store/"+key, callTimeout)
 }
 
 // Watch implements Objects.
 func (c *HTTPClient) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Object, error) {
 	query := "?after=" + strconv.FormatUint(after, 10) + "&wait=" + strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)
-	return c.read(ctx, "/objects/"+key+query, wait+callTimeout)
+	return c.read(ctx, "/store/"+key+query, wait+callTimeout)
 }
 
 func (c *HTTPClient) read(ctx context.Context, path string, timeout time.Duration) (Object, error) {
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	header := http.Header{"If-Match": {strconv.FormatUint(expected, 10)}}
-	response, _, err := c.call(ctx, http.MethodPut, "/objects/"+key, header, value)
+	response, _, err := c.call(ctx, http.MethodPut, "/store/"+key, header, value)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/platform/platform.go
+++ b/internal/objectstore/objectstore.go
@@ -1,7 +1,7 @@
-// Package platform is the narrow interface to the platform's object API and
-// machine list, and a client for their HTTP form. The real interfaces aren't
-// known yet: whatever they turn out to be, only this package changes.
-package platform
+// Package objectstore is the narrow interface of routers and agents to an object
+// API and a machine list, and a client for the product's own HTTP form of them.
+// Gateways follow their platform's store through internal/follower instead.
+package objectstore
 
 import (
 	"context"
--- a/internal/platform/publish.go
+++ b/internal/objectstore/publish.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/platform/publish_test.go
+++ b/internal/objectstore/publish_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/failure"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 	"github.com/harriernotch/harriernotch/internal/standin"
 )
 
@@ -46,7 +46,7 @@
 func TestSecondOfTwoRacingOperatorsGetsAConflict(t *testing.T) {
 	is := is.New(t)
 	store := standin.NewPlatform()
-	publisher := platform.NewPublisher(store, trusted(), time.Now)
+	publisher := objectstore.NewPublisher(store, trusted(), time.Now)
 	_, err := publisher.Publish(t.Context(), signed(t, 1, "first", "a"))
 	is.NoErr(err)
 	_, err = publisher.Publish(t.Context(), signed(t, 2, "ours", "a"))
@@ -61,7 +61,7 @@
 
 // racingObjects lets another operator publish between a read and a write.
 type racingObjects struct {
-	platform.Objects
+	objectstore.Objects
 	race func()
 }
 
@@ -76,12 +76,12 @@
 func TestRaceBetweenReadAndWriteIsAConflict(t *testing.T) {
 	is := is.New(t)
 	store := standin.NewPlatform()
-	other := platform.NewPublisher(store, trusted(), time.Now)
+	other := objectstore.NewPublisher(store, trusted(), time.Now)
 	racing := &racingObjects{Objects: store, race: func() {
 		_, err := other.Publish(t.Context(), signed(t, 1, "theirs", "a"))
 		is.NoErr(err)
 	}}
-	_, err := platform.NewPublisher(racing, trusted(), time.Now).Publish(t.Context(), signed(t, 1, "ours", "a"))
+	_, err := objectstore.NewPublisher(racing, trusted(), time.Now).Publish(t.Context(), signed(t, 1, "ours", "a"))
 	is.Equal(failure.KindOf(err), failure.Conflict)
 	is.True(strings.Contains(err.Error(), "another operator published number 1"))
 }
@@ -91,7 +91,7 @@
 		is := is.New(t)
 		store := standin.NewPlatform()
 		store.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
-		publisher := platform.NewPublisher(store, trusted(), time.Now)
+		publisher := objectstore.NewPublisher(store, trusted(), time.Now)
 		raw := signed(t, 1, "ours", "a")
 		published, err := publisher.Publish(t.Context(), raw)
 		is.NoErr(err)
@@ -105,7 +105,7 @@
 func TestChangeOfMembersNeedsItsHandover(t *testing.T) {
 	is := is.New(t)
 	store := standin.NewPlatform()
-	publisher := platform.NewPublisher(store, trusted(), time.Now)
+	publisher := objectstore.NewPublisher(store, trusted(), time.Now)
 	_, err := publisher.Publish(t.Context(), signed(t, 1, "first", "a", "b"))
 	is.NoErr(err)
 	_, err = publisher.Publish(t.Context(), signed(t, 2, "second", "a", "c"))
@@ -119,7 +119,7 @@
 	header := bundle.Header{Number: 2, Identifier: "third", SignedAtMillis: now.UnixMilli(), Handovers: succession.Handovers, StaleUntilMillis: succession.StaleUntil.UnixMilli()}
 	raw, err := bundle.Sign(header, document("a", "c"), key)
 	is.NoErr(err)
-	late := platform.NewPublisher(store, trusted(), func() time.Time { return now.Add(time.Hour) })
+	late := objectstore.NewPublisher(store, trusted(), func() time.Time { return now.Add(time.Hour) })
 	_, err = late.Publish(t.Context(), raw)
 	is.Equal(failure.KindOf(err), failure.InvalidBundle) // signed too long ago
 	_, err = publisher.Publish(t.Context(), raw)
@@ -131,7 +131,7 @@
 	store := standin.NewPlatform()
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
-	client := platform.NewHTTPClient(server.URL, nil)
+	client := objectstore.NewHTTPClient(server.URL, nil)
 	none, err := client.Get(t.Context(), "k")
 	is.NoErr(err)
 	is.Equal(none.Version, uint64(0))
@@ -141,8 +141,8 @@
 	is.Equal(failure.KindOf(err), failure.Conflict)
 	object, err := client.Watch(t.Context(), "k", 0, time.Second)
 	is.NoErr(err)
-	is.Equal(object, platform.Object{Value: []byte("v"), Version: version})
-	_, err = client.Put(t.Context(), "big", make([]byte, platform.MaxValueSize+1), 0)
+	is.Equal(object, objectstore.Object{Value: []byte("v"), Version: version})
+	_, err = client.Put(t.Context(), "big", make([]byte, objectstore.MaxValueSize+1), 0)
 	is.Equal(failure.KindOf(err), failure.TooLarge)
 	store.SetFaults(standin.PlatformFaults{Down: true})
 	_, err = client.Get(t.Context(), "k")
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -17,7 +17,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/hop"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 // Path is where a node takes control connections on its peer listener.
@@ -40,7 +40,7 @@
 	// Credential proves membership of the cluster.
 	Credential hop.Credential
 	// Platform is the platform; nil for none.
-	Platform platform.Client
+	Platform objectstore.Client
 	// Dial opens connections to peers; nil uses TCP.
 	Dial hop.DialFunc
 	// Deliver passes an event to the node's core and carries out its actions.
@@ -278,11 +278,11 @@
 	p.config.Deliver(coordination.PlatformBundle{Raw: object.Value, Unchanged: unchanged, Version: object.Version, AskedAt: askedAt})
 }
 
-func (p *Peering) readBundle(action coordination.ReadPlatform) (platform.Object, error) {
+func (p *Peering) readBundle(action coordination.ReadPlatform) (objectstore.Object, error) {
 	if action.Wait > 0 {
-		return p.config.Platform.Watch(p.ctx, platform.BundleKey, action.After, action.Wait)
+		return p.config.Platform.Watch(p.ctx, objectstore.BundleKey, action.After, action.Wait)
 	}
-	return p.config.Platform.Get(p.ctx, platform.BundleKey)
+	return p.config.Platform.Get(p.ctx, objectstore.BundleKey)
 }
 
 func (p *Peering) readMachines() {
--- a/internal/simulation/operators.go
+++ b/internal/simulation/operators.go
@@ -7,7 +7,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/failure"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 // operators publish bundles through the same code as the command line.
@@ -23,12 +23,12 @@
 	return &operators{s: s, without: map[string]bool{}, leaving: map[string]bool{}}
 }
 
-func (o *operators) publisher() *platform.Publisher {
+func (o *operators) publisher() *objectstore.Publisher {
 	now := func() time.Time { return o.s.loop.now }
 	// Operators act at one moment here; a doubtful write is looked at again at
 	// once.
 	atOnce := func(context.Context, time.Duration) error { return nil }
-	return platform.NewPublisher(o.s.platform, o.s.trusted, now).WithPause(atOnce)
+	return objectstore.NewPublisher(o.s.platform, o.s.trusted, now).WithPause(atOnce)
 }
 
 // sign returns the present document as the successor of what is published.
--- a/internal/simulation/simplatform.go
+++ b/internal/simulation/simplatform.go
@@ -7,7 +7,7 @@
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/membership"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 const (
@@ -18,10 +18,10 @@
 )
 
 // simPlatform is the modelled object API and machine list. For operators, who
-// act at one moment, it implements platform.Objects.
+// act at one moment, it implements objectstore.Objects.
 type simPlatform struct {
 	s       *Simulation
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	version uint64
 	down    bool
 	slow    bool
@@ -68,7 +68,7 @@
 			return
 		}
 		w.done = true
-		object := p.objects[platform.BundleKey]
+		object := p.objects[objectstore.BundleKey]
 		unchanged := action.After != 0 && object.Version == action.After
 		if p.down || n.platformCut {
 			fail(platformLatency)
@@ -78,7 +78,7 @@
 			deliver(coordination.PlatformBundle{Raw: object.Value, Unchanged: unchanged, Version: object.Version, AskedAt: asked})
 		})
 	}
-	if action.Wait == 0 || p.objects[platform.BundleKey].Version != action.After {
+	if action.Wait == 0 || p.objects[objectstore.BundleKey].Version != action.After {
 		p.s.loop.after(platformLatency, w.reply)
 		return
 	}
@@ -131,20 +131,20 @@
 	})
 }
 
-// Get implements platform.Objects for operators.
-func (p *simPlatform) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Objects for operators.
+func (p *simPlatform) Get(_ context.Context, key string) (objectstore.Object, error) {
 	if p.down || p.slow {
-		return platform.Object{}, failure.New(failure.PlatformUnavailable, "the platform is down")
+		return objectstore.Object{}, failure.New(failure.PlatformUnavailable, "the platform is down")
 	}
 	return p.objects[key], nil
 }
 
-// Watch implements platform.Objects; operators don't watch.
-func (p *simPlatform) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Object, error) {
+// Watch implements objectstore.Objects; operators don't watch.
+func (p *simPlatform) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (objectstore.Object, error) {
 	return p.Get(ctx, key)
 }
 
-// Put implements platform.Objects for operators.
+// Put implements objectstore.Objects for operators.
 func (p *simPlatform) Put(_ context.Context, key string, value []byte, expected uint64) (uint64, error) {
 	if race := p.beforeWrite; race != nil {
 		p.beforeWrite = nil
@@ -157,8 +157,8 @@
 		return 0, failure.New(failure.Conflict, "the version differs")
 	}
 	p.version++
-	p.objects[key] = platform.Object{Value: value, Version: p.version}
-	if key == platform.BundleKey {
+	p.objects[key] = objectstore.Object{Value: value, Version: p.version}
+	if key == objectstore.BundleKey {
 		p.wake()
 	}
 	if p.loseAnswers > 0 {
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -10,7 +10,7 @@
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/membership"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 // Simulation is one run.
@@ -49,7 +49,7 @@
 	public, _ := s.signingKey.Public().(ed25519.PublicKey)
 	s.trusted = []ed25519.PublicKey{public}
 	s.network = &network{s: s, duplicate: options.Duplicate, reorder: options.Reorder}
-	s.platform = &simPlatform{s: s, objects: map[string]platform.Object{}, leaving: map[string]time.Time{}}
+	s.platform = &simPlatform{s: s, objects: map[string]objectstore.Object{}, leaving: map[string]time.Time{}}
 	s.operators = newOperators(s)
 	s.checks = newChecks(s)
 	s.measure = newMeasure(s)
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -16,7 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/membership"
-	"github.com/harriernotch/harriernotch/internal/platform"
+	"github.com/harriernotch/harriernotch/internal/objectstore"
 )
 
 // PlatformFaults are the ways in which the stand-in platform can fail.
@@ -35,7 +35,7 @@
 // Platform is an in-memory object API and machine list.
 type Platform struct {
 	mutex    sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]objectstore.Object
 	changed  chan struct{}
 	version  uint64
 	faults   PlatformFaults
@@ -51,7 +51,7 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Platform{objects: map[string]objectstore.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -94,20 +94,20 @@
 	return nil
 }
 
-// Get implements platform.Objects.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Objects.
+func (p *Platform) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if err := p.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.objects[key], nil
 }
 
-// Watch implements platform.Objects.
-func (p *Platform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Object, error) {
+// Watch implements objectstore.Objects.
+func (p *Platform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (objectstore.Object, error) {
 	if err := p.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -116,7 +116,7 @@
 		object, changed, down := p.objects[key], p.changed, p.faults.Down
 		p.mutex.Unlock()
 		if down {
-			return platform.Object{}, failure.New(failure.PlatformUnavailable, "the platform went down")
+			return objectstore.Object{}, failure.New(failure.PlatformUnavailable, "the platform went down")
 		}
 		if object.Version != after {
 			return object, nil
@@ -126,14 +126,14 @@
 		case <-timer.C:
 			return object, nil
 		case <-ctx.Done():
-			return platform.Object{}, failure.Wrap(failure.PlatformUnavailable, ctx.Err(), "the watch was given up")
+			return objectstore.Object{}, failure.Wrap(failure.PlatformUnavailable, ctx.Err(), "the watch was given up")
 		}
 	}
 }
 
-// Put implements platform.Objects.
+// Put implements objectstore.Objects.
 func (p *Platform) Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
-	if len(value) > platform.MaxValueSize {
+	if len(value) > objectstore.MaxValueSize {
 		return 0, failure.New(failure.TooLarge, "the value is over 1 MiB")
 	}
 	if err := p.enter(ctx); err != nil {
@@ -145,7 +145,7 @@
 		return 0, failure.New(failure.Conflict, "the version differs")
 	}
 	p.version++
-	p.objects[key] = platform.Object{Value: append([]byte(nil), value...), Version: p.version}
+	p.objects[key] = objectstore.Object{Value: append([]byte(nil), value...), Version: p.version}
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if p.faults.LoseAnswers > 0 {
@@ -155,7 +155,7 @@
 	return p.version, nil
 }
 
-// Machines implements platform.MachineList.
+// Machines implements objectstore.MachineList.
 func (p *Platform) Machines(ctx context.Context) ([]coordination.Machine, error) {
 	if err := p.enter(ctx); err != nil {
 		return nil, err
@@ -171,20 +171,20 @@
 	return seen, nil
 }
 
-// Handler serves the HTTP form that platform.HTTPClient speaks.
+// Handler serves the HTTP form that objectstore.HTTPClient speaks.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /objects/", p.serveGet)
-	mux.HandleFunc("PUT /objects/", p.servePut)
+	mux.HandleFunc("GET /store/", p.serveGet)
+	mux.HandleFunc("PUT /store/", p.servePut)
 	mux.HandleFunc("GET /machines", p.serveMachines)
 	return mux
 }
 
-func objectKey(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/objects/") }
+func objectKey(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/store/") }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	var object platform.Object
+	var object objectstore.Object
 	var err error
 	if query.Has("after") {
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -207,7 +207,7 @@
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
 	expected, _ := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueSize+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueSize+1))
 	if err != nil {
 		return
 	}
@@ -229,13 +229,13 @@
 		failure.WriteHTTP(w, err)
 		return
 	}
-	entries := make([]platform.MachineEntry, len(machines))
+	entries := make([]objectstore.MachineEntry, len(machines))
 	for i, machine := range machines {
 		role := "agent"
 		if machine.Role == membership.RoleRouter {
 			role = "router"
 		}
-		entries[i] = platform.MachineEntry{ID: machine.ID, Role: role, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving}
+		entries[i] = objectstore.MachineEntry{ID: machine.ID, Role: role, Address: machine.Address, Zone: machine.Zone, Leaving: machine.Leaving}
 	}
 	_ = json.NewEncoder(w).Encode(entries)
 }
