Connections to back ends are given up after 250 ms

Cause: a runner that went dark answers no connection attempt; each request to it waited half a second, past its objective, before another was tried.

Ruled out: longer links: a round trip takes a few ms, and a lost opening packet is sent again only after a second anyway.

Change: 250 ms.

--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -112,7 +112,7 @@
 const (
 	// directDialTimeout bounds a connection straight to a back end: a machine that
 	// is gone answers nothing, and another back end can be tried.
-	directDialTimeout = 500 * time.Millisecond
+	directDialTimeout = 250 * time.Millisecond
 	// directIdleTimeout is shorter than back ends keep idle connections, so that a
 	// request seldom meets one that is being closed.
 	directIdleTimeout = 3 * time.Second
