A joiner copies prompt parts from the place it took

Cause: after a gateway's restart it knows no holder, and it ranked only members that may take requests: one that is leaving, whose parts the joiner takes over, was passed over, so the parts were read anew.

Change: the source of a copy is sought in the order of all members. The test fails without the change.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -221,6 +221,32 @@
 	is.Equal(decision.Send.FetchFrom, holder.Address) // one that leaves can still be copied from
 }
 
+// A gateway that has started anew knows no holder: a member that joined copies
+// from the one whose place it took, though that one is leaving.
+func TestJoinerCopiesFromThePlaceItTook(t *testing.T) {
+	is := is.New(t)
+	list := backEnds(6, 64)
+	found := 0
+	for i := range 60 {
+		parts := []Part{{ID: fmt.Sprint("part", i), Tokens: 9000}, {ID: "own"}}
+		before := newCore(list[:5])
+		_, decision := before.Begin(start, request(repeatable(1), "a", parts...))
+		previous := decision.Send.BackEnd
+		joined := backEnds(6, 64)
+		for j := range joined {
+			joined[j].Leaving = joined[j].ID == previous.ID
+		}
+		after := newCore(joined)
+		_, decision = after.Begin(start, request(repeatable(1), "b", parts...))
+		if decision.Send.BackEnd.ID != joined[5].ID {
+			continue
+		}
+		found++
+		is.Equal(decision.Send.FetchFrom, previous.Address)
+	}
+	is.True(found > 5)
+}
+
 func TestPeersLoadsCount(t *testing.T) {
 	is := is.New(t)
 	core := newCore(backEnds(2, 6))
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -69,8 +69,7 @@
 	tried    []string
 	current  *member
 	// ran is what is known of all attempts so far.
-	ran    failure.Ran
-	ranked []string
+	ran failure.Ran
 }
 
 // Attempts returns how many back ends may have received the request.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -68,9 +68,7 @@
 		loads[ids[i]] = c.estimate(now, m)
 	}
 	bound := c.bound(loads)
-	ranked := routing.Rank(x.request.affinity(), ids)
-	x.ranked = ranked
-	for _, id := range ranked {
+	for _, id := range routing.Rank(x.request.affinity(), ids) {
 		if load := loads[id] + 1; load <= bound && load <= c.capacity(byID[id]) {
 			return byID[id]
 		}
@@ -122,7 +120,9 @@
 
 // fetchSource returns the address of a back end from which the chosen one can
 // copy the prompt's shared parts instead of reading them, or "". It is the last
-// one known to have read them, else the first in rendezvous order.
+// one known to have read them, else the first in rendezvous order of all members,
+// leaving ones included: where the chosen one has joined, that is the one whose
+// place it took.
 func (c *Core) fetchSource(now time.Time, x *Exchange, chosen *member) string {
 	part := x.request.affinity()
 	if part == "" {
@@ -134,7 +134,7 @@
 			return ""
 		}
 	}
-	for _, id := range append(holding, x.ranked...) {
+	for _, id := range append(holding, c.rankAll(x)...) {
 		m := c.members[id]
 		if m != nil && m != chosen && m.health.status(now) == Healthy {
 			return m.backEnd.Address
@@ -142,3 +142,13 @@
 	}
 	return ""
 }
+
+// rankAll returns all members of the request's service in rendezvous order.
+func (c *Core) rankAll(x *Exchange) []string {
+	pool := c.pools[x.service]
+	ids := make([]string, len(pool.members))
+	for i, m := range pool.members {
+		ids[i] = m.backEnd.ID
+	}
+	return routing.Rank(x.request.affinity(), ids)
+}
