Prompt parts are copied from holders that are there, whatever they answer

Cause: a holder that broke two connections or failed answers is ejected, and its parts move to the next in order; the copy was asked only of healthy holders, so the parts were read anew.

Change: any holder serves as a source that can be connected to and isn't silent. The test fails without the change.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -247,6 +247,26 @@
 	is.True(found > 5)
 }
 
+// A back end whose connections broke is left alone, but can still be copied from;
+// one that can't be reached can't.
+func TestPartsAreFetchedFromAnEjectedHolder(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(4, 64))
+	parts := []Part{{ID: "shared", Tokens: 9000}, {ID: "own"}}
+	holder := catalog.BackEnd{}
+	for range breaksToEject {
+		x, decision := core.Begin(start, request(repeatable(1), "a", parts...))
+		holder = decision.Send.BackEnd
+		core.Broken(start, x)
+	}
+	_, decision := core.Begin(start, request(repeatable(1), "b", parts...))
+	is.True(decision.Send.BackEnd.ID != holder.ID)
+	is.Equal(decision.Send.FetchFrom, holder.Address)
+	core.members[holder.ID].health.unreachable(start)
+	_, decision = core.Begin(start, request(repeatable(1), "c", parts...))
+	is.True(decision.Send.FetchFrom != holder.Address)
+}
+
 func TestPeersLoadsCount(t *testing.T) {
 	is := is.New(t)
 	core := newCore(backEnds(2, 6))
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -57,6 +57,15 @@
 	errorRate    float64
 	awaiting     int
 	quietSince   time.Time
+	// connectsFailed is set while the last sign was a connection that could not be
+	// made.
+	connectsFailed bool
+}
+
+// reachable tells whether another back end may copy from this one: what it
+// answers to callers doesn't matter, only that it is there.
+func (h *health) reachable(now time.Time) bool {
+	return !h.connectsFailed && h.status(now) != Silent
 }
 
 func (h *health) status(now time.Time) Health {
@@ -105,6 +114,7 @@
 func (h *health) answered(now time.Time) {
 	h.quietSince = now
 	h.failures = 0
+	h.connectsFailed = false
 }
 
 // good notes an answer that shows that the back end works.
@@ -135,6 +145,7 @@
 // unreachable notes a connection that could not be made.
 func (h *health) unreachable(now time.Time) {
 	h.failures++
+	h.connectsFailed = true
 	h.eject(now, h.backOff())
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -136,7 +136,7 @@
 	}
 	for _, id := range append(holding, c.rankAll(x)...) {
 		m := c.members[id]
-		if m != nil && m != chosen && m.health.status(now) == Healthy {
+		if m != nil && m != chosen && m.health.reachable(now) {
 			return m.backEnd.Address
 		}
 	}
