A clump of requests is no longer refused for what peers might have sent

The guess of what peers sent since their last word counted against the capacity too.

Ruled out: loads that leak (a test returns every outcome's load to zero), back ends missing from the list (back_end.changed shows all of them).

Change: the guess counts for the bound alone; refusals go by the counts told.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -73,28 +73,41 @@
 	return result
 }
 
-// sum returns the requests of the peers heard of late, and how many these are.
-// All gateways see the same prompt parts asked for and choose alike, so each peer
-// is taken to have sent since its word as many more as this gateway did: else all
-// of them would fill the same room at once.
-func (p peerLoads) sum(now time.Time, m *member) (requests, heard int) {
+// sum returns the requests that the peers heard of late told of, how many more
+// they may have sent since, and how many peers these are. All gateways see the
+// same prompt parts asked for and choose alike, so each peer is taken to have sent
+// since its word as many more as this gateway did.
+func (p peerLoads) sum(now time.Time, m *member) (told, since, heard int) {
 	id := m.backEnd.ID
 	for _, peer := range p.byPeer {
 		if now.Sub(peer.at) > freshPeer {
 			continue
 		}
 		heard++
-		requests += peer.loads[id] + max(0, m.own-peer.own[id])
+		told += peer.loads[id]
+		since += max(0, m.own-peer.own[id])
 	}
-	return requests, heard
+	return told, since, heard
 }
 
 // estimate returns the load of all gateways at a back end. Where every other
 // gateway was heard of late, their counts are added; else the back end's own
 // report is used, or the counts at hand are scaled to the number of gateways.
 func (c *Core) estimate(now time.Time, m *member) float64 {
-	requests, heard := c.peers.sum(now, m)
-	counted := float64(m.own + requests)
+	told, _, heard := c.peers.sum(now, m)
+	return c.complete(now, m, float64(m.own+told), heard)
+}
+
+// cautiousEstimate is estimate with what the peers may have sent since their last
+// word: else all gateways would fill the same room at once. It is too high where
+// requests come in clumps, so nothing is refused for it.
+func (c *Core) cautiousEstimate(now time.Time, m *member) float64 {
+	told, since, heard := c.peers.sum(now, m)
+	return c.complete(now, m, float64(m.own+told+since), heard)
+}
+
+// complete makes up for gateways that weren't heard of.
+func (c *Core) complete(now time.Time, m *member, counted float64, heard int) float64 {
 	if heard >= c.gateways-1 {
 		return counted
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -17,7 +17,7 @@
 	if x.request.affinity() != "" {
 		return c.chooseCaching(now, x, candidates)
 	}
-	return c.chooseLeastLoaded(now, x, candidates)
+	return c.leastLoaded(now, x, candidates)
 }
 
 // candidates returns the members that may take the request: the usable ones, or,
@@ -52,6 +52,9 @@
 	return float64(m.backEnd.Slots) * c.config.QueueFactor
 }
 
+// hasRoom tells whether one more request is within the member's capacity.
+func (c *Core) hasRoom(now time.Time, m *member) bool { return c.estimate(now, m)+1 <= c.capacity(m) }
+
 // defaultCapacity is used for back ends that don't tell their slots.
 const defaultCapacity = 64
 
@@ -65,11 +68,11 @@
 	for i, m := range candidates {
 		ids[i] = m.backEnd.ID
 		byID[ids[i]] = m
-		loads[ids[i]] = c.estimate(now, m)
+		loads[ids[i]] = c.cautiousEstimate(now, m)
 	}
 	bound := c.bound(loads)
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
-		if load := loads[id] + 1; load <= bound && load <= c.capacity(byID[id]) {
+		if loads[id]+1 <= bound && c.hasRoom(now, byID[id]) {
 			return byID[id]
 		}
 	}
@@ -96,10 +99,6 @@
 	return max(c.config.LoadMultiple*mean+c.config.LoadSlack-unseen, leastMultiple*mean+1)
 }
 
-func (c *Core) chooseLeastLoaded(now time.Time, x *Exchange, candidates []*member) *member {
-	return c.leastLoaded(now, x, candidates)
-}
-
 // otherZone is added to the load of a member in another zone, so that an equal
 // choice stays in the zone.
 const otherZone = 0.5
@@ -112,10 +111,10 @@
 	var bestLoad float64
 	var bestHash uint64
 	for _, m := range candidates {
-		load := c.estimate(now, m)
-		if load+1 > c.capacity(m) {
+		if !c.hasRoom(now, m) {
 			continue
 		}
+		load := c.estimate(now, m)
 		if m.backEnd.Zone != c.config.Zone {
 			load += otherZone
 		}
