A full pool of caching back ends refuses the least urgent first, and in time

Change: caching back ends get at most 1.4 requests a slot from the most urgent, and 0.08 less for each less urgent rank, four at most; then the gateway refuses at once with a time to come back.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,9 +25,11 @@
 	// back end that caches them, and leave the pool less even.
 	LoadMultiple float64
 	LoadSlack    float64
-	// QueueFactor is how many requests per slot a back end is given before the
-	// gateway refuses instead.
-	QueueFactor float64
+	// QueueFactor is how many requests per slot a plain back end is given before
+	// the gateway refuses instead; CachingFactor is the same for back ends that
+	// cache prompts, and for the most urgent requests.
+	QueueFactor   float64
+	CachingFactor float64
 	// RetryRatio and RetryExtra bound the further attempts of all gateways
 	// together in any window; see limits.ShareOfBudget.
 	RetryRatio float64
@@ -40,8 +42,10 @@
 		LoadMultiple: 1.8,
 		LoadSlack:    2,
 		QueueFactor:  3,
-		RetryRatio:   0.2,
-		RetryExtra:   20,
+
+		CachingFactor: 1.4,
+		RetryRatio:    0.2,
+		RetryExtra:    20,
 	}
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -343,3 +343,23 @@
 		}
 	}
 }
+
+// In a full pool the least urgent are refused while the most urgent find room.
+func TestLeastUrgentAreRefusedFirst(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 10))
+	send := func(urgency int) bool {
+		chat := request(repeatable(1), "x", Part{ID: "shared", Tokens: 9000}, Part{ID: "own"})
+		chat.Urgency = urgency
+		_, decision := core.Begin(start, chat)
+		return decision.Send != nil
+	}
+	taken := 0
+	for send(4) {
+		taken++
+	}
+	is.True(taken >= 20) // not before all places are taken
+	is.True(!send(4))
+	is.True(send(2))
+	is.True(send(0))
+}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -26,6 +26,8 @@
 	Path string
 	// Parts are the prompt's parts in order, or none.
 	Parts []Part
+	// Urgency ranks the request; 0 is the most urgent.
+	Urgency int
 	// Deadline is when the caller or the route ends the request.
 	Deadline time.Time
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -44,16 +44,32 @@
 	return others
 }
 
-// capacity is the load up to which a back end is given requests.
-func (c *Core) capacity(m *member) float64 {
+// capacity is the load up to which a back end is given requests of an urgency.
+// Plain services may queue for a while: their work is short. Where prompts are
+// cached every further request slows all that run beside it, so there the least
+// urgent requests are refused first, while the others still find room.
+func (c *Core) capacity(m *member, x *Exchange) float64 {
 	if m.backEnd.Slots <= 0 {
 		return defaultCapacity
 	}
-	return float64(m.backEnd.Slots) * c.config.QueueFactor
+	slots := float64(m.backEnd.Slots)
+	if x.request.affinity() == "" {
+		return slots * c.config.QueueFactor
+	}
+	return slots * (c.config.CachingFactor - urgencyStep*float64(min(x.request.Urgency, lastUrgencyStep)))
 }
 
-// hasRoom tells whether one more request is within the member's capacity.
-func (c *Core) hasRoom(now time.Time, m *member) bool { return c.estimate(now, m)+1 <= c.capacity(m) }
+const (
+	// urgencyStep is the part of a caching back end's slots that each less urgent
+	// rank leaves free, up to lastUrgencyStep ranks.
+	urgencyStep     = 0.08
+	lastUrgencyStep = 4
+)
+
+// hasRoom tells whether the request is within the member's capacity.
+func (c *Core) hasRoom(now time.Time, m *member, x *Exchange) bool {
+	return c.estimate(now, m)+1 <= c.capacity(m, x)
+}
 
 // defaultCapacity is used for back ends that don't tell their slots.
 const defaultCapacity = 64
@@ -72,7 +88,7 @@
 	}
 	bound := c.bound(loads)
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
-		if loads[id]+1 <= bound && c.hasRoom(now, byID[id]) {
+		if loads[id]+1 <= bound && c.hasRoom(now, byID[id], x) {
 			return byID[id]
 		}
 	}
@@ -111,7 +127,7 @@
 	var bestLoad float64
 	var bestHash uint64
 	for _, m := range candidates {
-		if !c.hasRoom(now, m) {
+		if !c.hasRoom(now, m, x) {
 			continue
 		}
 		load := c.estimate(now, m)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -156,7 +156,8 @@
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
 		c.exchange, d = core.Begin(now, dispatch.Request{
-			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts, Deadline: c.deadline,
+			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
+			Urgency: c.urgency, Deadline: c.deadline,
 		})
 		return d
 	})
