Long lists of back ends are read less often

Change: the time between plain reads grows with the list's length above 100 entries, to a minute at most; the watch carries the changes. First tests of the follower.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -65,7 +65,10 @@
 	// stretchPerGateways and longestStretch bound the time between two reads of a
 	// gateway that isn't a reader: one read period for so many gateways.
 	stretchPerGateways = 2
-	longestStretch     = 10 * time.Second
+	longestStretch     = time.Minute
+	// entriesPerPeriod is the length of a list of back ends for which a gateway
+	// reads once a period; a list twice as long is read half as often.
+	entriesPerPeriod = 100
 )
 
 // Follower follows one store.
@@ -74,6 +77,8 @@
 	tasks  conc.WaitGroup
 	cancel context.CancelFunc
 	lost   atomic.Bool
+	// entries is the length of the list of back ends that was read last.
+	entries atomic.Int64
 }
 
 // Start begins to follow.
@@ -114,6 +119,7 @@
 	defer cancel()
 	entries, revision, err := f.config.Source.BackEnds(ctx)
 	if err == nil {
+		f.entries.Store(int64(len(entries)))
 		f.config.State.OfferList(entries, revision, gateway.SourceStore)
 	}
 	return revision, err
@@ -162,11 +168,14 @@
 // a few.
 func (f *Follower) readPeriod() time.Duration {
 	gateways, reader := f.config.State.Fleet()
+	period := f.config.ReadPeriod * time.Duration(gateways) / stretchPerGateways
 	if reader {
-		sharing := time.Duration(min(gateways, sharedReads))
-		return f.config.ReadPeriod * (sharing + 1) / 2
+		period = f.config.ReadPeriod * time.Duration(min(gateways, sharedReads)+1) / 2
 	}
-	return min(f.config.ReadPeriod*time.Duration(gateways)/stretchPerGateways, longestStretch)
+	// A long list is read less often: its watch carries the changes, and a read
+	// costs in proportion to its length.
+	period *= time.Duration(max(1, f.entries.Load()/entriesPerPeriod))
+	return min(period, longestStretch)
 }
 
 // watchLoop watches from the revision of a plain read, and reads anew whenever
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,116 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// source is a store with so many back ends, which may fail.
+type source struct {
+	backEnds int
+	failing  atomic.Bool
+	reads    atomic.Int64
+	watches  atomic.Int64
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *source) Configuration(context.Context) (*catalog.Configuration, uint64, error) {
+	if s.failing.Load() {
+		return nil, 0, errAway
+	}
+	return &catalog.Configuration{Version: 1}, 1, nil
+}
+
+func (s *source) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error) {
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) BackEnds(context.Context) ([]catalog.Entry, uint64, error) {
+	s.reads.Add(1)
+	if s.failing.Load() {
+		return nil, 0, errAway
+	}
+	entries := make([]catalog.Entry, s.backEnds)
+	for i := range entries {
+		entries[i] = catalog.Entry{BackEnd: catalog.BackEnd{ID: fmt.Sprint(i), Service: "s"}, Revision: 1}
+	}
+	return entries, 1, nil
+}
+
+func (s *source) AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error) {
+	s.watches.Add(1)
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) await(ctx context.Context, wait time.Duration) error {
+	if s.failing.Load() {
+		return errAway
+	}
+	sleep(ctx, wait)
+	return ctx.Err()
+}
+
+// follow runs a follower of the source for a while in a fleet of so many
+// gateways.
+func follow(t *testing.T, s *source, gateways int, reader bool, test func(state *gateway.State)) {
+	synctest.Test(t, func(t *testing.T) {
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
+		state.SetFleet(gateways, reader)
+		f := Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, Log: log, Metrics: tally.NoopScope})
+		test(state)
+		f.Close()
+		log.Close()
+	})
+}
+
+func TestReadsDoNotGrowWithFleetNorList(t *testing.T) {
+	is := is.New(t)
+	count := func(backEnds, gateways int, reader bool) int64 {
+		s := &source{backEnds: backEnds}
+		follow(t, s, gateways, reader, func(*gateway.State) { time.Sleep(10 * time.Minute) })
+		return s.reads.Load()
+	}
+	alone := count(20, 1, true)
+	is.True(alone > 600) // 800 ms each, and some for the watch
+	is.True(count(20, 4, true) < alone*2/3)
+	is.True(count(20, 340, false) <= 30)
+	is.True(count(3000, 300, true) < alone/8)
+}
+
+func TestOnlyReadersWatch(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 40, false, func(*gateway.State) { time.Sleep(time.Minute) })
+	is.Equal(s.watches.Load(), int64(0))
+}
+
+func TestStoreThatComesBackIsFoundSoon(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	s.failing.Store(true)
+	follow(t, s, 1, true, func(state *gateway.State) {
+		time.Sleep(time.Minute)
+		is.True(!state.Ready())
+		s.failing.Store(false)
+		time.Sleep(2 * time.Second)
+		is.True(state.Ready())
+	})
+	is.True(s.reads.Load() < 60*4) // a store that is away isn't hammered
+}
