--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -201,12 +201,18 @@
 	return m
 }
 
-// NotConnected notes that nothing was sent, since no connection could be made.
-func (c *Core) NotConnected(now time.Time, x *Exchange) Decision {
+// ended releases the member of the attempt that gave no answer, once its health
+// has taken the outcome.
+func (c *Core) ended(now time.Time, x *Exchange, outcome func(m *member)) {
 	m := x.release()
 	m.health.settled()
-	m.health.unreachable(now)
+	outcome(m)
 	c.noteHealth(now, m)
+}
+
+// NotConnected notes that nothing was sent, since no connection could be made.
+func (c *Core) NotConnected(now time.Time, x *Exchange) Decision {
+	c.ended(now, x, func(m *member) { m.health.unreachable(now) })
 	x.attempts--
 	x.connects++
 	if x.connects >= maxConnects {
@@ -215,45 +221,36 @@
 	return c.attempt(now, x)
 }
 
-// Refused notes that the back end said that it did not run the request.
+// Refused notes that the back end said that it did not run the request. Refusing
+// while it has room speaks against it.
 func (c *Core) Refused(now time.Time, x *Exchange) Decision {
-	m := x.release()
-	m.health.settled()
-	if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
-		m.health.bad(now, c.errorRate(x.service, m))
-	} else {
-		m.health.answered(now)
-	}
-	c.noteHealth(now, m)
+	c.ended(now, x, func(m *member) {
+		if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
+			m.health.bad(now, c.errorRate(x.service, m))
+		} else {
+			m.health.answered(now)
+		}
+	})
 	return c.again(now, x, failure.PoolExhausted, "the back end did not take the request")
 }
 
 // Misdirected notes that the address belongs to another back end by now.
 func (c *Core) Misdirected(now time.Time, x *Exchange) Decision {
-	m := x.release()
-	m.health.settled()
-	m.health.unreachable(now)
-	c.noteHealth(now, m)
+	c.ended(now, x, func(m *member) { m.health.unreachable(now) })
 	return c.again(now, x, failure.PoolExhausted, "the back end has gone")
 }
 
 // Broken notes that the attempt ended without an answer that can be used: the
 // request may have run.
 func (c *Core) Broken(now time.Time, x *Exchange) Decision {
-	m := x.release()
-	m.health.settled()
-	m.health.broke(now)
-	c.noteHealth(now, m)
+	c.ended(now, x, func(m *member) { m.health.broke(now) })
 	x.ran = failure.RanUnknown
 	return c.again(now, x, failure.BackendFailed, "the back end broke off before it answered")
 }
 
-// Expired notes that no head came within the attempt's patience.
+// Expired notes that no head came within the attempt's patience or the deadline.
 func (c *Core) Expired(now time.Time, x *Exchange) Decision {
-	m := x.release()
-	m.health.settled()
-	m.health.broke(now)
-	c.noteHealth(now, m)
+	c.ended(now, x, func(m *member) { m.health.broke(now) })
 	x.ran = failure.RanUnknown
 	return c.again(now, x, failure.TimedOut, "the back end did not answer in time")
 }
