A pool in trouble is not left to the few members that look well

Cause: members that broke two connections are left alone; where most of a pool breaks connections at random, all load went to the rest.

Change: when fewer than half of a pool's members are usable, every one that can be reached takes requests. The test fails without the change.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -363,3 +363,24 @@
 	is.True(send(2))
 	is.True(send(0))
 }
+
+// When most of a pool breaks connections, the few that look well don't get all of
+// its load.
+func TestPoolInTroubleIsNotLeftToAFew(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(10, 64))
+	for i := range 9 {
+		for range breaksToEject {
+			core.members[fmt.Sprintf("b%02d", i)].health.broke(start)
+		}
+	}
+	sent := map[string]int{}
+	for i := range 50 {
+		_, decision := core.Begin(start, request(once(), fmt.Sprint(i)))
+		sent[decision.Send.BackEnd.ID]++
+	}
+	is.True(sent["b09"] <= 10)
+	core.members["b00"].health.unreachable(start)
+	_, decision := core.Begin(start, request(once(), "x"))
+	is.True(decision.Send.BackEnd.ID != "b00") // nobody answers there
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -20,28 +20,37 @@
 	return c.leastLoaded(now, x, candidates)
 }
 
-// candidates returns the members that may take the request: the usable ones, or,
-// where there is none, all that aren't leaving and weren't tried.
+// candidates returns the members that may take the request. Where fewer than half
+// of those that aren't leaving are usable, the trouble is the pool's rather than a
+// member's: then all that can be reached are, so that a few don't carry the load of
+// all; and where none can be, all are.
 func (c *Core) candidates(now time.Time, x *Exchange) []*member {
 	pool := c.pools[x.service]
 	if pool == nil {
 		return nil
 	}
-	var usable, others []*member
+	var usable, reachable, all []*member
 	for _, m := range pool.members {
 		if m.backEnd.Leaving || x.wasTried(m) {
 			continue
 		}
-		if m.health.usable(now, x.request.Route.MayRepeat()) {
+		all = append(all, m)
+		isUsable := m.health.usable(now, x.request.Route.MayRepeat())
+		if isUsable {
 			usable = append(usable, m)
-		} else {
-			others = append(others, m)
+		}
+		if isUsable || m.health.reachable(now) {
+			reachable = append(reachable, m)
 		}
 	}
-	if len(usable) > 0 {
+	switch {
+	case 2*len(usable) >= len(all) && len(usable) > 0:
 		return usable
+	case len(reachable) > 0:
+		return reachable
+	default:
+		return all
 	}
-	return others
 }
 
 // capacity is the load up to which a back end is given requests of an urgency.
