Control traffic between gateways holds at the aimed size

Cause: each message a second carried every live peer, on every connection: about 12 KB on 18 connections at 340 gateways, thirteen times the budget. Who reads the store was decided by all peers heard within two seconds, which a large fleet can't tell each other that often.

Change: at most sixteen peers a message, those that read the store always and the others in turn; beyond thirty gateways messages are spaced out to one a second, and ages that count grow with the fleet.

--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -28,8 +28,13 @@
 }
 
 const (
-	// liveAge is how long a gateway counts as live after it was heard of.
-	liveAge = 6 * time.Second
+	// liveAge is how long a gateway counts as live after it was heard of, and
+	// liveAgePerPeer how much longer for each gateway known: in a large fleet each
+	// is told of more seldom.
+	liveAge        = 6 * time.Second
+	liveAgePerPeer = 50 * time.Millisecond
+	// maxTold bounds the peers in one message; the next one goes on from there.
+	maxTold = 16
 	// forgetAge is how long its address is kept.
 	forgetAge = 5 * time.Minute
 	// meshSize is the number of gateways up to which all are connected.
@@ -41,8 +46,10 @@
 	// grow with the fleet. More of them cost more calls, and make it less likely
 	// that all are turned away at once.
 	readers = 5
-	// freshStore is the age to which a gateway's last answer of the store counts.
-	freshStore = 2 * time.Second
+	// freshStore is the age to which a gateway's last answer of the store counts,
+	// and freshStorePerPeer how much older it may be for each gateway known.
+	freshStore        = 2 * time.Second
+	freshStorePerPeer = 10 * time.Millisecond
 	// freshLink is how long ago a peer must have been heard directly for a gateway
 	// to leave the reading to others.
 	freshLink = time.Second
@@ -55,6 +62,8 @@
 	seeds   []string
 	peers   map[string]*known
 	dialed  map[string]time.Time
+	// toldUpTo is the last peer that was told to others.
+	toldUpTo string
 }
 
 type known struct {
@@ -108,15 +117,26 @@
 // gateway that hears of no peer reads for itself. The gateways may disagree for
 // a moment: then a few more read, or the others' seldom reads make up for it.
 func (b *Book) IsReader(now time.Time) bool {
+	linked := false
+	for _, peer := range b.peers {
+		linked = linked || now.Sub(peer.directAt) <= freshLink
+	}
+	reading := b.reading(now)
 	own := xxhash.Sum64String(b.id)
-	before, linked := 0, false
+	return !linked || len(reading) < readers || own < xxhash.Sum64String(reading[readers-1])
+}
+
+// reading returns the first peers, in hash order, that the store answers.
+func (b *Book) reading(now time.Time) []string {
+	fresh := freshStore + time.Duration(len(b.peers))*freshStorePerPeer
+	var answered []string
 	for id, peer := range b.peers {
-		linked = linked || now.Sub(peer.directAt) <= freshLink
-		if now.Sub(peer.heardAt) <= freshStore && now.Sub(peer.storeAt) <= freshStore && xxhash.Sum64String(id) < own {
-			before++
+		if now.Sub(peer.heardAt) <= fresh && now.Sub(peer.storeAt) <= fresh {
+			answered = append(answered, id)
 		}
 	}
-	return !linked || before < readers
+	slices.SortFunc(answered, func(a, c string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)) })
+	return answered[:min(readers, len(answered))]
 }
 
 // LinkUp and LinkDown count the open connections to a peer.
@@ -138,28 +158,47 @@
 func (b *Book) Live(now time.Time) int {
 	count := 1
 	for _, peer := range b.peers {
-		if now.Sub(peer.heardAt) <= liveAge {
+		if b.isLive(now, peer) {
 			count++
 		}
 	}
 	return count
 }
 
-// Known returns the live peers for a message.
+func (b *Book) isLive(now time.Time, peer *known) bool {
+	return now.Sub(peer.heardAt) <= liveAge+time.Duration(len(b.peers))*liveAgePerPeer
+}
+
+// Known returns some of the live peers for a message: those that read the store,
+// which all gateways must agree on, and some of the others, so that calls one after
+// another go through all of them.
 func (b *Book) Known(now time.Time) []Peer {
+	ids := b.ids()
+	first, _ := slices.BinarySearch(ids, b.toldUpTo+"\x00")
+	reading := b.reading(now)
 	var list []Peer
-	for _, id := range b.ids() {
-		peer := b.peers[id]
-		if age := now.Sub(peer.heardAt); age <= liveAge {
-			list = append(list, Peer{
-				ID: id, Address: peer.address, AgeMillis: age.Milliseconds(),
-				StoreAgeMillis: min(peer.heardAt.Sub(peer.storeAt), forgetAge).Milliseconds(),
-			})
+	for _, id := range reading {
+		list = append(list, b.tell(now, id))
+	}
+	for i := 0; i < len(ids) && len(list) < maxTold; i++ {
+		id := ids[(first+i)%len(ids)]
+		if !b.isLive(now, b.peers[id]) || slices.Contains(reading, id) {
+			continue
 		}
+		list = append(list, b.tell(now, id))
+		b.toldUpTo = id
 	}
 	return list
 }
 
+func (b *Book) tell(now time.Time, id string) Peer {
+	peer := b.peers[id]
+	return Peer{
+		ID: id, Address: peer.address, AgeMillis: now.Sub(peer.heardAt).Milliseconds(),
+		StoreAgeMillis: min(peer.heardAt.Sub(peer.storeAt), forgetAge).Milliseconds(),
+	}
+}
+
 func (b *Book) ids() []string {
 	ids := make([]string, 0, len(b.peers))
 	for id := range b.peers {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,8 +45,11 @@
 
 const (
 	// period is the time between two messages on a connection; a change is told
-	// at once.
-	period = 200 * time.Millisecond
+	// at once. It stretches beyond quickGateways gateways, where a few neighbours'
+	// loads tell little and back ends' own reports count, to longestPeriod.
+	period        = 200 * time.Millisecond
+	quickGateways = 30
+	longestPeriod = time.Second
 	// silence is how long a connection may be without a message.
 	silence = 2 * time.Second
 	// dialTimeout and writeTimeout bound one step.
@@ -56,8 +59,8 @@
 	maxMessageBytes = 16 << 20
 	// askAgain is how long a question for a document may go without an answer.
 	askAgain = 400 * time.Millisecond
-	// peersEvery is how many messages go without the list of peers.
-	peersEvery = 5
+	// peersPeriod is the time between two messages with some of the peers.
+	peersPeriod = time.Second
 )
 
 // Config sets up a Relay.
@@ -297,8 +300,8 @@
 
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	var change uint64
 	for count := 0; ; count++ {
 		news := r.config.State.NewsSince(change)
@@ -311,16 +314,24 @@
 			return
 		}
 		change = news.Change
+		gateways, _ := r.config.State.Fleet()
+		timer.Reset(periodFor(gateways))
 		select {
 		case <-to.wake:
 		case <-news.Changed:
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// periodFor returns the time between two messages in a fleet of so many gateways.
+func periodFor(gateways int) time.Duration {
+	stretched := period * time.Duration(gateways) / quickGateways
+	return max(period, min(stretched, longestPeriod))
+}
+
 func (r *Relay) message(news gateway.News, count int) Message {
 	message := Message{
 		From:    r.config.ID,
@@ -331,7 +342,8 @@
 
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
-	if count%peersEvery == 0 {
+	gateways, _ := r.config.State.Fleet()
+	if count%int(peersPeriod/periodFor(gateways)) == 0 {
 		r.mutex.Lock()
 		message.Peers = r.book.Known(time.Now())
 		r.mutex.Unlock()
