Ejected members count in the mean of the bound; stalled bodies are given up

Cause: the bound on load was taken from the mean of the members that may take requests. Seen on rereading: a caller that stalls within its body held its connection for ever.

Change: the mean is over all members that aren't leaving; reading a body ends at the request's deadline.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -95,7 +95,7 @@
 		byID[ids[i]] = m
 		loads[ids[i]] = c.cautiousEstimate(now, m)
 	}
-	bound := c.bound(loads)
+	bound := c.bound(now, x)
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
 		if loads[id]+1 <= bound && c.hasRoom(now, byID[id], x) {
 			return byID[id]
@@ -112,14 +112,19 @@
 	leastMultiple = 1.2
 )
 
-// bound is the load that a member may have with the new request. A pool that is
-// nearly idle may give a member a few requests whatever the mean.
-func (c *Core) bound(loads map[string]float64) float64 {
-	total := 1.0
-	for _, load := range loads {
-		total += load
+// bound is the load that a member may have with the new request. The mean is over
+// all members that aren't leaving, ejected ones included: their share may not be
+// heaped on the others. A pool that is nearly idle may give a member a few requests
+// whatever the mean.
+func (c *Core) bound(now time.Time, x *Exchange) float64 {
+	total, count := 1.0, 0.0
+	for _, m := range c.pools[x.service].members {
+		if !m.backEnd.Leaving {
+			total += c.cautiousEstimate(now, m)
+			count++
+		}
 	}
-	mean := total / float64(len(loads))
+	mean := total / count
 	unseen := sentUnseen * float64(c.gateways-1)
 	return max(c.config.LoadMultiple*mean+c.config.LoadSlack-unseen, leastMultiple*mean+1)
 }
--- a/internal/dispatch/shared_bound_test.go
+++ b/internal/dispatch/shared_bound_test.go
@@ -123,3 +123,25 @@
 		}
 	}
 }
+
+// Members that are ejected by mistake don't raise the bound of the others.
+func TestEjectedMembersCountInTheMean(t *testing.T) {
+	is := is.New(t)
+	const gateways, ejected = 4, 6
+	c := &crowd{random: rand.New(rand.NewPCG(7, 7)), now: start, loads: map[string]int{}}
+	for range gateways {
+		core := newCore(backEnds(crowdMembers, 64))
+		core.SetGateways(gateways)
+		c.cores = append(c.cores, core)
+	}
+	for range 4 * time.Second / crowdStep {
+		for _, core := range c.cores {
+			for i := range ejected {
+				core.members[fmt.Sprintf("b%02d", i)].health.eject(c.now, time.Second)
+			}
+		}
+		c.step(400, 0.3)
+	}
+	t.Logf("%d of %d over the bound", c.overfull, c.sent)
+	is.True(float64(c.overfull) < 0.01*float64(c.sent))
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -139,6 +139,12 @@
 	if limit <= 0 {
 		limit = h.config.MaxBodyBytes
 	}
+	// A caller that stalls in its body holds a connection no longer than it may
+	// wait for its answer.
+	controller := http.NewResponseController(c.writer)
+	if err := controller.SetReadDeadline(c.deadline); err != nil {
+		return failure.Wrap(failure.Internal, err, "bound the time of the body")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -148,6 +154,9 @@
 		return failure.Wrap(failure.CallerGone, err, "the caller broke off in its body")
 	}
 	c.body = body
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		return failure.Wrap(failure.CallerGone, err, "the caller's connection ended")
+	}
 	return nil
 }
 
