--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -102,7 +102,9 @@
 // at random and take about service make a member's load change, over an age, with
 // the variance 2·load·(1-exp(-age/service)): in proportion to the age while that
 // is short, and never more than two independent loads differ. The changes of all
-// members add up by their variances.
+// members add up by their variances. Loads are whole numbers, so the sum is
+// rounded up unless even the end of a single request is less likely than what the
+// confidence leaves: in a small pool a fraction of a request would cover none.
 func (p BoundPolicy) margin(now time.Time, others []ObservedLoad, service time.Duration) float64 {
 	variance := 0.0
 	for _, other := range others {
@@ -110,9 +112,18 @@
 		forgotten := 1 - math.Exp(-age.Seconds()/service.Seconds())
 		variance += 2 * float64(max(1, other.Load)) * forgotten
 	}
-	return p.confidence() * math.Sqrt(variance) / float64(len(others)+1)
+	changed := p.confidence() * math.Sqrt(variance)
+	// Half of the variance is the expected number of requests that ended.
+	if variance/2 > upperTail(p.confidence()) {
+		changed = math.Ceil(changed)
+	}
+	return changed / float64(len(others)+1)
 }
 
+// upperTail is the probability that a normal variable lies more than so many
+// standard deviations above its mean.
+func upperTail(deviations float64) float64 { return math.Erfc(deviations/math.Sqrt2) / 2 }
+
 // round turns the mean into the highest whole load. At least one member always
 // has a load, the new request included, of at most the rounded-up mean, so that
 // much is allowed under either rounding; without it, a pool with a small mean
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -346,12 +346,31 @@
 // isSilent tells whether a member is taken for dead: it was silent for long, or
 // for one window while a router could not reach it either. Neither sign alone
 // is enough within that time: a router may be cut off, and gossip may be late.
+// Nor are both where routers reach hardly any member: then it is the routers
+// that are cut off.
 func (c *Core) isSilent(now time.Time, pool *bundle.Pool, entry *membership.Entry) bool {
 	age := now.Sub(entry.At)
 	if age > c.config.Coordination.Membership.SilentAfter {
 		return true
 	}
-	return age > pool.MeanWindow.Std() && c.node.Table().IsUnreachable(now, entry)
+	return age > pool.MeanWindow.Std() && c.node.Table().IsUnreachable(now, entry) && !c.routersCutOff(now, pool)
+}
+
+// routersCutOff tells whether half of the pool's other members or more count as
+// unreachable.
+func (c *Core) routersCutOff(now time.Time, pool *bundle.Pool) bool {
+	table := c.node.Table()
+	others, unreachable := 0, 0
+	for _, id := range pool.MemberIDs() {
+		if id == c.config.Identity.ID {
+			continue
+		}
+		others++
+		if entry := table.Entry(id); entry != nil && table.IsUnreachable(now, entry) {
+			unreachable++
+		}
+	}
+	return others > 2 && 2*unreachable >= others
 }
 
 // Reply returns what goes back to the router beside the answer. refused is nil
