A request that no other back end will be asked for waits a moment at the agents' gate

Cause: while a pool fills from nothing, the reported loads lag and the mean they give is low; requests are refused with room, the retry budget ends, and from then on a first refusal is the final answer.

Change: the router tells the agent when no further attempt would follow (budget spent, attempts used up, all asked twice); the gate then lets the request wait for the bound as long as a keyed one (2 s). The bound itself is unchanged.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -22,6 +22,9 @@
 	// Affine says that the request gains by being served here and may wait a
 	// little for a place under the bound.
 	Affine bool
+	// Last says that its router makes no further attempt, so it may wait a moment
+	// rather than be refused.
+	Last bool
 	// Evidence holds the loads met where the request was refused before.
 	Evidence []ObservedLoad
 	// Key is set for an unrepeatable request with a key that this agent owns.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -19,8 +19,8 @@
 	Bound BoundPolicy
 	// AffinityWait is how long an affine request may wait for the bound.
 	AffinityWait time.Duration
-	// OwnerWait is how long a keyed request may wait for the bound: no other
-	// back end may run it.
+	// OwnerWait is how long a request may wait for the bound that no other back
+	// end will run: it is keyed, or its router makes no further attempt.
 	OwnerWait time.Duration
 	// MaxRunning is how many requests run at a time.
 	MaxRunning int
@@ -176,7 +176,7 @@
 }
 
 func (g *Gate) waitFor(request Request) time.Duration {
-	if request.Key != nil {
+	if request.Key != nil || request.Last {
 		return g.config.OwnerWait
 	}
 	if request.Affine {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -155,6 +155,23 @@
 	is.Equal(kindOf(g.Step(start.Add(time.Second), Tick{})), failure.OverBound) // its wait is over
 }
 
+// TestLastAttemptWaitsForTheBound: what no other back end will be asked for waits
+// as long as a keyed request, also in a pool that gives affine ones no wait.
+func TestLastAttemptWaitsForTheBound(t *testing.T) {
+	is := is.New(t)
+	config := testConfig()
+	config.AffinityWait = 0
+	gate := NewGate(config, testOnce())
+	gate.Step(start, PoolObserved{Others: observed(0, 0, 0)})
+	is.Equal(kindOf(arrive(gate, start, request(1))), "start")
+	is.Equal(kindOf(arrive(gate, start, request(2))), failure.OverBound)
+	last := request(3)
+	last.Last = true
+	is.Equal(len(arrive(gate, start, last)), 0)
+	is.Equal(kindOf(gate.Step(start.Add(config.OwnerWait-1), Tick{})), 0)
+	is.Equal(kindOf(gate.Step(start.Add(config.OwnerWait), Tick{})), failure.OverBound)
+}
+
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(testConfig(), testOnce())
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -227,6 +227,7 @@
 		Priority: head.Priority,
 		Deadline: now.Add(head.Remaining()),
 		Affine:   head.Affine,
+		Last:     head.Last,
 	}
 	for _, met := range head.LoadsMet {
 		request.Evidence = append(request.Evidence, admission.ObservedLoad{Member: met.BackEnd, Load: met.Load, At: now.Add(-time.Duration(met.AgeMillis) * time.Millisecond)})
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -59,6 +59,9 @@
 	RemainingMillis int64 `cbor:"5,keyasint"`
 	// Affine says that the chat's context is believed to be here.
 	Affine bool `cbor:"6,keyasint"`
+	// Last says that the router makes no further attempt: the request may wait a
+	// moment for a place rather than be refused.
+	Last bool `cbor:"13,keyasint,omitempty"`
 	// LoadsMet are the loads of the back ends that refused before.
 	LoadsMet []routing.LoadMet `cbor:"7,keyasint,omitempty"`
 	// Unreachable are members of the pool that the router could not reach a
--- a/internal/limits/retry.go
+++ b/internal/limits/retry.go
@@ -24,6 +24,9 @@
 	b.tokens = min(b.tokens+b.ratio, b.capacity)
 }
 
+// CanSpend tells whether the budget affords a further attempt.
+func (b *RetryBudget) CanSpend() bool { return b.tokens >= 1 }
+
 // Spend takes a further attempt from the budget, or returns false.
 func (b *RetryBudget) Spend() bool {
 	if b.tokens < 1 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -235,11 +235,12 @@
 	return Decision{Send: &Send{
 		BackEnd: attempt.BackEnd,
 		Address: backEnd.Agent,
-		Head:    c.head(now, exchange.request, attempt),
+		Head:    c.head(now, exchange, attempt),
 	}}
 }
 
-func (c *Core) head(now time.Time, request Request, attempt routing.Attempt) hop.Head {
+func (c *Core) head(now time.Time, exchange *Exchange, attempt routing.Attempt) hop.Head {
+	request := exchange.request
 	head := hop.Head{
 		RequestID:       request.ID,
 		BackEnd:         attempt.BackEnd,
@@ -247,6 +248,7 @@
 		Priority:        request.Priority,
 		RemainingMillis: request.Deadline.Sub(now).Milliseconds(),
 		Affine:          attempt.Affine,
+		Last:            c.isLast(exchange),
 		LoadsMet:        attempt.LoadsMet,
 		Unreachable:     c.unreachable(now, request.Pool),
 		News:            c.news(now, request.Pool),
@@ -259,6 +261,11 @@
 	return head
 }
 
+// isLast tells whether no further attempt would follow a refusal.
+func (c *Core) isLast(exchange *Exchange) bool {
+	return exchange.route.IsExhausted() || exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.CanSpend()
+}
+
 // Refused takes an agent's "not run" and returns what to do next.
 func (c *Core) Refused(now time.Time, exchange *Exchange, reply hop.Reply) Decision {
 	c.Heard(now, reply)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -122,3 +122,16 @@
 	_, decision := core.Begin(start, request("free"))
 	is.True(decision.Send != nil) // until the balancer has noticed
 }
+
+// TestLastAttemptIsTold: an agent hears when no further attempt would follow.
+func TestLastAttemptIsTold(t *testing.T) {
+	is := is.New(t)
+	_, rich := newRouter(t, nil).Begin(start, request("free"))
+	is.True(!rich.Send.Head.Last)
+	poor := newRouter(t, func(c *Config) { c.RetryRatio, c.RetryCapacity = 0, 0 })
+	_, only := poor.Begin(start, request("free"))
+	is.True(only.Send.Head.Last)
+	brief := newRouter(t, func(c *Config) { c.MaxAttempts = 1 })
+	_, single := brief.Begin(start, request("free"))
+	is.True(single.Send.Head.Last)
+}
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -345,6 +345,10 @@
 	return r.tried
 }
 
+// IsExhausted tells whether Next has no attempt left, whatever comes of the
+// latest.
+func (r *Route) IsExhausted() bool { return r.lookedAgain }
+
 // GiveUp returns the final answer of a request that no back end took. A sole
 // refusal is passed on; otherwise the answer is PoolExhausted, with the
 // shortest time after which a back end may have room.
