Back ends that vanish together are used for a while: a store back from an outage lists them again

Cause: after an outage the store drops the entries of back ends whose heartbeats it couldn't take, and takes their next heartbeats. The users now say that such entries are back within about two seconds, and that one still missing then is gone.

Ruled out: holding every removed back end (one by itself tells nothing of the store; a release removes few at a time); holding one that had said that it leaves (its leaving is acknowledged).

Change: a back end that vanished unannounced, with at least one more and at least as many as are left of its service, still gets requests for seven tenths of the bound on leaving, two seconds at most. Setting gateway.leaving_bound, filled from the platform's bounds.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -56,6 +56,12 @@
 }
 
 const (
+	// lapseTenths is the part of the bound on leaving, in tenths, for which lapsed
+	// back ends are used; the rest is for news that travels.
+	lapseTenths = 7
+	// longestLapse is how long after the store's return a back end that lives is
+	// listed again.
+	longestLapse = 2 * time.Second
 	// callerIdleTimeout is how long a caller's connection may rest.
 	callerIdleTimeout = 60 * time.Second
 	// callerHeaderTimeout bounds a caller's headers.
@@ -75,6 +81,7 @@
 	config.RetryExtra = *s.Gateway.RetryExtra
 	config.LoadMultiple = s.Gateway.LoadMultiple
 	config.LoadSlack = *s.Gateway.LoadSlack
+	config.LapseTime = min(s.Gateway.LeavingBound.Std()*lapseTenths/10, longestLapse)
 	g := &Gateway{
 		settings: s,
 		log:      environment.Log,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,6 +34,11 @@
 	// together in any window; see limits.ShareOfBudget.
 	RetryRatio float64
 	RetryExtra float64
+	// LapseTime is how long a back end that vanished from the list without having
+	// said that it leaves may still get requests while its pool is short; see
+	// lapse.go. It must be shorter than the time within which a back end that has
+	// gone may get no new request.
+	LapseTime time.Duration
 }
 
 // DefaultConfig returns the defaults.
@@ -46,6 +51,7 @@
 		CachingFactor: 1.4,
 		RetryRatio:    0.2,
 		RetryExtra:    20,
+		LapseTime:     1400 * time.Millisecond,
 	}
 }
 
@@ -54,6 +60,7 @@
 	config   Config
 	pools    map[string]*pool
 	members  map[string]*member
+	lapsed   map[string]lapsedMember
 	peers    peerLoads
 	holders  *holderMemory
 	paths    *pathMemory
@@ -103,6 +110,7 @@
 		config:   config,
 		pools:    map[string]*pool{},
 		members:  map[string]*member{},
+		lapsed:   map[string]lapsedMember{},
 		peers:    newPeerLoads(),
 		holders:  newHolderMemory(),
 		paths:    newPathMemory(),
@@ -117,7 +125,7 @@
 	members := make(map[string]*member, len(list))
 	pools := map[string]*pool{}
 	for _, backEnd := range list {
-		known := c.members[backEnd.ID]
+		known := c.known(backEnd.ID)
 		if known == nil {
 			known = newMember(now)
 		}
@@ -128,6 +136,7 @@
 		}
 		pools[backEnd.Service].members = append(pools[backEnd.Service].members, known)
 	}
+	c.lapse(now, members)
 	c.members = members
 	c.pools = pools
 }
@@ -161,13 +170,19 @@
 // Loads returns this gateway's own loads for its peers, without zeros.
 func (c *Core) Loads() []Load {
 	var loads []Load
+	note := func(m *member) {
+		if m.own > 0 {
+			loads = append(loads, Load{BackEnd: m.backEnd.ID, Requests: m.own})
+		}
+	}
 	for _, pool := range c.pools {
 		for _, m := range pool.members {
-			if m.own > 0 {
-				loads = append(loads, Load{BackEnd: m.backEnd.ID, Requests: m.own})
-			}
+			note(m)
 		}
 	}
+	for _, each := range c.lapsed {
+		note(each.member)
+	}
 	return loads
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -151,9 +151,8 @@
 		FetchFrom: c.fetchSource(now, x, chosen),
 		Patience:  c.patience(x),
 		Estimate:  c.estimate(now, chosen),
-	}
-	if pool := c.pools[x.service]; pool != nil {
-		send.Candidates = len(pool.members)
+
+		Candidates: len(c.poolOf(now, x.service)),
 	}
 	x.phase = Sent
 	x.attempts++
--- /dev/null
+++ b/internal/dispatch/lapse_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// TestLapsedPoolIsUsedForAWhile: a store that comes back from an outage drops all
+// entries at once and lists them again with the next heartbeats.
+func TestLapsedPoolIsUsedForAWhile(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(4, 6))
+	core.SetBackEnds(start, nil)
+	_, decision := core.Begin(start.Add(time.Second), request(once(), "a"))
+	is.True(decision.Send != nil) // may still be there
+	_, decision = core.Begin(start.Add(core.config.LapseTime), request(once(), "b"))
+	is.Equal(decision.GiveUp.Kind, failure.PoolExhausted) // taken for gone
+}
+
+func TestLapsedMemberKeepsItsLoadWhenListedAgain(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	_, sent := core.Begin(start, request(once(), "a"))
+	core.SetBackEnds(start, nil)
+	is.Equal(core.Loads(), []Load{{BackEnd: sent.Send.BackEnd.ID, Requests: 1}}) // peers still hear of it
+	core.SetBackEnds(start, backEnds(2, 6))
+	is.Equal(core.Loads(), []Load{{BackEnd: sent.Send.BackEnd.ID, Requests: 1}})
+}
+
+func TestAFewThatVanishAreGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(6, 6))
+	core.SetBackEnds(start, backEnds(6, 6)[:4])
+	for range 100 {
+		_, decision := core.Begin(start, request(once(), "a"))
+		is.True(decision.Send == nil || decision.Send.BackEnd.ID < "b04")
+	}
+}
+
+// TestLeavingMemberNeverLapses: one that has said that it leaves gets nothing once
+// it has vanished, however short its pool.
+func TestLeavingMemberNeverLapses(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	list := backEnds(2, 6)
+	list[0].Leaving, list[1].Leaving = true, true
+	core.SetBackEnds(start, list)
+	core.SetBackEnds(start, nil)
+	_, decision := core.Begin(start, request(once(), "a"))
+	is.Equal(decision.GiveUp.Kind, failure.PoolExhausted)
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -25,12 +25,8 @@
 // member's: then all that can be reached are, so that a few don't carry the load of
 // all; and where none can be, all are.
 func (c *Core) candidates(now time.Time, x *Exchange) []*member {
-	pool := c.pools[x.service]
-	if pool == nil {
-		return nil
-	}
 	var usable, reachable, all []*member
-	for _, m := range pool.members {
+	for _, m := range c.poolOf(now, x.service) {
 		if m.backEnd.Leaving || x.wasTried(m) {
 			continue
 		}
@@ -118,7 +114,7 @@
 // whatever the mean.
 func (c *Core) bound(now time.Time, x *Exchange) float64 {
 	total, count := 1.0, 0.0
-	for _, m := range c.pools[x.service].members {
+	for _, m := range c.poolOf(now, x.service) {
 		if !m.backEnd.Leaving {
 			total += c.cautiousEstimate(now, m)
 			count++
@@ -173,8 +169,8 @@
 			return ""
 		}
 	}
-	for _, id := range append(holding, c.rankAll(x)...) {
-		m := c.members[id]
+	for _, id := range append(holding, c.rankAll(now, x)...) {
+		m := c.known(id)
 		if m != nil && m != chosen && m.health.reachable(now) {
 			return m.backEnd.Address
 		}
@@ -183,10 +179,10 @@
 }
 
 // rankAll returns all members of the request's service in rendezvous order.
-func (c *Core) rankAll(x *Exchange) []string {
-	pool := c.pools[x.service]
-	ids := make([]string, len(pool.members))
-	for i, m := range pool.members {
+func (c *Core) rankAll(now time.Time, x *Exchange) []string {
+	pool := c.poolOf(now, x.service)
+	ids := make([]string, len(pool))
+	for i, m := range pool {
 		ids[i] = m.backEnd.ID
 	}
 	return routing.Rank(x.request.affinity(), ids)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -22,6 +22,11 @@
 	// LoadSlack is how many requests a caching back end may have beyond that.
 	// Default 2; from 0 to 100.
 	LoadSlack *float64 `toml:"load_slack"`
+	// LeavingBound is the time after which a back end that is known to have left
+	// may get no new request. One that vanished unannounced with half of its pool
+	// is used for seven tenths of it, and two seconds at most. Higher values bridge longer gaps in the
+	// store's list. Default 2s; from 100ms to 10m.
+	LeavingBound tomlfile.Duration `toml:"leaving_bound"`
 	// ReadPeriod is the time between two plain reads of the store's lists, beside
 	// the watches. Lower values learn sooner what a watch missed and cost more
 	// calls. Default 800ms; from 100ms to 1m.
@@ -35,7 +40,9 @@
 	defaultLoadMultiple = 1.8
 	defaultLoadSlack    = 2
 	defaultReadPeriod   = 800 * time.Millisecond
+	defaultLeavingBound = 2 * time.Second
 	longestReadPeriod   = time.Minute
+	longestLeavingBound = 10 * time.Minute
 	shortestReadPeriod  = 100 * time.Millisecond
 	maxLoadMultiple     = 10
 	maxLoadSlack        = 100
@@ -50,6 +57,9 @@
 	if g.LoadMultiple == 0 {
 		g.LoadMultiple = defaultLoadMultiple
 	}
+	if g.LeavingBound == 0 {
+		g.LeavingBound = tomlfile.Duration(defaultLeavingBound)
+	}
 	if g.ReadPeriod == 0 {
 		g.ReadPeriod = tomlfile.Duration(defaultReadPeriod)
 	}
@@ -72,6 +82,7 @@
 	c.number("gateway.retry_extra", *g.RetryExtra, 0, maxRetryExtra)
 	c.number("gateway.load_multiple", g.LoadMultiple, 1, maxLoadMultiple)
 	c.number("gateway.load_slack", *g.LoadSlack, 0, maxLoadSlack)
+	c.duration("gateway.leaving_bound", g.LeavingBound, shortestReadPeriod, longestLeavingBound)
 	c.duration("gateway.read_period", g.ReadPeriod, shortestReadPeriod, longestReadPeriod)
 }
 
