A failed request is explained from its id: explain command, trail of decisions, metrics by service and cause

Change: decisions that the budget leaves out are kept until the request's end and written where that is bad; failures are logged with what follows; refusals that only the caller can mend are ordinary lines. internal/explain reads the logs of many gateways, aligns their clocks by changes that all write of, and names a cause from a closed list with the lines that show it. Metrics by service, kind, cause, with ages of the views, retry budget, back ends; a listener for metrics alone, named in the deploy file.

Ruled out: all lines of a request held until its end (a killed gateway would tell nothing).

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -12,6 +12,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand(), newReportCommand())
+	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand(), newReportCommand(), newExplainCommand())
 	return command
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -53,6 +53,8 @@
 	callers *http.Server
 	others  []*http.Server
 	serving conc.WaitGroup
+	// reporting is closed to end the reports of gauges.
+	reporting chan struct{}
 }
 
 const (
@@ -87,6 +89,8 @@
 		log:      environment.Log,
 		metrics:  telemetry.NewMetrics(),
 		state:    gateway.NewState(dispatch.New(config), environment.Log),
+
+		reporting: make(chan struct{}),
 	}
 	if err := g.serve(environment); err != nil {
 		return nil, err
@@ -116,6 +120,8 @@
 		ID: g.settings.ID, Address: g.settings.Listen.Peers, Seeds: g.settings.Seeds,
 		State: g.state, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
+	metrics := gateway.NewMetrics(g.metrics.Scope)
+	g.serving.Go(func() { g.report(metrics) })
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
 		Dialect:      environment.Adapter.Dialect(),
@@ -123,7 +129,7 @@
 		Fresh:        hop.NewDirectTransport(environment.Dial, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
 		Log:          g.log,
-		Metrics:      g.metrics.Scope,
+		Metrics:      metrics,
 	})
 	g.callers = g.newServer(handler)
 	g.callers.IdleTimeout = callerIdleTimeout
@@ -133,9 +139,44 @@
 		g.others = append(g.others, server)
 		g.run(server, listeners[field])
 	}
+	g.serveMetrics(environment)
 	return nil
 }
 
+// serveMetrics opens the listener for metrics alone, where the settings name one.
+// Requests are worth more than figures on them: without it, the gateway serves.
+func (g *Gateway) serveMetrics(environment GatewayEnvironment) {
+	if g.settings.Listen.Metrics == "" {
+		return
+	}
+	listener, err := environment.Listen("tcp", g.settings.Listen.Metrics)
+	if err != nil {
+		g.log.Entry().WithError(err).Error("listen.metrics can't be opened; free the port or choose another")
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", g.metrics.Handler)
+	server := g.newServer(mux)
+	g.others = append(g.others, server)
+	g.run(server, listener)
+}
+
+// gaugePeriod is the time between two reports of what the gateway knows.
+const gaugePeriod = time.Second
+
+func (g *Gateway) report(metrics *gateway.Metrics) {
+	ticker := time.NewTicker(gaugePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			metrics.Report(g.state.Gauges())
+		case <-g.reporting:
+			return
+		}
+	}
+}
+
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: newServerLog(g.log.Entry())}
 }
@@ -200,6 +241,7 @@
 	for _, server := range g.others {
 		_ = server.Close()
 	}
+	close(g.reporting)
 	g.serving.Wait()
 	_ = g.metrics.Close()
 	g.log.Urgent(eventlog.Stopped, nil)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -215,3 +215,36 @@
 	}
 	return beliefs
 }
+
+// ServiceBelief is what the gateway believes of one service.
+type ServiceBelief struct {
+	// Name is the service's.
+	Name string
+	// RetryBudget is the number of further attempts left, UnderWay the number of
+	// this gateway's requests at back ends.
+	RetryBudget float64
+	UnderWay    int
+	// BackEnds counts those listed, and Unusable those believed not to work.
+	BackEnds int
+	Unusable int
+}
+
+// Services returns the beliefs on all services with back ends, by name.
+func (c *Core) Services(now time.Time) []ServiceBelief {
+	var beliefs []ServiceBelief
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		belief := ServiceBelief{Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members)}
+		for _, m := range c.pools[name].members {
+			belief.UnderWay += m.own
+			if m.health.status(now) != Healthy {
+				belief.Unusable++
+			}
+		}
+		beliefs = append(beliefs, belief)
+	}
+	return beliefs
+}
+
+// OldestPeer returns the age of the oldest loads among those of peers that still
+// count, or 0 without any.
+func (c *Core) OldestPeer(now time.Time) time.Duration { return c.peers.oldest(now) }
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -65,6 +65,17 @@
 	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd(loads), own: byBackEnd(own)}
 }
 
+// oldest returns the age of the oldest loads that still count.
+func (p peerLoads) oldest(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, peer := range p.byPeer {
+		if age := now.Sub(peer.at); age <= freshPeer {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 func byBackEnd(loads []Load) map[string]int {
 	result := make(map[string]int, len(loads))
 	for _, load := range loads {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -71,9 +71,12 @@
 	queue    chan []byte
 	ordinary *rate.Limiter
 	urgent   *rate.Limiter
-	leftOut  atomic.Int64
-	done     chan struct{}
-	writer   conc.WaitGroup
+	// leftOut counts lines left out since the last summary, leftOutEver since the
+	// start.
+	leftOut     atomic.Int64
+	leftOutEver atomic.Int64
+	done        chan struct{}
+	writer      conc.WaitGroup
 }
 
 // New returns a log to the output; fields stand in every line. Close ends it.
@@ -96,29 +99,42 @@
 // Entry returns the logger for code that logs through logrus itself.
 func (l *Log) Entry() *logrus.Entry { return l.logger }
 
-// Ordinary writes a line on something that happens all the time.
-func (l *Log) Ordinary(event Event, fields logrus.Fields) {
-	l.line(l.ordinary, logrus.InfoLevel, event, fields)
+// Ordinary writes a line on something that happens all the time, unless the
+// budget for such lines is spent; then its fields aren't even made. It tells
+// whether the line was taken.
+func (l *Log) Ordinary(event Event, fields func() logrus.Fields) bool {
+	if !l.takes(l.ordinary, logrus.InfoLevel) {
+		return false
+	}
+	l.logger.WithFields(fields()).Log(logrus.InfoLevel, string(event))
+	return true
 }
 
 // Urgent writes a line on a failure or a changed belief.
 func (l *Log) Urgent(event Event, fields logrus.Fields) {
-	l.line(l.urgent, logrus.WarnLevel, event, fields)
+	if l.takes(l.urgent, logrus.WarnLevel) {
+		l.logger.WithFields(fields).Log(logrus.WarnLevel, string(event))
+	}
 }
 
-func (l *Log) line(budget *rate.Limiter, level logrus.Level, event Event, fields logrus.Fields) {
+func (l *Log) takes(budget *rate.Limiter, level logrus.Level) bool {
 	if !l.logger.Logger.IsLevelEnabled(level) {
-		return
+		return false
 	}
 	if !budget.Allow() {
-		l.leftOut.Add(1)
-		return
+		l.leaveOut()
+		return false
 	}
-	l.logger.WithFields(fields).Log(level, string(event))
+	return true
+}
+
+func (l *Log) leaveOut() {
+	l.leftOut.Add(1)
+	l.leftOutEver.Add(1)
 }
 
-// LeftOut returns the number of lines left out since the last summary.
-func (l *Log) LeftOut() int64 { return l.leftOut.Load() }
+// LeftOut returns the number of lines left out since the start.
+func (l *Log) LeftOut() int64 { return l.leftOutEver.Load() }
 
 // Close writes what waits, as far as the output takes it at once.
 func (l *Log) Close() {
@@ -134,7 +150,7 @@
 	select {
 	case q.log.queue <- append([]byte(nil), line...):
 	default:
-		q.log.leftOut.Add(1)
+		q.log.leaveOut()
 	}
 	return len(line), nil
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -24,6 +24,8 @@
 	return len(line), nil
 }
 
+func noFields() logrus.Fields { return nil }
+
 func TestStalledReaderBlocksNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -33,7 +35,7 @@
 		for range 100 {
 			for range 100 {
 				log.Urgent(RequestFailed, logrus.Fields{"request": "a"})
-				log.Ordinary(RequestDone, nil)
+				log.Ordinary(RequestDone, noFields)
 			}
 			time.Sleep(time.Second)
 		}
@@ -50,7 +52,7 @@
 		var output bytes.Buffer
 		log := New(&output, logrus.InfoLevel, logrus.Fields{"node": "n"})
 		for range 1000 {
-			log.Ordinary(RequestDone, nil)
+			log.Ordinary(RequestDone, noFields)
 		}
 		log.Urgent(RequestFailed, logrus.Fields{"request": "a"}) // not starved
 		time.Sleep(2 * summaryPeriod)
@@ -95,6 +97,8 @@
 	defer log.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		log.Ordinary(RequestSent, logrus.Fields{"request": "9c41d07be2a35f68", "back_end": "i-7f3a91c2", "load_estimate": 3.5})
+		log.Ordinary(RequestSent, func() logrus.Fields {
+			return logrus.Fields{"request": "9c41d07be2a35f68", "back_end": "i-7f3a91c2", "load_estimate": 3.5}
+		})
 	}
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,152 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 6, 22, 0, 0, 0, time.UTC)
+
+// logOf builds a log from lines "NODE SECONDS EVENT FIELDS", the fields as JSON
+// without braces; the clock of a node may be off.
+func logOf(t *testing.T, off map[string]time.Duration, lines ...string) *Log {
+	t.Helper()
+	var text strings.Builder
+	for _, line := range lines {
+		var node, event string
+		var seconds float64
+		if _, err := fmt.Sscan(line, &node, &seconds, &event); err != nil {
+			t.Fatal(line, err)
+		}
+		fields := strings.Join(strings.Fields(line)[3:], " ")
+		if fields != "" {
+			fields = "," + fields
+		}
+		at := start.Add(time.Duration(seconds*1000) * time.Millisecond).Add(off[node])
+		fmt.Fprintf(&text, "collector: {\"time\":%q,\"node\":%q,\"msg\":%q%s}\n", at.Format(time.RFC3339Nano), node, event, fields)
+	}
+	var log Log
+	if err := log.Read(strings.NewReader(text.String())); err != nil {
+		t.Fatal(err)
+	}
+	if len(log.Lines) != len(lines) {
+		t.Fatalf("%d of %d lines were read", len(log.Lines), len(lines))
+	}
+	return &log
+}
+
+func TestCauses(t *testing.T) {
+	const sent = `g1 10 request.sent "request":"r","back_end":"b1","service":"s","attempts":1`
+	failed := func(at float64, request, backEnd, fields string) string {
+		return fmt.Sprintf(`g1 %v request.attempt_failed "request":%q,"back_end":%q,"service":"s","path":"/%s"%s`, at, request, backEnd, request, fields)
+	}
+	refused := func(kind string) string {
+		return fmt.Sprintf(`g1 10.5 request.refused "request":"r","service":"s","kind":%q,"cause":"why"`, kind)
+	}
+	cases := map[string]struct {
+		want  Cause
+		lines []string
+	}{
+		"never heard of":          {Unheard, []string{`g1 9 node.started`}},
+		"answered":                {Served, []string{sent, `g1 10.2 request.answered "request":"r","back_end":"b1","status":200`}},
+		"answered at second try":  {ServedLate, []string{sent, failed(10.1, "r", "b1", `,"not_sent":true`), `g1 10.2 request.answered "request":"r","back_end":"b2","status":200,"attempts":2`}},
+		"caller left":             {CallerLeft, []string{sent, `g1 10.2 request.caller_left "request":"r"`}},
+		"key unknown":             {CallersFault, []string{refused("unauthenticated")}},
+		"key taken away":          {KeyTakenAway, []string{`g1 9 configuration.adopted "version":7`, refused("unauthenticated")}},
+		"body too large":          {CallersFault, []string{`g1 9 configuration.adopted "version":7`, refused("too_large")}},
+		"gateway just started":    {GatewayUnready, []string{`g1 10.4 node.started`, refused("not_ready")}},
+		"gateway killed":          {GatewayEnded, []string{sent, `g1 12 node.started`}},
+		"no end and no restart":   {Unclear, []string{sent}},
+		"connection refused":      {Unreachable, []string{sent, failed(10.1, "r", "b1", `,"not_sent":true`), refused("backend_unreachable")}},
+		"no answer in time":       {BackEndSilent, []string{sent, failed(10.4, "r", "b1", `,"deadline_passed":true`), refused("timed_out")}},
+		"back end refused":        {Refused, []string{sent, failed(10.1, "r", "b1", `,"status":503,"cause":"the back end refused"`), refused("pool_exhausted")}},
+		"answer of another":       {AnswerSpoiled, []string{sent, failed(10.1, "r", "b1", `,"status":200,"cause":"the answer isn't one to this request"`), refused("backend_failed")}},
+		"one answer lost":         {AnswerLost, []string{sent, failed(10.1, "r", "b1", `,"cause":"EOF"`), `g1 10.15 request.answered "request":"q","back_end":"b1","status":200`, refused("backend_failed")}},
+		"all connections at once": {BackEndCrashed, []string{sent, failed(10.1, "r", "b1", `,"cause":"EOF"`), failed(10.1, "q", "b1", ""), failed(10.11, "p", "b1", ""), refused("backend_failed")}},
+		"gone right after":        {BackEndCrashed, []string{sent, failed(10.1, "r", "b1", `,"cause":"EOF"`), `g2 12 back_end.changed "back_end":"b1","gone":true`, refused("backend_failed")}},
+		"one back end fails":      {BackEndFailing, []string{sent, failed(10.1, "r", "b1", `,"status":500,"cause":"the back end failed"`), `g1 10.1 request.answered "request":"r","back_end":"b1","status":500`}},
+		"the pool fails": {PoolFailing, []string{
+			sent, failed(10.1, "r", "b1", `,"status":500,"cause":"the back end failed"`), failed(10.1, "q", "b1", `,"status":500`),
+			failed(10.2, "p", "b2", `,"status":500`), failed(10.3, "o", "b3", `,"status":500`), `g1 10.1 request.answered "request":"r","back_end":"b1","status":500`}},
+		"the path fails on two": {RequestFails, []string{
+			sent, `g1 10.1 request.attempt_failed "request":"r","back_end":"b1","path":"/same","status":500`,
+			`g1 11 request.attempt_failed "request":"retry","back_end":"b2","path":"/same","status":500`, `g1 10.1 request.answered "request":"r","back_end":"b1","status":500`}},
+		"stream cut": {StreamBroken, []string{sent, `g1 11 request.failed "request":"r","back_end":"b1","events":7,"cause":"unexpected EOF"`}},
+		"no room":    {PoolFull, []string{refused("pool_exhausted")}},
+		"all vanished": {BackEndsVanished, []string{
+			`g1 10 back_end.changed "back_end":"b1","service":"s","gone":true`, `g1 10 back_end.changed "back_end":"b2","service":"s","gone":true`,
+			`g1 10 back_end.changed "back_end":"b3","service":"s","gone":true`, refused("pool_exhausted")}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			log := logOf(t, nil, c.lines...)
+			offsets := log.Align()
+			story := log.Tell("r")
+			is.Equal(story.Verdict.Cause, c.want)
+			var text strings.Builder
+			is.NoErr(story.Print(&text, offsets))
+			is.True(strings.HasPrefix(text.String(), "request r: "+string(c.want)))
+			if c.want != Unheard && c.want != Unclear {
+				is.True(strings.Contains(text.String(), "\n* ")) // some line shows it
+			}
+		})
+	}
+}
+
+// TestClocksThatDiffer: a gateway whose clock is 40 s ahead is put in its place by
+// the changes that all write of, also where it has just read them at its start.
+func TestClocksThatDiffer(t *testing.T) {
+	is := is.New(t)
+	off := map[string]time.Duration{"g2": 40 * time.Second}
+	lines := []string{`g2 1 node.started`}
+	for version := range 5 {
+		for i, node := range []string{"g1", "g2", "g3"} {
+			lines = append(lines, fmt.Sprintf(`%s %v configuration.adopted "version":%d`, node, 5+float64(version)+0.1*float64(i), version+1))
+		}
+	}
+	// What g2 reads at its start isn't news to the others.
+	for revision := range 20 {
+		for node, at := range map[string]float64{"g1": 0.1, "g2": 1.5} {
+			lines = append(lines, fmt.Sprintf(`%s %v back_end.changed "back_end":"b%d","revision":1`, node, at, revision))
+		}
+	}
+	lines = append(lines, `g2 12 request.refused "request":"r","kind":"timed_out"`, `g1 11 back_end.health "back_end":"b1"`, `g3 13 back_end.health "back_end":"b1"`)
+	log := logOf(t, off, lines...)
+	offsets := log.Align()
+	is.True((offsets["g2"] - 40*time.Second).Abs() < 200*time.Millisecond)
+	var order []string
+	for _, line := range log.Lines[len(log.Lines)-3:] {
+		order = append(order, line.Node)
+	}
+	is.Equal(order, []string{"g1", "g2", "g3"})
+}
+
+// TestDecisionIsTakenWhereItWasMade: a line that was written after all stands at
+// the time of its decision.
+func TestDecisionIsTakenWhereItWasMade(t *testing.T) {
+	is := is.New(t)
+	log := logOf(t, nil,
+		`g1 10 request.attempt_failed "request":"r","back_end":"b1","cause":"EOF"`,
+		`g1 10.1 request.sent "request":"r","back_end":"b1","decided_at":"2026-01-06T22:00:09Z"`)
+	log.Align()
+	is.Equal(string(log.Lines[0].Event), "request.sent")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("collector: {\"time\":\"2026-01-06T22:00:09Z\",\"node\":\"g\",\"msg\":\"request.sent\",\"request\":\"r\"}\nnoise\n{\"a\":")
+	f.Fuzz(func(t *testing.T, text string) {
+		var log Log
+		if err := log.Read(strings.NewReader(text)); err != nil {
+			return
+		}
+		log.Align()
+		if err := log.Tell("r").Print(&strings.Builder{}, nil); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,10 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
-	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/eventstream"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/hop"
@@ -21,6 +19,7 @@
 // passOn gives the caller a back end's answer.
 func (h *Handler) passOn(ctx context.Context, c *call, result outcome) {
 	defer func() { result.cancel() }()
+	h.config.Metrics.headCame(c)
 	if result.body != nil {
 		hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
 		c.writer.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
@@ -173,10 +172,10 @@
 	if c.request.Context().Err() != nil || errors.As(cause, &caller) {
 		return outcome{}, false
 	}
-	h.logFailure(c, broken.send, logrus.Fields{"cause": cause.Error(), "events": s.events})
 	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		return core.Cut(now, c.exchange)
 	})
+	h.logFailure(c, attemptFailure{send: broken.send, cause: cause.Error(), events: s.events}, decision)
 	for decision.Send != nil {
 		result := h.attempt(ctx, c, *decision.Send, s.lastID)
 		if result.answer == nil {
@@ -195,15 +194,9 @@
 // cut ends an answer that can't be completed: with an error while nothing of it
 // was sent, else by closing the caller's connection, for which it doesn't return.
 func (h *Handler) cut(c *call, result outcome, s *stream, cause error) {
-	fields := h.fields(c)
-	fields["back_end"] = result.send.BackEnd.ID
-	fields["events"] = s.events
-	fields["cause"] = cause.Error()
-	if c.request.Context().Err() != nil {
-		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
-	} else {
-		h.config.Metrics.Counter("streams_cut").Inc(1)
-		h.config.Log.Urgent(eventlog.RequestFailed, fields)
+	h.logCut(c, result, s.events, cause)
+	if c.request.Context().Err() == nil {
+		h.config.Metrics.cut(c)
 	}
 	if s.events == 0 && c.request.Context().Err() == nil {
 		failure.WriteHTTPWith(c.writer, failure.Wrap(failure.StreamBroken, cause, "the back end broke off in its answer"), h.config.Dialect.FormatWait)
@@ -211,12 +204,3 @@
 	}
 	panic(http.ErrAbortHandler)
 }
-
-func (h *Handler) logDone(c *call, result outcome, events int) {
-	fields := h.fields(c)
-	fields["back_end"] = result.send.BackEnd.ID
-	fields["status"] = result.answer.StatusCode
-	fields["events"] = events
-	h.config.Metrics.Counter("answers").Inc(1)
-	h.config.Log.Ordinary(eventlog.RequestDone, fields)
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,10 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
-	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/hop"
 )
@@ -97,8 +95,7 @@
 	}
 	notSent := hop.NothingSent(cause)
 	passed := !time.Now().Before(c.deadline)
-	h.logFailure(c, send, logrus.Fields{"cause": cause.Error(), "not_sent": notSent, "expired": expired, "deadline_passed": passed})
-	return h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+	next := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		switch {
 		case notSent:
 			return core.NotConnected(now, c.exchange)
@@ -108,6 +105,8 @@
 			return core.Broken(now, c.exchange)
 		}
 	})
+	h.logFailure(c, attemptFailure{send: send, cause: cause.Error(), notSent: notSent, expired: expired, late: passed}, next)
+	return next
 }
 
 // judge decides whether an answer is the back end's own to this request.
@@ -169,10 +168,11 @@
 }
 
 func (h *Handler) decided(c *call, send dispatch.Send, response *http.Response, why string, step func(*dispatch.Core, time.Time, *dispatch.Exchange) dispatch.Decision) outcome {
-	h.logFailure(c, send, logrus.Fields{"cause": why, "status": response.StatusCode})
-	return outcome{next: h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+	next := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		return step(core, now, c.exchange)
-	})}
+	})
+	h.logFailure(c, attemptFailure{send: send, cause: why, status: response.StatusCode}, next)
+	return outcome{next: next}
 }
 
 // failed asks the core whether another attempt may help after a failure of the
@@ -184,28 +184,3 @@
 	}
 	return tried
 }
-
-func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
-	fields := h.fields(c)
-	fields["back_end"] = send.BackEnd.ID
-	fields["address"] = send.BackEnd.Address
-	fields["load_estimate"] = send.Estimate
-	fields["candidates"] = send.Candidates
-	fields["fetch_from"] = send.FetchFrom
-	if resumeAfter != "" {
-		fields["resume_after"] = resumeAfter
-		h.config.Log.Urgent(eventlog.RequestResumed, fields)
-		return
-	}
-	h.config.Log.Ordinary(eventlog.RequestSent, fields)
-}
-
-func (h *Handler) logFailure(c *call, send dispatch.Send, more logrus.Fields) {
-	fields := h.fields(c)
-	fields["back_end"] = send.BackEnd.ID
-	for name, value := range more {
-		fields[name] = value
-	}
-	h.config.Metrics.Counter("attempts_failed").Inc(1)
-	h.config.Log.Urgent(eventlog.RequestRetried, fields)
-}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
@@ -32,7 +31,7 @@
 	MaxBodyBytes int64
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
-	Metrics tally.Scope
+	Metrics *Metrics
 }
 
 // Handler serves callers.
@@ -56,6 +55,8 @@
 	deadline time.Time
 	urgency  int
 	exchange *dispatch.Exchange
+	// unlogged are the decisions that the log's budget left out.
+	unlogged []sendDecision
 }
 
 // defaultTimeout is used for callers that don't say how long they wait and
@@ -188,15 +189,11 @@
 // refuse gives the caller its final answer at once.
 func (h *Handler) refuse(c *call, err error) {
 	kind := failure.KindOf(err)
-	h.config.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
-	fields := h.fields(c)
-	fields["kind"] = kind.String()
-	fields["cause"] = err.Error()
+	h.config.Metrics.refused(c, kind)
+	h.logRefusal(c, kind, err)
 	if c.request.Context().Err() != nil || kind == failure.CallerGone {
-		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
 		panic(http.ErrAbortHandler)
 	}
-	h.config.Log.Urgent(eventlog.RequestRefused, fields)
 	failure.WriteHTTPWith(c.writer, err, h.config.Dialect.FormatWait)
 }
 
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// Metrics counts what a gateway does. Its labels are bounded: services come from
+// the configuration, and beyond maxServices they share one label.
+type Metrics struct {
+	scope tally.Scope
+
+	mutex    sync.Mutex
+	services map[string]bool
+}
+
+const (
+	// maxServices bounds the services with a label of their own.
+	maxServices = 64
+	// otherService labels the rest, and noService requests that got no route.
+	otherService = "other"
+	noService    = "none"
+)
+
+// NewMetrics returns metrics in the scope.
+func NewMetrics(scope tally.Scope) *Metrics {
+	return &Metrics{scope: scope, services: map[string]bool{}}
+}
+
+// service returns the label of a service.
+func (m *Metrics) service(name string) string {
+	if name == "" {
+		return noService
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.services[name] && len(m.services) >= maxServices {
+		return otherService
+	}
+	m.services[name] = true
+	return name
+}
+
+// forCall returns the scope of a request's service and kind of answer.
+func (m *Metrics) forCall(c *call) tally.Scope {
+	labels := map[string]string{"service": noService, "stream": "no"}
+	if c.exchange != nil {
+		labels["service"] = m.service(c.exchange.Service())
+	}
+	if c.route != nil && c.route.Stream {
+		labels["stream"] = "yes"
+	}
+	return m.scope.Tagged(labels)
+}
+
+// firstByteBuckets are the bounds of the time to the head of an answer.
+var firstByteBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2500 * time.Millisecond, 5 * time.Second, 10 * time.Second,
+}
+
+// headCame notes the time to the head of an answer that is passed on.
+func (m *Metrics) headCame(c *call) {
+	m.forCall(c).Histogram("time_to_head", firstByteBuckets).RecordDuration(time.Since(c.began))
+}
+
+// answered counts an answer that was passed on whole.
+func (m *Metrics) answered(c *call, result outcome) {
+	labels := map[string]string{
+		"status":   strconv.Itoa(result.answer.StatusCode/100) + "xx",
+		"attempts": strconv.Itoa(min(c.exchange.Attempts(), maxAttemptsLabel)),
+	}
+	m.forCall(c).Tagged(labels).Counter("answers").Inc(1)
+}
+
+// maxAttemptsLabel is the last number of attempts with a label of its own.
+const maxAttemptsLabel = 5
+
+// attemptFailed counts an attempt without an answer to pass on, by its cause.
+func (m *Metrics) attemptFailed(c *call, failed attemptFailure) {
+	m.forCall(c).Tagged(map[string]string{"cause": failed.label()}).Counter("attempts_failed").Inc(1)
+}
+
+// label sorts the cause of a failed attempt into a few.
+func (f attemptFailure) label() string {
+	switch {
+	case f.notSent:
+		return "unreachable"
+	case f.late:
+		return "deadline"
+	case f.expired:
+		return "silent"
+	case f.status >= serverFailure:
+		return "failed"
+	case f.status > 0:
+		return "unusable"
+	default:
+		return "broke_off"
+	}
+}
+
+// refused counts an error of the gateway's own.
+func (m *Metrics) refused(c *call, kind failure.Kind) {
+	m.forCall(c).Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
+}
+
+// cut counts an answer that ended before it was whole.
+func (m *Metrics) cut(c *call) { m.forCall(c).Counter("answers_cut").Inc(1) }
+
+// Report sets the gauges of what the gateway knows at the moment.
+func (m *Metrics) Report(gauges Gauges) {
+	m.scope.Gauge("configuration_version").Update(float64(gauges.Version))
+	m.scope.Gauge("store_age_seconds").Update(gauges.StoreAge.Seconds())
+	m.scope.Gauge("peer_age_seconds").Update(gauges.PeerAge.Seconds())
+	m.scope.Gauge("gateways").Update(float64(gauges.Gateways))
+	m.scope.Gauge("log_lines_left_out").Update(float64(gauges.LinesLeftOut))
+	for _, service := range gauges.Services {
+		scope := m.scope.Tagged(map[string]string{"service": m.service(service.Name)})
+		scope.Gauge("retry_budget").Update(service.RetryBudget)
+		scope.Gauge("under_way").Update(float64(service.UnderWay))
+		scope.Gauge("back_ends").Update(float64(service.BackEnds))
+		scope.Gauge("back_ends_unusable").Update(float64(service.Unusable))
+	}
+}
+
+// Gauges is what a gateway knows at one moment.
+type Gauges struct {
+	// Version is the configuration in force.
+	Version uint64
+	// StoreAge is how long ago the store last answered, PeerAge how old the oldest
+	// live peer's loads are.
+	StoreAge time.Duration
+	PeerAge  time.Duration
+	// Gateways is the number of live gateways, this one included.
+	Gateways int
+	// LinesLeftOut is the number of log lines left out since the start.
+	LinesLeftOut int64
+	// Services are those with back ends.
+	Services []ServiceGauges
+}
+
+// ServiceGauges is what a gateway knows of one service.
+type ServiceGauges struct {
+	// Name is the service's.
+	Name string
+	// RetryBudget is the number of further attempts left, UnderWay the number of
+	// this gateway's requests at back ends.
+	RetryBudget float64
+	UnderWay    int
+	// BackEnds counts those listed, and Unusable those believed not to work.
+	BackEnds int
+	Unusable int
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -163,7 +163,7 @@
 func (s *State) NewsSince(change uint64) News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: time.Since(s.storeAt), Changed: s.changed}
+	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(time.Now()), Changed: s.changed}
 	if s.listed {
 		news.Entries, news.Change = s.view.Since(change)
 	}
@@ -242,6 +242,34 @@
 	return decision
 }
 
+// StoreAge returns how long ago the store last answered this gateway; it is long
+// where others read the store for it.
+func (s *State) StoreAge() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.storeAge(time.Now())
+}
+
+// longestAge stands for a store that never answered.
+const longestAge = time.Hour
+
+func (s *State) storeAge(now time.Time) time.Duration { return min(now.Sub(s.storeAt), longestAge) }
+
+// Gauges returns what the gateway knows at the moment, for metrics.
+func (s *State) Gauges() Gauges {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	gauges := Gauges{
+		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
+		Gateways: s.gateways, LinesLeftOut: s.log.LeftOut(),
+	}
+	for _, service := range s.core.Services(now) {
+		gauges.Services = append(gauges.Services, ServiceGauges(service))
+	}
+	return gauges
+}
+
 // Status is a gateway's knowledge for operators.
 type Status struct {
 	// Ready and Draining are the gateway's own state.
--- /dev/null
+++ b/internal/gateway/trail.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// sendDecision is a decision to send that the log's budget left out. It is kept
+// until the request ends: where that is a bad end, the line is written after all,
+// with the time of the decision.
+type sendDecision struct {
+	at      time.Time
+	attempt int
+	send    dispatch.Send
+	// storeAge is how old the view was that decided.
+	storeAge time.Duration
+}
+
+// logSend logs the decision to send a request to a back end.
+func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
+	decision := sendDecision{at: time.Now(), attempt: c.exchange.Attempts(), send: send, storeAge: h.config.State.StoreAge()}
+	if resumeAfter != "" {
+		fields := h.sendFields(c, decision)
+		fields["resume_after"] = resumeAfter
+		h.config.Log.Urgent(eventlog.RequestResumed, fields)
+		return
+	}
+	written := h.config.Log.Ordinary(eventlog.RequestSent, func() logrus.Fields { return h.sendFields(c, decision) })
+	if !written {
+		c.unlogged = append(c.unlogged, decision)
+	}
+}
+
+func (h *Handler) sendFields(c *call, decision sendDecision) logrus.Fields {
+	fields := h.fields(c)
+	delete(fields, "ran")
+	fields["elapsed_ms"] = decision.at.Sub(c.began).Milliseconds()
+	fields["attempts"] = decision.attempt
+	fields["back_end"] = decision.send.BackEnd.ID
+	fields["address"] = decision.send.BackEnd.Address
+	fields["load_estimate"] = decision.send.Estimate
+	fields["candidates"] = decision.send.Candidates
+	fields["store_age_ms"] = decision.storeAge.Milliseconds()
+	if decision.send.FetchFrom != "" {
+		fields["fetch_from"] = decision.send.FetchFrom
+	}
+	return fields
+}
+
+// logTrail writes the decisions that were left out, since the request ends badly.
+func (h *Handler) logTrail(c *call) {
+	for _, decision := range c.unlogged {
+		fields := h.sendFields(c, decision)
+		fields["decided_at"] = decision.at.Format(time.RFC3339Nano)
+		h.config.Log.Urgent(eventlog.RequestSent, fields)
+	}
+	c.unlogged = nil
+}
+
+// attemptFailure is an attempt that gave no answer to pass on, and what the core
+// made of it.
+type attemptFailure struct {
+	send  dispatch.Send
+	cause string
+	// status is the back end's, or 0 without an answer.
+	status int
+	// events is how many events of a stream had been passed on.
+	events int
+	// notSent means that nothing of the request left, expired that the wait for an
+	// answer was given up, late that the request's deadline had passed.
+	notSent bool
+	expired bool
+	late    bool
+}
+
+// longestLoggedPath bounds a path in a line, in bytes.
+const longestLoggedPath = 200
+
+// loggedPath is the request's path, without its query, as lines carry it: failures
+// that belong to one path are told apart by it.
+func (c *call) loggedPath() string {
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	return path[:min(len(path), longestLoggedPath)]
+}
+
+// What follows from a failed attempt, as it is logged.
+const (
+	nextAttempt = "attempt"
+	nextPassOn  = "pass_on"
+	nextGiveUp  = "give_up"
+)
+
+// logFailure logs an attempt that failed together with what follows from it.
+func (h *Handler) logFailure(c *call, failed attemptFailure, next dispatch.Decision) {
+	h.config.Metrics.attemptFailed(c, failed)
+	h.logTrail(c)
+	fields := h.fields(c)
+	fields["back_end"] = failed.send.BackEnd.ID
+	fields["cause"] = failed.cause
+	fields["path"] = c.loggedPath()
+	fields["status"] = failed.status
+	fields["events"] = failed.events
+	fields["not_sent"] = failed.notSent
+	fields["expired"] = failed.expired
+	fields["deadline_passed"] = failed.late
+	switch {
+	case next.Send != nil:
+		fields["next"] = nextAttempt
+		fields["next_back_end"] = next.Send.BackEnd.ID
+	case next.GiveUp != nil:
+		fields["next"] = nextGiveUp
+	default:
+		fields["next"] = nextPassOn
+	}
+	h.config.Log.Urgent(eventlog.RequestRetried, fields)
+}
+
+// isCallersFault tells whether the caller alone can mend the refusal. Such lines
+// are ordinary: a caller with a lost key must not crowd out failures.
+func isCallersFault(kind failure.Kind) bool {
+	switch kind {
+	case failure.Unauthenticated, failure.UnknownRoute, failure.InvalidRequest, failure.TooLarge, failure.CallerGone:
+		return true
+	default:
+		return false
+	}
+}
+
+// logRefusal logs an error of the gateway's own.
+func (h *Handler) logRefusal(c *call, kind failure.Kind, cause error) {
+	fields := func() logrus.Fields {
+		fields := h.fields(c)
+		fields["kind"] = kind.String()
+		fields["cause"] = cause.Error()
+		fields["store_age_ms"] = h.config.State.StoreAge().Milliseconds()
+		return fields
+	}
+	switch {
+	case kind == failure.CallerGone || c.request.Context().Err() != nil:
+		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
+	case isCallersFault(kind):
+		h.config.Log.Ordinary(eventlog.RequestRefused, fields)
+	default:
+		h.logTrail(c)
+		h.config.Log.Urgent(eventlog.RequestRefused, fields())
+	}
+}
+
+// logCut logs an answer that ended before it was whole.
+func (h *Handler) logCut(c *call, result outcome, events int, cause error) {
+	fields := func() logrus.Fields {
+		fields := h.fields(c)
+		fields["back_end"] = result.send.BackEnd.ID
+		fields["events"] = events
+		fields["cause"] = cause.Error()
+		return fields
+	}
+	if c.request.Context().Err() != nil {
+		h.config.Log.Ordinary(eventlog.CallerLeft, fields)
+		return
+	}
+	h.logTrail(c)
+	h.config.Log.Urgent(eventlog.RequestFailed, fields())
+}
+
+// logDone logs an answer that was passed on whole. One that took more than one
+// attempt, or that reports a failure, is told with its decisions.
+func (h *Handler) logDone(c *call, result outcome, events int) {
+	h.config.Metrics.answered(c, result)
+	fields := func() logrus.Fields {
+		fields := h.fields(c)
+		fields["back_end"] = result.send.BackEnd.ID
+		fields["status"] = result.answer.StatusCode
+		fields["events"] = events
+		return fields
+	}
+	if c.exchange.Attempts() > 1 || result.answer.StatusCode >= serverFailure {
+		h.logTrail(c)
+		h.config.Log.Urgent(eventlog.RequestDone, fields())
+		return
+	}
+	h.config.Log.Ordinary(eventlog.RequestDone, fields)
+}
+
+// serverFailure is the first status that reports a failure of the back end's own.
+const serverFailure = 500
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -77,6 +77,9 @@
 	if s.Platform.URL == "" {
 		c.add("platform.url", "is missing", "name the platform's store, which lists routes and back ends")
 	}
+	if s.Listen.Metrics != "" {
+		c.address("listen.metrics", s.Listen.Metrics)
+	}
 	g := s.Gateway
 	c.number("gateway.retry_ratio", *g.RetryRatio, 0, maxRetryRatio)
 	c.number("gateway.retry_extra", *g.RetryExtra, 0, maxRetryExtra)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,10 @@
 	Peers string `toml:"peers"`
 	// Admin serves health, metrics and status. Keep it off public networks.
 	Admin string `toml:"admin"`
+	// Metrics, where given, is a further listener of a gateway for /metrics alone,
+	// for collectors that look at the same port everywhere. A gateway serves without
+	// it when it can't be opened. Default none.
+	Metrics string `toml:"metrics"`
 }
 
 // Platform says where the platform's services are.
