--- a/cmd/harriernotch/main.go
+++ b/cmd/harriernotch/main.go
@@ -6,10 +6,11 @@
 	"os"
 
 	"github.com/harriernotch/harriernotch/internal/cli"
+	"github.com/harriernotch/harriernotch/platform"
 )
 
 func main() {
-	if err := cli.NewToolCommand().Execute(); err != nil {
+	if err := cli.NewToolCommand(platform.StandIn{}).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "harriernotch:", err)
 		os.Exit(1)
 	}
--- a/internal/cli/bundle_test.go
+++ b/internal/cli/bundle_test.go
@@ -18,7 +18,7 @@
 // tool runs the command line and returns what it printed.
 func tool(arguments ...string) (string, error) {
 	var output bytes.Buffer
-	command := NewToolCommand()
+	command := NewToolCommand(nil)
 	command.SetOut(&output)
 	command.SetErr(&output)
 	command.SetArgs(arguments)
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/soak"
+)
+
+// soakFlags are the command line of harriernotch soak.
+type soakFlags struct {
+	options soak.Options
+	minutes float64
+	runs    int
+	program string
+	folder  string
+}
+
+func newSoakCommand(wire soak.Wire) *cobra.Command {
+	flags := soakFlags{options: soak.DefaultOptions()}
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run gateways as processes under drawn faults and check every promise",
+		Long: "Starts gateways on loopback between stand-ins of the store, back ends and callers, and strikes them " +
+			"from outside: signals, links, a store and back ends that misbehave, changes of the configuration. " +
+			"The exit code is 0 only if no promise was broken.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return runSoak(ctx, cmd.OutOrStdout(), wire, flags)
+		},
+	}
+	f := command.Flags()
+	f.Uint64Var(&flags.options.Seed, "seed", 1, "the first seed; the same one draws the same faults")
+	f.IntVar(&flags.runs, "seeds", 1, "how many seeds to run, one after the other")
+	f.Float64Var(&flags.minutes, "minutes", 1, "how long faults strike in each run")
+	f.IntVar(&flags.options.Gateways, "gateways", flags.options.Gateways, "gateways, a process each")
+	f.IntVar(&flags.options.BackEnds, "back-ends", flags.options.BackEnds, "back ends")
+	f.IntVar(&flags.options.Callers, "callers", flags.options.Callers, "callers")
+	f.StringSliceVar(&flags.options.Disable, "break", nil, "switch mechanisms of the gateways off; a violation must be found then")
+	f.StringVar(&flags.program, "program", "bin/harriernotchd", "the gateways' program")
+	f.StringVar(&flags.folder, "folder", "", "where settings and logs are kept (default: a temporary folder, removed when nothing was broken)")
+	return command
+}
+
+func (f soakFlags) check() error {
+	o := f.options
+	if o.Gateways < 1 || o.BackEnds < 2 || o.Callers < 1 || f.runs < 1 || !(f.minutes > 0) {
+		return failure.New(failure.InvalidRequest, "gateways, callers, seeds and minutes must be above 0, and back ends at least 2")
+	}
+	return nil
+}
+
+func runSoak(ctx context.Context, output io.Writer, wire soak.Wire, flags soakFlags) error {
+	if err := flags.check(); err != nil {
+		return err
+	}
+	broken := 0
+	for range flags.runs {
+		result, err := soakOnce(ctx, output, wire, flags)
+		if err != nil {
+			return err
+		}
+		if len(result.Violations) > 0 {
+			broken++
+		}
+		flags.options.Seed++
+	}
+	if broken > 0 {
+		return failure.New(failure.Internal, fmt.Sprintf("%d of %d seeds broke a promise", broken, flags.runs))
+	}
+	return nil
+}
+
+// soakOnce plays one seed and prints what it found.
+func soakOnce(ctx context.Context, output io.Writer, wire soak.Wire, flags soakFlags) (soak.Result, error) {
+	folder := flags.folder
+	if folder == "" {
+		made, err := os.MkdirTemp("", "harriernotch-soak-")
+		if err != nil {
+			return soak.Result{}, err
+		}
+		folder = made
+	}
+	environment, err := soak.NewProcesses(wire, flags.program, folder)
+	if err != nil {
+		return soak.Result{}, failure.Wrap(failure.InvalidRequest, err, "--program; build it with `go build -o bin/ ./cmd/...`")
+	}
+	flags.options.Duration = time.Duration(flags.minutes * float64(time.Minute))
+	result, err := soak.Run(ctx, flags.options, environment)
+	if err != nil {
+		return result, err
+	}
+	if len(result.Violations) == 0 && flags.folder == "" {
+		_ = os.RemoveAll(folder) // a leftover folder does no harm
+	}
+	return result, printSoak(output, result, folder)
+}
+
+func printSoak(output io.Writer, result soak.Result, folder string) error {
+	verdict := "no promise broken"
+	if len(result.Violations) > 0 {
+		verdict = "BROKEN, logs in " + folder
+	}
+	if _, err := fmt.Fprintf(output, "seed %d: %d faults, %d requests, %d served, %d of unknown outcome: %s\n",
+		result.Seed, result.Faults, result.Requests, result.Served, result.Unknown, verdict); err != nil {
+		return err
+	}
+	for _, promise := range slices.Sorted(maps.Keys(result.Counts)) {
+		if _, err := fmt.Fprintf(output, "  %s: %d times\n", promise, result.Counts[promise]); err != nil {
+			return err
+		}
+	}
+	for _, violation := range result.Violations {
+		if _, err := fmt.Fprintf(output, "  %8.3f s %s: %s\n", violation.At.Seconds(), violation.Promise, violation.Detail); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -55,6 +55,8 @@
 	serving conc.WaitGroup
 	// reporting is closed to end the reports of gauges.
 	reporting chan struct{}
+	// transports are closed with the gateway.
+	transports []*http.Transport
 }
 
 const (
@@ -84,6 +86,7 @@
 	config.LoadMultiple = s.Gateway.LoadMultiple
 	config.LoadSlack = *s.Gateway.LoadSlack
 	config.LapseTime = min(s.Gateway.LeavingBound.Std()*lapseTenths/10, longestLapse)
+	config.Disabled = s.Gateway.Disabled()
 	g := &Gateway{
 		settings: s,
 		log:      environment.Log,
@@ -92,6 +95,9 @@
 
 		reporting: make(chan struct{}),
 	}
+	if config.Disabled[dispatch.FollowConfiguration] {
+		g.state.Freeze()
+	}
 	if err := g.serve(environment); err != nil {
 		return nil, err
 	}
@@ -125,11 +131,12 @@
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
 		Dialect:      environment.Adapter.Dialect(),
-		Reused:       hop.NewDirectTransport(environment.Dial, true),
-		Fresh:        hop.NewDirectTransport(environment.Dial, false),
+		Reused:       g.transport(environment, true),
+		Fresh:        g.transport(environment, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
 		Log:          g.log,
 		Metrics:      metrics,
+		Disabled:     g.settings.Gateway.Disabled(),
 	})
 	g.callers = g.newServer(handler)
 	g.callers.IdleTimeout = callerIdleTimeout
@@ -143,6 +150,13 @@
 	return nil
 }
 
+// transport returns a transport that ends with the gateway.
+func (g *Gateway) transport(environment GatewayEnvironment, reuse bool) *http.Transport {
+	made := hop.NewDirectTransport(environment.Dial, reuse)
+	g.transports = append(g.transports, made)
+	return made
+}
+
 // serveMetrics opens the listener for metrics alone, where the settings name one.
 // Requests are worth more than figures on them: without it, the gateway serves.
 func (g *Gateway) serveMetrics(environment GatewayEnvironment) {
@@ -191,7 +205,7 @@
 
 func (g *Gateway) follow(environment GatewayEnvironment) {
 	g.follower = follower.Start(follower.Config{
-		Source:     environment.Adapter.Source(g.settings.Platform.URL, hop.NewDirectTransport(environment.Dial, true)),
+		Source:     environment.Adapter.Source(g.settings.Platform.URL, g.transport(environment, true)),
 		State:      g.state,
 		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
 		Log:        g.log,
@@ -241,6 +255,9 @@
 	for _, server := range g.others {
 		_ = server.Close()
 	}
+	for _, transport := range g.transports {
+		transport.CloseIdleConnections()
+	}
 	close(g.reporting)
 	g.serving.Wait()
 	_ = g.metrics.Close()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	// lapse.go. It must be shorter than the time within which a back end that has
 	// gone may get no new request.
 	LapseTime time.Duration
+	// Disabled switches mechanisms off to show that checks notice.
+	Disabled Disabled
 }
 
 // DefaultConfig returns the defaults.
@@ -149,11 +151,18 @@
 	}
 }
 
+// unbounded is a budget that never ends.
+const unbounded = 1e9
+
 // budget returns the service's budget for further attempts.
 func (c *Core) budget(service string) *limits.ShareOfBudget {
 	budget := c.budgets[service]
 	if budget == nil {
-		budget = limits.NewShareOfBudget(c.config.RetryRatio, c.config.RetryExtra, c.gateways)
+		extra := c.config.RetryExtra
+		if c.config.Disabled[RetryBudget] {
+			extra = unbounded
+		}
+		budget = limits.NewShareOfBudget(c.config.RetryRatio, extra, c.gateways)
 		c.budgets[service] = budget
 	}
 	return budget
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -319,10 +319,11 @@
 
 // again decides on another attempt after one that gave no answer.
 func (c *Core) again(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
-	if x.ran != failure.RanNo && !x.request.Route.MayRepeat() {
+	once := !c.config.Disabled[AtMostOnce]
+	if once && x.ran != failure.RanNo && !x.request.Route.MayRepeat() {
 		return c.giveUp(x, kind, message)
 	}
-	if x.attempts >= x.request.Route.MaxAttempts || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
+	if once && x.attempts >= x.request.Route.MaxAttempts || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		return c.giveUp(x, kind, message)
 	}
 	return c.attempt(now, x)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -27,7 +27,8 @@
 func (c *Core) candidates(now time.Time, x *Exchange) []*member {
 	var usable, reachable, all []*member
 	for _, m := range c.poolOf(now, x.service) {
-		if m.backEnd.Leaving || x.wasTried(m) {
+		leaves := m.backEnd.Leaving && !c.config.Disabled[RespectLeaving]
+		if leaves || x.wasTried(m) {
 			continue
 		}
 		all = append(all, m)
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +18,7 @@
 func (s Story) Print(output io.Writer, offsets map[string]time.Duration) error {
 	var text strings.Builder
 	fmt.Fprintf(&text, "request %s: %s\n  %s\n", s.Request, s.Verdict.Cause, s.Verdict.Why)
-	for _, node := range slices.Sorted(keysOf(offsets)) {
+	for _, node := range slices.Sorted(maps.Keys(offsets)) {
 		if offset := offsets[node].Round(time.Millisecond); offset.Abs() > toldOffset {
 			fmt.Fprintf(&text, "  the clock of %s is taken to be %v ahead\n", node, offset)
 		}
@@ -38,16 +39,6 @@
 // toldOffset is the difference of a clock below which nothing is said of it.
 const toldOffset = 100 * time.Millisecond
 
-func keysOf(offsets map[string]time.Duration) func(yield func(string) bool) {
-	return func(yield func(string) bool) {
-		for node := range offsets {
-			if !yield(node) {
-				return
-			}
-		}
-	}
-}
-
 // timeline joins the request's lines and those around it.
 func (s Story) timeline() []Line {
 	lines := slices.Concat(s.Own, s.Around)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,6 +113,10 @@
 func (h *Handler) judge(c *call, send dispatch.Send, response *http.Response) outcome {
 	facts := h.config.Dialect.ReadAnswer(response.StatusCode, response.Header)
 	foreign := facts.ID != c.facts.ID && (facts.ID != "" || !facts.NotRun)
+	unsigned := !facts.Signed || promisesNotRun(response.StatusCode)
+	if h.config.Disabled[dispatch.OwnAnswers] {
+		foreign, unsigned = false, false
+	}
 	switch {
 	case foreign || facts.Encoded:
 		return h.unusable(c, send, response, "the answer isn't one to this request")
@@ -120,7 +124,7 @@
 		return h.decided(c, send, response, "another back end has the address", (*dispatch.Core).Misdirected)
 	case facts.NotRun:
 		return h.decided(c, send, response, "the back end refused", (*dispatch.Core).Refused)
-	case !facts.Signed || promisesNotRun(response.StatusCode):
+	case unsigned:
 		return h.unusable(c, send, response, "the answer lacks the back end's signature")
 	}
 	result := outcome{answer: response, facts: facts}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,6 +32,8 @@
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
 	Metrics *Metrics
+	// Disabled switches mechanisms off to show that checks notice.
+	Disabled dispatch.Disabled
 }
 
 // Handler serves callers.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -32,6 +32,8 @@
 	// gateways and reader are this gateway's place in the fleet.
 	gateways int
 	reader   bool
+	// frozen keeps the first configuration in force; only checks of checks set it.
+	frozen bool
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
 }
@@ -44,6 +46,13 @@
 	}
 }
 
+// Freeze keeps the first configuration in force, to show that checks notice.
+func (s *State) Freeze() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.frozen = true
+}
+
 // Index returns the configuration in force, or nil.
 func (s *State) Index() *catalog.Index {
 	s.mutex.Lock()
@@ -81,6 +90,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before := s.view.Version()
+	if s.frozen && before > 0 {
+		return
+	}
 	if !s.view.OfferConfiguration(configuration) {
 		return
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/tomlfile"
 )
 
@@ -31,6 +33,19 @@
 	// the watches. Lower values learn sooner what a watch missed and cost more
 	// calls. Default 800ms; from 100ms to 1m.
 	ReadPeriod tomlfile.Duration `toml:"read_period"`
+	// Disable names mechanisms to switch off (dispatch.Mechanisms). Each breaks a
+	// promise to callers: it is for runs that show that a check notices. Default
+	// none.
+	Disable []string `toml:"disable"`
+}
+
+// Disabled returns Disable as a set.
+func (g *Gateway) Disabled() dispatch.Disabled {
+	set := dispatch.Disabled{}
+	for _, name := range g.Disable {
+		set[dispatch.Mechanism(name)] = true
+	}
+	return set
 }
 
 // Defaults and limits of a gateway's settings.
@@ -80,6 +95,11 @@
 	if s.Listen.Metrics != "" {
 		c.address("listen.metrics", s.Listen.Metrics)
 	}
+	for _, name := range s.Gateway.Disable {
+		if !slices.Contains(dispatch.Mechanisms(), dispatch.Mechanism(name)) {
+			c.add("gateway.disable", fmt.Sprintf("%q is unknown", name), fmt.Sprintf("leave it empty, or name some of %v", dispatch.Mechanisms()))
+		}
+	}
 	g := s.Gateway
 	c.number("gateway.retry_ratio", *g.RetryRatio, 0, maxRetryRatio)
 	c.number("gateway.retry_extra", *g.RetryExtra, 0, maxRetryExtra)
--- /dev/null
+++ b/internal/soak/backend.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// backEnd is a stand-in of an engine or plain service. Its answers can be reckoned
+// from the request alone, so callers can tell whether one is their own.
+type backEnd struct {
+	fleet  *fleet
+	number int
+	name   string
+	// address is its link's, where gateways send to.
+	address string
+	link    *link
+
+	mutex sync.Mutex
+	// incarnation rises with every start.
+	incarnation int
+	leaving     bool
+	// lose, spoil, fail and refuse count the faults that ask for it.
+	lose, spoil, fail, refuse int
+	// turn picks a way to spoil an answer.
+	turn int
+}
+
+const (
+	// slots is what a back end tells of its size.
+	slots = 8
+	// plainWork is how long a plain answer takes, and eventPause the time between
+	// two events of a stream.
+	plainWork  = 30 * time.Millisecond
+	eventPause = 25 * time.Millisecond
+	// fewestEvents and moreEvents bound the length of a stream.
+	fewestEvents = 4
+	moreEvents   = 12
+)
+
+func (b *backEnd) id() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return fmt.Sprintf("%s-%d", b.name, b.incarnation)
+}
+
+// entry returns what the store lists.
+func (b *backEnd) entry() catalog.BackEnd {
+	id := b.id()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return catalog.BackEnd{ID: id, Service: service, Address: b.address, Zone: "z", Slots: slots, Leaving: b.leaving}
+}
+
+// misbehave changes one of the counts of faults.
+func (b *backEnd) misbehave(count func(*backEnd) *int, by int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	*count(b) += by
+}
+
+// behaviour is what the back end does with one request.
+type behaviour struct {
+	lose, spoil, fail, refuse bool
+	turn                      int
+}
+
+func (b *backEnd) behaviour() behaviour {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.turn++
+	return behaviour{lose: b.lose > 0, spoil: b.spoil > 0, fail: b.fail > 0, refuse: b.refuse > 0, turn: b.turn}
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backEnd) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	wire := b.fleet.environment.Wire()
+	forwarded := wire.ReadForward(r.Header)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	acts := b.behaviour()
+	arrival := arrival{request: forwarded.Request, backEnd: b.id(), at: time.Now(), tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != ""}
+	if forwarded.BackEnd != b.id() {
+		wire.WriteNotRun(w.Header(), forwarded.Request)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if acts.refuse {
+		b.fleet.check.arrived(arrival)
+		wire.WriteNotRun(w.Header(), forwarded.Request)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	arrival.ran = true
+	arrival.changed = string(body) != bodyOf(forwarded.Request, r.Method)
+	b.fleet.check.arrived(arrival)
+	b.run(w, r, forwarded, acts)
+}
+
+func (b *backEnd) run(w http.ResponseWriter, r *http.Request, forwarded Forwarded, acts behaviour) {
+	wire := b.fleet.environment.Wire()
+	switch {
+	case acts.lose:
+		sleep(r.Context(), plainWork)
+		panic(http.ErrAbortHandler)
+	case acts.fail:
+		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		w.WriteHeader(http.StatusInternalServerError)
+	case acts.spoil:
+		b.spoilAnswer(w, r, forwarded, acts.turn)
+	case isStream(r.URL.Path):
+		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		b.stream(w, r, forwarded)
+	default:
+		sleep(r.Context(), plainWork)
+		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		_, _ = io.WriteString(w, answerOf(forwarded.Request))
+	}
+}
+
+// spoilAnswer sends what isn't the answer, in one of a few ways.
+func (b *backEnd) spoilAnswer(w http.ResponseWriter, r *http.Request, forwarded Forwarded, turn int) {
+	wire := b.fleet.environment.Wire()
+	switch turn % 3 {
+	case 0: // an answer to another request
+		wire.WriteStamp(w.Header(), "another", b.id())
+		_, _ = io.WriteString(w, answerOf("another"))
+	case 1: // an answer without its mark
+		_, _ = io.WriteString(w, answerOf("another"))
+	default: // an answer that is cut short
+		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		whole := answerOf(forwarded.Request)
+		w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+		_, _ = io.WriteString(w, whole[:len(whole)/2])
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream writes the events after the one that the caller has.
+func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded Forwarded) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	first := 1
+	if last, err := strconv.Atoi(forwarded.ResumeAfter); err == nil {
+		first = last + 1
+	}
+	for number := first; number <= eventsOf(forwarded.Request); number++ {
+		sleep(r.Context(), eventPause)
+		if _, err := io.WriteString(w, eventOf(forwarded.Request, number)); err != nil {
+			return
+		}
+		if err := controller.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// bodyOf, answerOf, eventOf and eventsOf are what a request with an ID consists of
+// and is answered with.
+func bodyOf(request, method string) string {
+	if method == http.MethodGet {
+		return ""
+	}
+	return "question of " + request
+}
+
+func answerOf(request string) string { return "answer to " + request + ", whole\n" }
+
+func eventOf(request string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, request)
+}
+
+func eventsOf(request string) int {
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, request)
+	return fewestEvents + int(hash.Sum32()%moreEvents)
+}
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/eventstream"
+)
+
+// silentLog drops what servers say of broken connections.
+func silentLog() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// caller sends one request after the other and tells the checks what it got. It
+// keeps its connections while they live.
+type caller struct {
+	fleet  *fleet
+	number int
+	random *rand.Rand
+	client *http.Client
+	count  int
+}
+
+const (
+	// thinkTime is the mean pause between two requests of a caller.
+	thinkTime = 150 * time.Millisecond
+	// callerPatience is how long a caller waits beyond its request's time.
+	callerPatience = 2 * time.Second
+	// prompts is the number of shared prompt parts.
+	prompts = 12
+)
+
+func newCaller(f *fleet, number int) *caller {
+	return &caller{
+		fleet: f, number: number, random: rand.New(rand.NewPCG(f.options.Seed, uint64(number)+1)),
+		client: &http.Client{Transport: &http.Transport{DialContext: f.environment.Dial, DisableCompression: true}},
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		// A request that was begun is waited for, also at the end of the run.
+		c.call(context.WithoutCancel(ctx))
+		sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime)))
+	}
+}
+
+// call sends a request and tells the checks what came of it.
+func (c *caller) call(ctx context.Context) {
+	g := c.fleet.gateways[c.random.IntN(len(c.fleet.gateways))]
+	c.count++
+	sent := sending{
+		request: fmt.Sprintf("c%d-%d", c.number, c.count), gateway: g.id,
+		prefix: c.choosePrefix(), key: keys[c.random.IntN(len(keys))], at: time.Now(),
+	}
+	prompt := ""
+	if isStream(sent.prefix) {
+		prompt = fmt.Sprintf("%x", 1+c.random.IntN(prompts))
+	}
+	c.fleet.check.sent(sent)
+	got := c.send(ctx, g, sent, prompt)
+	got.at = time.Now()
+	c.fleet.check.got(sent, got)
+}
+
+func (c *caller) choosePrefix() string {
+	prefixes := []string{prefixOnce, prefixRepeat, prefixResumable, prefixStream, prefixSpare}
+	return prefixes[c.random.IntN(len(prefixes))]
+}
+
+func (c *caller) send(ctx context.Context, g *gatewayState, sent sending, prompt string) reply {
+	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerPatience)
+	defer cancel()
+	method := http.MethodPost
+	if sent.prefix == prefixRepeat {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+sent.prefix+sent.request, strings.NewReader(bodyOf(sent.request, method)))
+	if err != nil {
+		return reply{cause: err.Error()}
+	}
+	if method == http.MethodGet {
+		request.Body, request.ContentLength, request.GetBody = nil, 0, nil
+	}
+	request.Host = host
+	c.fleet.environment.Wire().WriteAsk(request.Header, Ask{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt})
+	response, err := c.client.Do(request)
+	if err != nil {
+		return reply{cause: err.Error(), late: ctx.Err() != nil}
+	}
+	defer response.Body.Close()
+	got := reply{
+		status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"),
+		stamp: c.fleet.environment.Wire().ReadStamp(response.Header),
+	}
+	if isStream(sent.prefix) && response.StatusCode == http.StatusOK {
+		got.events, got.fault, err = readEvents(response.Body, sent.request)
+	} else {
+		var text []byte
+		text, err = io.ReadAll(response.Body)
+		got.body = string(text)
+	}
+	got.whole = err == nil
+	if err != nil {
+		got.cause = err.Error()
+	}
+	return got
+}
+
+// readEvents reads a stream to its end and tells how many events it had and the
+// first that wasn't the next one.
+func readEvents(body io.Reader, request string) (count int, fault string, err error) {
+	reader := eventstream.NewReader(bufio.NewReader(body))
+	for {
+		event, err := reader.Next()
+		if err == io.EOF {
+			return count, fault, nil
+		}
+		if err != nil {
+			return count, fault, err
+		}
+		count++
+		if want := eventOf(request, count); string(event.Raw) != want && fault == "" {
+			fault = fmt.Sprintf("event %d is %q", count, event.Raw)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/inprocess.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/daemon"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/pipenet"
+	"github.com/harriernotch/harriernotch/internal/settings"
+)
+
+// InProcess runs gateways in this process over a network in memory, so that whole
+// runs fit on a virtual clock. A kill cuts all of a gateway's connections before it
+// is ended; a pause can't be played and does nothing.
+type InProcess struct {
+	wire    Wire
+	adapter daemon.Adapter
+	network *pipenet.Network
+
+	mutex sync.Mutex
+	last  int
+}
+
+// NewInProcess returns an environment of its own.
+func NewInProcess(wire Wire, adapter daemon.Adapter) *InProcess {
+	return &InProcess{wire: wire, adapter: adapter, network: pipenet.New()}
+}
+
+// Wire implements Environment.
+func (e *InProcess) Wire() Wire { return e.wire }
+
+// Address implements Environment.
+func (e *InProcess) Address() (string, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.last++
+	return fmt.Sprintf("10.0.%d.%d:80", e.last/250, 1+e.last%250), nil
+}
+
+// Listen implements Environment.
+func (e *InProcess) Listen() (net.Listener, error) {
+	address, err := e.Address()
+	if err != nil {
+		return nil, err
+	}
+	return e.network.Listen("pipe", address)
+}
+
+// Dial implements Environment.
+func (e *InProcess) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return e.network.Dial(ctx, network, address)
+}
+
+// Gateway implements Environment.
+func (e *InProcess) Gateway(id, text string) (Gateway, error) {
+	parsed, err := settings.Parse(id+".toml", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return &inProcessGateway{environment: e, settings: parsed}, nil
+}
+
+type inProcessGateway struct {
+	environment *InProcess
+	settings    *settings.Settings
+	node        *daemon.Gateway
+	log         *eventlog.Log
+	wires       *cutter
+}
+
+func (g *inProcessGateway) Start() error {
+	g.wires = &cutter{network: g.environment.network, open: map[net.Conn]bool{}}
+	g.log = eventlog.New(discard{}, logrus.InfoLevel, nil)
+	node, err := daemon.StartGateway(g.settings, daemon.GatewayEnvironment{
+		Adapter: g.environment.adapter, Listen: g.wires.Listen, Dial: g.wires.Dial, Log: g.log,
+	})
+	g.node = node
+	return err
+}
+
+func (g *inProcessGateway) Kill() {
+	if g.node == nil {
+		return
+	}
+	g.wires.cut()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.node.Stop(ended)
+	g.end()
+}
+
+func (g *inProcessGateway) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), g.node.DrainTimeout())
+	defer cancel()
+	g.node.Stop(ctx)
+	g.end()
+}
+
+func (g *inProcessGateway) end() {
+	g.wires.cut()
+	g.log.Close()
+	g.node = nil
+}
+
+func (g *inProcessGateway) Reload() { g.node.Reload(g.settings) }
+func (g *inProcessGateway) Pause()  {}
+func (g *inProcessGateway) Resume() {}
+
+// discard drops log lines.
+type discard struct{}
+
+func (discard) Write(line []byte) (int, error) { return len(line), nil }
+
+// cutter is one gateway's way to the network; cut ends all of its connections and
+// lets it make no new ones.
+type cutter struct {
+	network *pipenet.Network
+
+	mutex     sync.Mutex
+	open      map[net.Conn]bool
+	listeners []net.Listener
+	dead      bool
+}
+
+var errDead = errors.New("the gateway was killed")
+
+func (c *cutter) Listen(network, address string) (net.Listener, error) {
+	listener, err := c.network.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.listeners = append(c.listeners, listener)
+	return cutListener{Listener: listener, cutter: c}, nil
+}
+
+func (c *cutter) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	// Without the time that a real connection takes, a gateway that can't connect
+	// would try again in the same moment for ever.
+	sleep(ctx, time.Millisecond)
+	conn, err := c.network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c.note(conn)
+}
+
+func (c *cutter) note(conn net.Conn) (net.Conn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.dead {
+		_ = conn.Close()
+		return nil, errDead
+	}
+	c.open[conn] = true
+	return cutConn{Conn: conn, cutter: c}, nil
+}
+
+func (c *cutter) cut() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.dead = true
+	for _, listener := range c.listeners {
+		_ = listener.Close()
+	}
+	for conn := range c.open {
+		_ = conn.Close()
+	}
+}
+
+type cutListener struct {
+	net.Listener
+	cutter *cutter
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.cutter.note(conn)
+}
+
+type cutConn struct {
+	net.Conn
+	cutter *cutter
+}
+
+func (c cutConn) Close() error {
+	c.cutter.mutex.Lock()
+	delete(c.cutter.open, c.Conn)
+	c.cutter.mutex.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"net/http"
+	"time"
+)
+
+// slack is added to each bound for the time that the run itself takes.
+const slack = 300 * time.Millisecond
+
+// checkAnswer checks what one caller got by itself.
+func (c *checker) checkAnswer(s sending, r reply) {
+	switch {
+	case r.fault != "":
+		c.failLocked(PromiseOrder, "%s through %s: %s", s.request, s.gateway, r.fault)
+	case r.status != http.StatusOK || !r.whole:
+	case r.stamp == "":
+		c.failLocked(PromiseOwn, "%s through %s got an answer without a back end's mark", s.request, s.gateway)
+	case isStream(s.prefix) && r.events != eventsOf(s.request):
+		c.failLocked(PromiseOrder, "%s through %s ended whole with %d of %d events", s.request, s.gateway, r.events, eventsOf(s.request))
+	case !isStream(s.prefix) && r.body != answerOf(s.request):
+		c.failLocked(PromiseOwn, "%s through %s got %q", s.request, s.gateway, r.body)
+	}
+}
+
+// checkArrival checks a request at a back end by itself.
+func (c *checker) checkArrival(a arrival) {
+	s, known := c.sends[a.request]
+	switch {
+	case !known:
+		if a.ran {
+			c.failLocked(PromiseAsked, "%s ran %s, which nobody sent", a.backEnd, a.request)
+		}
+		return
+	case a.ran && (a.changed || a.tenant != tenant):
+		c.failLocked(PromiseAsked, "%s ran %s with another body or as tenant %q", a.backEnd, a.request, a.tenant)
+	}
+	since, leaves := c.leavingAt[a.backEnd]
+	if leaves && a.at.Sub(since) > leavingBound+slack && c.inTouch(s.gateway, since, a.at) {
+		c.failLocked(PromiseLeaving, "%s got %s from %s %v after its leaving", a.backEnd, a.request, s.gateway, a.at.Sub(since).Round(time.Millisecond))
+	}
+}
+
+// finish judges what only the whole run shows.
+func (c *checker) finish() Result {
+	c.serving.Wait()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	result := Result{Requests: len(c.replies)}
+	expected, recovered := 0, 0
+	for _, id := range c.order {
+		s, known := c.sends[id]
+		r, answered := c.replies[id]
+		if !known || !answered {
+			continue
+		}
+		served := r.status == http.StatusOK && r.whole
+		if served {
+			result.Served++
+		}
+		if r.status == 0 || !r.whole || r.status == http.StatusBadGateway || r.status == http.StatusGatewayTimeout {
+			result.Unknown++
+		}
+		c.judge(s, r)
+		if s.at.After(c.recoverAt) && s.key != spareKey && s.prefix != prefixSpare {
+			expected++
+			if served {
+				recovered++
+			}
+		}
+	}
+	c.judgeBudget()
+	if float64(recovered) < leastRecovered*float64(expected) || expected == 0 {
+		c.failLocked(PromiseRecovery, "%d of %d requests were served after all faults", recovered, expected)
+	}
+	result.Violations, result.Counts = c.violations, c.counts
+	return result
+}
+
+// leastRecovered is the share that must be served once all faults are over.
+const leastRecovered = 0.95
+
+// judge checks one request against all its arrivals.
+func (c *checker) judge(s sending, r reply) {
+	arrivals, runs := c.arrivals[s.request], 0
+	for _, each := range arrivals {
+		if each.ran && !each.resumed {
+			runs++
+		}
+	}
+	if runs > 1 && s.prefix != prefixRepeat && s.prefix != prefixResumable {
+		c.failLocked(PromiseOnce, "%s ran %d times", s.request, runs)
+	}
+	if most := attemptsOf(s.prefix); len(arrivals) > most {
+		c.failLocked(PromiseAttempts, "%s came to %d back ends, %d are allowed", s.request, len(arrivals), most)
+	}
+	switch r.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if runs > 0 {
+			c.failLocked(PromiseNotRun, "%s was told %d and ran", s.request, r.status)
+		}
+		if r.retryAfter == "" {
+			c.failLocked(PromiseAtOnce, "%s was told %d without a time to come back", s.request, r.status)
+		}
+	}
+	c.judgeConfiguration(s, r, runs)
+	c.judgeKept(s, r, runs)
+}
+
+// attemptsOf returns the attempts that the route with the prefix allows.
+func attemptsOf(prefix string) int {
+	switch prefix {
+	case prefixRepeat:
+		return 2
+	case prefixResumable:
+		return 3
+	default:
+		return 1
+	}
+}
+
+// judgeConfiguration checks that the request was handled as some version allows
+// that may have been in force.
+func (c *checker) judgeConfiguration(s sending, r reply, runs int) {
+	first := 0
+	if c.inTouch(s.gateway, s.at.Add(-applyBound-slack), r.at) {
+		for i, each := range c.versions {
+			if each.at.Before(s.at.Add(-applyBound - slack)) {
+				first = i
+			}
+		}
+	}
+	var allows, deniesRoute, deniesKey bool
+	for _, each := range c.versions[first:] {
+		if each.at.After(r.at) {
+			break
+		}
+		route, key := each.routes[s.prefix], each.keys[s.key]
+		allows = allows || route && key
+		deniesRoute = deniesRoute || !route
+		deniesKey = deniesKey || !key
+	}
+	switch {
+	case runs > 0 && !allows:
+		c.failLocked(PromiseConfiguration, "%s ran with %s through %s, which no version in force allows", s.request, s.key, s.gateway)
+	case r.status == http.StatusNotFound && !deniesRoute, r.status == http.StatusUnauthorized && !deniesKey:
+		c.failLocked(PromiseConfiguration, "%s was told %d by %s, and every version in force allows it", s.request, r.status, s.gateway)
+	}
+}
+
+// judgeKept checks that a request got its final answer: not cut while its gateway
+// and all back ends were sound, and not held beyond its time.
+func (c *checker) judgeKept(s sending, r reply, runs int) {
+	if c.backEndsDisturbed(s.at, r.at) || c.unplanned(s.gateway, s.at, r.at) {
+		return
+	}
+	if r.late {
+		c.failLocked(PromiseAtOnce, "%s got no final answer from %s in its time", s.request, s.gateway)
+		return
+	}
+	if runs > 0 && (r.status == 0 || !r.whole) {
+		c.failLocked(PromiseKept, "%s ran and was cut by %s after %v: %s", s.request, s.gateway, r.at.Sub(s.at).Round(time.Millisecond), r.cause)
+	}
+}
+
+// unplanned tells whether anything but a planned stop touched the gateway.
+func (c *checker) unplanned(gateway string, from, to time.Time) bool {
+	for _, each := range c.spans {
+		if (each.place == gateway || each.place == everywhere) && !each.planned && each.overlaps(from.Add(-contact), to) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeBudget checks the further attempts in every window that ends with one.
+func (c *checker) judgeBudget() {
+	for _, at := range c.repeats {
+		repeats := 0
+		for _, each := range c.repeats {
+			if !each.After(at) && at.Sub(each) <= retryWindow {
+				repeats++
+			}
+		}
+		requests := 0
+		for _, back := range []time.Duration{0, retryWindow / 2, retryWindow} {
+			requests = max(requests, c.sentBetween(at.Add(-retryWindow-back), at.Add(-back)))
+		}
+		if allowed := retryRatio*float64(requests) + retryExtra; float64(repeats) > allowed {
+			c.failLocked(PromiseBudget, "%d further attempts within %v, %.0f are allowed", repeats, retryWindow, allowed)
+			return
+		}
+	}
+}
+
+func (c *checker) sentBetween(from, to time.Time) int {
+	count := 0
+	for _, each := range c.sends {
+		if each.at.After(from) && !each.at.After(to) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// link carries connections to one target, and can be told to hold up their bytes or
+// to end them: the network's faults, from outside the programs.
+type link struct {
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	target string
+
+	listener net.Listener
+	tasks    conc.WaitGroup
+	cancel   context.CancelFunc
+	ctx      context.Context
+
+	mutex sync.Mutex
+	// held counts the faults that hold up all bytes, deaf those that hold up the
+	// target's, and refused those that end every connection.
+	held, deaf, refused int
+	changed             chan struct{}
+	open                map[net.Conn]bool
+}
+
+func newLink(environment Environment, listener net.Listener, target string) *link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{
+		dial: environment.Dial, target: target, listener: listener, ctx: ctx, cancel: cancel,
+		changed: make(chan struct{}), open: map[net.Conn]bool{},
+	}
+	l.tasks.Go(l.accept)
+	return l
+}
+
+func (l *link) close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.reset()
+	l.tasks.Wait()
+}
+
+// hurt changes one of the counts of faults.
+func (l *link) hurt(count func(*link) *int, by int) {
+	l.mutex.Lock()
+	*count(l) += by
+	close(l.changed)
+	l.changed = make(chan struct{})
+	refused := l.refused > 0
+	l.mutex.Unlock()
+	if refused {
+		l.reset()
+	}
+}
+
+// reset ends all connections.
+func (l *link) reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for conn := range l.open {
+		_ = conn.Close()
+	}
+}
+
+func (l *link) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.tasks.Go(func() { l.carry(conn) })
+	}
+}
+
+func (l *link) carry(near net.Conn) {
+	defer near.Close()
+	if !l.note(near, true) {
+		return
+	}
+	defer l.note(near, false)
+	far, err := l.dial(l.ctx, "tcp", l.target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	l.note(far, true)
+	defer l.note(far, false)
+	var back conc.WaitGroup
+	back.Go(func() {
+		l.copy(near, far, func() bool { return l.held == 0 && l.deaf == 0 })
+		_ = near.Close()
+	})
+	l.copy(far, near, func() bool { return l.held == 0 })
+	_ = far.Close()
+	back.Wait()
+}
+
+// note adds or removes a connection; it is false when connections are refused.
+func (l *link) note(conn net.Conn, added bool) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !added {
+		delete(l.open, conn)
+		return true
+	}
+	if l.refused > 0 || l.ctx.Err() != nil {
+		return false
+	}
+	l.open[conn] = true
+	return true
+}
+
+// copyBytes is the size of one read.
+const copyBytes = 32 << 10
+
+// copy passes bytes on while they may flow, and holds them up otherwise.
+func (l *link) copy(to, from net.Conn, flows func() bool) {
+	buffer := make([]byte, copyBytes)
+	for {
+		count, err := from.Read(buffer)
+		if count > 0 {
+			if !l.awaitFlow(flows) {
+				return
+			}
+			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) awaitFlow(flows func() bool) bool {
+	for {
+		l.mutex.Lock()
+		free, changed := flows(), l.changed
+		l.mutex.Unlock()
+		if free {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-l.ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/processes.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Processes runs each gateway as a process of the real program on loopback. Signals
+// go to the processes that it started and to no other.
+type Processes struct {
+	wire    Wire
+	program string
+	folder  string
+}
+
+// NewProcesses returns an environment that runs the program; settings and logs are
+// kept in the folder.
+func NewProcesses(wire Wire, program, folder string) (*Processes, error) {
+	absolute, err := filepath.Abs(program)
+	if err != nil {
+		return nil, errors.Wrap(err, "find the program")
+	}
+	if _, err := os.Stat(absolute); err != nil {
+		return nil, errors.Wrap(err, "the program can't be run")
+	}
+	return &Processes{wire: wire, program: absolute, folder: folder}, nil
+}
+
+// loopback is where everything listens.
+const loopback = "127.0.0.1:0"
+
+// Wire implements Environment.
+func (e *Processes) Wire() Wire { return e.wire }
+
+// Listen implements Environment.
+func (e *Processes) Listen() (net.Listener, error) { return net.Listen("tcp", loopback) }
+
+// Address implements Environment. The port is free when it is returned; another
+// program may still take it, and the gateway then doesn't start.
+func (e *Processes) Address() (string, error) {
+	listener, err := e.Listen()
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// Dial implements Environment.
+func (e *Processes) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Gateway implements Environment.
+func (e *Processes) Gateway(id, text string) (Gateway, error) {
+	path := filepath.Join(e.folder, id+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "write a gateway's settings")
+	}
+	log, err := os.OpenFile(filepath.Join(e.folder, id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open a gateway's log")
+	}
+	return &process{program: e.program, settings: path, log: log}, nil
+}
+
+// process is a gateway as a process of its own.
+type process struct {
+	program, settings string
+	log               *os.File
+	command           *exec.Cmd
+	ended             chan struct{}
+}
+
+// startTime is how long a started gateway is given before faults may strike it.
+const startTime = 200 * time.Millisecond
+
+func (p *process) Start() error {
+	p.command = exec.Command(p.program, "--config", p.settings)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	if err := p.command.Start(); err != nil {
+		return errors.Wrap(err, "start a gateway")
+	}
+	command, ended := p.command, make(chan struct{})
+	p.ended = ended
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return errors.Errorf("the gateway ended at once; its log is %s", p.log.Name())
+	case <-time.After(startTime):
+		return nil
+	}
+}
+
+// signal sends a signal while the process lives.
+func (p *process) signal(signal syscall.Signal) {
+	if p.command == nil {
+		return
+	}
+	select {
+	case <-p.ended:
+	default:
+		// It may have ended in this moment; then there is nobody to tell.
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+func (p *process) Kill() {
+	if p.command == nil {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) Stop() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(drainTimeout):
+		p.Kill()
+	}
+}
+
+func (p *process) Reload() { p.signal(syscall.SIGHUP) }
+func (p *process) Pause()  { p.signal(syscall.SIGSTOP) }
+func (p *process) Resume() { p.signal(syscall.SIGCONT) }
--- /dev/null
+++ b/internal/soak/store.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// store is a stand-in of the platform's store. It can be told to misbehave. What it
+// was told is acknowledged at once, as the real one would to the operator.
+type store struct {
+	wire Wire
+
+	mutex    sync.Mutex
+	revision uint64
+	// oldest is the revision from which history is kept.
+	oldest         uint64
+	configurations []StoreEntry[catalog.Configuration]
+	backEnds       []StoreEntry[catalog.BackEnd]
+	changed        chan struct{}
+	// silent keeps every call without an answer, busy refuses it, and slow delays
+	// it; each counts the faults that ask for it.
+	silent, busy, slow int
+}
+
+// slowAnswer is the delay of a store that is slow.
+const slowAnswer = 700 * time.Millisecond
+
+// keptHistory bounds the changes that watches can go back to.
+const keptHistory = 64
+
+func newStore(wire Wire) *store { return &store{wire: wire, changed: make(chan struct{})} }
+
+func (s *store) putConfiguration(configuration catalog.Configuration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.configurations = append(s.configurations, StoreEntry[catalog.Configuration]{Name: "main", Revision: s.next(), Value: configuration})
+}
+
+func (s *store) putBackEnd(backEnd catalog.BackEnd) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.backEnds = append(s.backEnds, StoreEntry[catalog.BackEnd]{Name: backEnd.ID, Revision: s.next(), Value: backEnd})
+}
+
+func (s *store) removeBackEnd(id string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.backEnds = append(s.backEnds, StoreEntry[catalog.BackEnd]{Name: id, Revision: s.next(), Gone: true, Value: catalog.BackEnd{ID: id}})
+}
+
+// next returns the revision of a change and wakes the watches.
+func (s *store) next() uint64 {
+	s.revision++
+	if s.revision > s.oldest+keptHistory {
+		s.oldest = s.revision - keptHistory
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// forget drops the history: watches must read anew.
+func (s *store) forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.oldest = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// misbehave changes one of the counts of faults.
+func (s *store) misbehave(count func(*store) *int, by int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	*count(s) += by
+}
+
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	silent, busy, slow := s.silent > 0, s.busy > 0, s.slow > 0
+	s.mutex.Unlock()
+	switch {
+	case silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case slow:
+		sleep(r.Context(), slowAnswer)
+	}
+	call := s.wire.ReadStoreCall(r)
+	if call.Watch && !s.await(r, call) {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	s.answer(w, call)
+}
+
+// await returns when the watch has something to tell or its time has passed; it is
+// false when the history is gone.
+func (s *store) await(r *http.Request, call StoreCall) bool {
+	timer := time.NewTimer(call.Wait)
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		gone := call.After < s.oldest
+		news, changed := s.hasNews(call), s.changed
+		s.mutex.Unlock()
+		if gone || news {
+			return !gone
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-r.Context().Done():
+			return true
+		}
+	}
+}
+
+func (s *store) hasNews(call StoreCall) bool {
+	if call.BackEnds {
+		return len(since(s.backEnds, call.After)) > 0
+	}
+	return len(since(s.configurations, call.After)) > 0
+}
+
+func (s *store) answer(w http.ResponseWriter, call StoreCall) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if call.BackEnds {
+		s.wire.WriteBackEnds(w, StoreAnswer[catalog.BackEnd]{Watch: call.Watch, At: s.revision, Entries: entries(s.backEnds, call)})
+		return
+	}
+	s.wire.WriteConfigurations(w, StoreAnswer[catalog.Configuration]{Watch: call.Watch, At: s.revision, Entries: entries(s.configurations, call)})
+}
+
+func entries[T any](history []StoreEntry[T], call StoreCall) []StoreEntry[T] {
+	if call.Watch {
+		return since(history, call.After)
+	}
+	return listed(history)
+}
+
+// since returns the changes after a revision.
+func since[T any](history []StoreEntry[T], after uint64) []StoreEntry[T] {
+	var list []StoreEntry[T]
+	for _, entry := range history {
+		if entry.Revision > after {
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
+// listed returns the newest entry of each name that isn't gone, by name.
+func listed[T any](history []StoreEntry[T]) []StoreEntry[T] {
+	newest := map[string]StoreEntry[T]{}
+	for _, entry := range history {
+		newest[entry.Name] = entry
+	}
+	var list []StoreEntry[T]
+	for _, entry := range newest {
+		if !entry.Gone {
+			list = append(list, entry)
+		}
+	}
+	slices.SortFunc(list, func(a, b StoreEntry[T]) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/internal/soak/strike.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// restartPause is how long a killed or stopped gateway is away.
+	restartPause = 300 * time.Millisecond
+	// lapsePause is how long after an outage the store lists no back end.
+	lapsePause = 800 * time.Millisecond
+	// listedAfterCrash is how long the store still lists one that crashed.
+	listedAfterCrash = 2 * time.Second
+	// servesAfterBound is how long a back end goes on after the bound on leaving.
+	servesAfterBound = time.Second
+)
+
+// strike carries out one fault and ends it.
+func (f *fleet) strike(ctx context.Context, fault Fault) {
+	g := f.gateways[fault.Target%len(f.gateways)]
+	b := f.backEnds[fault.Target%len(f.backEnds)]
+	wait := func() { sleep(ctx, fault.For) }
+	switch fault.Kind {
+	case KillGateway:
+		f.endGateway(ctx, g, false)
+	case KillAllGateways:
+		for _, each := range f.gateways {
+			f.check.serving.Go(func() { f.endGateway(ctx, each, false) })
+		}
+	case StopGateway:
+		f.endGateway(ctx, g, true)
+	case ReloadGateway:
+		f.withGateway(g, func() { g.gateway.Reload() })
+	case PauseGateway:
+		f.withGateway(g, func() { f.pause(g, min(fault.For, routeTimeout)) })
+	case CutStore:
+		f.hurtStoreLink(g, func(l *link) *int { return &l.held }, wait)
+	case ResetStore:
+		f.hurtStoreLink(g, func(l *link) *int { return &l.refused }, wait)
+	case DeafStore:
+		f.hurtStoreLink(g, func(l *link) *int { return &l.deaf }, wait)
+	case StoreDown, StoreLapses:
+		f.hurtStore(func(s *store) *int { return &s.silent }, wait)
+		if fault.Kind == StoreLapses {
+			f.lapse(ctx)
+		}
+	case StoreBusy:
+		f.hurtStore(func(s *store) *int { return &s.busy }, wait)
+	case StoreSlow:
+		f.hurtStore(func(s *store) *int { return &s.slow }, wait)
+	case StoreForgets:
+		f.hurtStore(nil, f.store.forget)
+	case CrashBackEnd, DarkBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll:
+		f.strikeBackEnd(ctx, b, fault)
+	case ChangeRoute:
+		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
+	case RevokeKey:
+		f.withdraw(func(f *fleet) *int { return &f.noSpareKey }, wait)
+	}
+}
+
+// withGateway runs a step unless another fault owns the gateway's life.
+func (f *fleet) withGateway(g *gatewayState, step func()) {
+	if !g.busy.TryLock() {
+		return
+	}
+	defer g.busy.Unlock()
+	step()
+}
+
+// endGateway ends a gateway and starts it again.
+func (f *fleet) endGateway(ctx context.Context, g *gatewayState, planned bool) {
+	f.withGateway(g, func() {
+		f.check.ending(g, planned)
+		if planned {
+			g.gateway.Stop()
+		} else {
+			g.gateway.Kill()
+		}
+		sleep(ctx, restartPause)
+		f.check.began(g)
+		if err := g.gateway.Start(); err != nil {
+			f.check.fail(PromiseStart, "%s did not start again: %v", g.id, err)
+		}
+	})
+}
+
+func (f *fleet) pause(g *gatewayState, wait time.Duration) {
+	over := f.check.trouble(g.id)
+	defer over()
+	g.gateway.Pause()
+	time.Sleep(wait)
+	g.gateway.Resume()
+}
+
+func (f *fleet) hurtStoreLink(g *gatewayState, count func(*link) *int, wait func()) {
+	over := f.check.trouble(g.id)
+	defer over()
+	g.storeLink.hurt(count, 1)
+	wait()
+	g.storeLink.hurt(count, -1)
+}
+
+func (f *fleet) hurtStore(count func(*store) *int, wait func()) {
+	over := f.check.trouble(everywhere)
+	defer over()
+	if count == nil {
+		wait()
+		return
+	}
+	f.store.misbehave(count, 1)
+	wait()
+	f.store.misbehave(count, -1)
+}
+
+// lapse drops all back ends from the list and lists them again.
+func (f *fleet) lapse(ctx context.Context) {
+	over := f.check.trouble(everywhere)
+	defer over()
+	for _, b := range f.backEnds {
+		f.store.removeBackEnd(b.id())
+	}
+	sleep(ctx, lapsePause)
+	for _, b := range f.backEnds {
+		f.store.putBackEnd(b.entry())
+	}
+}
+
+// withdraw takes something out of the configuration and brings it back.
+func (f *fleet) withdraw(count func(*fleet) *int, wait func()) {
+	change := func(by int) {
+		f.mutex.Lock()
+		*count(f) += by
+		f.mutex.Unlock()
+		f.changeConfiguration()
+	}
+	change(1)
+	wait()
+	change(-1)
+}
+
+func (f *fleet) strikeBackEnd(ctx context.Context, b *backEnd, fault Fault) {
+	over := f.check.trouble(b.name)
+	defer over()
+	misbehave := func(count func(*backEnd) *int) {
+		b.misbehave(count, 1)
+		sleep(ctx, fault.For)
+		b.misbehave(count, -1)
+	}
+	switch fault.Kind {
+	case LoseAnswers:
+		misbehave(func(b *backEnd) *int { return &b.lose })
+	case SpoilAnswers:
+		misbehave(func(b *backEnd) *int { return &b.spoil })
+	case FailAnswers:
+		misbehave(func(b *backEnd) *int { return &b.fail })
+	case RefuseAll:
+		misbehave(func(b *backEnd) *int { return &b.refuse })
+	case DarkBackEnd:
+		b.link.hurt(func(l *link) *int { return &l.held }, 1)
+		sleep(ctx, fault.For)
+		b.link.hurt(func(l *link) *int { return &l.held }, -1)
+	case CrashBackEnd:
+		f.crash(ctx, b, fault.For)
+	case LeaveBackEnd:
+		f.leave(ctx, b)
+	}
+}
+
+// crash ends a back end; the store notices after a while, and another incarnation
+// comes.
+func (f *fleet) crash(ctx context.Context, b *backEnd, wait time.Duration) {
+	id := b.id()
+	b.link.hurt(func(l *link) *int { return &l.refused }, 1)
+	b.restart()
+	sleep(ctx, max(wait, listedAfterCrash))
+	f.store.removeBackEnd(id)
+	b.link.hurt(func(l *link) *int { return &l.refused }, -1)
+	f.store.putBackEnd(b.entry())
+}
+
+// restart begins a new incarnation.
+func (b *backEnd) restart() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.incarnation++
+	b.leaving = false
+}
+
+// leave empties a back end: it says so, serves on for longer than gateways may
+// send it work, and then ends. Another incarnation comes.
+func (f *fleet) leave(ctx context.Context, b *backEnd) {
+	id := b.id()
+	b.mutex.Lock()
+	b.leaving = true
+	b.mutex.Unlock()
+	f.store.putBackEnd(b.entry())
+	f.check.leaving(id)
+	sleep(ctx, leavingBound+servesAfterBound)
+	f.store.removeBackEnd(id)
+	b.restart()
+	f.store.putBackEnd(b.entry())
+}
--- /dev/null
+++ b/internal/soak/wire.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// Wire speaks the platform's side of the protocol for the stand-ins: what the
+// store, the back ends and the callers say and hear. It decides nothing.
+type Wire interface {
+	// ReadStoreCall returns what a call to the store asks for.
+	ReadStoreCall(request *http.Request) StoreCall
+	// WriteConfigurations and WriteBackEnds answer a list or a watch.
+	WriteConfigurations(w http.ResponseWriter, answer StoreAnswer[catalog.Configuration])
+	WriteBackEnds(w http.ResponseWriter, answer StoreAnswer[catalog.BackEnd])
+	// ReadForward returns what a gateway told a back end.
+	ReadForward(header http.Header) Forwarded
+	// WriteStamp marks an answer as the back end's own to the request; WriteNotRun
+	// marks it as the promise that the request was not run.
+	WriteStamp(header http.Header, request, stamp string)
+	WriteNotRun(header http.Header, request string)
+	// WriteAsk adds what a caller says of its request.
+	WriteAsk(header http.Header, ask Ask)
+	// ReadStamp returns a back end's mark, or "".
+	ReadStamp(header http.Header) string
+}
+
+// StoreCall is a call to the store.
+type StoreCall struct {
+	// BackEnds is true for the list of back ends, false for configurations.
+	BackEnds bool
+	// Watch is true where the call waits for changes after a revision.
+	Watch bool
+	After uint64
+	Wait  time.Duration
+}
+
+// StoreAnswer is the store's answer to a list or a watch.
+type StoreAnswer[T any] struct {
+	// Watch is true for the answer to a watch.
+	Watch bool
+	// At is the store's revision.
+	At uint64
+	// Entries are in order of their names in a list, of their revisions in a watch.
+	Entries []StoreEntry[T]
+}
+
+// StoreEntry is one object at a revision.
+type StoreEntry[T any] struct {
+	Name     string
+	Revision uint64
+	Gone     bool
+	Value    T
+}
+
+// Forwarded is what a gateway told a back end.
+type Forwarded struct {
+	// Request is the caller's ID, BackEnd the incarnation that is meant.
+	Request string
+	BackEnd string
+	// Tenant is the authenticated tenant.
+	Tenant string
+	// ResumeAfter is the last event that the caller has, or "".
+	ResumeAfter string
+}
+
+// Ask is what a caller says of its request.
+type Ask struct {
+	// Request is its ID and Key the tenant's.
+	Request string
+	Key     string
+	// Timeout is how long the caller waits.
+	Timeout time.Duration
+	// Prompt names the shared part of its prompt, or is "".
+	Prompt string
+}
