Silence is judged by the time that the process itself kept

The gateways ran out of processor time while two of four were being restarted, and took events that they had not read yet for silence.

Ruled out: the end of drain_timeout (the cuts came at 1.2 s after SIGTERM, it is 7.6 s).

Change: a meter of how late the process runs what is due; a silence, a wait for a head, and the belief that a back end is silent are given that much more time, once. Metric lag_seconds.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -128,6 +128,7 @@
 	})
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.serving.Go(func() { g.report(metrics) })
+	g.serving.Go(func() { gateway.NewLagMeter().Run(g.reporting, g.state.SetLag) })
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
 		Dialect:      environment.Adapter.Dialect(),
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	budgets  map[string]*limits.ShareOfBudget
 	gateways int
 	changes  []HealthChange
+	lag      time.Duration
 }
 
 // HealthChange is a changed belief on a back end.
@@ -130,6 +131,7 @@
 		known := c.known(backEnd.ID)
 		if known == nil {
 			known = newMember(now)
+			known.health.allowance = c.lag
 		}
 		known.backEnd = backEnd
 		members[backEnd.ID] = known
@@ -143,6 +145,15 @@
 	c.pools = pools
 }
 
+// SetLag notes how late this process runs what is due: back ends are not taken for
+// silent for what it has not yet read.
+func (c *Core) SetLag(lag time.Duration) {
+	c.lag = lag
+	for _, m := range c.members {
+		m.health.allowance = lag
+	}
+}
+
 // SetGateways notes how many gateways share the work, this one included.
 func (c *Core) SetGateways(count int) {
 	c.gateways = max(count, 1)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -57,6 +57,8 @@
 	errorRate    float64
 	awaiting     int
 	quietSince   time.Time
+	// allowance is added to the time that counts as silence.
+	allowance time.Duration
 	// connectsFailed is set while the last sign was a connection that could not be
 	// made.
 	connectsFailed bool
@@ -72,7 +74,7 @@
 	if now.Before(h.ejectedUntil) {
 		return Ejected
 	}
-	if h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit {
+	if h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
 		return Silent
 	}
 	if h.onTrial {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -139,23 +139,47 @@
 	return s.controller.Flush()
 }
 
-// pauseWatch ends an attempt that has been silent for too long.
+// pauseWatch ends an attempt that has been silent for too long. Where this process
+// itself runs late, what has come may not have been read yet: it is given that much
+// more time, once for each silence.
 type pauseWatch struct {
-	timer  *time.Timer
-	limit  time.Duration
-	silent atomic.Bool
+	timer *time.Timer
+	limit time.Duration
+	lag   func() time.Duration
+	// extended is set while a silence has been given more time.
+	extended atomic.Bool
+	cancel   func()
+}
+
+func (p *pauseWatch) fire() {
+	if late := p.lag(); late > 0 && !p.extended.Swap(true) {
+		p.timer.Reset(late)
+		return
+	}
+	p.cancel()
 }
 
 func (h *Handler) watchPauses(c *call, result outcome) *pauseWatch {
-	watch := &pauseWatch{limit: max(leastSilence, pausesUntilSilent*c.route.PauseObjective)}
+	watch := &pauseWatch{
+		limit: max(leastSilence, pausesUntilSilent*c.route.PauseObjective),
+		lag:   h.config.State.Lag, cancel: result.cancel,
+	}
 	if c.route.Resumable && c.exchange.Attempts() < c.route.MaxAttempts {
-		watch.timer = time.AfterFunc(watch.limit, func() { watch.silent.Store(true); result.cancel() })
+		watch.start()
 	}
 	return watch
 }
 
+// start begins to watch.
+func (p *pauseWatch) start() {
+	started := make(chan struct{})
+	p.timer = time.AfterFunc(p.limit, func() { <-started; p.fire() })
+	close(started)
+}
+
 func (p *pauseWatch) reset() {
 	if p.timer != nil {
+		p.extended.Store(false)
 		p.timer.Reset(p.limit)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,8 +38,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var expired atomic.Bool
 	if send.Patience > 0 {
-		timer := time.AfterFunc(send.Patience, func() { expired.Store(true); cancel() })
-		defer timer.Stop()
+		watch := &pauseWatch{limit: send.Patience, lag: h.config.State.Lag, cancel: func() { expired.Store(true); cancel() }}
+		watch.start()
+		defer watch.stop()
 	}
 	response, err := h.roundTrip(ctx, c, send, resumeAfter)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/lag_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSilenceIsJudgedByTimeKept: a process that runs late gives a stream that much
+// more time, once for each silence.
+func TestSilenceIsJudgedByTimeKept(t *testing.T) {
+	cases := map[string]struct {
+		lag, want time.Duration
+	}{
+		"in time": {0, time.Second},
+		"late":    {700 * time.Millisecond, 1700 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now()
+				ended := make(chan time.Duration, 1)
+				watch := &pauseWatch{
+					limit: time.Second, lag: func() time.Duration { return c.lag },
+					cancel: func() { ended <- time.Since(began) },
+				}
+				watch.start()
+				is.Equal(<-ended, c.want)
+			})
+		})
+	}
+}
+
+func TestEventEndsASilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ended := false
+		watch := &pauseWatch{
+			limit: time.Second, lag: func() time.Duration { return 500 * time.Millisecond },
+			cancel: func() { ended = true },
+		}
+		watch.start()
+		for range 5 {
+			time.Sleep(1400 * time.Millisecond) // within the extension
+			watch.reset()
+		}
+		watch.stop()
+		is.True(!ended)
+	})
+}
+
+func TestLagIsTheWorstOfTheLastSecond(t *testing.T) {
+	is := is.New(t)
+	meter := NewLagMeter()
+	meter.note(300*time.Millisecond, false)
+	meter.note(5*time.Millisecond, true) // what timers have anyway
+	is.Equal(meter.Lag(), 300*time.Millisecond)
+	for range lagSlots {
+		meter.note(0, true)
+	}
+	is.Equal(meter.Lag(), time.Duration(0))
+}
+
+func TestProcessThatKeepsTimeHasNoLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		done := make(chan struct{})
+		told := 0
+		go NewLagMeter().Run(done, func(time.Duration) { told++ })
+		time.Sleep(10 * time.Second)
+		close(done)
+		synctest.Wait()
+		is.Equal(told, 0)
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -118,6 +118,7 @@
 	m.scope.Gauge("configuration_version").Update(float64(gauges.Version))
 	m.scope.Gauge("store_age_seconds").Update(gauges.StoreAge.Seconds())
 	m.scope.Gauge("peer_age_seconds").Update(gauges.PeerAge.Seconds())
+	m.scope.Gauge("lag_seconds").Update(gauges.Lag.Seconds())
 	m.scope.Gauge("gateways").Update(float64(gauges.Gateways))
 	m.scope.Gauge("log_lines_left_out").Update(float64(gauges.LinesLeftOut))
 	for _, service := range gauges.Services {
@@ -137,6 +138,8 @@
 	// live peer's loads are.
 	StoreAge time.Duration
 	PeerAge  time.Duration
+	// Lag is how late this process runs what is due.
+	Lag time.Duration
 	// Gateways is the number of live gateways, this one included.
 	Gateways int
 	// LinesLeftOut is the number of log lines left out since the start.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -34,6 +34,8 @@
 	reader   bool
 	// frozen keeps the first configuration in force; only checks of checks set it.
 	frozen bool
+	// lag is how late this process runs what is due.
+	lag time.Duration
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
 }
@@ -254,6 +256,21 @@
 	return decision
 }
 
+// SetLag notes how late this process runs what is due.
+func (s *State) SetLag(lag time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lag = lag
+	s.core.SetLag(lag)
+}
+
+// Lag returns what SetLag noted.
+func (s *State) Lag() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lag
+}
+
 // StoreAge returns how long ago the store last answered this gateway; it is long
 // where others read the store for it.
 func (s *State) StoreAge() time.Duration {
@@ -274,7 +291,7 @@
 	now := time.Now()
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
-		Gateways: s.gateways, LinesLeftOut: s.log.LeftOut(),
+		Lag: s.lag, Gateways: s.gateways, LinesLeftOut: s.log.LeftOut(),
 	}
 	for _, service := range s.core.Services(now) {
 		gauges.Services = append(gauges.Services, ServiceGauges(service))
