A router asks the one back end that refused once more when no other can be reached

Change: one refusal with a load is enough to be asked again; with the last attempt's wait at the gate, the request is taken as soon as the dead member no longer counts.

--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -220,7 +220,8 @@
 // would cost the chat its context. Later attempts have no context to win, so
 // after the first refusal they go to members that are believed to have room.
 //
-// When all have refused, the least loaded one that was met is asked once more. It
+// When all have refused or can't be reached, the least loaded one that was met is
+// asked once more. It
 // may have refused since it knew too little of the others to be sure of the
 // bound; now the request brings what all the others carry.
 func (r *Route) Next(now time.Time) (attempt Attempt, ok bool) {
@@ -240,7 +241,7 @@
 }
 
 func (r *Route) lookAgain(now time.Time) (Attempt, bool) {
-	if r.lookedAgain || r.request.Owner != "" || len(r.loadsMet) < 2 {
+	if r.lookedAgain || r.request.Owner != "" || len(r.loadsMet) == 0 {
 		return Attempt{}, false
 	}
 	r.lookedAgain = true
