A gateway that lastingly runs late refuses some requests at once, the least urgent first

Ruled out: the worst delay of the last second as the measure (a gateway that was frozen for a moment would turn callers away for a second).

Change: the smallest of the last four looks at the clock is a lasting delay; from 100 ms of it on a share of the requests is refused with 503 and a time to come back, by hash of the request and by urgency, 0.8 at the most from 500 ms on. New kind overloaded.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -39,6 +39,9 @@
 	OverBound
 	// QueueFull is one agent's refusal because its queue is full.
 	QueueFull
+	// Overloaded is a gateway that has too little processor time for one more
+	// request; nothing was sent.
+	Overloaded
 	// PoolExhausted is the final answer when every attempt was refused.
 	PoolExhausted
 	// DeadlineUnmeetable is a request that could not finish in time.
@@ -130,6 +133,7 @@
 	RateLimited:         {"rate_limited", http.StatusTooManyRequests, RanNo, true, time.Second},
 	OverBound:           {"over_bound", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	QueueFull:           {"queue_full", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	Overloaded:          {"overloaded", http.StatusServiceUnavailable, RanNo, true, 200 * time.Millisecond},
 	PoolExhausted:       {"pool_exhausted", http.StatusServiceUnavailable, RanNo, true, 2 * time.Second},
 	DeadlineUnmeetable:  {"deadline_unmeetable", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	Leaving:             {"leaving", http.StatusServiceUnavailable, RanNo, true, time.Second},
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -98,6 +98,9 @@
 	if c.facts.ID == "" {
 		return failure.New(failure.InvalidRequest, "the request's ID is missing; send one that is unique")
 	}
+	if !h.config.State.HasTime(c.urgency, c.facts.ID) {
+		return failure.New(failure.Overloaded, "this gateway has too little time for one more request; ask another")
+	}
 	c.deadline = c.began.Add(earliest(c.facts.Timeout, c.route.Timeout))
 	return h.readBody(c, index.Configuration().Limits.MaxBodyBytes)
 }
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,6 +13,9 @@
 	mutex sync.Mutex
 	// worst holds the largest delay of each of the last slots, the newest last.
 	worst [lagSlots]time.Duration
+	// latest are the last delays, in no order.
+	latest [lastingLooks]time.Duration
+	looks  int
 }
 
 const (
@@ -20,6 +24,8 @@
 	// lagSlots times lagSlot is how long a delay counts.
 	lagSlots = 5
 	lagSlot  = 200 * time.Millisecond
+	// lastingLooks is the number of looks in a row that a lasting delay shows in.
+	lastingLooks = 4
 	// ordinaryLag is the delay that timers have anyway.
 	ordinaryLag = 10 * time.Millisecond
 )
@@ -27,8 +33,8 @@
 // NewLagMeter returns a meter that has seen no delay.
 func NewLagMeter() *LagMeter { return &LagMeter{} }
 
-// Run measures until done is closed. It tells each new value to the observer.
-func (m *LagMeter) Run(done <-chan struct{}, observe func(lag time.Duration)) {
+// Run measures until done is closed. It tells the observer of each change.
+func (m *LagMeter) Run(done <-chan struct{}, observe func(lag, lasting time.Duration)) {
 	timer := time.NewTimer(lagPeriod)
 	defer timer.Stop()
 	due := time.Now().Add(lagPeriod)
@@ -40,13 +46,13 @@
 			return
 		}
 		now := time.Now()
-		before := m.Lag()
+		lag, lasting := m.Lag(), m.Lasting()
 		m.note(now.Sub(due), now.After(slotEnds))
 		if now.After(slotEnds) {
 			slotEnds = now.Add(lagSlot)
 		}
-		if after := m.Lag(); after != before {
-			observe(after)
+		if m.Lag() != lag || m.Lasting() != lasting {
+			observe(m.Lag(), m.Lasting())
 		}
 		due = now.Add(lagPeriod)
 		timer.Reset(lagPeriod)
@@ -65,6 +71,8 @@
 		late = 0
 	}
 	m.worst[lagSlots-1] = max(m.worst[lagSlots-1], late)
+	m.latest[m.looks%lastingLooks] = late
+	m.looks++
 }
 
 // Lag returns the largest delay of the last second; 0 on a process that keeps time.
@@ -77,3 +85,12 @@
 	}
 	return worst
 }
+
+// Lasting returns the smallest of the last few delays: it is 0 for a process that
+// was late once, after a pause for example, and high for one that has less
+// processor time than it needs.
+func (m *LagMeter) Lasting() time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Min(m.latest[:])
+}
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -58,6 +58,11 @@
 	meter.note(300*time.Millisecond, false)
 	meter.note(5*time.Millisecond, true) // what timers have anyway
 	is.Equal(meter.Lag(), 300*time.Millisecond)
+	is.Equal(meter.Lasting(), time.Duration(0)) // it was late once
+	for range lastingLooks {
+		meter.note(200*time.Millisecond, false)
+	}
+	is.Equal(meter.Lasting(), 200*time.Millisecond)
 	for range lagSlots {
 		meter.note(0, true)
 	}
@@ -69,7 +74,7 @@
 		is := is.New(t)
 		done := make(chan struct{})
 		told := 0
-		go NewLagMeter().Run(done, func(time.Duration) { told++ })
+		go NewLagMeter().Run(done, func(_, _ time.Duration) { told++ })
 		time.Sleep(10 * time.Second)
 		close(done)
 		synctest.Wait()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -35,7 +35,7 @@
 	// frozen keeps the first configuration in force; only checks of checks set it.
 	frozen bool
 	// lag is how late this process runs what is due.
-	lag time.Duration
+	lag, lasting time.Duration
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
 }
@@ -256,15 +256,24 @@
 	return decision
 }
 
-// SetLag notes how late this process runs what is due.
-func (s *State) SetLag(lag time.Duration) {
+// SetLag notes how late this process runs what is due, at the worst of late and
+// lastingly.
+func (s *State) SetLag(lag, lasting time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lag = lag
+	s.lasting = lasting
 	s.core.SetLag(lag)
 }
 
-// Lag returns what SetLag noted.
+// HasTime tells whether this process has time for one more request.
+func (s *State) HasTime(urgency int, id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return dispatch.HasTime(s.lasting, urgency, id)
+}
+
+// Lag returns the worst delay that SetLag noted.
 func (s *State) Lag() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
