A stop serves what waits unread: in connections at rest and before the listener

Ruled out: the drain's end (7.6 s), callers that left, answers that were lost by a reset; accepting what waits beside the server's own Accept (that one holds the listener's lock and takes the deadline).

Change: internal/draining. A connection at rest in which bytes wait isn't closed until its request is answered; a listener that closes first accepts all that waits, by whoever accepts, and the server then gets them.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/draining"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/follower"
@@ -51,8 +52,10 @@
 	relay    *relay.Relay
 
 	callers *http.Server
-	others  []*http.Server
-	serving conc.WaitGroup
+	// connections are those of callers.
+	connections *draining.Connections
+	others      []*http.Server
+	serving     conc.WaitGroup
 	// reporting is closed to end the reports of gauges.
 	reporting chan struct{}
 	// transports are closed with the gateway.
@@ -141,7 +144,9 @@
 	})
 	g.callers = g.newServer(handler)
 	g.callers.IdleTimeout = callerIdleTimeout
-	g.run(g.callers, listeners["listen.callers"])
+	g.connections = draining.New()
+	g.callers.ConnState = g.connections.ConnState
+	g.run(g.callers, g.connections.Listener(listeners["listen.callers"]))
 	for field, handler := range map[string]http.Handler{"listen.peers": g.relay, "listen.admin": g.adminHandler()} {
 		server := g.newServer(handler)
 		g.others = append(g.others, server)
@@ -247,9 +252,10 @@
 	delay, cancel := context.WithTimeout(ctx, g.settings.DrainDelay.Std())
 	<-delay.Done()
 	cancel()
-	if err := g.callers.Shutdown(ctx); err != nil {
+	if err := g.connections.Shutdown(ctx, g.callers); err != nil {
 		g.log.Entry().WithError(err).Warn("work in flight was cut off at the end of drain_timeout")
 		_ = g.callers.Close()
+		g.connections.Close()
 	}
 	g.follower.Close()
 	g.relay.Close()
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +19,8 @@
 	wire    Wire
 	program string
 	folder  string
+	// lastPort is the place of the port that was given out last.
+	lastPort int
 }
 
 // NewProcesses returns an environment that runs the program; settings and logs are
@@ -30,7 +33,7 @@
 	if _, err := os.Stat(absolute); err != nil {
 		return nil, errors.Wrap(err, "the program can't be run")
 	}
-	return &Processes{wire: wire, program: absolute, folder: folder}, nil
+	return &Processes{wire: wire, program: absolute, folder: folder, lastPort: os.Getpid() % ports}, nil
 }
 
 // loopback is where everything listens.
@@ -42,15 +45,23 @@
 // Listen implements Environment.
 func (e *Processes) Listen() (net.Listener, error) { return net.Listen("tcp", loopback) }
 
-// Address implements Environment. The port is free when it is returned; another
-// program may still take it, and the gateway then doesn't start.
+// Ports of gateways lie below those that the system gives to connections: a
+// gateway that is away for a moment must find its port free.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+)
+
+// Address implements Environment. The port is free when it is returned.
 func (e *Processes) Address() (string, error) {
-	listener, err := e.Listen()
-	if err != nil {
-		return "", err
+	for range ports {
+		e.lastPort = (e.lastPort + 1) % ports
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+e.lastPort)).String()
+		if listener, err := net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free for a gateway")
 }
 
 // Dial implements Environment.
