--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -33,7 +33,7 @@
 	if _, err := os.Stat(absolute); err != nil {
 		return nil, errors.Wrap(err, "the program can't be run")
 	}
-	return &Processes{wire: wire, program: absolute, folder: folder, lastPort: os.Getpid() % ports}, nil
+	return &Processes{wire: wire, program: absolute, folder: folder, lastPort: os.Getpid() * portsPerRun % ports}, nil
 }
 
 // loopback is where everything listens.
@@ -50,6 +50,8 @@
 const (
 	firstPort = 20_000
 	ports     = 10_000
+	// portsPerRun keeps runs beside each other apart.
+	portsPerRun = 128
 )
 
 // Address implements Environment. The port is free when it is returned.
