--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -117,6 +117,14 @@
 		result.Seed, result.Faults, result.Requests, result.Served, result.Unknown, verdict); err != nil {
 		return err
 	}
+	if len(result.Violations) == 0 {
+		return nil
+	}
+	for _, struck := range result.Struck {
+		if _, err := fmt.Fprintf(output, "  %s\n", struck); err != nil {
+			return err
+		}
+	}
 	for _, promise := range slices.Sorted(maps.Keys(result.Counts)) {
 		if _, err := fmt.Fprintf(output, "  %s: %d times\n", promise, result.Counts[promise]); err != nil {
 			return err
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -15,9 +15,8 @@
 // backEnd is a stand-in of an engine or plain service. Its answers can be reckoned
 // from the request alone, so callers can tell whether one is their own.
 type backEnd struct {
-	fleet  *fleet
-	number int
-	name   string
+	fleet *fleet
+	name  string
 	// address is its link's, where gateways send to.
 	address string
 	link    *link
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -251,18 +251,18 @@
 	return false
 }
 
-// journal notes what struck, for the end of a failed run.
-type journal struct {
+// strikes notes what struck, for the end of a failed run.
+type strikes struct {
 	mutex sync.Mutex
 	began time.Time
 	lines []string
 }
 
-func (j *journal) note(line string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	if j.began.IsZero() {
-		j.began = time.Now()
+func (s *strikes) note(line string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.began.IsZero() {
+		s.began = time.Now()
 	}
-	j.lines = append(j.lines, fmt.Sprintf("%8.3f %s", time.Since(j.began).Seconds(), line))
+	s.lines = append(s.lines, fmt.Sprintf("%8.3f %s", time.Since(s.began).Seconds(), line))
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -113,18 +113,16 @@
 	servers     []*http.Server
 	serving     conc.WaitGroup
 	check       *checker
-	log         *journal
+	struck      *strikes
 
 	mutex   sync.Mutex
 	version uint64
 	// noSpareRoute and noSpareKey count the faults that took them away.
 	noSpareRoute, noSpareKey int
-	// lapsing is set while the store lists no back end.
-	lapsing bool
 }
 
 func newFleet(options Options, environment Environment) (*fleet, error) {
-	f := &fleet{options: options, environment: environment, store: newStore(environment.Wire()), log: &journal{}}
+	f := &fleet{options: options, environment: environment, store: newStore(environment.Wire()), struck: &strikes{}}
 	f.check = newChecker(f)
 	storeListener, err := environment.Listen()
 	if err != nil {
@@ -153,7 +151,7 @@
 }
 
 func (f *fleet) addBackEnd(number int) error {
-	b := &backEnd{fleet: f, number: number, name: fmt.Sprintf("b%02d", number)}
+	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number)}
 	own, err := f.environment.Listen()
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,8 @@
 	Violations []Violation
 	// Counts is the number of violations by promise.
 	Counts map[Promise]int
+	// Struck tells in order what struck, with the time from the first fault.
+	Struck []string
 }
 
 // Run plays one seed.
@@ -76,13 +78,12 @@
 		callers.Go(func() { newCaller(f, i).run(callersContext) })
 	}
 	f.play(ctx, faults)
-	f.log.note("faults are over")
 	f.check.expectRecovery(time.Now())
 	sleep(ctx, settle)
 	stopCallers()
 	callers.Wait()
 	result := f.check.finish()
-	result.Seed, result.Faults = options.Seed, len(faults)
+	result.Seed, result.Faults, result.Struck = options.Seed, len(faults), f.struck.lines
 	return result, ctx.Err()
 }
 
@@ -95,7 +96,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		f.log.note(fmt.Sprintf("%s for %v", fault, fault.For))
+		f.struck.note(fmt.Sprintf("%s for %v", fault, fault.For))
 		running.Go(func() { f.strike(ctx, fault) })
 	}
 	sleep(ctx, time.Until(began.Add(f.options.Duration)))
