--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -3,18 +3,18 @@
 import (
 	"github.com/spf13/cobra"
 
-	"github.com/harriernotch/harriernotch/internal/soak"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
-// NewToolCommand returns the commands of harriernotch. wire speaks the protocol of
+// NewToolCommand returns the commands of harriernotch. protocol is that of
 // the platform that gateways run on, for stand-ins.
-func NewToolCommand(wire soak.Wire) *cobra.Command {
+func NewToolCommand(protocol wire.Protocol) *cobra.Command {
 	command := &cobra.Command{
 		Use:           "harriernotch",
 		Short:         "Operate a router fleet: bundles, status, reports and simulations",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand(), newReportCommand(), newExplainCommand(), newSoakCommand(wire))
+	command.AddCommand(newBundleCommand(), newStatusCommand(), newLoadCommand(), newSimulateCommand(), newReportCommand(), newExplainCommand(), newSoakCommand(protocol))
 	return command
 }
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -15,6 +15,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/soak"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // soakFlags are the command line of harriernotch soak.
@@ -26,7 +27,7 @@
 	folder  string
 }
 
-func newSoakCommand(wire soak.Wire) *cobra.Command {
+func newSoakCommand(protocol wire.Protocol) *cobra.Command {
 	flags := soakFlags{options: soak.DefaultOptions()}
 	command := &cobra.Command{
 		Use:   "soak",
@@ -38,7 +39,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return runSoak(ctx, cmd.OutOrStdout(), wire, flags)
+			return runSoak(ctx, cmd.OutOrStdout(), protocol, flags)
 		},
 	}
 	f := command.Flags()
@@ -62,13 +63,13 @@
 	return nil
 }
 
-func runSoak(ctx context.Context, output io.Writer, wire soak.Wire, flags soakFlags) error {
+func runSoak(ctx context.Context, output io.Writer, protocol wire.Protocol, flags soakFlags) error {
 	if err := flags.check(); err != nil {
 		return err
 	}
 	broken := 0
 	for range flags.runs {
-		result, err := soakOnce(ctx, output, wire, flags)
+		result, err := soakOnce(ctx, output, protocol, flags)
 		if err != nil {
 			return err
 		}
@@ -84,7 +85,7 @@
 }
 
 // soakOnce plays one seed and prints what it found.
-func soakOnce(ctx context.Context, output io.Writer, wire soak.Wire, flags soakFlags) (soak.Result, error) {
+func soakOnce(ctx context.Context, output io.Writer, protocol wire.Protocol, flags soakFlags) (soak.Result, error) {
 	folder := flags.folder
 	if folder == "" {
 		made, err := os.MkdirTemp("", "harriernotch-soak-")
@@ -93,7 +94,7 @@
 		}
 		folder = made
 	}
-	environment, err := soak.NewProcesses(wire, flags.program, folder)
+	environment, err := soak.NewProcesses(protocol, flags.program, folder)
 	if err != nil {
 		return soak.Result{}, failure.Wrap(failure.InvalidRequest, err, "--program; build it with `go build -o bin/ ./cmd/...`")
 	}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // backEnd is a stand-in of an engine or plain service. Its answers can be reckoned
@@ -79,8 +80,8 @@
 
 // ServeHTTP implements http.Handler.
 func (b *backEnd) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	wire := b.fleet.environment.Wire()
-	forwarded := wire.ReadForward(r.Header)
+	protocol := b.fleet.environment.Protocol()
+	forwarded := protocol.ReadForward(r.Header)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -88,13 +89,13 @@
 	acts := b.behaviour()
 	arrival := arrival{request: forwarded.Request, backEnd: b.id(), at: time.Now(), tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != ""}
 	if forwarded.BackEnd != b.id() {
-		wire.WriteNotRun(w.Header(), forwarded.Request)
+		protocol.WriteNotRun(w.Header(), forwarded.Request)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if acts.refuse {
 		b.fleet.check.arrived(arrival)
-		wire.WriteNotRun(w.Header(), forwarded.Request)
+		protocol.WriteNotRun(w.Header(), forwarded.Request)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -104,38 +105,38 @@
 	b.run(w, r, forwarded, acts)
 }
 
-func (b *backEnd) run(w http.ResponseWriter, r *http.Request, forwarded Forwarded, acts behaviour) {
-	wire := b.fleet.environment.Wire()
+func (b *backEnd) run(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded, acts behaviour) {
+	protocol := b.fleet.environment.Protocol()
 	switch {
 	case acts.lose:
 		sleep(r.Context(), plainWork)
 		panic(http.ErrAbortHandler)
 	case acts.fail:
-		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
 		w.WriteHeader(http.StatusInternalServerError)
 	case acts.spoil:
 		b.spoilAnswer(w, r, forwarded, acts.turn)
 	case isStream(r.URL.Path):
-		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
 		b.stream(w, r, forwarded)
 	default:
 		sleep(r.Context(), plainWork)
-		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
 		_, _ = io.WriteString(w, answerOf(forwarded.Request))
 	}
 }
 
 // spoilAnswer sends what isn't the answer, in one of a few ways.
-func (b *backEnd) spoilAnswer(w http.ResponseWriter, r *http.Request, forwarded Forwarded, turn int) {
-	wire := b.fleet.environment.Wire()
+func (b *backEnd) spoilAnswer(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded, turn int) {
+	protocol := b.fleet.environment.Protocol()
 	switch turn % 3 {
 	case 0: // an answer to another request
-		wire.WriteStamp(w.Header(), "another", b.id())
+		protocol.WriteStamp(w.Header(), "another", b.id())
 		_, _ = io.WriteString(w, answerOf("another"))
 	case 1: // an answer without its mark
 		_, _ = io.WriteString(w, answerOf("another"))
 	default: // an answer that is cut short
-		wire.WriteStamp(w.Header(), forwarded.Request, b.id())
+		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
 		whole := answerOf(forwarded.Request)
 		w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
 		_, _ = io.WriteString(w, whole[:len(whole)/2])
@@ -144,7 +145,7 @@
 }
 
 // stream writes the events after the one that the caller has.
-func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded Forwarded) {
+func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	first := 1
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/eventstream"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // silentLog drops what servers say of broken connections.
@@ -90,7 +91,7 @@
 		request.Body, request.ContentLength, request.GetBody = nil, 0, nil
 	}
 	request.Host = host
-	c.fleet.environment.Wire().WriteAsk(request.Header, Ask{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt})
+	c.fleet.environment.Protocol().WriteAsk(request.Header, wire.Ask{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt})
 	response, err := c.client.Do(request)
 	if err != nil {
 		return reply{cause: err.Error(), late: ctx.Err() != nil}
@@ -98,7 +99,7 @@
 	defer response.Body.Close()
 	got := reply{
 		status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"),
-		stamp: c.fleet.environment.Wire().ReadStamp(response.Header),
+		stamp: c.fleet.environment.Protocol().ReadStamp(response.Header),
 	}
 	if isStream(sent.prefix) && response.StatusCode == http.StatusOK {
 		got.events, got.fault, err = readEvents(response.Body, sent.request)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -11,12 +11,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // Environment is where the gateways run.
 type Environment interface {
-	// Wire speaks the platform's protocol for the stand-ins.
-	Wire() Wire
+	// Protocol is what the stand-ins speak.
+	Protocol() wire.Protocol
 	// Listen opens a listener at a free address.
 	Listen() (net.Listener, error)
 	// Address returns a free address for a gateway to listen on.
@@ -122,7 +123,7 @@
 }
 
 func newFleet(options Options, environment Environment) (*fleet, error) {
-	f := &fleet{options: options, environment: environment, store: newStore(environment.Wire()), struck: &strikes{}}
+	f := &fleet{options: options, environment: environment, store: newStore(environment.Protocol()), struck: &strikes{}}
 	f.check = newChecker(f)
 	storeListener, err := environment.Listen()
 	if err != nil {
--- a/internal/soak/inprocess.go
+++ b/internal/soak/inprocess.go
@@ -14,27 +14,28 @@
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/pipenet"
 	"github.com/harriernotch/harriernotch/internal/settings"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // InProcess runs gateways in this process over a network in memory, so that whole
 // runs fit on a virtual clock. A kill cuts all of a gateway's connections before it
 // is ended; a pause can't be played and does nothing.
 type InProcess struct {
-	wire    Wire
-	adapter daemon.Adapter
-	network *pipenet.Network
+	protocol wire.Protocol
+	adapter  daemon.Adapter
+	network  *pipenet.Network
 
 	mutex sync.Mutex
 	last  int
 }
 
 // NewInProcess returns an environment of its own.
-func NewInProcess(wire Wire, adapter daemon.Adapter) *InProcess {
-	return &InProcess{wire: wire, adapter: adapter, network: pipenet.New()}
+func NewInProcess(protocol wire.Protocol, adapter daemon.Adapter) *InProcess {
+	return &InProcess{protocol: protocol, adapter: adapter, network: pipenet.New()}
 }
 
-// Wire implements Environment.
-func (e *InProcess) Wire() Wire { return e.wire }
+// Protocol implements Environment.
+func (e *InProcess) Protocol() wire.Protocol { return e.protocol }
 
 // Address implements Environment.
 func (e *InProcess) Address() (string, error) {
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -11,21 +11,23 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // Processes runs each gateway as a process of the real program on loopback. Signals
 // go to the processes that it started and to no other.
 type Processes struct {
-	wire    Wire
-	program string
-	folder  string
+	protocol wire.Protocol
+	program  string
+	folder   string
 	// lastPort is the place of the port that was given out last.
 	lastPort int
 }
 
 // NewProcesses returns an environment that runs the program; settings and logs are
 // kept in the folder.
-func NewProcesses(wire Wire, program, folder string) (*Processes, error) {
+func NewProcesses(protocol wire.Protocol, program, folder string) (*Processes, error) {
 	absolute, err := filepath.Abs(program)
 	if err != nil {
 		return nil, errors.Wrap(err, "find the program")
@@ -33,14 +35,14 @@
 	if _, err := os.Stat(absolute); err != nil {
 		return nil, errors.Wrap(err, "the program can't be run")
 	}
-	return &Processes{wire: wire, program: absolute, folder: folder, lastPort: os.Getpid() * portsPerRun % ports}, nil
+	return &Processes{protocol: protocol, program: absolute, folder: folder, lastPort: os.Getpid() * portsPerRun % ports}, nil
 }
 
 // loopback is where everything listens.
 const loopback = "127.0.0.1:0"
 
-// Wire implements Environment.
-func (e *Processes) Wire() Wire { return e.wire }
+// Protocol implements Environment.
+func (e *Processes) Protocol() wire.Protocol { return e.protocol }
 
 // Listen implements Environment.
 func (e *Processes) Listen() (net.Listener, error) { return net.Listen("tcp", loopback) }
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -8,19 +8,20 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // store is a stand-in of the platform's store. It can be told to misbehave. What it
 // was told is acknowledged at once, as the real one would to the operator.
 type store struct {
-	wire Wire
+	protocol wire.Protocol
 
 	mutex    sync.Mutex
 	revision uint64
 	// oldest is the revision from which history is kept.
 	oldest         uint64
-	configurations []StoreEntry[catalog.Configuration]
-	backEnds       []StoreEntry[catalog.BackEnd]
+	configurations []wire.StoreEntry[catalog.Configuration]
+	backEnds       []wire.StoreEntry[catalog.BackEnd]
 	changed        chan struct{}
 	// silent keeps every call without an answer, busy refuses it, and slow delays
 	// it; each counts the faults that ask for it.
@@ -33,24 +34,26 @@
 // keptHistory bounds the changes that watches can go back to.
 const keptHistory = 64
 
-func newStore(wire Wire) *store { return &store{wire: wire, changed: make(chan struct{})} }
+func newStore(protocol wire.Protocol) *store {
+	return &store{protocol: protocol, changed: make(chan struct{})}
+}
 
 func (s *store) putConfiguration(configuration catalog.Configuration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.configurations = append(s.configurations, StoreEntry[catalog.Configuration]{Name: "main", Revision: s.next(), Value: configuration})
+	s.configurations = append(s.configurations, wire.StoreEntry[catalog.Configuration]{Name: "main", Revision: s.next(), Value: configuration})
 }
 
 func (s *store) putBackEnd(backEnd catalog.BackEnd) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backEnds = append(s.backEnds, StoreEntry[catalog.BackEnd]{Name: backEnd.ID, Revision: s.next(), Value: backEnd})
+	s.backEnds = append(s.backEnds, wire.StoreEntry[catalog.BackEnd]{Name: backEnd.ID, Revision: s.next(), Value: backEnd})
 }
 
 func (s *store) removeBackEnd(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backEnds = append(s.backEnds, StoreEntry[catalog.BackEnd]{Name: id, Revision: s.next(), Gone: true, Value: catalog.BackEnd{ID: id}})
+	s.backEnds = append(s.backEnds, wire.StoreEntry[catalog.BackEnd]{Name: id, Revision: s.next(), Gone: true, Value: catalog.BackEnd{ID: id}})
 }
 
 // next returns the revision of a change and wakes the watches.
@@ -96,7 +99,7 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
-	call := s.wire.ReadStoreCall(r)
+	call := s.protocol.ReadStoreCall(r)
 	if call.Watch && !s.await(r, call) {
 		w.WriteHeader(http.StatusGone)
 		return
@@ -106,7 +109,7 @@
 
 // await returns when the watch has something to tell or its time has passed; it is
 // false when the history is gone.
-func (s *store) await(r *http.Request, call StoreCall) bool {
+func (s *store) await(r *http.Request, call wire.StoreCall) bool {
 	timer := time.NewTimer(call.Wait)
 	defer timer.Stop()
 	for {
@@ -127,24 +130,24 @@
 	}
 }
 
-func (s *store) hasNews(call StoreCall) bool {
+func (s *store) hasNews(call wire.StoreCall) bool {
 	if call.BackEnds {
 		return len(since(s.backEnds, call.After)) > 0
 	}
 	return len(since(s.configurations, call.After)) > 0
 }
 
-func (s *store) answer(w http.ResponseWriter, call StoreCall) {
+func (s *store) answer(w http.ResponseWriter, call wire.StoreCall) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if call.BackEnds {
-		s.wire.WriteBackEnds(w, StoreAnswer[catalog.BackEnd]{Watch: call.Watch, At: s.revision, Entries: entries(s.backEnds, call)})
+		s.protocol.WriteBackEnds(w, wire.StoreAnswer[catalog.BackEnd]{Watch: call.Watch, At: s.revision, Entries: entries(s.backEnds, call)})
 		return
 	}
-	s.wire.WriteConfigurations(w, StoreAnswer[catalog.Configuration]{Watch: call.Watch, At: s.revision, Entries: entries(s.configurations, call)})
+	s.protocol.WriteConfigurations(w, wire.StoreAnswer[catalog.Configuration]{Watch: call.Watch, At: s.revision, Entries: entries(s.configurations, call)})
 }
 
-func entries[T any](history []StoreEntry[T], call StoreCall) []StoreEntry[T] {
+func entries[T any](history []wire.StoreEntry[T], call wire.StoreCall) []wire.StoreEntry[T] {
 	if call.Watch {
 		return since(history, call.After)
 	}
@@ -152,8 +155,8 @@
 }
 
 // since returns the changes after a revision.
-func since[T any](history []StoreEntry[T], after uint64) []StoreEntry[T] {
-	var list []StoreEntry[T]
+func since[T any](history []wire.StoreEntry[T], after uint64) []wire.StoreEntry[T] {
+	var list []wire.StoreEntry[T]
 	for _, entry := range history {
 		if entry.Revision > after {
 			list = append(list, entry)
@@ -163,17 +166,17 @@
 }
 
 // listed returns the newest entry of each name that isn't gone, by name.
-func listed[T any](history []StoreEntry[T]) []StoreEntry[T] {
-	newest := map[string]StoreEntry[T]{}
+func listed[T any](history []wire.StoreEntry[T]) []wire.StoreEntry[T] {
+	newest := map[string]wire.StoreEntry[T]{}
 	for _, entry := range history {
 		newest[entry.Name] = entry
 	}
-	var list []StoreEntry[T]
+	var list []wire.StoreEntry[T]
 	for _, entry := range newest {
 		if !entry.Gone {
 			list = append(list, entry)
 		}
 	}
-	slices.SortFunc(list, func(a, b StoreEntry[T]) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b wire.StoreEntry[T]) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
--- a/internal/soak/wire.go
+++ b/internal/soak/wire/wire.go
@@ -1,4 +1,6 @@
-package soak
+// Package wire holds what the stand-ins of a platform say and hear, in the product's
+// own terms, so that the folder that meets the platform needs no more of the soak.
+package wire
 
 import (
 	"net/http"
@@ -7,9 +9,9 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
-// Wire speaks the platform's side of the protocol for the stand-ins: what the
+// Protocol speaks the platform's side of the protocol for the stand-ins: what the
 // store, the back ends and the callers say and hear. It decides nothing.
-type Wire interface {
+type Protocol interface {
 	// ReadStoreCall returns what a call to the store asks for.
 	ReadStoreCall(request *http.Request) StoreCall
 	// WriteConfigurations and WriteBackEnds answer a list or a watch.
