A back end taken for gone is no source of copies

Cause, found by reading: lapsed back ends stay in memory until the list changes again, and the choice of a back end to copy prompt parts from asked that memory without looking at the time. A back end that had left without a word would have been named as the source to others for as long as nothing else changed.

Ruled out: the choice of back ends for requests (poolOf looks at the time).

Change: only a lapsed back end that may still be there is a source; what is remembered of it still returns with it. TestGoneMemberIsNoSourceOfCopies failed before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -128,7 +128,7 @@
 	members := make(map[string]*member, len(list))
 	pools := map[string]*pool{}
 	for _, backEnd := range list {
-		known := c.known(backEnd.ID)
+		known := c.remembered(backEnd.ID)
 		if known == nil {
 			known = newMember(now)
 			known.health.allowance = c.lag
--- a/internal/dispatch/lapse.go
+++ b/internal/dispatch/lapse.go
@@ -39,15 +39,26 @@
 	}
 }
 
-// known returns what is believed of a back end that is listed or has lapsed, or
-// nil.
-func (c *Core) known(id string) *member {
+// remembered returns what is believed of a back end that is listed again, or nil.
+func (c *Core) remembered(id string) *member {
 	if m := c.members[id]; m != nil {
 		return m
 	}
 	return c.lapsed[id].member
 }
 
+// present returns a back end that is listed, or lapsed and not yet taken for gone,
+// or nil.
+func (c *Core) present(now time.Time, id string) *member {
+	if m := c.members[id]; m != nil {
+		return m
+	}
+	if lapsed := c.lapsed[id]; now.Before(lapsed.until) {
+		return lapsed.member
+	}
+	return nil
+}
+
 // poolOf returns a service's members by ID: the listed ones, and the lapsed ones
 // too while those are as many as the listed ones that stay.
 func (c *Core) poolOf(now time.Time, service string) []*member {
--- a/internal/dispatch/lapse_test.go
+++ b/internal/dispatch/lapse_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
 )
 
@@ -53,3 +54,26 @@
 	_, decision := core.Begin(start, request(once(), "a"))
 	is.Equal(decision.GiveUp.Kind, failure.PoolExhausted)
 }
+
+// TestGoneMemberIsNoSourceOfCopies: what a lapsed member has read is copied from it
+// only while it may still be there.
+func TestGoneMemberIsNoSourceOfCopies(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(4, 64))
+	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
+	x, first := core.Begin(start, request(repeatable(2), "a", parts...))
+	core.Answered(start, x, -1)
+	core.Done(x)
+	var left []catalog.BackEnd
+	for _, each := range backEnds(4, 64) {
+		if each.ID != first.Send.BackEnd.ID {
+			left = append(left, each)
+		}
+	}
+	core.SetBackEnds(start, left)
+	_, soon := core.Begin(start, request(repeatable(2), "b", parts...))
+	is.Equal(soon.Send.FetchFrom, first.Send.BackEnd.Address)
+	core.SetBackEnds(start, left)
+	_, later := core.Begin(start.Add(core.config.LapseTime), request(repeatable(2), "c", parts...))
+	is.True(later.Send.FetchFrom != first.Send.BackEnd.Address)
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -171,7 +171,7 @@
 		}
 	}
 	for _, id := range append(holding, c.rankAll(now, x)...) {
-		m := c.known(id)
+		m := c.present(now, id)
 		if m != nil && m != chosen && m.health.reachable(now) {
 			return m.backEnd.Address
 		}
