The bound on load follows the operators' figure, and room near it is shared by lot

With the bound taken from the settings alone, nine gateways that share a hot prompt part still exceeded 1.3 and 1.4 in up to 4.4% of their sends (TestGatewaysTogetherKeepTheBound, red): all see the same free place and each fills it before it hears of the others. The margin of 0.4 requests for each further gateway knew neither traffic nor how often news comes.

Ruled out: the mean. It was taken over cautious estimates, which are too high after a clump; with plain estimates alone the worst case fell from 4.4 to 2.2%.

Change: load_multiple is the operators' bound (default 2, slack 3) and the core aims below it by a part of what it allows above the mean. Where a member has fewer places than gateways that are likely to want one until their next word, each takes its share by lot, from the observed demand for the member and the observed interval of news; the constant a gateway is gone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,10 +19,11 @@
 type Config struct {
 	// Zone is the gateway's own zone.
 	Zone string
-	// LoadMultiple and LoadSlack bound the load of a back end that caches
-	// prefixes: it gets a request only while its load is at most LoadMultiple
-	// times its pool's mean plus LoadSlack. Higher values keep more chats at the
-	// back end that caches them, and leave the pool less even.
+	// LoadMultiple and LoadSlack are the operators' bound on the load of a back
+	// end that caches prefixes: LoadMultiple times its pool's mean plus LoadSlack,
+	// in requests. The core aims lower, since it sees loads late; see bound. Higher
+	// values keep more chats at the back end that caches them, and leave the pool
+	// less even.
 	LoadMultiple float64
 	LoadSlack    float64
 	// QueueFactor is how many requests per slot a plain back end is given before
@@ -46,8 +47,8 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		LoadMultiple: 1.8,
-		LoadSlack:    2,
+		LoadMultiple: 2,
+		LoadSlack:    3,
 		QueueFactor:  3,
 
 		CachingFactor: 1.4,
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -14,6 +14,7 @@
 	// own counts this gateway's requests under way.
 	own    int
 	health health
+	demand demand
 	// noted is the health that was last told.
 	noted Health
 	// reported is the load that the back end told last, reportedAt when, and
@@ -47,6 +48,8 @@
 // peerLoads holds what the other gateways told of their requests under way.
 type peerLoads struct {
 	byPeer map[string]peerLoad
+	// interval is the mean time between two words of the same peer.
+	interval time.Duration
 }
 
 type peerLoad struct {
@@ -56,12 +59,25 @@
 	own   map[string]int
 }
 
-func newPeerLoads() peerLoads { return peerLoads{byPeer: map[string]peerLoad{}} }
+func newPeerLoads() peerLoads {
+	return peerLoads{byPeer: map[string]peerLoad{}, interval: firstInterval}
+}
+
+const (
+	// firstInterval is taken for the interval of news before any was heard: the
+	// shortest that peers keep.
+	firstInterval = 200 * time.Millisecond
+	// intervalWeight is the weight of the newest interval in the mean.
+	intervalWeight = 0.1
+)
 
 // freshPeer is the age to which a peer's loads count.
 const freshPeer = 1500 * time.Millisecond
 
-func (p peerLoads) set(now time.Time, peer string, loads, own []Load) {
+func (p *peerLoads) set(now time.Time, peer string, loads, own []Load) {
+	if before, known := p.byPeer[peer]; known && now.Sub(before.at) <= freshPeer {
+		p.interval += time.Duration(intervalWeight * float64(now.Sub(before.at)-p.interval))
+	}
 	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd(loads), own: byBackEnd(own)}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -86,46 +86,21 @@
 func (c *Core) chooseCaching(now time.Time, x *Exchange, candidates []*member) *member {
 	byID := make(map[string]*member, len(candidates))
 	ids := make([]string, len(candidates))
-	loads := make(map[string]float64, len(candidates))
 	for i, m := range candidates {
 		ids[i] = m.backEnd.ID
 		byID[ids[i]] = m
-		loads[ids[i]] = c.cautiousEstimate(now, m)
 	}
 	bound := c.bound(now, x)
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
-		if loads[id]+1 <= bound && c.hasRoom(now, byID[id], x) {
-			return byID[id]
+		m := byID[id]
+		m.demand.note(now)
+		if c.winsRoom(now, x, m, bound) && c.hasRoom(now, m, x) {
+			return m
 		}
 	}
 	return c.leastLoaded(now, x, candidates)
 }
 
-const (
-	// sentUnseen is how many requests each further gateway may send to the same
-	// member before any hears of the others'.
-	sentUnseen = 0.4
-	// leastMultiple keeps the bound above the mean, so that a pool always has room.
-	leastMultiple = 1.2
-)
-
-// bound is the load that a member may have with the new request. The mean is over
-// all members that aren't leaving, ejected ones included: their share may not be
-// heaped on the others. A pool that is nearly idle may give a member a few requests
-// whatever the mean.
-func (c *Core) bound(now time.Time, x *Exchange) float64 {
-	total, count := 1.0, 0.0
-	for _, m := range c.poolOf(now, x.service) {
-		if !m.backEnd.Leaving {
-			total += c.cautiousEstimate(now, m)
-			count++
-		}
-	}
-	mean := total / count
-	unseen := sentUnseen * float64(c.gateways-1)
-	return max(c.config.LoadMultiple*mean+c.config.LoadSlack-unseen, leastMultiple*mean+1)
-}
-
 // otherZone is added to the load of a member in another zone, so that an equal
 // choice stays in the zone.
 const otherZone = 0.5
--- a/internal/dispatch/shared_bound_test.go
+++ b/internal/dispatch/shared_bound_test.go
@@ -20,6 +20,20 @@
 	total    int
 	sent     int
 	overfull int
+	// multiple is the operators' bound on load in multiples of the mean.
+	multiple float64
+}
+
+// newCrowd returns gateways that were told the multiple.
+func newCrowd(gateways int, multiple float64) *crowd {
+	c := &crowd{random: rand.New(rand.NewPCG(7, 7)), now: start, loads: map[string]int{}, multiple: multiple}
+	for range gateways {
+		core := newCore(backEnds(crowdMembers, 64))
+		core.config.LoadMultiple = multiple
+		core.SetGateways(gateways)
+		c.cores = append(c.cores, core)
+	}
+	return c
 }
 
 type ending struct {
@@ -94,7 +108,7 @@
 	c.sent++
 	c.loads[id]++
 	c.total++
-	if float64(c.loads[id]) > allowedMultiple*float64(c.total)/crowdMembers+allowedSlack {
+	if float64(c.loads[id]) > c.multiple*float64(c.total)/crowdMembers+allowedSlack {
 		c.overfull++
 	}
 	run := time.Duration(c.random.ExpFloat64() * float64(meanRun))
@@ -102,23 +116,20 @@
 }
 
 func TestGatewaysTogetherKeepTheBound(t *testing.T) {
-	for _, gateways := range []int{4, 9} {
-		for _, perSecond := range []float64{240, 800} {
-			for _, hotShare := range []float64{0.1, 0.5} {
-				t.Run(fmt.Sprint(gateways, " gateways, ", perSecond, " a second, hot ", hotShare), func(t *testing.T) {
-					is := is.New(t)
-					c := &crowd{random: rand.New(rand.NewPCG(7, 7)), now: start, loads: map[string]int{}}
-					for range gateways {
-						core := newCore(backEnds(crowdMembers, 64))
-						core.SetGateways(gateways)
-						c.cores = append(c.cores, core)
-					}
-					for range 10 * time.Second / crowdStep {
-						c.step(perSecond, hotShare)
-					}
-					t.Logf("%d of %d over the bound", c.overfull, c.sent)
-					is.True(float64(c.overfull) < 0.01*float64(c.sent)) // three in a hundred are allowed
-				})
+	for _, multiple := range []float64{1.3, 1.4, allowedMultiple, 3} {
+		for _, gateways := range []int{4, 9} {
+			for _, perSecond := range []float64{240, 800} {
+				for _, hotShare := range []float64{0.1, 0.5} {
+					t.Run(fmt.Sprint(multiple, " times the mean, ", gateways, " gateways, ", perSecond, " a second, hot ", hotShare), func(t *testing.T) {
+						is := is.New(t)
+						c := newCrowd(gateways, multiple)
+						for range 10 * time.Second / crowdStep {
+							c.step(perSecond, hotShare)
+						}
+						t.Logf("%d of %d over the bound", c.overfull, c.sent)
+						is.True(float64(c.overfull) < 0.01*float64(c.sent)) // three in a hundred are allowed
+					})
+				}
 			}
 		}
 	}
@@ -128,12 +139,7 @@
 func TestEjectedMembersCountInTheMean(t *testing.T) {
 	is := is.New(t)
 	const gateways, ejected = 4, 6
-	c := &crowd{random: rand.New(rand.NewPCG(7, 7)), now: start, loads: map[string]int{}}
-	for range gateways {
-		core := newCore(backEnds(crowdMembers, 64))
-		core.SetGateways(gateways)
-		c.cores = append(c.cores, core)
-	}
+	c := newCrowd(gateways, allowedMultiple)
 	for range 4 * time.Second / crowdStep {
 		for _, core := range c.cores {
 			for i := range ejected {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,11 +18,11 @@
 	RetryRatio *float64 `toml:"retry_ratio"`
 	RetryExtra *float64 `toml:"retry_extra"`
 	// LoadMultiple bounds a caching back end's load in multiples of its pool's
-	// mean. Lower values are more even and read more prompts anew. Default 1.8;
-	// from 1 to 10.
+	// mean. The gateway aims below the bound, since it hears of loads late. Lower
+	// values are more even and read more prompts anew. Default 2; from 1 to 10.
 	LoadMultiple float64 `toml:"load_multiple"`
 	// LoadSlack is how many requests a caching back end may have beyond that.
-	// Default 2; from 0 to 100.
+	// Default 3; from 0 to 100.
 	LoadSlack *float64 `toml:"load_slack"`
 	// LeavingBound is the time after which a back end that is known to have left
 	// may get no new request. One that vanished unannounced with half of its pool
@@ -52,8 +52,8 @@
 const (
 	defaultRetryRatio   = 0.2
 	defaultRetryExtra   = 20
-	defaultLoadMultiple = 1.8
-	defaultLoadSlack    = 2
+	defaultLoadMultiple = 2
+	defaultLoadSlack    = 3
 	defaultReadPeriod   = 800 * time.Millisecond
 	defaultLeavingBound = 2 * time.Second
 	longestReadPeriod   = time.Minute
