Gateways tell each other which back ends hold prompt parts; holders come first

Cause: a gateway knew only what it had sent itself, a quarter of the traffic.

Change: every use of a part at a back end is told within a bound of bytes (500 holdings a second of 12 bytes, less in large fleets: 13.0 KB/s in all at the aimed size, 16 allowed), passed on once, told again every 20 s while used. Members that hold the part come first, in rendezvous order, then the others; of the first two others the one with less in its memory once the first is half full, from the size of memory that the configuration tells. The aim on load lies at 0.95 of what the bound allows (0.8 before): the lot keeps all gateways within it (TestGatewaysTogetherKeepTheBound).

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -69,6 +69,9 @@
 	// CachesPrefixes is true for model engines, which keep the prompts that they
 	// have read.
 	CachesPrefixes bool `cbor:"3,keyasint,omitempty"`
+	// CacheTokens is how many tokens one back end's memory holds, for the requests
+	// that run and the prompts that are kept; 0 when unknown.
+	CacheTokens int `cbor:"4,keyasint,omitempty"`
 }
 
 // Tenant owns keys.
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -11,11 +11,11 @@
 	// aimedShare and leastShare are the parts of what the operators' bound allows
 	// above the mean: aimedShare is used as a rule, and leastShare whatever the
 	// slack, so that a pool has room. The rest covers news that is late.
-	aimedShare = 0.8
+	aimedShare = 0.95
 	leastShare = 0.2
 	// sparedRequests is the part of the operators' slack, in requests, that is kept
 	// for news that is late.
-	sparedRequests = 1.0
+	sparedRequests = 0.5
 )
 
 // bound is the load that a member may have with the new request. The mean is over
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 type Core struct {
 	config   Config
 	pools    map[string]*pool
+	services map[string]catalog.Service
 	members  map[string]*member
 	lapsed   map[string]lapsedMember
 	peers    peerLoads
@@ -146,6 +147,14 @@
 	c.pools = pools
 }
 
+// SetServices replaces what is known of the services as a whole.
+func (c *Core) SetServices(list []catalog.Service) {
+	c.services = make(map[string]catalog.Service, len(list))
+	for _, each := range list {
+		c.services[each.Name] = each
+	}
+}
+
 // SetLag notes how late this process runs what is due: back ends are not taken for
 // silent for what it has not yet read.
 func (c *Core) SetLag(lag time.Duration) {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -44,6 +44,18 @@
 	}
 }
 
+// sharedTokens returns the length of the prompt up to the end of the last shared
+// part.
+func (r *Request) sharedTokens() int {
+	total := 0
+	for i, part := range r.Parts {
+		if i == 0 || i < len(r.Parts)-1 {
+			total += part.Tokens
+		}
+	}
+	return total
+}
+
 // Phase is where an exchange stands.
 type Phase uint8
 
@@ -291,7 +303,7 @@
 		m.report(now, load)
 	}
 	if part := x.request.affinity(); part != "" {
-		c.holders.note(now, part, m.backEnd.ID)
+		c.holders.note(now, keyOf(part), x.request.sharedTokens(), m.backEnd.ID)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/holders.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// rememberedParts bounds the memory for prompt parts.
+	rememberedParts = 16384
+	// holdersPerPart is how many back ends are remembered for a part.
+	holdersPerPart = 8
+	// holdingTime is how long a back end is believed to keep a part unused.
+	holdingTime = time.Minute
+	// retellTime is how long a holding isn't told again while it is used. It is
+	// short against holdingTime, so that peers don't forget what is in use.
+	retellTime = 20 * time.Second
+	// rememberedNews bounds the news that is kept for peers. A gateway that lags by
+	// more misses some, and learns it when it is told again.
+	rememberedNews = 4096
+)
+
+// partKey identifies a prompt part among gateways.
+type partKey uint64
+
+func keyOf(partID string) partKey { return partKey(xxhash.Sum64String(partID)) }
+
+// Holdings are prompt parts that a back end was seen to have read.
+type Holdings struct {
+	// BackEnd is the back end's ID.
+	BackEnd string `cbor:"1,keyasint"`
+	// Parts are hashes of the parts' IDs, and Tokens the lengths of the prompts up to
+	// their ends.
+	Parts  []uint64 `cbor:"2,keyasint"`
+	Tokens []int    `cbor:"3,keyasint"`
+}
+
+// holder is a back end that read a part.
+type holder struct {
+	backEnd string
+	tokens  int
+	usedAt  time.Time
+	// toldAt is when the holding last became news.
+	toldAt time.Time
+}
+
+// holderMemory remembers which back ends read a prompt part, the latest first,
+// from what this gateway sent and what its peers tell. It is a guess that ages: the
+// part may have given way.
+type holderMemory struct {
+	parts *lru.Cache[partKey, []holder]
+	// news are the latest holdings that peers may lack, in a ring; told counts all
+	// of them so far.
+	news [rememberedNews]holdingNews
+	told uint64
+	// held is the number of tokens that each back end is believed to hold.
+	held map[string]int
+}
+
+type holdingNews struct {
+	part    partKey
+	backEnd string
+	tokens  int
+}
+
+func newHolderMemory() *holderMemory {
+	h := &holderMemory{held: map[string]int{}}
+	parts, err := lru.NewWithEvict(rememberedParts, func(_ partKey, list []holder) { h.drop(list...) })
+	if err != nil {
+		panic(err) // the size is fixed and above 0
+	}
+	h.parts = parts
+	return h
+}
+
+// drop takes holders off the count of what back ends hold.
+func (h *holderMemory) drop(list ...holder) {
+	for _, each := range list {
+		h.held[each.backEnd] -= each.tokens
+		if h.held[each.backEnd] <= 0 {
+			delete(h.held, each.backEnd)
+		}
+	}
+}
+
+// note takes a use of the part at the back end, seen here or told by a peer. What
+// was news here within retellTime isn't passed on again, so that news crosses each
+// link about once.
+func (h *holderMemory) note(now time.Time, part partKey, tokens int, backEnd string) {
+	known, _ := h.parts.Get(part)
+	used := holder{backEnd: backEnd, tokens: tokens, usedAt: now}
+	list := make([]holder, 1, holdersPerPart)
+	for _, other := range known {
+		switch {
+		case other.backEnd == backEnd:
+			used.toldAt = other.toldAt
+			h.drop(other)
+		case now.Sub(other.usedAt) < holdingTime && len(list) < holdersPerPart:
+			list = append(list, other)
+		default:
+			h.drop(other)
+		}
+	}
+	h.held[backEnd] += tokens
+	if used.toldAt.IsZero() || now.Sub(used.toldAt) >= retellTime {
+		used.toldAt = now
+		h.news[h.told%rememberedNews] = holdingNews{part: part, backEnd: backEnd, tokens: tokens}
+		h.told++
+	}
+	list[0] = used
+	h.parts.Add(part, list)
+}
+
+// holding returns the back ends that are believed to keep the part, the latest
+// used first.
+func (h *holderMemory) holding(now time.Time, part partKey) []string {
+	known, _ := h.parts.Get(part)
+	var ids []string
+	for _, each := range known {
+		if now.Sub(each.usedAt) < holdingTime {
+			ids = append(ids, each.backEnd)
+		}
+	}
+	return ids
+}
+
+// since returns at most so many news after the number, oldest first and grouped by
+// back end, and the number to go on from.
+func (h *holderMemory) since(number uint64, most int) ([]Holdings, uint64) {
+	if h.told > rememberedNews {
+		number = max(number, h.told-rememberedNews)
+	}
+	end := min(h.told, number+uint64(most))
+	var list []Holdings
+	index := map[string]int{}
+	for ; number < end; number++ {
+		each := h.news[number%rememberedNews]
+		at, known := index[each.backEnd]
+		if !known {
+			at = len(list)
+			index[each.backEnd] = at
+			list = append(list, Holdings{BackEnd: each.backEnd})
+		}
+		list[at].Parts = append(list[at].Parts, uint64(each.part))
+		list[at].Tokens = append(list[at].Tokens, each.tokens)
+	}
+	return list, end
+}
+
+// HoldingsSince returns at most so many holdings that peers may lack after the
+// number, and the number to go on from. The first number is 0.
+func (c *Core) HoldingsSince(number uint64, most int) ([]Holdings, uint64) {
+	return c.holders.since(number, most)
+}
+
+// PeerHoldings takes what a peer told.
+func (c *Core) PeerHoldings(now time.Time, list []Holdings) {
+	for _, each := range list {
+		for i, part := range each.Parts[:min(len(each.Parts), len(each.Tokens))] {
+			c.holders.note(now, partKey(part), max(0, each.Tokens[i]), each.BackEnd)
+		}
+	}
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,25 +82,67 @@
 // defaultCapacity is used for back ends that don't tell their slots.
 const defaultCapacity = 64
 
-// chooseCaching returns the first member in rendezvous order that is within the
-// bound on load. All gateways find the same order, so a prompt's parts are read
-// by the same few members whichever gateway a caller meets.
+// chooseCaching returns the first member within the bound on load, in the order of
+// preference.
 func (c *Core) chooseCaching(now time.Time, x *Exchange, candidates []*member) *member {
+	bound := c.bound(now, x)
+	for _, m := range c.preferred(now, x, candidates) {
+		m.demand.note(now)
+		if c.winsRoom(now, x, m, bound) && c.hasRoom(now, m, x) {
+			return m
+		}
+	}
+	return c.leastLoaded(now, x, candidates)
+}
+
+const (
+	// homesWeighed is the number of members, first in rendezvous order, among which
+	// a part gets a new home where memory is scarce: two make homes far more even
+	// than one, and gateways that don't yet know of each other's choices still pick
+	// one of the same two.
+	homesWeighed = 2
+	// scarceMemory is the share of a member's memory from which it counts as scarce.
+	// Below it nothing gives way early, and the order alone decides: that is the one
+	// thing that gateways agree on after all of them have restarted.
+	scarceMemory = 0.5
+)
+
+// preferred returns the candidates in the order of choice: first those that are
+// believed to hold the prompt's shared parts, then the others, each in rendezvous
+// order. So a part is read by the same member whichever gateway a caller meets, and
+// a member that joins takes over what finds no room at its holders.
+func (c *Core) preferred(now time.Time, x *Exchange, candidates []*member) []*member {
 	byID := make(map[string]*member, len(candidates))
 	ids := make([]string, len(candidates))
 	for i, m := range candidates {
 		ids[i] = m.backEnd.ID
 		byID[ids[i]] = m
 	}
-	bound := c.bound(now, x)
+	holding := c.holders.holding(now, keyOf(x.request.affinity()))
+	var holders, others []*member
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
-		m := byID[id]
-		m.demand.note(now)
-		if c.winsRoom(now, x, m, bound) && c.hasRoom(now, m, x) {
-			return m
+		if slices.Contains(holding, id) {
+			holders = append(holders, byID[id])
+		} else {
+			others = append(others, byID[id])
 		}
 	}
-	return c.leastLoaded(now, x, candidates)
+	if len(others) > 0 && c.memoryShare(others[0]) > scarceMemory {
+		slices.SortStableFunc(others[:min(homesWeighed, len(others))], func(a, b *member) int {
+			return cmp.Compare(c.memoryShare(a), c.memoryShare(b))
+		})
+	}
+	return append(holders, others...)
+}
+
+// memoryShare is the share of a member's memory that the prompts it is believed to
+// hold would fill; 0 when its size is unknown.
+func (c *Core) memoryShare(m *member) float64 {
+	tokens := c.services[m.backEnd.Service].CacheTokens
+	if tokens <= 0 {
+		return 0
+	}
+	return float64(c.holders.held[m.backEnd.ID]) / float64(tokens)
 }
 
 // otherZone is added to the load of a member in another zone, so that an equal
@@ -139,12 +183,7 @@
 	if part == "" {
 		return ""
 	}
-	holding := c.holders.holding(now, part)
-	for _, id := range holding {
-		if id == chosen.backEnd.ID {
-			return ""
-		}
-	}
+	holding := c.holders.holding(now, keyOf(part))
 	for _, id := range append(holding, c.rankAll(now, x)...) {
 		m := c.present(now, id)
 		if m != nil && m != chosen && m.health.reachable(now) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -98,6 +98,7 @@
 	if !s.view.OfferConfiguration(configuration) {
 		return
 	}
+	s.core.SetServices(configuration.Services)
 	s.announce()
 	s.log.Urgent(eventlog.Configured, logrus.Fields{
 		"version": configuration.Version, "before": before, "source": source,
@@ -166,21 +167,26 @@
 	Change  uint64
 	// Loads are this gateway's requests under way.
 	Loads []dispatch.Load
+	// Holdings are prompt parts that back ends hold, and Holding the number to go on
+	// from.
+	Holdings []dispatch.Holdings
+	Holding  uint64
 	// StoreAge is how long ago the store last answered.
 	StoreAge time.Duration
 	// Changed is closed with the next change.
 	Changed <-chan struct{}
 }
 
-// NewsSince returns what a peer lacks that has the changes, and the loads of the
-// moment.
-func (s *State) NewsSince(change uint64) News {
+// NewsSince returns what a peer lacks that has the changes and the holdings, at
+// most so many of these, and the loads of the moment.
+func (s *State) NewsSince(change, holding uint64, mostHoldings int) News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(time.Now()), Changed: s.changed}
 	if s.listed {
 		news.Entries, news.Change = s.view.Since(change)
 	}
+	news.Holdings, news.Holding = s.core.HoldingsSince(holding, mostHoldings)
 	return news
 }
 
@@ -217,6 +223,13 @@
 	s.core.PeerLoads(time.Now(), peer, loads)
 }
 
+// PeerHoldings takes prompt parts that a peer knows back ends to hold.
+func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.PeerHoldings(time.Now(), holdings)
+}
+
 // SetFleet notes how many gateways are live, and whether this one is among those
 // that read the store all the time.
 func (s *State) SetFleet(gateways int, reader bool) {
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -34,7 +35,7 @@
 	liveAge        = 6 * time.Second
 	liveAgePerPeer = 50 * time.Millisecond
 	// maxTold bounds the peers in one message; the next one goes on from there.
-	maxTold = 16
+	maxTold = 14
 	// forgetAge is how long its address is kept.
 	forgetAge = 5 * time.Minute
 	// meshSize is the number of gateways up to which all are connected.
@@ -264,6 +265,15 @@
 	return chosen
 }
 
+// linksIn returns the number of connections that a gateway has in a fleet of so many:
+// those that it opens, and as many that others open to it.
+func linksIn(gateways int) int {
+	if gateways <= meshSize {
+		return gateways - 1
+	}
+	return 2 * bits.Len(uint(gateways-1))
+}
+
 func (b *Book) forget(now time.Time) {
 	for id, peer := range b.peers {
 		if peer.links <= 0 && now.Sub(peer.heardAt) > forgetAge {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,8 @@
 	Loads []dispatch.Load `cbor:"7,keyasint,omitempty"`
 	// StoreAgeMillis is how long ago the store last answered the sender.
 	StoreAgeMillis int64 `cbor:"8,keyasint"`
+	// Holdings are prompt parts that back ends hold, as far as it is news.
+	Holdings []dispatch.Holdings `cbor:"10,keyasint,omitempty"`
 }
 
 const (
@@ -59,6 +61,12 @@
 	maxMessageBytes = 16 << 20
 	// askAgain is how long a question for a document may go without an answer.
 	askAgain = 400 * time.Millisecond
+	// holdingsPerSecond bounds the holdings that a gateway tells all of its
+	// neighbours together, at about 12 bytes each: a part of the 16 KB a second that
+	// control may cost. Beyond quickGateways, where more links share the bytes, it
+	// falls with their number; leastHoldings is told in each message all the same.
+	holdingsPerSecond = 500
+	leastHoldings     = 4
 	// peersPeriod is the time between two messages with some of the peers.
 	peersPeriod = time.Second
 )
@@ -287,6 +295,7 @@
 	}
 	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
 	r.config.State.PeerLoads(message.From, message.Loads)
+	r.config.State.PeerHoldings(message.Holdings)
 }
 
 func (r *Relay) takeDocument(message Message) {
@@ -302,9 +311,10 @@
 func (r *Relay) write(ctx context.Context, to *link) {
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	var change uint64
+	var change, holding uint64
 	for count := 0; ; count++ {
-		news := r.config.State.NewsSince(change)
+		gateways, _ := r.config.State.Fleet()
+		news := r.config.State.NewsSince(change, holding, holdingsPerMessage(gateways))
 		message := r.message(news, count)
 		message.Want = to.ask.Swap(false)
 		if to.give.Swap(false) {
@@ -313,8 +323,7 @@
 		if err := r.writeOne(ctx, to.socket, message); err != nil {
 			return
 		}
-		change = news.Change
-		gateways, _ := r.config.State.Fleet()
+		change, holding = news.Change, news.Holding
 		timer.Reset(periodFor(gateways))
 		select {
 		case <-to.wake:
@@ -332,6 +341,14 @@
 	return max(period, min(stretched, longestPeriod))
 }
 
+// holdingsPerMessage returns how many holdings a message may tell in a fleet of so
+// many gateways.
+func holdingsPerMessage(gateways int) int {
+	messages := float64(linksIn(gateways)) / periodFor(gateways).Seconds()
+	perSecond := holdingsPerSecond * min(1, quickGateways/float64(gateways))
+	return max(leastHoldings, int(perSecond/max(1, messages)))
+}
+
 func (r *Relay) message(news gateway.News, count int) Message {
 	message := Message{
 		From:    r.config.ID,
@@ -340,6 +357,7 @@
 		Entries: news.Entries,
 		Loads:   news.Loads,
 
+		Holdings:       news.Holdings,
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways, _ := r.config.State.Fleet()
--- a/internal/relay/traffic_test.go
+++ b/internal/relay/traffic_test.go
@@ -21,6 +21,12 @@
 	for i := range underWay {
 		message.Loads = append(message.Loads, dispatch.Load{BackEnd: fmt.Sprintf("i-7f3a91c%03d", i), Requests: 1})
 	}
+	told := dispatch.Holdings{BackEnd: "i-7f3a91c000"}
+	for i := range holdingsPerMessage(gateways) {
+		told.Parts = append(told.Parts, 1<<63+uint64(i))
+		told.Tokens = append(told.Tokens, 11_800)
+	}
+	message.Holdings = []dispatch.Holdings{told}
 	plain, err := cbor.Marshal(message)
 	is.NoErr(err)
 	message.Peers = book.Known(start)
