Three gateways read the store in a small fleet, four in a large one; the others read what may be old

Of four gateways all read and watched: each change of a back end ended four watches, and each list was read every 0.4 s. The reads of gateways that aren't readers only serve for the loss of all peers, yet asked for the newest state.

Ruled out: fewer than three readers. A third of the machines may be turned away at once, which of two readers is often both; it then takes 2 s until another one takes over, as long as the bound on configurations.

Change: three readers up to ten gateways, four beyond; their reads are spread so that one of them reads each list every read_period; the two lists are read in turn by one loop, so that each answer shows that the store is there; other gateways, once ready, allow old answers, which cost a tenth. The view never goes back, so old answers do no harm. The test that counted four readers of four gateways now counts three of ten, and two of two.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -24,13 +24,15 @@
 
 // Source is the platform's store.
 type Source interface {
-	// Configuration returns the newest document, or nil when there is none.
-	Configuration(ctx context.Context) (*catalog.Configuration, uint64, error)
+	// Configuration returns the newest document, or nil when there is none. Where
+	// stale is allowed, it may be seconds old, and costs the store less.
+	Configuration(ctx context.Context, stale bool) (*catalog.Configuration, uint64, error)
 	// AwaitConfiguration waits for a change after the revision. It returns nil
 	// when there was none in time, and the revision to go on from.
 	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error)
-	// BackEnds returns all back ends and the revision of the list.
-	BackEnds(ctx context.Context) ([]catalog.Entry, uint64, error)
+	// BackEnds returns all back ends and the revision of the list, which may be
+	// seconds old where stale is allowed.
+	BackEnds(ctx context.Context, stale bool) ([]catalog.Entry, uint64, error)
 	// AwaitBackEnds waits for changes after the revision.
 	AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error)
 }
@@ -41,9 +43,9 @@
 	Source Source
 	// State takes the news.
 	State *gateway.State
-	// ReadPeriod is the time between two plain reads of each list. The longer it
-	// is, the longer a change may go unnoticed while a watch hears nothing; each
-	// read is a call to the store.
+	// ReadPeriod is the time between two plain reads of each list by any of the
+	// readers. The longer it is, the longer a change may go unnoticed while a watch
+	// hears nothing; each read is a call to the store.
 	ReadPeriod time.Duration
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
@@ -60,7 +62,8 @@
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
-	// sharedReads is the number of readers up to which each reads less often.
+	// sharedReads is the number of readers that share the reads: each reads that
+	// many times less often.
 	sharedReads = 3
 	// stretchPerGateways and longestStretch bound the time between two reads of a
 	// gateway that isn't a reader: one read period for so many gateways.
@@ -85,10 +88,11 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel}
-	f.tasks.Go(func() { f.readLoop(ctx, "configuration", f.readConfiguration) })
-	f.tasks.Go(func() { f.readLoop(ctx, "back_ends", f.readBackEnds) })
-	f.tasks.Go(func() { f.watchLoop(ctx, "configuration", f.readConfiguration, f.watchConfiguration) })
-	f.tasks.Go(func() { f.watchLoop(ctx, "back_ends", f.readBackEnds, f.watchBackEnds) })
+	configuration := list{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}
+	backEnds := list{name: "back_ends", read: f.readBackEnds, watch: f.watchBackEnds}
+	f.tasks.Go(func() { f.readLoop(ctx, configuration, backEnds) })
+	f.tasks.Go(func() { f.watchLoop(ctx, configuration) })
+	f.tasks.Go(func() { f.watchLoop(ctx, backEnds) })
 	return f
 }
 
@@ -98,26 +102,29 @@
 	f.tasks.Wait()
 }
 
-// read makes a plain call and returns the revision that it saw.
-type read func(ctx context.Context) (uint64, error)
-
-// watch waits for changes after a revision and returns the one to go on from.
-type watch func(ctx context.Context, after uint64) (uint64, error)
+// list is one of the store's lists that are followed.
+type list struct {
+	name string
+	// read makes a plain call and returns the revision that it saw.
+	read func(ctx context.Context, stale bool) (uint64, error)
+	// watch waits for changes after a revision and returns the one to go on from.
+	watch func(ctx context.Context, after uint64) (uint64, error)
+}
 
-func (f *Follower) readConfiguration(ctx context.Context) (uint64, error) {
+func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	configuration, revision, err := f.config.Source.Configuration(ctx)
+	configuration, revision, err := f.config.Source.Configuration(ctx, stale)
 	if err == nil && configuration != nil {
 		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
 	}
 	return revision, err
 }
 
-func (f *Follower) readBackEnds(ctx context.Context) (uint64, error) {
+func (f *Follower) readBackEnds(ctx context.Context, stale bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entries, revision, err := f.config.Source.BackEnds(ctx)
+	entries, revision, err := f.config.Source.BackEnds(ctx, stale)
 	if err == nil {
 		f.entries.Store(int64(len(entries)))
 		f.config.State.OfferList(entries, revision, gateway.SourceStore)
@@ -145,13 +152,13 @@
 	return at, err
 }
 
-// readLoop reads again and again, whatever the watch says.
-func (f *Follower) readLoop(ctx context.Context, what string, step read) {
+// readLoop reads the lists in turn, whatever the watches say, so that each answer
+// also shows that the store can be reached.
+func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
-	for ctx.Err() == nil {
-		_, err := step(ctx)
-		f.note(ctx, what, err)
-		wait := jitter(f.readPeriod())
+	for turn := 0; ctx.Err() == nil; turn++ {
+		_, err := f.read(ctx, lists[turn%len(lists)], !f.mustBeFresh())
+		wait := jitter(f.readPeriod() / time.Duration(len(lists)))
 		if err != nil {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
@@ -162,6 +169,18 @@
 	}
 }
 
+// mustBeFresh tells whether this gateway's plain reads are what others rely on, or
+// its first. A gateway that isn't a reader learns of changes from its peers; its own
+// reads are for when it loses them, and may be cheap.
+func (f *Follower) mustBeFresh() bool { return f.isReader() || !f.config.State.Ready() }
+
+// read reads a list and notes whether the store answered.
+func (f *Follower) read(ctx context.Context, from list, stale bool) (uint64, error) {
+	revision, err := from.read(ctx, stale)
+	f.note(ctx, from.name, err)
+	return revision, err
+}
+
 // readPeriod is the time to the next plain read. Readers share the work: what one
 // of them reads, the others hear at once. A gateway that isn't a reader stretches
 // it with the size of the fleet, so that all together make about as many calls as
@@ -170,7 +189,7 @@
 	gateways, reader := f.config.State.Fleet()
 	period := f.config.ReadPeriod * time.Duration(gateways) / stretchPerGateways
 	if reader {
-		period = f.config.ReadPeriod * time.Duration(min(gateways, sharedReads)+1) / 2
+		period = f.config.ReadPeriod * time.Duration(min(gateways, sharedReads))
 	}
 	// A long list is read less often: its watch carries the changes, and a read
 	// costs in proportion to its length.
@@ -180,21 +199,21 @@
 
 // watchLoop watches from the revision of a plain read, and reads anew whenever
 // the watch fails.
-func (f *Follower) watchLoop(ctx context.Context, what string, first read, next watch) {
+func (f *Follower) watchLoop(ctx context.Context, followed list) {
 	pause := firstPause
 	for ctx.Err() == nil {
 		if !f.isReader() {
 			sleep(ctx, jitter(f.config.ReadPeriod))
 			continue
 		}
-		at, err := first(ctx)
+		at, err := f.read(ctx, followed, false)
 		for err == nil && ctx.Err() == nil && f.isReader() {
-			at, err = next(ctx, at)
+			at, err = followed.watch(ctx, at)
 			if err == nil {
 				pause = firstPause
 			}
 		}
-		f.config.Metrics.Tagged(map[string]string{"what": what}).Counter("watches_ended").Inc(1)
+		f.config.Metrics.Tagged(map[string]string{"what": followed.name}).Counter("watches_ended").Inc(1)
 		sleep(ctx, jitter(pause))
 		if !errors.Is(err, ErrHistoryGone) {
 			pause = min(2*pause, longestPause)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -25,12 +25,20 @@
 	backEnds int
 	failing  atomic.Bool
 	reads    atomic.Int64
-	watches  atomic.Int64
+	// configurationReads are those of the configuration, and staleReads those of
+	// both lists that may be old.
+	configurationReads atomic.Int64
+	staleReads         atomic.Int64
+	watches            atomic.Int64
 }
 
 var errAway = errors.New("the store is away")
 
-func (s *source) Configuration(context.Context) (*catalog.Configuration, uint64, error) {
+func (s *source) Configuration(_ context.Context, stale bool) (*catalog.Configuration, uint64, error) {
+	s.configurationReads.Add(1)
+	if stale {
+		s.staleReads.Add(1)
+	}
 	if s.failing.Load() {
 		return nil, 0, errAway
 	}
@@ -41,8 +49,11 @@
 	return nil, after, s.await(ctx, wait)
 }
 
-func (s *source) BackEnds(context.Context) ([]catalog.Entry, uint64, error) {
+func (s *source) BackEnds(_ context.Context, stale bool) ([]catalog.Entry, uint64, error) {
 	s.reads.Add(1)
+	if stale {
+		s.staleReads.Add(1)
+	}
 	if s.failing.Load() {
 		return nil, 0, errAway
 	}
@@ -88,12 +99,29 @@
 		return s.reads.Load()
 	}
 	alone := count(20, 1, true)
-	is.True(alone > 600) // 800 ms each, and some for the watch
-	is.True(count(20, 4, true) < alone*2/3)
+	is.True(alone > 600)                    // 800 ms each, and some for the watch
+	is.True(count(20, 4, true) < alone*2/5) // three share the reads
 	is.True(count(20, 340, false) <= 30)
 	is.True(count(3000, 300, true) < alone/8)
 }
 
+// A gateway that learns from its peers reads what may be old, once it is ready; a
+// reader never does.
+func TestOnlyGatewaysThatAreNoReadersReadStale(t *testing.T) {
+	is := is.New(t)
+	count := func(reader bool) (stale, all int64) {
+		s := &source{backEnds: 3}
+		follow(t, s, 40, reader, func(*gateway.State) { time.Sleep(10 * time.Minute) })
+		return s.staleReads.Load(), s.reads.Load() + s.configurationReads.Load()
+	}
+	stale, all := count(true)
+	is.Equal(stale, int64(0))
+	is.True(all > 100)
+	stale, all = count(false)
+	is.True(stale >= all-2) // the first of each list
+	is.True(stale > 10)
+}
+
 func TestOnlyReadersWatch(t *testing.T) {
 	is := is.New(t)
 	s := &source{backEnds: 3}
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -42,11 +42,13 @@
 	meshSize = 10
 	// redialPause is the time between two tries at the same address.
 	redialPause = 700 * time.Millisecond
-	// readers is the number of gateways that read and watch the store all the time;
-	// the others learn from them and read seldom. So the calls to the store don't
-	// grow with the fleet. More of them cost more calls, and make it less likely
-	// that all are turned away at once.
-	readers = 5
+	// fewestReaders is the number of gateways that read and watch the store all the
+	// time; the others learn from them and read seldom. So the calls to the store
+	// don't grow with the fleet. More of them cost more calls, and make it less likely
+	// that all are turned away at once: of more than meshSize gateways, mostReaders
+	// read, since there it takes longer until the others notice.
+	fewestReaders = 3
+	mostReaders   = 4
 	// freshStore is the age to which a gateway's last answer of the store counts,
 	// and freshStorePerPeer how much older it may be for each gateway known.
 	freshStore        = 2 * time.Second
@@ -124,7 +126,15 @@
 	}
 	reading := b.reading(now)
 	own := xxhash.Sum64String(b.id)
-	return !linked || len(reading) < readers || own < xxhash.Sum64String(reading[readers-1])
+	return !linked || len(reading) < b.readers() || own < xxhash.Sum64String(reading[b.readers()-1])
+}
+
+// readers is how many gateways read the store all the time.
+func (b *Book) readers() int {
+	if len(b.peers) < meshSize {
+		return fewestReaders
+	}
+	return mostReaders
 }
 
 // reading returns the first peers, in hash order, that the store answers.
@@ -137,7 +147,7 @@
 		}
 	}
 	slices.SortFunc(answered, func(a, c string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)) })
-	return answered[:min(readers, len(answered))]
+	return answered[:min(b.readers(), len(answered))]
 }
 
 // LinkUp and LinkDown count the open connections to a peer.
--- a/internal/relay/book_test.go
+++ b/internal/relay/book_test.go
@@ -67,8 +67,9 @@
 
 func TestAFewGatewaysRead(t *testing.T) {
 	is := is.New(t)
-	is.Equal(countReaders(fleet(340, all), start, all), readers)
-	is.Equal(countReaders(fleet(4, all), start, all), 4) // of a small fleet all
+	is.Equal(countReaders(fleet(340, all), start, all), mostReaders)
+	is.Equal(countReaders(fleet(meshSize, all), start, all), fewestReaders)
+	is.Equal(countReaders(fleet(2, all), start, all), 2) // of a tiny fleet all
 }
 
 func TestReadersTurnedAwayAreReplaced(t *testing.T) {
@@ -79,7 +80,7 @@
 		away[i] = book.IsReader(start)
 	}
 	answered := func(i int) bool { return !away[i] }
-	is.Equal(countReaders(fleet(40, answered), start, answered), readers)
+	is.Equal(countReaders(fleet(40, answered), start, answered), mostReaders)
 }
 
 func TestGatewayWithoutPeersReadsForItself(t *testing.T) {
--- a/internal/relay/traffic_test.go
+++ b/internal/relay/traffic_test.go
@@ -43,7 +43,7 @@
 	is := is.New(t)
 	book := fleet(100, all)[0]
 	told := map[string]bool{}
-	for range 100/(maxTold-readers) + 1 {
+	for range 100/(maxTold-mostReaders) + 1 {
 		list := book.Known(start)
 		is.True(len(list) <= maxTold)
 		for _, peer := range list {
