--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -59,6 +59,10 @@
 	// longer its answer may take.
 	watchTime  = 10 * time.Second
 	watchGrace = 2 * time.Second
+	// settleTime is how long after its start a gateway doesn't watch: by then it
+	// knows its peers, and whether it is one of those that do. Until then its plain
+	// reads follow the store.
+	settleTime = 700 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -153,7 +157,8 @@
 }
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
-// also shows that the store can be reached.
+// also shows that the store can be reached. A gateway that has just started reads
+// both at once: callers wait for it.
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	for turn := 0; ctx.Err() == nil; turn++ {
@@ -165,6 +170,9 @@
 		} else {
 			pause = firstPause
 		}
+		if starting := turn+1 < len(lists); starting && err == nil {
+			continue
+		}
 		sleep(ctx, wait)
 	}
 }
@@ -201,6 +209,7 @@
 // the watch fails.
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
 	pause := firstPause
+	sleep(ctx, settleTime)
 	for ctx.Err() == nil {
 		if !f.isReader() {
 			sleep(ctx, jitter(f.config.ReadPeriod))
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -129,6 +129,21 @@
 	is.Equal(s.watches.Load(), int64(0))
 }
 
+// Callers wait for a gateway that has just started: it reads both lists at once, and
+// begins to watch only when it knows its place in the fleet.
+func TestStartedGatewayReadsAtOnceAndWatchesLater(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 1, true, func(state *gateway.State) {
+		synctest.Wait()
+		is.True(state.Ready())
+		time.Sleep(settleTime / 2)
+		is.Equal(s.watches.Load(), int64(0))
+		time.Sleep(settleTime)
+		is.True(s.watches.Load() > 0)
+	})
+}
+
 func TestStoreThatComesBackIsFoundSoon(t *testing.T) {
 	is := is.New(t)
 	s := &source{backEnds: 3}
