--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -44,9 +44,15 @@
 // other, each takes its share of them by lot. The lot is a hash of the request.
 func (c *Core) winsRoom(now time.Time, x *Exchange, m *member, bound float64) bool {
 	room := bound - c.cautiousEstimate(now, m)
+	if c.config.Disabled[LoadBound] {
+		return true
+	}
 	if room < 1 {
 		return false
 	}
+	if c.config.Disabled[Lots] {
+		return true
+	}
 	// wanted is how many places this gateway is likely to want until its next word.
 	wanted := m.demand.perSecond(now) * c.peers.interval.Seconds()
 	rivals := float64(c.gateways-1) * min(1, wanted)
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -1,10 +1,10 @@
 package dispatch
 
 // Mechanism names a mechanism of a gateway that can be switched off, to show that a
-// check notices its absence. Nothing else may use it.
+// check notices its absence or what it is worth. Nothing else may use it.
 type Mechanism string
 
-// The closed list of mechanisms.
+// The mechanisms that keep a promise to callers.
 const (
 	// AtMostOnce keeps what may have run from being sent again, and attempts within
 	// the route.
@@ -19,10 +19,66 @@
 	RetryBudget Mechanism = "retry-budget"
 )
 
-// Mechanisms lists all of them.
-func Mechanisms() []Mechanism {
+// The mechanisms that make a better choice. Without one of them every promise but the
+// bound on load is kept, and callers are served worse.
+const (
+	// Affinity sends a prompt's shared parts to the same back ends.
+	Affinity Mechanism = "affinity"
+	// HoldersFirst prefers back ends that are believed to hold the parts.
+	HoldersFirst Mechanism = "holders-first"
+	// HoldersTold passes on to peers, and takes from them, who holds what.
+	HoldersTold Mechanism = "holders-told"
+	// EvenMemory gives new homes where less is held once memory is scarce.
+	EvenMemory Mechanism = "even-memory"
+	// Copying names a back end to copy a prompt's parts from.
+	Copying Mechanism = "copying"
+	// LoadBound keeps a caching back end's load within the bound.
+	LoadBound Mechanism = "load-bound"
+	// Lots shares the room near the bound among gateways.
+	Lots Mechanism = "lots"
+	// PeersSince takes peers to have sent as much as this gateway since their word.
+	PeersSince Mechanism = "peers-since"
+	// UrgencySteps refuses the least urgent requests first.
+	UrgencySteps Mechanism = "urgency-steps"
+	// EngineRank tells back ends the urgency of a request.
+	EngineRank Mechanism = "engine-rank"
+	// Ejection leaves failing back ends alone for a while.
+	Ejection Mechanism = "ejection"
+	// Silence takes back ends that let requests wait for silent.
+	Silence Mechanism = "silence"
+	// Trials tries back ends one request at a time after an ejection.
+	Trials Mechanism = "trials"
+	// WholePool uses all of a pool when most of it is in trouble.
+	WholePool Mechanism = "whole-pool"
+	// Lapse uses back ends that vanished from the list together.
+	Lapse Mechanism = "lapse"
+	// FailingPaths doesn't try again what fails on every back end.
+	FailingPaths Mechanism = "failing-paths"
+	// OwnZone prefers the own zone among equally loaded back ends.
+	OwnZone Mechanism = "own-zone"
+	// LateRefusal refuses some requests at once while the process runs late.
+	LateRefusal Mechanism = "late-refusal"
+	// FurtherAttempts tries another back end after one failed.
+	FurtherAttempts Mechanism = "further-attempts"
+	// Resumption continues broken streams at another back end.
+	Resumption Mechanism = "resumption"
+)
+
+// Promises lists the mechanisms without which a promise is broken.
+func Promises() []Mechanism {
 	return []Mechanism{AtMostOnce, RespectLeaving, OwnAnswers, FollowConfiguration, RetryBudget}
 }
 
+// Choices lists the mechanisms without which callers are served worse.
+func Choices() []Mechanism {
+	return []Mechanism{
+		Affinity, HoldersFirst, HoldersTold, EvenMemory, Copying, LoadBound, Lots, PeersSince, UrgencySteps, EngineRank,
+		Ejection, Silence, Trials, WholePool, Lapse, FailingPaths, OwnZone, LateRefusal, FurtherAttempts, Resumption,
+	}
+}
+
+// Mechanisms lists all of them.
+func Mechanisms() []Mechanism { return append(Promises(), Choices()...) }
+
 // Disabled is the set of mechanisms that are switched off.
 type Disabled map[Mechanism]bool
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -134,6 +134,7 @@
 		if known == nil {
 			known = newMember(now)
 			known.health.allowance = c.lag
+			known.health.disabled = c.config.Disabled
 		}
 		known.backEnd = backEnd
 		members[backEnd.ID] = known
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -271,7 +271,7 @@
 func (c *Core) Failed(now time.Time, x *Exchange) Decision {
 	m := x.current
 	x.ran = failure.RanYes
-	everywhere := c.paths.failsEverywhere(now, x.request.Path)
+	everywhere := c.paths.failsEverywhere(now, x.request.Path) && !c.config.Disabled[FailingPaths]
 	c.paths.note(now, x.request.Path, m.backEnd.ID)
 	if everywhere {
 		m.health.answered(now)
@@ -313,7 +313,7 @@
 	m := x.release()
 	m.health.broke(now)
 	c.noteHealth(now, m)
-	if !x.request.Route.Resumable || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
+	if !x.request.Route.Resumable || c.config.Disabled[Resumption] || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		x.phase = Ended
 		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
 	}
@@ -331,6 +331,9 @@
 
 // again decides on another attempt after one that gave no answer.
 func (c *Core) again(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
+	if c.config.Disabled[FurtherAttempts] {
+		return c.giveUp(x, kind, message)
+	}
 	once := !c.config.Disabled[AtMostOnce]
 	if once && x.ran != failure.RanNo && !x.request.Route.MayRepeat() {
 		return c.giveUp(x, kind, message)
@@ -342,6 +345,9 @@
 }
 
 func (c *Core) mayRepeat(x *Exchange) bool {
+	if c.config.Disabled[FurtherAttempts] {
+		return false
+	}
 	return x.request.Route.MayRepeat() && x.attempts < x.request.Route.MaxAttempts
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -59,6 +59,8 @@
 	quietSince   time.Time
 	// allowance is added to the time that counts as silence.
 	allowance time.Duration
+	// disabled switches mechanisms off; see Disabled.
+	disabled Disabled
 	// connectsFailed is set while the last sign was a connection that could not be
 	// made.
 	connectsFailed bool
@@ -71,13 +73,13 @@
 }
 
 func (h *health) status(now time.Time) Health {
-	if now.Before(h.ejectedUntil) {
+	if now.Before(h.ejectedUntil) && !h.disabled[Ejection] {
 		return Ejected
 	}
-	if h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
+	if !h.disabled[Silence] && h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
 		return Silent
 	}
-	if h.onTrial {
+	if h.onTrial && !h.disabled[Ejection] && !h.disabled[Trials] {
 		return OnTrial
 	}
 	return Healthy
--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -152,11 +152,17 @@
 // HoldingsSince returns at most so many holdings that peers may lack after the
 // number, and the number to go on from. The first number is 0.
 func (c *Core) HoldingsSince(number uint64, most int) ([]Holdings, uint64) {
+	if c.config.Disabled[HoldersTold] {
+		return nil, number
+	}
 	return c.holders.since(number, most)
 }
 
 // PeerHoldings takes what a peer told.
 func (c *Core) PeerHoldings(now time.Time, list []Holdings) {
+	if c.config.Disabled[HoldersTold] {
+		return
+	}
 	for _, each := range list {
 		for i, part := range each.Parts[:min(len(each.Parts), len(each.Tokens))] {
 			c.holders.note(now, partKey(part), max(0, each.Tokens[i]), each.BackEnd)
--- a/internal/dispatch/lapse.go
+++ b/internal/dispatch/lapse.go
@@ -32,6 +32,9 @@
 			delete(c.lapsed, id)
 		}
 	}
+	if c.config.Disabled[Lapse] {
+		return
+	}
 	for id, known := range c.members {
 		if listed[id] == nil && !known.backEnd.Leaving {
 			c.lapsed[id] = lapsedMember{member: known, until: now.Add(c.config.LapseTime)}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -130,6 +130,9 @@
 // requests come in clumps, so nothing is refused for it.
 func (c *Core) cautiousEstimate(now time.Time, m *member) float64 {
 	told, since, heard := c.peers.sum(now, m)
+	if c.config.Disabled[PeersSince] {
+		since = 0
+	}
 	return c.complete(now, m, float64(m.own+told+since), heard)
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -16,7 +16,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	if x.request.affinity() != "" {
+	if x.request.affinity() != "" && !c.config.Disabled[Affinity] {
 		return c.chooseCaching(now, x, candidates)
 	}
 	return c.leastLoaded(now, x, candidates)
@@ -43,7 +43,7 @@
 		}
 	}
 	switch {
-	case 2*len(usable) >= len(all) && len(usable) > 0:
+	case len(usable) > 0 && (2*len(usable) >= len(all) || c.config.Disabled[WholePool]):
 		return usable
 	case len(reachable) > 0:
 		return reachable
@@ -64,7 +64,11 @@
 	if x.request.affinity() == "" {
 		return slots * c.config.QueueFactor
 	}
-	return slots * (c.config.CachingFactor - urgencyStep*float64(min(x.request.Urgency, lastUrgencyStep)))
+	rank := min(x.request.Urgency, lastUrgencyStep)
+	if c.config.Disabled[UrgencySteps] {
+		rank = 0
+	}
+	return slots * (c.config.CachingFactor - urgencyStep*float64(rank))
 }
 
 const (
@@ -124,13 +128,13 @@
 	holding := c.holders.holding(now, keyOf(x.request.affinity()))
 	var holders, others []*member
 	for _, id := range routing.Rank(x.request.affinity(), ids) {
-		if slices.Contains(holding, id) {
+		if slices.Contains(holding, id) && !c.config.Disabled[HoldersFirst] {
 			holders = append(holders, byID[id])
 		} else {
 			others = append(others, byID[id])
 		}
 	}
-	if len(others) > 0 && c.memoryShare(others[0]) > scarceMemory {
+	if len(others) > 0 && c.memoryShare(others[0]) > scarceMemory && !c.config.Disabled[EvenMemory] {
 		slices.SortStableFunc(others[:min(homesWeighed, len(others))], func(a, b *member) int {
 			return cmp.Compare(c.memoryShare(a), c.memoryShare(b))
 		})
@@ -164,7 +168,7 @@
 			continue
 		}
 		load := c.estimate(now, m)
-		if m.backEnd.Zone != c.config.Zone {
+		if m.backEnd.Zone != c.config.Zone && !c.config.Disabled[OwnZone] {
 			load += otherZone
 		}
 		load /= float64(max(m.backEnd.Slots, 1))
@@ -183,7 +187,7 @@
 // place it took.
 func (c *Core) fetchSource(now time.Time, x *Exchange, chosen *member) string {
 	part := x.request.affinity()
-	if part == "" {
+	if part == "" || c.config.Disabled[Copying] {
 		return ""
 	}
 	holding := c.holders.holding(now, keyOf(part))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 		Remaining:   time.Until(c.deadline),
 		BackEnd:     send.BackEnd.ID,
 		Tenant:      c.tenant,
-		Urgency:     c.urgency,
+		Urgency:     h.engineRank(c),
 		FetchFrom:   send.FetchFrom,
 		ResumeAfter: resumeAfter,
 	})
@@ -89,6 +89,17 @@
 	return h.config.Fresh.RoundTrip(request)
 }
 
+// middleRank is the rank that back ends give to requests without one.
+const middleRank = 5
+
+// engineRank is the urgency that back ends are told.
+func (h *Handler) engineRank(c *call) int {
+	if h.config.Disabled[dispatch.EngineRank] {
+		return middleRank
+	}
+	return c.urgency
+}
+
 // noAnswer asks the core what follows from an attempt without an answer.
 func (h *Handler) noAnswer(c *call, send dispatch.Send, cause error, expired bool) dispatch.Decision {
 	if c.request.Context().Err() != nil {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -34,8 +34,8 @@
 	// calls. Default 800ms; from 100ms to 1m.
 	ReadPeriod tomlfile.Duration `toml:"read_period"`
 	// Disable names mechanisms to switch off (dispatch.Mechanisms). Each breaks a
-	// promise to callers: it is for runs that show that a check notices. Default
-	// none.
+	// promise to callers or serves them worse: it is for runs that show that a check
+	// notices, or what a mechanism is worth. Default none.
 	Disable []string `toml:"disable"`
 }
 
