The read period follows the bound on leaving

Cause: at the grown site, where back ends may get work for 3 s after they left, the store's lists were read as often as where 2 s are allowed.

Change: read_period is two fifths of leaving_bound unless it is set; 800 ms as before at 2 s, 1.2 s at 3 s.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,9 +29,10 @@
 	// is used for seven tenths of it, and two seconds at most. Higher values bridge longer gaps in the
 	// store's list. Default 2s; from 100ms to 10m.
 	LeavingBound tomlfile.Duration `toml:"leaving_bound"`
-	// ReadPeriod is the time between two plain reads of the store's lists, beside
-	// the watches. Lower values learn sooner what a watch missed and cost more
-	// calls. Default 800ms; from 100ms to 1m.
+	// ReadPeriod is the time between two plain reads of one of the store's lists by
+	// any of the gateways that read it, beside their watches. Lower values learn sooner
+	// what a watch missed and cost more calls. Default two fifths of LeavingBound, so
+	// that two reads and the way through the fleet fit into it; from 100ms to 1m.
 	ReadPeriod tomlfile.Duration `toml:"read_period"`
 	// Disable names mechanisms to switch off (dispatch.Mechanisms). Each breaks a
 	// promise to callers or serves them worse: it is for runs that show that a check
@@ -54,9 +55,10 @@
 	defaultRetryExtra   = 20
 	defaultLoadMultiple = 2
 	defaultLoadSlack    = 3
-	defaultReadPeriod   = 800 * time.Millisecond
 	defaultLeavingBound = 2 * time.Second
 	longestReadPeriod   = time.Minute
+	// readFifths is the default read period in fifths of the bound on leaving.
+	readFifths          = 2
 	longestLeavingBound = 10 * time.Minute
 	shortestReadPeriod  = 100 * time.Millisecond
 	maxLoadMultiple     = 10
@@ -76,7 +78,7 @@
 		g.LeavingBound = tomlfile.Duration(defaultLeavingBound)
 	}
 	if g.ReadPeriod == 0 {
-		g.ReadPeriod = tomlfile.Duration(defaultReadPeriod)
+		g.ReadPeriod = min(max(g.LeavingBound*readFifths/5, tomlfile.Duration(shortestReadPeriod)), tomlfile.Duration(longestReadPeriod))
 	}
 }
 
