A gateway that has just started asks one peer for the list of back ends

Change: one peer is greeted at once; the others when the list is there, or after 0.4 to 0.8 s without it.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -177,11 +177,12 @@
 	Changed <-chan struct{}
 }
 
-// Digest sums up the back ends that this gateway knows.
-func (s *State) Digest() catalog.Digest {
+// Digest sums up the back ends that this gateway knows. listed is false until it has a
+// list; changed is closed with the next change.
+func (s *State) Digest() (digest catalog.Digest, listed bool, changed <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.view.Digest()
+	return s.view.Digest(), s.listed, s.changed
 }
 
 // Differing returns the back ends that a peer with the digest may lack, and the number
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,9 @@
 	// crosses a fleet of 340 in some five steps, so that is a quarter of a second on
 	// top of the way itself.
 	longestGather = 100 * time.Millisecond
+	// listTime is how long the store may take to tell a list of thousands of back
+	// ends, and this process to read it.
+	listTime = 400 * time.Millisecond
 	// askAgain is how long a question for a document may go without an answer.
 	askAgain = 400 * time.Millisecond
 	// holdingsPerSecond bounds the holdings that a gateway tells all of its
@@ -108,6 +111,8 @@
 	// askedVersion is the document last asked for, and askedAt when.
 	askedVersion uint64
 	askedAt      time.Time
+	// listAsked is set once a peer was greeted while no list of back ends was known.
+	listAsked bool
 }
 
 // Start begins to connect.
@@ -304,7 +309,7 @@
 // it may lack. It returns the number of changes to go on from.
 func (r *Relay) greet(ctx context.Context, to *link) (change uint64, ok bool) {
 	greeting := r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, 0)
-	greeting.Digest = r.config.State.Digest()
+	greeting.Digest = r.digestToTell(ctx)
 	if err := r.writeOne(ctx, to.socket, greeting); err != nil {
 		return 0, false
 	}
@@ -318,6 +323,36 @@
 	}
 }
 
+// digestToTell returns what this gateway knows. One that has just started tells one peer
+// at once that it knows nothing; the others only when it still has no list a while
+// later: else each of them would tell it all that the store is telling it meanwhile.
+func (r *Relay) digestToTell(ctx context.Context) catalog.Digest {
+	timer := time.NewTimer(listTime + rand.N(listTime))
+	defer timer.Stop()
+	for {
+		digest, listed, changed := r.config.State.Digest()
+		if listed || r.mayAskForList() {
+			return digest
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return digest
+		case <-ctx.Done():
+			return digest
+		}
+	}
+}
+
+// mayAskForList returns true once.
+func (r *Relay) mayAskForList() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	first := !r.listAsked
+	r.listAsked = true
+	return first
+}
+
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
 	change, ok := r.greet(ctx, to)
