What peers may have sent since their word is bounded by the observed demand

Change: as many as this gateway sent, but at most three times what the demand for the member explains. The test that took a lone request for as many at each peer now asks that a lasting demand counts and a lone request doesn't.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -277,13 +277,32 @@
 		is.Equal(decision.Send.BackEnd.ID, "b01")
 		core.Done(x)
 	}
-	// For the bound the peer is taken to send there as many as this gateway does.
 	_, decision := core.Begin(start, request(once(), "first"))
 	is.Equal(decision.Send.BackEnd.ID, "b01")
-	is.Equal(core.cautiousEstimate(start, core.members["b01"]), 2.0)
 	is.Equal(core.estimate(start, core.members["b01"]), 1.0)
-	core.PeerLoads(start, "peer", []Load{{BackEnd: "b00", Requests: 5}})
-	is.Equal(core.cautiousEstimate(start, core.members["b01"]), 1.0) // it has told since
+}
+
+// For the bound a peer is taken to send where this gateway sends, as many as it does,
+// as far as the demand for the member explains them, until it tells.
+func TestPeersAreTakenToSendAsThisGatewayDoes(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(1, 64))
+	core.SetGateways(2)
+	core.PeerLoads(start, "peer", nil)
+	m := core.members["b00"]
+	core.Begin(start, chat("alone", "part"))
+	is.Equal(core.cautiousEstimate(start, m), 1.0) // no time for the peer to do the same
+	now := start
+	for i := range 20 {
+		now = now.Add(10 * time.Millisecond)
+		core.Begin(now, chat(fmt.Sprint(i), "part"))
+	}
+	is.Equal(core.estimate(now, m), 21.0)
+	demand := clumpAllowance * m.demand.perSecond(now) * 0.2
+	is.Equal(core.cautiousEstimate(now, m), 21+min(21, demand))
+	is.True(demand > 10) // twenty in 200 ms are seen as lasting
+	core.PeerLoads(now, "peer", nil)
+	is.Equal(core.cautiousEstimate(now, m), 21.0) // it has told since
 }
 
 // A clump of requests at one gateway isn't refused for what its peers might have
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -100,19 +100,27 @@
 	return result
 }
 
+// clumpAllowance is how many times as much as its demand on average a gateway may send
+// to a member in the short time since a peer's word. Higher values keep further from
+// the bound, and send more chats away from their holders for a clump of requests at
+// one gateway that the others don't see.
+const clumpAllowance = 3
+
 // sum returns the requests that the peers heard of late told of, how many more
 // they may have sent since, and how many peers these are. All gateways see the
 // same prompt parts asked for and choose alike, so each peer is taken to have sent
-// since its word as many more as this gateway did.
-func (p peerLoads) sum(now time.Time, m *member) (told, since, heard int) {
+// since its word as many more as this gateway did, as far as the demand for the member
+// explains them.
+func (p peerLoads) sum(now time.Time, m *member) (told int, since float64, heard int) {
 	id := m.backEnd.ID
+	demand := clumpAllowance * m.demand.perSecond(now)
 	for _, peer := range p.byPeer {
 		if now.Sub(peer.at) > freshPeer {
 			continue
 		}
 		heard++
 		told += peer.loads[id]
-		since += max(0, m.own-peer.own[id])
+		since += min(float64(max(0, m.own-peer.own[id])), demand*now.Sub(peer.at).Seconds())
 	}
 	return told, since, heard
 }
@@ -133,7 +141,7 @@
 	if c.config.Disabled[PeersSince] {
 		since = 0
 	}
-	return c.complete(now, m, float64(m.own+told+since), heard)
+	return c.complete(now, m, float64(m.own+told)+since, heard)
 }
 
 // complete makes up for gateways that weren't heard of.
