Gateways leave seeds alone once they have neighbours, and tell each other fewer bytes

Change: a connection to a seed that is no neighbour ends two seconds after it opened, once half of the neighbours are there; seeds are tried again each 5 s and 0.1 s a gateway, so that fleets that came up apart still meet. Holdings are told from 1,024 tokens on and not back to who told them. Peers other than the store's readers stand in every third list.

--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -17,6 +17,10 @@
 	// retellTime is how long a holding isn't told again while it is used. It is
 	// short against holdingTime, so that peers don't forget what is in use.
 	retellTime = 20 * time.Second
+	// leastTold is the length of a prompt, in tokens up to the end of its shared parts,
+	// from which holders are told. Shorter ones are read in the time that a copy of
+	// them takes to be set up; for them the order of members decides.
+	leastTold = 1024
 	// rememberedNews bounds the news that is kept for peers. A gateway that lags by
 	// more misses some, and learns it when it is told again.
 	rememberedNews = 4096
@@ -104,7 +108,7 @@
 		}
 	}
 	h.held[backEnd] += tokens
-	if used.toldAt.IsZero() || now.Sub(used.toldAt) >= retellTime {
+	if tokens >= leastTold && (used.toldAt.IsZero() || now.Sub(used.toldAt) >= retellTime) {
 		used.toldAt = now
 		h.news[h.told%rememberedNews] = holdingNews{part: part, backEnd: backEnd, tokens: tokens}
 		h.told++
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -42,6 +42,11 @@
 	meshSize = 10
 	// redialPause is the time between two tries at the same address.
 	redialPause = 700 * time.Millisecond
+	// seedPause is the time between two tries at the seeds of a gateway that has its
+	// neighbours, and seedPausePerPeer how much longer it is for each gateway known.
+	// The tries join fleets that came up apart; more of them load the seeds.
+	seedPause        = 5 * time.Second
+	seedPausePerPeer = 100 * time.Millisecond
 	// fewestReaders is the number of gateways that read and watch the store all the
 	// time; the others learn from them and read seldom. So the calls to the store
 	// don't grow with the fleet. More of them cost more calls, and make it less likely
@@ -67,6 +72,8 @@
 	dialed  map[string]time.Time
 	// toldUpTo is the last peer that was told to others.
 	toldUpTo string
+	// seedsAt is when the seeds were last tried.
+	seedsAt time.Time
 }
 
 type known struct {
@@ -180,17 +187,23 @@
 	return now.Sub(peer.heardAt) <= liveAge+time.Duration(len(b.peers))*liveAgePerPeer
 }
 
-// Known returns some of the live peers for a message: those that read the store,
-// which all gateways must agree on, and some of the others, so that calls one after
-// another go through all of them.
+// Readers returns the live peers that read the store, on which all gateways must
+// agree, for a message.
+func (b *Book) Readers(now time.Time) []Peer {
+	var list []Peer
+	for _, id := range b.reading(now) {
+		list = append(list, b.tell(now, id))
+	}
+	return list
+}
+
+// Known returns the peers that read the store and some of the other live ones for a
+// message, so that calls one after another go through all of them.
 func (b *Book) Known(now time.Time) []Peer {
 	ids := b.ids()
 	first, _ := slices.BinarySearch(ids, b.toldUpTo+"\x00")
 	reading := b.reading(now)
-	var list []Peer
-	for _, id := range reading {
-		list = append(list, b.tell(now, id))
-	}
+	list := b.Readers(now)
 	for i := 0; i < len(ids) && len(list) < maxTold; i++ {
 		id := ids[(first+i)%len(ids)]
 		if !b.isLive(now, b.peers[id]) || slices.Contains(reading, id) {
@@ -228,7 +241,10 @@
 			wanted = append(wanted, peer.address)
 		}
 	}
-	wanted = append(wanted, b.unmetSeeds()...)
+	if b.fewNeighbours() || now.Sub(b.seedsAt) >= seedPause+time.Duration(len(b.peers))*seedPausePerPeer {
+		b.seedsAt = now
+		wanted = append(wanted, b.unmetSeeds()...)
+	}
 	var due []string
 	for _, address := range wanted {
 		if now.Sub(b.dialed[address]) >= redialPause && !slices.Contains(due, address) {
@@ -239,6 +255,24 @@
 	return due
 }
 
+// fewNeighbours tells whether fewer than half of the neighbours are connected.
+func (b *Book) fewNeighbours() bool {
+	neighbours := b.neighbours()
+	linked := 0
+	for _, id := range neighbours {
+		if b.peers[id].links > 0 {
+			linked++
+		}
+	}
+	return linked == 0 || 2*linked < len(neighbours)
+}
+
+// Surplus tells whether a connection that this gateway opened to the peer is needed no
+// more: the peer is a seed and no neighbour, and the neighbours are there.
+func (b *Book) Surplus(peer string) bool {
+	return !b.fewNeighbours() && !slices.Contains(b.neighbours(), peer)
+}
+
 // unmetSeeds returns the seeds that no linked peer has as its address.
 func (b *Book) unmetSeeds() []string {
 	linked := map[string]bool{b.address: true}
--- a/internal/relay/book_test.go
+++ b/internal/relay/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -142,3 +143,32 @@
 		book.IsReader(start)
 	})
 }
+
+// A fleet of hundreds doesn't hang on its seeds: a gateway that has its neighbours tries
+// a seed seldom, and gives up the connection to it.
+func TestSeedsAreLeftAloneOnceNeighboursAreThere(t *testing.T) {
+	is := is.New(t)
+	book := fleet(100, all)[0]
+	seed := ""
+	for id := range book.peers {
+		if !slices.Contains(book.neighbours(), id) {
+			seed = id
+		}
+	}
+	book.SetSeeds([]string{book.peers[seed].address})
+	due := book.Dial(start)
+	is.True(slices.Contains(due, book.peers[seed].address)) // nobody is connected yet
+	is.True(!book.Surplus(seed))
+	for _, id := range book.neighbours() {
+		book.LinkUp(id)
+	}
+	is.True(book.Surplus(seed))
+	is.True(!book.Surplus(book.neighbours()[0]))
+	tries := 0
+	for second := 1; second <= 60; second++ {
+		if len(book.Dial(start.Add(time.Duration(second)*time.Second))) > 0 {
+			tries++
+		}
+	}
+	is.True(tries >= 2 && tries <= 5) // fleets that came up apart still meet
+}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -7,6 +7,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
 // link is one open connection.
@@ -24,13 +25,63 @@
 	mutex sync.Mutex
 	// heard are the entries that the peer told since the last message to it.
 	heard map[string]catalog.Entry
+	// heardHoldings are the holdings that it told of late.
+	heardHoldings map[holding]struct{}
 }
 
+// holding is a prompt part at a back end.
+type holding struct {
+	backEnd string
+	part    uint64
+}
+
+// maxHeardHoldings bounds the memory of a connection for holdings, to the length of the
+// news that gateways keep.
+const maxHeardHoldings = 4096
+
 func newLink(socket *websocket.Conn) *link {
 	return &link{
 		socket: socket, wake: make(chan struct{}, 1), first: make(chan catalog.Digest, 1),
-		heard: map[string]catalog.Entry{},
+		heard: map[string]catalog.Entry{}, heardHoldings: map[holding]struct{}{},
+	}
+}
+
+// noteHoldings remembers what the peer told, which needn't be told to it.
+func (l *link) noteHoldings(list []dispatch.Holdings) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.heardHoldings) > maxHeardHoldings {
+		clear(l.heardHoldings)
+	}
+	for _, each := range list {
+		for _, part := range each.Parts {
+			l.heardHoldings[holding{each.BackEnd, part}] = struct{}{}
+		}
+	}
+}
+
+// untoldHoldings returns the holdings that the peer didn't tell itself. One that it told
+// is forgotten with that, since it may be told again when it has grown old.
+func (l *link) untoldHoldings(list []dispatch.Holdings) []dispatch.Holdings {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var untold []dispatch.Holdings
+	for _, each := range list {
+		kept := dispatch.Holdings{BackEnd: each.BackEnd}
+		for i, part := range each.Parts {
+			key := holding{each.BackEnd, part}
+			if _, heard := l.heardHoldings[key]; heard {
+				delete(l.heardHoldings, key)
+				continue
+			}
+			kept.Parts = append(kept.Parts, part)
+			kept.Tokens = append(kept.Tokens, each.Tokens[i])
+		}
+		if len(kept.Parts) > 0 {
+			untold = append(untold, kept)
+		}
 	}
+	return untold
 }
 
 // note remembers what the peer told, which needn't be told to it.
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
 // What a peer told isn't told back to it, but what changed since is.
@@ -21,3 +22,19 @@
 	is.Equal(link.untold([]catalog.Entry{newer}), []catalog.Entry{newer})
 	is.Equal(link.untold([]catalog.Entry{old}), []catalog.Entry{old}) // noted once
 }
+
+func TestHoldingsAreNotToldBack(t *testing.T) {
+	is := is.New(t)
+	link := newLink(nil)
+	link.noteHoldings([]dispatch.Holdings{{BackEnd: "a", Parts: []uint64{1, 2}, Tokens: []int{2000, 3000}}})
+	news := []dispatch.Holdings{
+		{BackEnd: "a", Parts: []uint64{2, 3}, Tokens: []int{3000, 4000}},
+		{BackEnd: "b", Parts: []uint64{1}, Tokens: []int{2000}},
+	}
+	is.Equal(link.untoldHoldings(news), []dispatch.Holdings{
+		{BackEnd: "a", Parts: []uint64{3}, Tokens: []int{4000}},
+		{BackEnd: "b", Parts: []uint64{1}, Tokens: []int{2000}},
+	})
+	is.Equal(link.untoldHoldings([]dispatch.Holdings{{BackEnd: "a", Parts: []uint64{1}, Tokens: []int{2000}}}), nil)
+	is.Equal(len(link.untoldHoldings(news)[0].Parts), 2) // told again when it is news again
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,8 +77,10 @@
 	// falls with their number; leastHoldings is told in each message all the same.
 	holdingsPerSecond = 500
 	leastHoldings     = 4
-	// peersPeriod is the time between two messages with some of the peers.
+	// peersPeriod is the time between two messages with the peers that read the store;
+	// every othersEvery of them names some others too.
 	peersPeriod = time.Second
+	othersEvery = 3
 )
 
 // Config sets up a Relay.
@@ -111,6 +113,8 @@
 	// askedVersion is the document last asked for, and askedAt when.
 	askedVersion uint64
 	askedAt      time.Time
+	// opened ends the connections that this gateway opened, by peer.
+	opened map[string]openedLink
 	// listAsked is set once a peer was greeted while no list of back ends was known.
 	listAsked bool
 }
@@ -124,6 +128,7 @@
 		ctx:    ctx,
 		cancel: cancel,
 		book:   NewBook(config.ID, config.Address, config.Seeds),
+		opened: map[string]openedLink{},
 	}
 	r.spawn(r.connect)
 	return r
@@ -162,6 +167,7 @@
 		due := r.book.Dial(time.Now())
 		live := r.book.Live(time.Now())
 		reader := r.book.IsReader(time.Now())
+		r.closeSurplus(time.Now())
 		r.mutex.Unlock()
 		r.config.State.SetFleet(live, reader)
 		for _, address := range due {
@@ -175,6 +181,26 @@
 	}
 }
 
+// openedLink is a connection that this gateway opened.
+type openedLink struct {
+	at  time.Time
+	end context.CancelFunc
+}
+
+// surplusAge is how long a connection is kept that is needed no more: both sides have
+// told each other what they know by then.
+const surplusAge = 2 * time.Second
+
+// closeSurplus ends connections to seeds that aren't needed any more: else a fleet of
+// hundreds would hang on three gateways.
+func (r *Relay) closeSurplus(now time.Time) {
+	for peer, link := range r.opened {
+		if now.Sub(link.at) >= surplusAge && r.book.Surplus(peer) {
+			link.end()
+		}
+	}
+}
+
 func (r *Relay) dial(address string) {
 	ctx, cancel := context.WithTimeout(r.ctx, dialTimeout)
 	defer cancel()
@@ -183,7 +209,16 @@
 	if err != nil {
 		return
 	}
-	r.serve(socket, response.Header.Get(hop.HeaderNode))
+	peer := response.Header.Get(hop.HeaderNode)
+	linked, end := context.WithCancel(r.ctx)
+	defer end()
+	r.mutex.Lock()
+	r.opened[peer] = openedLink{at: time.Now(), end: end}
+	r.mutex.Unlock()
+	r.serve(linked, socket, peer)
+	r.mutex.Lock()
+	delete(r.opened, peer)
+	r.mutex.Unlock()
 }
 
 // ServeHTTP takes a connection from a peer.
@@ -197,17 +232,17 @@
 	if err != nil {
 		return
 	}
-	r.serve(socket, request.Header.Get(hop.HeaderNode))
+	r.serve(r.ctx, socket, request.Header.Get(hop.HeaderNode))
 }
 
-// serve runs a connection until it ends.
-func (r *Relay) serve(socket *websocket.Conn, peer string) {
+// serve runs a connection until it ends or the context does.
+func (r *Relay) serve(ctx context.Context, socket *websocket.Conn, peer string) {
 	defer socket.CloseNow()
 	if peer == "" || peer == r.config.ID {
 		return
 	}
 	socket.SetReadLimit(maxMessageBytes)
-	ctx, cancel := context.WithCancel(r.ctx)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mutex.Lock()
 	r.book.LinkUp(peer)
@@ -236,6 +271,7 @@
 			from.first <- message.Digest
 		}
 		from.note(message.Entries)
+		from.noteHoldings(message.Holdings)
 		r.take(message)
 		if message.Want {
 			from.give.Store(true)
@@ -366,6 +402,7 @@
 		gateways, _ := r.config.State.Fleet()
 		news := r.config.State.NewsSince(change, holding, holdingsPerMessage(gateways))
 		news.Entries = to.untold(news.Entries)
+		news.Holdings = to.untoldHoldings(news.Holdings)
 		message := r.message(news, count)
 		message.Want = to.ask.Swap(false)
 		if to.give.Swap(false) {
@@ -427,9 +464,14 @@
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways, _ := r.config.State.Fleet()
-	if count%int(peersPeriod/periodFor(gateways)) == 0 {
+	due := max(1, int(peersPeriod/periodFor(gateways)))
+	if count%due == 0 {
 		r.mutex.Lock()
-		message.Peers = r.book.Known(time.Now())
+		if count%(due*othersEvery) == 0 {
+			message.Peers = r.book.Known(time.Now())
+		} else {
+			message.Peers = r.book.Readers(time.Now())
+		}
 		r.mutex.Unlock()
 	}
 	return message
