The relay, the gateway's state and the dispatch core's requests in smaller files

Moves alone, no line of code changes: what a gateway tells, what it hears, how it connects, whom it wants to be connected to and what a message holds stand in a file each; news for peers and the status for operators apart from the state that callers meet; requests apart from exchanges.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -157,58 +156,6 @@
 	s.changed = make(chan struct{})
 }
 
-// News is what a peer lacks.
-type News struct {
-	// Version is the configuration in force.
-	Version uint64
-	// Entries are the back ends that changed since, and Change the number to go
-	// on from.
-	Entries []catalog.Entry
-	Change  uint64
-	// Loads are this gateway's requests under way.
-	Loads []dispatch.Load
-	// Holdings are prompt parts that back ends hold, and Holding the number to go on
-	// from.
-	Holdings []dispatch.Holdings
-	Holding  uint64
-	// StoreAge is how long ago the store last answered.
-	StoreAge time.Duration
-	// Changed is closed with the next change.
-	Changed <-chan struct{}
-}
-
-// Digest sums up the back ends that this gateway knows. listed is false until it has a
-// list; changed is closed with the next change.
-func (s *State) Digest() (digest catalog.Digest, listed bool, changed <-chan struct{}) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.view.Digest(), s.listed, s.changed
-}
-
-// Differing returns the back ends that a peer with the digest may lack, and the number
-// of changes to go on from.
-func (s *State) Differing(digest catalog.Digest) ([]catalog.Entry, uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !s.listed {
-		return nil, 0
-	}
-	return s.view.Differing(digest)
-}
-
-// NewsSince returns what a peer lacks that has the changes and the holdings, at
-// most so many of these, and the loads of the moment.
-func (s *State) NewsSince(change, holding uint64, mostHoldings int) News {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(time.Now()), Changed: s.changed}
-	if s.listed {
-		news.Entries, news.Change = s.view.Since(change)
-	}
-	news.Holdings, news.Holding = s.core.HoldingsSince(holding, mostHoldings)
-	return news
-}
-
 // Version returns the configuration's version in force, or 0.
 func (s *State) Version() uint64 {
 	s.mutex.Lock()
@@ -216,39 +163,6 @@
 	return s.view.Version()
 }
 
-// Document returns the configuration in force, encoded for peers, or nil. It is
-// encoded once a version, and only when a peer asks.
-func (s *State) Document() []byte {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.view.Index() == nil {
-		return nil
-	}
-	if s.documentVersion != s.view.Version() {
-		encoded, err := cbor.Marshal(s.view.Index().Configuration())
-		if err != nil {
-			s.log.Urgent(eventlog.Misconfigured, logrus.Fields{"version": s.view.Version(), "cause": err.Error()})
-			return nil
-		}
-		s.document, s.documentVersion = encoded, s.view.Version()
-	}
-	return s.document
-}
-
-// PeerLoads takes a peer's loads.
-func (s *State) PeerLoads(peer string, loads []dispatch.Load) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.core.PeerLoads(time.Now(), peer, loads)
-}
-
-// PeerHoldings takes prompt parts that a peer knows back ends to hold.
-func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.core.PeerHoldings(time.Now(), holdings)
-}
-
 // SetFleet notes how many gateways are live, and whether this one is among those
 // that read the store all the time.
 func (s *State) SetFleet(gateways int, reader bool) {
@@ -324,57 +238,3 @@
 const longestAge = time.Hour
 
 func (s *State) storeAge(now time.Time) time.Duration { return min(now.Sub(s.storeAt), longestAge) }
-
-// Gauges returns what the gateway knows at the moment, for metrics.
-func (s *State) Gauges() Gauges {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	gauges := Gauges{
-		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
-		Lag: s.lag, Gateways: s.gateways, LinesLeftOut: s.log.LeftOut(),
-	}
-	for _, service := range s.core.Services(now) {
-		gauges.Services = append(gauges.Services, ServiceGauges(service))
-	}
-	return gauges
-}
-
-// Status is a gateway's knowledge for operators.
-type Status struct {
-	// Ready and Draining are the gateway's own state.
-	Ready    bool `json:"ready"`
-	Draining bool `json:"draining"`
-	// Version is the configuration in force; 0 for none.
-	Version uint64 `json:"version"`
-	// BackEnds are those in service.
-	BackEnds []BackEndStatus `json:"back_ends"`
-}
-
-// BackEndStatus is what a gateway believes of one back end.
-type BackEndStatus struct {
-	ID       string  `json:"id"`
-	Service  string  `json:"service"`
-	Address  string  `json:"address"`
-	Zone     string  `json:"zone"`
-	Leaving  bool    `json:"leaving"`
-	Health   string  `json:"health"`
-	Own      int     `json:"own"`
-	Estimate float64 `json:"estimate"`
-}
-
-// Status returns the state of the moment.
-func (s *State) Status() Status {
-	ready := s.Ready()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	status := Status{Ready: ready, Draining: s.draining, Version: s.view.Version(), BackEnds: []BackEndStatus{}}
-	for _, belief := range s.core.Beliefs(time.Now()) {
-		status.BackEnds = append(status.BackEnds, BackEndStatus{
-			ID: belief.BackEnd.ID, Service: belief.BackEnd.Service, Address: belief.BackEnd.Address,
-			Zone: belief.BackEnd.Zone, Leaving: belief.BackEnd.Leaving, Health: belief.Health.String(),
-			Own: belief.Own, Estimate: belief.Estimate,
-		})
-	}
-	return status
-}
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -40,13 +39,6 @@
 	forgetAge = 5 * time.Minute
 	// meshSize is the number of gateways up to which all are connected.
 	meshSize = 10
-	// redialPause is the time between two tries at the same address.
-	redialPause = 700 * time.Millisecond
-	// seedPause is the time between two tries at the seeds of a gateway that has its
-	// neighbours, and seedPausePerPeer how much longer it is for each gateway known.
-	// The tries join fleets that came up apart; more of them load the seeds.
-	seedPause        = 5 * time.Second
-	seedPausePerPeer = 100 * time.Millisecond
 	// fewestReaders is the number of gateways that read and watch the store all the
 	// time; the others learn from them and read seldom. So the calls to the store
 	// don't grow with the fleet. More of them cost more calls, and make it less likely
@@ -231,97 +223,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// Dial returns the addresses to connect to now.
-func (b *Book) Dial(now time.Time) []string {
-	b.forget(now)
-	var wanted []string
-	for _, id := range b.neighbours() {
-		if peer := b.peers[id]; peer.links <= 0 && peer.address != "" {
-			wanted = append(wanted, peer.address)
-		}
-	}
-	if b.fewNeighbours() || now.Sub(b.seedsAt) >= seedPause+time.Duration(len(b.peers))*seedPausePerPeer {
-		b.seedsAt = now
-		wanted = append(wanted, b.unmetSeeds()...)
-	}
-	var due []string
-	for _, address := range wanted {
-		if now.Sub(b.dialed[address]) >= redialPause && !slices.Contains(due, address) {
-			b.dialed[address] = now
-			due = append(due, address)
-		}
-	}
-	return due
-}
-
-// fewNeighbours tells whether fewer than half of the neighbours are connected.
-func (b *Book) fewNeighbours() bool {
-	neighbours := b.neighbours()
-	linked := 0
-	for _, id := range neighbours {
-		if b.peers[id].links > 0 {
-			linked++
-		}
-	}
-	return linked == 0 || 2*linked < len(neighbours)
-}
-
-// Surplus tells whether a connection that this gateway opened to the peer is needed no
-// more: the peer is a seed and no neighbour, and the neighbours are there.
-func (b *Book) Surplus(peer string) bool {
-	return !b.fewNeighbours() && !slices.Contains(b.neighbours(), peer)
-}
-
-// unmetSeeds returns the seeds that no linked peer has as its address.
-func (b *Book) unmetSeeds() []string {
-	linked := map[string]bool{b.address: true}
-	for _, peer := range b.peers {
-		if peer.links > 0 {
-			linked[peer.address] = true
-		}
-	}
-	var unmet []string
-	for _, seed := range b.seeds {
-		if !linked[seed] {
-			unmet = append(unmet, seed)
-		}
-	}
-	return unmet
-}
-
-// neighbours returns the peers to be connected to: all of a few; of many those
-// at distances 1, 2, 4, ... on a ring in hash order. So news reaches every
-// gateway in a logarithmic number of steps, and a gateway's cost grows as
-// slowly.
-func (b *Book) neighbours() []string {
-	ring := b.ids()
-	if len(ring) < meshSize {
-		return ring
-	}
-	ring = append(ring, b.id)
-	slices.SortFunc(ring, func(a, c string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(c)) })
-	own := slices.Index(ring, b.id)
-	var chosen []string
-	for distance := 1; distance < len(ring); distance *= 2 {
-		chosen = append(chosen, ring[(own+distance)%len(ring)])
-	}
-	return chosen
-}
-
-// linksIn returns the number of connections that a gateway has in a fleet of so many:
-// those that it opens, and as many that others open to it.
-func linksIn(gateways int) int {
-	if gateways <= meshSize {
-		return gateways - 1
-	}
-	return 2 * bits.Len(uint(gateways-1))
-}
-
-func (b *Book) forget(now time.Time) {
-	for id, peer := range b.peers {
-		if peer.links <= 0 && now.Sub(peer.heardAt) > forgetAge {
-			delete(b.peers, id)
-		}
-	}
-}
--- /dev/null
+++ b/internal/relay/connect.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/hop"
+)
+
+const (
+	// silence is how long a connection may be without a message.
+	silence = 2 * time.Second
+	// dialTimeout and writeTimeout bound one step.
+	dialTimeout  = 600 * time.Millisecond
+	writeTimeout = time.Second
+)
+
+// connect opens the connections that the book wants.
+func (r *Relay) connect() {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		r.mutex.Lock()
+		due := r.book.Dial(time.Now())
+		live := r.book.Live(time.Now())
+		reader := r.book.IsReader(time.Now())
+		r.closeSurplus(time.Now())
+		r.mutex.Unlock()
+		r.config.State.SetFleet(live, reader)
+		for _, address := range due {
+			r.spawn(func() { r.dial(address) })
+		}
+		select {
+		case <-ticker.C:
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+// openedLink is a connection that this gateway opened.
+type openedLink struct {
+	at  time.Time
+	end context.CancelFunc
+}
+
+// surplusAge is how long a connection is kept that is needed no more: both sides have
+// told each other what they know by then.
+const surplusAge = 2 * time.Second
+
+// closeSurplus ends connections to seeds that aren't needed any more: else a fleet of
+// hundreds would hang on three gateways.
+func (r *Relay) closeSurplus(now time.Time) {
+	for peer, link := range r.opened {
+		if now.Sub(link.at) >= surplusAge && r.book.Surplus(peer) {
+			link.end()
+		}
+	}
+}
+
+func (r *Relay) dial(address string) {
+	ctx, cancel := context.WithTimeout(r.ctx, dialTimeout)
+	defer cancel()
+	header := http.Header{hop.HeaderNode: []string{r.config.ID}}
+	socket, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: r.client, HTTPHeader: header})
+	if err != nil {
+		return
+	}
+	peer := response.Header.Get(hop.HeaderNode)
+	linked, end := context.WithCancel(r.ctx)
+	defer end()
+	r.mutex.Lock()
+	r.opened[peer] = openedLink{at: time.Now(), end: end}
+	r.mutex.Unlock()
+	r.serve(linked, socket, peer)
+	r.mutex.Lock()
+	delete(r.opened, peer)
+	r.mutex.Unlock()
+}
+
+// ServeHTTP takes a connection from a peer.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != Path {
+		http.NotFound(w, request)
+		return
+	}
+	w.Header().Set(hop.HeaderNode, r.config.ID)
+	socket, err := websocket.Accept(w, request, nil)
+	if err != nil {
+		return
+	}
+	r.serve(r.ctx, socket, request.Header.Get(hop.HeaderNode))
+}
+
+// serve runs a connection until it ends or the context does.
+func (r *Relay) serve(ctx context.Context, socket *websocket.Conn, peer string) {
+	defer socket.CloseNow()
+	if peer == "" || peer == r.config.ID {
+		return
+	}
+	socket.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mutex.Lock()
+	r.book.LinkUp(peer)
+	r.mutex.Unlock()
+	r.config.Log.Urgent(eventlog.PeerRegained, logrus.Fields{"peer": peer})
+	opened := newLink(socket)
+	var writer conc.WaitGroup
+	writer.Go(func() { defer cancel(); r.write(ctx, opened) })
+	err := r.read(ctx, opened)
+	cancel()
+	_ = socket.CloseNow()
+	writer.Wait()
+	r.mutex.Lock()
+	r.book.LinkDown(peer)
+	r.mutex.Unlock()
+	r.config.Log.Urgent(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": err.Error()})
+}
--- /dev/null
+++ b/internal/relay/hear.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+const (
+	// askAgain is how long a question for a document may go without an answer.
+	askAgain = 400 * time.Millisecond
+)
+
+func (r *Relay) read(ctx context.Context, from *link) error {
+	for count := 0; ; count++ {
+		message, err := r.readOne(ctx, from.socket)
+		if err != nil {
+			return err
+		}
+		if count == 0 {
+			from.first <- message.Digest
+		}
+		from.note(message.Entries)
+		from.noteHoldings(message.Holdings)
+		r.take(message)
+		if message.Want {
+			from.give.Store(true)
+			from.wakeUp()
+		}
+		if r.shouldAsk(message.Version) {
+			from.ask.Store(true)
+			from.wakeUp()
+		}
+	}
+}
+
+// shouldAsk tells whether a document is newer than this gateway's, and nobody
+// was asked for it of late.
+func (r *Relay) shouldAsk(version uint64) bool {
+	if version <= r.config.State.Version() {
+		return false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	if version <= r.askedVersion && now.Sub(r.askedAt) < askAgain {
+		return false
+	}
+	r.askedVersion = version
+	r.askedAt = now
+	return true
+}
+
+func (r *Relay) readOne(ctx context.Context, socket *websocket.Conn) (Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, silence)
+	defer cancel()
+	_, raw, err := socket.Read(ctx)
+	if err != nil {
+		return Message{}, err
+	}
+	r.config.Metrics.Counter("relay_bytes_received").Inc(int64(len(raw)))
+	return decode(raw)
+}
+
+func (r *Relay) take(message Message) {
+	now := time.Now()
+	r.mutex.Lock()
+	r.book.Heard(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis}, message.Peers)
+	r.mutex.Unlock()
+	if message.Document != nil && message.Version > r.config.State.Version() {
+		r.takeDocument(message)
+	}
+	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
+	r.config.State.PeerLoads(message.From, message.Loads)
+	r.config.State.PeerHoldings(message.Holdings)
+}
+
+func (r *Relay) takeDocument(message Message) {
+	var configuration catalog.Configuration
+	if err := cbor.Unmarshal(message.Document, &configuration); err != nil {
+		r.config.Log.Urgent(eventlog.Misconfigured, logrus.Fields{"version": message.Version, "source": message.From, "cause": err.Error()})
+		return
+	}
+	r.config.State.OfferConfiguration(&configuration, gateway.SourcePeer)
+}
--- /dev/null
+++ b/internal/relay/message.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// Message is what a gateway tells a peer.
+type Message struct {
+	// From and Address name the sender and its listener for peers.
+	From    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	// Peers are the live gateways that the sender knows.
+	Peers []Peer `cbor:"3,keyasint,omitempty"`
+	// Version is the sender's configuration. A receiver with an older one asks for
+	// the document with Want; so it crosses one link, not every one.
+	Version  uint64          `cbor:"4,keyasint"`
+	Document cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	Want     bool            `cbor:"9,keyasint,omitempty"`
+	// Entries are the back ends that changed since the last message.
+	Entries []catalog.Entry `cbor:"6,keyasint,omitempty"`
+	// Loads are the sender's requests under way.
+	Loads []dispatch.Load `cbor:"7,keyasint,omitempty"`
+	// StoreAgeMillis is how long ago the store last answered the sender.
+	StoreAgeMillis int64 `cbor:"8,keyasint"`
+	// Holdings are prompt parts that back ends hold, as far as it is news.
+	Holdings []dispatch.Holdings `cbor:"10,keyasint,omitempty"`
+	// Digest sums up the back ends that the sender knows; it stands in the first
+	// message on a connection alone, which has no entries.
+	Digest catalog.Digest `cbor:"11,keyasint,omitempty"`
+}
+
+const (
+	// period is the time between two messages on a connection; a change is told
+	// at once. It stretches beyond quickGateways gateways, where a few neighbours'
+	// loads tell little and back ends' own reports count, to longestPeriod.
+	period        = 200 * time.Millisecond
+	quickGateways = 30
+	longestPeriod = time.Second
+	// maxMessageBytes bounds a message: a configuration and all back ends.
+	maxMessageBytes = 16 << 20
+	// holdingsPerSecond bounds the holdings that a gateway tells all of its
+	// neighbours together, at about 12 bytes each: a part of the 16 KB a second that
+	// control may cost. Beyond quickGateways, where more links share the bytes, it
+	// falls with their number; leastHoldings is told in each message all the same.
+	holdingsPerSecond = 500
+	leastHoldings     = 4
+	// peersPeriod is the time between two messages with the peers that read the store;
+	// every othersEvery of them names some others too.
+	peersPeriod = time.Second
+	othersEvery = 3
+)
+
+// decode parses a peer's message.
+func decode(raw []byte) (Message, error) {
+	var message Message
+	err := cbor.Unmarshal(raw, &message)
+	return message, err
+}
+
+// periodFor returns the time between two messages in a fleet of so many gateways.
+func periodFor(gateways int) time.Duration {
+	stretched := period * time.Duration(gateways) / quickGateways
+	return max(period, min(stretched, longestPeriod))
+}
+
+// holdingsPerMessage returns how many holdings a message may tell in a fleet of so
+// many gateways.
+func holdingsPerMessage(gateways int) int {
+	messages := float64(linksIn(gateways)) / periodFor(gateways).Seconds()
+	perSecond := holdingsPerSecond * min(1, quickGateways/float64(gateways))
+	return max(leastHoldings, int(perSecond/max(1, messages)))
+}
+
+func (r *Relay) message(news gateway.News, count int) Message {
+	message := Message{
+		From:    r.config.ID,
+		Address: r.config.Address,
+		Version: news.Version,
+		Entries: news.Entries,
+		Loads:   news.Loads,
+
+		Holdings:       news.Holdings,
+		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
+	}
+	gateways, _ := r.config.State.Fleet()
+	due := max(1, int(peersPeriod/periodFor(gateways)))
+	if count%due == 0 {
+		r.mutex.Lock()
+		if count%(due*othersEvery) == 0 {
+			message.Peers = r.book.Known(time.Now())
+		} else {
+			message.Peers = r.book.Readers(time.Now())
+		}
+		r.mutex.Unlock()
+	}
+	return message
+}
