Gateways name some of all peers every second again

Cause, found by reading: since peers other than the store's readers stood in every third list only, a gateway hears of each other one too seldom.

--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -34,7 +34,7 @@
 	liveAge        = 6 * time.Second
 	liveAgePerPeer = 50 * time.Millisecond
 	// maxTold bounds the peers in one message; the next one goes on from there.
-	maxTold = 14
+	maxTold = 16
 	// forgetAge is how long its address is kept.
 	forgetAge = 5 * time.Minute
 	// meshSize is the number of gateways up to which all are connected.
@@ -179,23 +179,17 @@
 	return now.Sub(peer.heardAt) <= liveAge+time.Duration(len(b.peers))*liveAgePerPeer
 }
 
-// Readers returns the live peers that read the store, on which all gateways must
-// agree, for a message.
-func (b *Book) Readers(now time.Time) []Peer {
-	var list []Peer
-	for _, id := range b.reading(now) {
-		list = append(list, b.tell(now, id))
-	}
-	return list
-}
-
-// Known returns the peers that read the store and some of the other live ones for a
-// message, so that calls one after another go through all of them.
+// Known returns some of the live peers for a message: those that read the store,
+// which all gateways must agree on, and some of the others, so that calls one after
+// another go through all of them.
 func (b *Book) Known(now time.Time) []Peer {
 	ids := b.ids()
 	first, _ := slices.BinarySearch(ids, b.toldUpTo+"\x00")
 	reading := b.reading(now)
-	list := b.Readers(now)
+	var list []Peer
+	for _, id := range reading {
+		list = append(list, b.tell(now, id))
+	}
 	for i := 0; i < len(ids) && len(list) < maxTold; i++ {
 		id := ids[(first+i)%len(ids)]
 		if !b.isLive(now, b.peers[id]) || slices.Contains(reading, id) {
--- a/internal/relay/book_test.go
+++ b/internal/relay/book_test.go
@@ -172,3 +172,41 @@
 	}
 	is.True(tries >= 2 && tries <= 5) // fleets that came up apart still meet
 }
+
+// Every gateway of a large fleet counts nearly all others as live, from what a few
+// neighbours tell in turn: shares of budgets follow from the count, and keep four tenths
+// for errors.
+func TestLargeFleetsCountTheirGateways(t *testing.T) {
+	for _, gateways := range []int{30, 150} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			is := is.New(t)
+			books := fleet(gateways, all)
+			neighbours := make([][]int, gateways)
+			for i, book := range books {
+				for _, id := range book.neighbours() {
+					for j := range books {
+						if name(j) == id {
+							neighbours[i] = append(neighbours[i], j)
+							neighbours[j] = append(neighbours[j], i)
+						}
+					}
+				}
+			}
+			now := start
+			for count := 0; now.Sub(start) < 40*time.Second; count++ {
+				now = now.Add(periodFor(gateways))
+				for i, book := range books {
+					for _, j := range neighbours[i] {
+						books[j].Heard(now, Peer{ID: name(i), Address: address(i)}, toldPeers(book, now, gateways, count))
+					}
+				}
+			}
+			fewest := gateways
+			for _, book := range books {
+				fewest = min(fewest, book.Live(now))
+			}
+			t.Logf("%d counted as live at the least", fewest)
+			is.True(fewest >= gateways*9/10)
+		})
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -50,10 +50,8 @@
 	// falls with their number; leastHoldings is told in each message all the same.
 	holdingsPerSecond = 500
 	leastHoldings     = 4
-	// peersPeriod is the time between two messages with the peers that read the store;
-	// every othersEvery of them names some others too.
+	// peersPeriod is the time between two messages with some of the peers.
 	peersPeriod = time.Second
-	othersEvery = 3
 )
 
 // decode parses a peer's message.
@@ -89,15 +87,16 @@
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways, _ := r.config.State.Fleet()
-	due := max(1, int(peersPeriod/periodFor(gateways)))
-	if count%due == 0 {
-		r.mutex.Lock()
-		if count%(due*othersEvery) == 0 {
-			message.Peers = r.book.Known(time.Now())
-		} else {
-			message.Peers = r.book.Readers(time.Now())
-		}
-		r.mutex.Unlock()
-	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	message.Peers = toldPeers(r.book, time.Now(), gateways, count)
 	return message
 }
+
+// toldPeers returns the peers for the message with the number on a connection.
+func toldPeers(book *Book, now time.Time, gateways, count int) []Peer {
+	if count%max(1, int(peersPeriod/periodFor(gateways))) != 0 {
+		return nil
+	}
+	return book.Known(now)
+}
