--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -43,10 +43,10 @@
 // there are fewer places than gateways that may want one before they hear of each
 // other, each takes its share of them by lot. The lot is a hash of the request.
 func (c *Core) winsRoom(now time.Time, x *Exchange, m *member, bound float64) bool {
-	room := bound - c.cautiousEstimate(now, m)
 	if c.config.Disabled[LoadBound] {
 		return true
 	}
+	room := bound - c.cautiousEstimate(now, m)
 	if room < 1 {
 		return false
 	}
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -25,21 +25,26 @@
 // greet sends the first message, waits for the peer's, and tells it the back ends that
 // it may lack. It returns the number of changes to go on from.
 func (r *Relay) greet(ctx context.Context, to *link) (change uint64, ok bool) {
-	greeting := r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, 0)
+	greeting := r.firstMessage()
 	greeting.Digest = r.digestToTell(ctx)
 	if err := r.writeOne(ctx, to.socket, greeting); err != nil {
 		return 0, false
 	}
 	select {
 	case digest := <-to.first:
-		entries, change := r.config.State.Differing(digest)
-		lacking := r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge(), Entries: entries}, 1)
+		lacking := r.firstMessage()
+		lacking.Entries, change = r.config.State.Differing(digest)
 		return change, r.writeOne(ctx, to.socket, lacking) == nil
 	case <-ctx.Done():
 		return 0, false
 	}
 }
 
+// firstMessage returns a message without news, as the first ones on a connection are.
+func (r *Relay) firstMessage() Message {
+	return r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, 0)
+}
+
 // digestToTell returns what this gateway knows. One that has just started tells one peer
 // at once that it knows nothing; the others only when it still has no list a while
 // later: else each of them would tell it all that the store is telling it meanwhile.
