A third list takes its turn among two plain reads a period; watches wait for 20 s

Change: a gateway makes two plain reads a period however many lists it follows, so each of three lists is read half as long again apart (1.35 s over the fleet of four readers, 0.9 s before); watches wait for 20 s. A list of thousands of back ends is read seldom, but no longer holds up the two short ones with it (15 s over a fleet of 300).

Tried and not kept: one read of the shortest list a period, the others only when the store's revision has moved. Ruled out: a revision that rises by itself (48 throughout, logged calls). Read at the pace that keeps readers alive, it saves bytes and no call.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -48,8 +48,8 @@
 	Source Source
 	// State takes the news.
 	State *gateway.State
-	// ReadPeriod is the time between two plain reads of each list by any of the
-	// readers. The longer it is, the longer a change may go unnoticed while a watch
+	// ReadPeriod is the time between two plain reads of each of two lists by any of the
+	// readers; of three it is half as long again. The longer it is, the longer a change may go unnoticed while a watch
 	// hears nothing; each read is a call to the store.
 	ReadPeriod time.Duration
 	// Evacuations is true where operators may evacuate zones.
@@ -63,8 +63,9 @@
 	// callTimeout bounds a plain call.
 	callTimeout = 1200 * time.Millisecond
 	// watchTime is how long a watch waits for a change; watchGrace is how much
-	// longer its answer may take.
-	watchTime  = 10 * time.Second
+	// longer its answer may take. A longer watch costs fewer calls, and one whose
+	// connection has gone silent goes unnoticed for longer: plain reads tell meanwhile.
+	watchTime  = 20 * time.Second
 	watchGrace = 2 * time.Second
 	// settleTime is how long after its start a gateway doesn't watch: by then it
 	// knows its peers, and whether it is one of those that do. Until then its plain
@@ -84,6 +85,10 @@
 	// that told of a change waits for further ones: each answer is a call, and back
 	// ends come and go in series. The first change of a series is told at once.
 	gatherPart = 6
+	// readsPerPeriod is how many plain reads a gateway makes in a period, however many
+	// lists there are: others take one that the store doesn't answer for lost by the age
+	// of its last answer.
+	readsPerPeriod = 2
 	// entriesPerPeriod is the length of a list of back ends for which a gateway
 	// reads once a period; a list twice as long is read half as often.
 	entriesPerPeriod = 100
@@ -108,7 +113,7 @@
 	// once. An entry that is seconds old is safe: every send names the incarnation that it
 	// is meant for, and peers and the next read tell what is newer. What callers may do
 	// stands in the configuration, which is read fresh.
-	backEnds := list{name: "back_ends", firstMayBeOld: true, read: f.readBackEnds, watch: f.watchBackEnds}
+	backEnds := list{name: "back_ends", firstMayBeOld: true, isLong: true, read: f.readBackEnds, watch: f.watchBackEnds}
 	lists := []list{configuration, backEnds}
 	if config.Evacuations {
 		lists = append(lists, list{name: "evacuations", read: f.readEvacuations, watch: f.watchEvacuations})
@@ -131,6 +136,8 @@
 	name string
 	// firstMayBeOld lets a gateway that has just started read what may be old.
 	firstMayBeOld bool
+	// isLong is set for the list that is read less often the longer it is.
+	isLong bool
 	// read makes a plain call and returns the revision that it saw.
 	read func(ctx context.Context, stale bool) (uint64, error)
 	// watch waits for changes after a revision and returns the one to go on from.
@@ -200,14 +207,21 @@
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
 // also shows that the store can be reached. A gateway that has just started reads
-// both at once: callers wait for it.
+// all at once: callers wait for it.
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
+	var longReadAt time.Time
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := lists[turn%len(lists)]
 		first := turn < len(lists)
+		if next.isLong {
+			if !first && time.Since(longReadAt) < f.longPeriod() {
+				continue
+			}
+			longReadAt = time.Now()
+		}
 		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
-		wait := jitter(f.readPeriod() / time.Duration(len(lists)))
+		wait := jitter(f.readPeriod() / readsPerPeriod)
 		if err != nil {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
@@ -233,7 +247,7 @@
 	return revision, err
 }
 
-// readPeriod is the time to the next plain read. Readers share the work: what one
+// readPeriod is the time in which readsPerPeriod plain reads are made. Readers share the work: what one
 // of them reads, the others hear at once. A gateway that isn't a reader stretches
 // it with the size of the fleet, so that all together make about as many calls as
 // a few.
@@ -243,12 +257,15 @@
 	if reader {
 		period = f.config.ReadPeriod * time.Duration(min(gateways, sharedReads))
 	}
-	// A long list is read less often: its watch carries the changes, and a read
-	// costs in proportion to its length.
-	period *= time.Duration(max(1, f.entries.Load()/entriesPerPeriod))
 	return min(period, longestStretch)
 }
 
+// longPeriod is the least time between two plain reads of the list of back ends: its watch
+// carries the changes, and a read costs in proportion to its length.
+func (f *Follower) longPeriod() time.Duration {
+	return min(f.readPeriod()*time.Duration(f.entries.Load()/entriesPerPeriod), longestStretch)
+}
+
 // watchLoop watches from the revision of a plain read, and reads anew whenever
 // the watch fails.
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -30,6 +30,10 @@
 	configurationReads atomic.Int64
 	staleReads         atomic.Int64
 	watches            atomic.Int64
+	// evacuations is set where zones may be evacuated, and evacuationReads counts the
+	// reads of these.
+	evacuations     bool
+	evacuationReads atomic.Int64
 	// changePeriod is the time between two changes of the back ends, or 0 for none.
 	changePeriod time.Duration
 }
@@ -87,6 +91,7 @@
 }
 
 func (s *source) Evacuations(context.Context, bool) ([]catalog.Evacuation, uint64, error) {
+	s.evacuationReads.Add(1)
 	return nil, s.at(), nil
 }
 
@@ -109,7 +114,7 @@
 		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 		state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
 		state.SetFleet(gateways, reader, dispatch.Fleet{})
-		f := Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, Log: log, Metrics: tally.NoopScope})
+		f := Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, Evacuations: s.evacuations, Log: log, Metrics: tally.NoopScope})
 		test(state)
 		f.Close()
 		log.Close()
@@ -130,6 +135,31 @@
 	is.True(count(3000, 300, true) < alone/8)
 }
 
+// Two plain reads a period show others that the store answers; a third list takes its turn
+// among them.
+func TestThirdListCostsNoFurtherReads(t *testing.T) {
+	is := is.New(t)
+	count := func(evacuations bool) (all, third int64) {
+		s := &source{backEnds: 3, evacuations: evacuations}
+		follow(t, s, 4, true, func(*gateway.State) { time.Sleep(10 * time.Minute) })
+		third = s.evacuationReads.Load()
+		return s.reads.Load() + s.configurationReads.Load() + third, third
+	}
+	two, _ := count(false)
+	three, third := count(true)
+	is.True(float64(three) < 1.1*float64(two)) // the watch on it reads now and then
+	is.True(third > three/4)
+}
+
+// A list of thousands of back ends is read seldom, and doesn't keep the others waiting.
+func TestLongListDoesNotDelayTheOthers(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3000}
+	follow(t, s, 300, true, func(*gateway.State) { time.Sleep(10 * time.Minute) })
+	is.True(s.configurationReads.Load() > 400) // every 1.2 s
+	is.True(s.reads.Load() < 60)
+}
+
 // A gateway that learns from its peers reads what may be old, once it is ready; a
 // reader does so once, for the list of back ends at its start.
 func TestOnlyGatewaysThatAreNoReadersReadStale(t *testing.T) {
