Readers of the store aren't taken for lost between two words

Cause: in a fleet of 23, gateways that only hear of readers took one for lost now and then, read all lists and watched: six calls each time. A plain read came up to a quarter late (2.25 s), a message took half a second, and 2.23 s make a reader lost. Nine of 23 that start together watched as well, since 0.7 s is too early to know who does.

Change: plain reads are spread between four fifths of their time and all of it; the next message after one without news comes after 400 ms (500); beyond ten gateways the first watch waits for 1.5 s.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -71,6 +71,11 @@
 	// knows its peers, and whether it is one of those that do. Until then its plain
 	// reads follow the store.
 	settleTime = 700 * time.Millisecond
+	// manyGateways is the number of gateways above which a gateway that has just started
+	// needs moreSettleTime to hear of those that watch: else nine of 23 that start together
+	// read all lists and watch, where four are enough.
+	manyGateways   = 10
+	moreSettleTime = 800 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -221,7 +226,7 @@
 			longReadAt = time.Now()
 		}
 		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
-		wait := jitter(f.readPeriod() / readsPerPeriod)
+		wait := readPause(f.readPeriod() / readsPerPeriod)
 		if err != nil {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
@@ -271,6 +276,9 @@
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
 	pause := firstPause
 	sleep(ctx, settleTime)
+	if gateways, _ := f.config.State.Fleet(); gateways > manyGateways {
+		sleep(ctx, moreSettleTime)
+	}
 	for ctx.Err() == nil {
 		if !f.isReader() {
 			sleep(ctx, jitter(f.config.ReadPeriod))
@@ -318,6 +326,12 @@
 	}
 }
 
+// readPause spreads plain reads without ever making one later than is due: others take a
+// reader for lost when its last answer is older than a read and a message take.
+func readPause(due time.Duration) time.Duration {
+	return due*4/5 + time.Duration(rand.Int64N(int64(due)/5+1))
+}
+
 // jitter spreads calls of many gateways.
 func jitter(wait time.Duration) time.Duration {
 	return wait*3/4 + time.Duration(rand.Int64N(int64(wait)/2+1))
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -222,3 +222,25 @@
 	})
 	is.True(s.reads.Load() < 60*4) // a store that is away isn't hammered
 }
+
+// In a fleet of many, a gateway that has just started doesn't watch before it can have
+// heard of those that do.
+func TestStartedGatewayOfManyWatchesLater(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 23, true, func(*gateway.State) {
+		time.Sleep(settleTime + moreSettleTime/2)
+		is.Equal(s.watches.Load(), int64(0))
+		time.Sleep(moreSettleTime)
+		is.True(s.watches.Load() > 0)
+	})
+}
+
+// Others take a reader for lost by the age of its last answer: a read isn't later than due.
+func TestPlainReadsAreNeverLate(t *testing.T) {
+	is := is.New(t)
+	for range 1000 {
+		wait := readPause(time.Second)
+		is.True(wait >= 800*time.Millisecond && wait <= time.Second)
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -56,7 +56,7 @@
 	// and the word on how long ago the store answered the sender, by which others find that
 	// they must read it themselves. At 23 gateways at rest, messages each 200 ms took two
 	// fifths of the processor time (BenchmarkFleetAtRest, profile).
-	restPeriod = 500 * time.Millisecond
+	restPeriod = 400 * time.Millisecond
 	// maxMessageBytes bounds a message: a configuration and all back ends.
 	maxMessageBytes = 16 << 20
 	// holdingsPerSecond bounds the holdings that a gateway tells all of its
