Connections that fall silent without a reset: kept ones to back ends are given up together

Cause: a connection may fall silent for good while new ones work. To back ends a request that may repeat waits out its patience on a kept connection and is then tried on another one that is as dead: TestKeptConnectionsToBackEndsFallSilent got 504 after two attempts.

Change: after a request on kept connections expired, all that rest are closed, at most once in 3 s, the time for which one is kept; the next attempt goes on a new one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,9 @@
 	}
 	notSent := hop.NothingSent(cause)
 	passed := !time.Now().Before(c.deadline)
+	if (expired || passed) && !notSent && c.route.MayRepeat() {
+		h.giveUpKept()
+	}
 	next := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		switch {
 		case notSent:
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,7 +26,7 @@
 	// Reused carries requests that may repeat, on kept connections; Fresh carries
 	// the others, each on a connection of its own: a kept one may be closed by the
 	// back end while a request is on its way, and the outcome is then unknown.
-	Reused http.RoundTripper
+	Reused Transport
 	Fresh  http.RoundTripper
 	// MaxBodyBytes bounds a body where the configuration doesn't.
 	MaxBodyBytes int64
@@ -36,14 +37,38 @@
 	Disabled dispatch.Disabled
 }
 
+// Transport carries requests on connections that it keeps.
+type Transport interface {
+	http.RoundTripper
+	// CloseIdleConnections closes those that carry no request.
+	CloseIdleConnections()
+}
+
 // Handler serves callers.
 type Handler struct {
 	config Config
+	// keptAnew is when the kept connections were last given up, in nanoseconds since 1970.
+	keptAnew atomic.Int64
 }
 
 // NewHandler returns a handler.
 func NewHandler(config Config) *Handler { return &Handler{config: config} }
 
+// keptAnewPause is the least time between two times that kept connections are given up: a
+// back end that has gone silent lets many requests expire, and says nothing of the others'
+// connections.
+const keptAnewPause = 3 * time.Second
+
+// giveUpKept closes the kept connections after a request on one of them got no answer in
+// time: all may have fallen silent without a reset, and each would cost a further attempt.
+func (h *Handler) giveUpKept() {
+	now, before := time.Now().UnixNano(), h.keptAnew.Load()
+	if now-before < int64(keptAnewPause) || !h.keptAnew.CompareAndSwap(before, now) {
+		return
+	}
+	h.config.Reused.CloseIdleConnections()
+}
+
 // call is one caller's request.
 type call struct {
 	request  *http.Request
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -14,11 +14,13 @@
 type Network struct {
 	mutex     sync.Mutex
 	listeners map[string]*pipeListener
+	// open are the connections, which Silence ends without a word.
+	open map[*pipeConn]bool
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{listeners: map[string]*pipeListener{}}
+	return &Network{listeners: map[string]*pipeListener{}, open: map[*pipeConn]bool{}}
 }
 
 // Listen opens an address.
@@ -41,7 +43,7 @@
 	if listener == nil {
 		return nil, errors.Errorf("nobody listens on %s", address)
 	}
-	client, server := net.Pipe()
+	client, server := n.pipe()
 	select {
 	case listener.conns <- server:
 		return client, nil
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -23,8 +23,10 @@
 	// held counts the faults that hold up all bytes, deaf those that hold up the
 	// target's, and refused those that end every connection.
 	held, deaf, refused int
-	changed             chan struct{}
-	open                map[net.Conn]bool
+	// accepted counts the connections, of which the first silent ones carry nothing more.
+	accepted, silent int
+	changed          chan struct{}
+	open             map[net.Conn]bool
 }
 
 func newLink(environment Environment, listener net.Listener, target string) *link {
@@ -57,6 +59,13 @@
 	}
 }
 
+// silence makes the connections of the moment silent for good, without a reset.
+func (l *link) silence() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.silent = l.accepted
+}
+
 // reset ends all connections.
 func (l *link) reset() {
 	l.mutex.Lock()
@@ -81,6 +90,7 @@
 	if !l.note(near, true) {
 		return
 	}
+	number := l.count()
 	defer l.note(near, false)
 	far, err := l.dial(l.ctx, "tcp", l.target)
 	if err != nil {
@@ -91,14 +101,22 @@
 	defer l.note(far, false)
 	var back conc.WaitGroup
 	back.Go(func() {
-		l.copy(near, far, func() bool { return l.held == 0 && l.deaf == 0 })
+		l.copy(near, far, func() bool { return l.held == 0 && l.deaf == 0 && number > l.silent })
 		_ = near.Close()
 	})
-	l.copy(far, near, func() bool { return l.held == 0 })
+	l.copy(far, near, func() bool { return l.held == 0 && number > l.silent })
 	_ = far.Close()
 	back.Wait()
 }
 
+// count returns the number of a new connection.
+func (l *link) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.accepted++
+	return l.accepted
+}
+
 // note adds or removes a connection; it is false when connections are refused.
 func (l *link) note(conn net.Conn, added bool) bool {
 	l.mutex.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -35,6 +35,9 @@
 	StoreSlow    Kind = "store_slow"
 	StoreForgets Kind = "store_forgets"
 	StoreLapses  Kind = "store_lapses"
+	// SilentConnections lets the connections of the moment to the store and to all back
+	// ends go silent for good, without a reset, while new ones work.
+	SilentConnections Kind = "silent_connections"
 	// CrashBackEnd ends a back end and all its connections; another incarnation
 	// comes at the same address. DarkBackEnd holds up all its bytes.
 	CrashBackEnd Kind = "crash_back_end"
@@ -60,7 +63,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, DeafStore,
-		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
+		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
 		LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll, EvacuateZone, ChangeRoute, RevokeKey,
 	}
 }
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -51,6 +51,8 @@
 		f.hurtStore(func(s *store) *int { return &s.slow }, wait)
 	case StoreForgets:
 		f.hurtStore(nil, f.store.forget)
+	case SilentConnections:
+		f.silence()
 	case EvacuateZone:
 		f.evacuate(ctx, zones[fault.Target%len(zones)], wait)
 	case CrashBackEnd, DarkBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll:
@@ -116,6 +118,22 @@
 	f.store.misbehave(count, -1)
 }
 
+// silence lets all connections go silent. What it disturbs is over once each has been
+// noticed.
+func (f *fleet) silence() {
+	places := []string{everywhere}
+	for _, b := range f.backEnds {
+		places = append(places, b.name)
+		b.link.silence()
+	}
+	for _, g := range f.gateways {
+		g.storeLink.silence()
+	}
+	for _, place := range places {
+		f.check.trouble(place)()
+	}
+}
+
 // lapse drops all back ends from the list and lists them again.
 func (f *fleet) lapse(ctx context.Context) {
 	over := f.check.trouble(everywhere)
