--- /dev/null
+++ b/internal/architecture/imports_test.go
@@ -0,0 +1,131 @@
+package architecture
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// part is a part of the product.
+type part string
+
+// The parts of the product. Each may import itself and those that mayImport names.
+const (
+	gateways   part = "gateways"
+	routers    part = "routers and agents"
+	shared     part = "shared"
+	laboratory part = "laboratory"
+	programs   part = "programs"
+)
+
+// mayImport names what a part may import beside itself. Neither fleet imports the other.
+var mayImport = map[part][]part{
+	gateways:   {shared},
+	routers:    {shared},
+	shared:     {},
+	laboratory: {gateways, routers, shared, programs},
+	programs:   {gateways, routers, shared, laboratory},
+}
+
+// partOf is the part that a package under internal belongs to.
+var partOf = map[string]part{
+	"catalog": gateways, "dispatch": gateways, "collect": gateways, "relay": gateways, "follower": gateways, "gateway": gateways,
+
+	"router": routers, "agent": routers, "coordination": routers, "admission": routers, "bundle": routers,
+	"membership": routers, "peering": routers, "objectstore": routers,
+
+	"failure": shared, "hop": shared, "limits": shared, "routing": shared, "eventlog": shared, "eventstream": shared,
+	"draining": shared, "settings": shared, "slo": shared, "telemetry": shared, "tomlfile": shared,
+
+	"soak": laboratory, "simulation": laboratory, "standin": laboratory, "loadgen": laboratory, "demo": laboratory,
+	"explain": laboratory, "pipenet": laboratory, "fixedseed": laboratory,
+
+	"daemon": programs, "cli": programs, "architecture": programs,
+}
+
+// exceptions are imports against the rule that are known, each with what it is for. A new
+// one is a reason to look for the right home of what is imported.
+var exceptions = map[string]string{
+	"hop imports admission":         "headers of the hop between routers and agents",
+	"hop imports membership":        "the same",
+	"settings imports coordination": "limits of the settings of routers and agents",
+	"settings imports membership":   "the same",
+	"settings imports dispatch":     "names of the mechanisms that a gateway can switch off",
+}
+
+const (
+	module = "github.com/harriernotch/harriernotch/internal/"
+	root   = ".."
+)
+
+func TestNeitherFleetImportsTheOther(t *testing.T) {
+	is := is.New(t)
+	unused := map[string]bool{}
+	for each := range exceptions {
+		unused[each] = true
+	}
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		from := strings.Split(filepath.ToSlash(path), "/")[1]
+		for _, imported := range file.Imports {
+			to, isOurs := packageOf(imported.Path.Value)
+			if !isOurs || isAllowed(from, to) {
+				continue
+			}
+			what := from + " imports " + to
+			delete(unused, what)
+			if exceptions[what] == "" {
+				t.Errorf("%s: %s, which belongs to the %s", path, what, partOf[to])
+			}
+		}
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(len(unused), 0) // an exception that isn't needed any more is taken out
+}
+
+// packageOf returns the package under internal that an import names.
+func packageOf(quoted string) (name string, isOurs bool) {
+	path, err := strconv.Unquote(quoted)
+	if err != nil {
+		return "", false
+	}
+	rest, isOurs := strings.CutPrefix(path, module)
+	name, _, _ = strings.Cut(rest, "/")
+	return name, isOurs
+}
+
+func isAllowed(from, to string) bool {
+	if partOf[from] == partOf[to] {
+		return true
+	}
+	for _, each := range mayImport[partOf[from]] {
+		if each == partOf[to] {
+			return true
+		}
+	}
+	return false
+}
+
+func TestEveryPackageHasAPart(t *testing.T) {
+	is := is.New(t)
+	entries, err := os.ReadDir(root)
+	is.NoErr(err)
+	for _, entry := range entries {
+		if entry.IsDir() && partOf[entry.Name()] == "" {
+			t.Errorf("internal/%s belongs to no part; name it in partOf and in docs/design/packages.md", entry.Name())
+		}
+	}
+}
