The countdown of a warm-up isn't passed on between gateways

Cause: a back end that warms up writes a new entry with each heartbeat, three or four for each start, and each was told on every connection between gateways (9 to 18 of each gateway's). With the time left in the entry it became news as well. Change: an entry that differs in that time alone, and tells less of it, is kept and not passed on; the digest of a new connection sums what may differ without it. A warm-up that begins anew is told. Test: TestCountdownOfAWarmUpIsNotPassedOn. Conclusion: gateways may take a back end for cold up to its whole warm-up after they first heard of it.

--- a/internal/catalog/digest.go
+++ b/internal/catalog/digest.go
@@ -1,10 +1,6 @@
 package catalog
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Digest sums up the back ends that a view knows to be in service, so that two
 // gateways find out what one of them lacks without telling each other everything. It
@@ -19,15 +15,14 @@
 
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % digestBuckets) }
 
-// sumOf is an entry's part in its bucket's sum.
+// sumOf is an entry's part in its bucket's sum: what may change while it is listed, but for
+// its warm-up, which ends by itself.
 func sumOf(entry Entry) uint32 {
-	var revision [8]byte
-	binary.LittleEndian.PutUint64(revision[:], entry.Revision)
-	hash := xxhash.New()
-	// A hash takes all that is written to it.
-	_, _ = hash.WriteString(entry.BackEnd.ID)
-	_, _ = hash.Write(revision[:])
-	return uint32(hash.Sum64())
+	sum := xxhash.Sum64String(entry.BackEnd.ID)
+	if entry.BackEnd.Leaving {
+		sum = ^sum
+	}
+	return uint32(sum)
 }
 
 // Digest returns the sums of the moment.
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -24,6 +24,8 @@
 	return e
 }
 
+func (Evacuation) goesWithoutSaying(Evacuation) bool { return false }
+
 // OfferEvacuations takes changes from a watch or a peer and returns those that were
 // news.
 func (v *View) OfferEvacuations(evacuations []Evacuation) []Evacuation {
--- a/internal/catalog/ledger.go
+++ b/internal/catalog/ledger.go
@@ -17,6 +17,9 @@
 	removedAt(revision uint64) R
 	// at returns the same said of another revision.
 	at(revision uint64) R
+	// goesWithoutSaying tells whether who knows the other, older record will find out by
+	// itself what this one says.
+	goesWithoutSaying(known R) bool
 }
 
 // maxTombstones bounds the memory for objects that are gone.
@@ -84,8 +87,10 @@
 	// The revision is kept even where nothing else changed: a record between the two
 	// revisions may still arrive, and must not count as newer.
 	l.records[key] = offered
-	l.changes++
-	l.changeOf[key] = l.changes
+	if !exists || !offered.goesWithoutSaying(known) {
+		l.changes++
+		l.changeOf[key] = l.changes
+	}
 	if offered.removed() && !(exists && known.removed()) {
 		l.order = append(l.order, key)
 	}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -44,6 +44,17 @@
 	return e
 }
 
+// goesWithoutSaying is true for the countdown of a warm-up: a back end that starts writes a
+// new entry with each heartbeat until it is warm, and each would cross every connection
+// between gateways.
+func (e Entry) goesWithoutSaying(known Entry) bool {
+	if e.BackEnd.WarmUp >= known.BackEnd.WarmUp {
+		return false
+	}
+	known.BackEnd.WarmUp = e.BackEnd.WarmUp
+	return e.at(0) == known.at(0)
+}
+
 // View is a gateway's knowledge. Whatever the order in which news arrives, it
 // ends with the newest: a configuration is replaced only by a higher version, an
 // entry or an order only by a higher revision. So neither a stale read nor a peer
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -136,3 +136,30 @@
 	is.NoErr((&Configuration{Version: 1, Routes: []Route{good}}).Check())
 	is.True((&Configuration{}).Check() != nil)
 }
+
+// Peers aren't told how a warm-up goes on, since each knows when it ends; that it begins
+// anew, they are.
+func TestCountdownOfAWarmUpIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	cold := func(left time.Duration, revision uint64) []Entry {
+		each := entry("a", revision)
+		each.BackEnd.WarmUp = left
+		return []Entry{each}
+	}
+	toldAfter := func(entries []Entry) int {
+		_, change := view.Since(0)
+		view.OfferEntries(entries)
+		news, _ := view.Since(change)
+		return len(news)
+	}
+	is.Equal(toldAfter(cold(3*time.Second, 1)), 1)
+	is.Equal(toldAfter(cold(1800*time.Millisecond, 2)), 0)
+	is.Equal(view.BackEnds()[0].WarmUp, 1800*time.Millisecond) // known here
+	is.Equal(toldAfter(cold(0, 3)), 0)
+	is.Equal(toldAfter(cold(2*time.Second, 4)), 1)
+	is.Equal(toldAfter(cold(2*time.Second, 5)), 1) // listed anew: the revision protects it
+	leaving := cold(0, 6)
+	leaving[0].BackEnd.Leaving = true
+	is.Equal(toldAfter(leaving), 1)
+}
