A list of back ends is read page by page: its length doesn't keep a gateway from starting

Cause: a plain read as a whole was given up after 1.2 s.

Change: each call of a read is given up after 1.2 s, the list isn't.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,7 +22,8 @@
 // ErrHistoryGone means that a watch can't go on from its revision.
 var ErrHistoryGone = errors.New("the store has dropped that part of its history")
 
-// Source is the platform's store.
+// Source is the platform's store. Each call that it makes for a plain read is given up
+// after CallTimeout; a list may take several.
 type Source interface {
 	// Configuration returns the newest document, or nil when there is none. Where
 	// stale is allowed, it may be seconds old, and costs the store less.
@@ -60,8 +61,10 @@
 }
 
 const (
-	// callTimeout bounds a plain call.
-	callTimeout = 1200 * time.Millisecond
+	// CallTimeout bounds a plain call. A list isn't bounded as a whole: where hundreds of
+	// gateways start together and read thousands of entries, the store's own link takes
+	// seconds, and giving up would begin all of it anew.
+	CallTimeout = 1200 * time.Millisecond
 	// watchTime is how long a watch waits for a change; watchGrace is how much
 	// longer its answer may take. A longer watch costs fewer calls, and one whose
 	// connection has gone silent goes unnoticed for longer: plain reads tell meanwhile.
@@ -150,8 +153,6 @@
 }
 
 func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	configuration, revision, err := f.config.Source.Configuration(ctx, stale)
 	if err == nil && configuration != nil {
 		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
@@ -160,8 +161,6 @@
 }
 
 func (f *Follower) readBackEnds(ctx context.Context, stale bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	entries, revision, err := f.config.Source.BackEnds(ctx, stale)
 	if err == nil {
 		f.entries.Store(int64(len(entries)))
@@ -191,8 +190,6 @@
 }
 
 func (f *Follower) readEvacuations(ctx context.Context, stale bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	evacuations, revision, err := f.config.Source.Evacuations(ctx, stale)
 	if err == nil {
 		f.config.State.OfferEvacuationList(evacuations, revision, gateway.SourceStore)
