--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -124,15 +124,14 @@
 
 // warmUpShare returns how many requests this gateway may send to the member in a second.
 func (c *Core) warmUpShare(now time.Time, m *member) int {
-	rate := c.services[m.backEnd.Service].WarmUpRate
-	given := max(1, int(givenShare*(rate*c.config.WarmUpOverage+c.config.WarmUpExtra)))
-	gateways := len(c.draw.others) + 1
-	if !c.draw.settled(now) {
+	given := c.warmUpGiven(m)
+	if given == 0 || !c.draw.settled(now) {
 		return 0
 	}
 	if c.draw.hasSeeds && len(c.draw.others) == 0 {
 		return 1 // it is cut off rather than alone
 	}
+	gateways := len(c.draw.others) + 1
 	if c.draw.hasSeeds {
 		gateways++ // there may be one that isn't known yet
 	}
@@ -143,6 +142,13 @@
 	return given / count
 }
 
+// warmUpGiven returns how many requests a second are divided among the gateways: at least
+// one, unless the limit is below that.
+func (c *Core) warmUpGiven(m *member) int {
+	limit := c.services[m.backEnd.Service].WarmUpRate*c.config.WarmUpOverage + c.config.WarmUpExtra
+	return max(int(givenShare*limit), min(1, int(limit)))
+}
+
 // warmUpAllows tells whether this gateway's share of a member that warms up leaves room
 // for a request.
 func (c *Core) warmUpAllows(now time.Time, m *member) bool {
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -17,8 +17,12 @@
 	// silence is how long a connection may be without a message.
 	silence = 2 * time.Second
 	// dialTimeout and writeTimeout bound one step.
-	dialTimeout  = 600 * time.Millisecond
-	writeTimeout = time.Second
+	dialTimeout = 600 * time.Millisecond
+	// compressedBytes is the length from which a message is compressed: lists of back ends
+	// and configurations, which repeat their words, and not the messages of each period,
+	// for which it isn't worth its processor time.
+	compressedBytes = 2048
+	writeTimeout    = time.Second
 )
 
 // connect opens the connections that the book wants.
@@ -73,7 +77,10 @@
 	ctx, cancel := context.WithTimeout(r.ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{hop.HeaderNode: []string{r.config.ID}}
-	socket, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: r.client, HTTPHeader: header})
+	socket, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPClient: r.client, HTTPHeader: header,
+		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressedBytes,
+	})
 	if err != nil {
 		return
 	}
@@ -96,7 +103,9 @@
 		return
 	}
 	w.Header().Set(hop.HeaderNode, r.config.ID)
-	socket, err := websocket.Accept(w, request, nil)
+	socket, err := websocket.Accept(w, request, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressedBytes,
+	})
 	if err != nil {
 		return
 	}
