Gateways that start together tell each other digests, not lists; a change alone is no list

Change: a gateway that greeted without a list tells its digest once it has one, and gets what differs; a peer without a list is told all after 2 s, or at once if it asks (one of its peers is asked). Since changes may now come before the list, a message says whether its receiver knows all with it; before, any entry of a peer counted as a list.

Also the follower's lists in a file of their own, two of them by one function.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -116,15 +116,9 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel}
-	configuration := list{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}
-	// The list of back ends is many calls long, and a fleet that restarts reads it all at
-	// once. An entry that is seconds old is safe: every send names the incarnation that it
-	// is meant for, and peers and the next read tell what is newer. What callers may do
-	// stands in the configuration, which is read fresh.
-	backEnds := list{name: "back_ends", firstMayBeOld: true, isLong: true, read: f.readBackEnds, watch: f.watchBackEnds}
-	lists := []list{configuration, backEnds}
+	lists := []list{{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}, f.backEnds()}
 	if config.Evacuations {
-		lists = append(lists, list{name: "evacuations", read: f.readEvacuations, watch: f.watchEvacuations})
+		lists = append(lists, f.evacuations())
 	}
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
 	for _, each := range lists {
@@ -139,74 +133,6 @@
 	f.tasks.Wait()
 }
 
-// list is one of the store's lists that are followed.
-type list struct {
-	name string
-	// firstMayBeOld lets a gateway that has just started read what may be old.
-	firstMayBeOld bool
-	// isLong is set for the list that is read less often the longer it is.
-	isLong bool
-	// read makes a plain call and returns the revision that it saw.
-	read func(ctx context.Context, stale bool) (uint64, error)
-	// watch waits for changes after a revision and returns the one to go on from.
-	watch func(ctx context.Context, after uint64) (uint64, error)
-}
-
-func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
-	configuration, revision, err := f.config.Source.Configuration(ctx, stale)
-	if err == nil && configuration != nil {
-		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
-	}
-	return revision, err
-}
-
-func (f *Follower) readBackEnds(ctx context.Context, stale bool) (uint64, error) {
-	entries, revision, err := f.config.Source.BackEnds(ctx, stale)
-	if err == nil {
-		f.entries.Store(int64(len(entries)))
-		f.config.State.OfferList(entries, revision, gateway.SourceStore)
-	}
-	return revision, err
-}
-
-func (f *Follower) watchConfiguration(ctx context.Context, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
-	defer cancel()
-	configuration, at, err := f.config.Source.AwaitConfiguration(ctx, after, watchTime)
-	if err == nil && configuration != nil {
-		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
-	}
-	return at, err
-}
-
-func (f *Follower) watchBackEnds(ctx context.Context, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
-	defer cancel()
-	entries, at, err := f.config.Source.AwaitBackEnds(ctx, after, watchTime)
-	if err == nil {
-		f.config.State.OfferEntries(entries, gateway.SourceStore)
-	}
-	return at, err
-}
-
-func (f *Follower) readEvacuations(ctx context.Context, stale bool) (uint64, error) {
-	evacuations, revision, err := f.config.Source.Evacuations(ctx, stale)
-	if err == nil {
-		f.config.State.OfferEvacuationList(evacuations, revision, gateway.SourceStore)
-	}
-	return revision, err
-}
-
-func (f *Follower) watchEvacuations(ctx context.Context, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
-	defer cancel()
-	evacuations, at, err := f.config.Source.AwaitEvacuations(ctx, after, watchTime)
-	if err == nil {
-		f.config.State.OfferEvacuations(evacuations, gateway.SourceStore)
-	}
-	return at, err
-}
-
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
 // also shows that the store can be reached. A gateway that has just started reads
 // all at once: callers wait for it.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -126,17 +126,15 @@
 	s.apply(s.view.OfferList(entries, revision), source)
 }
 
-// OfferEntries takes changes of back ends.
-func (s *State) OfferEntries(entries []catalog.Entry, source string) {
+// OfferEntries takes changes of back ends. whole is true where a gateway that had no list
+// knows all that the source knows once it has taken them.
+func (s *State) OfferEntries(entries []catalog.Entry, whole bool, source string) {
 	if len(entries) == 0 {
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if source != SourceStore {
-		// A peer's entries are complete when it has a list of its own.
-		s.listed = true
-	}
+	s.listed = s.listed || whole
 	s.apply(s.view.OfferEntries(entries), source)
 }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -19,8 +19,10 @@
 	// document, and the answer to the peer's.
 	ask  atomic.Bool
 	give atomic.Bool
-	// first is the digest of the peer's first message.
-	first chan catalog.Digest
+	// first is the peer's first message, and later the digest of one that had no list of
+	// back ends then and has one now.
+	first chan greeting
+	later atomic.Pointer[catalog.Digest]
 
 	mutex sync.Mutex
 	// heard are the entries that the peer told since the last message to it.
@@ -29,6 +31,12 @@
 	heardHoldings map[holding]struct{}
 }
 
+// greeting is what a peer's first message says of its list of back ends.
+type greeting struct {
+	digest catalog.Digest
+	asks   bool
+}
+
 // holding is a prompt part at a back end.
 type holding struct {
 	backEnd string
@@ -41,7 +49,7 @@
 
 func newLink(socket *websocket.Conn) *link {
 	return &link{
-		socket: socket, wake: make(chan struct{}, 1), first: make(chan catalog.Digest, 1),
+		socket: socket, wake: make(chan struct{}, 1), first: make(chan greeting, 1),
 		heard: map[string]catalog.Entry{}, heardHoldings: map[holding]struct{}{},
 	}
 }
@@ -100,7 +108,9 @@
 	defer l.mutex.Unlock()
 	var list []catalog.Entry
 	for _, entry := range entries {
-		if heard, ok := l.heard[entry.BackEnd.ID]; !ok || heard != entry {
+		told := entry
+		told.BackEnd.WarmUpRevision = 0 // as it comes from a peer
+		if heard, ok := l.heard[entry.BackEnd.ID]; !ok || heard != told {
 			list = append(list, entry)
 		}
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -21,6 +21,10 @@
 	link.note([]catalog.Entry{old})
 	is.Equal(link.untold([]catalog.Entry{newer}), []catalog.Entry{newer})
 	is.Equal(link.untold([]catalog.Entry{old}), []catalog.Entry{old}) // noted once
+	cold := catalog.Entry{BackEnd: catalog.BackEnd{ID: "c", WarmUp: 3}, Revision: 5}
+	link.note([]catalog.Entry{cold})
+	cold.BackEnd.WarmUpRevision = 5
+	is.Equal(len(link.untold([]catalog.Entry{cold})), 0)
 }
 
 func TestHoldingsAreNotToldBack(t *testing.T) {
@@ -56,6 +60,7 @@
 		func(m *Message) { m.Loads = []dispatch.Load{{}} },
 		func(m *Message) { m.Holdings = []dispatch.Holdings{{}} },
 		func(m *Message) { m.Peers = []Peer{{}} },
+		func(m *Message) { m.Digest = catalog.Digest{1} },
 	} {
 		message := same
 		change(&message)
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -22,21 +22,19 @@
 	listTime = 400 * time.Millisecond
 )
 
-// greet sends the first message, waits for the peer's, and tells it the back ends that
-// it may lack. It returns the number of changes to go on from.
-func (r *Relay) greet(ctx context.Context, to *link) (change uint64, ok bool) {
+// greet sends the first message and waits for the peer's. It returns how the two have met,
+// and whether this gateway told what it knows.
+func (r *Relay) greet(ctx context.Context, to *link) (met meeting, withList, ok bool) {
 	greeting := r.firstMessage()
-	greeting.Digest = r.digestToTell(ctx)
+	greeting.Digest, greeting.Asks = r.digestToTell(ctx)
 	if err := r.writeOne(ctx, to.socket, greeting); err != nil {
-		return 0, false
+		return meeting{}, false, false
 	}
 	select {
-	case digest := <-to.first:
-		lacking := r.firstMessage()
-		lacking.Entries, change = r.config.State.Differing(digest)
-		return change, r.writeOne(ctx, to.socket, lacking) == nil
+	case first := <-to.first:
+		return meeting{peer: first.digest, asks: first.asks}, greeting.Digest != nil, true
 	case <-ctx.Done():
-		return 0, false
+		return meeting{}, false, false
 	}
 }
 
@@ -45,23 +43,26 @@
 	return r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, time.Time{})
 }
 
-// digestToTell returns what this gateway knows. One that has just started tells one peer
-// at once that it knows nothing; the others only when it still has no list a while
-// later: else each of them would tell it all that the store is telling it meanwhile.
-func (r *Relay) digestToTell(ctx context.Context) catalog.Digest {
+// digestToTell returns what this gateway knows, or nil. One that has just started asks one
+// peer at once for the list; the others hear that it has none only a while later: else each
+// of them would tell it all that the store is telling it meanwhile.
+func (r *Relay) digestToTell(ctx context.Context) (digest catalog.Digest, asks bool) {
 	timer := time.NewTimer(listTime + rand.N(listTime))
 	defer timer.Stop()
 	for {
 		digest, listed, changed := r.config.State.Digest()
-		if listed || r.mayAskForList() {
-			return digest
+		if listed {
+			return digest, false
+		}
+		if r.mayAskForList() {
+			return nil, true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return digest
+			return nil, false
 		case <-ctx.Done():
-			return digest
+			return nil, false
 		}
 	}
 }
@@ -77,21 +78,23 @@
 
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
-	change, ok := r.greet(ctx, to)
+	met, greetedWithList, ok := r.greet(ctx, to)
 	if !ok {
 		return
 	}
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	told := gateway.Told{Change: change}
+	var told gateway.Told
 	var written Message
 	var peersAt time.Time
 	for {
 		gateways, _ := r.config.State.Fleet()
 		news := r.config.State.NewsSince(told, holdingsPerMessage(gateways))
+		digest, whole := r.settle(&met, to, greetedWithList, told.Change == 0, &news)
 		news.Entries = to.untold(news.Entries)
 		news.Holdings = to.untoldHoldings(news.Holdings)
 		message := r.message(news, peersAt)
+		message.Digest, message.Whole = digest, whole
 		if message.Peers != nil {
 			peersAt = time.Now()
 		}
@@ -120,6 +123,30 @@
 	}
 }
 
+// settle adds to the news what the peer lacks of what was known when the two met, in place
+// of all that is known. It returns the digest that is due to it, and whether the peer knows
+// all that this gateway knows with the news. firstNews is true until changes were told.
+func (r *Relay) settle(met *meeting, to *link, greetedWithList, firstNews bool, news *gateway.News) (digest catalog.Digest, whole bool) {
+	if later := to.later.Swap(nil); later != nil {
+		met.hear(*later)
+	}
+	if news.Change == 0 {
+		return nil, false // no list yet
+	}
+	if firstNews {
+		news.Entries = nil
+	}
+	tellLacking, tellDigest := met.step(time.Now(), greetedWithList)
+	if tellLacking {
+		lacking, _ := r.config.State.Differing(met.peer)
+		news.Entries = append(news.Entries, lacking...)
+	}
+	if tellDigest {
+		digest, _, _ = r.config.State.Digest()
+	}
+	return digest, tellLacking
+}
+
 // gather waits for more changes to tell with the one at hand, and for the peer to tell
 // it itself. In a small fleet a change is told at once.
 func (r *Relay) gather(ctx context.Context, gateways int) {
