A warm-up that begins anew with the same time left is news

It was the soak's own fault at first sight (its store listed a back end that had crashed and wasn't up yet); but it showed that an entry which tells the same time left at a later revision changed nothing at a gateway, and since countdowns aren't passed on that is what most gateways hear of one that turns cold again.

Change: the revision that told a warm-up belongs to it. The soak lists again after an outage only what is up.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -19,6 +19,9 @@
 	// WarmUp is how much longer it bore few requests a second when the entry was
 	// written; 0 for one that is warm.
 	WarmUp time.Duration `cbor:"7,keyasint,omitempty"`
+	// WarmUpRevision is that of the entry which told WarmUp, 0 for one that is warm: a
+	// warm-up that begins anew may tell the same time. The View sets it.
+	WarmUpRevision uint64 `cbor:"-"`
 }
 
 // Entry is what is known of a back end at a revision of the platform's store.
@@ -51,10 +54,22 @@
 	if e.BackEnd.WarmUp >= known.BackEnd.WarmUp {
 		return false
 	}
-	known.BackEnd.WarmUp = e.BackEnd.WarmUp
+	known.BackEnd.WarmUp, known.BackEnd.WarmUpRevision = e.BackEnd.WarmUp, e.BackEnd.WarmUpRevision
 	return e.at(0) == known.at(0)
 }
 
+// dated returns the entries with the revision of their warm-ups.
+func dated(entries []Entry) []Entry {
+	list := make([]Entry, len(entries))
+	for i, each := range entries {
+		if each.BackEnd.WarmUp > 0 {
+			each.BackEnd.WarmUpRevision = each.Revision
+		}
+		list[i] = each
+	}
+	return list
+}
+
 // View is a gateway's knowledge. Whatever the order in which news arrives, it
 // ends with the newest: a configuration is replaced only by a higher version, an
 // entry or an order only by a higher revision. So neither a stale read nor a peer
@@ -93,12 +108,12 @@
 
 // OfferEntries takes changes from a watch or a peer and returns those that were
 // news.
-func (v *View) OfferEntries(entries []Entry) []Entry { return v.entries.offer(entries) }
+func (v *View) OfferEntries(entries []Entry) []Entry { return v.entries.offer(dated(entries)) }
 
 // OfferList takes a complete list that was read at the revision. A back end that
 // it lacks is gone, unless it was heard of at a later revision.
 func (v *View) OfferList(entries []Entry, revision uint64) []Entry {
-	return v.entries.offerList(entries, revision)
+	return v.entries.offerList(dated(entries), revision)
 }
 
 // BackEnds returns those in service, leaving ones included, by ID.
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -163,3 +163,17 @@
 	leaving[0].BackEnd.Leaving = true
 	is.Equal(toldAfter(leaving), 1)
 }
+
+// A gateway that wasn't told how a warm-up went on hears that it begins anew, with the same
+// time left.
+func TestWarmUpThatBeginsAnewIsNews(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	cold := entry("a", 1)
+	cold.BackEnd.WarmUp = 3 * time.Second
+	view.OfferEntries([]Entry{cold})
+	first := view.BackEnds()[0]
+	cold.Revision = 7
+	is.Equal(len(view.OfferEntries([]Entry{cold})), 1)
+	is.True(view.BackEnds()[0] != first)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -163,7 +163,7 @@
 		if known.backEnd.Address != backEnd.Address {
 			known.health.displaced = false
 		}
-		known.noteWarming(now, backEnd.WarmUp)
+		known.noteWarming(now, backEnd)
 		known.backEnd = backEnd
 		known.evacuated = slices.Contains(c.evacuated, backEnd.Zone)
 		members[backEnd.ID] = known
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/routing"
 )
 
@@ -177,8 +178,8 @@
 }
 
 // noteWarming takes what the store says of a back end's warm-up, when that has changed.
-func (m *member) noteWarming(now time.Time, told time.Duration) {
-	if m.backEnd.WarmUp != told {
-		m.coldUntil = now.Add(told)
+func (m *member) noteWarming(now time.Time, told catalog.BackEnd) {
+	if m.backEnd.WarmUp != told.WarmUp || m.backEnd.WarmUpRevision != told.WarmUpRevision {
+		m.coldUntil = now.Add(told.WarmUp)
 	}
 }
--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -168,6 +168,19 @@
 	is.True(!core.Beliefs(start.Add(time.Second))[0].WarmsUp)
 }
 
+func TestWarmUpThatBeginsAnewCountsFromThen(t *testing.T) {
+	is := is.New(t)
+	list := coldBackEnds(1, 1)
+	list[0].WarmUpRevision = 4
+	core := warmingFleet(1, 2, list)[0]
+	later := start.Add(2 * time.Second)
+	core.SetBackEnds(later, list) // for another reason
+	is.True(!core.Beliefs(later.Add(2 * time.Second))[0].WarmsUp)
+	list[0].WarmUpRevision = 9
+	core.SetBackEnds(later, list)
+	is.True(core.Beliefs(later.Add(2 * time.Second))[0].WarmsUp)
+}
+
 // Without a rate in the configuration a cold back end is as able as a warm one.
 func TestServiceWithoutARateHasNoLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -28,8 +28,9 @@
 	// incarnation rises with every start.
 	incarnation int
 	leaving     bool
-	// coldUntil is when this incarnation is warm.
+	// coldUntil is when this incarnation is warm, and starting is set until it is up.
 	coldUntil time.Time
+	starting  bool
 	// lose, spoil, fail and refuse count the faults that ask for it.
 	lose, spoil, fail, refuse int
 	// turn picks a way to spoil an answer.
@@ -68,6 +69,13 @@
 	}
 }
 
+// isStarting tells whether this incarnation isn't up yet.
+func (b *backEnd) isStarting() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.starting
+}
+
 // misbehave changes one of the counts of faults.
 func (b *backEnd) misbehave(count func(*backEnd) *int, by int) {
 	b.mutex.Lock()
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// lapse drops all back ends from the list and lists them again.
+// lapse drops all back ends from the list and lists those again that are up.
 func (f *fleet) lapse(ctx context.Context) {
 	over := f.check.trouble(everywhere)
 	defer over()
@@ -143,7 +143,9 @@
 	}
 	sleep(ctx, lapsePause)
 	for _, b := range f.backEnds {
-		f.store.putBackEnd(b.entry())
+		if !b.isStarting() {
+			f.store.putBackEnd(b.entry())
+		}
 	}
 }
 
@@ -208,6 +210,7 @@
 	defer b.mutex.Unlock()
 	b.incarnation++
 	b.leaving = false
+	b.starting = true
 }
 
 // leave empties a back end: it says so, serves on for longer than gateways may
--- a/internal/soak/warmup.go
+++ b/internal/soak/warmup.go
@@ -79,7 +79,7 @@
 	id := b.id()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.coldUntil = time.Now().Add(warmUpTime)
+	b.coldUntil, b.starting = time.Now().Add(warmUpTime), false
 	return id
 }
 
