A late page is asked for again, and a gateway without a list asks another peer where the first has none

Change: a page after the first is tried three times; a peer that was asked and has no list is followed by the next one; a peer without a list is told all after 1 s (2).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,7 +23,7 @@
 var ErrHistoryGone = errors.New("the store has dropped that part of its history")
 
 // Source is the platform's store. Each call that it makes for a plain read is given up
-// after CallTimeout; a list may take several.
+// after CallTimeout; a list may take several, each page after the first PageTries of them.
 type Source interface {
 	// Configuration returns the newest document, or nil when there is none. Where
 	// stale is allowed, it may be seconds old, and costs the store less.
@@ -65,6 +65,10 @@
 	// gateways start together and read thousands of entries, the store's own link takes
 	// seconds, and giving up would begin all of it anew.
 	CallTimeout = 1200 * time.Millisecond
+	// PageTries is how often a page after the first is asked for before its list is given
+	// up: a list of sixty pages that began anew with each late one would never end on a
+	// loaded link. The first page shows whether the store answers at all.
+	PageTries = 3
 	// watchTime is how long a watch waits for a change; watchGrace is how much
 	// longer its answer may take. A longer watch costs fewer calls, and one whose
 	// connection has gone silent goes unnoticed for longer: plain reads tell meanwhile.
--- a/internal/relay/meeting.go
+++ b/internal/relay/meeting.go
@@ -11,7 +11,7 @@
 // each other all of it costs 90 bytes a back end and connection, and was most of what 299
 // gateways before 2,982 back ends sent in their first five seconds (4.8 of 5.1 MB each).
 // Higher values keep a peer that the store turns away waiting, unless it asks.
-const listPatience = 2 * time.Second
+const listPatience = time.Second
 
 // meeting settles what one gateway tells another of the back ends that either knew when
 // they met; changes since then are told as they come. It does no I/O and reads no clock.
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -32,6 +32,9 @@
 	}
 	select {
 	case first := <-to.first:
+		if greeting.Asks && first.digest == nil {
+			r.askAnother()
+		}
 		return meeting{peer: first.digest, asks: first.asks}, greeting.Digest != nil, true
 	case <-ctx.Done():
 		return meeting{}, false, false
@@ -67,7 +70,14 @@
 	}
 }
 
-// mayAskForList returns true once.
+// askAnother lets the next peer be asked for the list, since the one that was has none.
+func (r *Relay) askAnother() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.listAsked = false
+}
+
+// mayAskForList returns true once, and again after askAnother.
 func (r *Relay) mayAskForList() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
