Taken back: digests in place of lists between gateways that start together

Tried: a gateway that greeted without a list tells a digest once it has one; a peer without a list is told all only after a while, or at once if it asks.

Conclusion: compression already takes what the lists cost, and a gateway that starts needs its peers' lists sooner than the store's.

--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -79,7 +79,7 @@
 			f.entries.Store(int64(len(all)))
 			state.OfferList(all, revision, gateway.SourceStore)
 		},
-		func(changes []catalog.Entry) { state.OfferEntries(changes, false, gateway.SourceStore) },
+		func(changes []catalog.Entry) { state.OfferEntries(changes, gateway.SourceStore) },
 	)
 	followed.firstMayBeOld, followed.isLong = true, true
 	return followed
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -126,15 +126,17 @@
 	s.apply(s.view.OfferList(entries, revision), source)
 }
 
-// OfferEntries takes changes of back ends. whole is true where a gateway that had no list
-// knows all that the source knows once it has taken them.
-func (s *State) OfferEntries(entries []catalog.Entry, whole bool, source string) {
+// OfferEntries takes changes of back ends.
+func (s *State) OfferEntries(entries []catalog.Entry, source string) {
 	if len(entries) == 0 {
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.listed = s.listed || whole
+	if source != SourceStore {
+		// A peer's entries are complete when it has a list of its own.
+		s.listed = true
+	}
 	s.apply(s.view.OfferEntries(entries), source)
 }
 
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -25,10 +25,7 @@
 			return err
 		}
 		if count == 0 {
-			from.first <- greeting{digest: message.Digest, asks: message.Asks}
-		} else if len(message.Digest) > 0 {
-			from.later.Store(&message.Digest)
-			from.wakeUp()
+			from.first <- message.Digest
 		}
 		from.note(message.Entries)
 		from.noteHoldings(message.Holdings)
@@ -80,7 +77,7 @@
 	if message.Document != nil && message.Version > r.config.State.Version() {
 		r.takeDocument(message)
 	}
-	r.config.State.OfferEntries(message.Entries, message.Whole, gateway.SourcePeer)
+	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
 	if message.Surveyed {
 		r.config.State.OfferEvacuations(message.Evacuations, gateway.SourcePeer)
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -19,10 +19,8 @@
 	// document, and the answer to the peer's.
 	ask  atomic.Bool
 	give atomic.Bool
-	// first is the peer's first message, and later the digest of one that had no list of
-	// back ends then and has one now.
-	first chan greeting
-	later atomic.Pointer[catalog.Digest]
+	// first is the digest of the peer's first message.
+	first chan catalog.Digest
 
 	mutex sync.Mutex
 	// heard are the entries that the peer told since the last message to it.
@@ -31,12 +29,6 @@
 	heardHoldings map[holding]struct{}
 }
 
-// greeting is what a peer's first message says of its list of back ends.
-type greeting struct {
-	digest catalog.Digest
-	asks   bool
-}
-
 // holding is a prompt part at a back end.
 type holding struct {
 	backEnd string
@@ -49,7 +41,7 @@
 
 func newLink(socket *websocket.Conn) *link {
 	return &link{
-		socket: socket, wake: make(chan struct{}, 1), first: make(chan greeting, 1),
+		socket: socket, wake: make(chan struct{}, 1), first: make(chan catalog.Digest, 1),
 		heard: map[string]catalog.Entry{}, heardHoldings: map[holding]struct{}{},
 	}
 }
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -60,7 +60,6 @@
 		func(m *Message) { m.Loads = []dispatch.Load{{}} },
 		func(m *Message) { m.Holdings = []dispatch.Holdings{{}} },
 		func(m *Message) { m.Peers = []Peer{{}} },
-		func(m *Message) { m.Digest = catalog.Digest{1} },
 	} {
 		message := same
 		change(&message)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -31,14 +31,9 @@
 	StoreAgeMillis int64 `cbor:"8,keyasint"`
 	// Holdings are prompt parts that back ends hold, as far as it is news.
 	Holdings []dispatch.Holdings `cbor:"10,keyasint,omitempty"`
-	// Digest sums up the back ends that the sender knows. It stands in the first message on
-	// a connection, which has no entries, and once more when the sender had no list then.
+	// Digest sums up the back ends that the sender knows; it stands in the first
+	// message on a connection alone, which has no entries.
 	Digest catalog.Digest `cbor:"11,keyasint,omitempty"`
-	// Asks is true in the first message of a sender that wants the list at once.
-	Asks bool `cbor:"16,keyasint,omitempty"`
-	// Whole is true where a receiver without a list knows all that the sender knows once it
-	// has taken the entries.
-	Whole bool `cbor:"17,keyasint,omitempty"`
 	// Zone and Capacity are the sender's; see Peer.
 	Zone     string `cbor:"12,keyasint,omitempty"`
 	Capacity int    `cbor:"13,keyasint,omitempty"`
@@ -78,7 +73,7 @@
 // the message before.
 func (m *Message) tellsNews(before Message) bool {
 	return m.Version != before.Version || m.Surveyed != before.Surveyed || m.Want || len(m.Document) > 0 || len(m.Entries) > 0 || len(m.Evacuations) > 0 ||
-		len(m.Holdings) > 0 || len(m.Loads) > 0 || len(m.Peers) > 0 || len(m.Digest) > 0
+		len(m.Holdings) > 0 || len(m.Loads) > 0 || len(m.Peers) > 0
 }
 
 // decode parses a peer's message.
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -22,22 +22,21 @@
 	listTime = 400 * time.Millisecond
 )
 
-// greet sends the first message and waits for the peer's. It returns how the two have met,
-// and whether this gateway told what it knows.
-func (r *Relay) greet(ctx context.Context, to *link) (met meeting, withList, ok bool) {
+// greet sends the first message, waits for the peer's, and tells it the back ends that
+// it may lack. It returns the number of changes to go on from.
+func (r *Relay) greet(ctx context.Context, to *link) (change uint64, ok bool) {
 	greeting := r.firstMessage()
-	greeting.Digest, greeting.Asks = r.digestToTell(ctx)
+	greeting.Digest = r.digestToTell(ctx)
 	if err := r.writeOne(ctx, to.socket, greeting); err != nil {
-		return meeting{}, false, false
+		return 0, false
 	}
 	select {
-	case first := <-to.first:
-		if greeting.Asks && first.digest == nil {
-			r.askAnother()
-		}
-		return meeting{peer: first.digest, asks: first.asks}, greeting.Digest != nil, true
+	case digest := <-to.first:
+		lacking := r.firstMessage()
+		lacking.Entries, change = r.config.State.Differing(digest)
+		return change, r.writeOne(ctx, to.socket, lacking) == nil
 	case <-ctx.Done():
-		return meeting{}, false, false
+		return 0, false
 	}
 }
 
@@ -46,38 +45,28 @@
 	return r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, time.Time{})
 }
 
-// digestToTell returns what this gateway knows, or nil. One that has just started asks one
-// peer at once for the list; the others hear that it has none only a while later: else each
-// of them would tell it all that the store is telling it meanwhile.
-func (r *Relay) digestToTell(ctx context.Context) (digest catalog.Digest, asks bool) {
+// digestToTell returns what this gateway knows. One that has just started tells one peer
+// at once that it knows nothing; the others only when it still has no list a while
+// later: else each of them would tell it all that the store is telling it meanwhile.
+func (r *Relay) digestToTell(ctx context.Context) catalog.Digest {
 	timer := time.NewTimer(listTime + rand.N(listTime))
 	defer timer.Stop()
 	for {
 		digest, listed, changed := r.config.State.Digest()
-		if listed {
-			return digest, false
-		}
-		if r.mayAskForList() {
-			return nil, true
+		if listed || r.mayAskForList() {
+			return digest
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, false
+			return digest
 		case <-ctx.Done():
-			return nil, false
+			return digest
 		}
 	}
 }
 
-// askAnother lets the next peer be asked for the list, since the one that was has none.
-func (r *Relay) askAnother() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.listAsked = false
-}
-
-// mayAskForList returns true once, and again after askAnother.
+// mayAskForList returns true once.
 func (r *Relay) mayAskForList() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -88,23 +77,21 @@
 
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
-	met, greetedWithList, ok := r.greet(ctx, to)
+	change, ok := r.greet(ctx, to)
 	if !ok {
 		return
 	}
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	var told gateway.Told
+	told := gateway.Told{Change: change}
 	var written Message
 	var peersAt time.Time
 	for {
 		gateways, _ := r.config.State.Fleet()
 		news := r.config.State.NewsSince(told, holdingsPerMessage(gateways))
-		digest, whole := r.settle(&met, to, greetedWithList, told.Change == 0, &news)
 		news.Entries = to.untold(news.Entries)
 		news.Holdings = to.untoldHoldings(news.Holdings)
 		message := r.message(news, peersAt)
-		message.Digest, message.Whole = digest, whole
 		if message.Peers != nil {
 			peersAt = time.Now()
 		}
@@ -133,30 +120,6 @@
 	}
 }
 
-// settle adds to the news what the peer lacks of what was known when the two met, in place
-// of all that is known. It returns the digest that is due to it, and whether the peer knows
-// all that this gateway knows with the news. firstNews is true until changes were told.
-func (r *Relay) settle(met *meeting, to *link, greetedWithList, firstNews bool, news *gateway.News) (digest catalog.Digest, whole bool) {
-	if later := to.later.Swap(nil); later != nil {
-		met.hear(*later)
-	}
-	if news.Change == 0 {
-		return nil, false // no list yet
-	}
-	if firstNews {
-		news.Entries = nil
-	}
-	tellLacking, tellDigest := met.step(time.Now(), greetedWithList)
-	if tellLacking {
-		lacking, _ := r.config.State.Differing(met.peer)
-		news.Entries = append(news.Entries, lacking...)
-	}
-	if tellDigest {
-		digest, _, _ = r.config.State.Digest()
-	}
-	return digest, tellLacking
-}
-
 // gather waits for more changes to tell with the one at hand, and for the peer to tell
 // it itself. In a small fleet a change is told at once.
 func (r *Relay) gather(ctx context.Context, gateways int) {
