Soak: a back end that crashes again while it is away isn't listed by the first crash

Two crashes of it overlapped; the end of the first listed the incarnation that the second had begun and that wasn't up, the end of the second called it cold anew while the stand-in store was away, so that no gateway could know. Ruled out: a gateway that ignores what it was told.

Change: as for one that leaves, the end of a crash lists only the incarnation that it began.

Conclusion: a back end that turns cold while the store is away isn't known to be; no gateway can, since health isn't asked for (docs/design/warm-up.md).

--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -198,9 +198,14 @@
 	id := b.id()
 	b.link.hurt(func(l *link) *int { return &l.refused }, 1)
 	b.restart()
+	next := b.id()
 	sleep(ctx, max(wait, listedAfterCrash))
 	f.store.removeBackEnd(id)
 	b.link.hurt(func(l *link) *int { return &l.refused }, -1)
+	if b.id() != next {
+		// It has crashed again meanwhile: the incarnation of the moment isn't up yet.
+		return
+	}
 	f.listCold(ctx, b)
 }
 
