A gateway that knows nobody isn't taken for alone before ten seconds

Change: without others in its settings a gateway counts as cut off until it has known nobody for 10 s. Test: TestGatewayThatJustStartedIsNotTakenForAlone.

--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -36,6 +36,10 @@
 	// counts. A process that has just started knows few of the others, and one that it
 	// replaces may have sent its share a moment ago.
 	fleetSettles = 2 * time.Second
+	// aloneAfter is how long a gateway must have known nobody to take itself for alone
+	// where its settings name no other: others that start with it may try it again only
+	// seconds later.
+	aloneAfter = 10 * time.Second
 )
 
 // Fleet is what a gateway knows of the others.
@@ -102,6 +106,14 @@
 	return d.others == nil || now.Sub(d.grewAt) >= fleetSettles
 }
 
+// mayBeCutOff tells whether nobody is known though others may be there.
+func (d *draw) mayBeCutOff(now time.Time) bool {
+	if d.others == nil || len(d.others) > 0 {
+		return false
+	}
+	return d.hasSeeds || now.Sub(d.grewAt) < aloneAfter
+}
+
 // drawn tells whether this gateway is one of so many that are drawn for the member.
 func (d *draw) drawn(m *member, count int) bool {
 	if m.drawVersion == d.version && m.drawCount == count {
@@ -129,8 +141,8 @@
 	if given == 0 || !c.draw.settled(now) {
 		return 0
 	}
-	if c.draw.hasSeeds && len(c.draw.others) == 0 {
-		return 1 // it is cut off rather than alone
+	if c.draw.mayBeCutOff(now) {
+		return 1
 	}
 	gateways := len(c.draw.others) + 1
 	if c.draw.hasSeeds {
--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -147,6 +147,23 @@
 	is.Equal(most, 1)
 }
 
+// Where its settings name no other either, others may still find it.
+func TestGatewayThatJustStartedIsNotTakenForAlone(t *testing.T) {
+	is := is.New(t)
+	core := warmingFleet(1, 23, coldBackEnds(1, 1))[0]
+	core.SetFleet(start.Add(-time.Minute), fleetOf(0, 0, 2))
+	core.SetFleet(start.Add(-time.Minute), Fleet{Self: "g0"}) // forgotten
+	other := newCore(nil)
+	other.config.WarmUpOverage, other.config.WarmUpExtra = 1.5, 5
+	other.SetServices([]catalog.Service{{Name: "s", WarmUpRate: 23, WarmUpTime: 3 * time.Second}})
+	other.SetFleet(start.Add(-fleetSettles), Fleet{Self: "g1"}) // just started
+	other.SetBackEnds(start, coldBackEnds(1, 1))
+	most, _, _ := flood([]*Core{other}, 500, 2900*time.Millisecond)
+	is.Equal(most, 1)
+	most, _, _ = flood([]*Core{core}, 500, 2900*time.Millisecond)
+	is.Equal(most, 31)
+}
+
 func TestGatewayAloneUsesWhatItMay(t *testing.T) {
 	is := is.New(t)
 	core := warmingFleet(1, 23, coldBackEnds(1, 1))[0]
