Lists of back ends are pulled from one peer by digest, not told over each connection

Cause: a gateway of a fleet of hundreds that starts opens up to 74 connections until it knows its neighbours (log of one of 299 gateways after all were killed), and was told the whole list over each on which it had to say, after 0.4 to 0.8 s, that it knew none; and what it read from the store crossed all of them again. On a copy of the shifted deployment with 299 gateways and 2,998 back ends a gateway was ready 2.5 s after its start, and the processes held 899 GB x s, since messages of whole lists wait on 10 Mbit/s links.

Ruled out: the store's own pages (60 of them are read in about a second), the time of a page, calls given up; links that break (all ends were surplus ones).

Change: only few new back ends are numbered as changes (8, or a quarter of those known). Who learns of more tells its digest; whoever finds a bucket differing asks one peer at a time for a quarter of the list. Waiting before one tells that one has no list, and the first exchange, are gone. A gateway is listed when each bucket was answered by, or equals that of, a peer with a list.

--- a/internal/catalog/digest.go
+++ b/internal/catalog/digest.go
@@ -4,16 +4,40 @@
 
 // Digest sums up the back ends that a view knows to be in service, so that two
 // gateways find out what one of them lacks without telling each other everything. It
-// has digestBuckets sums, each over the back ends whose IDs hash to it; nil stands for
-// a gateway that knows none.
+// has DigestBuckets sums, each over the back ends whose IDs hash to it; nil stands for
+// a gateway that has no list.
 type Digest []uint32
 
-// digestBuckets trades the size of a digest, 5 bytes a bucket, against what is sent for
+// DigestBuckets trades the size of a digest, 5 bytes a bucket, against what is sent for
 // one difference: a bucket's share of all back ends. At 3,000 back ends that is 47 of
 // about 75 bytes.
-const digestBuckets = 64
+const DigestBuckets = 64
 
-func bucketOf(id string) int { return int(xxhash.Sum64String(id) % digestBuckets) }
+// Buckets is a set of a digest's buckets, a bit for each.
+type Buckets uint64
+
+// AllBuckets is all of them: the whole list.
+const AllBuckets = ^Buckets(0)
+
+// Has tells whether the bucket is in the set.
+func (b Buckets) Has(bucket int) bool { return b>>bucket&1 == 1 }
+
+// Differing returns the buckets in which two digests differ: all of them where one is
+// missing or of another length.
+func (d Digest) Differing(other Digest) Buckets {
+	if len(d) != DigestBuckets || len(other) != DigestBuckets {
+		return AllBuckets
+	}
+	var differing Buckets
+	for bucket, sum := range d {
+		if other[bucket] != sum {
+			differing |= 1 << bucket
+		}
+	}
+	return differing
+}
+
+func bucketOf(id string) int { return int(xxhash.Sum64String(id) % DigestBuckets) }
 
 // leavingFactor is odd, so that it maps the hashes of IDs one to one.
 const leavingFactor = 0x9e3779b97f4a7c15
@@ -30,9 +54,16 @@
 	return uint32(sum >> 32) // the bucket takes the low bits
 }
 
-// Digest returns the sums of the moment.
+// Digest returns the sums of the moment. The caller must not change them.
 func (v *View) Digest() Digest {
-	digest := make(Digest, digestBuckets)
+	if now := v.entries.version(); v.digest == nil || v.digestOf != now {
+		v.digest, v.digestOf = v.sum(), now
+	}
+	return v.digest
+}
+
+func (v *View) sum() Digest {
+	digest := make(Digest, DigestBuckets)
 	for id, entry := range v.entries.records {
 		if !entry.Gone {
 			digest[bucketOf(id)] ^= sumOf(entry)
@@ -41,17 +72,13 @@
 	return digest
 }
 
-// Differing returns the entries of all buckets in which the other view's digest
-// differs, removals included, and the number of changes to go on from. A digest of
-// another length differs everywhere.
-func (v *View) Differing(other Digest) ([]Entry, uint64) {
-	own := v.Digest()
+// EntriesOf returns all entries of the buckets, removals included.
+func (v *View) EntriesOf(buckets Buckets) []Entry {
 	var entries []Entry
 	for _, id := range v.entries.keys() {
-		bucket := bucketOf(id)
-		if len(other) != len(own) || other[bucket] != own[bucket] {
+		if buckets.Has(bucketOf(id)) {
 			entries = append(entries, v.entries.records[id])
 		}
 	}
-	return entries, v.entries.changes
+	return entries
 }
--- a/internal/catalog/digest_test.go
+++ b/internal/catalog/digest_test.go
@@ -23,9 +23,7 @@
 	first, second := NewView(), NewView()
 	first.OfferList(listed(3000, 7), 7)
 	second.OfferList(listed(3000, 7), 9)
-	entries, change := first.Differing(second.Digest())
-	is.Equal(len(entries), 0)
-	is.Equal(change, uint64(3000))
+	is.Equal(first.Digest().Differing(second.Digest()), Buckets(0))
 }
 
 func TestOneDifferenceCostsOneBucket(t *testing.T) {
@@ -34,7 +32,7 @@
 	first.OfferList(listed(3000, 7), 7)
 	second.OfferList(listed(3000, 7), 7)
 	first.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "b12"}, Gone: true, Revision: 7}})
-	entries, _ := first.Differing(second.Digest())
+	entries := first.EntriesOf(second.Digest().Differing(first.Digest()))
 	is.True(len(entries) > 0)
 	is.True(len(entries) < 100)
 	second.OfferEntries(entries)
@@ -46,8 +44,7 @@
 	view := NewView()
 	view.OfferList(listed(30, 7), 7)
 	for _, other := range []Digest{nil, NewView().Digest()} {
-		entries, _ := view.Differing(other)
-		is.Equal(len(entries), 30)
+		is.Equal(len(view.EntriesOf(other.Differing(view.Digest()))), 30)
 	}
 }
 
@@ -59,8 +56,7 @@
 	first, second := NewView(), NewView()
 	first.OfferEntries([]Entry{{BackEnd: BackEnd{ID: ids[0], Leaving: true}}, {BackEnd: BackEnd{ID: ids[1]}}})
 	second.OfferEntries([]Entry{{BackEnd: BackEnd{ID: ids[0]}}, {BackEnd: BackEnd{ID: ids[1], Leaving: true}}})
-	entries, _ := first.Differing(second.Digest())
-	is.Equal(len(entries), 2)
+	is.Equal(len(first.EntriesOf(second.Digest().Differing(first.Digest()))), 2)
 }
 
 // idsOfBucket returns as many IDs as asked for that fall into the bucket.
@@ -93,8 +89,8 @@
 				second.OfferEntries([]Entry{entry})
 			}
 		}
-		fromFirst, _ := first.Differing(second.Digest())
-		fromSecond, _ := second.Differing(first.Digest())
+		differing := first.Digest().Differing(second.Digest())
+		fromFirst, fromSecond := first.EntriesOf(differing), second.EntriesOf(differing)
 		second.OfferEntries(fromFirst)
 		first.OfferEntries(fromSecond)
 		if fmt.Sprint(first.BackEnds()) != fmt.Sprint(second.BackEnds()) {
--- a/internal/catalog/ledger.go
+++ b/internal/catalog/ledger.go
@@ -22,6 +22,16 @@
 	goesWithoutSaying(known R) bool
 }
 
+const (
+	// mostAnnounced is how many new objects an offer may bring for each of them to be
+	// numbered as a change, whatever is known already; announcedPart is the part of those
+	// known, as one in so many, that it may bring. A change crosses every connection
+	// between gateways, about 18 of each in a fleet of hundreds, and a list that a gateway
+	// reads as it starts would cross them all; so those who lack it ask one peer for it.
+	mostAnnounced = 8
+	announcedPart = 4
+)
+
 // maxTombstones bounds the memory for objects that are gone.
 const maxTombstones = 4096
 
@@ -33,19 +43,27 @@
 	// changes numbers the changes of records, for readers that follow them.
 	changes  uint64
 	changeOf map[string]uint64
+	// mostAnnounced is how many new objects of one offer are always numbered, and
+	// unannounced counts those that weren't.
+	mostAnnounced int
+	unannounced   uint64
 	// order is the keys of removed objects in the order of their removal.
 	order []string
 }
 
-func newLedger[R record[R]]() ledger[R] {
-	return ledger[R]{records: map[string]R{}, changeOf: map[string]uint64{}}
+func newLedger[R record[R]](mostAnnounced int) ledger[R] {
+	return ledger[R]{records: map[string]R{}, changeOf: map[string]uint64{}, mostAnnounced: mostAnnounced}
 }
 
+// version is another number whenever other objects are there than before.
+func (l *ledger[R]) version() uint64 { return l.changes + l.unannounced }
+
 // offer takes changes from a watch or a peer and returns those that were news.
 func (l *ledger[R]) offer(records []R) []R {
 	var news []R
+	announced := l.areAnnounced(records)
 	for _, each := range records {
-		if l.offerOne(each) {
+		if l.offerOne(each, announced) {
 			news = append(news, each)
 		}
 	}
@@ -66,7 +84,7 @@
 		if listed[key] || known.removed() || known.position() > revision {
 			continue
 		}
-		if gone := known.removedAt(revision); l.offerOne(gone) {
+		if gone := known.removedAt(revision); l.offerOne(gone, true) {
 			news = append(news, gone)
 		}
 	}
@@ -74,8 +92,21 @@
 	return news
 }
 
-// offerOne applies one record.
-func (l *ledger[R]) offerOne(offered R) bool {
+// areAnnounced tells whether those of the records whose objects are new are few enough to
+// be numbered as changes.
+func (l *ledger[R]) areAnnounced(records []R) bool {
+	added := 0
+	for _, each := range records {
+		if _, exists := l.records[each.key()]; !exists {
+			added++
+		}
+	}
+	return added <= max(l.mostAnnounced, len(l.records)/announcedPart)
+}
+
+// offerOne applies one record. A new object is numbered as a change only if it is
+// announced; what changes about a known one always is.
+func (l *ledger[R]) offerOne(offered R, announced bool) bool {
 	key := offered.key()
 	known, exists := l.records[key]
 	if exists && !supersedes(offered, known) {
@@ -87,7 +118,9 @@
 	// The revision is kept even where nothing else changed: a record between the two
 	// revisions may still arrive, and must not count as newer.
 	l.records[key] = offered
-	if !exists || !offered.goesWithoutSaying(known) {
+	if !exists && !announced {
+		l.unannounced++
+	} else if !exists || !offered.goesWithoutSaying(known) {
 		l.changes++
 		l.changeOf[key] = l.changes
 	}
--- /dev/null
+++ b/internal/catalog/ledger_test.go
@@ -0,0 +1,54 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A list that is read at the start isn't among the changes, which cross every connection;
+// it shows by the digest and by Unannounced.
+func TestManyNewBackEndsAreNotAnnounced(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	empty := view.Digest()
+	is.Equal(len(view.OfferList(listed(3000, 7), 7)), 3000)
+	is.Equal(view.Unannounced(), uint64(3000))
+	changes, at := view.Since(0)
+	is.Equal(len(changes), 0)
+	is.Equal(at, view.Changes())
+	is.True(view.Digest().Differing(empty) != 0)
+}
+
+// A few new ones are, and so is whatever changes about known ones, in any number.
+func TestChangesAreAnnounced(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	view.OfferEntries(listed(mostAnnounced, 7))
+	changes, at := view.Since(0)
+	is.Equal(len(changes), mostAnnounced)
+	view.OfferList(listed(3000, 7), 7)
+	leaving := listed(3000, 8)
+	for i := range leaving {
+		leaving[i].BackEnd.Leaving = true
+	}
+	view.OfferEntries(leaving)
+	changes, at = view.Since(at)
+	is.Equal(len(changes), 3000)
+	view.OfferList(nil, 9)
+	changes, _ = view.Since(at)
+	is.Equal(len(changes), 3000)
+}
+
+// Operators' orders have no digest: all of them are changes.
+func TestAllEvacuationsAreAnnounced(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	var orders []Evacuation
+	for _, zone := range "abcdefghijklmnopqrstuvwxyz" {
+		orders = append(orders, Evacuation{Zone: string(zone), Revision: 3})
+	}
+	view.OfferEvacuations(orders)
+	changes, _ := view.EvacuationsSince(0)
+	is.Equal(len(changes), len(orders))
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BackEnd is one incarnation of a back end. A restart makes a new one.
 type BackEnd struct {
@@ -78,11 +81,14 @@
 	index       *Index
 	entries     ledger[Entry]
 	evacuations ledger[Evacuation]
+	// digest is that of the entries when they were at the version digestOf.
+	digest   Digest
+	digestOf uint64
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: newLedger[Entry](), evacuations: newLedger[Evacuation]()}
+	return &View{entries: newLedger[Entry](mostAnnounced), evacuations: newLedger[Evacuation](math.MaxInt)}
 }
 
 // Index returns the configuration in force, or nil before the first.
@@ -125,6 +131,13 @@
 	return list
 }
 
+// Changes returns the number of changes so far.
+func (v *View) Changes() uint64 { return v.entries.changes }
+
+// Unannounced returns how many back ends came in such numbers at once that they aren't
+// among the changes: who follows these compares digests whenever it grows.
+func (v *View) Unannounced() uint64 { return v.entries.unannounced }
+
 // Since returns the entries that changed after the given number of changes, in
 // the order of their change, and the number to go on from.
 func (v *View) Since(change uint64) ([]Entry, uint64) { return v.entries.since(change) }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -15,6 +15,10 @@
 type News struct {
 	// Version is the configuration in force.
 	Version uint64
+	// Digest sums up the back ends that are known, where there is news of them beside
+	// Entries, and Listing is the number to go on from.
+	Digest  catalog.Digest
+	Listing uint64
 	// Entries are the back ends that changed since, and Change the number to go
 	// on from.
 	Entries []catalog.Entry
@@ -36,27 +40,30 @@
 	Changed <-chan struct{}
 }
 
-// Digest sums up the back ends that this gateway knows. listed is false until it has a
-// list; changed is closed with the next change.
-func (s *State) Digest() (digest catalog.Digest, listed bool, changed <-chan struct{}) {
+// Compare returns the buckets in which a peer that has a list knows other back ends than
+// this gateway. In the others this gateway knows all that the peer does.
+func (s *State) Compare(peer catalog.Digest) catalog.Buckets {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.view.Digest(), s.listed, s.changed
+	differing := s.view.Digest().Differing(peer)
+	s.hear(^differing)
+	return differing
 }
 
-// Differing returns the back ends that a peer with the digest may lack, and the number
-// of changes to go on from.
-func (s *State) Differing(digest catalog.Digest) ([]catalog.Entry, uint64) {
+// EntriesOf returns the back ends of the buckets; listed is false while this gateway has
+// no list, and can't answer.
+func (s *State) EntriesOf(buckets catalog.Buckets) (entries []catalog.Entry, listed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.listed {
-		return nil, 0
+		return nil, false
 	}
-	return s.view.Differing(digest)
+	return s.view.EntriesOf(buckets), true
 }
 
 // Told is what a peer was told: the numbers to go on from.
 type Told struct {
+	Listing    uint64
 	Change     uint64
 	Evacuation uint64
 	Holding    uint64
@@ -69,7 +76,7 @@
 	defer s.mutex.Unlock()
 	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(time.Now()), Changed: s.changed}
 	if s.listed {
-		news.Entries, news.Change = s.view.Since(told.Change)
+		s.tellBackEnds(&news, told)
 	}
 	if s.surveyed {
 		news.Surveyed = true
@@ -79,6 +86,20 @@
 	return news
 }
 
+// tellBackEnds adds to the news the digest, where it tells what the changes don't, and the
+// changes since; the first digest tells all changes before it.
+func (s *State) tellBackEnds(news *News, told Told) {
+	news.Listing = 1 + s.view.Unannounced()
+	if told.Listing != news.Listing {
+		news.Digest = s.view.Digest()
+	}
+	if told.Listing == 0 {
+		news.Change = s.view.Changes()
+		return
+	}
+	news.Entries, news.Change = s.view.Since(told.Change)
+}
+
 // Document returns the configuration in force, encoded for peers, or nil. It is
 // encoded once a version, and only when a peer asks.
 func (s *State) Document() []byte {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,10 +16,13 @@
 type State struct {
 	log *eventlog.Log
 
-	mutex    sync.Mutex
-	view     *catalog.View
-	core     *dispatch.Core
+	mutex sync.Mutex
+	view  *catalog.View
+	core  *dispatch.Core
+	// listed is set once all back ends are known: from the store, or bucket by bucket as
+	// peers know them that have a list. heard are these buckets.
 	listed   bool
+	heard    catalog.Buckets
 	draining bool
 	// surveyed is set once it is known which zones are evacuated.
 	surveyed bool
@@ -133,11 +136,24 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if source != SourceStore {
-		// A peer's entries are complete when it has a list of its own.
+	s.apply(s.view.OfferEntries(entries), source)
+}
+
+// OfferBuckets takes a peer's answer: all back ends of some buckets.
+func (s *State) OfferBuckets(buckets catalog.Buckets, entries []catalog.Entry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.apply(s.view.OfferEntries(entries), SourcePeer)
+	s.hear(buckets)
+}
+
+// hear notes that all back ends of the buckets are known which a peer with a list knows.
+func (s *State) hear(buckets catalog.Buckets) {
+	s.heard |= buckets
+	if !s.listed && s.heard == catalog.AllBuckets {
 		s.listed = true
+		s.announce()
 	}
-	s.apply(s.view.OfferEntries(entries), source)
 }
 
 // OfferEvacuationList takes the complete list of evacuated zones.
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -19,17 +19,19 @@
 )
 
 func (r *Relay) read(ctx context.Context, from *link) error {
-	for count := 0; ; count++ {
+	for {
 		message, err := r.readOne(ctx, from.socket)
 		if err != nil {
 			return err
 		}
-		if count == 0 {
-			from.first <- message.Digest
-		}
 		from.note(message.Entries)
 		from.noteHoldings(message.Holdings)
 		r.take(message)
+		r.askFor(from, message)
+		if message.Lacking != 0 {
+			from.asked.Or(uint64(message.Lacking))
+			from.wakeUp()
+		}
 		if message.Want {
 			from.give.Store(true)
 			from.wakeUp()
@@ -41,6 +43,24 @@
 	}
 }
 
+// askFor asks the peer for back ends that it knows and this gateway doesn't.
+func (r *Relay) askFor(from *link, message Message) {
+	r.mutex.Lock()
+	from.repair.hear(&r.questions, message)
+	r.mutex.Unlock()
+	if from.repair.wanted == 0 {
+		return
+	}
+	differing := r.config.State.Compare(from.repair.digest)
+	r.mutex.Lock()
+	lacking := from.repair.next(time.Now(), &r.questions, differing)
+	r.mutex.Unlock()
+	if lacking != 0 {
+		from.lacking.Or(uint64(lacking))
+		from.wakeUp()
+	}
+}
+
 // shouldAsk tells whether a document is newer than this gateway's, and nobody
 // was asked for it of late.
 func (r *Relay) shouldAsk(version uint64) bool {
@@ -77,7 +97,11 @@
 	if message.Document != nil && message.Version > r.config.State.Version() {
 		r.takeDocument(message)
 	}
-	r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
+	if message.Answer != 0 {
+		r.config.State.OfferBuckets(message.Answer, message.Entries)
+	} else {
+		r.config.State.OfferEntries(message.Entries, gateway.SourcePeer)
+	}
 	if message.Surveyed {
 		r.config.State.OfferEvacuations(message.Evacuations, gateway.SourcePeer)
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -19,8 +19,12 @@
 	// document, and the answer to the peer's.
 	ask  atomic.Bool
 	give atomic.Bool
-	// first is the digest of the peer's first message.
-	first chan catalog.Digest
+	// lacking and asked are the buckets of back ends that the next message asks the peer
+	// for, and those that the peer asked for.
+	lacking atomic.Uint64
+	asked   atomic.Uint64
+	// repair is the reader's alone.
+	repair repair
 
 	mutex sync.Mutex
 	// heard are the entries that the peer told since the last message to it.
@@ -41,7 +45,7 @@
 
 func newLink(socket *websocket.Conn) *link {
 	return &link{
-		socket: socket, wake: make(chan struct{}, 1), first: make(chan catalog.Digest, 1),
+		socket: socket, wake: make(chan struct{}, 1),
 		heard: map[string]catalog.Entry{}, heardHoldings: map[holding]struct{}{},
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -31,9 +31,15 @@
 	StoreAgeMillis int64 `cbor:"8,keyasint"`
 	// Holdings are prompt parts that back ends hold, as far as it is news.
 	Holdings []dispatch.Holdings `cbor:"10,keyasint,omitempty"`
-	// Digest sums up the back ends that the sender knows; it stands in the first
-	// message on a connection alone, which has no entries.
+	// Digest sums up the back ends that the sender knows. It stands in the first message
+	// on a connection of a sender with a list, and in later ones when it learned of many
+	// at once, which aren't among the entries.
 	Digest catalog.Digest `cbor:"11,keyasint,omitempty"`
+	// Lacking are buckets in which the receiver's digest differs from what the sender
+	// knows: it asks for their entries. Answer are buckets that the receiver asked for, all
+	// of whose entries are among Entries.
+	Lacking catalog.Buckets `cbor:"16,keyasint,omitempty"`
+	Answer  catalog.Buckets `cbor:"17,keyasint,omitempty"`
 	// Zone and Capacity are the sender's; see Peer.
 	Zone     string `cbor:"12,keyasint,omitempty"`
 	Capacity int    `cbor:"13,keyasint,omitempty"`
@@ -73,8 +79,9 @@
 // the message before.
 func (m *Message) tellsNews(before Message) bool {
 	changed := m.Version != before.Version || m.Surveyed != before.Surveyed
-	lists := len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers)
-	return changed || m.Want || lists > 0
+	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers)
+	asks := m.Want || m.Lacking != 0
+	return changed || asks || m.Answer != 0 || lists > 0
 }
 
 // decode parses a peer's message.
@@ -103,6 +110,7 @@
 		From:    r.config.ID,
 		Address: r.config.Address,
 		Version: news.Version,
+		Digest:  news.Digest,
 		Entries: news.Entries,
 		Zone:    r.config.Zone, Capacity: r.config.Capacity,
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,8 +53,8 @@
 	askedAt      time.Time
 	// opened ends the connections that this gateway opened, by peer.
 	opened map[string]openedLink
-	// listAsked is set once a peer was greeted while no list of back ends was known.
-	listAsked bool
+	// questions are those to peers for back ends.
+	questions questions
 }
 
 // Start begins to connect.
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -17,73 +17,13 @@
 	// crosses a fleet of 340 in some five steps, so that is a quarter of a second on
 	// top of the way itself.
 	longestGather = 100 * time.Millisecond
-	// listTime is how long the store may take to tell a list of thousands of back
-	// ends, and this process to read it.
-	listTime = 400 * time.Millisecond
 )
 
-// greet sends the first message, waits for the peer's, and tells it the back ends that
-// it may lack. It returns the number of changes to go on from.
-func (r *Relay) greet(ctx context.Context, to *link) (change uint64, ok bool) {
-	greeting := r.firstMessage()
-	greeting.Digest = r.digestToTell(ctx)
-	if err := r.writeOne(ctx, to.socket, greeting); err != nil {
-		return 0, false
-	}
-	select {
-	case digest := <-to.first:
-		lacking := r.firstMessage()
-		lacking.Entries, change = r.config.State.Differing(digest)
-		return change, r.writeOne(ctx, to.socket, lacking) == nil
-	case <-ctx.Done():
-		return 0, false
-	}
-}
-
-// firstMessage returns a message without news, as the first ones on a connection are.
-func (r *Relay) firstMessage() Message {
-	return r.message(gateway.News{Version: r.config.State.Version(), StoreAge: r.config.State.StoreAge()}, time.Time{})
-}
-
-// digestToTell returns what this gateway knows. One that has just started tells one peer
-// at once that it knows nothing; the others only when it still has no list a while
-// later: else each of them would tell it all that the store is telling it meanwhile.
-func (r *Relay) digestToTell(ctx context.Context) catalog.Digest {
-	timer := time.NewTimer(listTime + rand.N(listTime))
-	defer timer.Stop()
-	for {
-		digest, listed, changed := r.config.State.Digest()
-		if listed || r.mayAskForList() {
-			return digest
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return digest
-		case <-ctx.Done():
-			return digest
-		}
-	}
-}
-
-// mayAskForList returns true once.
-func (r *Relay) mayAskForList() bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	first := !r.listAsked
-	r.listAsked = true
-	return first
-}
-
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
-	change, ok := r.greet(ctx, to)
-	if !ok {
-		return
-	}
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	told := gateway.Told{Change: change}
+	var told gateway.Told
 	var written Message
 	var peersAt time.Time
 	for {
@@ -99,6 +39,8 @@
 		if to.give.Swap(false) {
 			message.Document = r.config.State.Document()
 		}
+		message.Lacking = catalog.Buckets(to.lacking.Swap(0))
+		r.answer(&message, catalog.Buckets(to.asked.Swap(0)))
 		if err := r.writeOne(ctx, to.socket, message); err != nil {
 			return
 		}
@@ -107,7 +49,7 @@
 			wait = max(wait, restPeriod)
 		}
 		written = message
-		told = gateway.Told{Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding}
+		told = gateway.Told{Listing: news.Listing, Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding}
 		timer.Reset(wait)
 		select {
 		case <-to.wake:
@@ -120,6 +62,19 @@
 	}
 }
 
+// answer adds the back ends of the buckets that the peer asked for, if this gateway knows
+// them all.
+func (r *Relay) answer(message *Message, asked catalog.Buckets) {
+	if asked == 0 {
+		return
+	}
+	entries, listed := r.config.State.EntriesOf(asked)
+	if listed {
+		message.Answer = asked
+		message.Entries = append(message.Entries, entries...)
+	}
+}
+
 // gather waits for more changes to tell with the one at hand, and for the peer to tell
 // it itself. In a small fleet a change is told at once.
 func (r *Relay) gather(ctx context.Context, gateways int) {
@@ -142,5 +97,6 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	r.config.Metrics.Counter("relay_bytes_sent").Inc(int64(len(raw)))
+	r.config.Metrics.Counter("relay_entries_sent").Inc(int64(len(message.Entries)))
 	return socket.Write(ctx, websocket.MessageBinary, raw)
 }
