Draining: a request whose first bytes were read isn't closed away as resting

Cause: http.Server counts a connection as resting until it has read the whole header.

Change: a connection that rests is spared also when bytes of a request were read from it since its last answer. The new test failed before (the answer could not be written).

--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -15,7 +15,9 @@
 // Connections watches over the connections of one server. It is safe for concurrent
 // use.
 type Connections struct {
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// resting are the connections between two requests; the value is true once bytes of
+	// the next one were read.
 	resting map[net.Conn]bool
 	// spared are connections that were not closed since a request waits in them;
 	// none is closed when the last of them has ended.
@@ -39,7 +41,7 @@
 	defer c.mutex.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.resting[connection] = true
+		c.resting[connection] = false
 	default:
 		delete(c.resting, connection)
 	}
@@ -80,13 +82,24 @@
 	}
 }
 
+// began notes that bytes were read from a connection.
+func (c *Connections) began(connection *conn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, rests := c.resting[connection]; rests {
+		c.resting[connection] = true
+	}
+}
+
 // spare tells whether a connection that is being closed rests with a request
-// waiting in it. It is spared once: after its answer, or when its reader fails, it
+// waiting in it, or with one that the server has begun to read: it counts the connection
+// as resting until it has read the whole header. It is spared once: after its answer, or when its reader fails, it
 // is closed.
 func (c *Connections) spare(connection *conn) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.resting[connection] || c.spared[connection] || !hasUnread(connection.Conn) {
+	begun, rests := c.resting[connection]
+	if !rests || c.spared[connection] || !begun && !hasUnread(connection.Conn) {
 		return false
 	}
 	c.spared[connection] = true
@@ -191,6 +204,15 @@
 	connections *Connections
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(into []byte) (int, error) {
+	count, err := c.Conn.Read(into)
+	if count > 0 {
+		c.connections.began(c)
+	}
+	return count, err
+}
+
 // Close implements net.Conn. Closing a connection in which a request waits does
 // nothing: the server's reader is about to find it.
 func (c *conn) Close() error {
--- a/internal/draining/draining_test.go
+++ b/internal/draining/draining_test.go
@@ -51,6 +51,28 @@
 	is.True(err != nil)
 }
 
+// A server that runs late has read a request's first bytes, and still counts the connection
+// as resting.
+func TestRequestThatWasReadIsNotClosedAway(t *testing.T) {
+	is := is.New(t)
+	connections := New()
+	near, far := pair(t, connections)
+	connections.ConnState(near, http.StateIdle)
+	_, err := io.WriteString(far, "GET")
+	is.NoErr(err)
+	_, err = io.ReadFull(near, make([]byte, 3))
+	is.NoErr(err)
+	is.NoErr(near.Close()) // spared
+	_, err = io.WriteString(near, "answer")
+	is.NoErr(err)
+	connections.ConnState(near, http.StateActive)
+	connections.ConnState(near, http.StateIdle)
+	is.NoErr(near.Close()) // answered, and nothing read since
+	_, err = io.ReadAll(far)
+	is.NoErr(err)
+	is.NoErr(connections.Shutdown(context.Background(), &http.Server{}))
+}
+
 func TestRestingConnectionIsClosed(t *testing.T) {
 	is := is.New(t)
 	connections := New()
