Who lacks back ends tells which it knows; more than eight new at once are asked for

A bucket that differed was told whole, for one new entry.

Change: a question names the sums, 4 bytes each, of the back ends that the asker knows in those buckets; the answer holds what isn't among them. So many small differences cost little, and only up to eight new back ends of an offer are pushed. Digests follow each other on a connection by 250 ms at least.

nextMessage, pauseAfter and holdDigest are taken out of write, which was long.

--- a/internal/catalog/digest.go
+++ b/internal/catalog/digest.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Digest sums up the back ends that a view knows to be in service, so that two
 // gateways find out what one of them lacks without telling each other everything. It
@@ -72,13 +76,53 @@
 	return digest
 }
 
-// EntriesOf returns all entries of the buckets, removals included.
-func (v *View) EntriesOf(buckets Buckets) []Entry {
-	var entries []Entry
+// Sums are those of the back ends that a view knows to be in service, sumBytes each. They
+// tell a peer which entries not to send.
+type Sums []byte
+
+const sumBytes = 4
+
+// SumsOf returns the sums of the back ends of the buckets.
+func (v *View) SumsOf(buckets Buckets) Sums {
+	var sums Sums
+	for id, entry := range v.entries.records {
+		if !entry.Gone && buckets.Has(bucketOf(id)) {
+			sums = binary.BigEndian.AppendUint32(sums, sumOf(entry))
+		}
+	}
+	return sums
+}
+
+// set returns the set of the sums.
+func (s Sums) set() map[uint32]bool {
+	set := make(map[uint32]bool, len(s)/sumBytes)
+	for rest := s; len(rest) >= sumBytes; rest = rest[sumBytes:] {
+		set[binary.BigEndian.Uint32(rest)] = true
+	}
+	return set
+}
+
+// Lacked returns the entries of the buckets that a peer lacks which knows the back ends of
+// the sums: those in service that aren't among them, and the removals of those that are.
+func (v *View) Lacked(buckets Buckets, known Sums) []Entry {
+	knownSums := known.set()
+	var lacked []Entry
 	for _, id := range v.entries.keys() {
-		if buckets.Has(bucketOf(id)) {
-			entries = append(entries, v.entries.records[id])
+		if !buckets.Has(bucketOf(id)) {
+			continue
+		}
+		if entry := v.entries.records[id]; entry.isLackedBy(knownSums) {
+			lacked = append(lacked, entry)
 		}
 	}
-	return entries
+	return lacked
+}
+
+func (e Entry) isLackedBy(knownSums map[uint32]bool) bool {
+	if !e.Gone {
+		return !knownSums[sumOf(e)]
+	}
+	leaving, staying := e, e
+	leaving.BackEnd.Leaving, staying.BackEnd.Leaving = true, false
+	return knownSums[sumOf(leaving)] || knownSums[sumOf(staying)]
 }
--- a/internal/catalog/digest_test.go
+++ b/internal/catalog/digest_test.go
@@ -26,15 +26,20 @@
 	is.Equal(first.Digest().Differing(second.Digest()), Buckets(0))
 }
 
-func TestOneDifferenceCostsOneBucket(t *testing.T) {
+// lackedBy returns what the teller answers a gateway that compared digests with it.
+func lackedBy(asker, teller *View) []Entry {
+	differing := asker.Digest().Differing(teller.Digest())
+	return teller.Lacked(differing, asker.SumsOf(differing))
+}
+
+func TestOneDifferenceCostsOneEntry(t *testing.T) {
 	is := is.New(t)
 	first, second := NewView(), NewView()
 	first.OfferList(listed(3000, 7), 7)
 	second.OfferList(listed(3000, 7), 7)
 	first.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "b12"}, Gone: true, Revision: 7}})
-	entries := first.EntriesOf(second.Digest().Differing(first.Digest()))
-	is.True(len(entries) > 0)
-	is.True(len(entries) < 100)
+	entries := lackedBy(second, first)
+	is.Equal(len(entries), 1)
 	second.OfferEntries(entries)
 	is.Equal(second.BackEnds(), first.BackEnds())
 }
@@ -44,7 +49,7 @@
 	view := NewView()
 	view.OfferList(listed(30, 7), 7)
 	for _, other := range []Digest{nil, NewView().Digest()} {
-		is.Equal(len(view.EntriesOf(other.Differing(view.Digest()))), 30)
+		is.Equal(len(view.Lacked(other.Differing(view.Digest()), nil)), 30)
 	}
 }
 
@@ -56,7 +61,7 @@
 	first, second := NewView(), NewView()
 	first.OfferEntries([]Entry{{BackEnd: BackEnd{ID: ids[0], Leaving: true}}, {BackEnd: BackEnd{ID: ids[1]}}})
 	second.OfferEntries([]Entry{{BackEnd: BackEnd{ID: ids[0]}}, {BackEnd: BackEnd{ID: ids[1], Leaving: true}}})
-	is.Equal(len(first.EntriesOf(second.Digest().Differing(first.Digest()))), 2)
+	is.Equal(len(lackedBy(second, first)), 2)
 }
 
 // idsOfBucket returns as many IDs as asked for that fall into the bucket.
@@ -89,8 +94,7 @@
 				second.OfferEntries([]Entry{entry})
 			}
 		}
-		differing := first.Digest().Differing(second.Digest())
-		fromFirst, fromSecond := first.EntriesOf(differing), second.EntriesOf(differing)
+		fromFirst, fromSecond := lackedBy(second, first), lackedBy(first, second)
 		second.OfferEntries(fromFirst)
 		first.OfferEntries(fromSecond)
 		if fmt.Sprint(first.BackEnds()) != fmt.Sprint(second.BackEnds()) {
--- a/internal/catalog/ledger.go
+++ b/internal/catalog/ledger.go
@@ -22,15 +22,11 @@
 	goesWithoutSaying(known R) bool
 }
 
-const (
-	// mostAnnounced is how many new objects an offer may bring for each of them to be
-	// numbered as a change, whatever is known already; announcedPart is the part of those
-	// known, as one in so many, that it may bring. A change crosses every connection
-	// between gateways, about 18 of each in a fleet of hundreds, and a list that a gateway
-	// reads as it starts would cross them all; so those who lack it ask one peer for it.
-	mostAnnounced = 8
-	announcedPart = 4
-)
+// mostAnnounced is how many new back ends an offer may bring for each of them to be numbered
+// as a change. A change crosses every connection between gateways, 18 to 74 of each in a
+// fleet of hundreds, at 80 bytes; many at once are asked for, of one peer, which costs a
+// digest on each connection and 4 bytes for each back end known.
+const mostAnnounced = 8
 
 // maxTombstones bounds the memory for objects that are gone.
 const maxTombstones = 4096
@@ -101,7 +97,7 @@
 			added++
 		}
 	}
-	return added <= max(l.mostAnnounced, len(l.records)/announcedPart)
+	return added <= l.mostAnnounced
 }
 
 // offerOne applies one record. A new object is numbered as a change only if it is
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -40,6 +40,13 @@
 	Changed <-chan struct{}
 }
 
+// Listed tells whether this gateway has a list of back ends, and how many it knows.
+func (s *State) Listed() (listed bool, backEnds int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.listed, s.view.Count()
+}
+
 // Compare returns the buckets in which a peer that has a list knows other back ends than
 // this gateway. In the others this gateway knows all that the peer does.
 func (s *State) Compare(peer catalog.Digest) catalog.Buckets {
@@ -50,15 +57,22 @@
 	return differing
 }
 
-// EntriesOf returns the back ends of the buckets; listed is false while this gateway has
-// no list, and can't answer.
-func (s *State) EntriesOf(buckets catalog.Buckets) (entries []catalog.Entry, listed bool) {
+// SumsOf returns the sums of the back ends of the buckets that this gateway knows.
+func (s *State) SumsOf(buckets catalog.Buckets) catalog.Sums {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view.SumsOf(buckets)
+}
+
+// Lacked returns the back ends of the buckets that a peer lacks which knows those of the
+// sums; listed is false while this gateway has no list, and can't answer.
+func (s *State) Lacked(buckets catalog.Buckets, known catalog.Sums) (entries []catalog.Entry, listed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.listed {
 		return nil, false
 	}
-	return s.view.EntriesOf(buckets), true
+	return s.view.Lacked(buckets, known), true
 }
 
 // Told is what a peer was told: the numbers to go on from.
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -29,7 +29,7 @@
 		r.take(message)
 		r.askFor(from, message)
 		if message.Lacking != 0 {
-			from.asked.Or(uint64(message.Lacking))
+			from.noteAsked(message)
 			from.wakeUp()
 		}
 		if message.Want {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -19,20 +19,43 @@
 	// document, and the answer to the peer's.
 	ask  atomic.Bool
 	give atomic.Bool
-	// lacking and asked are the buckets of back ends that the next message asks the peer
-	// for, and those that the peer asked for.
+	// lacking are the buckets of back ends that the next message asks the peer for.
 	lacking atomic.Uint64
-	asked   atomic.Uint64
 	// repair is the reader's alone.
 	repair repair
 
 	mutex sync.Mutex
+	// asked is what the peer asked for since the last message to it.
+	asked peerQuestion
 	// heard are the entries that the peer told since the last message to it.
 	heard map[string]catalog.Entry
 	// heardHoldings are the holdings that it told of late.
 	heardHoldings map[holding]struct{}
 }
 
+// peerQuestion is a peer's question for back ends: the buckets, and those that it knows.
+type peerQuestion struct {
+	buckets catalog.Buckets
+	known   catalog.Sums
+}
+
+// noteAsked remembers what the peer asked for.
+func (l *link) noteAsked(message Message) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.asked.buckets |= message.Lacking
+	l.asked.known = append(l.asked.known, message.Sums...)
+}
+
+// takeAsked returns what the peer asked for, once.
+func (l *link) takeAsked() peerQuestion {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	asked := l.asked
+	l.asked = peerQuestion{}
+	return asked
+}
+
 // holding is a prompt part at a back end.
 type holding struct {
 	backEnd string
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -36,9 +36,10 @@
 	// at once, which aren't among the entries.
 	Digest catalog.Digest `cbor:"11,keyasint,omitempty"`
 	// Lacking are buckets in which the receiver's digest differs from what the sender
-	// knows: it asks for their entries. Answer are buckets that the receiver asked for, all
-	// of whose entries are among Entries.
+	// knows: it asks for their entries but those of Sums. Answer are buckets that the
+	// receiver asked for; all that it lacks of them is among Entries.
 	Lacking catalog.Buckets `cbor:"16,keyasint,omitempty"`
+	Sums    catalog.Sums    `cbor:"18,keyasint,omitempty"`
 	Answer  catalog.Buckets `cbor:"17,keyasint,omitempty"`
 	// Zone and Capacity are the sender's; see Peer.
 	Zone     string `cbor:"12,keyasint,omitempty"`
--- a/internal/relay/repair_test.go
+++ b/internal/relay/repair_test.go
@@ -110,7 +110,7 @@
 		if asked == 0 {
 			return
 		}
-		message = Message{Answer: asked, Entries: teller.EntriesOf(asked)}
+		message = Message{Answer: asked, Entries: teller.Lacked(asked, asker.SumsOf(asked))}
 		asker.OfferEntries(message.Entries)
 	}
 }
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -17,44 +17,40 @@
 	// crosses a fleet of 340 in some five steps, so that is a quarter of a second on
 	// top of the way itself.
 	longestGather = 100 * time.Millisecond
+	// digestPeriod is the least time between two digests on a connection of a large
+	// fleet: while thousands of back ends register, each of up to 74 connections would
+	// carry ten digests of 320 bytes a second.
+	digestPeriod = 250 * time.Millisecond
 )
 
+// conversation is what the peer of one connection was told.
+type conversation struct {
+	told gateway.Told
+	// peersAt is when it was last told of other peers, and digestAt when a digest;
+	// digestWaits is set while another one waits for its time.
+	peersAt     time.Time
+	digestAt    time.Time
+	digestWaits bool
+	// last is the last message.
+	last Message
+}
+
 // write tells the peer what it lacks, at once after a change and every period.
 func (r *Relay) write(ctx context.Context, to *link) {
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	var told gateway.Told
-	var written Message
-	var peersAt time.Time
+	var talk conversation
 	for {
-		gateways, _ := r.config.State.Fleet()
-		news := r.config.State.NewsSince(told, holdingsPerMessage(gateways))
-		news.Entries = to.untold(news.Entries)
-		news.Holdings = to.untoldHoldings(news.Holdings)
-		message := r.message(news, peersAt)
-		if message.Peers != nil {
-			peersAt = time.Now()
-		}
-		message.Want = to.ask.Swap(false)
-		if to.give.Swap(false) {
-			message.Document = r.config.State.Document()
-		}
-		message.Lacking = catalog.Buckets(to.lacking.Swap(0))
-		r.answer(&message, catalog.Buckets(to.asked.Swap(0)))
+		message, changed := r.nextMessage(to, &talk)
 		if err := r.writeOne(ctx, to.socket, message); err != nil {
 			return
 		}
-		wait := periodFor(gateways)
-		if IsLarge(gateways) && !message.tellsNews(written) {
-			wait = max(wait, restPeriod)
-		}
-		written = message
-		told = gateway.Told{Listing: news.Listing, Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding}
-		timer.Reset(wait)
+		timer.Reset(r.pauseAfter(message, &talk))
+		talk.last = message
 		select {
 		case <-to.wake:
-		case <-news.Changed:
-			r.gather(ctx, gateways)
+		case <-changed:
+			r.gather(ctx)
 		case <-timer.C:
 		case <-ctx.Done():
 			return
@@ -62,23 +58,74 @@
 	}
 }
 
-// answer adds the back ends of the buckets that the peer asked for, if this gateway knows
-// them all.
-func (r *Relay) answer(message *Message, asked catalog.Buckets) {
-	if asked == 0 {
+// nextMessage returns what the peer lacks now, and what tells of the next change.
+func (r *Relay) nextMessage(to *link, talk *conversation) (message Message, changed <-chan struct{}) {
+	gateways, _ := r.config.State.Fleet()
+	news := r.config.State.NewsSince(talk.told, holdingsPerMessage(gateways))
+	r.holdDigest(&news, talk)
+	news.Entries = to.untold(news.Entries)
+	news.Holdings = to.untoldHoldings(news.Holdings)
+	message = r.message(news, talk.peersAt)
+	if message.Peers != nil {
+		talk.peersAt = time.Now()
+	}
+	message.Want = to.ask.Swap(false)
+	if to.give.Swap(false) {
+		message.Document = r.config.State.Document()
+	}
+	if message.Lacking = catalog.Buckets(to.lacking.Swap(0)); message.Lacking != 0 {
+		message.Sums = r.config.State.SumsOf(message.Lacking)
+	}
+	r.answer(&message, to.takeAsked())
+	talk.told = gateway.Told{Listing: news.Listing, Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding}
+	return message, news.Changed
+}
+
+// holdDigest takes a digest out of the news that follows too soon on the one before.
+func (r *Relay) holdDigest(news *gateway.News, talk *conversation) {
+	talk.digestWaits = false
+	if news.Digest == nil {
+		return
+	}
+	gateways, _ := r.config.State.Fleet()
+	if IsLarge(gateways) && time.Since(talk.digestAt) < digestPeriod {
+		news.Digest, news.Listing = nil, talk.told.Listing
+		talk.digestWaits = true
+		return
+	}
+	talk.digestAt = time.Now()
+}
+
+// pauseAfter returns the longest time from one message to the next.
+func (r *Relay) pauseAfter(message Message, talk *conversation) time.Duration {
+	gateways, _ := r.config.State.Fleet()
+	wait := periodFor(gateways)
+	if talk.digestWaits {
+		return min(wait, digestPeriod)
+	}
+	if IsLarge(gateways) && !message.tellsNews(talk.last) {
+		return max(wait, restPeriod)
+	}
+	return wait
+}
+
+// answer adds what the peer lacks of the buckets that it asked for, if this gateway has a
+// list.
+func (r *Relay) answer(message *Message, asked peerQuestion) {
+	if asked.buckets == 0 {
 		return
 	}
-	entries, listed := r.config.State.EntriesOf(asked)
+	entries, listed := r.config.State.Lacked(asked.buckets, asked.known)
 	if listed {
-		message.Answer = asked
+		message.Answer = asked.buckets
 		message.Entries = append(message.Entries, entries...)
 	}
 }
 
 // gather waits for more changes to tell with the one at hand, and for the peer to tell
 // it itself. In a small fleet a change is told at once.
-func (r *Relay) gather(ctx context.Context, gateways int) {
-	if gateways <= meshSize {
+func (r *Relay) gather(ctx context.Context) {
+	if gateways, _ := r.config.State.Fleet(); !IsLarge(gateways) {
 		return
 	}
 	timer := time.NewTimer(rand.N(longestGather))
