Follower: starting gateways leave long lists to readers; silent connections cost one call

Cause 1: 299 gateways that start together each read 60 pages of the store.

Cause 2: TestPeersMeetAgainAfterTheirConnectionsFellSilent failed once while other tests ran, then 11 times of 400 (logs of the three gateways: a second read went to a second kept connection that was dead, and the order's list had its next turn two reads later). The code before has it too. Change: a call without an answer in time closes the kept connections, and the list is read again next. TestSilentStoreConnectionsCostOneCall failed before at one of its twelve moments. After: 1,000 of 1,000 pass.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -243,12 +243,15 @@
 }
 
 func (g *Gateway) follow(environment GatewayEnvironment) {
+	toStore := g.transport(environment, true)
 	g.follower = follower.Start(follower.Config{
-		Source:     environment.Adapter.Source(g.settings.Platform.URL, g.transport(environment, true)),
+		Source:     environment.Adapter.Source(g.settings.Platform.URL, toStore),
 		State:      g.state,
 		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
 
 		Evacuations: g.settings.Gateway.EvacuationBound > 0,
+		Peers:       len(g.settings.Seeds) > 0,
+		Connections: toStore,
 		Log:         g.log,
 		Metrics:     g.metrics.Scope,
 	})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -32,8 +32,8 @@
 	// when there was none in time, and the revision to go on from.
 	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error)
 	// BackEnds returns all back ends and the revision of the list, which may be
-	// seconds old where stale is allowed.
-	BackEnds(ctx context.Context, stale bool) ([]catalog.Entry, uint64, error)
+	// seconds old where stale is allowed. It returns the error of the pace.
+	BackEnds(ctx context.Context, stale bool, pace Pace) ([]catalog.Entry, uint64, error)
 	// AwaitBackEnds waits for changes after the revision.
 	AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error)
 	// Evacuations returns the zones that operators evacuate and the revision of the
@@ -55,6 +55,10 @@
 	ReadPeriod time.Duration
 	// Evacuations is true where operators may evacuate zones.
 	Evacuations bool
+	// Peers is true where there may be other gateways, which tell what they read.
+	Peers bool
+	// Connections are those to the store; nil for one that keeps none.
+	Connections interface{ CloseIdleConnections() }
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
 	Metrics tally.Scope
@@ -120,10 +124,11 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel}
-	lists := []list{{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}, f.backEnds()}
+	lists := []list{{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}}
 	if config.Evacuations {
 		lists = append(lists, f.evacuations())
 	}
+	lists = append(lists, f.backEnds()) // the longest one last: a gateway that starts reads them in turn
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
 	for _, each := range lists {
 		f.tasks.Go(func() { f.watchLoop(ctx, each) })
@@ -143,6 +148,7 @@
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	var longReadAt time.Time
+	again := false
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := lists[turn%len(lists)]
 		first := turn < len(lists)
@@ -154,13 +160,17 @@
 		}
 		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
 		wait := readPause(f.readPeriod() / readsPerPeriod)
-		if err != nil {
+		failed := err != nil && !errors.Is(err, errToldByPeers)
+		if failed {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
 		} else {
 			pause = firstPause
 		}
-		if starting := turn+1 < len(lists); starting && err == nil {
+		if again = failed && !again; again {
+			turn-- // the same list once more, before the others have their turn
+		}
+		if starting := turn+1 < len(lists); starting && !failed {
 			continue
 		}
 		sleep(ctx, wait)
@@ -175,6 +185,10 @@
 // read reads a list and notes whether the store answered.
 func (f *Follower) read(ctx context.Context, from list, stale bool) (uint64, error) {
 	revision, err := from.read(ctx, stale)
+	if errors.Is(err, errToldByPeers) {
+		f.note(ctx, from.name, nil) // the store answered the pages before
+		return revision, err
+	}
 	f.note(ctx, from.name, err)
 	return revision, err
 }
@@ -242,6 +256,7 @@
 	}
 	if err != nil {
 		f.config.Metrics.Tagged(map[string]string{"what": what}).Counter("reads_failed").Inc(1)
+		f.giveUpKept(err)
 		if !f.lost.Swap(true) {
 			f.config.Log.Urgent(eventlog.StoreLost, logrus.Fields{"what": what, "cause": err.Error()})
 		}
@@ -253,6 +268,14 @@
 	}
 }
 
+// giveUpKept closes the kept connections after a call that got no answer in time: all may
+// have fallen silent without a reset, and each would cost a further call its time.
+func (f *Follower) giveUpKept(cause error) {
+	if f.config.Connections != nil && errors.Is(cause, context.DeadlineExceeded) {
+		f.config.Connections.CloseIdleConnections()
+	}
+}
+
 // readPause spreads plain reads without ever making one later than is due: others take a
 // reader for lost when its last answer is older than a read and a message take.
 func readPause(due time.Duration) time.Duration {
