--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -41,7 +41,8 @@
 }
 
 // Compare returns the buckets in which a peer that has a list knows other back ends than
-// this gateway. In the others this gateway knows all that the peer does.
+// this gateway. In the others this gateway knows all that the peer does, and counts them as
+// heard.
 func (s *State) Compare(peer catalog.Digest) catalog.Buckets {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -139,7 +139,8 @@
 	s.apply(s.view.OfferEntries(entries), source)
 }
 
-// OfferBuckets takes a peer's answer: all back ends of some buckets.
+// OfferBuckets takes the answer of a peer with a list: all that this gateway lacked of some
+// buckets.
 func (s *State) OfferBuckets(buckets catalog.Buckets, entries []catalog.Entry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -147,7 +148,7 @@
 	s.hear(buckets)
 }
 
-// hear notes that all back ends of the buckets are known which a peer with a list knows.
+// hear notes buckets of which all back ends are known that a peer with a list knows.
 func (s *State) hear(buckets catalog.Buckets) {
 	s.heard |= buckets
 	if !s.listed && s.heard == catalog.AllBuckets {
--- a/internal/relay/repair.go
+++ b/internal/relay/repair.go
@@ -9,7 +9,7 @@
 const (
 	// mostAsked bounds the buckets of one question: a quarter of the list. An answer must
 	// pass on the smallest entry machine's link within writeTimeout, beside those to the
-	// peer's other neighbours: 750 back ends are 60 KB, a third of it compressed.
+	// peer's other neighbours: 750 back ends are 60 KB, and 20 compressed.
 	mostAsked = catalog.DigestBuckets / 4
 	// answerTime is how long a question may go without an answer before another peer is
 	// asked.
