Follower: comments

Cause: two comments ran over the width of the others, and one told of the retry of a list that the code has.

Change: comments alone; no figure changes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -50,8 +50,8 @@
 	// State takes the news.
 	State *gateway.State
 	// ReadPeriod is the time between two plain reads of each of two lists by any of the
-	// readers; of three it is half as long again. The longer it is, the longer a change may go unnoticed while a watch
-	// hears nothing; each read is a call to the store.
+	// readers; of three it is half as long again. The longer it is, the longer a change may
+	// go unnoticed while a watch hears nothing; each read is a call to the store.
 	ReadPeriod time.Duration
 	// Evacuations is true where operators may evacuate zones.
 	Evacuations bool
@@ -142,7 +142,8 @@
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
 // also shows that the store can be reached. A gateway that has just started reads
-// all at once: callers wait for it.
+// all at once: callers wait for it. A list that couldn't be read is read once more before
+// the next one.
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	var longReadAt time.Time
@@ -187,9 +188,9 @@
 	return revision, err
 }
 
-// readPeriod is the time in which readsPerPeriod plain reads are made. Readers share the work: what one
-// of them reads, the others hear at once. A gateway that isn't a reader stretches
-// it with the size of the fleet, so that all together make about as many calls as
+// readPeriod is the time in which readsPerPeriod plain reads are made. Readers share the
+// work: what one of them reads, the others hear at once. A gateway that isn't a reader
+// stretches it with the size of the fleet, so that all together make about as many calls as
 // a few.
 func (f *Follower) readPeriod() time.Duration {
 	gateways, reader := f.config.State.Fleet()
