Follower: all lists are read once the store answers again; no list is read twice in an outage

Reading a list again after a call without an answer, before the others have their turn, delays the configuration in an outage.

Change: the lists keep their turns; after a call without an answer in time all of them are read without a pause as soon as the store answers. The new test failed with the retry.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -142,12 +142,12 @@
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
 // also shows that the store can be reached. A gateway that has just started reads
-// all at once: callers wait for it. A list that couldn't be read is read once more before
-// the next one.
+// all at once: callers wait for it; so does one that got no answer in time, as soon as the
+// store answers again: the list whose turn was lost may hold an order.
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	var longReadAt time.Time
-	again := false
+	unread := len(lists) // so many are read without a pause
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := lists[turn%len(lists)]
 		first := turn < len(lists)
@@ -159,17 +159,17 @@
 		}
 		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
 		wait := readPause(f.readPeriod() / readsPerPeriod)
-		failed := err != nil
-		if failed {
+		if err != nil {
 			wait = jitter(pause)
 			pause = min(2*pause, longestPause)
 		} else {
 			pause = firstPause
+			unread = max(0, unread-1)
 		}
-		if again = failed && !again; again {
-			turn-- // the same list once more, before the others have their turn
+		if errors.Is(err, context.DeadlineExceeded) {
+			unread = len(lists)
 		}
-		if starting := turn+1 < len(lists); starting && !failed {
+		if err == nil && unread > 0 {
 			continue
 		}
 		sleep(ctx, wait)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -49,7 +49,7 @@
 	return 1 + uint64(time.Since(bubbleStart)/s.changePeriod)
 }
 
-var errAway = errors.New("the store is away")
+var errAway = errors.Wrap(context.DeadlineExceeded, "the store is away")
 
 func (s *source) Configuration(_ context.Context, stale bool) (*catalog.Configuration, uint64, error) {
 	s.configurationReads.Add(1)
@@ -223,6 +223,24 @@
 	is.True(s.reads.Load() < 60*4) // a store that is away isn't hammered
 }
 
+// While the store is away each list has its turn, and once it answers all of them are read
+// without a pause: any of them may have missed something.
+func TestAllListsAreReadOnceTheStoreAnswersAgain(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 20, false, func(*gateway.State) {
+		time.Sleep(time.Second)
+		s.failing.Store(true)
+		time.Sleep(time.Minute)
+		configuration, backEnds := s.configurationReads.Load(), s.reads.Load()
+		is.True(configuration-backEnds <= 1 && backEnds-configuration <= 1)
+		s.failing.Store(false)
+		time.Sleep(longestPause * 5 / 4)
+		is.True(s.configurationReads.Load() > configuration)
+		is.True(s.reads.Load() > backEnds)
+	})
+}
+
 // In a fleet of many, a gateway that has just started doesn't watch before it can have
 // heard of those that do.
 func TestStartedGatewayOfManyWatchesLater(t *testing.T) {
