Which page is tried again is the follower's decision

Cause: platform/store.go is to hold names, formats and calls, and decided that a page after the first is tried three times, each for 1.2 s.

Change: follower.ReadPage has both, with its constants, which nothing outside needs any more; the store makes the call. Fields of a relay message stand in the order of their numbers.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,8 +22,8 @@
 // ErrHistoryGone means that a watch can't go on from its revision.
 var ErrHistoryGone = errors.New("the store has dropped that part of its history")
 
-// Source is the platform's store. Each call that it makes for a plain read is given up
-// after CallTimeout; a list may take several, each page after the first PageTries of them.
+// Source is the platform's store. A plain read of a list takes a call for each page, which
+// goes through ReadPage.
 type Source interface {
 	// Configuration returns the newest document, or nil when there is none. Where
 	// stale is allowed, it may be seconds old, and costs the store less.
@@ -63,14 +63,6 @@
 }
 
 const (
-	// CallTimeout bounds a plain call. A list isn't bounded as a whole: where hundreds of
-	// gateways start together and read thousands of entries, the store's own link takes
-	// seconds, and giving up would begin all of it anew.
-	CallTimeout = 1200 * time.Millisecond
-	// PageTries is how often a page after the first is asked for before its list is given
-	// up: a list of sixty pages that began anew with each late one would never end on a
-	// loaded link. The first page shows whether the store answers at all.
-	PageTries = 3
 	// watchTime is how long a watch waits for a change; watchGrace is how much
 	// longer its answer may take. A longer watch costs fewer calls, and one whose
 	// connection has gone silent goes unnoticed for longer: plain reads tell meanwhile.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -39,8 +39,8 @@
 	// knows: it asks for their entries but those of Sums. Answer are buckets that the
 	// receiver asked for; all that it lacks of them is among Entries.
 	Lacking catalog.Buckets `cbor:"16,keyasint,omitempty"`
-	Sums    catalog.Sums    `cbor:"18,keyasint,omitempty"`
 	Answer  catalog.Buckets `cbor:"17,keyasint,omitempty"`
+	Sums    catalog.Sums    `cbor:"18,keyasint,omitempty"`
 	// Zone and Capacity are the sender's; see Peer.
 	Zone     string `cbor:"12,keyasint,omitempty"`
 	Capacity int    `cbor:"13,keyasint,omitempty"`
