Tests of the dispatch core and of the platform's world, a file a subject

Cause: dispatch_test.go (440 lines) covered the life of a request, health, placement and load; platform/standin_test.go (420) the stand-in of the store and the world that tests run in.

Change: moves alone, into health_test.go, placement_test.go, load_test.go and world_test.go.

--- /dev/null
+++ b/internal/dispatch/health_test.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestUnconnectableBackEndIsLeftAloneAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	now := start
+	dead := ""
+	sentToDead := func() bool {
+		x, decision := core.Begin(now, request(repeatable(2), now.String()))
+		target := decision.Send.BackEnd.ID
+		if dead == "" {
+			dead = target
+		}
+		if target == dead {
+			decision = core.NotConnected(now, x)
+			is.True(decision.Send.BackEnd.ID != dead) // nothing was sent: another at once
+		}
+		core.Answered(now, x, -1)
+		core.Done(start, x)
+		return target == dead
+	}
+	met := 0
+	for range 2000 { // twenty seconds
+		now = now.Add(10 * time.Millisecond)
+		if sentToDead() {
+			met++
+		}
+	}
+	is.True(met >= 4) // it is tried again
+	is.True(met <= 30)
+	core.Beliefs(now)
+}
+
+func TestFailingBackEndIsEjectedOnlyWhenWorseThanItsPool(t *testing.T) {
+	is := is.New(t)
+	fail := func(bad map[string]bool) map[string]int {
+		core := newCore(backEnds(4, 6))
+		sent := map[string]int{}
+		now := start
+		for i := range 400 {
+			now = now.Add(20 * time.Millisecond)
+			x, decision := core.Begin(now, request(once(), fmt.Sprint(i)))
+			id := decision.Send.BackEnd.ID
+			sent[id]++
+			if bad[id] {
+				core.Failed(now, x)
+			} else {
+				core.Answered(now, x, -1)
+			}
+			core.Done(start, x)
+		}
+		return sent
+	}
+	one := fail(map[string]bool{"b01": true})
+	is.True(one["b01"] < one["b00"]/2)
+	all := fail(map[string]bool{"b00": true, "b01": true, "b02": true, "b03": true})
+	is.True(all["b01"] > 70) // none is better: nobody is left alone
+}
+
+func TestPathThatFailsEverywhereSpendsNoBudget(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(4, 6))
+	again := 0
+	for range 20 {
+		x, _ := core.Begin(start, request(repeatable(2), "same"))
+		if core.Failed(start, x).Send != nil {
+			again++
+			core.Failed(start, x)
+		}
+		core.Done(start, x)
+	}
+	is.True(again <= 2)
+}
+
+// When most of a pool breaks connections, the few that look well don't get all of
+// its load.
+func TestPoolInTroubleIsNotLeftToAFew(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(10, 64))
+	for i := range 9 {
+		for range breaksToEject {
+			core.members[fmt.Sprintf("b%02d", i)].health.broke(start)
+		}
+	}
+	sent := map[string]int{}
+	for i := range 50 {
+		_, decision := core.Begin(start, request(once(), fmt.Sprint(i)))
+		sent[decision.Send.BackEnd.ID]++
+	}
+	is.True(sent["b09"] <= 10)
+	core.members["b00"].health.unreachable(start)
+	_, decision := core.Begin(start, request(once(), "x"))
+	is.True(decision.Send.BackEnd.ID != "b00") // nobody answers there
+}
+
+// A back end whose address belongs to another one by now is never back under its name: a
+// list that still has it, even for minutes, costs one attempt.
+func TestBackEndWithoutItsAddressIsNotTriedAgain(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	x, decision := core.Begin(start, request(repeatable(2), "first"))
+	gone := decision.Send.BackEnd.ID
+	is.True(core.Misdirected(start, x).Send != nil)
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * time.Second)
+		x, decision := core.Begin(now, request(repeatable(2), fmt.Sprint("r", i)))
+		is.True(decision.Send.BackEnd.ID != gone)
+		core.Answered(now, x, -1)
+		core.Done(now, x)
+	}
+	moved := backEnds(2, 6)
+	for i := range moved {
+		moved[i].Address = fmt.Sprintf("10.9.0.%d:1", i+1)
+	}
+	core.SetBackEnds(start, moved)
+	is.Equal(core.members[gone].health.status(start.Add(time.Minute)), OnTrial) // it has a new address
+}
--- /dev/null
+++ b/internal/dispatch/load_test.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// The load of every back end stays within the bound that the operators allow,
+// though all requests share one prompt part.
+func TestLoadStaysWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(10, 64))
+	route := repeatable(1)
+	sent := map[string]int{}
+	total := 0.0
+	for i := range 200 {
+		_, decision := core.Begin(start, request(route, fmt.Sprint(i), Part{ID: "shared", Tokens: 9000}, Part{ID: fmt.Sprint(i), Tokens: 10}))
+		sent[decision.Send.BackEnd.ID]++
+		total++
+		is.True(float64(sent[decision.Send.BackEnd.ID]) <= core.config.LoadMultiple*total/10+core.config.LoadSlack)
+	}
+}
+
+func TestPeersLoadsCount(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	core.SetGateways(2)
+	core.PeerLoads(start, "peer", []Load{{BackEnd: "b00", Requests: 5}})
+	for i := range 4 {
+		x, decision := core.Begin(start, request(once(), fmt.Sprint(i)))
+		is.Equal(decision.Send.BackEnd.ID, "b01")
+		core.Done(start, x)
+	}
+	_, decision := core.Begin(start, request(once(), "first"))
+	is.Equal(decision.Send.BackEnd.ID, "b01")
+	is.Equal(core.estimate(start, core.members["b01"]), 1.0)
+}
+
+// For the bound a peer is taken to send where this gateway sends, as many as it does,
+// as far as the demand for the member explains them, until it tells.
+func TestPeersAreTakenToSendAsThisGatewayDoes(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(1, 64))
+	core.SetGateways(2)
+	core.PeerLoads(start, "peer", nil)
+	m := core.members["b00"]
+	core.Begin(start, chat("alone", "part"))
+	is.Equal(core.cautiousEstimate(start, m), 1.0) // no time for the peer to do the same
+	now := start
+	for i := range 20 {
+		now = now.Add(10 * time.Millisecond)
+		core.Begin(now, chat(fmt.Sprint(i), "part"))
+	}
+	is.Equal(core.estimate(now, m), 21.0)
+	demand := clumpAllowance * m.demand.perSecond(now) * 0.2
+	is.Equal(core.cautiousEstimate(now, m), 21+min(21, demand))
+	is.True(demand > 10) // twenty in 200 ms are seen as lasting
+	core.PeerLoads(now, "peer", nil)
+	is.Equal(core.cautiousEstimate(now, m), 21.0) // it has told since
+}
+
+// A clump of requests at one gateway isn't refused for what its peers might have
+// sent: there is room for it.
+func TestClumpIsNotRefusedWithRoom(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	core.SetGateways(5)
+	for i := range 4 {
+		core.PeerLoads(start, fmt.Sprint(i), nil)
+	}
+	for i := range 20 {
+		_, decision := core.Begin(start, request(once(), fmt.Sprint(i)))
+		is.True(decision.Send != nil)
+	}
+}
+
+func TestLoadReturnsToZero(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(3, 6))
+	outcomes := []func(*Exchange){
+		func(x *Exchange) { core.Broken(start, x) },
+		func(x *Exchange) { core.Refused(start, x) },
+		func(x *Exchange) { core.Misdirected(start, x) },
+		func(x *Exchange) { core.NotConnected(start, x) },
+		func(x *Exchange) { core.Expired(start, x) },
+		func(x *Exchange) { core.Failed(start, x) },
+		func(x *Exchange) { core.Answered(start, x, 3) },
+		func(x *Exchange) { core.Answered(start, x, 3); core.Cut(start, x) },
+		func(*Exchange) {},
+	}
+	for i, outcome := range outcomes {
+		for _, route := range []*catalog.Route{once(), repeatable(3)} {
+			x, _ := core.Begin(start, request(route, fmt.Sprint(i)))
+			outcome(x)
+			core.Done(start, x)
+			is.Equal(len(core.Loads()), 0)
+			for _, m := range core.members {
+				is.Equal(m.health.awaiting, 0)
+			}
+		}
+	}
+}
+
+// In a full pool the least urgent are refused while the most urgent find room.
+func TestLeastUrgentAreRefusedFirst(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 10))
+	send := func(urgency int) bool {
+		chat := request(repeatable(1), "x", Part{ID: "shared", Tokens: 9000}, Part{ID: "own"})
+		chat.Urgency = urgency
+		_, decision := core.Begin(start, chat)
+		return decision.Send != nil
+	}
+	taken := 0
+	for send(4) {
+		taken++
+	}
+	is.True(taken >= 20) // not before all places are taken
+	is.True(!send(4))
+	is.True(send(2))
+	is.True(send(0))
+}
+
+// A gateway of a large fleet that has just started knows its own requests alone. What the
+// others may have is guessed for the bound, but nothing is refused on a guess.
+func TestNothingIsRefusedBeforeLoadsAreKnown(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(6, 6))
+	core.SetGateways(103)
+	for i := range 30 {
+		_, decision := core.Begin(start, request(repeatable(1), fmt.Sprint("r", i)))
+		is.True(decision.Send != nil)
+	}
+}
