Follower: watches on connections that fell silent end with the evidence of it

Connections to the store fall silent together, or a call is placed while the store answers nobody: a plain read notices after 1.2 s and closes the kept connections, but the watches of the three lists wait on theirs for up to 22 s. Meanwhile plain reads alone tell, each list every 3.6 s where three gateways share three lists; 3 s are allowed.

Ruled out: chance of the checker. All three gateways' logs show no news of the change until a plain read's turn; with the watches begun anew it comes at once.

Change: a plain call that got no answer in time, followed by one that got one, ends the waiting watches, which read and watch anew. A store that answers nobody, or slowly, gives no such evidence: its watches go on.

Two tests of the follower; the first fails without the change.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -102,10 +102,11 @@
 
 // Follower follows one store.
 type Follower struct {
-	config Config
-	tasks  conc.WaitGroup
-	cancel context.CancelFunc
-	lost   atomic.Bool
+	config  Config
+	tasks   conc.WaitGroup
+	cancel  context.CancelFunc
+	watches *watches
+	lost    atomic.Bool
 	// entries is the length of the list of back ends that was read last.
 	entries atomic.Int64
 }
@@ -113,7 +114,7 @@
 // Start begins to follow.
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: config, cancel: cancel}
+	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
 	lists := []list{{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}}
 	if config.Evacuations {
 		lists = append(lists, f.evacuations())
@@ -130,6 +131,7 @@
 func (f *Follower) Close() {
 	f.cancel()
 	f.tasks.Wait()
+	f.watches.close()
 }
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
@@ -215,7 +217,7 @@
 		at, err := f.read(ctx, followed, false)
 		for err == nil && ctx.Err() == nil && f.isReader() {
 			before := at
-			at, err = followed.watch(ctx, at)
+			at, err = followed.watch(f.watches.context(), at)
 			if err == nil {
 				pause = firstPause
 			}
@@ -250,15 +252,21 @@
 		return
 	}
 	f.config.State.StoreAnswered()
+	f.watches.answered()
 	if f.lost.Swap(false) {
 		f.config.Log.Urgent(eventlog.StoreRegained, logrus.Fields{"what": what})
 	}
 }
 
 // giveUpKept closes the kept connections after a call that got no answer in time: all may
-// have fallen silent without a reset, and each would cost a further call its time.
+// have fallen silent without a reset, and each would cost a further call its time. Those
+// that watches wait on are given up once a new one works.
 func (f *Follower) giveUpKept(cause error) {
-	if f.config.Connections != nil && errors.Is(cause, context.DeadlineExceeded) {
+	if !errors.Is(cause, context.DeadlineExceeded) {
+		return
+	}
+	f.watches.noAnswer()
+	if f.config.Connections != nil {
 		f.config.Connections.CloseIdleConnections()
 	}
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -36,6 +36,10 @@
 	evacuationReads atomic.Int64
 	// changePeriod is the time between two changes of the back ends, or 0 for none.
 	changePeriod time.Duration
+	// deaf is set where each watch waits on a connection that has fallen silent, and
+	// unanswered is how many further plain reads get no answer in time.
+	deaf       atomic.Bool
+	unanswered atomic.Int64
 }
 
 // bubbleStart is the time at which the virtual clock begins.
@@ -56,7 +60,7 @@
 	if stale {
 		s.staleReads.Add(1)
 	}
-	if s.failing.Load() {
+	if s.failing.Load() || s.unanswered.Add(-1) >= 0 {
 		return nil, 0, errAway
 	}
 	return &catalog.Configuration{Version: 1}, 1, nil
@@ -103,6 +107,10 @@
 	if s.failing.Load() {
 		return errAway
 	}
+	if s.deaf.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	sleep(ctx, wait)
 	return ctx.Err()
 }
@@ -262,3 +270,32 @@
 		is.True(wait >= 800*time.Millisecond && wait <= time.Second)
 	}
 }
+
+// Connections fall silent together: once one plain read got no answer in time and the next
+// one did, on a new connection, the watches that wait on old ones begin anew.
+func TestWatchesThatWaitOnSilentConnectionsBeginAnew(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	s.deaf.Store(true)
+	follow(t, s, 3, true, func(*gateway.State) {
+		time.Sleep(4 * time.Second)
+		is.Equal(s.watches.Load(), int64(1)) // it waits for its 22 s
+		s.unanswered.Store(1)
+		s.deaf.Store(false)
+		time.Sleep(3 * time.Second)
+		is.True(s.watches.Load() > 1)
+	})
+}
+
+// A store that answers nobody in time, or slowly, isn't one whose connections are dead.
+func TestWatchesGoOnWhileNoReadIsAnswered(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	s.deaf.Store(true)
+	follow(t, s, 3, true, func(*gateway.State) {
+		time.Sleep(4 * time.Second)
+		s.failing.Store(true)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.watches.Load(), int64(1))
+	})
+}
