Warm-up: an entry from before a zone was restored doesn't end the warm-up

A zone is taken back, and its back ends count as cold until they say so themselves. One gateway hears of entries of revision 38 and 39 only after the order's withdrawal of revision 41, from a slow read; they know nothing of the cold that followed, and ended the warm-up at that gateway, which sent without a limit for 0.6 s. Its log shows both.

Ruled out: lists of gateways that differ (all three drew the same), and the first 30 ms after the restoration, as the finding had it: that is merely where the second began that held the most requests.

Change: a restoration keeps its time and revision. Only an entry that is newer and tells of a warm-up says more than the restoration does; a back end that is heard of later counts as cold as well.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -90,8 +90,10 @@
 	gateways int
 	changes  []HealthChange
 	lag      time.Duration
-	// evacuated are the zones whose back ends get nothing new.
+	// evacuated are the zones whose back ends get nothing new, and restored those whose
+	// order was taken back, until the next one.
 	evacuated []string
+	restored  map[string]restoration
 	draw      draw
 }
 
@@ -139,6 +141,7 @@
 		lapsed:  map[string]lapsedMember{},
 		peers:   newPeerLoads(),
 
+		restored:       map[string]restoration{},
 		totalsInterval: firstInterval,
 		paces:          map[string]*pace{},
 		holders:        newHolderMemory(),
@@ -163,8 +166,9 @@
 		if known.backEnd.Address != backEnd.Address {
 			known.health.displaced = false
 		}
-		known.noteWarming(now, backEnd)
+		c.noteWarming(now, known, backEnd)
 		known.backEnd = backEnd
+		known.listed = true
 		known.evacuated = slices.Contains(c.evacuated, backEnd.Zone)
 		members[backEnd.ID] = known
 		if pools[backEnd.Service] == nil {
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -49,7 +49,7 @@
 	_, decision := core.Begin(start, request(repeatable(2), "x"))
 	is.Equal(decision.GiveUp.Kind, failure.PoolExhausted)
 	is.True(decision.GiveUp.Kind.Answer().Ran == failure.RanNo)
-	core.SetEvacuated(start, nil, []string{"a"})
+	core.SetEvacuated(start, nil, []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}})
 	_, decision = core.Begin(start, request(repeatable(2), "y"))
 	is.True(decision.Send != nil)
 }
@@ -60,7 +60,37 @@
 	core := newCore(inZones(2, 64, "a"))
 	core.SetServices([]catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}})
 	core.SetEvacuated(start, []string{"a"}, nil)
-	core.SetEvacuated(start, nil, []string{"a"})
+	core.SetEvacuated(start, nil, []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}})
 	is.True(core.Beliefs(start)[0].WarmsUp)
 	is.True(!core.Beliefs(start.Add(3 * time.Second))[0].WarmsUp)
 }
+
+// An entry from before an order was taken back may come after the news of that: from a watch
+// of a slow store, or a list that is old. It knows nothing of the cold that followed.
+func TestEntryFromBeforeARestorationDoesNotEndTheWarmUp(t *testing.T) {
+	is := is.New(t)
+	list := inZones(1, 64, "a")
+	core := newCore(list)
+	core.SetServices([]catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}})
+	core.SetEvacuated(start, []string{"a"}, nil)
+	core.SetEvacuated(start, nil, []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}})
+	warmsUp := func(revision uint64, left time.Duration) bool {
+		list[0].WarmUp, list[0].WarmUpRevision = left, revision
+		core.SetBackEnds(start, list)
+		return core.Beliefs(start.Add(time.Second))[0].WarmsUp
+	}
+	is.True(warmsUp(7, 100*time.Millisecond)) // an earlier warm-up, told late
+	is.True(warmsUp(0, 0))                    // warm, as far as that entry knew
+	is.True(!warmsUp(10, 100*time.Millisecond))
+}
+
+// A back end of a restored zone that a gateway hears of only then counts as cold as well.
+func TestBackEndHeardOfAfterARestorationCountsAsCold(t *testing.T) {
+	is := is.New(t)
+	core := newCore(inZones(1, 64, "a"))
+	core.SetServices([]catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}})
+	core.SetEvacuated(start, nil, []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}})
+	core.SetBackEnds(start.Add(time.Second), inZones(2, 64, "a"))
+	is.True(core.Beliefs(start.Add(2 * time.Second))[1].WarmsUp)
+	is.True(!core.Beliefs(start.Add(3 * time.Second))[1].WarmsUp)
+}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -11,6 +11,8 @@
 // member is what the gateway knows of one back end.
 type member struct {
 	backEnd catalog.BackEnd
+	// listed is set once backEnd was taken from a list.
+	listed bool
 	// hash is that of its ID, and key stands for it in counts.
 	hash uint64
 	key  uint32
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -190,8 +190,12 @@
 }
 
 // noteWarming takes what the store says of a back end's warm-up, when that has changed.
-func (m *member) noteWarming(now time.Time, told catalog.BackEnd) {
-	if m.backEnd.WarmUp != told.WarmUp || m.backEnd.WarmUpRevision != told.WarmUpRevision {
-		m.coldUntil = now.Add(told.WarmUp)
+func (c *Core) noteWarming(now time.Time, m *member, told catalog.BackEnd) {
+	if m.listed && m.backEnd.WarmUp == told.WarmUp && m.backEnd.WarmUpRevision == told.WarmUpRevision {
+		return
+	}
+	m.coldUntil = now.Add(told.WarmUp)
+	if !c.knowsRestoration(told) {
+		m.coldUntil = later(m.coldUntil, c.coldByRestoration(told))
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -182,12 +182,12 @@
 	if len(news) == 0 && !first {
 		return
 	}
-	var restored []string
+	var restored []catalog.Evacuation
 	for _, each := range news {
 		event := eventlog.ZoneEvacuated
 		if each.Withdrawn {
 			event = eventlog.ZoneRestored
-			restored = append(restored, each.Zone)
+			restored = append(restored, each)
 		}
 		s.log.Urgent(event, logrus.Fields{"zone": each.Zone, "revision": each.Revision, "source": source})
 	}
