Placement: the beginning of a prompt is copied where nobody holds the rest

A trial's log of each send with its parts, replayed over a model of the engines' caches, names them: while caches fill, each engine meets the same 123 beginnings (119 to 512 tokens) with ever new continuations, and the engine named to copy from was a guess at who holds the whole prompt, which nobody did.

Change: a gateway remembers one holder of each beginning, tells it to its peers, which pass on the first that they hear of alone, and names it where the target is the prompt's home and took nobody's place.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -36,6 +36,8 @@
 	EvenMemory Mechanism = "even-memory"
 	// Copying names a back end to copy a prompt's parts from.
 	Copying Mechanism = "copying"
+	// PrefixCopies copies the beginning of a prompt where nobody holds the rest.
+	PrefixCopies Mechanism = "prefix-copies"
 	// LoadBound keeps a caching back end's load within the bound.
 	LoadBound Mechanism = "load-bound"
 	// Lots shares the room near the bound among gateways.
@@ -78,8 +80,8 @@
 // Choices lists the mechanisms without which callers are served worse.
 func Choices() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, HoldersTold, EvenMemory, Copying, LoadBound, Lots, PeersSince, Spread, UrgencySteps, EngineRank,
-		Ejection, Silence, Trials, WholePool, Lapse, FailingPaths, OwnZone, LateRefusal, FurtherAttempts, Resumption,
+		Affinity, HoldersFirst, HoldersTold, EvenMemory, Copying, PrefixCopies, LoadBound, Lots, PeersSince, Spread, UrgencySteps,
+		EngineRank, Ejection, Silence, Trials, WholePool, Lapse, FailingPaths, OwnZone, LateRefusal, FurtherAttempts, Resumption,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	services map[string]catalog.Service
 	members  map[string]*member
 	lapsed   map[string]lapsedMember
+	// listedAt is when the first list of back ends came.
+	listedAt time.Time
 	peers    peerLoads
 	// totalsAt is when the last totals came, and totalsInterval the mean time between
 	// two.
@@ -154,6 +156,9 @@
 // SetBackEnds replaces the list of back ends, which is ordered by ID. What is
 // believed of those that stay is kept.
 func (c *Core) SetBackEnds(now time.Time, list []catalog.BackEnd) {
+	if c.listedAt.IsZero() {
+		c.listedAt = now
+	}
 	members := make(map[string]*member, len(list))
 	pools := map[string]*pool{}
 	for _, backEnd := range list {
--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -36,7 +36,7 @@
 	// BackEnd is the back end's ID.
 	BackEnd string `cbor:"1,keyasint"`
 	// Parts are hashes of the parts' IDs, and Tokens the lengths of the prompts up to
-	// their ends.
+	// their ends, or 0 for beginnings that many prompts share.
 	Parts  []uint64 `cbor:"2,keyasint"`
 	Tokens []int    `cbor:"3,keyasint"`
 }
@@ -108,7 +108,8 @@
 		}
 	}
 	h.held[backEnd] += tokens
-	if tokens >= leastTold && (used.toldAt.IsZero() || now.Sub(used.toldAt) >= retellTime) {
+	isTold := tokens >= leastTold || tokens == prefixTokens
+	if isTold && (used.toldAt.IsZero() || now.Sub(used.toldAt) >= retellTime) {
 		used.toldAt = now
 		h.news[h.told%rememberedNews] = holdingNews{part: part, backEnd: backEnd, tokens: tokens}
 		h.told++
@@ -117,6 +118,15 @@
 	h.parts.Add(part, list)
 }
 
+// prefixTokens marks the holding of a beginning that many prompts share. Its length is part
+// of that of each of these.
+const prefixTokens = 0
+
+// notePrefix takes the back end as a holder of a beginning that many prompts share.
+func (h *holderMemory) notePrefix(now time.Time, part partKey, backEnd string) {
+	h.note(now, part, prefixTokens, backEnd)
+}
+
 // holding returns the back ends that are believed to keep the part, the latest
 // used first.
 func (h *holderMemory) holding(now time.Time, part partKey) []string {
@@ -169,7 +179,11 @@
 	}
 	for _, each := range list {
 		for i, part := range each.Parts[:min(len(each.Parts), len(each.Tokens))] {
-			c.holders.note(now, partKey(part), max(0, each.Tokens[i]), each.BackEnd)
+			key, tokens := partKey(part), max(0, each.Tokens[i])
+			if tokens == prefixTokens && c.usableHolder(now, key, nil) != nil {
+				continue // one is enough, so its news ends here
+			}
+			c.holders.note(now, key, tokens, each.BackEnd)
 		}
 	}
 }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -116,6 +116,7 @@
 	}
 	if part := x.request.affinity(); part != "" {
 		c.holders.note(now, keyOf(part), x.request.sharedTokens(), m.backEnd.ID)
+		c.notePrefixes(now, x, m)
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -227,28 +227,3 @@
 	}
 	return best
 }
-
-// fetchSource returns the address of a back end from which the chosen one can
-// copy the prompt's shared parts instead of reading them, or "". It is the last
-// one known to have read them, else the first in rendezvous order of all members,
-// leaving ones included: where the chosen one has joined, that is the one whose
-// place it took.
-func (c *Core) fetchSource(now time.Time, x *Exchange, chosen *member) string {
-	part := x.request.affinity()
-	if part == "" || c.config.Disabled[Copying] {
-		return ""
-	}
-	usable := func(m *member) bool { return m != nil && m != chosen && m.health.reachable(now) }
-	for _, id := range c.holders.holding(now, keyOf(part)) {
-		if m := c.present(now, id); usable(m) {
-			return m.backEnd.Address
-		}
-	}
-	c.order.ranking.rank(part, c.poolOf(now, x.service), func(*member) bool { return false })
-	for m := c.order.ranking.next(); m != nil; m = c.order.ranking.next() {
-		if usable(m) {
-			return m.backEnd.Address
-		}
-	}
-	return ""
-}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -54,3 +54,12 @@
 	}
 	return total
 }
+
+// shorterPrefixes returns the shared parts before the last one: the beginnings that the
+// prompt has in common with prompts of other last shared parts.
+func (r *Request) shorterPrefixes() []Part {
+	if len(r.Parts) < 3 {
+		return nil
+	}
+	return r.Parts[:len(r.Parts)-2]
+}
