--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -95,7 +95,7 @@
 func (h *holderMemory) note(now time.Time, part partKey, tokens int, backEnd string) {
 	known, _ := h.parts.Get(part)
 	used := holder{backEnd: backEnd, tokens: tokens, usedAt: now}
-	list := make([]holder, 1, holdersPerPart)
+	list := make([]holder, 1, min(len(known)+1, holdersPerPart))
 	for _, other := range known {
 		switch {
 		case other.backEnd == backEnd:
