Relay: news of holders comes in waves, and is told in waves

Cause: a message tells ten holdings at most at 23 gateways, 50 a second and connection.

Change: what isn't told is saved up for 4 s and then told 40 a message; over a longer time the bound on bytes is as before.

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -66,12 +66,6 @@
 	restPeriod = 400 * time.Millisecond
 	// maxMessageBytes bounds a message: a configuration and all back ends.
 	maxMessageBytes = 16 << 20
-	// holdingsPerSecond bounds the holdings that a gateway tells all of its
-	// neighbours together, at about 12 bytes each: a part of the 16 KB a second that
-	// control may cost. Beyond quickGateways, where more links share the bytes, it
-	// falls with their number; leastHoldings is told in each message all the same.
-	holdingsPerSecond = 500
-	leastHoldings     = 4
 	// peersPeriod is the least time between two messages with some of the peers.
 	peersPeriod = time.Second
 )
@@ -98,14 +92,6 @@
 	return max(period, min(stretched, longestPeriod))
 }
 
-// holdingsPerMessage returns how many holdings a message may tell in a fleet of so
-// many gateways.
-func holdingsPerMessage(gateways int) int {
-	messages := float64(linksIn(gateways)) / periodFor(gateways).Seconds()
-	perSecond := holdingsPerSecond * min(1, quickGateways/float64(gateways))
-	return max(leastHoldings, int(perSecond/max(1, messages)))
-}
-
 func (r *Relay) message(news gateway.News, peersAt time.Time) Message {
 	message := Message{
 		From:    r.config.ID,
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -31,6 +31,8 @@
 	peersAt     time.Time
 	digestAt    time.Time
 	digestWaits bool
+	// holdings bounds the holdings that it is told.
+	holdings holdingsBudget
 	// last is the last message.
 	last Message
 }
@@ -61,7 +63,9 @@
 // nextMessage returns what the peer lacks now, and what tells of the next change.
 func (r *Relay) nextMessage(to *link, talk *conversation) (message Message, changed <-chan struct{}) {
 	gateways, _ := r.config.State.Fleet()
-	news := r.config.State.NewsSince(talk.told, holdingsPerMessage(gateways))
+	now := time.Now()
+	news := r.config.State.NewsSince(talk.told, talk.holdings.left(now, gateways))
+	talk.holdings.spend(now, int(news.Holding-talk.told.Holding))
 	r.holdDigest(&news, talk)
 	news.Entries = to.untold(news.Entries)
 	news.Holdings = to.untoldHoldings(news.Holdings)
