Follower: a watch goes on where the list is known up to, and waits out an outage

Change: a list remembers the revision that a fresh read or a watch came to; a watch begins there unless that is 10 s ago or the history is gone. While plain reads get no answer, watches make no calls.

Two tests fail without it.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -77,6 +77,12 @@
 	// read all lists and watch, where four are enough.
 	manyGateways   = 10
 	moreSettleTime = 800 * time.Millisecond
+	// watchableAge is how old a revision may be for a watch to begin there. Stores keep some
+	// tens of seconds of history.
+	watchableAge = 10 * time.Second
+	// regainLook is the time between two looks of a watch at whether plain reads are
+	// answered again.
+	regainLook = 50 * time.Millisecond
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
@@ -115,7 +121,7 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
-	lists := []list{{name: "configuration", read: f.readConfiguration, watch: f.watchConfiguration}}
+	lists := []list{{name: "configuration", reached: &position{}, read: f.readConfiguration, watch: f.watchConfiguration}}
 	if config.Evacuations {
 		lists = append(lists, f.evacuations())
 	}
@@ -179,6 +185,9 @@
 func (f *Follower) read(ctx context.Context, from list, stale bool) (uint64, error) {
 	revision, err := from.read(ctx, stale)
 	f.note(ctx, from.name, err)
+	if err == nil && !stale {
+		from.reached.note(revision)
+	}
 	return revision, err
 }
 
@@ -201,8 +210,9 @@
 	return min(f.readPeriod()*time.Duration(f.entries.Load()/entriesPerPeriod), longestStretch)
 }
 
-// watchLoop watches from the revision of a plain read, and reads anew whenever
-// the watch fails.
+// watchLoop watches from the revision that the list is known up to, and reads it where
+// that is too long ago or the store has dropped its history since. While the store answers
+// no plain read, it makes no calls: those would fail as well, each at its price.
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
 	pause := firstPause
 	sleep(ctx, settleTime)
@@ -214,18 +224,19 @@
 			sleep(ctx, jitter(f.config.ReadPeriod))
 			continue
 		}
-		at, err := f.read(ctx, followed, false)
-		for err == nil && ctx.Err() == nil && f.isReader() {
-			before := at
-			at, err = followed.watch(f.watches.context(), at)
-			if err == nil {
-				pause = firstPause
-			}
-			if err == nil && at != before {
-				sleep(ctx, f.config.ReadPeriod/gatherPart)
-			}
+		if f.lost.Load() {
+			sleep(ctx, regainLook)
+			continue
+		}
+		err := f.watchOnce(ctx, followed)
+		if err == nil {
+			pause = firstPause
+			continue
 		}
 		f.config.Metrics.Tagged(map[string]string{"what": followed.name}).Counter("watches_ended").Inc(1)
+		if errors.Is(err, ErrHistoryGone) {
+			followed.reached.forget()
+		}
 		sleep(ctx, jitter(pause))
 		if !errors.Is(err, ErrHistoryGone) {
 			pause = min(2*pause, longestPause)
@@ -233,6 +244,26 @@
 	}
 }
 
+// watchOnce waits for the next changes of the list, and then for those that follow on them.
+func (f *Follower) watchOnce(ctx context.Context, followed list) error {
+	from, ok := followed.reached.watchable()
+	if !ok {
+		var err error
+		if from, err = f.read(ctx, followed, false); err != nil {
+			return err
+		}
+	}
+	to, err := followed.watch(f.watches.context(), from)
+	if err != nil {
+		return err
+	}
+	followed.reached.note(to)
+	if to != from {
+		sleep(ctx, f.config.ReadPeriod/gatherPart)
+	}
+	return nil
+}
+
 func (f *Follower) isReader() bool {
 	_, reader := f.config.State.Fleet()
 	return reader
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -40,6 +40,8 @@
 	// unanswered is how many further plain reads get no answer in time.
 	deaf       atomic.Bool
 	unanswered atomic.Int64
+	// cuts is how many further watches on back ends are cut.
+	cuts atomic.Int64
 }
 
 // bubbleStart is the time at which the virtual clock begins.
@@ -87,6 +89,9 @@
 
 func (s *source) AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error) {
 	s.watches.Add(1)
+	if s.cuts.Add(-1) >= 0 {
+		return nil, 0, errors.New("cut")
+	}
 	if s.changePeriod > 0 {
 		wait = s.changePeriod
 	}
@@ -299,3 +304,38 @@
 		is.Equal(s.watches.Load(), int64(1))
 	})
 }
+
+// A watch goes on where the last read or watch ended, so that one that is cut costs no
+// further read.
+func TestWatchBeginsWhereTheLastReadEnded(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3, changePeriod: 100 * time.Millisecond}
+	follow(t, s, 3, true, func(*gateway.State) {
+		time.Sleep(5 * time.Second)
+		reads, watches := s.reads.Load(), s.watches.Load()
+		for range 10 {
+			s.cuts.Store(1)
+			time.Sleep(500 * time.Millisecond)
+		}
+		is.True(s.watches.Load() > watches+10)
+		is.True(s.reads.Load()-reads <= 3) // those that are due anyway
+	})
+}
+
+// While the store answers nobody, plain reads alone look for it.
+func TestWatchesMakeNoCallsWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 3, true, func(*gateway.State) {
+		time.Sleep(2 * time.Second)
+		s.failing.Store(true)
+		time.Sleep(30 * time.Second) // the watch of the moment has ended
+		watches, reads := s.watches.Load(), s.reads.Load()+s.configurationReads.Load()
+		time.Sleep(time.Minute)
+		is.Equal(s.watches.Load(), watches)
+		is.True(s.reads.Load()+s.configurationReads.Load()-reads < 90) // one at a time, 1 s apart
+		s.failing.Store(false)
+		time.Sleep(2 * time.Second)
+		is.True(s.watches.Load() > watches)
+	})
+}
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -11,6 +12,8 @@
 // list is one of the store's lists that are followed.
 type list struct {
 	name string
+	// reached is how far it is known.
+	reached *position
 	// firstMayBeOld lets a gateway that has just started read what may be old.
 	firstMayBeOld bool
 	// isLong is set for the list that is read less often the longer it is.
@@ -21,6 +24,37 @@
 	watch func(ctx context.Context, after uint64) (uint64, error)
 }
 
+// position is a revision of the store up to which all changes of a list are known.
+type position struct {
+	mutex    sync.Mutex
+	revision uint64
+	at       time.Time
+}
+
+// note takes the revision that a fresh read or a watch has come to.
+func (p *position) note(revision uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if revision >= p.revision {
+		p.revision, p.at = revision, time.Now()
+	}
+}
+
+// forget drops the revision, whose history the store has dropped.
+func (p *position) forget() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.at = time.Time{}
+}
+
+// watchable returns the revision if a watch may begin there: the store drops its history
+// after a while, and a watch from before would cost a call for nothing.
+func (p *position) watchable() (revision uint64, ok bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.revision, time.Since(p.at) < watchableAge
+}
+
 func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
 	configuration, revision, err := f.config.Source.Configuration(ctx, stale)
 	if err == nil && configuration != nil {
@@ -48,7 +82,8 @@
 	takeChanges func(changes []T),
 ) list {
 	return list{
-		name: name,
+		name:    name,
+		reached: &position{},
 		read: func(ctx context.Context, stale bool) (uint64, error) {
 			all, revision, err := read(ctx, stale)
 			if err == nil {
