Store: readers are ranked, and gateways stand by while it answers nobody

Change: readers have a rank, in hash order, and each further one gathers for twice as long before its next watch: by then it has heard of the changes from the one before. Where fewer gateways than needed are known to be answered, the first four live ones look for the store as before, and the others stand by: together they make eight calls a second, and the first that is answered reads for all.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -86,6 +86,11 @@
 	// firstPause and longestPause bound the wait after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
+	// triesPerSecond is how often all gateways that stand by together call a store that
+	// doesn't answer them. More of them find sooner one that answers some gateways alone;
+	// at one a second for each of 23 gateways, an outage of 8 s cost a third of a day's
+	// calls.
+	triesPerSecond = 8
 	// sharedReads is the number of readers that share the reads: each reads that
 	// many times less often.
 	sharedReads = 3
@@ -93,9 +98,11 @@
 	// gateway that isn't a reader: one read period for so many gateways.
 	stretchPerGateways = 2
 	longestStretch     = time.Minute
-	// gatherPart is the part of a read period, as one in so many, for which a watch
-	// that told of a change waits for further ones: each answer is a call, and back
-	// ends come and go in series. The first change of a series is told at once.
+	// gatherPart is the part of a read period, as one in so many, for which the watch of
+	// the first reader waits for further changes after one: each answer is a call, and
+	// back ends come and go in series. The first change of a series is told at once. The
+	// watch of each further reader waits twice as long: it only makes up for the one
+	// before, and by then has heard of the changes from it.
 	gatherPart = 6
 	// readsPerPeriod is how many plain reads a gateway makes in a period, however many
 	// lists there are: others take one that the store doesn't answer for lost by the age
@@ -160,7 +167,7 @@
 		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
 		wait := readPause(f.readPeriod() / readsPerPeriod)
 		if err != nil {
-			wait = jitter(pause)
+			wait = jitter(max(pause, f.leastPause()))
 			pause = min(2*pause, longestPause)
 		} else {
 			pause = firstPause
@@ -172,14 +179,41 @@
 		if err == nil && unread > 0 {
 			continue
 		}
-		sleep(ctx, wait)
+		f.rest(ctx, wait)
 	}
 }
 
+// rest waits, or until this gateway's duty changes. One that is to stand by then waits for
+// its turn among those that do.
+func (f *Follower) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-f.config.State.DutyChanged():
+		if f.config.State.Place().Duty == gateway.StandsBy {
+			sleep(ctx, rand.N(f.leastPause()))
+		}
+	}
+}
+
+// leastPause is the shortest wait after a failed call. Gateways that stand by share
+// triesPerSecond, unless callers wait for them.
+func (f *Follower) leastPause() time.Duration {
+	place := f.config.State.Place()
+	if place.Duty != gateway.StandsBy || !f.config.State.Ready() {
+		return firstPause
+	}
+	return max(longestPause, time.Duration(place.Gateways)*time.Second/triesPerSecond)
+}
+
 // mustBeFresh tells whether this gateway's plain reads are what others rely on, or
-// its first. A gateway that isn't a reader learns of changes from its peers; its own
+// its first. A gateway that others read for learns of changes from its peers; its own
 // reads are for when it loses them, and may be cheap.
-func (f *Follower) mustBeFresh() bool { return f.isReader() || !f.config.State.Ready() }
+func (f *Follower) mustBeFresh() bool {
+	return f.config.State.Place().Duty != gateway.Learns || !f.config.State.Ready()
+}
 
 // read reads a list and notes whether the store answered.
 func (f *Follower) read(ctx context.Context, from list, stale bool) (uint64, error) {
@@ -196,10 +230,10 @@
 // stretches it with the size of the fleet, so that all together make about as many calls as
 // a few.
 func (f *Follower) readPeriod() time.Duration {
-	gateways, reader := f.config.State.Fleet()
-	period := f.config.ReadPeriod * time.Duration(gateways) / stretchPerGateways
-	if reader {
-		period = f.config.ReadPeriod * time.Duration(min(gateways, sharedReads))
+	place := f.config.State.Place()
+	period := f.config.ReadPeriod * time.Duration(place.Gateways) / stretchPerGateways
+	if place.Duty == gateway.Reads {
+		period = f.config.ReadPeriod * time.Duration(min(place.Gateways, sharedReads))
 	}
 	return min(period, longestStretch)
 }
@@ -216,12 +250,12 @@
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
 	pause := firstPause
 	sleep(ctx, settleTime)
-	if gateways, _ := f.config.State.Fleet(); gateways > manyGateways {
+	if f.config.State.Place().Gateways > manyGateways {
 		sleep(ctx, moreSettleTime)
 	}
 	for ctx.Err() == nil {
 		if !f.isReader() {
-			sleep(ctx, jitter(f.config.ReadPeriod))
+			f.awaitDuty(ctx)
 			continue
 		}
 		if f.lost.Load() {
@@ -259,16 +293,25 @@
 	}
 	followed.reached.note(to)
 	if to != from {
-		sleep(ctx, f.config.ReadPeriod/gatherPart)
+		sleep(ctx, f.config.ReadPeriod/gatherPart<<f.config.State.Place().Rank)
 	}
 	return nil
 }
 
-func (f *Follower) isReader() bool {
-	_, reader := f.config.State.Fleet()
-	return reader
+// awaitDuty waits until this gateway's duty changes.
+func (f *Follower) awaitDuty(ctx context.Context) {
+	changed := f.config.State.DutyChanged()
+	if f.isReader() {
+		return
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
 }
 
+func (f *Follower) isReader() bool { return f.config.State.Place().Duty == gateway.Reads }
+
 // note logs when the store is lost or regained.
 func (f *Follower) note(ctx context.Context, what string, err error) {
 	if ctx.Err() != nil {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -126,7 +126,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 		state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
-		state.SetFleet(gateways, reader, dispatch.Fleet{})
+		state.SetFleet(placeOf(gateways, reader), dispatch.Fleet{})
 		f := Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, Evacuations: s.evacuations, Log: log, Metrics: tally.NoopScope})
 		test(state)
 		f.Close()
@@ -134,6 +134,15 @@
 	})
 }
 
+// placeOf returns that of the first reader, or of a gateway that learns from others.
+func placeOf(gateways int, reader bool) gateway.Place {
+	place := gateway.Place{Gateways: gateways}
+	if reader {
+		place.Duty = gateway.Reads
+	}
+	return place
+}
+
 func TestReadsDoNotGrowWithFleetNorList(t *testing.T) {
 	is := is.New(t)
 	count := func(backEnds, gateways int, reader bool) int64 {
@@ -339,3 +348,50 @@
 		is.True(s.watches.Load() > watches)
 	})
 }
+
+// Gateways that stand by share a few calls a second while the store answers nobody, and one
+// that learned until then begins within that time.
+func TestGatewaysThatStandByShareTheirCalls(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 40, false, func(state *gateway.State) {
+		time.Sleep(time.Minute)
+		s.failing.Store(true)
+		before := s.reads.Load() + s.configurationReads.Load()
+		state.SetFleet(gateway.Place{Gateways: 40, Duty: gateway.StandsBy}, dispatch.Fleet{})
+		time.Sleep(5 * time.Second)
+		is.True(s.reads.Load()+s.configurationReads.Load() > before)
+		time.Sleep(55 * time.Second)
+		calls := s.reads.Load() + s.configurationReads.Load() - before
+		is.True(calls >= 9 && calls <= 17) // 40 gateways, 8 a second: one each 5 s
+	})
+}
+
+// A gateway that is to read begins at once.
+func TestNewReaderWatchesAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	follow(t, s, 40, false, func(state *gateway.State) {
+		time.Sleep(time.Minute)
+		state.SetFleet(gateway.Place{Gateways: 40, Duty: gateway.Reads}, dispatch.Fleet{})
+		time.Sleep(100 * time.Millisecond)
+		is.True(s.watches.Load() > 0)
+	})
+}
+
+// Each further reader gathers for longer what follows on a change: together they make less
+// than twice the calls of the first.
+func TestFurtherReadersGatherLonger(t *testing.T) {
+	is := is.New(t)
+	count := func(rank int) int64 {
+		s := &source{backEnds: 3, changePeriod: 10 * time.Millisecond}
+		follow(t, s, 23, true, func(state *gateway.State) {
+			state.SetFleet(gateway.Place{Gateways: 23, Duty: gateway.Reads, Rank: rank}, dispatch.Fleet{})
+			time.Sleep(20 * time.Second)
+		})
+		return s.watches.Load()
+	}
+	first := count(0)
+	is.True(count(1) < first*6/10)
+	is.True(count(1)+count(2)+count(3) < first)
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -33,9 +33,10 @@
 	documentVersion uint64
 	// storeAt is when the store last answered.
 	storeAt time.Time
-	// gateways and reader are this gateway's place in the fleet.
-	gateways int
-	reader   bool
+	// place is this gateway's in the fleet, and dutyChanged is closed and replaced
+	// whenever its duty changes.
+	place       Place
+	dutyChanged chan struct{}
 	// frozen keeps the first configuration in force; only checks of checks set it.
 	frozen bool
 	// lag is how late this process runs what is due.
@@ -49,7 +50,7 @@
 func NewState(core *dispatch.Core, log *eventlog.Log) *State {
 	return &State{
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}),
-		gateways: 1, reader: true, surveyed: true,
+		place: Place{Gateways: 1, Duty: Reads}, dutyChanged: make(chan struct{}), surveyed: true,
 	}
 }
 
@@ -231,22 +232,31 @@
 	return s.view.Version()
 }
 
-// SetFleet notes how many gateways are live, whether this one is among those that read
-// the store all the time, and which are known.
-func (s *State) SetFleet(gateways int, reader bool, known dispatch.Fleet) {
+// SetFleet notes this gateway's place among the others, and which are known.
+func (s *State) SetFleet(place Place, known dispatch.Fleet) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.gateways = gateways
-	s.reader = reader
-	s.core.SetGateways(gateways)
+	if place.Duty != s.place.Duty {
+		close(s.dutyChanged)
+		s.dutyChanged = make(chan struct{})
+	}
+	s.place = place
+	s.core.SetGateways(place.Gateways)
 	s.core.SetFleet(time.Now(), known)
 }
 
-// Fleet returns what SetFleet noted.
-func (s *State) Fleet() (gateways int, reader bool) {
+// Place returns what SetFleet noted.
+func (s *State) Place() Place {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.place
+}
+
+// DutyChanged returns a channel that is closed once this gateway's duty changes.
+func (s *State) DutyChanged() <-chan struct{} {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.gateways, s.reader
+	return s.dutyChanged
 }
 
 // StoreAnswered notes an answer of the store.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -11,7 +11,7 @@
 	now := time.Now()
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
-		Lag: s.lag, Gateways: s.gateways, Evacuated: len(s.view.EvacuatedZones()), LinesLeftOut: s.log.LeftOut(),
+		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesLeftOut: s.log.LeftOut(),
 	}
 	for _, service := range s.core.Services(now) {
 		gauges.Services = append(gauges.Services, ServiceGauges(service))
@@ -80,7 +80,7 @@
 	defer s.mutex.Unlock()
 	now := time.Now()
 	status := Status{
-		Role: RoleName, Gateways: s.gateways, Reader: s.reader,
+		Role: RoleName, Gateways: s.place.Gateways, Reader: s.place.Duty == Reads,
 		StoreAgeSeconds: s.storeAge(now).Seconds(), LoadAgeSeconds: s.core.OldestPeer(now).Seconds(),
 		Ready: ready, Draining: s.draining, Version: s.view.Version(), Evacuated: s.view.EvacuatedZones(),
 		Services: []ServiceStatus{}, BackEnds: []BackEndStatus{},
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
 // Peer is another gateway as it is told to others.
@@ -127,18 +128,60 @@
 	}
 }
 
-// IsReader tells whether this gateway is one of those that read the store all the
-// time: the first few, in hash order, of the live ones that the store answers. A
-// gateway that hears of no peer reads for itself. The gateways may disagree for
-// a moment: then a few more read, or the others' seldom reads make up for it.
-func (b *Book) IsReader(now time.Time) bool {
-	linked := false
-	for _, peer := range b.peers {
-		linked = linked || now.Sub(peer.directAt) <= freshLink
+// Place returns this gateway's place among the others. Those read the store all the time
+// that are the first few, in hash order, of the live ones that the store answers. Where it
+// answers fewer, as after a start or while it is away, all others look for it, the first few
+// of the live ones at once and the rest at leisure: one that finds it is heard of at once.
+// A gateway that hears of no peer reads for itself. The gateways may disagree for a moment:
+// then a few more read, or the others' seldom reads make up for it. storeAge is how long ago
+// the store answered this gateway.
+func (b *Book) Place(now time.Time, storeAge time.Duration) gateway.Place {
+	place := gateway.Place{Gateways: b.Live(now), Duty: gateway.Reads}
+	if !b.isLinked(now) {
+		return place
 	}
 	reading := b.reading(now)
-	own := xxhash.Sum64String(b.id)
-	return !linked || len(reading) < b.readers() || own < xxhash.Sum64String(reading[b.readers()-1])
+	place.Rank = b.before(reading)
+	switch {
+	case len(reading) == b.readers() && place.Rank == len(reading):
+		place.Duty = gateway.Learns
+	case len(reading) == b.readers() || storeAge <= b.freshStore():
+	case place.Rank+b.before(b.liveWithout(now, reading)) >= b.readers():
+		place.Duty = gateway.StandsBy
+	}
+	return place
+}
+
+// isLinked tells whether a peer was heard directly of late.
+func (b *Book) isLinked(now time.Time) bool {
+	for _, peer := range b.peers {
+		if now.Sub(peer.directAt) <= freshLink {
+			return true
+		}
+	}
+	return false
+}
+
+// before returns how many of the peers come before this gateway in hash order.
+func (b *Book) before(peers []string) int {
+	own, count := xxhash.Sum64String(b.id), 0
+	for _, id := range peers {
+		if xxhash.Sum64String(id) < own {
+			count++
+		}
+	}
+	return count
+}
+
+// liveWithout returns the live peers but those.
+func (b *Book) liveWithout(now time.Time, but []string) []string {
+	var live []string
+	for id, peer := range b.peers {
+		if b.isLive(now, peer) && !slices.Contains(but, id) {
+			live = append(live, id)
+		}
+	}
+	return live
 }
 
 // readers is how many gateways read the store all the time.
@@ -149,9 +192,14 @@
 	return mostReaders
 }
 
+// freshStore is the age to which a gateway's last answer of the store counts.
+func (b *Book) freshStore() time.Duration {
+	return freshStore + time.Duration(len(b.peers))*freshStorePerPeer
+}
+
 // reading returns the first peers, in hash order, that the store answers.
 func (b *Book) reading(now time.Time) []string {
-	fresh := freshStore + time.Duration(len(b.peers))*freshStorePerPeer
+	fresh := b.freshStore()
 	var answered []string
 	for id, peer := range b.peers {
 		if now.Sub(peer.heardAt) <= fresh && now.Sub(peer.storeAt) <= fresh {
--- a/internal/relay/book_test.go
+++ b/internal/relay/book_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -57,7 +59,7 @@
 func countReaders(books []*Book, now time.Time, counts func(i int) bool) int {
 	count := 0
 	for i, book := range books {
-		if counts(i) && book.IsReader(now) {
+		if counts(i) && isReader(book, now) {
 			count++
 		}
 	}
@@ -66,6 +68,10 @@
 
 func all(int) bool { return true }
 
+func isReader(book *Book, now time.Time) bool {
+	return book.Place(now, time.Minute).Duty == gateway.Reads
+}
+
 func TestAFewGatewaysRead(t *testing.T) {
 	is := is.New(t)
 	is.Equal(countReaders(fleet(340, all), start, all), mostReaders)
@@ -78,7 +84,7 @@
 	first := fleet(40, all)
 	away := map[int]bool{}
 	for i, book := range first {
-		away[i] = book.IsReader(start)
+		away[i] = isReader(book, start)
 	}
 	answered := func(i int) bool { return !away[i] }
 	is.Equal(countReaders(fleet(40, answered), start, answered), mostReaders)
@@ -140,7 +146,7 @@
 		book := NewBook(name(1), address(1), nil)
 		book.Heard(start, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis}, message.Peers)
 		book.Dial(start)
-		book.IsReader(start)
+		book.Place(start, 0)
 	})
 }
 
@@ -216,3 +222,34 @@
 		})
 	}
 }
+
+// While the store answers nobody, a few gateways look for it at once and the rest stand by;
+// one of these that is answered reads for all.
+func TestRestOfAFleetStandsByWhileTheStoreAnswersNobody(t *testing.T) {
+	is := is.New(t)
+	nobody := func(int) bool { return false }
+	duties := map[gateway.Duty]int{}
+	var standing *Book
+	for _, book := range fleet(40, nobody) {
+		place := book.Place(start, time.Minute)
+		duties[place.Duty]++
+		if place.Duty == gateway.StandsBy {
+			standing = book
+		}
+	}
+	is.Equal(duties[gateway.Reads], mostReaders)
+	is.Equal(duties[gateway.StandsBy], 40-mostReaders)
+	is.Equal(standing.Place(start, 0).Duty, gateway.Reads)
+}
+
+// Readers rank in hash order, so that each makes up for those before it.
+func TestReadersAreRanked(t *testing.T) {
+	is := is.New(t)
+	ranks := map[int]int{}
+	for _, book := range fleet(40, all) {
+		if place := book.Place(start, 0); place.Duty == gateway.Reads {
+			ranks[place.Rank]++
+		}
+	}
+	is.Equal(ranks, map[int]int{0: 1, 1: 1, 2: 1, 3: 1})
+}
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -33,12 +33,11 @@
 	for {
 		r.mutex.Lock()
 		due := r.book.Dial(time.Now())
-		live := r.book.Live(time.Now())
-		reader := r.book.IsReader(time.Now())
+		place := r.book.Place(time.Now(), r.config.State.StoreAge())
 		r.closeSurplus(time.Now())
 		known := r.book.Fleet()
 		r.mutex.Unlock()
-		r.config.State.SetFleet(live, reader, known)
+		r.config.State.SetFleet(place, known)
 		for _, address := range due {
 			r.spawn(func() { r.dial(address) })
 		}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -106,7 +106,7 @@
 		Holdings:       news.Holdings,
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
-	gateways, _ := r.config.State.Fleet()
+	gateways := r.config.State.Place().Gateways
 	if !IsLarge(gateways) {
 		message.Loads = news.Loads
 	}
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -62,7 +62,7 @@
 
 // nextMessage returns what the peer lacks now, and what tells of the next change.
 func (r *Relay) nextMessage(to *link, talk *conversation) (message Message, changed <-chan struct{}) {
-	gateways, _ := r.config.State.Fleet()
+	gateways := r.config.State.Place().Gateways
 	now := time.Now()
 	news := r.config.State.NewsSince(talk.told, talk.holdings.left(now, gateways))
 	talk.holdings.spend(now, int(news.Holding-talk.told.Holding))
@@ -91,7 +91,7 @@
 	if news.Digest == nil {
 		return
 	}
-	gateways, _ := r.config.State.Fleet()
+	gateways := r.config.State.Place().Gateways
 	if IsLarge(gateways) && time.Since(talk.digestAt) < digestPeriod {
 		news.Digest, news.Listing = nil, talk.told.Listing
 		talk.digestWaits = true
@@ -102,7 +102,7 @@
 
 // pauseAfter returns the longest time from one message to the next.
 func (r *Relay) pauseAfter(message Message, talk *conversation) time.Duration {
-	gateways, _ := r.config.State.Fleet()
+	gateways := r.config.State.Place().Gateways
 	wait := periodFor(gateways)
 	if talk.digestWaits {
 		return min(wait, digestPeriod)
@@ -129,7 +129,7 @@
 // gather waits for more changes to tell with the one at hand, and for the peer to tell
 // it itself. In a small fleet a change is told at once.
 func (r *Relay) gather(ctx context.Context) {
-	if gateways, _ := r.config.State.Fleet(); !IsLarge(gateways) {
+	if gateways := r.config.State.Place().Gateways; !IsLarge(gateways) {
 		return
 	}
 	timer := time.NewTimer(rand.N(longestGather))
--- a/internal/soak/warmup.go
+++ b/internal/soak/warmup.go
@@ -45,8 +45,12 @@
 	}
 }
 
-// turnCold makes a back end cold, which tells the store of it a while later.
+// turnCold makes a back end cold, which tells the store of it a while later. One that is
+// down doesn't: it lists itself once it is up.
 func (f *fleet) turnCold(ctx context.Context, b *backEnd) {
+	if b.isStarting() {
+		return
+	}
 	id := b.makeCold()
 	f.check.cold(id, true)
 	f.check.serving.Go(func() {
