Orders on zones: after a restart of all, the store's history tells the last ones

All gateways are killed, and while they are away a zone is taken back. Its back ends turned cold and tell so 0.6 s later; until then no gateway that has just started can know: the list of orders no longer names the zone, and no peer was there.

Ways: (a) a note of ours in the store for each order: two writes an order, and a further list for each gateway that starts; (b) a finalizer on the operators' object: free at a start, but an operator who orders anew meanwhile is turned away; (c) the store's own history, 20 s long: a watch on orders from some changes back. Chosen: (c), by the first reader alone, 100 ms after its start, when it knows whether another is to do it; the others hear of it from it. How many changes the history holds isn't known, so it tries 100, 30, 10 and 3. Not at the fleet's first start, of which the platform tells.

Where the store has forgotten its history as well (or the history of a fleet that changes much is shorter than a back end's heartbeat) the gap stands.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -250,6 +250,7 @@
 		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
 
 		Evacuations: g.settings.Gateway.EvacuationBound > 0,
+		FirstStart:  g.settings.Gateway.FirstStart,
 		Connections: toStore,
 		Log:         g.log,
 		Metrics:     g.metrics.Scope,
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -130,6 +130,16 @@
 	return m.drawn
 }
 
+// HasWarmUps tells whether the back ends of any service bear few requests after a start.
+func (c *Core) HasWarmUps() bool {
+	for _, each := range c.services {
+		if each.WarmUpRate > 0 && each.WarmUpTime > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // warmsUp tells whether the member bears few requests at the moment.
 func (c *Core) warmsUp(now time.Time, m *member) bool {
 	return now.Before(m.coldUntil) && c.services[m.backEnd.Service].WarmUpRate > 0 && !c.config.Disabled[WarmUpLimit]
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -55,6 +55,9 @@
 	ReadPeriod time.Duration
 	// Evacuations is true where operators may evacuate zones.
 	Evacuations bool
+	// FirstStart is true when the fleet starts for the first time, so that nothing came
+	// before.
+	FirstStart bool
 	// Connections are those to the store; nil for one that keeps none.
 	Connections interface{ CloseIdleConnections() }
 	// Log and Metrics take what operators should know.
@@ -130,7 +133,11 @@
 	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
 	lists := []list{{name: "configuration", reached: &position{}, read: f.readConfiguration, watch: f.watchConfiguration}}
 	if config.Evacuations {
-		lists = append(lists, f.evacuations())
+		orders := f.evacuations()
+		lists = append(lists, orders)
+		if !config.FirstStart {
+			f.tasks.Go(func() { f.recallOrders(ctx, orders) })
+		}
 	}
 	lists = append(lists, f.backEnds()) // the longest one last: a gateway that starts reads them in turn
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -36,10 +36,19 @@
 	evacuationReads atomic.Int64
 	// changePeriod is the time between two changes of the back ends, or 0 for none.
 	changePeriod time.Duration
+	// firstRevision is that of the start, 1 where it is 0.
+	firstRevision uint64
 	// deaf is set where each watch waits on a connection that has fallen silent, and
 	// unanswered is how many further plain reads get no answer in time.
 	deaf       atomic.Bool
 	unanswered atomic.Int64
+	// configuration is the document, or nil for an empty one.
+	configuration *catalog.Configuration
+	// restored are the orders that were taken back of late, in the history of the store,
+	// which begins at the revision oldest; askedBefore counts the watches from before.
+	restored    []catalog.Evacuation
+	oldest      uint64
+	askedBefore atomic.Int64
 	// cuts is how many further watches on back ends are cut.
 	cuts atomic.Int64
 }
@@ -52,7 +61,7 @@
 	if s.changePeriod == 0 {
 		return 1
 	}
-	return 1 + uint64(time.Since(bubbleStart)/s.changePeriod)
+	return max(1, s.firstRevision) + uint64(time.Since(bubbleStart)/s.changePeriod)
 }
 
 var errAway = errors.Wrap(context.DeadlineExceeded, "the store is away")
@@ -65,6 +74,9 @@
 	if s.failing.Load() || s.unanswered.Add(-1) >= 0 {
 		return nil, 0, errAway
 	}
+	if s.configuration != nil {
+		return s.configuration, s.at(), nil
+	}
 	return &catalog.Configuration{Version: 1}, 1, nil
 }
 
@@ -105,6 +117,19 @@
 }
 
 func (s *source) AwaitEvacuations(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Evacuation, uint64, error) {
+	if after < s.oldest {
+		s.askedBefore.Add(1)
+		return nil, 0, ErrHistoryGone
+	}
+	var changes []catalog.Evacuation
+	for _, each := range s.restored {
+		if each.Revision > after {
+			changes = append(changes, each)
+		}
+	}
+	if len(changes) > 0 {
+		return changes, s.at(), nil
+	}
 	return nil, after, s.await(ctx, wait)
 }
 
--- /dev/null
+++ b/internal/follower/recall.go
@@ -0,0 +1,78 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// A process that has just started reads which zones are evacuated, and not which were until
+// a moment ago, whose back ends turned cold and haven't said so yet. Its peers tell it. Where
+// all gateways were killed together nobody knows, but the store still has the history of the
+// last seconds: one of them reads it, and tells the others.
+
+const (
+	// recallDelay is how long after its start a gateway knows its peers. Until then it may
+	// send more to a back end than that bears; a request or two at the most.
+	recallDelay = 100 * time.Millisecond
+	// recallLimit is how long a gateway waits for the store; by then back ends have said
+	// themselves that they are cold.
+	recallLimit = 3 * time.Second
+	// recallWait is how long the store may wait for changes after the last one.
+	recallWait = time.Millisecond
+)
+
+// recallSteps are how many changes of the store a gateway looks back, the furthest first. The
+// store keeps its history for a time, and how many changes that is isn't known: a hundred are
+// the last seconds of a fleet whose back ends are being replaced, ten or three those of one
+// at rest.
+var recallSteps = []uint64{100, 30, 10, 3}
+
+// recallOrders takes zones that were restored of late from the store's history, if this
+// gateway is the one to do so.
+func (f *Follower) recallOrders(ctx context.Context, orders list) {
+	began := time.Now()
+	sleep(ctx, recallDelay)
+	for ctx.Err() == nil && time.Since(began) < recallLimit {
+		revision, ok := orders.reached.watchable()
+		if !ok {
+			sleep(ctx, regainLook)
+			continue
+		}
+		if f.config.State.Place().Rank == 0 && f.config.State.HasWarmUps() {
+			f.recall(ctx, revision)
+		}
+		return
+	}
+}
+
+// recall looks in the history before the revision, as far back as there is one.
+func (f *Follower) recall(ctx context.Context, revision uint64) {
+	for _, step := range recallSteps {
+		if step > revision {
+			continue
+		}
+		changes, err := f.ordersSince(ctx, revision-step)
+		if errors.Is(err, ErrHistoryGone) {
+			continue
+		}
+		if err != nil {
+			f.config.Log.Entry().WithError(err).Warn("the orders of the last seconds can't be read; zones that were restored a moment ago aren't known")
+			return
+		}
+		f.config.State.OfferEvacuations(changes, gateway.SourceStore)
+		return
+	}
+}
+
+// ordersSince returns the orders that changed after the revision.
+func (f *Follower) ordersSince(ctx context.Context, revision uint64) ([]catalog.Evacuation, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	changes, _, err := f.config.Source.AwaitEvacuations(ctx, revision, recallWait)
+	return changes, err
+}
--- /dev/null
+++ b/internal/follower/recall_test.go
@@ -0,0 +1,56 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// storeAfterARestoration is one whose history of the last 20 changes holds a zone that was
+// restored; the back ends lie there, and don't say yet that they are cold.
+func storeAfterARestoration() *source {
+	return &source{
+		backEnds: 3, evacuations: true, changePeriod: time.Hour, firstRevision: 200, oldest: 180,
+		restored:      []catalog.Evacuation{{Withdrawn: true, Revision: 195}},
+		configuration: &catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}}},
+	}
+}
+
+func countCold(state *gateway.State) int {
+	cold := 0
+	for _, each := range state.Status().BackEnds {
+		if each.WarmsUp {
+			cold++
+		}
+	}
+	return cold
+}
+
+// Where all gateways were killed together, the store's history alone tells which zones were
+// restored a moment ago.
+func TestRestoredZonesAreRecalledFromTheHistory(t *testing.T) {
+	is := is.New(t)
+	s := storeAfterARestoration()
+	follow(t, s, 23, true, func(state *gateway.State) {
+		time.Sleep(2 * recallDelay)
+		is.True(state.Ready())
+		is.Equal(countCold(state), 3)
+		is.Equal(s.askedBefore.Load(), int64(2)) // 100 and 30 changes back
+	})
+}
+
+// One gateway looks, and tells the others.
+func TestOneGatewayRecalls(t *testing.T) {
+	is := is.New(t)
+	s := storeAfterARestoration()
+	follow(t, s, 23, true, func(state *gateway.State) {
+		state.SetFleet(gateway.Place{Gateways: 23, Duty: gateway.Reads, Rank: 1}, dispatch.Fleet{})
+		time.Sleep(2 * recallDelay)
+		is.Equal(s.askedBefore.Load(), int64(0))
+	})
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -61,6 +61,13 @@
 	s.surveyed = false
 }
 
+// HasWarmUps tells whether the back ends of any service warm up.
+func (s *State) HasWarmUps() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.HasWarmUps()
+}
+
 // Freeze keeps the first configuration in force, to show that checks notice.
 func (s *State) Freeze() {
 	s.mutex.Lock()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,10 @@
 	// evacuate may get nothing new. 0, the default, is for platforms without such orders:
 	// nobody reads or awaits them. From 100ms to 10m.
 	EvacuationBound tomlfile.Duration `toml:"evacuation_bound"`
+	// FirstStart is true when the fleet starts for the first time. Otherwise one of the
+	// gateways that start looks in the store's history for zones that were restored of
+	// late, with a call or a few. Default false.
+	FirstStart bool `toml:"first_start"`
 	// WarmUpOverage and WarmUpExtra bound what a back end that warms up gets from all
 	// gateways together: in any second WarmUpOverage times the rate that its service
 	// names plus WarmUpExtra requests. Higher values serve more while many start, and
