Gateway: a process that stood still waits a moment before it sends

Change: a process that hasn't run for a second waits 100 ms before it decides on an attempt. Messages that waited are read by then, and connections that ended meanwhile are made anew. Requests that come or wait in these 100 ms are late anyway.

Ruled out: waiting for a word of a peer or the store: the first that is read after a pause may be seconds old, from before it.

Test: TestDecisionsWaitAfterAStandstill.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -142,13 +142,15 @@
 	})
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.serving.Go(func() { g.report(metrics) })
-	g.serving.Go(func() { gateway.NewLagMeter().Run(g.reporting, g.state.SetLag) })
+	lag := gateway.NewLagMeter()
+	g.serving.Go(func() { lag.Run(g.reporting, g.state.SetLag) })
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
 		Dialect:      environment.Adapter.Dialect(),
 		Reused:       g.transport(environment, true),
 		Fresh:        g.transport(environment, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
+		Lag:          lag,
 		Log:          g.log,
 		Metrics:      metrics,
 		Disabled:     g.settings.Gateway.Disabled(),
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -196,7 +196,7 @@
 	if c.request.Context().Err() != nil || errors.As(cause, &caller) {
 		return outcome{}, false
 	}
-	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+	decision := h.decideSend(c, func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		return core.Cut(now, c.exchange)
 	})
 	h.logFailure(c, attemptFailure{send: broken.send, cause: cause.Error(), events: s.events}, decision)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 	if (expired || passed) && !notSent && c.route.MayRepeat() {
 		h.giveUpKept()
 	}
-	next := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+	next := h.decideSend(c, func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		switch {
 		case notSent:
 			return core.NotConnected(now, c.exchange)
@@ -187,7 +187,7 @@
 }
 
 func (h *Handler) decided(c *call, send dispatch.Send, response *http.Response, why string, step func(*dispatch.Core, time.Time, *dispatch.Exchange) dispatch.Decision) outcome {
-	next := h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+	next := h.decideSend(c, func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		return step(core, now, c.exchange)
 	})
 	h.logFailure(c, attemptFailure{send: send, cause: why, status: response.StatusCode}, next)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -30,6 +30,8 @@
 	Fresh  http.RoundTripper
 	// MaxBodyBytes bounds a body where the configuration doesn't.
 	MaxBodyBytes int64
+	// Lag tells when this process has stood still.
+	Lag *LagMeter
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
 	Metrics *Metrics
@@ -194,7 +196,7 @@
 // route makes attempts until one of them has answered the caller.
 func (h *Handler) route(ctx context.Context, c *call) {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
-	decision := h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
+	decision := h.decideSend(c, func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
 		c.exchange, d = core.Begin(now, dispatch.Request{
 			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
 			Urgency: c.urgency, Deadline: c.deadline,
@@ -216,6 +218,20 @@
 	h.refuse(c, decision.GiveUp)
 }
 
+// decideSend runs a step that may decide on an attempt, once this process knows what happened
+// while it stood still.
+func (h *Handler) decideSend(c *call, step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
+	if wait := h.config.Lag.Unsettled(time.Now()); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-c.request.Context().Done():
+		}
+	}
+	return h.config.State.decide(step)
+}
+
 // refuse gives the caller its final answer at once.
 func (h *Handler) refuse(c *call, err error) {
 	kind := failure.KindOf(err)
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -16,6 +16,10 @@
 	// latest are the last delays, in no order.
 	latest [lastingLooks]time.Duration
 	looks  int
+	// lookedAt is the last moment at which the process is known to have run, and settledAt
+	// when it knows again what happened while it stood still.
+	lookedAt  time.Time
+	settledAt time.Time
 }
 
 const (
@@ -28,6 +32,12 @@
 	lastingLooks = 4
 	// ordinaryLag is the delay that timers have anyway.
 	ordinaryLag = 10 * time.Millisecond
+	// standstill is how long a process must not have run to count as one that stood still:
+	// meanwhile zones may have been evacuated and restored, and back ends have turned cold.
+	// settleAfter is the time in which it then reads what its peers and the store have
+	// told. A process sent to cold back ends for 7 ms after it woke.
+	standstill  = time.Second
+	settleAfter = 100 * time.Millisecond
 )
 
 // NewLagMeter returns a meter that has seen no delay.
@@ -46,6 +56,7 @@
 			return
 		}
 		now := time.Now()
+		m.Unsettled(now)
 		lag, lasting := m.Lag(), m.Lasting()
 		m.note(now.Sub(due), now.After(slotEnds))
 		if now.After(slotEnds) {
@@ -59,6 +70,18 @@
 	}
 }
 
+// Unsettled returns how long a decision must wait, since the process has stood still until a
+// moment ago; 0 as a rule.
+func (m *LagMeter) Unsettled(now time.Time) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.lookedAt.IsZero() && now.Sub(m.lookedAt) >= standstill {
+		m.settledAt = now.Add(settleAfter)
+	}
+	m.lookedAt = now
+	return max(0, m.settledAt.Sub(now))
+}
+
 // note takes a delay, into a new slot where the last one has ended.
 func (m *LagMeter) note(late time.Duration, newSlot bool) {
 	m.mutex.Lock()
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -81,3 +81,19 @@
 		is.Equal(told, 0)
 	})
 }
+
+// What a process doesn't know after it stood still it learns within a moment, for which
+// decisions wait.
+func TestDecisionsWaitAfterAStandstill(t *testing.T) {
+	is := is.New(t)
+	meter, now := NewLagMeter(), time.Now()
+	is.Equal(meter.Unsettled(now), time.Duration(0)) // it has just started
+	now = now.Add(standstill / 2)
+	is.Equal(meter.Unsettled(now), time.Duration(0)) // runs late, but runs
+	now = now.Add(standstill)
+	is.Equal(meter.Unsettled(now), settleAfter)
+	now = now.Add(settleAfter / 2)
+	is.Equal(meter.Unsettled(now), settleAfter/2)
+	now = now.Add(settleAfter / 2)
+	is.Equal(meter.Unsettled(now), time.Duration(0))
+}
