--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -47,6 +47,8 @@
 
 	nodes    []*daemon.Node
 	standIns []*http.Server
+	// opened are the nodes' listeners until they start.
+	opened openListeners
 }
 
 // backEnd is one stand-in with its agent's addresses.
@@ -58,7 +60,8 @@
 
 // Start brings the fleet up with the router's callers on the address.
 func Start(ctx context.Context, listen string, log logrus.FieldLogger) (*Fleet, error) {
-	fleet := &Fleet{Key: randomHex(16)}
+	fleet := &Fleet{Key: randomHex(16), opened: openListeners{}}
+	defer fleet.opened.close()
 	store := standin.NewPlatform()
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
@@ -99,26 +102,19 @@
 }
 
 func (f *Fleet) startBackEnd(id string, handler http.Handler) (backEnd, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return backEnd{}, errors.Wrap(err, "open a stand-in's listener")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	f.standIns = append(f.standIns, server)
 	go func() { _ = server.Serve(listener) }()
-	agent, err := freeAddress()
-	return backEnd{id: id, address: listener.Addr().String(), agent: agent}, err
-}
-
-// freeAddress reserves a loopback port for a moment: the bundle must name the
-// agents' ports before the agents start.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// The bundle must name the agents' ports before the agents start.
+	agent, err := f.opened.open(anyPort)
 	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
+		return backEnd{}, err
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return backEnd{id: id, address: listener.Addr().String(), agent: agent[0]}, nil
 }
 
 func document(key string, engines, services []backEnd) string {
@@ -174,7 +170,7 @@
 }
 
 func (f *Fleet) startNodes(common, listen string, backEnds []backEnd, store objectstore.Client, log logrus.FieldLogger) error {
-	routerPeers, err := freeAddress()
+	routerPeers, err := f.opened.open(anyPort)
 	if err != nil {
 		return err
 	}
@@ -184,7 +180,7 @@
 callers = %q
 peers = %q
 admin = "127.0.0.1:0"
-`, listen, routerPeers)
+`, listen, routerPeers[0])
 	routerNode, err := f.startNode("router-1", text, store, log)
 	if err != nil {
 		return err
@@ -200,7 +196,7 @@
 admin = "127.0.0.1:0"
 [agent]
 back_end = "http://%s"
-`, entry.id, routerPeers, entry.agent, entry.address)
+`, entry.id, routerPeers[0], entry.agent, entry.address)
 		if _, err := f.startNode(entry.id, text, store, log); err != nil {
 			return err
 		}
@@ -213,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := daemon.Start(parsed, daemon.Environment{Platform: store, Log: log})
+	node, err := daemon.Start(parsed, daemon.Environment{Platform: store, Listen: f.opened.take, Log: log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/gateways.go
+++ b/internal/demo/gateways.go
@@ -79,7 +79,7 @@
 			return err
 		}
 	}
-	storeAddress, err := g.serve("store", "127.0.0.1:0", store)
+	storeAddress, err := g.serve("store", anyPort, store)
 	if err != nil {
 		return err
 	}
@@ -88,9 +88,9 @@
 		if seeds, err = g.startGateway(fmt.Sprintf("gateway-%d", i+1), listen, storeAddress, seeds, adapter); err != nil {
 			return err
 		}
-		listen = "127.0.0.1:0"
+		listen = anyPort
 	}
-	g.Control, err = g.serve("control", "127.0.0.1:0", g.controlHandler())
+	g.Control, err = g.serve("control", anyPort, g.controlHandler())
 	return err
 }
 
@@ -148,18 +148,13 @@
 }
 
 func (g *Gateways) startGateway(name, listen, store string, seeds []string, adapter daemon.Adapter) ([]string, error) {
-	callers, err := freeUnless(listen)
-	if err != nil {
-		return nil, err
-	}
-	peers, err := freeAddress()
-	if err != nil {
-		return nil, err
-	}
-	admin, err := freeAddress()
+	opened := openListeners{}
+	addresses, err := opened.open(listen, anyPort, anyPort)
 	if err != nil {
+		opened.close()
 		return nil, err
 	}
+	callers, peers, admin := addresses[0], addresses[1], addresses[2]
 	seeds = append(seeds, peers)
 	s, err := settings.Parse(name+".toml", []byte(fmt.Sprintf(`role = "gateway"
 id = %q
@@ -177,8 +172,9 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Log: g.log})
+	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Listen: opened.take, Log: g.log})
 	if err != nil {
+		opened.close()
 		return nil, err
 	}
 	g.add(name, func() {
@@ -191,14 +187,6 @@
 	return seeds, nil
 }
 
-// freeUnless returns the address, or a free one in place of port 0.
-func freeUnless(address string) (string, error) {
-	if strings.HasSuffix(address, ":0") {
-		return freeAddress()
-	}
-	return address, nil
-}
-
 func (g *Gateways) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -79,7 +79,7 @@
 
 // startStandIn starts a back end and lists it.
 func (g *Gateways) startStandIn(store *fixedStore, name, service string, answer func(w http.ResponseWriter, r *http.Request, name string, forwarded wire.Forwarded)) error {
-	address, err := g.serve(name, "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address, err := g.serve(name, anyPort, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		forwarded := g.protocol.ReadForward(r.Header)
 		if forwarded.BackEnd != name {
 			g.protocol.WriteNotRun(w.Header(), forwarded.Request)
