Start: callers wait for a gateway that has just started; its lists are read together

Their log: the first is ready 40 ms after its start, most after 100 ms, since 250 routes take 50 ms on a link of 10 Mbit/s and three lists are read one after the other. The balancer sends callers to gateways that aren't ready while most of a zone aren't. In these 100 ms they were told 503: 13 "no configuration yet", 53 "no back end has room" by gateways that knew the routes and no list yet. A caller has one more try, and comes back late.

Change: within 250 ms of its start a gateway that isn't ready lets a caller wait until it is; later it refuses at once, as it does when nobody tells it anything. The first reads of the lists go out together.

Ruled out: the store (4 ms an answer, no 429) and the processor (not charged).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -156,23 +156,28 @@
 
 // readLoop reads the lists in turn, whatever the watches say, so that each answer
 // also shows that the store can be reached. A gateway that has just started reads
-// all at once: callers wait for it; so does one that got no answer in time, as soon as the
-// store answers again: the list whose turn was lost may hold an order.
+// all together: callers wait for it. One that got no answer in time reads all without a
+// pause as soon as the store answers again: the list whose turn was lost may hold an order.
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
-	var longReadAt time.Time
-	unread := len(lists) // so many are read without a pause
+	unread := 0 // so many are read without a pause
+	longReadAt := time.Now()
+	if f.readTogether(ctx, lists) {
+		f.rest(ctx, f.turnPause())
+	} else {
+		unread = len(lists)
+		f.rest(ctx, jitter(pause))
+	}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := lists[turn%len(lists)]
-		first := turn < len(lists)
 		if next.isLong {
-			if !first && time.Since(longReadAt) < f.longPeriod() {
+			if unread == 0 && time.Since(longReadAt) < f.longPeriod() {
 				continue
 			}
 			longReadAt = time.Now()
 		}
-		_, err := f.read(ctx, next, first && next.firstMayBeOld || !f.mustBeFresh())
-		wait := readPause(f.readPeriod() / readsPerPeriod)
+		_, err := f.read(ctx, next, !f.mustBeFresh())
+		wait := f.turnPause()
 		if err != nil {
 			wait = jitter(max(pause, f.leastPause()))
 			pause = min(2*pause, longestPause)
@@ -190,6 +195,24 @@
 	}
 }
 
+// readTogether reads all lists at the same time, and tells whether all were answered.
+func (f *Follower) readTogether(ctx context.Context, lists []list) bool {
+	var failed atomic.Bool
+	var reads conc.WaitGroup
+	for _, each := range lists {
+		reads.Go(func() {
+			if _, err := f.read(ctx, each, each.firstMayBeOld); err != nil {
+				failed.Store(true)
+			}
+		})
+	}
+	reads.Wait()
+	return !failed.Load()
+}
+
+// turnPause is the time to the next plain read.
+func (f *Follower) turnPause() time.Duration { return readPause(f.readPeriod() / readsPerPeriod) }
+
 // rest waits, or until this gateway's duty changes. One that is to stand by then waits for
 // its turn among those that do.
 func (f *Follower) rest(ctx context.Context, wait time.Duration) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -98,6 +98,7 @@
 	if h.config.State.Draining() {
 		w.Header().Set("Connection", "close")
 	}
+	h.config.State.AwaitReady(r.Context())
 	if err := h.prepare(c); err != nil {
 		h.refuse(c, err)
 		return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -26,8 +27,10 @@
 	draining bool
 	// surveyed is set once it is known which zones are evacuated.
 	surveyed bool
-	// wasReady is set once the gateway was ready for the first time.
-	wasReady bool
+	// startedAt is when the gateway started, and wasReady is set once it was ready for the
+	// first time.
+	startedAt time.Time
+	wasReady  bool
 	// document is the configuration encoded for peers, of documentVersion.
 	document        []byte
 	documentVersion uint64
@@ -49,7 +52,7 @@
 // AwaitEvacuations is called.
 func NewState(core *dispatch.Core, log *eventlog.Log) *State {
 	return &State{
-		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}),
+		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reads}, dutyChanged: make(chan struct{}), surveyed: true,
 	}
 }
@@ -89,6 +92,33 @@
 	return s.complete() && !s.draining
 }
 
+// startPatience is how long after its start a gateway lets callers wait until it is ready: as
+// a rule it is within 150 ms, sooner than a caller who is refused comes back. Until then
+// balancers send some callers to each gateway where most of a zone have just started.
+const startPatience = 250 * time.Millisecond
+
+// AwaitReady returns once the gateway is ready, or isn't about to be.
+func (s *State) AwaitReady(ctx context.Context) {
+	for {
+		s.mutex.Lock()
+		left := startPatience - time.Since(s.startedAt)
+		isAwaited, changed := !s.complete() && left > 0, s.changed
+		s.mutex.Unlock()
+		if !isAwaited {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
 // complete tells whether the gateway knows enough to serve.
 func (s *State) complete() bool { return s.view.Index() != nil && s.listed && s.surveyed }
 
