Logs: failed attempts name the request's content

Cause: lines of failed attempts name the path, but not whether the body is the same, so nothing tells a request that ends back ends from a path on which many requests break off. Change: request.attempt_failed has a fingerprint of host, method, path, tenant and body. No logic changes; go test ./... passes.

--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -104,6 +104,7 @@
 	fields["back_end"] = failed.send.BackEnd.ID
 	fields["cause"] = failed.cause
 	fields["path"] = c.loggedPath()
+	fields["fingerprint"] = c.fingerprints()[0].String()
 	fields["status"] = failed.status
 	fields["events"] = failed.events
 	fields["not_sent"] = failed.notSent
