Dispatch: a request that crashes back ends is withheld by all gateways

Cause: a gateway forgot a request with its last attempt, so each repeat of one that crashes what runs it had the whole route's attempts again, at any gateway. Class: evidence that belongs to a request's content was kept by attempt.

Ruled out: the retry budget (never exceeded in the test), back ends that end by themselves (nothing else strikes there).

Change: attempts that break off without a whole answer are remembered by the content's fingerprint and the back end's incarnation, and told to peers, whose records merge by the higher evidence of each crash (rapid: any order of news ends alike). A break doesn't count when the back end answers later or was leaving, and none does once the content is answered whole. The soak repeats such requests among its other faults and judges their arrivals.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -22,6 +22,9 @@
 	// WarmUp is how much longer it bore few requests a second when the entry was
 	// written; 0 for one that is warm.
 	WarmUp time.Duration `cbor:"7,keyasint,omitempty"`
+	// Born is when this life of it began, in milliseconds since 1970 by its own clock; 0 where
+	// it isn't told. A back end may start again under its ID.
+	Born int64 `cbor:"8,keyasint,omitempty"`
 	// WarmUpRevision is that of the entry which told WarmUp, 0 for one that is warm: a
 	// warm-up that begins anew may tell the same time. The View sets it.
 	WarmUpRevision uint64 `cbor:"-"`
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -19,6 +19,8 @@
 	OwnAnswers Mechanism = "own-answers"
 	// FollowConfiguration adopts versions after the first.
 	FollowConfiguration Mechanism = "configuration"
+	// Withholding keeps requests that crash back ends from the others.
+	Withholding Mechanism = "withholding"
 	// RetryBudget bounds further attempts.
 	RetryBudget Mechanism = "retry-budget"
 )
@@ -74,7 +76,7 @@
 
 // Promises lists the mechanisms without which a promise is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget}
+	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding}
 }
 
 // Choices lists the mechanisms without which callers are served worse.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,7 @@
 	paces    map[string]*pace
 	holders  *holderMemory
 	paths    *pathMemory
+	crashes  *crashMemory
 	budgets  map[string]*limits.ShareOfBudget
 	gateways int
 	changes  []HealthChange
@@ -148,6 +149,7 @@
 		paces:          map[string]*pace{},
 		holders:        newHolderMemory(),
 		paths:          newPathMemory(),
+		crashes:        newCrashMemory(),
 		budgets:        map[string]*limits.ShareOfBudget{},
 		gateways:       1,
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -37,6 +37,8 @@
 	sentAt time.Time
 	// ran is what is known of all attempts so far.
 	ran failure.Ran
+	// fingerprints are those of the request, once they were asked for.
+	fingerprints []Fingerprint
 }
 
 // Attempts returns how many back ends may have received the request.
@@ -107,6 +109,9 @@
 	if !now.Before(x.request.Deadline) {
 		return c.giveUp(x, failure.DeadlineUnmeetable, "the deadline passed before a back end answered")
 	}
+	if c.withholds(now, x) {
+		return c.giveUp(x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
+	}
 	chosen := c.choose(now, x)
 	if chosen == nil {
 		return c.giveUp(x, failure.PoolExhausted, "no back end of "+x.service+" has room")
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -32,7 +32,10 @@
 
 // NotConnected notes that nothing was sent, since no connection could be made.
 func (c *Core) NotConnected(now time.Time, x *Exchange) Decision {
-	c.ended(now, x, func(m *member) { m.health.unreachable(now) })
+	c.ended(now, x, func(m *member) {
+		m.health.unreachable(now)
+		c.noteEnd(now, m)
+	})
 	x.attempts--
 	x.connects++
 	if x.connects >= maxConnects {
@@ -45,6 +48,7 @@
 // while it has room speaks against it.
 func (c *Core) Refused(now time.Time, x *Exchange) Decision {
 	c.ended(now, x, func(m *member) {
+		c.noteLife(now, x, m)
 		if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
 			m.health.bad(now, c.errorRate(x.service, m))
 		} else {
@@ -59,14 +63,29 @@
 	c.ended(now, x, func(m *member) {
 		m.health.unreachable(now)
 		m.health.displaced = true
+		c.noteEnd(now, m)
 	})
 	return c.again(now, x, failure.PoolExhausted, "the back end has gone")
 }
 
-// Broken notes that the attempt ended without an answer that can be used: the
-// request may have run.
+// Broken notes that the connection ended without a whole answer: the request may have run,
+// and may have crashed the back end.
 func (c *Core) Broken(now time.Time, x *Exchange) Decision {
+	c.ended(now, x, func(m *member) {
+		m.health.broke(now)
+		c.noteBreak(now, x, m)
+	})
+	return c.unanswered(now, x)
+}
+
+// Unusable notes an answer that isn't the back end's to this request: it may have run.
+func (c *Core) Unusable(now time.Time, x *Exchange) Decision {
 	c.ended(now, x, func(m *member) { m.health.broke(now) })
+	return c.unanswered(now, x)
+}
+
+// unanswered decides after an attempt that gave no answer and may have run.
+func (c *Core) unanswered(now time.Time, x *Exchange) Decision {
 	x.ran = failure.RanUnknown
 	return c.again(now, x, failure.BackendFailed, "the back end broke off before it answered")
 }
@@ -83,6 +102,8 @@
 func (c *Core) Failed(now time.Time, x *Exchange) Decision {
 	m := x.current
 	x.ran = failure.RanYes
+	c.noteLife(now, x, m)
+	c.Completed(now, x)
 	everywhere := c.paths.failsEverywhere(now, x.request.Path) && !c.config.Disabled[FailingPaths]
 	c.paths.note(now, x.request.Path, m.backEnd.ID)
 	if everywhere {
@@ -110,6 +131,7 @@
 	m.health.settled()
 	m.health.good(now)
 	c.noteHealth(now, m)
+	c.noteLife(now, x, m)
 	c.paths.clear(x.request.Path)
 	if load >= 0 {
 		m.report(now, load)
@@ -126,6 +148,7 @@
 	m := x.release(now)
 	m.health.broke(now)
 	c.noteHealth(now, m)
+	c.noteBreak(now, x, m)
 	if !x.request.Route.Resumable || c.config.Disabled[Resumption] || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		x.phase = Ended
 		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,6 +27,9 @@
 	Parts []Part
 	// Urgency ranks the request; 0 is the most urgent.
 	Urgency int
+	// Fingerprints returns what stands for the request's content; nil where that is of no
+	// interest. It is called only where back ends have crashed.
+	Fingerprints func() []Fingerprint
 	// Deadline is when the caller or the route ends the request.
 	Deadline time.Time
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -44,6 +44,9 @@
 	RequestRefused  Event = "request.refused"
 	CallerLeft      Event = "request.caller_left"
 	LinesLeftOut    Event = "log.left_out"
+	// RequestsWithheld and RequestsReleased speak of all requests of one content.
+	RequestsWithheld Event = "requests.withheld"
+	RequestsReleased Event = "requests.released"
 )
 
 // Events lists every event.
@@ -53,7 +56,7 @@
 		StoreLost, StoreRegained, PeerLost, PeerRegained, CollectorSilent,
 		Configured, Misconfigured, ZoneEvacuated, ZoneRestored, BackEndChanged, BackEndHealth,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
-		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut,
+		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased,
 	}
 }
 
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -44,6 +44,9 @@
 	Overloaded
 	// PoolExhausted is the final answer when every attempt was refused.
 	PoolExhausted
+	// Withheld is a request of a content that crashed the back ends which ran it; nothing was
+	// sent.
+	Withheld
 	// DeadlineUnmeetable is a request that could not finish in time.
 	DeadlineUnmeetable
 	// Leaving is a refusal by an agent that takes no new work.
@@ -122,6 +125,10 @@
 // ever seen in logs and metrics.
 const statusCallerGone = 499
 
+// withheldWait is when to come back with a request that is withheld: it is for a day, or until
+// operators mend what crashes.
+const withheldWait = 10 * time.Minute
+
 var table = [kindCount]Answer{
 	Internal:            {"internal", http.StatusInternalServerError, RanUnknown, false, 0},
 	InvalidRequest:      {"invalid_request", http.StatusBadRequest, RanNo, false, 0},
@@ -135,6 +142,7 @@
 	QueueFull:           {"queue_full", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	Overloaded:          {"overloaded", http.StatusServiceUnavailable, RanNo, true, 200 * time.Millisecond},
 	PoolExhausted:       {"pool_exhausted", http.StatusServiceUnavailable, RanNo, true, 2 * time.Second},
+	Withheld:            {"withheld", http.StatusServiceUnavailable, RanNo, true, withheldWait},
 	DeadlineUnmeetable:  {"deadline_unmeetable", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	Leaving:             {"leaving", http.StatusServiceUnavailable, RanNo, true, time.Second},
 	OwnerAway:           {"owner_away", http.StatusServiceUnavailable, RanNo, true, 5 * time.Second},
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,12 +26,21 @@
 		c.writer.WriteHeader(result.answer.StatusCode)
 		// A caller that left can't be told.
 		_, _ = c.writer.Write(result.body)
+		h.completed(c)
 		h.logDone(c, result, 0)
 		return
 	}
 	h.passStream(ctx, c, result)
 }
 
+// completed tells the core that a back end's answer was whole.
+func (h *Handler) completed(c *call) {
+	h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		core.Completed(now, c.exchange)
+		return dispatch.Decision{}
+	})
+}
+
 // stream is an answer of events on its way to the caller.
 type stream struct {
 	controller *http.ResponseController
@@ -53,6 +62,7 @@
 		_ = result.answer.Body.Close()
 		result.cancel()
 		if err == nil {
+			h.completed(c)
 			h.logDone(c, result, s.events)
 			return
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,7 +183,7 @@
 }
 
 func (h *Handler) unusable(c *call, send dispatch.Send, response *http.Response, why string) outcome {
-	return h.decided(c, send, response, why, (*dispatch.Core).Broken)
+	return h.decided(c, send, response, why, (*dispatch.Core).Unusable)
 }
 
 func (h *Handler) decided(c *call, send dispatch.Send, response *http.Response, why string, step func(*dispatch.Core, time.Time, *dispatch.Exchange) dispatch.Decision) outcome {
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -34,6 +34,9 @@
 	// from.
 	Holdings []dispatch.Holdings
 	Holding  uint64
+	// Crashes are records of crashes under requests, and Crash the number to go on from.
+	Crashes []dispatch.CrashRecord
+	Crash   uint64
 	// StoreAge is how long ago the store last answered.
 	StoreAge time.Duration
 	// Changed is closed with the next change.
@@ -75,8 +78,12 @@
 	Change     uint64
 	Evacuation uint64
 	Holding    uint64
+	Crash      uint64
 }
 
+// mostCrashRecords bounds the records of crashes in one message, at some 25 bytes each.
+const mostCrashRecords = 128
+
 // NewsSince returns what a peer lacks that was told so much, at most so many holdings,
 // and the loads of the moment.
 func (s *State) NewsSince(told Told, mostHoldings int) News {
@@ -90,6 +97,7 @@
 		news.Surveyed = true
 		news.Evacuations, news.Evacuation = s.view.EvacuationsSince(told.Evacuation)
 	}
+	news.Crashes, news.Crash = s.core.CrashesSince(time.Now(), told.Crash, mostCrashRecords)
 	news.Holdings, news.Holding = s.core.HoldingsSince(told.Holding, mostHoldings)
 	return news
 }
@@ -148,6 +156,17 @@
 	s.core.PeerLoads(time.Now(), peer, loads)
 }
 
+// TakeCrashes takes what a peer, or the store, tells of crashes under requests.
+func (s *State) TakeCrashes(records []dispatch.CrashRecord) {
+	if len(records) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.TakeCrashes(time.Now(), records)
+	s.tellCrashes()
+}
+
 // PeerHoldings takes prompt parts that a peer knows back ends to hold.
 func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
 	s.mutex.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -46,6 +46,8 @@
 	lag, lasting time.Duration
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
+	// crashChanges is the number of changes of crashes that peers were woken for.
+	crashChanges uint64
 }
 
 // NewState returns a state that knows nothing yet. Zones count as not evacuated until
@@ -237,6 +239,8 @@
 const (
 	SourceStore = "store"
 	SourcePeer  = "peer"
+	// SourceOwn is this gateway's own observation.
+	SourceOwn = "own"
 )
 
 func (s *State) apply(news []catalog.Entry, source string) {
@@ -308,6 +312,7 @@
 	s.mutex.Lock()
 	decision := step(time.Now(), s.core)
 	changes := s.core.TakeHealthChanges()
+	s.tellCrashes()
 	s.mutex.Unlock()
 	for _, change := range changes {
 		s.log.Urgent(eventlog.BackEndHealth, logrus.Fields{
@@ -318,6 +323,27 @@
 	return decision
 }
 
+// tellCrashes wakes who tells peers of crashes, and logs which requests are withheld.
+func (s *State) tellCrashes() {
+	if now := s.core.CrashChanges(); now != s.crashChanges {
+		s.crashChanges = now
+		s.announce()
+	}
+	for _, each := range s.core.TakeWithheldChanges() {
+		event := eventlog.RequestsReleased
+		if each.Withheld {
+			event = eventlog.RequestsWithheld
+		}
+		source := SourceOwn
+		if each.FromPeer {
+			source = SourcePeer
+		}
+		s.log.Urgent(event, logrus.Fields{
+			"fingerprint": each.Record.Fingerprint.String(), "back_ends": len(each.Record.Incarnations), "source": source,
+		})
+	}
+}
+
 // SetLag notes how late this process runs what is due, at the worst of late and
 // lastingly.
 func (s *State) SetLag(lag, lasting time.Duration) {
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -140,6 +140,10 @@
 		fields["kind"] = kind.String()
 		fields["cause"] = cause.Error()
 		fields["store_age_ms"] = h.config.State.StoreAge().Milliseconds()
+		if kind == failure.Withheld {
+			fields["path"] = c.loggedPath()
+			fields["fingerprint"] = c.fingerprints()[0].String()
+		}
 		return fields
 	}
 	switch {
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -107,6 +107,7 @@
 	}
 	r.config.State.PeerLoads(message.From, message.Loads)
 	r.config.State.PeerHoldings(message.Holdings)
+	r.config.State.TakeCrashes(message.Crashes)
 }
 
 func (r *Relay) takeDocument(message Message) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -48,6 +48,8 @@
 	// is true when the sender knows all of them: the first message with it tells all.
 	Evacuations []catalog.Evacuation `cbor:"14,keyasint,omitempty"`
 	Surveyed    bool                 `cbor:"15,keyasint,omitempty"`
+	// Crashes are records of back ends that crashed under requests, as far as it is news.
+	Crashes []dispatch.CrashRecord `cbor:"19,keyasint,omitempty"`
 }
 
 const (
@@ -74,7 +76,7 @@
 // the message before.
 func (m *Message) tellsNews(before Message) bool {
 	changed := m.Version != before.Version || m.Surveyed != before.Surveyed
-	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers)
+	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes)
 	asks := m.Want || m.Lacking != 0
 	return changed || asks || m.Answer != 0 || lists > 0
 }
@@ -104,6 +106,7 @@
 		Evacuations: news.Evacuations, Surveyed: news.Surveyed,
 
 		Holdings:       news.Holdings,
+		Crashes:        news.Crashes,
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways := r.config.State.Place().Gateways
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -120,6 +120,9 @@
 	arrival.ran = true
 	arrival.changed = string(body) != bodyOf(forwarded.Request, r.Method)
 	b.fleet.check.arrived(arrival)
+	if isCrashing(r.URL.Path) {
+		b.crashUnder(r, arrival.backEnd)
+	}
 	b.run(w, r, forwarded, acts)
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -77,13 +77,18 @@
 }
 
 func (c *caller) send(ctx context.Context, g *gatewayState, sent sending, prompt string) reply {
-	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerPatience)
-	defer cancel()
 	method := http.MethodPost
 	if sent.prefix == prefixRepeat {
 		method = http.MethodGet
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+sent.prefix+sent.request, strings.NewReader(bodyOf(sent.request, method)))
+	return c.sendTo(ctx, g, sent, method, sent.prefix+sent.request, prompt)
+}
+
+// sendTo sends a request with the path and reads its answer.
+func (c *caller) sendTo(ctx context.Context, g *gatewayState, sent sending, method, path, prompt string) reply {
+	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, strings.NewReader(bodyOf(sent.request, method)))
 	if err != nil {
 		return reply{cause: err.Error()}
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -30,6 +30,7 @@
 	PromiseKept          Promise = "no request lost"
 	PromiseAtOnce        Promise = "given up in time, with a time to come back"
 	PromiseRecovery      Promise = "recovery"
+	PromiseWithheld      Promise = "what crashes back ends is withheld"
 	PromiseStart         Promise = "gateways start"
 )
 
@@ -45,6 +46,8 @@
 type sending struct {
 	request, gateway, prefix, key string
 	at                            time.Time
+	// crashes is the path of a crashing request, or "".
+	crashes string
 }
 
 // reply is what a caller got. status is 0 when there was no answer.
@@ -115,6 +118,8 @@
 	versions  []version
 	leavingAt map[string]time.Time
 	warmings  []warming
+	// crashes are the times at which back ends crashed under crashing requests, by path.
+	crashes map[string][]time.Time
 	// evacuations are all orders on zones so far.
 	evacuations []evacuation
 	recoverAt   time.Time
@@ -127,6 +132,7 @@
 		fleet: f, started: time.Now(), sends: map[string]sending{}, replies: map[string]reply{},
 		arrivals: map[string][]arrival{}, lives: map[string]time.Time{}, ends: map[string]*span{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
+		crashes: map[string][]time.Time{},
 	}
 }
 
--- /dev/null
+++ b/internal/soak/crashing.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// A crashing request crashes each back end that runs it. Its caller repeats it, under a new
+// ID each time, through any gateway; later faults repeat the same ones.
+
+const (
+	// crashingContents is the number of different crashing requests.
+	crashingContents = 3
+	// crashingGap is the time between two repeats, and crashingTime how much longer than
+	// the fault they go on: long enough for all gateways to know.
+	crashingGap  = 300 * time.Millisecond
+	crashingTime = 5 * time.Second
+	// crashingPath stands in the path of all of them.
+	crashingPath = "crash-"
+	// crashesUntilKnown is the number of crashes under a content after which gateways in
+	// touch may send it crashingRetries times more.
+	crashesUntilKnown = 3
+	crashingRetries   = 3
+)
+
+// isCrashing tells whether a request with the path crashes what runs it.
+func isCrashing(path string) bool { return strings.Contains(path, crashingPath) }
+
+// repeatCrashing sends one of the crashing requests again and again.
+func (f *fleet) repeatCrashing(ctx context.Context, fault Fault) {
+	c := newCaller(f, -1-fault.Target)
+	defer c.client.CloseIdleConnections()
+	path := fmt.Sprintf("%s%s%d", prefixRepeat, crashingPath, fault.Target%crashingContents)
+	until := time.Now().Add(fault.For + crashingTime)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		c.callCrashing(ctx, path)
+		sleep(ctx, crashingGap)
+	}
+}
+
+// callCrashing sends a crashing request once and tells the checks what came of it.
+func (c *caller) callCrashing(ctx context.Context, path string) {
+	g := c.fleet.gateways[c.random.IntN(len(c.fleet.gateways))]
+	c.count++
+	sent := sending{
+		request: fmt.Sprintf("x%d-%d", c.number, c.count), gateway: g.id,
+		prefix: prefixRepeat, key: keys[0], at: time.Now(), crashes: path,
+	}
+	c.fleet.check.sent(sent)
+	got := c.sendTo(context.WithoutCancel(ctx), g, sent, http.MethodGet, path, "")
+	got.at = time.Now()
+	c.fleet.check.got(sent, got)
+}
+
+// crashUnder ends the back end after it has begun to run a crashing request.
+func (b *backEnd) crashUnder(r *http.Request, id string) {
+	sleep(r.Context(), plainWork)
+	if b.id() == id && r.Context().Err() == nil {
+		b.fleet.check.crashed(r.URL.Path)
+		b.fleet.check.serving.Go(func() {
+			b.fleet.strikeBackEnd(context.Background(), b, Fault{Kind: CrashBackEnd, For: listedAfterCrash})
+		})
+	}
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// crashed notes that a back end crashed under a crashing request.
+func (c *checker) crashed(path string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.crashes[path] = append(c.crashes[path], time.Now())
+}
+
+// judgeCrashing checks that crashing requests were withheld once gateways in touch could know
+// of them.
+func (c *checker) judgeCrashing() {
+	late := map[string]int{}
+	for _, id := range c.order {
+		s := c.sends[id]
+		crashes := c.crashes[s.crashes]
+		if s.crashes == "" || len(crashes) < crashesUntilKnown {
+			continue
+		}
+		slices.SortFunc(crashes, time.Time.Compare)
+		known := crashes[crashesUntilKnown-1].Add(contact + slack)
+		for _, each := range c.arrivals[id] {
+			if each.at.After(known) && c.inTouch(s.gateway, each.at, each.at) {
+				late[s.crashes]++
+			}
+		}
+	}
+	for path, count := range late {
+		if count > crashingRetries {
+			c.failLocked(PromiseWithheld, "%s came to back ends %d times when it was known to crash them, %d are allowed", path, count, crashingRetries)
+		}
+	}
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -57,6 +57,9 @@
 	// and brings it back.
 	ChangeRoute Kind = "change_route"
 	RevokeKey   Kind = "revoke_key"
+	// CrashingRequest is a caller who repeats a request that crashes each back end which
+	// runs it.
+	CrashingRequest Kind = "crashing_request"
 )
 
 // Kinds lists every kind.
@@ -65,6 +68,7 @@
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, DeafStore,
 		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
 		LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll, EvacuateZone, ChangeRoute, RevokeKey,
+		CrashingRequest,
 	}
 }
 
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -59,6 +59,8 @@
 		f.strikeBackEnd(ctx, b, fault)
 	case ChangeRoute:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
+	case CrashingRequest:
+		f.repeatCrashing(ctx, fault)
 	case RevokeKey:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareKey }, wait)
 	}
