Follower: withheld requests are kept in the platform's store

Cause: what all gateways know of a crashing request is gone when all of them are killed together; then three more back ends would crash for each such request.

Failing calls are tried again up to 10 s apart and don't take the store for lost.

--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -47,6 +47,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *fixedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, writes := s.protocol.ReadStoreWrite(r); writes {
+		return // its contents don't change
+	}
 	call := s.protocol.ReadStoreCall(r)
 	if call.Watch {
 		select {
@@ -57,6 +60,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch call.Kind {
+	case wire.Own:
+		s.protocol.WriteOwn(w, wire.StoreAnswer[[]byte]{Watch: call.Watch, At: 1})
+		return
 	case wire.Evacuations:
 		s.protocol.WriteEvacuations(w, wire.StoreAnswer[catalog.Evacuation]{Watch: call.Watch, At: 1})
 		return
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -73,8 +73,10 @@
 type crash struct {
 	incarnation incarnation
 	evidence    evidence
-	// isTold is false while it may yet turn out to be none.
+	// isTold is false while it may yet turn out to be none, and isOwn is true where this
+	// gateway observed it itself.
 	isTold bool
+	isOwn  bool
 }
 
 // crashRecord is what is known of one content.
@@ -135,33 +137,33 @@
 		clear(m.brokeAt)
 	}
 	m.brokeAt[at] = now
-	if record.raise(crash{incarnation: at, evidence: presumed}) {
+	if record.raise(crash{incarnation: at, evidence: presumed, isOwn: true}) {
 		m.untold = append(m.untold, untoldCrash{fingerprint: fingerprint, incarnation: at, until: now.Add(crashSettles)})
 	}
-	m.sort(now, record, false)
+	m.sort(record, false)
 }
 
 // answered notes that the incarnation answered a request that was sent at the time.
-func (m *crashMemory) answered(now time.Time, by incarnation, sentAt time.Time) {
+func (m *crashMemory) answered(by incarnation, sentAt time.Time) {
 	brokeAt, waited := m.brokeAt[by]
 	if !waited || !sentAt.After(brokeAt) {
 		return
 	}
 	delete(m.brokeAt, by)
-	m.judge(now, by, survived)
+	m.judge(by, survived)
 }
 
 // confirm notes that the incarnation, at which requests broke off, is no longer there.
-func (m *crashMemory) confirm(now time.Time, of incarnation) {
+func (m *crashMemory) confirm(of incarnation) {
 	if _, waited := m.brokeAt[of]; !waited {
 		return
 	}
 	delete(m.brokeAt, of)
-	m.judge(now, of, confirmed)
+	m.judge(of, confirmed)
 }
 
 // judge raises the evidence of all crashes of the incarnation.
-func (m *crashMemory) judge(now time.Time, of incarnation, found evidence) {
+func (m *crashMemory) judge(of incarnation, found evidence) {
 	for _, record := range m.records() {
 		at := record.index(of)
 		if at < 0 {
@@ -169,19 +171,19 @@
 		}
 		if found == survived && !record.crashes[at].isTold {
 			record.crashes = slices.Delete(record.crashes, at, at+1)
-			m.sort(now, record, false)
+			m.sort(record, false)
 			continue
 		}
 		if record.crashes[at].evidence == presumed {
 			record.raise(crash{incarnation: of, evidence: found, isTold: true})
 			m.note(record)
-			m.sort(now, record, false)
+			m.sort(record, false)
 		}
 	}
 }
 
 // acquit notes that a request of the content was answered whole.
-func (m *crashMemory) acquit(now time.Time, fingerprint Fingerprint) {
+func (m *crashMemory) acquit(fingerprint Fingerprint) {
 	record := m.get(fingerprint)
 	if record == nil {
 		return
@@ -192,7 +194,7 @@
 	}
 	if raised {
 		m.note(record)
-		m.sort(now, record, false)
+		m.sort(record, false)
 	}
 }
 
@@ -228,7 +230,7 @@
 	}
 	if raised {
 		m.note(record)
-		m.sort(now, record, true)
+		m.sort(record, true)
 	}
 }
 
@@ -238,8 +240,9 @@
 	record.change = m.changes
 }
 
-// sort keeps the record among the withheld ones or the others.
-func (m *crashMemory) sort(now time.Time, record *crashRecord, isTold bool) {
+// sort keeps the record among the withheld ones or the others; isTold is true after a peer's
+// word.
+func (m *crashMemory) sort(record *crashRecord, isTold bool) {
 	fingerprint, crashes := record.fingerprint, record.counted()
 	isWithheld, wasWithheld := crashes >= crashesToWithhold, m.withheld.Contains(fingerprint)
 	if isWithheld == wasWithheld {
@@ -252,7 +255,8 @@
 		m.withheld.Remove(fingerprint)
 		m.suspected.Add(fingerprint, record)
 	}
-	m.changed = append(m.changed, WithheldChange{Record: record.told(), Withheld: isWithheld, FromPeer: isTold, At: now})
+	isOwn := isWithheld && record.hasOwn() || !isWithheld && !isTold
+	m.changed = append(m.changed, WithheldChange{Record: record.whole(), Withheld: isWithheld, Own: isOwn})
 }
 
 // withholds tells whether requests of the content are withheld.
@@ -263,7 +267,7 @@
 	}
 	if now.Sub(record.lastAt) > withheldTime {
 		m.withheld.Remove(fingerprint)
-		m.changed = append(m.changed, WithheldChange{Record: record.told(), At: now})
+		m.changed = append(m.changed, WithheldChange{Record: record.whole(), Own: true})
 		return false
 	}
 	return true
@@ -310,6 +314,7 @@
 		if r.crashes[at].evidence >= found.evidence {
 			return false
 		}
+		found.isOwn = found.isOwn || r.crashes[at].isOwn
 		r.crashes[at] = found
 		return true
 	}
@@ -325,6 +330,11 @@
 	return true
 }
 
+// hasOwn tells whether this gateway observed any of the crashes.
+func (r *crashRecord) hasOwn() bool {
+	return slices.ContainsFunc(r.crashes, func(each crash) bool { return each.isOwn })
+}
+
 // counted returns the number of crashes that speak against the content.
 func (r *crashRecord) counted() int {
 	count := 0
@@ -336,11 +346,18 @@
 	return count
 }
 
-// told returns the record without the crashes that aren't told yet.
+// told returns what peers are told: all but the crashes that may yet turn out to be none.
 func (r *crashRecord) told() CrashRecord {
+	return r.with(func(each crash) bool { return each.isTold })
+}
+
+// whole returns all that is known.
+func (r *crashRecord) whole() CrashRecord { return r.with(func(crash) bool { return true }) }
+
+func (r *crashRecord) with(includes func(crash) bool) CrashRecord {
 	told := CrashRecord{Fingerprint: r.fingerprint, LastAt: r.lastAt.Unix()}
 	for _, each := range r.crashes {
-		if each.isTold {
+		if includes(each) {
 			told.Incarnations = append(told.Incarnations, uint32(each.incarnation))
 			told.Evidence = append(told.Evidence, uint8(each.evidence))
 		}
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -102,7 +102,7 @@
 	crashUnder(core, start, 7, crashesToWithhold)
 	is.True(isWithheld(core, start, 7))
 	core.Answered(start, x, -1)
-	core.Completed(start, x)
+	core.Completed(x)
 	is.True(!isWithheld(core, start, 7))
 	is.Equal(len(crashUnder(core, start, 7, 5)), crashesToWithhold) // later crashes count anew
 }
@@ -163,7 +163,7 @@
 	is.True(isWithheld(told, start, 7))
 	changed := told.TakeWithheldChanges()
 	is.Equal(len(changed), 1)
-	is.True(changed[0].Withheld && changed[0].FromPeer)
+	is.True(changed[0].Withheld && !changed[0].Own)
 	records, _ = seen.CrashesSince(start.Add(crashSettles), reached, 100)
 	is.Equal(len(records), 0)
 }
@@ -199,7 +199,7 @@
 					cores[at].NotConnected(now, x)
 				default:
 					cores[at].Answered(now, x, -1)
-					cores[at].Completed(now, x)
+					cores[at].Completed(x)
 				}
 			}
 			tell(at, rapid.IntRange(0, gateways-1).Draw(t, "to"), rapid.IntRange(1, 2).Draw(t, "most"))
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -34,7 +34,7 @@
 func (c *Core) NotConnected(now time.Time, x *Exchange) Decision {
 	c.ended(now, x, func(m *member) {
 		m.health.unreachable(now)
-		c.noteEnd(now, m)
+		c.noteEnd(m)
 	})
 	x.attempts--
 	x.connects++
@@ -48,7 +48,7 @@
 // while it has room speaks against it.
 func (c *Core) Refused(now time.Time, x *Exchange) Decision {
 	c.ended(now, x, func(m *member) {
-		c.noteLife(now, x, m)
+		c.noteLife(x, m)
 		if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
 			m.health.bad(now, c.errorRate(x.service, m))
 		} else {
@@ -63,7 +63,7 @@
 	c.ended(now, x, func(m *member) {
 		m.health.unreachable(now)
 		m.health.displaced = true
-		c.noteEnd(now, m)
+		c.noteEnd(m)
 	})
 	return c.again(now, x, failure.PoolExhausted, "the back end has gone")
 }
@@ -102,8 +102,8 @@
 func (c *Core) Failed(now time.Time, x *Exchange) Decision {
 	m := x.current
 	x.ran = failure.RanYes
-	c.noteLife(now, x, m)
-	c.Completed(now, x)
+	c.noteLife(x, m)
+	c.Completed(x)
 	everywhere := c.paths.failsEverywhere(now, x.request.Path) && !c.config.Disabled[FailingPaths]
 	c.paths.note(now, x.request.Path, m.backEnd.ID)
 	if everywhere {
@@ -131,7 +131,7 @@
 	m.health.settled()
 	m.health.good(now)
 	c.noteHealth(now, m)
-	c.noteLife(now, x, m)
+	c.noteLife(x, m)
 	c.paths.clear(x.request.Path)
 	if load >= 0 {
 		m.report(now, load)
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -31,9 +31,8 @@
 type WithheldChange struct {
 	Record   CrashRecord
 	Withheld bool
-	// FromPeer is true where a peer's word made the change.
-	FromPeer bool
-	At       time.Time
+	// Own is true for what this gateway has observed itself, at least in part.
+	Own bool
 }
 
 // incarnationOf returns what stands for this life of the back end.
@@ -60,16 +59,16 @@
 }
 
 // noteLife notes that the member answered the current attempt.
-func (c *Core) noteLife(now time.Time, x *Exchange, m *member) {
+func (c *Core) noteLife(x *Exchange, m *member) {
 	if len(c.crashes.brokeAt) > 0 {
-		c.crashes.answered(now, incarnationOf(m.backEnd), x.sentAt)
+		c.crashes.answered(incarnationOf(m.backEnd), x.sentAt)
 	}
 }
 
 // noteEnd notes that the member's incarnation isn't there any more.
-func (c *Core) noteEnd(now time.Time, m *member) {
+func (c *Core) noteEnd(m *member) {
 	if len(c.crashes.brokeAt) > 0 {
-		c.crashes.confirm(now, incarnationOf(m.backEnd))
+		c.crashes.confirm(incarnationOf(m.backEnd))
 	}
 }
 
@@ -84,12 +83,12 @@
 
 // Completed notes that a back end answered the request whole, so that it doesn't crash what
 // runs it.
-func (c *Core) Completed(now time.Time, x *Exchange) {
+func (c *Core) Completed(x *Exchange) {
 	if c.crashes.isEmpty() {
 		return
 	}
 	for _, fingerprint := range x.contents() {
-		c.crashes.acquit(now, fingerprint)
+		c.crashes.acquit(fingerprint)
 	}
 }
 
@@ -125,3 +124,8 @@
 func (c *Core) Withheld() []Fingerprint {
 	return slices.Sorted(slices.Values(c.crashes.withheld.Keys()))
 }
+
+// IsOutdated tells whether requests of the content are no longer withheld for these crashes.
+func (r CrashRecord) IsOutdated(now time.Time) bool {
+	return now.Sub(time.Unix(r.LastAt, 0)) > withheldTime
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -47,6 +47,7 @@
 	// RequestsWithheld and RequestsReleased speak of all requests of one content.
 	RequestsWithheld Event = "requests.withheld"
 	RequestsReleased Event = "requests.released"
+	RecordGivenUp    Event = "requests.record_given_up"
 )
 
 // Events lists every event.
@@ -56,7 +57,7 @@
 		StoreLost, StoreRegained, PeerLost, PeerRegained, CollectorSilent,
 		Configured, Misconfigured, ZoneEvacuated, ZoneRestored, BackEndChanged, BackEndHealth,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
-		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased,
+		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased, RecordGivenUp,
 	}
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 )
@@ -41,6 +42,11 @@
 	Evacuations(ctx context.Context, stale bool) ([]catalog.Evacuation, uint64, error)
 	// AwaitEvacuations waits for changes after the revision.
 	AwaitEvacuations(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Evacuation, uint64, error)
+	// Withheld returns the records of requests that are withheld, Withhold adds one unless it
+	// is there, and Release removes one if it is there.
+	Withheld(ctx context.Context) ([]dispatch.CrashRecord, error)
+	Withhold(ctx context.Context, record dispatch.CrashRecord) error
+	Release(ctx context.Context, fingerprint dispatch.Fingerprint) error
 }
 
 // Config sets up a Follower.
@@ -139,6 +145,7 @@
 			f.tasks.Go(func() { f.recallOrders(ctx, orders) })
 		}
 	}
+	f.tasks.Go(func() { f.keepWithheld(ctx) })
 	lists = append(lists, f.backEnds()) // the longest one last: a gateway that starts reads them in turn
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
 	for _, each := range lists {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -49,6 +49,8 @@
 	restored    []catalog.Evacuation
 	oldest      uint64
 	askedBefore atomic.Int64
+	// withheld is how the store keeps withheld requests.
+	withheld withheldSource
 	// cuts is how many further watches on back ends are cut.
 	cuts atomic.Int64
 }
--- /dev/null
+++ b/internal/follower/withheld_test.go
@@ -0,0 +1,84 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// withheldSource is the part of a store that keeps withheld requests.
+type withheldSource struct {
+	mutex   sync.Mutex
+	records map[dispatch.Fingerprint]dispatch.CrashRecord
+	// refusals is how many further calls fail, and calls counts all.
+	refusals, calls int
+}
+
+func (s *withheldSource) call(step func()) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.refusals > 0 {
+		s.refusals--
+		return errors.New("refused")
+	}
+	step()
+	return nil
+}
+
+func (s *source) Withheld(context.Context) (list []dispatch.CrashRecord, err error) {
+	err = s.withheld.call(func() {
+		for _, each := range s.withheld.records {
+			list = append(list, each)
+		}
+	})
+	return list, err
+}
+
+func (s *source) Withhold(_ context.Context, record dispatch.CrashRecord) error {
+	return s.withheld.call(func() { s.withheld.records[record.Fingerprint] = record })
+}
+
+func (s *source) Release(_ context.Context, fingerprint dispatch.Fingerprint) error {
+	return s.withheld.call(func() { delete(s.withheld.records, fingerprint) })
+}
+
+// crashesOf returns a record of three crashes.
+func crashesOf(fingerprint dispatch.Fingerprint, at time.Time) dispatch.CrashRecord {
+	return dispatch.CrashRecord{Fingerprint: fingerprint, Incarnations: []uint32{1, 2, 3}, Evidence: []uint8{3, 3, 3}, LastAt: at.Unix()}
+}
+
+func TestStartedGatewayReadsWhatIsWithheld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{backEnds: 1}
+		s.withheld.records = map[dispatch.Fingerprint]dispatch.CrashRecord{
+			7: crashesOf(7, time.Now()), 8: crashesOf(8, time.Now().Add(-48*time.Hour)),
+		}
+		s.withheld.refusals = 3
+		core := dispatch.New(dispatch.DefaultConfig())
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		defer log.Close()
+		f := Start(Config{Source: s, State: gateway.NewState(core, log), ReadPeriod: time.Second, Log: log, Metrics: tally.NoopScope})
+		time.Sleep(5 * time.Second)
+		calls := s.withheld.calls
+		time.Sleep(time.Minute)
+		f.Close()
+		is.Equal(core.Withheld(), []dispatch.Fingerprint{7})
+		is.Equal(len(s.withheld.records), 1) // the outdated one is removed
+		is.Equal(s.withheld.calls, calls)    // and the list isn't read again
+		is.Equal(s.withheld.records[7].LastAt, crashesOf(7, bubbleStart).LastAt)
+	})
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,8 +35,8 @@
 
 // completed tells the core that a back end's answer was whole.
 func (h *Handler) completed(c *call) {
-	h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
-		core.Completed(now, c.exchange)
+	h.config.State.decide(func(_ time.Time, core *dispatch.Core) dispatch.Decision {
+		core.Completed(c.exchange)
 		return dispatch.Decision{}
 	})
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,6 +48,10 @@
 	changed chan struct{}
 	// crashChanges is the number of changes of crashes that peers were woken for.
 	crashChanges uint64
+	// unrecorded are contents that this gateway saw become withheld, or be released, and that
+	// the store doesn't know of yet; recordable is signalled with each.
+	unrecorded []dispatch.WithheldChange
+	recordable chan struct{}
 }
 
 // NewState returns a state that knows nothing yet. Zones count as not evacuated until
@@ -56,6 +60,7 @@
 	return &State{
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reads}, dutyChanged: make(chan struct{}), surveyed: true,
+		recordable: make(chan struct{}, 1),
 	}
 }
 
@@ -323,27 +328,6 @@
 	return decision
 }
 
-// tellCrashes wakes who tells peers of crashes, and logs which requests are withheld.
-func (s *State) tellCrashes() {
-	if now := s.core.CrashChanges(); now != s.crashChanges {
-		s.crashChanges = now
-		s.announce()
-	}
-	for _, each := range s.core.TakeWithheldChanges() {
-		event := eventlog.RequestsReleased
-		if each.Withheld {
-			event = eventlog.RequestsWithheld
-		}
-		source := SourceOwn
-		if each.FromPeer {
-			source = SourcePeer
-		}
-		s.log.Urgent(event, logrus.Fields{
-			"fingerprint": each.Record.Fingerprint.String(), "back_ends": len(each.Record.Incarnations), "source": source,
-		})
-	}
-}
-
 // SetLag notes how late this process runs what is due, at the worst of late and
 // lastingly.
 func (s *State) SetLag(lag, lasting time.Duration) {
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	configurations []wire.StoreEntry[catalog.Configuration]
 	backEnds       []wire.StoreEntry[catalog.BackEnd]
 	evacuations    []wire.StoreEntry[catalog.Evacuation]
+	own            []wire.StoreEntry[[]byte]
 	changed        chan struct{}
 	// silent keeps every call without an answer, busy refuses it, and slow delays
 	// it; each counts the faults that ask for it.
@@ -106,6 +108,8 @@
 	s.mutex.Unlock()
 	switch {
 	case silent:
+		// The server notices that the caller left only once it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case busy:
@@ -114,6 +118,10 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
+	if write, ok := s.protocol.ReadStoreWrite(r); ok {
+		s.write(w, write)
+		return
+	}
 	call := s.protocol.ReadStoreCall(r)
 	if call.Watch && !s.await(r, call) {
 		w.WriteHeader(http.StatusGone)
@@ -122,6 +130,21 @@
 	s.answer(w, call)
 }
 
+// write takes an object of the gateways' own.
+func (s *store) write(w http.ResponseWriter, write wire.StoreWrite) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	exists := slices.ContainsFunc(listed(s.own), func(each wire.StoreEntry[[]byte]) bool { return each.Name == write.Name })
+	switch {
+	case write.Gone && !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case !write.Gone && exists:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		s.own = append(s.own, wire.StoreEntry[[]byte]{Name: write.Name, Revision: s.next(), Gone: write.Gone, Value: write.Spec})
+	}
+}
+
 // await returns when the watch has something to tell or its time has passed; it is
 // false when the history is gone.
 func (s *store) await(r *http.Request, call wire.StoreCall) bool {
@@ -151,6 +174,8 @@
 		return len(since(s.backEnds, call.After)) > 0
 	case wire.Evacuations:
 		return len(since(s.evacuations, call.After)) > 0
+	case wire.Own:
+		return len(since(s.own, call.After)) > 0
 	default:
 		return len(since(s.configurations, call.After)) > 0
 	}
@@ -164,6 +189,8 @@
 		s.protocol.WriteBackEnds(w, answerOfStore(s.backEnds, call, s.revision))
 	case wire.Evacuations:
 		s.protocol.WriteEvacuations(w, answerOfStore(s.evacuations, call, s.revision))
+	case wire.Own:
+		s.protocol.WriteOwn(w, answerOfStore(s.own, call, s.revision))
 	default:
 		s.protocol.WriteConfigurations(w, answerOfStore(s.configurations, call, s.revision))
 	}
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -18,6 +18,10 @@
 	WriteConfigurations(w http.ResponseWriter, answer StoreAnswer[catalog.Configuration])
 	WriteBackEnds(w http.ResponseWriter, answer StoreAnswer[catalog.BackEnd])
 	WriteEvacuations(w http.ResponseWriter, answer StoreAnswer[catalog.Evacuation])
+	// ReadStoreWrite returns what a call writes; ok is false for one that reads. WriteOwn
+	// answers a list of the gateways' own objects.
+	ReadStoreWrite(request *http.Request) (write StoreWrite, ok bool)
+	WriteOwn(w http.ResponseWriter, answer StoreAnswer[[]byte])
 	// ReadForward returns what a gateway told a back end.
 	ReadForward(header http.Header) Forwarded
 	// WriteStamp marks an answer as the back end's own to the request; WriteNotRun
@@ -38,8 +42,17 @@
 	Configurations StoreKind = iota
 	BackEnds
 	Evacuations
+	// Own are those that the gateways write.
+	Own
 )
 
+// StoreWrite is a call that writes one of the gateways' own objects, or removes it.
+type StoreWrite struct {
+	Name string
+	Gone bool
+	Spec []byte
+}
+
 // StoreCall is a call to the store.
 type StoreCall struct {
 	// Kind is what is listed or watched.
