Store: each object is judged by itself; strange ones name no back end

Cause: one entry of another writer (fields missing or of another type, an unknown state, numbers out of range) made the whole list of back ends fail, and the whole answer of a watch; a configuration that can't be read took the store for lost.

Change: objects and events that can't be read are passed over, one by one, with a log line for each revision, a counter by kind and reason, and a line in the status. A strange entry ends what it said before; an order on a zone holds whatever it says; the last good configuration stays in force.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/collect"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/draining"
@@ -27,8 +28,9 @@
 type Adapter interface {
 	// Dialect returns the headers of the platform's callers and back ends.
 	Dialect() gateway.Dialect
-	// Source returns the platform's store at the base URL.
-	Source(url string, transport http.RoundTripper) follower.Source
+	// Source returns the platform's store at the base URL. unreadable is told of objects
+	// that can't be used.
+	Source(url string, transport http.RoundTripper, unreadable func(catalog.Unreadable)) follower.Source
 }
 
 // GatewayEnvironment is what a gateway takes from its surroundings.
@@ -247,7 +249,7 @@
 func (g *Gateway) follow(environment GatewayEnvironment) {
 	toStore := g.transport(environment, true)
 	g.follower = follower.Start(follower.Config{
-		Source:     environment.Adapter.Source(g.settings.Platform.URL, toStore),
+		Source:     environment.Adapter.Source(g.settings.Platform.URL, toStore, g.noteUnreadable),
 		State:      g.state,
 		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
 
@@ -259,6 +261,14 @@
 	})
 }
 
+// noteUnreadable counts objects of the store that can't be used, each revision once.
+func (g *Gateway) noteUnreadable(object catalog.Unreadable) {
+	if g.state.NoteUnreadable(object) {
+		labels := map[string]string{"kind": string(object.Kind), "reason": string(object.Reason)}
+		g.metrics.Scope.Tagged(labels).Counter("objects_unreadable").Inc(1)
+	}
+}
+
 func (g *Gateway) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -19,31 +19,32 @@
 
 // The closed list of events.
 const (
-	Started         Event = "node.started"
-	Stopping        Event = "node.stopping"
-	Stopped         Event = "node.stopped"
-	Reloaded        Event = "node.reloaded"
-	ReloadFailed    Event = "node.reload_failed"
-	Ready           Event = "node.ready"
-	StoreLost       Event = "store.lost"
-	StoreRegained   Event = "store.regained"
-	PeerLost        Event = "peer.lost"
-	PeerRegained    Event = "peer.regained"
-	CollectorSilent Event = "collector.silent"
-	Configured      Event = "configuration.adopted"
-	Misconfigured   Event = "configuration.refused"
-	ZoneEvacuated   Event = "zone.evacuated"
-	ZoneRestored    Event = "zone.restored"
-	BackEndChanged  Event = "back_end.changed"
-	BackEndHealth   Event = "back_end.health"
-	RequestSent     Event = "request.sent"
-	RequestDone     Event = "request.answered"
-	RequestRetried  Event = "request.attempt_failed"
-	RequestResumed  Event = "request.resumed"
-	RequestFailed   Event = "request.failed"
-	RequestRefused  Event = "request.refused"
-	CallerLeft      Event = "request.caller_left"
-	LinesLeftOut    Event = "log.left_out"
+	Started          Event = "node.started"
+	Stopping         Event = "node.stopping"
+	Stopped          Event = "node.stopped"
+	Reloaded         Event = "node.reloaded"
+	ReloadFailed     Event = "node.reload_failed"
+	Ready            Event = "node.ready"
+	StoreLost        Event = "store.lost"
+	StoreRegained    Event = "store.regained"
+	ObjectUnreadable Event = "store.object_unreadable"
+	PeerLost         Event = "peer.lost"
+	PeerRegained     Event = "peer.regained"
+	CollectorSilent  Event = "collector.silent"
+	Configured       Event = "configuration.adopted"
+	Misconfigured    Event = "configuration.refused"
+	ZoneEvacuated    Event = "zone.evacuated"
+	ZoneRestored     Event = "zone.restored"
+	BackEndChanged   Event = "back_end.changed"
+	BackEndHealth    Event = "back_end.health"
+	RequestSent      Event = "request.sent"
+	RequestDone      Event = "request.answered"
+	RequestRetried   Event = "request.attempt_failed"
+	RequestResumed   Event = "request.resumed"
+	RequestFailed    Event = "request.failed"
+	RequestRefused   Event = "request.refused"
+	CallerLeft       Event = "request.caller_left"
+	LinesLeftOut     Event = "log.left_out"
 	// RequestsWithheld and RequestsReleased speak of all requests of one content.
 	RequestsWithheld Event = "requests.withheld"
 	RequestsReleased Event = "requests.released"
@@ -54,7 +55,7 @@
 func Events() []Event {
 	return []Event{
 		Started, Stopping, Stopped, Reloaded, ReloadFailed, Ready,
-		StoreLost, StoreRegained, PeerLost, PeerRegained, CollectorSilent,
+		StoreLost, StoreRegained, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
 		Configured, Misconfigured, ZoneEvacuated, ZoneRestored, BackEndChanged, BackEndHealth,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
 		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased, RecordGivenUp,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -46,6 +46,8 @@
 	lag, lasting time.Duration
 	// changed is closed and replaced whenever the view changes.
 	changed chan struct{}
+	// unreadable are the store's objects that couldn't be used when they were read last.
+	unreadable unreadable
 	// crashChanges is the number of changes of crashes that peers were woken for.
 	crashChanges uint64
 	// unrecorded are contents that this gateway saw become withheld, or be released, and that
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -41,6 +41,10 @@
 	Version uint64 `json:"version"`
 	// Evacuated are the zones whose back ends get nothing new.
 	Evacuated []string `json:"evacuated_zones,omitempty"`
+	// Unreadable are objects of the store that can't be used, as they were last read.
+	Unreadable []UnreadableStatus `json:"unreadable_objects,omitempty"`
+	// Withheld are fingerprints of contents that crash back ends.
+	Withheld []string `json:"withheld_requests,omitempty"`
 	// Services are those with back ends, and BackEnds are those in service.
 	Services []ServiceStatus `json:"services"`
 	BackEnds []BackEndStatus `json:"back_ends"`
@@ -85,6 +89,10 @@
 		Ready: ready, Draining: s.draining, Version: s.view.Version(), Evacuated: s.view.EvacuatedZones(),
 		Services: []ServiceStatus{}, BackEnds: []BackEndStatus{},
 	}
+	status.Unreadable = s.unreadable.status()
+	for _, each := range s.core.Withheld() {
+		status.Withheld = append(status.Withheld, each.String())
+	}
 	for _, service := range s.core.Services(now) {
 		status.Services = append(status.Services, ServiceStatus{
 			Name: service.Name, RetryBudget: service.RetryBudget, BackEnds: service.BackEnds,
--- /dev/null
+++ b/internal/gateway/unreadable.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+)
+
+// mostUnreadable bounds the objects that are remembered: another writer may make any number.
+const mostUnreadable = 256
+
+// unreadable remembers the store's objects that can't be used, by kind and name, so that each
+// revision is told once.
+type unreadable struct {
+	objects map[objectName]catalog.Unreadable
+}
+
+type objectName struct {
+	kind catalog.ObjectKind
+	name string
+}
+
+// note tells whether the object wasn't noted at this revision before.
+func (u *unreadable) note(object catalog.Unreadable) bool {
+	key := objectName{object.Kind, object.Name}
+	known, exists := u.objects[key]
+	if exists && known.Revision >= object.Revision {
+		return false
+	}
+	if u.objects == nil || !exists && len(u.objects) >= mostUnreadable {
+		u.objects = map[objectName]catalog.Unreadable{}
+	}
+	u.objects[key] = object
+	return true
+}
+
+// UnreadableStatus is an object that can't be used, as operators see it.
+type UnreadableStatus struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
+}
+
+func (u *unreadable) status() []UnreadableStatus {
+	var list []UnreadableStatus
+	for _, each := range u.objects {
+		list = append(list, UnreadableStatus{Kind: string(each.Kind), Name: each.Name, Revision: each.Revision, Reason: string(each.Reason)})
+	}
+	slices.SortFunc(list, func(a, b UnreadableStatus) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// NoteUnreadable logs an object of the store that can't be used, each revision once, and tells
+// whether it did.
+func (s *State) NoteUnreadable(object catalog.Unreadable) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.unreadable.note(object) {
+		return false
+	}
+	s.log.Urgent(eventlog.ObjectUnreadable, logrus.Fields{
+		"kind": string(object.Kind), "name": object.Name, "revision": object.Revision, "reason": string(object.Reason),
+	})
+	return true
+}
