Catalog: an incarnation is an ID and a start

Cause: a back end may start again under its ID; what was remembered of it (the prompts it holds, health, load, warm-up, paths that fail) was keyed by the ID and outlived the life that it was about.

Change: one type for a life, an ID and a start, which tells lives apart and orders nothing, since clocks step back. A member whose start changed begins anew, listed or lapsed; holders, paths and peers' words on holdings name the life; a start that isn't told, by older software or a gateway of the version before, counts as the same. The store's revision orders entries as before. Tests: four, red on the code before.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -5,9 +5,25 @@
 	"time"
 )
 
+// Incarnation is one life of a back end. A back end may start again under its ID, and then
+// holds and knows nothing of before.
+type Incarnation struct {
+	// ID is the back end's.
+	ID string
+	// Born is when this life began, in milliseconds since 1970 by the back end's clock, which
+	// may step back: it tells lives apart and doesn't order them. 0 where it isn't told.
+	Born int64
+}
+
+// IsSame tells whether both are the same life, as far as is known: software that doesn't tell
+// its start yet may stand beside software that does.
+func (i Incarnation) IsSame(other Incarnation) bool {
+	return i.ID == other.ID && (i.Born == other.Born || i.Born == 0 || other.Born == 0)
+}
+
 // BackEnd is one incarnation of a back end. A restart makes a new one.
 type BackEnd struct {
-	// ID is unique among all incarnations.
+	// ID is that of the back end.
 	ID string `cbor:"1,keyasint"`
 	// Service is the pool that it belongs to.
 	Service string `cbor:"2,keyasint"`
@@ -30,6 +46,9 @@
 	WarmUpRevision uint64 `cbor:"-"`
 }
 
+// Incarnation returns which life of the back end this is.
+func (b BackEnd) Incarnation() Incarnation { return Incarnation{ID: b.ID, Born: b.Born} }
+
 // Entry is what is known of a back end at a revision of the platform's store.
 type Entry struct {
 	// BackEnd is the back end. Of one that is gone only the ID counts.
--- a/internal/dispatch/copying.go
+++ b/internal/dispatch/copying.go
@@ -54,8 +54,9 @@
 // usableHolder returns the back end that was last known to have read the part and that the
 // target can copy from, or nil.
 func (c *Core) usableHolder(now time.Time, part partKey, target *member) *member {
-	for _, id := range c.holders.holding(now, part) {
-		if m := c.present(now, id); mayCopyFrom(now, m, target) {
+	for _, holder := range c.holders.holding(now, part) {
+		m := c.present(now, holder.ID)
+		if mayCopyFrom(now, m, target) && m.backEnd.Incarnation().IsSame(holder) {
 			return m
 		}
 	}
@@ -104,7 +105,7 @@
 	}
 	for _, part := range x.request.shorterPrefixes() {
 		if key := keyOf(part.ID); c.usableHolder(now, key, nil) == nil {
-			c.holders.notePrefix(now, key, m.backEnd.ID)
+			c.holders.notePrefix(now, key, m.backEnd.Incarnation())
 		}
 	}
 }
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -23,15 +23,15 @@
 	// untold are crashes that may yet turn out to be none, the oldest first.
 	untold []untoldCrash
 	// brokeAt is when requests last broke off at incarnations that weren't heard of since.
-	brokeAt map[incarnation]time.Time
+	brokeAt map[incarnationKey]time.Time
 	// changes numbers the changes that peers are told of.
 	changes uint64
 	// changed are the contents that became withheld, or are no longer, since they were taken.
 	changed []WithheldChange
 }
 
-// incarnation stands for one life of a back end among gateways: its ID and its start.
-type incarnation uint32
+// incarnationKey stands for one life of a back end among gateways: its ID and its start.
+type incarnationKey uint32
 
 // evidence is what is known of one crash. Higher values replace lower ones.
 type evidence uint8
@@ -71,7 +71,7 @@
 
 // crash is one back end's end under requests of a content.
 type crash struct {
-	incarnation incarnation
+	incarnation incarnationKey
 	evidence    evidence
 	// isTold is false while it may yet turn out to be none, and isOwn is true where this
 	// gateway observed it itself.
@@ -92,7 +92,7 @@
 // untoldCrash names a crash that isn't told yet.
 type untoldCrash struct {
 	fingerprint Fingerprint
-	incarnation incarnation
+	incarnation incarnationKey
 	until       time.Time
 }
 
@@ -105,7 +105,7 @@
 	if err != nil {
 		panic(err) // the size is fixed and above 0
 	}
-	return &crashMemory{suspected: suspected, withheld: withheld, brokeAt: map[incarnation]time.Time{}}
+	return &crashMemory{suspected: suspected, withheld: withheld, brokeAt: map[incarnationKey]time.Time{}}
 }
 
 // isEmpty tells whether nothing is known of any content.
@@ -130,7 +130,7 @@
 }
 
 // broke notes that a request of the content broke off at the incarnation.
-func (m *crashMemory) broke(now time.Time, fingerprint Fingerprint, at incarnation) {
+func (m *crashMemory) broke(now time.Time, fingerprint Fingerprint, at incarnationKey) {
 	record := m.obtain(fingerprint)
 	record.lastAt = now
 	if len(m.brokeAt) >= mostBroken {
@@ -144,7 +144,7 @@
 }
 
 // answered notes that the incarnation answered a request that was sent at the time.
-func (m *crashMemory) answered(by incarnation, sentAt time.Time) {
+func (m *crashMemory) answered(by incarnationKey, sentAt time.Time) {
 	brokeAt, waited := m.brokeAt[by]
 	if !waited || !sentAt.After(brokeAt) {
 		return
@@ -154,7 +154,7 @@
 }
 
 // confirm notes that the incarnation, at which requests broke off, is no longer there.
-func (m *crashMemory) confirm(of incarnation) {
+func (m *crashMemory) confirm(of incarnationKey) {
 	if _, waited := m.brokeAt[of]; !waited {
 		return
 	}
@@ -163,7 +163,7 @@
 }
 
 // judge raises the evidence of all crashes of the incarnation.
-func (m *crashMemory) judge(of incarnation, found evidence) {
+func (m *crashMemory) judge(of incarnationKey, found evidence) {
 	for _, record := range m.records() {
 		at := record.index(of)
 		if at < 0 {
@@ -223,7 +223,7 @@
 		if found < presumed || found > acquitted {
 			continue
 		}
-		raised = record.raise(crash{incarnation: incarnation(each), evidence: found, isTold: true}) || raised
+		raised = record.raise(crash{incarnation: incarnationKey(each), evidence: found, isTold: true}) || raised
 	}
 	if at := time.Unix(min(told.LastAt, now.Unix()), 0); at.After(record.lastAt) {
 		record.lastAt = at
@@ -302,7 +302,7 @@
 	return list, reached
 }
 
-func (r *crashRecord) index(of incarnation) int {
+func (r *crashRecord) index(of incarnationKey) int {
 	return slices.IndexFunc(r.crashes, func(each crash) bool { return each.incarnation == of })
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,7 +164,7 @@
 	members := make(map[string]*member, len(list))
 	pools := map[string]*pool{}
 	for _, backEnd := range list {
-		known := c.remembered(backEnd.ID)
+		known := c.remembered(backEnd.Incarnation())
 		if known == nil {
 			known = newMember(now, backEnd.ID)
 			known.health.allowance = c.lag
--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -5,6 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 const (
@@ -33,8 +35,9 @@
 
 // Holdings are prompt parts that a back end was seen to have read.
 type Holdings struct {
-	// BackEnd is the back end's ID.
+	// BackEnd is the back end's ID, and Born when its life began that read them.
 	BackEnd string `cbor:"1,keyasint"`
+	Born    int64  `cbor:"4,keyasint,omitempty"`
 	// Parts are hashes of the parts' IDs, and Tokens the lengths of the prompts up to
 	// their ends, or 0 for beginnings that many prompts share.
 	Parts  []uint64 `cbor:"2,keyasint"`
@@ -43,7 +46,7 @@
 
 // holder is a back end that read a part.
 type holder struct {
-	backEnd string
+	backEnd catalog.Incarnation
 	tokens  int
 	usedAt  time.Time
 	// toldAt is when the holding last became news.
@@ -60,17 +63,17 @@
 	news [rememberedNews]holdingNews
 	told uint64
 	// held is the number of tokens that each back end is believed to hold.
-	held map[string]int
+	held map[catalog.Incarnation]int
 }
 
 type holdingNews struct {
 	part    partKey
-	backEnd string
+	backEnd catalog.Incarnation
 	tokens  int
 }
 
 func newHolderMemory() *holderMemory {
-	h := &holderMemory{held: map[string]int{}}
+	h := &holderMemory{held: map[catalog.Incarnation]int{}}
 	parts, err := lru.NewWithEvict(rememberedParts, func(_ partKey, list []holder) { h.drop(list...) })
 	if err != nil {
 		panic(err) // the size is fixed and above 0
@@ -92,7 +95,7 @@
 // note takes a use of the part at the back end, seen here or told by a peer. What
 // was news here within retellTime isn't passed on again, so that news crosses each
 // link about once.
-func (h *holderMemory) note(now time.Time, part partKey, tokens int, backEnd string) {
+func (h *holderMemory) note(now time.Time, part partKey, tokens int, backEnd catalog.Incarnation) {
 	known, _ := h.parts.Get(part)
 	used := holder{backEnd: backEnd, tokens: tokens, usedAt: now}
 	list := make([]holder, 1, min(len(known)+1, holdersPerPart))
@@ -123,21 +126,21 @@
 const prefixTokens = 0
 
 // notePrefix takes the back end as a holder of a beginning that many prompts share.
-func (h *holderMemory) notePrefix(now time.Time, part partKey, backEnd string) {
+func (h *holderMemory) notePrefix(now time.Time, part partKey, backEnd catalog.Incarnation) {
 	h.note(now, part, prefixTokens, backEnd)
 }
 
 // holding returns the back ends that are believed to keep the part, the latest
 // used first.
-func (h *holderMemory) holding(now time.Time, part partKey) []string {
+func (h *holderMemory) holding(now time.Time, part partKey) []catalog.Incarnation {
 	known, _ := h.parts.Get(part)
-	var ids []string
+	var backEnds []catalog.Incarnation
 	for _, each := range known {
 		if now.Sub(each.usedAt) < holdingTime {
-			ids = append(ids, each.backEnd)
+			backEnds = append(backEnds, each.backEnd)
 		}
 	}
-	return ids
+	return backEnds
 }
 
 // since returns at most so many news after the number, oldest first and grouped by
@@ -148,14 +151,14 @@
 	}
 	end := min(h.told, number+uint64(most))
 	var list []Holdings
-	index := map[string]int{}
+	index := map[catalog.Incarnation]int{}
 	for ; number < end; number++ {
 		each := h.news[number%rememberedNews]
 		at, known := index[each.backEnd]
 		if !known {
 			at = len(list)
 			index[each.backEnd] = at
-			list = append(list, Holdings{BackEnd: each.backEnd})
+			list = append(list, Holdings{BackEnd: each.backEnd.ID, Born: each.backEnd.Born})
 		}
 		list[at].Parts = append(list[at].Parts, uint64(each.part))
 		list[at].Tokens = append(list[at].Tokens, each.tokens)
@@ -183,7 +186,7 @@
 			if tokens == prefixTokens && c.usableHolder(now, key, nil) != nil {
 				continue // one is enough, so its news ends here
 			}
-			c.holders.note(now, key, tokens, each.BackEnd)
+			c.holders.note(now, key, tokens, catalog.Incarnation{ID: each.BackEnd, Born: each.Born})
 		}
 	}
 }
--- a/internal/dispatch/holders_test.go
+++ b/internal/dispatch/holders_test.go
@@ -71,8 +71,8 @@
 	is := is.New(t)
 	core := newCore(backEnds(9, 64))
 	order := rendezvousOrder(core, "part")
-	core.holders.note(start, keyOf("part"), 9000, order[7])
-	core.holders.note(start, keyOf("part"), 9000, order[4])
+	core.holders.note(start, keyOf("part"), 9000, catalog.Incarnation{ID: order[7]})
+	core.holders.note(start, keyOf("part"), 9000, catalog.Incarnation{ID: order[4]})
 	is.Equal(serve(start, core, "a", "part"), order[4])
 	core.members[order[4]].own = 60
 	is.Equal(serve(start, core, "b", "part"), order[7])
@@ -99,7 +99,7 @@
 	const most = 100
 	core := newCore(backEnds(6, 64))
 	for i := range rememberedNews + 500 {
-		core.holders.note(start, partKey(i), leastTold, "b00")
+		core.holders.note(start, partKey(i), leastTold, catalog.Incarnation{ID: "b00"})
 	}
 	list, number := core.HoldingsSince(0, most)
 	is.Equal(len(list), 1)
@@ -132,10 +132,10 @@
 func TestShortPromptsAreNotTold(t *testing.T) {
 	is := is.New(t)
 	core := newCore(backEnds(6, 64))
-	core.holders.note(start, partKey(1), leastTold-1, "b00")
+	core.holders.note(start, partKey(1), leastTold-1, catalog.Incarnation{ID: "b00"})
 	list, _ := core.HoldingsSince(0, 10)
 	is.Equal(len(list), 0)
-	is.Equal(core.holders.holding(start, partKey(1)), []string{"b00"})
+	is.Equal(core.holders.holding(start, partKey(1)), []catalog.Incarnation{{ID: "b00"}})
 }
 
 // What is counted as held is what is remembered.
@@ -145,9 +145,9 @@
 	now := start
 	for i := range 5000 {
 		now = now.Add(20 * time.Millisecond)
-		h.note(now, partKey(i%700), 10, fmt.Sprint("b", i%13))
+		h.note(now, partKey(i%700), 10, catalog.Incarnation{ID: fmt.Sprint("b", i%13)})
 	}
-	counted := map[string]int{}
+	counted := map[catalog.Incarnation]int{}
 	for _, list := range h.parts.Values() {
 		for _, each := range list {
 			counted[each.backEnd] += each.tokens
--- /dev/null
+++ b/internal/dispatch/incarnation_test.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// bornAt returns the back ends with the start of one of them replaced.
+func bornAt(list []catalog.BackEnd, number int, born int64) []catalog.BackEnd {
+	changed := make([]catalog.BackEnd, len(list))
+	copy(changed, list)
+	changed[number].Born = born
+	return changed
+}
+
+// A back end that is back under its ID holds nothing of what its last life read.
+func TestBackEndThatStartedAgainHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	list := bornAt(backEnds(6, 64), 0, 1000)
+	core := newCore(list)
+	part := partHomedAt(core, "b00")
+	is.Equal(serve(start, core, "first", part), "b00")
+	x, _ := core.Begin(start, chat("copy", part))
+	is.Equal(core.usableHolder(start, keyOf(part), nil).backEnd.ID, "b00")
+	core.SetBackEnds(start, bornAt(list, 0, 2000))
+	is.True(core.usableHolder(start, keyOf(part), nil) == nil)
+	is.Equal(core.memoryShare(core.members["b00"]), 0.0)
+	core.Answered(start, x, -1) // an answer of the life before says nothing of this one
+	core.Done(start, x)
+	is.Equal(core.members["b00"].own, 0)
+}
+
+// partHomedAt returns a prompt part whose first back end in order is the one named.
+func partHomedAt(core *Core, id string) string {
+	for part := 'a'; ; part++ {
+		if rendezvousOrder(core, string(part))[0] == id {
+			return string(part)
+		}
+	}
+}
+
+// A peer's word on the life before doesn't speak of this one, in whichever order a gateway
+// hears of both, and software that tells no start is taken at its word.
+func TestNewsOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	list := backEnds(6, 64)
+	older, newer := bornAt(list, 0, 2000), bornAt(list, 0, 1000) // its clock stepped back
+	told := func(born int64) []Holdings {
+		return []Holdings{{BackEnd: "b00", Born: born, Parts: []uint64{7}, Tokens: []int{9000}}}
+	}
+	core := newCore(newer)
+	core.PeerHoldings(start, told(2000))
+	is.True(core.usableHolder(start, 7, nil) == nil)
+	core.PeerHoldings(start, told(1000))
+	is.Equal(core.usableHolder(start, 7, nil).backEnd.ID, "b00")
+
+	core = newCore(older)
+	core.PeerHoldings(start, told(1000)) // heard before this gateway knows of the start
+	is.True(core.usableHolder(start, 7, nil) == nil)
+	core.SetBackEnds(start, newer)
+	is.Equal(core.usableHolder(start, 7, nil).backEnd.ID, "b00")
+
+	core = newCore(newer)
+	core.PeerHoldings(start, told(0))
+	is.Equal(core.usableHolder(start, 7, nil).backEnd.ID, "b00")
+}
+
+// What is believed of a back end's health, load and warm-up is that of one life.
+func TestStartUnderTheSameIDBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	list := bornAt(backEnds(2, 6), 0, 1000)
+	core := newCore(list)
+	old := core.members["b00"]
+	old.health.displaced = true
+	old.own, old.others, old.since = 4, othersCount{requests: 9}, start.Add(-time.Hour)
+	core.SetBackEnds(start, bornAt(list, 0, 3000))
+	now := core.members["b00"]
+	is.Equal(now.health.status(start), Healthy)
+	is.Equal(now.own, 0)
+	is.Equal(now.others, othersCount{})
+	is.Equal(now.since, start)
+
+	core.SetBackEnds(start, backEnds(2, 6)) // told by a gateway that doesn't know of starts
+	is.True(core.members["b00"] == now)
+}
+
+// A back end that lapses from the list and comes back as another life isn't the one that lapsed.
+func TestLapsedBackEndThatStartedAgain(t *testing.T) {
+	is := is.New(t)
+	list := bornAt(backEnds(4, 6), 0, 1000)
+	core := newCore(list)
+	core.members["b00"].health.displaced = true
+	core.SetBackEnds(start, list[1:])
+	core.SetBackEnds(start, bornAt(list, 0, 4000))
+	is.Equal(core.members["b00"].health.status(start), Healthy)
+}
--- a/internal/dispatch/lapse.go
+++ b/internal/dispatch/lapse.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 // fewestLapsed is the number of lapsed members below which all count as gone: one
@@ -42,12 +44,17 @@
 	}
 }
 
-// remembered returns what is believed of a back end that is listed again, or nil.
-func (c *Core) remembered(id string) *member {
-	if m := c.members[id]; m != nil {
-		return m
+// remembered returns what is believed of a back end that is listed again, or nil: one that
+// has started again under its ID is another.
+func (c *Core) remembered(of catalog.Incarnation) *member {
+	m := c.members[of.ID]
+	if m == nil {
+		m = c.lapsed[of.ID].member
+	}
+	if m == nil || !m.backEnd.Incarnation().IsSame(of) {
+		return nil
 	}
-	return c.lapsed[id].member
+	return m
 }
 
 // present returns a back end that is listed, or lapsed and not yet taken for gone,
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -105,7 +105,7 @@
 	c.noteLife(x, m)
 	c.Completed(x)
 	everywhere := c.paths.failsEverywhere(now, x.request.Path) && !c.config.Disabled[FailingPaths]
-	c.paths.note(now, x.request.Path, m.backEnd.ID)
+	c.paths.note(now, x.request.Path, m.backEnd.Incarnation())
 	if everywhere {
 		m.health.answered(now)
 	} else {
@@ -137,7 +137,7 @@
 		m.report(now, load)
 	}
 	if part := x.request.affinity(); part != "" {
-		c.holders.note(now, keyOf(part), x.request.sharedTokens(), m.backEnd.ID)
+		c.holders.note(now, keyOf(part), x.request.sharedTokens(), m.backEnd.Incarnation())
 		c.notePrefixes(now, x, m)
 	}
 }
--- a/internal/dispatch/paths.go
+++ b/internal/dispatch/paths.go
@@ -4,6 +4,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 const (
@@ -20,7 +22,7 @@
 }
 
 type pathFailure struct {
-	backEnd    string
+	backEnd    catalog.Incarnation
 	everywhere bool
 	at         time.Time
 }
@@ -34,7 +36,7 @@
 }
 
 // note takes a failure of the path at a back end.
-func (p *pathMemory) note(now time.Time, path, backEnd string) {
+func (p *pathMemory) note(now time.Time, path string, backEnd catalog.Incarnation) {
 	known, ok := p.failed.Get(path)
 	everywhere := ok && now.Sub(known.at) < failingTime && (known.everywhere || known.backEnd != backEnd)
 	p.failed.Add(path, pathFailure{backEnd: backEnd, everywhere: everywhere, at: now})
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -158,7 +158,7 @@
 	c.order.homeChosen = c.config.Disabled[EvenMemory]
 	c.order.second = nil
 	c.order.ranking.rank(x.request.affinity(), candidates, func(m *member) bool {
-		return slices.Contains(holding, m.backEnd.ID) && !c.config.Disabled[HoldersFirst]
+		return slices.ContainsFunc(holding, m.backEnd.Incarnation().IsSame) && !c.config.Disabled[HoldersFirst]
 	})
 }
 
@@ -194,7 +194,7 @@
 	if tokens <= 0 {
 		return 0
 	}
-	return float64(c.holders.held[m.backEnd.ID]) / float64(tokens)
+	return float64(c.holders.held[m.backEnd.Incarnation()]) / float64(tokens)
 }
 
 // otherZone is added to the load of a member in another zone, so that an equal
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -35,9 +35,9 @@
 	Own bool
 }
 
-// incarnationOf returns what stands for this life of the back end.
-func incarnationOf(backEnd catalog.BackEnd) incarnation {
-	return incarnation(xxhash.Sum64String(backEnd.ID + "@" + strconv.FormatInt(backEnd.Born, 10)))
+// incarnationOf returns what stands for this life of the back end among gateways.
+func incarnationOf(backEnd catalog.BackEnd) incarnationKey {
+	return incarnationKey(xxhash.Sum64String(backEnd.ID + "@" + strconv.FormatInt(backEnd.Born, 10)))
 }
 
 // contents returns the fingerprints of the request.
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -58,10 +58,15 @@
 
 // holding is a prompt part at a back end.
 type holding struct {
-	backEnd string
+	backEnd catalog.Incarnation
 	part    uint64
 }
 
+// incarnationOf returns the back end that the holdings are of.
+func incarnationOf(holdings dispatch.Holdings) catalog.Incarnation {
+	return catalog.Incarnation{ID: holdings.BackEnd, Born: holdings.Born}
+}
+
 // maxHeardHoldings bounds the memory of a connection for holdings, to the length of the
 // news that gateways keep.
 const maxHeardHoldings = 4096
@@ -82,7 +87,7 @@
 	}
 	for _, each := range list {
 		for _, part := range each.Parts {
-			l.heardHoldings[holding{each.BackEnd, part}] = struct{}{}
+			l.heardHoldings[holding{incarnationOf(each), part}] = struct{}{}
 		}
 	}
 }
@@ -94,9 +99,9 @@
 	defer l.mutex.Unlock()
 	var untold []dispatch.Holdings
 	for _, each := range list {
-		kept := dispatch.Holdings{BackEnd: each.BackEnd}
+		kept := dispatch.Holdings{BackEnd: each.BackEnd, Born: each.Born}
 		for i, part := range each.Parts {
-			key := holding{each.BackEnd, part}
+			key := holding{incarnationOf(each), part}
 			if _, heard := l.heardHoldings[key]; heard {
 				delete(l.heardHoldings, key)
 				continue
