Clock: ages count the time in which the machine was suspended

Cause: Go's monotonic clock stands still while a machine is suspended, so a gateway that wakes took what it knew for milliseconds old, sent at once, and sent again for callers whose time had passed. Timers stay monotonic.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
@@ -30,7 +31,7 @@
 	defer log.Close()
 	// Libraries complain on the standard logger; standard output holds JSON alone.
 	stdlog.SetOutput(log.Entry().WriterLevel(logrus.DebugLevel))
-	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Log: log})
+	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Clock: clock.New(), Log: log})
 	if err != nil {
 		return err
 	}
--- a/internal/collect/serve.go
+++ b/internal/collect/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -51,7 +50,7 @@
 }
 
 func (s *Service) reply(asked question, counts []dispatch.Count) dispatch.Totals {
-	now := time.Now()
+	now := s.config.Clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if asked.Group {
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/hop"
@@ -38,6 +39,8 @@
 	Source Source
 	// Dial opens connections; nil uses TCP.
 	Dial hop.DialFunc
+	// Clock tells ages; nil is the monotonic one.
+	Clock *clock.Clock
 	// Log and Metrics take what operators should know.
 	Log     *eventlog.Log
 	Metrics tally.Scope
@@ -129,7 +132,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.plan = plan
-	now := time.Now()
+	now := s.config.Clock.Now()
 	maps.DeleteFunc(s.silentUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
@@ -147,8 +150,8 @@
 	var totals dispatch.Totals
 	if collector.ID == s.config.ID {
 		s.mutex.Lock()
-		s.sums.TakeMember(time.Now(), s.config.ID, counts)
-		totals = s.sums.Totals(time.Now(), s.plan.Others)
+		s.sums.TakeMember(s.config.Clock.Now(), s.config.ID, counts)
+		totals = s.sums.Totals(s.config.Clock.Now(), s.plan.Others)
 		s.mutex.Unlock()
 	} else {
 		var err error
@@ -172,7 +175,7 @@
 func (s *Service) firstAnswering(group Group) Gateway {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.config.Clock.Now()
 	for _, each := range group.Members {
 		if each.ID == s.config.ID || !now.Before(s.silentUntil[each.ID]) {
 			return each
@@ -189,7 +192,7 @@
 	s.config.Log.Urgent(eventlog.CollectorSilent, logrus.Fields{"peer": collector.ID, "cause": cause.Error()})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.silentUntil[collector.ID] = time.Now().Add(silentTime)
+	s.silentUntil[collector.ID] = s.config.Clock.Now().Add(silentTime)
 }
 
 // askGroups asks the other groups' collectors for their sums, while members come to this
@@ -197,7 +200,7 @@
 func (s *Service) askGroups(tasks *conc.WaitGroup) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.sums.Collecting(time.Now()) {
+	if !s.sums.Collecting(s.config.Clock.Now()) {
 		return
 	}
 	for _, group := range s.plan.Others {
@@ -222,6 +225,6 @@
 	defer s.mutex.Unlock()
 	delete(s.asking, group.key())
 	if err == nil {
-		s.sums.TakeGroup(time.Now(), group.key(), sums)
+		s.sums.TakeGroup(s.config.Clock.Now(), group.key(), sums)
 	}
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/collect"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/draining"
@@ -41,6 +42,8 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial opens connections; nil uses TCP.
 	Dial hop.DialFunc
+	// Clock tells ages, across suspensions of the machine; nil is the monotonic one.
+	Clock *clock.Clock
 	// Log takes the gateway's decisions.
 	Log *eventlog.Log
 }
@@ -104,6 +107,7 @@
 
 		reporting: make(chan struct{}),
 	}
+	g.state.UseClock(environment.Clock)
 	if config.Disabled[dispatch.FollowConfiguration] {
 		g.state.Freeze()
 	}
@@ -140,11 +144,11 @@
 		State: g.state, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
 	g.loads = collect.Start(collect.Config{
-		ID: g.settings.ID, Source: loadSource{g.state, g.relay}, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
+		ID: g.settings.ID, Source: loadSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.serving.Go(func() { g.report(metrics) })
-	lag := gateway.NewLagMeter()
+	lag := gateway.NewLagMeter(environment.Clock)
 	g.serving.Go(func() { lag.Run(g.reporting, g.state.SetLag) })
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
@@ -222,12 +226,17 @@
 const gaugePeriod = time.Second
 
 func (g *Gateway) report(metrics *gateway.Metrics) {
+	suspended := time.Duration(0)
 	ticker := time.NewTicker(gaugePeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			metrics.Report(g.state.Gauges())
+			if now := g.state.Clock().Suspended(); now != suspended {
+				g.log.Urgent(eventlog.Resumed, logrus.Fields{"suspended_ms": (now - suspended).Milliseconds()})
+				suspended = now
+			}
 		case <-g.reporting:
 			return
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -23,6 +23,7 @@
 	Stopping         Event = "node.stopping"
 	Stopped          Event = "node.stopped"
 	Reloaded         Event = "node.reloaded"
+	Resumed          Event = "node.resumed"
 	ReloadFailed     Event = "node.reload_failed"
 	Ready            Event = "node.ready"
 	StoreLost        Event = "store.lost"
@@ -54,7 +55,7 @@
 // Events lists every event.
 func Events() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Reloaded, ReloadFailed, Ready,
+		Started, Stopping, Stopped, Reloaded, Resumed, ReloadFailed, Ready,
 		StoreLost, StoreRegained, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
 		Configured, Misconfigured, ZoneEvacuated, ZoneRestored, BackEndChanged, BackEndHealth,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -137,7 +137,7 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
-	lists := []list{{name: "configuration", reached: &position{}, read: f.readConfiguration, watch: f.watchConfiguration}}
+	lists := []list{{name: "configuration", reached: f.newPosition(), read: f.readConfiguration, watch: f.watchConfiguration}}
 	if config.Evacuations {
 		orders := f.evacuations()
 		lists = append(lists, orders)
@@ -168,7 +168,7 @@
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	unread := 0 // so many are read without a pause
-	longReadAt := time.Now()
+	longReadAt := f.config.State.Clock().Now()
 	if f.readTogether(ctx, lists) {
 		f.rest(ctx, f.turnPause())
 	} else {
@@ -178,10 +178,10 @@
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := lists[turn%len(lists)]
 		if next.isLong {
-			if unread == 0 && time.Since(longReadAt) < f.longPeriod() {
+			if unread == 0 && f.config.State.Clock().Since(longReadAt) < f.longPeriod() {
 				continue
 			}
-			longReadAt = time.Now()
+			longReadAt = f.config.State.Clock().Now()
 		}
 		_, err := f.read(ctx, next, !f.mustBeFresh())
 		wait := f.turnPause()
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
@@ -26,17 +27,21 @@
 
 // position is a revision of the store up to which all changes of a list are known.
 type position struct {
+	clock *clock.Clock
+
 	mutex    sync.Mutex
 	revision uint64
 	at       time.Time
 }
 
+func (f *Follower) newPosition() *position { return &position{clock: f.config.State.Clock()} }
+
 // note takes the revision that a fresh read or a watch has come to.
 func (p *position) note(revision uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if revision >= p.revision {
-		p.revision, p.at = revision, time.Now()
+		p.revision, p.at = revision, p.clock.Now()
 	}
 }
 
@@ -52,7 +57,7 @@
 func (p *position) watchable() (revision uint64, ok bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.revision, time.Since(p.at) < watchableAge
+	return p.revision, p.clock.Since(p.at) < watchableAge
 }
 
 func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
@@ -76,6 +81,7 @@
 // listOf returns a list of which the state takes whole lists and changes.
 func listOf[T any](
 	name string,
+	reached *position,
 	read func(ctx context.Context, stale bool) ([]T, uint64, error),
 	await func(ctx context.Context, after uint64, wait time.Duration) ([]T, uint64, error),
 	takeList func(all []T, revision uint64),
@@ -83,7 +89,7 @@
 ) list {
 	return list{
 		name:    name,
-		reached: &position{},
+		reached: reached,
 		read: func(ctx context.Context, stale bool) (uint64, error) {
 			all, revision, err := read(ctx, stale)
 			if err == nil {
@@ -109,7 +115,7 @@
 // what is newer. What callers may do and which zones are evacuated is read fresh.
 func (f *Follower) backEnds() list {
 	state := f.config.State
-	followed := listOf("back_ends", f.config.Source.BackEnds, f.config.Source.AwaitBackEnds,
+	followed := listOf("back_ends", f.newPosition(), f.config.Source.BackEnds, f.config.Source.AwaitBackEnds,
 		func(all []catalog.Entry, revision uint64) {
 			f.entries.Store(int64(len(all)))
 			state.OfferList(all, revision, gateway.SourceStore)
@@ -123,7 +129,7 @@
 // evacuations is the list of orders on zones.
 func (f *Follower) evacuations() list {
 	state := f.config.State
-	return listOf("evacuations", f.config.Source.Evacuations, f.config.Source.AwaitEvacuations,
+	return listOf("evacuations", f.newPosition(), f.config.Source.Evacuations, f.config.Source.AwaitEvacuations,
 		func(all []catalog.Evacuation, revision uint64) {
 			state.OfferEvacuationList(all, revision, gateway.SourceStore)
 		},
--- a/internal/follower/recall.go
+++ b/internal/follower/recall.go
@@ -35,9 +35,9 @@
 // recallOrders takes zones that were restored of late from the store's history, if this
 // gateway is the one to do so.
 func (f *Follower) recallOrders(ctx context.Context, orders list) {
-	began := time.Now()
+	began := f.config.State.Clock().Now()
 	sleep(ctx, recallDelay)
-	for ctx.Err() == nil && time.Since(began) < recallLimit {
+	for ctx.Err() == nil && f.config.State.Clock().Since(began) < recallLimit {
 		revision, ok := orders.reached.watchable()
 		if !ok {
 			sleep(ctx, regainLook)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,7 @@
 // passOn gives the caller a back end's answer.
 func (h *Handler) passOn(ctx context.Context, c *call, result outcome) {
 	defer func() { result.cancel() }()
-	h.config.Metrics.headCame(c)
+	h.config.Metrics.headCame(c, h.clock().Since(c.began))
 	if result.body != nil {
 		hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
 		c.writer.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,7 +76,7 @@
 		request.Header["User-Agent"] = []string{""}
 	}
 	h.config.Dialect.WriteForward(request.Header, Forward{
-		Remaining:   time.Until(c.deadline),
+		Remaining:   h.clock().Until(c.deadline),
 		BackEnd:     send.BackEnd.ID,
 		Tenant:      c.tenant,
 		Urgency:     h.engineRank(c),
@@ -106,7 +106,7 @@
 		return dispatch.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
 	}
 	notSent := hop.NothingSent(cause)
-	passed := !time.Now().Before(c.deadline)
+	passed := !h.clock().Now().Before(c.deadline)
 	if (expired || passed) && !notSent && c.route.MayRepeat() {
 		h.giveUpKept()
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
@@ -56,6 +57,9 @@
 // NewHandler returns a handler.
 func NewHandler(config Config) *Handler { return &Handler{config: config} }
 
+// clock is the one by which ages are told.
+func (h *Handler) clock() *clock.Clock { return h.config.State.Clock() }
+
 // keptAnewPause is the least time between two times that kept connections are given up: a
 // back end that has gone silent lets many requests expire, and says nothing of the others'
 // connections.
@@ -94,7 +98,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{request: r, writer: w, began: time.Now(), facts: h.config.Dialect.ReadRequest(r.Header)}
+	c := &call{request: r, writer: w, began: h.clock().Now(), facts: h.config.Dialect.ReadRequest(r.Header)}
 	if h.config.State.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -103,7 +107,7 @@
 		h.refuse(c, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), h.clock().Until(c.deadline))
 	defer cancel()
 	h.route(ctx, c)
 }
@@ -176,7 +180,7 @@
 	// A caller that stalls in its body holds a connection no longer than it may
 	// wait for its answer.
 	controller := http.NewResponseController(c.writer)
-	if err := controller.SetReadDeadline(c.deadline); err != nil {
+	if err := controller.SetReadDeadline(time.Now().Add(h.clock().Until(c.deadline))); err != nil {
 		return failure.Wrap(failure.Internal, err, "bound the time of the body")
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
@@ -222,7 +226,7 @@
 // decideSend runs a step that may decide on an attempt, once this process knows what happened
 // while it stood still.
 func (h *Handler) decideSend(c *call, step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
-	if wait := h.config.Lag.Unsettled(time.Now()); wait > 0 {
+	if wait := h.config.Lag.Unsettled(h.clock().Now()); wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -249,7 +253,7 @@
 		"request":     c.facts.ID,
 		"version":     c.version,
 		"tenant":      c.tenant,
-		"elapsed_ms":  time.Since(c.began).Milliseconds(),
+		"elapsed_ms":  h.clock().Since(c.began).Milliseconds(),
 		"deadline_ms": c.facts.Timeout.Milliseconds(),
 	}
 	if c.route != nil {
--- a/internal/gateway/lag.go
+++ b/internal/gateway/lag.go
@@ -4,12 +4,17 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/harriernotch/harriernotch/internal/clock"
 )
 
 // LagMeter tells how late this process runs what is due. A gateway that has less
 // processor time than it needs reads answers late, and would take its own slowness
 // for the silence of back ends. Its methods are safe for concurrent use.
 type LagMeter struct {
+	// clock shows a suspension of the machine as time that passed.
+	clock *clock.Clock
+
 	mutex sync.Mutex
 	// worst holds the largest delay of each of the last slots, the newest last.
 	worst [lagSlots]time.Duration
@@ -41,7 +46,7 @@
 )
 
 // NewLagMeter returns a meter that has seen no delay.
-func NewLagMeter() *LagMeter { return &LagMeter{} }
+func NewLagMeter(clock *clock.Clock) *LagMeter { return &LagMeter{clock: clock} }
 
 // Run measures until done is closed. It tells the observer of each change.
 func (m *LagMeter) Run(done <-chan struct{}, observe func(lag, lasting time.Duration)) {
@@ -56,7 +61,7 @@
 			return
 		}
 		now := time.Now()
-		m.Unsettled(now)
+		m.Unsettled(m.clock.Now())
 		lag, lasting := m.Lag(), m.Lasting()
 		m.note(now.Sub(due), now.After(slotEnds))
 		if now.After(slotEnds) {
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -54,7 +54,7 @@
 
 func TestLagIsTheWorstOfTheLastSecond(t *testing.T) {
 	is := is.New(t)
-	meter := NewLagMeter()
+	meter := NewLagMeter(nil)
 	meter.note(300*time.Millisecond, false)
 	meter.note(5*time.Millisecond, true) // what timers have anyway
 	is.Equal(meter.Lag(), 300*time.Millisecond)
@@ -74,7 +74,7 @@
 		is := is.New(t)
 		done := make(chan struct{})
 		told := 0
-		go NewLagMeter().Run(done, func(_, _ time.Duration) { told++ })
+		go NewLagMeter(nil).Run(done, func(_, _ time.Duration) { told++ })
 		time.Sleep(10 * time.Second)
 		close(done)
 		synctest.Wait()
@@ -86,7 +86,7 @@
 // decisions wait.
 func TestDecisionsWaitAfterAStandstill(t *testing.T) {
 	is := is.New(t)
-	meter, now := NewLagMeter(), time.Now()
+	meter, now := NewLagMeter(nil), time.Now()
 	is.Equal(meter.Unsettled(now), time.Duration(0)) // it has just started
 	now = now.Add(standstill / 2)
 	is.Equal(meter.Unsettled(now), time.Duration(0)) // runs late, but runs
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -66,8 +66,8 @@
 }
 
 // headCame notes the time to the head of an answer that is passed on.
-func (m *Metrics) headCame(c *call) {
-	m.forCall(c).Histogram("time_to_head", firstByteBuckets).RecordDuration(time.Since(c.began))
+func (m *Metrics) headCame(c *call, after time.Duration) {
+	m.forCall(c).Histogram("time_to_head", firstByteBuckets).RecordDuration(after)
 }
 
 // answered counts an answer that was passed on whole.
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -89,7 +89,7 @@
 func (s *State) NewsSince(told Told, mostHoldings int) News {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(time.Now()), Changed: s.changed}
+	news := News{Version: s.view.Version(), Loads: s.core.Loads(), StoreAge: s.storeAge(s.clock.Now()), Changed: s.changed}
 	if s.listed {
 		s.tellBackEnds(&news, told)
 	}
@@ -97,7 +97,7 @@
 		news.Surveyed = true
 		news.Evacuations, news.Evacuation = s.view.EvacuationsSince(told.Evacuation)
 	}
-	news.Crashes, news.Crash = s.core.CrashesSince(time.Now(), told.Crash, mostCrashRecords)
+	news.Crashes, news.Crash = s.core.CrashesSince(s.clock.Now(), told.Crash, mostCrashRecords)
 	news.Holdings, news.Holding = s.core.HoldingsSince(told.Holding, mostHoldings)
 	return news
 }
@@ -139,21 +139,21 @@
 func (s *State) Counts() []dispatch.Count {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.core.Counts(time.Now())
+	return s.core.Counts(s.clock.Now())
 }
 
 // TakeTotals takes the counts of all gateways.
 func (s *State) TakeTotals(told []dispatch.Count, totals dispatch.Totals) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.TakeTotals(time.Now(), told, totals)
+	s.core.TakeTotals(s.clock.Now(), told, totals)
 }
 
 // PeerLoads takes a peer's loads.
 func (s *State) PeerLoads(peer string, loads []dispatch.Load) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.PeerLoads(time.Now(), peer, loads)
+	s.core.PeerLoads(s.clock.Now(), peer, loads)
 }
 
 // TakeCrashes takes what a peer, or the store, tells of crashes under requests.
@@ -163,7 +163,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.TakeCrashes(time.Now(), records)
+	s.core.TakeCrashes(s.clock.Now(), records)
 	s.tellCrashes()
 }
 
@@ -171,5 +171,5 @@
 func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.PeerHoldings(time.Now(), holdings)
+	s.core.PeerHoldings(s.clock.Now(), holdings)
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 )
@@ -15,7 +16,8 @@
 // State joins the view and the dispatch core and guards both. Its methods are
 // short and do no I/O, so that one lock serves.
 type State struct {
-	log *eventlog.Log
+	log   *eventlog.Log
+	clock *clock.Clock
 
 	mutex sync.Mutex
 	view  *catalog.View
@@ -66,6 +68,16 @@
 	}
 }
 
+// UseClock sets the clock by which ages are told; without it that is the monotonic one. It must
+// be called before anything else.
+func (s *State) UseClock(clock *clock.Clock) {
+	s.clock = clock
+	s.startedAt = clock.Now()
+}
+
+// Clock returns the clock by which ages are told.
+func (s *State) Clock() *clock.Clock { return s.clock }
+
 // AwaitEvacuations keeps the gateway unready until it knows which zones are evacuated.
 func (s *State) AwaitEvacuations() {
 	s.mutex.Lock()
@@ -110,7 +122,7 @@
 func (s *State) AwaitReady(ctx context.Context) {
 	for {
 		s.mutex.Lock()
-		left := startPatience - time.Since(s.startedAt)
+		left := startPatience - s.clock.Since(s.startedAt)
 		isAwaited, changed := !s.complete() && left > 0, s.changed
 		s.mutex.Unlock()
 		if !isAwaited {
@@ -238,7 +250,7 @@
 		}
 		s.log.Urgent(event, logrus.Fields{"zone": each.Zone, "revision": each.Revision, "source": source})
 	}
-	s.core.SetEvacuated(time.Now(), s.view.EvacuatedZones(), restored)
+	s.core.SetEvacuated(s.clock.Now(), s.view.EvacuatedZones(), restored)
 	s.announce()
 }
 
@@ -254,7 +266,7 @@
 	if len(news) == 0 {
 		return
 	}
-	s.core.SetBackEnds(time.Now(), s.view.BackEnds())
+	s.core.SetBackEnds(s.clock.Now(), s.view.BackEnds())
 	s.announce()
 	for _, entry := range news {
 		s.log.Urgent(eventlog.BackEndChanged, logrus.Fields{
@@ -290,7 +302,7 @@
 	}
 	s.place = place
 	s.core.SetGateways(place.Gateways)
-	s.core.SetFleet(time.Now(), known)
+	s.core.SetFleet(s.clock.Now(), known)
 }
 
 // Place returns what SetFleet noted.
@@ -311,13 +323,13 @@
 func (s *State) StoreAnswered() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.storeAt = time.Now()
+	s.storeAt = s.clock.Now()
 }
 
 // decide runs a step of the core.
 func (s *State) decide(step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
 	s.mutex.Lock()
-	decision := step(time.Now(), s.core)
+	decision := step(s.clock.Now(), s.core)
 	changes := s.core.TakeHealthChanges()
 	s.tellCrashes()
 	s.mutex.Unlock()
@@ -359,7 +371,7 @@
 func (s *State) StoreAge() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.storeAge(time.Now())
+	return s.storeAge(s.clock.Now())
 }
 
 // longestAge stands for a store that never answered.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,14 +1,12 @@
 package gateway
 
-import (
-	"time"
-)
+import ()
 
 // Gauges returns what the gateway knows at the moment, for metrics.
 func (s *State) Gauges() Gauges {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.clock.Now()
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
 		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesLeftOut: s.log.LeftOut(),
@@ -82,7 +80,7 @@
 	ready := s.Ready()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := time.Now()
+	now := s.clock.Now()
 	status := Status{
 		Role: RoleName, Gateways: s.place.Gateways, Reader: s.place.Duty == Reads,
 		StoreAgeSeconds: s.storeAge(now).Seconds(), LoadAgeSeconds: s.core.OldestPeer(now).Seconds(),
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -24,7 +24,7 @@
 
 // logSend logs the decision to send a request to a back end.
 func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
-	decision := sendDecision{at: time.Now(), attempt: c.exchange.Attempts(), send: send, storeAge: h.config.State.StoreAge()}
+	decision := sendDecision{at: h.clock().Now(), attempt: c.exchange.Attempts(), send: send, storeAge: h.config.State.StoreAge()}
 	if resumeAfter != "" {
 		fields := h.sendFields(c, decision)
 		fields["resume_after"] = resumeAfter
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -32,9 +32,9 @@
 	defer ticker.Stop()
 	for {
 		r.mutex.Lock()
-		due := r.book.Dial(time.Now())
-		place := r.book.Place(time.Now(), r.config.State.StoreAge())
-		r.closeSurplus(time.Now())
+		due := r.book.Dial(r.config.State.Clock().Now())
+		place := r.book.Place(r.config.State.Clock().Now(), r.config.State.StoreAge())
+		r.closeSurplus(r.config.State.Clock().Now())
 		known := r.book.Fleet()
 		r.mutex.Unlock()
 		r.config.State.SetFleet(place, known)
@@ -88,7 +88,7 @@
 	linked, end := context.WithCancel(r.ctx)
 	defer end()
 	r.mutex.Lock()
-	r.opened[peer] = openedLink{at: time.Now(), end: end}
+	r.opened[peer] = openedLink{at: r.config.State.Clock().Now(), end: end}
 	r.mutex.Unlock()
 	r.serve(linked, socket, peer)
 	r.mutex.Lock()
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -53,7 +53,7 @@
 	}
 	differing := r.config.State.Compare(from.repair.digest)
 	r.mutex.Lock()
-	lacking := from.repair.next(time.Now(), &r.questions, differing)
+	lacking := from.repair.next(r.config.State.Clock().Now(), &r.questions, differing)
 	r.mutex.Unlock()
 	if lacking != 0 {
 		from.lacking.Or(uint64(lacking))
@@ -69,7 +69,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Now()
+	now := r.config.State.Clock().Now()
 	if version <= r.askedVersion && now.Sub(r.askedAt) < askAgain {
 		return false
 	}
@@ -90,7 +90,7 @@
 }
 
 func (r *Relay) take(message Message) {
-	now := time.Now()
+	now := r.config.State.Clock().Now()
 	r.mutex.Lock()
 	r.book.Heard(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis, Zone: message.Zone, Capacity: message.Capacity}, message.Peers)
 	r.mutex.Unlock()
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -115,7 +115,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	message.Peers = toldPeers(r.book, time.Now(), peersAt, gateways)
+	message.Peers = toldPeers(r.book, r.config.State.Clock().Now(), peersAt, gateways)
 	return message
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,7 +86,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	self := Peer{ID: r.config.ID, Address: r.config.Address, Zone: r.config.Zone, Capacity: r.config.Capacity}
-	return append(r.book.LivePeers(time.Now()), self)
+	return append(r.book.LivePeers(r.config.State.Clock().Now()), self)
 }
 
 // SetSeeds replaces the seeds.
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -63,7 +63,7 @@
 // nextMessage returns what the peer lacks now, and what tells of the next change.
 func (r *Relay) nextMessage(to *link, talk *conversation) (message Message, changed <-chan struct{}) {
 	gateways := r.config.State.Place().Gateways
-	now := time.Now()
+	now := r.config.State.Clock().Now()
 	news := r.config.State.NewsSince(talk.told, talk.holdings.left(now, gateways))
 	talk.holdings.spend(now, int(news.Holding-talk.told.Holding))
 	r.holdDigest(&news, talk)
@@ -71,7 +71,7 @@
 	news.Holdings = to.untoldHoldings(news.Holdings)
 	message = r.message(news, talk.peersAt)
 	if message.Peers != nil {
-		talk.peersAt = time.Now()
+		talk.peersAt = r.config.State.Clock().Now()
 	}
 	message.Want = to.ask.Swap(false)
 	if to.give.Swap(false) {
@@ -92,12 +92,12 @@
 		return
 	}
 	gateways := r.config.State.Place().Gateways
-	if IsLarge(gateways) && time.Since(talk.digestAt) < digestPeriod {
+	if IsLarge(gateways) && r.config.State.Clock().Since(talk.digestAt) < digestPeriod {
 		news.Digest, news.Listing = nil, talk.told.Listing
 		talk.digestWaits = true
 		return
 	}
-	talk.digestAt = time.Now()
+	talk.digestAt = r.config.State.Clock().Now()
 }
 
 // pauseAfter returns the longest time from one message to the next.
