--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -29,6 +29,10 @@
 // time of day is slewed by less between two looks; shorter suspensions don't matter.
 const tolerance = 20 * time.Millisecond
 
+// shortest is the shortest suspension that counts: the system's two clocks aren't read at the
+// same moment.
+const shortest = 10 * time.Millisecond
+
 // New returns a clock by the system's. Where the system doesn't tell of suspensions, it is the
 // monotonic clock.
 func New() *Clock {
@@ -75,7 +79,7 @@
 func (c *Clock) look() {
 	for {
 		known, now := c.total.Load(), int64(c.suspended())
-		if now <= known || c.total.CompareAndSwap(known, now) {
+		if now < known+int64(shortest) || c.total.CompareAndSwap(known, now) {
 			return
 		}
 	}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -140,7 +140,7 @@
 	if record.raise(crash{incarnation: at, evidence: presumed, isOwn: true}) {
 		m.untold = append(m.untold, untoldCrash{fingerprint: fingerprint, incarnation: at, until: now.Add(crashSettles)})
 	}
-	m.sort(record, false)
+	m.classify(record, false)
 }
 
 // answered notes that the incarnation answered a request that was sent at the time, and tells
@@ -175,13 +175,13 @@
 		}
 		if found == survived && !record.crashes[at].isTold {
 			record.crashes = slices.Delete(record.crashes, at, at+1)
-			m.sort(record, false)
+			m.classify(record, false)
 			continue
 		}
 		if record.crashes[at].evidence == presumed {
 			record.raise(crash{incarnation: of, evidence: found, isTold: true})
 			m.note(record)
-			m.sort(record, false)
+			m.classify(record, false)
 		}
 	}
 }
@@ -198,7 +198,7 @@
 	}
 	if raised {
 		m.note(record)
-		m.sort(record, false)
+		m.classify(record, false)
 	}
 }
 
@@ -234,7 +234,7 @@
 	}
 	if raised {
 		m.note(record)
-		m.sort(record, true)
+		m.classify(record, true)
 	}
 }
 
@@ -244,9 +244,9 @@
 	record.change = m.changes
 }
 
-// sort keeps the record among the withheld ones or the others; isTold is true after a peer's
+// classify keeps the record among the withheld ones or the others; isTold is true after a peer's
 // word.
-func (m *crashMemory) sort(record *crashRecord, isTold bool) {
+func (m *crashMemory) classify(record *crashRecord, isTold bool) {
 	fingerprint, crashes := record.fingerprint, record.counted()
 	isWithheld, wasWithheld := crashes >= crashesToWithhold, m.withheld.Contains(fingerprint)
 	if isWithheld == wasWithheld {
