--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -100,6 +100,16 @@
 	if err != nil {
 		return err
 	}
+	if len(status.Withheld) > 0 {
+		if _, err := fmt.Fprintf(output, "withheld requests, which crash back ends: %s\n\n", strings.Join(status.Withheld, ", ")); err != nil {
+			return err
+		}
+	}
+	for _, each := range status.Unreadable {
+		if _, err := fmt.Fprintf(output, "can't be read in the store: %s %s at revision %d, %s\n\n", each.Kind, each.Name, each.Revision, each.Reason); err != nil {
+			return err
+		}
+	}
 	if len(status.Evacuated) > 0 {
 		if _, err := fmt.Fprintf(output, "evacuated zones, whose back ends get nothing new: %s\n\n", strings.Join(status.Evacuated, ", ")); err != nil {
 			return err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -290,9 +290,24 @@
 	})
 	mux.Handle("GET /metrics", g.metrics.Handler)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.state.Status()) })
+	mux.HandleFunc("DELETE /withheld/{fingerprint}", g.releaseWithheld)
 	return mux
 }
 
+// releaseWithheld answers an operator who releases the requests of a content.
+func (g *Gateway) releaseWithheld(w http.ResponseWriter, r *http.Request) {
+	fingerprint, err := dispatch.ParseFingerprint(r.PathValue("fingerprint"))
+	if err != nil {
+		failure.WriteHTTP(w, failure.New(failure.InvalidRequest, "the fingerprint isn't one; give 16 hexadecimal digits, as the status shows them"))
+		return
+	}
+	if !g.state.ReleaseWithheld(fingerprint) {
+		failure.WriteHTTP(w, failure.New(failure.UnknownRoute, "no requests with this fingerprint are withheld here"))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Ready tells whether the gateway takes work.
 func (g *Gateway) Ready() bool { return g.state.Ready() }
 
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// ReleaseWithheld acquits a content at an operator's word, and tells whether it was withheld.
+func (c *Core) ReleaseWithheld(fingerprint Fingerprint) bool {
+	isWithheld := c.crashes.withheld.Contains(fingerprint)
+	c.crashes.acquit(fingerprint)
+	return isWithheld
+}
+
 // CrashChanges returns the number of changes of what peers are told of crashes.
 func (c *Core) CrashChanges() uint64 { return c.crashes.changes }
 
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// ReleaseWithheld releases the requests of a content at an operator's word, here and at all
+// peers, and tells whether they were withheld.
+func (s *State) ReleaseWithheld(fingerprint dispatch.Fingerprint) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	released := s.core.ReleaseWithheld(fingerprint)
+	s.tellCrashes()
+	return released
+}
+
 // Recordable returns a channel that is signalled when TakeUnrecorded has something.
 func (s *State) Recordable() <-chan struct{} { return s.recordable }
 
