Collect: a collector that nobody tells yet is asked again after a second

Change: it is passed over for a second. Not shorter: a member behind it may be told instead, and one is asked each period.

--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
@@ -56,6 +57,10 @@
 	// one that didn't is passed over.
 	answerTime = 400 * time.Millisecond
 	silentTime = 3 * time.Second
+	// untoldTime is how long a collector is passed over that answers, and that nobody of its
+	// group tells yet: where gateways start together, its members do within a period. Shorter
+	// times keep the members behind it, one of which may be told instead, from being asked.
+	untoldTime = time.Second
 	// maxMessageBytes bounds a message.
 	maxMessageBytes = 1 << 20
 	// idleTime is how long a connection may be without a question.
@@ -188,11 +193,15 @@
 	if s.ctx.Err() != nil {
 		return
 	}
+	passedOver := silentTime
+	if errors.Is(cause, errNobodyTells) {
+		passedOver = untoldTime
+	}
 	s.config.Metrics.Counter("collector_silent").Inc(1)
 	s.config.Log.Urgent(eventlog.CollectorSilent, logrus.Fields{"peer": collector.ID, "cause": cause.Error()})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.silentUntil[collector.ID] = s.config.Clock.Now().Add(silentTime)
+	s.silentUntil[collector.ID] = s.config.Clock.Now().Add(passedOver)
 }
 
 // askGroups asks the other groups' collectors for their sums, while members come to this
--- a/internal/collect/service_test.go
+++ b/internal/collect/service_test.go
@@ -24,13 +24,19 @@
 	service *Service
 	server  *http.Server
 
-	mutex  sync.Mutex
-	live   []Gateway
-	totals dispatch.Totals
-	at     time.Time
+	mutex sync.Mutex
+	live  []Gateway
+	// tellsFrom is when it begins to tell its counts.
+	tellsFrom time.Time
+	totals    dispatch.Totals
+	at        time.Time
 }
 
-func (n *node) Live() ([]Gateway, bool) { return n.live, true }
+func (n *node) Live() ([]Gateway, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.live, !time.Now().Before(n.tellsFrom)
+}
 
 // Counts has one request under way at the same back end for every gateway.
 func (n *node) Counts() []dispatch.Count { return []dispatch.Count{{Key: 7, Requests: 1, Wanted: 3}} }
@@ -100,6 +106,30 @@
 	})
 }
 
+// A collector whose members don't tell it yet is asked again soon: one that was asked a moment
+// before the first of them told it was passed over for 3 s, and a whole zone unknown so long.
+func TestCollectorThatNobodyTellsYetIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count = 40 // groups are larger than a second has questions
+		nodes := startFleet(t, count)
+		for _, each := range nodes {
+			if each.self.Zone == "z1" {
+				each.mutex.Lock()
+				each.tellsFrom = time.Now().Add(3 * period)
+				each.mutex.Unlock()
+			}
+		}
+		time.Sleep(3*period + untoldTime + 4*period)
+		for _, each := range nodes {
+			is.True(each.knows(count))
+		}
+		for _, each := range nodes {
+			each.stop()
+		}
+	})
+}
+
 // Every gateway knows the sums over all of them within two seconds of its start, and
 // again soon after the collector of its group was lost.
 func TestGatewaysKnowAllLoads(t *testing.T) {
