Dispatch: crashes of long ago don't keep a back end from counting as crashed

Cause: whether half of a pool broke off was told by all lives at which requests ever had, and those that never come back stay among them; after as many crashes as half a pool has back ends, none was presumed cold any more. Found by reading; the test, with 20 such lives, failed before.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -143,6 +143,12 @@
 	m.classify(record, false)
 }
 
+// isBroken tells whether requests broke off at the incarnation, and nothing was heard of it since.
+func (m *crashMemory) isBroken(at incarnationKey) bool {
+	_, broken := m.brokeAt[at]
+	return broken
+}
+
 // answered notes that the incarnation answered a request that was sent at the time, and tells
 // whether requests had broken off there and nothing was heard of it for crashSettles since.
 func (m *crashMemory) answered(now time.Time, by incarnationKey, sentAt time.Time) (wasAway bool) {
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -105,6 +105,9 @@
 			}
 		}
 		core.SetFleet(start.Add(-time.Minute), fleet)
+		for i := range 20 { // back ends that crashed long ago, and are gone
+			core.crashes.broke(start, Fingerprint(100+i), incarnationKey(i))
+		}
 		part := partHomedAt(core, "b00")
 		first, _ := core.Begin(start, crashing(part))
 		core.Broken(start, first)
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -150,7 +150,16 @@
 // broke off at half of a pool or more, it is this gateway that was cut off.
 func (c *Core) presumeStart(m *member) {
 	pool := c.pools[m.backEnd.Service]
-	m.mayStartAgain = pool != nil && 2*(len(c.crashes.brokeAt)+1) < len(pool.members)
+	if pool == nil {
+		return
+	}
+	broken := 1
+	for _, other := range pool.members {
+		if other != m && c.crashes.isBroken(incarnationOf(other.backEnd)) {
+			broken++
+		}
+	}
+	m.mayStartAgain = 2*broken < len(pool.members)
 }
 
 // noteReturn takes the first answer of a back end after its crash for the beginning of its
--- /dev/null
+++ b/internal/gateway/orders.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+)
+
+// AwaitEvacuations keeps the gateway unready until it knows which zones are evacuated.
+func (s *State) AwaitEvacuations() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.surveyed, s.recalled = false, false
+}
+
+// SetRecalled notes that it is known which zones were restored of late.
+func (s *State) SetRecalled() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.recalled {
+		s.recalled = true
+		s.announce()
+	}
+}
+
+// knowsOrders tells whether the gateway knows which zones are evacuated and, where back ends
+// warm up, which were restored of late: their back ends turned cold and haven't said so yet.
+// It does without the latter, which one gateway reads for all, after startPatience.
+func (s *State) knowsOrders() bool {
+	needsNoRecall := s.view.Index() != nil && !s.core.HasWarmUps()
+	return s.surveyed && (s.recalled || needsNoRecall || s.clock.Since(s.startedAt) >= startPatience)
+}
+
+// OfferEvacuationList takes the complete list of evacuated zones.
+func (s *State) OfferEvacuationList(evacuations []catalog.Evacuation, revision uint64, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first := !s.surveyed
+	s.surveyed = true
+	s.applyEvacuations(s.view.OfferEvacuationList(evacuations, revision), first, source)
+}
+
+// OfferEvacuations takes changes of the evacuated zones. A peer's are complete, since it
+// tells all that it knows first.
+func (s *State) OfferEvacuations(evacuations []catalog.Evacuation, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first := !s.surveyed && source != SourceStore
+	s.surveyed = s.surveyed || first
+	s.recalled = s.recalled || source == SourcePeer
+	s.applyEvacuations(s.view.OfferEvacuations(evacuations), first, source)
+}
+
+// applyEvacuations passes on what is news; first is set when the gateway hasn't known
+// which zones are evacuated.
+func (s *State) applyEvacuations(news []catalog.Evacuation, first bool, source string) {
+	if len(news) == 0 && !first {
+		return
+	}
+	var restored []catalog.Evacuation
+	for _, each := range news {
+		event := eventlog.ZoneEvacuated
+		if each.Withdrawn {
+			event = eventlog.ZoneRestored
+			restored = append(restored, each)
+		}
+		s.log.Urgent(event, logrus.Fields{"zone": each.Zone, "revision": each.Revision, "source": source})
+	}
+	s.core.SetEvacuated(s.clock.Now(), s.view.EvacuatedZones(), restored)
+	s.announce()
+}
