--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -84,10 +84,10 @@
 const (
 	// maxConnects bounds the back ends tried that can't be connected to.
 	maxConnects = 4
-	// leastPatience and patienceObjectives bound the wait for a head while
-	// another back end may be tried.
 	// refusedWait is when to come back after one back end's refusal.
-	refusedWait        = 250 * time.Millisecond
+	refusedWait = 250 * time.Millisecond
+	// leastPatience and patienceObjectives bound the wait for a head while another back end
+	// may be tried: the least time, and so many times the route's objective.
 	leastPatience      = time.Second
 	patienceObjectives = 3
 )
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -201,9 +201,9 @@
 // choice stays in the zone.
 const otherZone = 0.5
 
-// leastLoaded returns the member with the least load for its slots, or nil when
-// all are full; where loads are known late, one by lot (spread.go). Ties are broken by a hash of the request, so that gateways don't
-// all pick the same member.
+// leastLoaded returns the member with the least load for its slots, or nil when all are
+// full; where loads are known late, one by lot (spread.go). Ties are broken by a hash of the
+// request, so that gateways don't all pick the same member.
 func (c *Core) leastLoaded(now time.Time, x *Exchange, candidates []*member) *member {
 	if c.totalsAreFresh(now) && !c.config.Disabled[Spread] {
 		return c.spread(now, x, candidates)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -51,13 +51,16 @@
 		want  Cause
 		lines []string
 	}{
-		"never heard of":          {Unheard, []string{`g1 9 node.started`}},
-		"answered":                {Served, []string{sent, `g1 10.2 request.answered "request":"r","back_end":"b1","status":200`}},
-		"answered at second try":  {ServedLate, []string{sent, failed(10.1, "r", "b1", `,"not_sent":true`), `g1 10.2 request.answered "request":"r","back_end":"b2","status":200,"attempts":2`}},
-		"caller left":             {CallerLeft, []string{sent, `g1 10.2 request.caller_left "request":"r"`}},
-		"key unknown":             {CallersFault, []string{refused("unauthenticated")}},
-		"key taken away":          {KeyTakenAway, []string{`g1 9 configuration.adopted "version":7`, refused("unauthenticated")}},
-		"body too large":          {CallersFault, []string{`g1 9 configuration.adopted "version":7`, refused("too_large")}},
+		"never heard of":         {Unheard, []string{`g1 9 node.started`}},
+		"answered":               {Served, []string{sent, `g1 10.2 request.answered "request":"r","back_end":"b1","status":200`}},
+		"answered at second try": {ServedLate, []string{sent, failed(10.1, "r", "b1", `,"not_sent":true`), `g1 10.2 request.answered "request":"r","back_end":"b2","status":200,"attempts":2`}},
+		"caller left":            {CallerLeft, []string{sent, `g1 10.2 request.caller_left "request":"r"`}},
+		"key unknown":            {CallersFault, []string{refused("unauthenticated")}},
+		"key taken away":         {KeyTakenAway, []string{`g1 9 configuration.adopted "version":7`, refused("unauthenticated")}},
+		"body too large":         {CallersFault, []string{`g1 9 configuration.adopted "version":7`, refused("too_large")}},
+		"crashes back ends": {Withheld, []string{
+			`g2 9 request.attempt_failed "request":"q","back_end":"b1","fingerprint":"00f1","cause":"EOF"`, `g2 9.5 requests.withheld "fingerprint":"00f1"`,
+			`g1 10.1 request.refused "request":"r","kind":"withheld","fingerprint":"00f1"`}},
 		"gateway just started":    {GatewayUnready, []string{`g1 10.4 node.started`, refused("not_ready")}},
 		"gateway killed":          {GatewayEnded, []string{sent, `g1 12 node.started`}},
 		"no end and no restart":   {Unclear, []string{sent}},
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -38,9 +38,11 @@
 	Attempts  int       `json:"attempts"`
 	Ran       string    `json:"ran"`
 	Kind      string    `json:"kind"`
-	Cause     string    `json:"cause"`
-	Status    int       `json:"status"`
-	Events    int       `json:"events"`
+	// Fingerprint stands for the request's content.
+	Fingerprint string `json:"fingerprint"`
+	Cause       string `json:"cause"`
+	Status      int    `json:"status"`
+	Events      int    `json:"events"`
 
 	ElapsedMillis  int64 `json:"elapsed_ms"`
 	DeadlineMillis int64 `json:"deadline_ms"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -31,6 +31,9 @@
 	// Alike are failures of back ends' own, at other times too, to requests for the
 	// same path.
 	Alike []Line
+	// Crashes are failed attempts of other requests of the same content, and what followed
+	// for all of them.
+	Crashes []Line
 	// Verdict is the likely cause.
 	Verdict Verdict
 }
@@ -52,8 +55,11 @@
 
 func (l *Log) lookAround(story *Story) {
 	first, last := story.Own[0].At, story.Own[len(story.Own)-1].At
-	path := story.Path()
+	path, fingerprint := story.Path(), story.fingerprint()
 	for _, line := range l.Lines {
+		if fingerprint != "" && line.Fingerprint == fingerprint && line.Request != story.Request && line.Event != eventlog.RequestRefused {
+			story.Crashes = append(story.Crashes, line)
+		}
 		if path != "" && line.Path == path && line.Request != story.Request {
 			if line.Status >= serverFailure {
 				story.Alike = append(story.Alike, line)
@@ -76,6 +82,16 @@
 	}
 }
 
+// fingerprint returns what stands for the request's content, or "" where no line tells.
+func (s *Story) fingerprint() string {
+	for _, line := range s.Own {
+		if line.Fingerprint != "" {
+			return line.Fingerprint
+		}
+	}
+	return ""
+}
+
 func isOutcome(line Line) bool {
 	return isFailure(line) || line.Event == eventlog.RequestDone
 }
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -32,6 +32,7 @@
 	AnswerSpoiled    Cause = "answer_spoiled"
 	BackEndsVanished Cause = "back_ends_vanished"
 	PoolFull         Cause = "pool_full"
+	Withheld         Cause = "withheld"
 	Refused          Cause = "back_end_refused"
 	Unreachable      Cause = "back_end_unreachable"
 	Unclear          Cause = "unclear"
@@ -51,7 +52,7 @@
 
 // rules are asked in order: an end that names its own cause comes before signs
 // around it.
-var rules = []rule{unheard, served, left, refusedCaller, unready, gatewayEnded, brokenStream, failedAttempt, fullPool}
+var rules = []rule{unheard, served, left, refusedCaller, withheld, unready, gatewayEnded, brokenStream, failedAttempt, fullPool}
 
 func judge(story *Story) Verdict {
 	for _, applies := range rules {
@@ -118,6 +119,15 @@
 	return Verdict{Cause: KeyTakenAway, Why: why, Evidence: []Line{newest, lines[0]}}, true
 }
 
+func withheld(s *Story) (Verdict, bool) {
+	lines := s.refusal("withheld")
+	if len(lines) == 0 {
+		return Verdict{}, false
+	}
+	why := "requests of its content crashed the back ends that ran them, so the gateways send none (fingerprint " + lines[0].Fingerprint + ")"
+	return Verdict{Cause: Withheld, Why: why, Evidence: append(s.Crashes, lines...)}, true
+}
+
 func unready(s *Story) (Verdict, bool) {
 	lines := s.refusal("not_ready")
 	evidence := append(s.around(eventlog.Started), s.around(eventlog.StoreLost)...)
