--- a/internal/follower/withheld_test.go
+++ b/internal/follower/withheld_test.go
@@ -38,6 +38,13 @@
 	return nil
 }
 
+// counted returns the number of calls so far.
+func (s *withheldSource) counted() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
 func (s *source) Withheld(context.Context) (list []dispatch.CrashRecord, err error) {
 	err = s.withheld.call(func() {
 		for _, each := range s.withheld.records {
@@ -73,12 +80,12 @@
 		defer log.Close()
 		f := Start(Config{Source: s, State: gateway.NewState(core, log), ReadPeriod: time.Second, Log: log, Metrics: tally.NoopScope})
 		time.Sleep(5 * time.Second)
-		calls := s.withheld.calls
+		calls := s.withheld.counted()
 		time.Sleep(time.Minute)
 		f.Close()
 		is.Equal(core.Withheld(), []dispatch.Fingerprint{7})
-		is.Equal(len(s.withheld.records), 1) // the outdated one is removed
-		is.Equal(s.withheld.calls, calls)    // and the list isn't read again
+		is.Equal(len(s.withheld.records), 1)  // the outdated one is removed
+		is.Equal(s.withheld.counted(), calls) // and the list isn't read again
 		is.Equal(s.withheld.records[7].LastAt, crashesOf(7, bubbleStart).LastAt)
 	})
 }
