Rollout: a judge of the move of a service to another version

Cause: nothing knew of roll-outs; a bad version would have got whatever share its back ends made. Weighed: shares split among gateways (N gateways of three requests a second each round up), a lot by the request's identity (kept: holds in expectation for any number of gateways, without a message); a fixed count of failures, a cumulative ratio alone (diluted by a good beginning: versions that turned bad were completed or late), ratios over spans from several earlier moments (kept); moving all routes at once at half of the time, or each by the time that its requests take (kept); a version judged by all its machines, or without its worst group (kept: one failing machine reverted good versions and excused bad ones). Change: internal/rollout, a core without I/O: tallies, the sequential test, the plan of shares, the verdict that is due.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -36,6 +36,7 @@
 // partOf is the part that a package under internal belongs to.
 var partOf = map[string]part{
 	"catalog": gateways, "dispatch": gateways, "collect": gateways, "relay": gateways, "follower": gateways, "gateway": gateways,
+	"rollout": gateways,
 
 	"router": routers, "agent": routers, "coordination": routers, "admission": routers, "bundle": routers,
 	"membership": routers, "peering": routers, "objectstore": routers,
--- /dev/null
+++ b/internal/rollout/crowdtable_test.go
@@ -0,0 +1,108 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+)
+
+var crowdRuns = flag.Int("rollouts", 60, "roll-outs of each kind that TestDrawnRollouts plays")
+
+// kindResult sums up the roll-outs of one kind.
+type kindResult struct {
+	runs, exposed, late50, completed, reverted, onTime, broken int
+	shares                                                     []float64
+	revertAfter                                                []time.Duration
+}
+
+// TestDrawnRollouts plays drawn roll-outs of each kind: none may expose more than the limits
+// allow, nor send on long after the fiftieth bad answer.
+func TestDrawnRollouts(t *testing.T) {
+	for _, kind := range []string{"good", "at once", "later", "on one route", "under load", "slow"} {
+		sum := playKind(t, kind, *crowdRuns)
+		t.Logf("%-13s runs %d: over the exposure %d, later than 5 s after the fiftieth %d, completed %d, reverted %d, by the deadline %d, streams cut %d, exposure median %.3f worst %.3f, reverted after median %v",
+			kind, sum.runs, sum.exposed, sum.late50, sum.completed, sum.reverted, sum.onTime, sum.broken,
+			quantile(sum.shares, 0.5), quantile(sum.shares, 1), quantile(sum.revertAfter, 0.5))
+	}
+}
+
+func playKind(t *testing.T, kind string, runs int) kindResult {
+	var mutex sync.Mutex
+	var sum kindResult
+	var workers sync.WaitGroup
+	next := make(chan uint64)
+	for range 12 {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			for seed := range next {
+				plan := drawRollout(rand.New(rand.NewPCG(seed, 7)), kind)
+				result := newCrowd(plan, seed).run()
+				mutex.Lock()
+				if over := sum.add(plan, result); over != "" {
+					t.Logf("seed %d: %s: %+v %+v", seed, over, plan, result)
+				}
+				mutex.Unlock()
+			}
+		}()
+	}
+	for seed := range runs {
+		next <- uint64(seed)
+	}
+	close(next)
+	workers.Wait()
+	return sum
+}
+
+func (k *kindResult) add(plan drawnRollout, result rolloutResult) (finding string) {
+	k.runs++
+	isBad := plan.kind != "good"
+	allowed := crowdLimits.Share*float64(result.sent) + crowdLimits.Extra
+	// A bad version that never showed it, for want of load, was a good one.
+	shownBad := isBad && result.bad >= 10
+	if isBad {
+		k.shares = append(k.shares, float64(result.exposed)/allowed)
+		if shownBad && float64(result.exposed) > allowed {
+			k.exposed++
+			finding = "over the exposure"
+		}
+		if result.lastExposed > int(5*time.Second/tick) {
+			k.late50++
+			finding = "late after the fiftieth"
+		}
+	}
+	switch result.verdict {
+	case Completed:
+		k.completed++
+		if shownBad {
+			finding += fmt.Sprint(" bad one completed")
+		}
+	case Reverted:
+		k.reverted++
+		k.revertAfter = append(k.revertAfter, result.verdictAt)
+		if !isBad {
+			finding += " good one reverted"
+		}
+	}
+	if result.verdict.IsVerdict() && result.verdictAt <= plan.duration {
+		k.onTime++
+	} else {
+		finding += " late"
+	}
+	k.broken += result.broken
+	return finding
+}
+
+func quantile[T int | float64 | time.Duration](list []T, part float64) T {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[min(int(part*float64(len(list))), len(list)-1)]
+}
--- /dev/null
+++ b/internal/rollout/judge.go
@@ -0,0 +1,371 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Judge follows one order in one gateway. It is not safe for concurrent use.
+type Judge struct {
+	order  Order
+	id     uint32
+	limits Limits
+	// beganAt is when the order was given, as far as any gateway knows.
+	beganAt time.Time
+	// candidateSince is when back ends of the target version were first listed here.
+	candidateSince time.Time
+	state          State
+	// abandoned is set once any gateway found the candidate bad, and finding is why, where
+	// this one did.
+	abandoned bool
+	finding   *Finding
+	// doubts are how much speaks against the candidate on each route, and on all together
+	// under 0, as logarithms of likelihood ratios.
+	doubts  map[uint32]float64
+	own     map[Key]*Tally
+	runs    map[*Run]struct{}
+	others  others
+	history []moment
+}
+
+// moment is what all gateways had counted at a time.
+type moment struct {
+	at      time.Time
+	tallies map[Key]Tally
+}
+
+const (
+	// lookPeriod is the least time between two looks at the evidence, a round of tallies.
+	lookPeriod = 200 * time.Millisecond
+	// recentTime is the shortest span whose answers are judged by themselves: shorter ones hold
+	// too few. spanGrowth is by how much each further one is longer, so that a candidate which
+	// turned bad is judged by a span that began at most so much before it did.
+	recentTime = 2 * time.Second
+	spanGrowth = 1.5
+)
+
+// NewJudge returns a judge of an order that this gateway has heard of now.
+func NewJudge(now time.Time, order Order, limits Limits) *Judge {
+	return &Judge{
+		order: order, id: order.ID(), limits: limits, beganAt: now,
+		own: map[Key]*Tally{}, runs: map[*Run]struct{}{}, others: newOthers(),
+	}
+}
+
+// Order returns what is judged.
+func (j *Judge) Order() Order { return j.order }
+
+// State returns how far the store says that the order has come.
+func (j *Judge) State() State { return j.state }
+
+// SetState takes what stands in the store.
+func (j *Judge) SetState(state State) { j.state = max(j.state, state) }
+
+// SetCandidates notes whether back ends of the target version are in service.
+func (j *Judge) SetCandidates(now time.Time, present bool) {
+	switch {
+	case !present:
+		j.candidateSince = time.Time{}
+	case j.candidateSince.IsZero():
+		j.candidateSince = now
+	}
+}
+
+// SetGateways notes how many gateways there are.
+func (j *Judge) SetGateways(count int) { j.others.gateways = count }
+
+// Mark returns what peers are told.
+func (j *Judge) Mark(now time.Time) Mark {
+	return Mark{Order: j.id, AgeMillis: now.Sub(j.beganAt).Milliseconds(), Abandoned: j.abandoned}
+}
+
+// Hear takes a peer's mark and tells whether the candidate was given up by it.
+func (j *Judge) Hear(now time.Time, mark Mark) (abandoned bool) {
+	if mark.Order != j.id {
+		return false
+	}
+	age := time.Duration(max(0, min(mark.AgeMillis, longestAge.Milliseconds()))) * time.Millisecond
+	if began := now.Add(-age); began.Before(j.beganAt.Add(-ageSlack)) {
+		j.beganAt = began
+	}
+	abandoned = mark.Abandoned && !j.abandoned
+	j.abandoned = j.abandoned || mark.Abandoned
+	return abandoned
+}
+
+const (
+	// longestAge bounds the age of an order that a peer may tell.
+	longestAge = 24 * time.Hour
+	// ageSlack is by how much a peer's age must differ to count: the time of the message is
+	// lost with each hop, and two gateways mustn't push each other back.
+	ageSlack = 100 * time.Millisecond
+)
+
+// Side returns the version for a request's first attempt.
+func (j *Judge) Side(now time.Time, route, request string) Side {
+	share := j.share(now, RouteKey(route))
+	if share >= 1 {
+		return Candidate
+	}
+	lot := float64(xxhash.Sum64String(request+"\x00"+j.order.Target)) / math.MaxUint64
+	if lot < share {
+		return Candidate
+	}
+	return Standing
+}
+
+// FurtherSide returns the version for a further attempt: the standing one, unless the route
+// has been moved.
+func (j *Judge) FurtherSide(now time.Time, route string) Side {
+	if j.share(now, RouteKey(route)) >= 1 {
+		return Candidate
+	}
+	return Standing
+}
+
+// Allows tells whether anything may be sent to back ends of the side.
+func (j *Judge) Allows(side Side) bool {
+	if side == Candidate {
+		return j.state != Reverted && !j.abandoned
+	}
+	return j.state != Completed
+}
+
+// tally returns this gateway's own of a key.
+func (j *Judge) tally(key Key) *Tally {
+	known := j.own[key]
+	if known == nil {
+		known = &Tally{Key: key}
+		j.own[key] = known
+	}
+	return known
+}
+
+// Tallies returns this gateway's own.
+func (j *Judge) Tallies(now time.Time) []Tally {
+	for run := range j.runs {
+		run.judgePace(now)
+	}
+	list := make([]Tally, 0, len(j.own))
+	for _, each := range j.own {
+		list = append(list, *each)
+	}
+	slices.SortFunc(list, func(a, b Tally) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+func compareKeys(a, b Key) int {
+	if a.Route != b.Route {
+		if a.Route < b.Route {
+			return -1
+		}
+		return 1
+	}
+	return int(a.Group) - int(b.Group)
+}
+
+// TakeTotals takes the tallies of all other gateways of a large fleet together, of which so
+// many were counted of those expected, this one included.
+func (j *Judge) TakeTotals(now time.Time, tallies []Tally, counted, expected int) {
+	j.others.takeTotals(now, j.mine(tallies), counted, expected)
+}
+
+// TakePeer takes one gateway's tallies in a small fleet.
+func (j *Judge) TakePeer(now time.Time, peer string, tallies []Tally) {
+	j.others.takePeer(now, peer, j.mine(tallies))
+}
+
+// mine returns the tallies that are of this order.
+func (j *Judge) mine(tallies []Tally) []Tally {
+	return slices.DeleteFunc(slices.Clone(tallies), func(t Tally) bool { return t.Key.Order != j.id })
+}
+
+// hears tells whether enough of the fleet is heard to judge for all.
+func (j *Judge) hears(now time.Time) bool { return j.others.heard(now) }
+
+// sum returns the tallies of all gateways that are heard.
+func (j *Judge) sum(now time.Time) map[Key]Tally {
+	sum := j.others.sum(now)
+	for _, each := range j.Tallies(now) {
+		sum[each.Key] = each.Plus(sum[each.Key])
+	}
+	return sum
+}
+
+// latest returns the tallies as they were last looked at.
+func (j *Judge) latest() map[Key]Tally {
+	if len(j.history) == 0 {
+		return nil
+	}
+	return j.history[len(j.history)-1].tallies
+}
+
+// sent returns the requests of all gateways.
+func (j *Judge) sent() float64 {
+	total := 0.0
+	for _, each := range j.latest() {
+		total += float64(each.Sent)
+	}
+	return total
+}
+
+// standingOf returns the tallies of a route at the standing version, and those of its group
+// whose work takes the longest.
+func (j *Judge) standingOf(route uint32) (sum, slowest Tally) {
+	for group := range uint8(standingGroups) {
+		each := j.latest()[Key{Order: j.id, Route: route, Group: group}]
+		sum = sum.Plus(each)
+		if each.meanWork() > slowest.meanWork() {
+			slowest = each
+		}
+	}
+	return sum, slowest
+}
+
+// longestWhole returns the time that hardly any request of a route exceeds at the standing
+// version.
+func (j *Judge) longestWhole(route uint32) (longest time.Duration, known bool) {
+	each, _ := j.standingOf(route)
+	if each.Whole == 0 {
+		return 0, false
+	}
+	mean := float64(each.WholeMillis) / float64(each.Whole)
+	variance := max(0, float64(each.WholeSquares)/float64(each.Whole)-mean*mean)
+	return time.Duration((mean + drainDeviations*math.Sqrt(variance)) * float64(time.Millisecond)), true
+}
+
+// meanWork returns the mean time of a route's work at the standing version, without its slowest
+// group where there is another: a slow machine mustn't excuse a slow version.
+func (j *Judge) meanWork(route uint32) (mean time.Duration, known bool) {
+	sum, slowest := j.standingOf(route)
+	if others := sum.Minus(slowest); others.Timed >= fewestTimed {
+		sum = others
+	}
+	return sum.meanWork(), sum.Timed >= fewestTimed
+}
+
+// fewestTimed is how many answers of the standing version make a mean to compare with.
+const fewestTimed = 3
+
+// Look weighs the evidence, and tells whether the candidate is given up by it.
+func (j *Judge) Look(now time.Time) (abandoned bool) {
+	if n := len(j.history); n > 0 && now.Sub(j.history[n-1].at) < lookPeriod {
+		return false
+	}
+	all := j.sum(now)
+	j.history = thinned(append(j.history, moment{at: now, tallies: all}))
+	if j.abandoned || j.state.IsVerdict() {
+		return false
+	}
+	spans := [][]Tally{values(all)}
+	for _, each := range j.history {
+		if now.Sub(each.at) >= recentTime {
+			spans = append(spans, values(since(all, each.tallies)))
+		}
+	}
+	j.finding, j.doubts = find(spans)
+	j.abandoned = j.finding != nil
+	return j.abandoned
+}
+
+// thinned drops moments whose neighbours are nearly as old: spans that begin there tell the
+// same. What is left grows with the logarithm of the time.
+func thinned(history []moment) []moment {
+	now := history[len(history)-1].at
+	for i := len(history) - 2; i > 0; i-- {
+		older, younger := now.Sub(history[i-1].at), now.Sub(history[i+1].at)
+		if younger >= recentTime && float64(older) < spanGrowth*float64(younger) {
+			history = slices.Delete(history, i, i+1)
+		}
+	}
+	return history
+}
+
+// isDoubtful tells whether anything speaks against the candidate, on whatever route: one is
+// enough to revert it, and what the others get counts as exposure.
+func (j *Judge) isDoubtful() bool {
+	for _, doubt := range j.doubts {
+		if doubt > mostDoubt {
+			return true
+		}
+	}
+	return false
+}
+
+// since returns what was counted after an earlier moment.
+func since(all, before map[Key]Tally) map[Key]Tally {
+	recent := make(map[Key]Tally, len(all))
+	for key, each := range all {
+		recent[key] = each.after(before[key])
+	}
+	return recent
+}
+
+func values(tallies map[Key]Tally) []Tally {
+	list := make([]Tally, 0, len(tallies))
+	for _, each := range tallies {
+		list = append(list, each)
+	}
+	slices.SortFunc(list, func(a, b Tally) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+// Due returns the state that the store should show by now.
+func (j *Judge) Due(now time.Time) State {
+	elapsed := now.Sub(j.beganAt)
+	switch {
+	case j.state.IsVerdict():
+		return j.state
+	case j.abandoned:
+		return Reverted
+	case elapsed >= j.order.Duration && j.candidateSince.IsZero():
+		// There is nothing to move to, and the standing back ends mustn't be stopped.
+		return Reverted
+	case elapsed >= j.completeAt() && j.isDoubtful():
+		// There is no time left to find out, and callers are served well as it is.
+		return Reverted
+	case elapsed >= j.completeAt() && len(j.Awaits(now)) == 0:
+		return Completed
+	default:
+		return InProgress
+	}
+}
+
+// Wait is what an order waits for, for status and logs.
+type Wait string
+
+// What an order may wait for.
+const (
+	WaitCandidates Wait = "back ends of the target version"
+	WaitGateways   Wait = "tallies of the other gateways"
+	WaitRoutes     Wait = "the move of all routes"
+	WaitStanding   Wait = "requests that end at the standing version"
+)
+
+// Awaits returns what must be before a good candidate's verdict is written.
+func (j *Judge) Awaits(now time.Time) []Wait {
+	var awaits []Wait
+	if j.candidateSince.IsZero() {
+		awaits = append(awaits, WaitCandidates)
+	}
+	if !j.hears(now) {
+		awaits = append(awaits, WaitGateways)
+	}
+	underWay, unmoved := uint32(0), false
+	for key, each := range j.sum(now) {
+		unmoved = unmoved || now.Sub(j.beganAt) < j.fullAt(key.Route)+leastRamp
+		if each.side() == Standing {
+			underWay += each.UnderWay
+		}
+	}
+	if unmoved {
+		awaits = append(awaits, WaitRoutes)
+	}
+	if underWay > 0 {
+		awaits = append(awaits, WaitStanding)
+	}
+	return awaits
+}
