--- a/internal/catalog/digest_test.go
+++ b/internal/catalog/digest_test.go
@@ -21,8 +21,8 @@
 func TestGatewaysThatKnowTheSameTellEachOtherNothing(t *testing.T) {
 	is := is.New(t)
 	first, second := NewView(), NewView()
-	first.OfferList(listed(3000, 7), 7)
-	second.OfferList(listed(3000, 7), 9)
+	first.OfferList(listed(3000, 7), Position{Revision: 7})
+	second.OfferList(listed(3000, 7), Position{Revision: 9})
 	is.Equal(first.Digest().Differing(second.Digest()), Buckets(0))
 }
 
@@ -35,8 +35,8 @@
 func TestOneDifferenceCostsOneEntry(t *testing.T) {
 	is := is.New(t)
 	first, second := NewView(), NewView()
-	first.OfferList(listed(3000, 7), 7)
-	second.OfferList(listed(3000, 7), 7)
+	first.OfferList(listed(3000, 7), Position{Revision: 7})
+	second.OfferList(listed(3000, 7), Position{Revision: 7})
 	first.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "b12"}, Gone: true, Revision: 7}})
 	entries := lackedBy(second, first)
 	is.Equal(len(entries), 1)
@@ -47,7 +47,7 @@
 func TestGatewayThatKnowsNothingGetsAll(t *testing.T) {
 	is := is.New(t)
 	view := NewView()
-	view.OfferList(listed(30, 7), 7)
+	view.OfferList(listed(30, 7), Position{Revision: 7})
 	for _, other := range []Digest{nil, NewView().Digest()} {
 		is.Equal(len(view.Lacked(other.Differing(view.Digest()), nil)), 30)
 	}
--- /dev/null
+++ b/internal/catalog/era_test.go
@@ -0,0 +1,282 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+	"github.com/harriernotch/harriernotch/internal/rollout"
+)
+
+// inEra returns the entry in an era.
+func (e Entry) inEra(era uint64) Entry {
+	e.Era = era
+	return e
+}
+
+// viewInEra knows back ends a and b at revisions 100 and 101 of the first era, since long.
+func viewInEra() *View {
+	view := NewView()
+	view.HearEra(1)
+	view.SettleEra(1)
+	view.OfferList([]Entry{entry("a", 100).inEra(1), entry("b", 101).inEra(1)}, Position{Era: 1, Revision: 101})
+	return view
+}
+
+// Revisions of a restored store are given out again: what is written at lower ones is news.
+func TestWhatIsWrittenAfterARestoreIsTaken(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	view.HearEra(2)
+	leaving := entry("a", 51).inEra(2)
+	leaving.BackEnd.Leaving = true
+	is.Equal(len(view.OfferEntries([]Entry{leaving, entry("c", 52).inEra(2)})), 2)
+	is.True(view.BackEnds()[0].Leaving)
+	is.Equal(ids(view), []string{"a", "b", "c"})
+}
+
+// A stale read, a slow answer or a peer of the era before doesn't take back what is known in
+// the new one.
+func TestWordsOfAnEndedEraComeTooLate(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	view.HearEra(2)
+	view.OfferEntries([]Entry{entry("a", 51).inEra(2)})
+	view.SettleEra(2)
+	view.OfferList([]Entry{entry("b", 52).inEra(2)}, Position{Era: 2, Revision: 53})
+	is.Equal(ids(view), []string{"b"})
+	is.Equal(len(view.OfferEntries([]Entry{entry("a", 900).inEra(1)})), 0)
+	is.Equal(len(view.OfferEntries([]Entry{entry("lost", 900).inEra(1)})), 0)
+	is.Equal(len(view.OfferList([]Entry{entry("a", 900).inEra(1)}, Position{Era: 1, Revision: 950})), 0)
+	is.Equal(ids(view), []string{"b"})
+}
+
+// What a restored store lacks is kept until it can have been written again, and what had gone
+// isn't back for the copy's sake.
+func TestRestoredStoreIsBelievedOnceItHasSettled(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	view.OfferEntries([]Entry{{BackEnd: BackEnd{ID: "b"}, Gone: true, Revision: 102, Era: 1}})
+	view.HearEra(2)
+	copied := []Entry{entry("b", 40).inEra(2)}
+	view.OfferList(copied, Position{Era: 2, Revision: 60})
+	is.Equal(ids(view), []string{"a"})
+	view.SettleEra(2)
+	view.OfferList(copied, Position{Era: 2, Revision: 60})
+	is.Equal(ids(view), []string{"b"})
+}
+
+// A back end that has said that it leaves does so, though the copy is from before.
+func TestLeavingOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	leaving := entry("a", 105).inEra(1)
+	leaving.BackEnd.Leaving = true
+	view.OfferEntries([]Entry{leaving})
+	view.HearEra(2)
+	view.OfferList([]Entry{entry("a", 40).inEra(2), entry("b", 41).inEra(2)}, Position{Era: 2, Revision: 60})
+	is.True(view.BackEnds()[0].Leaving)
+	is.True(!view.BackEnds()[1].Leaving)
+}
+
+// Orders on zones that an operator gave in the lost seconds hold until they are given again.
+func TestOrdersOutliveARestore(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	view.OfferEvacuations([]Evacuation{{Zone: "z", Revision: 104, Era: 1}, {Zone: "y", Withdrawn: true, Revision: 105, Era: 1}})
+	view.HearEra(2)
+	view.OfferEvacuationList([]Evacuation{{Zone: "y", Revision: 30, Era: 2}}, Position{Era: 2, Revision: 60})
+	is.Equal(view.EvacuatedZones(), []string{"z"})
+	view.OfferEvacuations([]Evacuation{{Zone: "z", Revision: 61, Era: 2}, {Zone: "y", Withdrawn: true, Revision: 62, Era: 2}})
+	view.SettleEra(2)
+	view.OfferEvacuationList([]Evacuation{{Zone: "z", Revision: 61, Era: 2}}, Position{Era: 2, Revision: 62})
+	is.Equal(view.EvacuatedZones(), []string{"z"})
+}
+
+// A verdict that the copy lacks stands, and is to be written again.
+func TestVerdictOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	order := Rollout{Service: "s", Target: "v2", Duration: 12 * time.Second, State: rollout.Completed, Revision: 104, Era: 1}
+	view.OfferRollouts([]Rollout{order})
+	view.HearEra(2)
+	view.OfferRollouts([]Rollout{{Service: "s", Target: "v2", Duration: 12 * time.Second, State: rollout.InProgress, Revision: 50, Era: 2}})
+	is.Equal(view.Rollouts()[0].State, rollout.Completed)
+	is.True(view.Rollouts()[0].Unwritten)
+	view.OfferRollouts([]Rollout{{Service: "s", Target: "v3", Duration: 12 * time.Second, Revision: 51, Era: 2}})
+	is.Equal(view.Rollouts()[0].State, rollout.Ordered) // another order
+}
+
+// Software that knows no eras tells records without one. They are compared by their revision
+// until a store is restored, and then say nothing.
+func TestRecordsWithoutAnEra(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	leaving := entry("a", 110)
+	leaving.BackEnd.Leaving = true
+	is.Equal(len(view.OfferEntries([]Entry{leaving})), 1)
+	is.Equal(len(view.OfferEntries([]Entry{entry("a", 105).inEra(1)})), 0)
+	is.Equal(len(view.OfferEntries([]Entry{entry("a", 105)})), 0)
+	is.True(view.BackEnds()[0].Leaving)
+	view.HearEra(2)
+	is.Equal(len(view.OfferEntries([]Entry{entry("d", 900), entry("b", 901)})), 0)
+}
+
+// A list that tells no era doesn't remove what is known of one.
+func TestListWithoutAnEraRemovesNothing(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	view.OfferList(nil, Position{Revision: 999})
+	is.Equal(ids(view), []string{"a", "b"})
+}
+
+// A new era alone is no change: a fleet would tell each other all that it knows.
+func TestNewEraAloneIsNotTold(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	before := view.Changes()
+	view.HearEra(2)
+	is.Equal(len(view.OfferList([]Entry{entry("a", 10).inEra(2), entry("b", 11).inEra(2)}, Position{Era: 2, Revision: 12})), 0)
+	is.Equal(view.Changes(), before)
+}
+
+// modelStore is a store that is written, restored, and written again, with all that it ever
+// answered.
+type modelStore struct {
+	era, revision uint64
+	entries       map[string]Entry
+	copies        []modelCopy
+	events        []Entry
+	// truth is what the back ends would write.
+	truth map[string]BackEnd
+}
+
+type modelCopy struct {
+	at      Position
+	entries []Entry
+}
+
+func (m *modelStore) put(id string, leaving bool) {
+	m.revision++
+	backEnd := BackEnd{ID: id, Leaving: leaving}
+	m.truth[id] = backEnd
+	m.entries[id] = Entry{BackEnd: backEnd, Revision: m.revision, Era: m.era}
+	m.events = append(m.events, m.entries[id])
+	m.keep()
+}
+
+func (m *modelStore) remove(id string) {
+	if _, exists := m.entries[id]; !exists {
+		return
+	}
+	m.revision++
+	delete(m.truth, id)
+	delete(m.entries, id)
+	m.events = append(m.events, Entry{BackEnd: BackEnd{ID: id}, Gone: true, Revision: m.revision, Era: m.era})
+	m.keep()
+}
+
+func (m *modelStore) keep() {
+	m.copies = append(m.copies, modelCopy{at: Position{Era: m.era, Revision: m.revision}, entries: slices.Collect(maps.Values(m.entries))})
+}
+
+// restore begins a new era with an earlier copy.
+func (m *modelStore) restore(copied modelCopy) {
+	m.era++
+	m.revision = copied.at.Revision
+	m.entries = map[string]Entry{}
+	for _, each := range copied.entries {
+		m.entries[each.BackEnd.ID] = each.inEra(m.era)
+	}
+	m.keep()
+}
+
+// rewrite lets everybody write theirs again.
+func (m *modelStore) rewrite() {
+	for id, backEnd := range m.truth {
+		if known, exists := m.entries[id]; !exists || known.BackEnd != backEnd {
+			m.put(id, backEnd.Leaving)
+		}
+	}
+	for _, id := range slices.Collect(maps.Keys(m.entries)) {
+		if _, exists := m.truth[id]; !exists {
+			m.remove(id)
+		}
+	}
+}
+
+// Whatever is read, watched and told in whatever order, over any number of eras: once what a
+// restored store lacked was written again, all views hold what the store does.
+func TestViewsAgreeWithARestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &modelStore{era: 1, entries: map[string]Entry{}, truth: map[string]BackEnd{}}
+		store.keep()
+		views := []*View{NewView(), NewView(), NewView()}
+		take := func(view *View, era uint64) { view.HearEra(era) }
+		names := []string{"a", "b", "c", "d"}
+		left := map[string]bool{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			view := rapid.SampledFrom(views).Draw(t, "view")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				id := rapid.SampledFrom(names).Draw(t, "id")
+				left[id] = left[id] || rapid.Bool().Draw(t, "leaving")
+				store.put(id, left[id])
+			case 1:
+				store.remove(rapid.SampledFrom(names).Draw(t, "id"))
+			case 2:
+				mine := slices.DeleteFunc(slices.Clone(store.copies), func(c modelCopy) bool { return c.at.Era != store.era })
+				store.restore(rapid.SampledFrom(mine).Draw(t, "copy"))
+			case 3:
+				copied := rapid.SampledFrom(store.copies).Draw(t, "list")
+				take(view, copied.at.Era)
+				view.OfferList(copied.entries, copied.at)
+			case 4:
+				if len(store.events) > 0 {
+					event := rapid.SampledFrom(store.events).Draw(t, "event")
+					take(view, event.Era)
+					view.OfferEntries([]Entry{event})
+				}
+			case 5:
+				peer := rapid.SampledFrom(views).Draw(t, "peer")
+				take(view, peer.Era())
+				view.OfferEntries(slices.Collect(maps.Values(peer.entries.records)))
+			case 6:
+				view.SettleEra(view.Era())
+			}
+		}
+		store.rewrite()
+		for _, view := range views {
+			take(view, store.era)
+			view.SettleEra(store.era)
+			view.OfferList(slices.Collect(maps.Values(store.entries)), Position{Era: store.era, Revision: store.revision})
+			want := fmt.Sprint(slices.Sorted(maps.Keys(store.entries)))
+			if got := fmt.Sprint(ids(view)); got != want {
+				t.Fatalf("a view holds %s, the store %s", got, want)
+			}
+			for _, each := range view.BackEnds() {
+				if each.Leaving != store.entries[each.ID].BackEnd.Leaving {
+					t.Fatalf("%s: leaving %v in a view", each.ID, each.Leaving)
+				}
+			}
+		}
+	})
+}
+
+// A version of the configuration is never taken back, whatever the copy holds.
+func TestConfigurationOutlivesARestore(t *testing.T) {
+	is := is.New(t)
+	view := viewInEra()
+	is.True(view.OfferConfiguration(&Configuration{Version: 9}))
+	view.HearEra(2)
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7}))
+	is.Equal(view.Version(), uint64(9))
+	is.True(view.OfferConfiguration(&Configuration{Version: math.MaxInt32}))
+}
--- a/internal/catalog/evacuation.go
+++ b/internal/catalog/evacuation.go
@@ -7,23 +7,26 @@
 	Zone string `cbor:"1,keyasint"`
 	// Withdrawn is true once the order was taken back.
 	Withdrawn bool `cbor:"2,keyasint,omitempty"`
-	// Revision orders what is known of the same zone.
+	// Revision and Era are the position, which orders what is known of the same zone.
 	Revision uint64 `cbor:"3,keyasint"`
+	Era      uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-func (e Evacuation) key() string      { return e.Zone }
-func (e Evacuation) position() uint64 { return e.Revision }
-func (e Evacuation) removed() bool    { return e.Withdrawn }
+func (e Evacuation) key() string        { return e.Zone }
+func (e Evacuation) position() Position { return Position{Era: e.Era, Revision: e.Revision} }
+func (e Evacuation) removed() bool      { return e.Withdrawn }
 
-func (e Evacuation) removedAt(revision uint64) Evacuation {
-	return Evacuation{Zone: e.Zone, Withdrawn: true, Revision: revision}
+func (e Evacuation) removedAt(position Position) Evacuation {
+	return Evacuation{Zone: e.Zone, Withdrawn: true, Revision: position.Revision, Era: position.Era}
 }
 
-func (e Evacuation) at(revision uint64) Evacuation {
-	e.Revision = revision
+func (e Evacuation) at(position Position) Evacuation {
+	e.Revision, e.Era = position.Revision, position.Era
 	return e
 }
 
+func (e Evacuation) carrying(Evacuation) Evacuation { return e }
+
 func (Evacuation) goesWithoutSaying(Evacuation) bool { return false }
 
 // OfferEvacuations takes changes from a watch or a peer and returns those that were
@@ -32,10 +35,10 @@
 	return v.evacuations.offer(evacuations)
 }
 
-// OfferEvacuationList takes the complete list that was read at the revision. An order
-// that it lacks was withdrawn, unless it was heard of at a later revision.
-func (v *View) OfferEvacuationList(evacuations []Evacuation, revision uint64) []Evacuation {
-	return v.evacuations.offerList(evacuations, revision)
+// OfferEvacuationList takes the complete list that was read at the position. An order
+// that it lacks was withdrawn, unless it was heard of at a later one.
+func (v *View) OfferEvacuationList(evacuations []Evacuation, at Position) []Evacuation {
+	return v.evacuations.offerList(evacuations, at)
 }
 
 // EvacuatedZones returns the zones under an order, in alphabetical order.
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -14,15 +14,15 @@
 	is := is.New(t)
 	view := NewView()
 	view.OfferEvacuations([]Evacuation{{Zone: "a", Revision: 5}})
-	view.OfferEvacuationList(nil, 4) // a stale read
+	view.OfferEvacuationList(nil, Position{Revision: 4}) // a stale read
 	is.Equal(view.EvacuatedZones(), []string{"a"})
 	view.OfferEvacuations([]Evacuation{{Zone: "a", Withdrawn: true, Revision: 5}})
 	is.Equal(len(view.EvacuatedZones()), 0)
-	view.OfferEvacuations([]Evacuation{{Zone: "a", Revision: 5}})                                 // a peer that lags
-	view.OfferEvacuationList([]Evacuation{{Zone: "a", Revision: 5}, {Zone: "b", Revision: 3}}, 5) // another stale read
+	view.OfferEvacuations([]Evacuation{{Zone: "a", Revision: 5}})                                                     // a peer that lags
+	view.OfferEvacuationList([]Evacuation{{Zone: "a", Revision: 5}, {Zone: "b", Revision: 3}}, Position{Revision: 5}) // another stale read
 	is.Equal(view.EvacuatedZones(), []string{"b"})
 	view.OfferEvacuations([]Evacuation{{Zone: "a", Revision: 9}}) // ordered anew
-	view.OfferEvacuationList([]Evacuation{{Zone: "a", Revision: 9}}, 11)
+	view.OfferEvacuationList([]Evacuation{{Zone: "a", Revision: 9}}, Position{Revision: 11})
 	is.Equal(view.EvacuatedZones(), []string{"a"})
 }
 
--- a/internal/catalog/ledger.go
+++ b/internal/catalog/ledger.go
@@ -8,15 +8,18 @@
 // record is what is known of one named object of the platform's store at a revision.
 type record[R any] interface {
 	comparable
-	// key is the object's name, and position the revision of what is said of it.
+	// key is the object's name, and position that of what is said of it.
 	key() string
-	position() uint64
+	position() Position
 	// removed is true when the object is no longer there.
 	removed() bool
 	// removedAt returns what is said of the same object once it is gone.
-	removedAt(revision uint64) R
-	// at returns the same said of another revision.
-	at(revision uint64) R
+	removedAt(position Position) R
+	// at returns the same said of another position.
+	at(position Position) R
+	// carrying returns what a record of a new era says, with what is known since an older one
+	// and can't have been taken back.
+	carrying(known R) R
 	// goesWithoutSaying tells whether who knows the other, older record will find out by
 	// itself what this one says.
 	goesWithoutSaying(known R) bool
@@ -37,10 +40,12 @@
 const maxTombstones = 4096
 
 // ledger holds the newest record of each object of one kind. Whatever the order in which
-// records arrive, it ends with the newest: one is replaced only by a higher revision. So
-// neither a stale read nor a peer that lags can take it back.
+// records arrive, it ends with the newest: one is replaced only by that of a later position.
+// So neither a stale read nor a peer that lags can take it back.
 type ledger[R record[R]] struct {
 	records map[string]R
+	// epoch is that of the view.
+	epoch *epoch
 	// changes numbers the changes of records, for readers that follow them.
 	changes  uint64
 	changeOf map[string]uint64
@@ -52,8 +57,8 @@
 	order []string
 }
 
-func newLedger[R record[R]](mostAnnounced int) ledger[R] {
-	return ledger[R]{records: map[string]R{}, changeOf: map[string]uint64{}, mostAnnounced: mostAnnounced}
+func newLedger[R record[R]](epoch *epoch, mostAnnounced int) ledger[R] {
+	return ledger[R]{records: map[string]R{}, epoch: epoch, changeOf: map[string]uint64{}, mostAnnounced: mostAnnounced}
 }
 
 // version is another number whenever other objects are there than before.
@@ -72,9 +77,12 @@
 	return news
 }
 
-// offerList takes a complete list that was read at the revision. An object that it
-// lacks is gone, unless it was heard of at a later revision.
-func (l *ledger[R]) offerList(records []R, revision uint64) []R {
+// offerList takes a complete list that was read at the position. An object that it lacks is
+// gone, unless it was heard of at a later one. A list of an era that has ended says nothing.
+func (l *ledger[R]) offerList(records []R, at Position) []R {
+	if l.epoch.isOutdated(at) {
+		return nil
+	}
 	listed := make(map[string]bool, len(records))
 	for _, each := range records {
 		listed[each.key()] = true
@@ -82,10 +90,10 @@
 	news := l.offer(records)
 	for _, key := range l.keys() {
 		known := l.records[key]
-		if listed[key] || known.removed() || known.position() > revision {
+		if listed[key] || known.removed() || !l.tellsRemoval(known, at) {
 			continue
 		}
-		if gone := known.removedAt(revision); l.offerOne(gone, true) {
+		if gone := known.removedAt(at); l.offerOne(gone, true) {
 			news = append(news, gone)
 		}
 	}
@@ -93,6 +101,20 @@
 	return news
 }
 
+// tellsRemoval tells whether a list of the position that lacks the record says that it is
+// gone.
+func (l *ledger[R]) tellsRemoval(known R, at Position) bool {
+	position := known.position()
+	switch {
+	case l.epoch.ignored || position.Era == at.Era || !l.epoch.isOutdated(position) && position.Era < at.Era:
+		return position.Revision <= at.Revision
+	case position.Era < at.Era:
+		return l.epoch.settled
+	default:
+		return false
+	}
+}
+
 // areAnnounced tells whether those of the records whose objects are new are few enough to
 // be numbered as changes.
 func (l *ledger[R]) areAnnounced(records []R) bool {
@@ -110,34 +132,63 @@
 func (l *ledger[R]) offerOne(offered R, announced bool) bool {
 	key := offered.key()
 	known, exists := l.records[key]
-	if exists && !supersedes(offered, known) {
+	if exists && !l.supersedes(offered, known) || !exists && !l.mayBeNew(offered) {
 		return false
 	}
+	if exists && offered.position().Era > known.position().Era {
+		offered = offered.carrying(known)
+	}
 	if offered.removed() && exists {
 		offered = known.removedAt(offered.position())
 	}
-	// The revision is kept even where nothing else changed: a record between the two
-	// revisions may still arrive, and must not count as newer.
+	// The position is kept even where nothing else changed: a record between the two
+	// may still arrive, and must not count as newer.
 	l.records[key] = offered
 	if !exists && !announced {
 		l.unannounced++
-	} else if !exists || !offered.goesWithoutSaying(known) {
+	} else if !exists || !l.goesWithoutSaying(offered, known) {
 		l.changes++
 		l.changeOf[key] = l.changes
 	}
 	if offered.removed() && !(exists && known.removed()) {
 		l.order = append(l.order, key)
 	}
-	return !exists || offered.at(0) != known.at(0)
+	return !exists || offered.at(Position{}) != known.at(Position{})
+}
+
+// goesWithoutSaying tells whether a change needn't be told: with a new era every record
+// changes its position, and whole fleets would tell each other all that they know.
+func (l *ledger[R]) goesWithoutSaying(offered, known R) bool {
+	if offered.position().Era != known.position().Era && offered.at(known.position()) == known {
+		return true
+	}
+	return offered.goesWithoutSaying(known)
+}
+
+// mayBeNew tells whether an object that isn't known may be there by the record. Once an era has
+// settled, what was said in an older one and is lacking in it is gone.
+func (l *ledger[R]) mayBeNew(offered R) bool {
+	return !l.epoch.isOutdated(offered.position()) || !l.epoch.settled && offered.position().Era > 0
 }
 
-// supersedes orders records of one object. At equal revisions a removal wins: the store
-// names the removal of an object by its last revision.
-func supersedes[R record[R]](offered, known R) bool {
-	if offered.position() != known.position() {
-		return offered.position() > known.position()
+// supersedes orders records of one object. At equal positions a removal wins: the store
+// names the removal of an object by its last revision. Records without an era come from
+// software that knows none, and are compared by their revision while the era that this one
+// knows is its first.
+func (l *ledger[R]) supersedes(offered, known R) bool {
+	to, from := offered.position(), known.position()
+	if l.epoch.ignored || !l.epoch.restored && (to.Era == 0 || from.Era == 0) {
+		to.Era, from.Era = 0, 0
+	}
+	if to.Era > from.Era && known.removed() && !offered.removed() && !l.epoch.settled {
+		// The copy may be from before the removal. The store will tell whether it is so.
+		return false
+	}
+	if order := to.Compare(from); order != 0 {
+		return order > 0
 	}
-	return offered.removed() && !known.removed()
+	isTold := offered.position().Era > known.position().Era
+	return offered.removed() && !known.removed() || isTold && offered.removed() == known.removed()
 }
 
 // forget drops the oldest tombstones.
--- a/internal/catalog/ledger_test.go
+++ b/internal/catalog/ledger_test.go
@@ -12,7 +12,7 @@
 	is := is.New(t)
 	view := NewView()
 	empty := view.Digest()
-	is.Equal(len(view.OfferList(listed(3000, 7), 7)), 3000)
+	is.Equal(len(view.OfferList(listed(3000, 7), Position{Revision: 7})), 3000)
 	is.Equal(view.Unannounced(), uint64(3000))
 	changes, at := view.Since(0)
 	is.Equal(len(changes), 0)
@@ -27,7 +27,7 @@
 	view.OfferEntries(listed(mostAnnounced, 7))
 	changes, at := view.Since(0)
 	is.Equal(len(changes), mostAnnounced)
-	view.OfferList(listed(3000, 7), 7)
+	view.OfferList(listed(3000, 7), Position{Revision: 7})
 	leaving := listed(3000, 8)
 	for i := range leaving {
 		leaving[i].BackEnd.Leaving = true
@@ -35,7 +35,7 @@
 	view.OfferEntries(leaving)
 	changes, at = view.Since(at)
 	is.Equal(len(changes), 3000)
-	view.OfferList(nil, 9)
+	view.OfferList(nil, Position{Revision: 9})
 	changes, _ = view.Since(at)
 	is.Equal(len(changes), 3000)
 }
--- a/internal/catalog/unreadable.go
+++ b/internal/catalog/unreadable.go
@@ -5,8 +5,8 @@
 	// Kind and Name are the object's, as far as they can be read.
 	Kind ObjectKind
 	Name string
-	// Revision is that of what can't be read; 0 where it can't either.
-	Revision uint64
+	// At is the position of what can't be read; its revision is 0 where it can't either.
+	At Position
 	// Reason tells what is wrong.
 	Reason Fault
 }
@@ -19,6 +19,7 @@
 	KindConfiguration ObjectKind = "configuration"
 	KindBackEnd       ObjectKind = "back_end"
 	KindEvacuation    ObjectKind = "evacuation"
+	KindRollout       ObjectKind = "rollout"
 	KindWithheld      ObjectKind = "withheld"
 )
 
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -41,9 +41,11 @@
 	// Born is when this life of it began, in milliseconds since 1970 by its own clock; 0 where
 	// it isn't told. A back end may start again under its ID.
 	Born int64 `cbor:"8,keyasint,omitempty"`
-	// WarmUpRevision is that of the entry which told WarmUp, 0 for one that is warm: a
+	// Version is that of its software; "" where it isn't told.
+	Version string `cbor:"9,keyasint,omitempty"`
+	// WarmUpAt is the position of the entry which told WarmUp, none for one that is warm: a
 	// warm-up that begins anew may tell the same time. The View sets it.
-	WarmUpRevision uint64 `cbor:"-"`
+	WarmUpAt Position `cbor:"-"`
 }
 
 // Incarnation returns which life of the back end this is.
@@ -55,20 +57,30 @@
 	BackEnd BackEnd `cbor:"1,keyasint"`
 	// Gone is true when it is no longer listed.
 	Gone bool `cbor:"2,keyasint,omitempty"`
-	// Revision orders entries of the same back end.
+	// Revision and Era are its position, which orders entries of the same back end.
 	Revision uint64 `cbor:"3,keyasint"`
+	Era      uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-func (e Entry) key() string      { return e.BackEnd.ID }
-func (e Entry) position() uint64 { return e.Revision }
-func (e Entry) removed() bool    { return e.Gone }
+func (e Entry) key() string        { return e.BackEnd.ID }
+func (e Entry) position() Position { return Position{Era: e.Era, Revision: e.Revision} }
+func (e Entry) removed() bool      { return e.Gone }
 
-func (e Entry) removedAt(revision uint64) Entry {
-	return Entry{BackEnd: e.BackEnd, Gone: true, Revision: revision}
+func (e Entry) removedAt(position Position) Entry {
+	return Entry{BackEnd: e.BackEnd, Gone: true, Revision: position.Revision, Era: position.Era}
 }
 
-func (e Entry) at(revision uint64) Entry {
-	e.Revision = revision
+func (e Entry) at(position Position) Entry {
+	e.Revision, e.Era = position.Revision, position.Era
+	return e
+}
+
+// carrying keeps that a back end leaves: within a life it doesn't come back, and the copy may
+// be from before it said so.
+func (e Entry) carrying(known Entry) Entry {
+	if !e.Gone && e.BackEnd.Incarnation().IsSame(known.BackEnd.Incarnation()) {
+		e.BackEnd.Leaving = e.BackEnd.Leaving || known.BackEnd.Leaving
+	}
 	return e
 }
 
@@ -79,16 +91,16 @@
 	if e.BackEnd.WarmUp >= known.BackEnd.WarmUp {
 		return false
 	}
-	known.BackEnd.WarmUp, known.BackEnd.WarmUpRevision = e.BackEnd.WarmUp, e.BackEnd.WarmUpRevision
-	return e.at(0) == known.at(0)
+	known.BackEnd.WarmUp, known.BackEnd.WarmUpAt = e.BackEnd.WarmUp, e.BackEnd.WarmUpAt
+	return e.at(Position{}) == known.at(Position{})
 }
 
-// dated returns the entries with the revision of their warm-ups.
+// dated returns the entries with the position of their warm-ups.
 func dated(entries []Entry) []Entry {
 	list := make([]Entry, len(entries))
 	for i, each := range entries {
 		if each.BackEnd.WarmUp > 0 {
-			each.BackEnd.WarmUpRevision = each.Revision
+			each.BackEnd.WarmUpAt = each.position()
 		}
 		list[i] = each
 	}
@@ -97,12 +109,14 @@
 
 // View is a gateway's knowledge. Whatever the order in which news arrives, it
 // ends with the newest: a configuration is replaced only by a higher version, an
-// entry or an order only by a higher revision. So neither a stale read nor a peer
+// entry or an order only by one of a later position. So neither a stale read nor a peer
 // that lags can take it back. It is not safe for concurrent use.
 type View struct {
+	epoch       *epoch
 	index       *Index
 	entries     ledger[Entry]
 	evacuations ledger[Evacuation]
+	rollouts    ledger[Rollout]
 	// digest is that of the entries when they were at the version digestOf.
 	digest   Digest
 	digestOf uint64
@@ -110,7 +124,29 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: newLedger[Entry](mostAnnounced), evacuations: newLedger[Evacuation](math.MaxInt)}
+	epoch := &epoch{settled: true}
+	return &View{
+		epoch: epoch, entries: newLedger[Entry](epoch, mostAnnounced),
+		evacuations: newLedger[Evacuation](epoch, math.MaxInt), rollouts: newLedger[Rollout](epoch, math.MaxInt),
+	}
+}
+
+// Era returns the highest era of the store that was heard of; 0 for none.
+func (v *View) Era() uint64 { return v.epoch.era }
+
+// HearEra takes an era that the store or a peer told, and tells whether it is a new one.
+// Records from before are then kept though the store may lack them, until SettleEra.
+func (v *View) HearEra(era uint64) (isNew bool) { return v.epoch.hear(era) }
+
+// IgnoreEras orders records by their revision alone; only checks of checks need it.
+func (v *View) IgnoreEras() { v.epoch.ignored = true }
+
+// SettleEra notes that what a restored store lacked has been written to it again, or is gone:
+// the next list says so.
+func (v *View) SettleEra(era uint64) {
+	if era == v.epoch.era {
+		v.epoch.settled = true
+	}
 }
 
 // Index returns the configuration in force, or nil before the first.
@@ -138,10 +174,10 @@
 // news.
 func (v *View) OfferEntries(entries []Entry) []Entry { return v.entries.offer(dated(entries)) }
 
-// OfferList takes a complete list that was read at the revision. A back end that
-// it lacks is gone, unless it was heard of at a later revision.
-func (v *View) OfferList(entries []Entry, revision uint64) []Entry {
-	return v.entries.offerList(dated(entries), revision)
+// OfferList takes a complete list that was read at the position. A back end that
+// it lacks is gone, unless it was heard of at a later one.
+func (v *View) OfferList(entries []Entry, at Position) []Entry {
+	return v.entries.offerList(dated(entries), at)
 }
 
 // BackEnds returns those in service, leaving ones included, by ID.
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -35,11 +35,11 @@
 func TestStaleListNeitherRemovesNorRevives(t *testing.T) {
 	is := is.New(t)
 	view := NewView()
-	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, 2)
+	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, Position{Revision: 2})
 	view.OfferEntries([]Entry{entry("c", 9), {BackEnd: BackEnd{ID: "a"}, Gone: true, Revision: 8}})
-	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, 5) // older than c and than the removal of a
+	view.OfferList([]Entry{entry("a", 1), entry("b", 2)}, Position{Revision: 5}) // older than c and than the removal of a
 	is.Equal(ids(view), []string{"b", "c"})
-	view.OfferList([]Entry{entry("b", 2)}, 12)
+	view.OfferList([]Entry{entry("b", 2)}, Position{Revision: 12})
 	is.Equal(ids(view), []string{"b"}) // a newer list removes c
 	view.OfferEntries([]Entry{entry("c", 13)})
 	is.Equal(ids(view), []string{"b", "c"}) // listed anew after it had been gone
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -106,7 +106,7 @@
 		}
 	}
 	for _, each := range status.Unreadable {
-		if _, err := fmt.Fprintf(output, "can't be read in the store: %s %s at revision %d, %s\n\n", each.Kind, each.Name, each.Revision, each.Reason); err != nil {
+		if _, err := fmt.Fprintf(output, "can't be read in the store: %s %s at era %d, revision %d, %s\n\n", each.Kind, each.Name, each.Era, each.Revision, each.Reason); err != nil {
 			return err
 		}
 	}
--- a/internal/collect/crowd_test.go
+++ b/internal/collect/crowd_test.go
@@ -146,7 +146,7 @@
 		return
 	}
 	counts := from.core.Counts(c.now)
-	collector.sums.TakeMember(c.now, from.id, counts)
+	collector.sums.TakeMember(c.now, from.id, counts, nil)
 	if !c.lost() {
 		from.core.TakeTotals(c.now, counts, collector.sums.Totals(c.now, collector.plan.Others))
 	}
--- a/internal/collect/message.go
+++ b/internal/collect/message.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // question is what a gateway tells a collector. The answer holds the sums over the whole
@@ -19,6 +20,8 @@
 	Counts packed `cbor:"2,keyasint,omitempty"`
 	// Group is set by another collector.
 	Group bool `cbor:"3,keyasint,omitempty"`
+	// Tallies are a member's own of moves to other versions.
+	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
 }
 
 // answer is what a collector returns.
@@ -27,6 +30,8 @@
 	// Counted and Expected are those of dispatch.Totals.
 	Counted  int `cbor:"2,keyasint"`
 	Expected int `cbor:"3,keyasint"`
+	// Tallies are those of dispatch.Totals.
+	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
 }
 
 // packed holds counts in as few bytes as a large fleet needs: for each back end three
@@ -118,7 +123,7 @@
 }
 
 func encodeAnswer(totals dispatch.Totals) ([]byte, error) {
-	return cbor.Marshal(answer{Counts: pack(totals.Counts), Counted: totals.Counted, Expected: totals.Expected})
+	return cbor.Marshal(answer{Counts: pack(totals.Counts), Counted: totals.Counted, Expected: totals.Expected, Tallies: totals.Tallies})
 }
 
 func decodeAnswer(raw []byte) (dispatch.Totals, error) {
@@ -127,5 +132,5 @@
 		return dispatch.Totals{}, err
 	}
 	counts, err := message.Counts.unpack()
-	return dispatch.Totals{Counts: counts, Counted: max(0, message.Counted), Expected: max(0, message.Expected)}, err
+	return dispatch.Totals{Counts: counts, Counted: max(0, message.Counted), Expected: max(0, message.Expected), Tallies: message.Tallies}, err
 }
--- a/internal/collect/serve.go
+++ b/internal/collect/serve.go
@@ -56,6 +56,6 @@
 	if asked.Group {
 		return s.sums.Group(now)
 	}
-	s.sums.TakeMember(now, asked.From, counts)
+	s.sums.TakeMember(now, asked.From, counts, asked.Tallies)
 	return s.sums.Totals(now, s.plan.Others)
 }
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Path is where a gateway takes questions of others.
@@ -30,6 +31,10 @@
 	// told are counted in.
 	Counts() []dispatch.Count
 	TakeTotals(told []dispatch.Count, totals dispatch.Totals)
+	// Tallies returns its own of moves to other versions, and TakeTallies takes the sums in
+	// which those it told are counted in.
+	Tallies() []rollout.Tally
+	TakeTallies(told []rollout.Tally, totals dispatch.Totals)
 }
 
 // Config sets up a Service.
@@ -150,23 +155,24 @@
 // tell tells the counts to the group's collector and takes the sums. It returns the time
 // to the next question.
 func (s *Service) tell() time.Duration {
-	counts := s.config.Source.Counts()
+	counts, tallies := s.config.Source.Counts(), s.config.Source.Tallies()
 	collector := s.firstAnswering(s.plan.Own)
 	var totals dispatch.Totals
 	if collector.ID == s.config.ID {
 		s.mutex.Lock()
-		s.sums.TakeMember(s.config.Clock.Now(), s.config.ID, counts)
+		s.sums.TakeMember(s.config.Clock.Now(), s.config.ID, counts, tallies)
 		totals = s.sums.Totals(s.config.Clock.Now(), s.plan.Others)
 		s.mutex.Unlock()
 	} else {
 		var err error
-		totals, err = s.ask(collector, question{From: s.config.ID, Counts: pack(counts)})
+		totals, err = s.ask(collector, question{From: s.config.ID, Counts: pack(counts), Tallies: tallies})
 		if err != nil {
 			s.noteSilent(collector, err)
 			return 0 // the next one is asked at once
 		}
 	}
 	s.config.Source.TakeTotals(counts, totals)
+	s.config.Source.TakeTallies(tallies, totals)
 	return periodFor(len(totals.Counts))
 }
 
--- a/internal/collect/service_test.go
+++ b/internal/collect/service_test.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/pipenet"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // node is one gateway of a fleet over a network in memory.
@@ -29,6 +30,7 @@
 	// tellsFrom is when it begins to tell its counts.
 	tellsFrom time.Time
 	totals    dispatch.Totals
+	tallies   []rollout.Tally
 	at        time.Time
 }
 
@@ -47,12 +49,23 @@
 	n.totals, n.at = totals, time.Now()
 }
 
+func (n *node) Tallies() []rollout.Tally {
+	return []rollout.Tally{{Key: rollout.Key{Order: 5}, Sent: 2}}
+}
+
+func (n *node) TakeTallies(_ []rollout.Tally, totals dispatch.Totals) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.tallies = totals.Tallies
+}
+
 // knows tells whether the last totals came of late and count so many gateways.
 func (n *node) knows(gateways int) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return time.Since(n.at) < 2*period && n.totals.Counted == gateways &&
-		len(n.totals.Counts) == 1 && n.totals.Counts[0].Requests == uint32(gateways)
+		len(n.totals.Counts) == 1 && n.totals.Counts[0].Requests == uint32(gateways) &&
+		len(n.tallies) == 1 && n.tallies[0].Sent == 2*uint32(gateways)
 }
 
 func (n *node) stop() {
--- a/internal/collect/sums.go
+++ b/internal/collect/sums.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // freshSource is the age to which counts that were told once are added up: several of
@@ -14,21 +15,31 @@
 // Sums adds up the counts that a collector was told: those of its members, and the sums
 // of the other groups. It is not safe for concurrent use.
 type Sums struct {
-	members ledger
-	groups  ledger
+	members ledger[uint32, dispatch.Count]
+	groups  ledger[uint32, dispatch.Count]
+	// memberTallies and groupTallies are those of moves to other versions, of the same sources.
+	memberTallies ledger[rollout.Key, rollout.Tally]
+	groupTallies  ledger[rollout.Key, rollout.Tally]
 }
 
 // NewSums returns sums that know nothing.
-func NewSums() *Sums { return &Sums{members: newLedger(), groups: newLedger()} }
+func NewSums() *Sums {
+	return &Sums{
+		members: newLedger[uint32, dispatch.Count](), groups: newLedger[uint32, dispatch.Count](),
+		memberTallies: newLedger[rollout.Key, rollout.Tally](), groupTallies: newLedger[rollout.Key, rollout.Tally](),
+	}
+}
 
-// TakeMember takes a gateway's own counts, which replace those that it told before.
-func (s *Sums) TakeMember(now time.Time, id string, counts []dispatch.Count) {
+// TakeMember takes a gateway's own counts and tallies, which replace those that it told before.
+func (s *Sums) TakeMember(now time.Time, id string, counts []dispatch.Count, tallies []rollout.Tally) {
 	s.members.set(now, id, counts, 1)
+	s.memberTallies.set(now, id, tallies, 1)
 }
 
 // TakeGroup takes the sums over another group.
 func (s *Sums) TakeGroup(now time.Time, group string, sums dispatch.Totals) {
 	s.groups.set(now, group, sums.Counts, sums.Counted)
+	s.groupTallies.set(now, group, sums.Tallies, sums.Counted)
 }
 
 // Collecting tells whether a gateway told its counts of late.
@@ -39,29 +50,28 @@
 
 // Group returns the sums over the members alone.
 func (s *Sums) Group(now time.Time) dispatch.Totals {
+	s.expire(now)
+	totals := dispatch.Totals{Counts: s.members.totals(), Tallies: s.memberTallies.totals(), Counted: s.members.counted()}
+	totals.Expected = totals.Counted
+	return totals
+}
+
+func (s *Sums) expire(now time.Time) {
 	s.members.expire(now)
-	return s.members.totals()
+	s.groups.expire(now)
+	s.memberTallies.expire(now)
+	s.groupTallies.expire(now)
 }
 
 // Totals returns the sums over all that is known. Those of the others that should be
 // known and aren't count as expected.
 func (s *Sums) Totals(now time.Time, others []Group) dispatch.Totals {
-	s.members.expire(now)
-	s.groups.expire(now)
-	totals := s.members.totals()
-	fromGroups := s.groups.totals()
-	index := make(map[uint32]int, len(totals.Counts))
-	for i, each := range totals.Counts {
-		index[each.Key] = i
-	}
-	for _, each := range fromGroups.Counts {
-		if i, known := index[each.Key]; known {
-			totals.Counts[i] = totals.Counts[i].Plus(each)
-			continue
-		}
-		totals.Counts = append(totals.Counts, each)
+	s.expire(now)
+	totals := dispatch.Totals{
+		Counts:  addUp[uint32](s.members.totals(), s.groups.totals()),
+		Tallies: addUp[rollout.Key](s.memberTallies.totals(), s.groupTallies.totals()),
+		Counted: s.members.counted() + s.groups.counted(),
 	}
-	totals.Counted += fromGroups.Counted
 	totals.Expected = totals.Counted
 	for _, group := range others {
 		if _, known := s.groups.sources[group.key()]; !known {
@@ -71,44 +81,71 @@
 	return totals
 }
 
-// ledger adds up the counts of sources, each of which may replace its own.
-type ledger struct {
-	sources map[string]source
-	sum     map[uint32]dispatch.Count
+// summable is what a ledger adds up by a key.
+type summable[K comparable, C any] interface {
+	SumKey() K
+	Plus(other C) C
+	Minus(other C) C
+	IsZero() bool
+}
+
+// addUp returns the sums of two lists, of which each holds a key once. It extends the first.
+func addUp[K comparable, C summable[K, C]](list, more []C) []C {
+	index := make(map[K]int, len(list))
+	for i, each := range list {
+		index[each.SumKey()] = i
+	}
+	for _, each := range more {
+		if i, known := index[each.SumKey()]; known {
+			list[i] = list[i].Plus(each)
+			continue
+		}
+		list = append(list, each)
+	}
+	return list
+}
+
+// ledger adds up what sources tell, each of which may replace its own.
+type ledger[K comparable, C summable[K, C]] struct {
+	sources map[string]source[C]
+	sum     map[K]C
 }
 
-type source struct {
+type source[C any] struct {
 	at       time.Time
-	counts   []dispatch.Count
+	told     []C
 	gateways int
 }
 
-func newLedger() ledger {
-	return ledger{sources: map[string]source{}, sum: map[uint32]dispatch.Count{}}
+func newLedger[K comparable, C summable[K, C]]() ledger[K, C] {
+	return ledger[K, C]{sources: map[string]source[C]{}, sum: map[K]C{}}
 }
 
-func (l *ledger) set(now time.Time, id string, counts []dispatch.Count, gateways int) {
+func (l *ledger[K, C]) set(now time.Time, id string, told []C, gateways int) {
 	l.remove(id)
-	for _, each := range counts {
-		l.sum[each.Key] = each.Plus(l.sum[each.Key])
+	for _, each := range told {
+		if known, exists := l.sum[each.SumKey()]; exists {
+			each = each.Plus(known)
+		}
+		l.sum[each.SumKey()] = each
 	}
-	l.sources[id] = source{at: now, counts: counts, gateways: gateways}
+	l.sources[id] = source[C]{at: now, told: told, gateways: gateways}
 }
 
 // remove takes off what the source had added.
-func (l *ledger) remove(id string) {
-	for _, each := range l.sources[id].counts {
-		rest := l.sum[each.Key].Minus(each)
+func (l *ledger[K, C]) remove(id string) {
+	for _, each := range l.sources[id].told {
+		rest := l.sum[each.SumKey()].Minus(each)
 		if rest.IsZero() {
-			delete(l.sum, each.Key)
+			delete(l.sum, each.SumKey())
 			continue
 		}
-		l.sum[each.Key] = rest
+		l.sum[each.SumKey()] = rest
 	}
 	delete(l.sources, id)
 }
 
-func (l *ledger) expire(now time.Time) {
+func (l *ledger[K, C]) expire(now time.Time) {
 	for id, each := range l.sources {
 		if now.Sub(each.at) > freshSource {
 			l.remove(id)
@@ -116,14 +153,20 @@
 	}
 }
 
-func (l *ledger) totals() dispatch.Totals {
-	totals := dispatch.Totals{Counts: make([]dispatch.Count, 0, len(l.sum))}
+// totals returns the sums.
+func (l *ledger[K, C]) totals() []C {
+	totals := make([]C, 0, len(l.sum))
 	for _, each := range l.sum {
-		totals.Counts = append(totals.Counts, each)
+		totals = append(totals, each)
 	}
+	return totals
+}
+
+// counted returns the number of gateways in the sums.
+func (l *ledger[K, C]) counted() int {
+	counted := 0
 	for _, each := range l.sources {
-		totals.Counted += each.gateways
+		counted += each.gateways
 	}
-	totals.Expected = totals.Counted
-	return totals
+	return counted
 }
--- a/internal/collect/sums_test.go
+++ b/internal/collect/sums_test.go
@@ -18,7 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sums := NewSums()
 		now := start
-		last := map[string]source{}
+		last := map[string]source[dispatch.Count]{}
 		for range rapid.IntRange(1, 60).Draw(t, "words") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
 			id := fmt.Sprint("g", rapid.IntRange(0, 5).Draw(t, "gateway"))
@@ -28,16 +28,16 @@
 					counts = append(counts, dispatch.Count{Key: key, Requests: requests, Wanted: 2 * requests})
 				}
 			}
-			last[id] = source{at: now, counts: counts}
-			sums.TakeMember(now, id, counts)
+			last[id] = source[dispatch.Count]{at: now, told: counts}
+			sums.TakeMember(now, id, counts, nil)
 			if rapid.Bool().Draw(t, "doubled") {
-				sums.TakeMember(now, id, counts)
+				sums.TakeMember(now, id, counts, nil)
 			}
 			want, counted := map[uint32]uint32{}, 0
 			for _, each := range last {
 				if now.Sub(each.at) <= freshSource {
 					counted++
-					for _, count := range each.counts {
+					for _, count := range each.told {
 						want[count.Key] += count.Requests
 					}
 				}
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	sums := NewSums()
 	others := []Group{{Zone: "a", Members: make([]Gateway, 17)}, {Zone: "b", Members: make([]Gateway, 16)}}
-	sums.TakeMember(start, "g0", []dispatch.Count{{Key: 1, Requests: 2}})
+	sums.TakeMember(start, "g0", []dispatch.Count{{Key: 1, Requests: 2}}, nil)
 	sums.TakeGroup(start, others[0].key(), dispatch.Totals{Counts: []dispatch.Count{{Key: 1, Requests: 5}, {Key: 2, Requests: 1}}, Counted: 15})
 	totals := sums.Totals(start, others)
 	is.Equal(totals.Counted, 16)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/relay"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/telemetry"
 )
@@ -97,6 +98,7 @@
 	config.LoadSlack = *s.Gateway.LoadSlack
 	config.WarmUpOverage = *s.Gateway.WarmUpOverage
 	config.WarmUpExtra = s.Gateway.WarmUpExtra
+	config.Rollout = rollout.Limits{Share: s.Gateway.ExposureShare, Extra: s.Gateway.ExposureExtra}
 	config.LapseTime = min(s.Gateway.LeavingBound.Std()*lapseTenths/10, longestLapse)
 	config.Disabled = s.Gateway.Disabled()
 	g := &Gateway{
@@ -111,9 +113,15 @@
 	if config.Disabled[dispatch.FollowConfiguration] {
 		g.state.Freeze()
 	}
+	if config.Disabled[dispatch.FollowEras] {
+		g.state.IgnoreEras()
+	}
 	if s.Gateway.EvacuationBound > 0 {
 		g.state.AwaitEvacuations()
 	}
+	if s.Gateway.MovesServices() {
+		g.state.AwaitRollouts()
+	}
 	if err := g.serve(environment); err != nil {
 		return nil, err
 	}
@@ -263,6 +271,7 @@
 		ReadPeriod: g.settings.Gateway.ReadPeriod.Std(),
 
 		Evacuations: g.settings.Gateway.EvacuationBound > 0,
+		Rollouts:    g.settings.Gateway.MovesServices(),
 		FirstStart:  g.settings.Gateway.FirstStart,
 		Connections: toStore,
 		Log:         g.log,
--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -59,28 +59,17 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	switch call.Kind {
-	case wire.Own:
-		s.protocol.WriteOwn(w, wire.StoreAnswer[[]byte]{Watch: call.Watch, At: 1})
-		return
-	case wire.Evacuations:
-		s.protocol.WriteEvacuations(w, wire.StoreAnswer[catalog.Evacuation]{Watch: call.Watch, At: 1})
-		return
-	case wire.Configurations:
-		answer := wire.StoreAnswer[catalog.Configuration]{Watch: call.Watch, At: 1}
-		if !call.Watch {
-			answer.Entries = []wire.StoreEntry[catalog.Configuration]{{Name: "main", Revision: 1, Value: s.configuration}}
+	answer := wire.StoreAnswer[any]{Watch: call.Watch, At: 1}
+	switch {
+	case call.Watch:
+	case call.Kind == wire.Configurations:
+		answer.Entries = []wire.StoreEntry[any]{{Name: "main", Revision: 1, Value: s.configuration}}
+	case call.Kind == wire.BackEnds:
+		for _, each := range s.backEnds {
+			answer.Entries = append(answer.Entries, wire.StoreEntry[any]{Name: each.ID, Revision: 1, Value: each})
 		}
-		s.protocol.WriteConfigurations(w, answer)
-		return
 	}
-	answer := wire.StoreAnswer[catalog.BackEnd]{Watch: call.Watch, At: 1}
-	for _, each := range s.backEnds {
-		if !call.Watch {
-			answer.Entries = append(answer.Entries, wire.StoreEntry[catalog.BackEnd]{Name: each.ID, Revision: 1, Value: each})
-		}
-	}
-	s.protocol.WriteBackEnds(w, answer)
+	s.protocol.WriteList(w, answer)
 }
 
 // startStandIn starts a back end and lists it.
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -19,6 +19,8 @@
 	OwnAnswers Mechanism = "own-answers"
 	// FollowConfiguration adopts versions after the first.
 	FollowConfiguration Mechanism = "configuration"
+	// FollowEras orders what the platform's store says by its era before its revision.
+	FollowEras Mechanism = "eras"
 	// Withholding keeps requests that crash back ends from the others.
 	Withholding Mechanism = "withholding"
 	// RetryBudget bounds further attempts.
@@ -76,7 +78,7 @@
 
 // Promises lists the mechanisms without which a promise is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding}
+	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras}
 }
 
 // Choices lists the mechanisms without which callers are served worse.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/limits"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Config tunes a Core.
@@ -45,6 +46,9 @@
 	// any second, from all gateways together.
 	WarmUpOverage float64
 	WarmUpExtra   float64
+	// Rollout bounds the exposure to a bad version while a service is moved to it; none where
+	// operators don't move services.
+	Rollout rollout.Limits
 	// Disabled switches mechanisms off to show that checks notice.
 	Disabled Disabled
 }
@@ -98,6 +102,9 @@
 	evacuated []string
 	restored  map[string]restoration
 	draw      draw
+	rollouts  rollouts
+	// displacements are known lives that have ended though they are listed.
+	displacements displacements
 }
 
 // HealthChange is a changed belief on a back end.
@@ -152,6 +159,8 @@
 		crashes:        newCrashMemory(),
 		budgets:        map[string]*limits.ShareOfBudget{},
 		gateways:       1,
+		rollouts:       newRollouts(config.Rollout),
+		displacements:  newDisplacements(),
 	}
 }
 
@@ -176,6 +185,7 @@
 		c.noteWarming(now, known, backEnd)
 		known.backEnd = backEnd
 		known.listed = true
+		c.noteDisplaced(known)
 		known.evacuated = slices.Contains(c.evacuated, backEnd.Zone)
 		members[backEnd.ID] = known
 		if pools[backEnd.Service] == nil {
@@ -186,6 +196,7 @@
 	c.lapse(now, members)
 	c.members = members
 	c.pools = pools
+	c.noteCandidates(now)
 }
 
 // SetServices replaces what is known of the services as a whole.
@@ -211,6 +222,9 @@
 	for _, budget := range c.budgets {
 		budget.SetGateways(c.gateways)
 	}
+	for _, judge := range c.rollouts.byService {
+		judge.SetGateways(c.gateways)
+	}
 }
 
 // unbounded is a budget that never ends.
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -7,10 +7,10 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
-// restoration is when the order on a zone was taken back, and at which revision of the store.
+// restoration is when the order on a zone was taken back, and at which position of the store.
 type restoration struct {
 	at       time.Time
-	revision uint64
+	position catalog.Position
 }
 
 // SetEvacuated replaces the list of zones whose back ends get nothing new. restored are
@@ -19,7 +19,7 @@
 func (c *Core) SetEvacuated(now time.Time, zones []string, restored []catalog.Evacuation) {
 	c.evacuated = zones
 	for _, each := range restored {
-		c.restored[each.Zone] = restoration{at: now, revision: each.Revision}
+		c.restored[each.Zone] = restoration{at: now, position: catalog.Position{Era: each.Era, Revision: each.Revision}}
 	}
 	c.everyMember(func(m *member) {
 		m.evacuated = slices.Contains(zones, m.backEnd.Zone)
@@ -41,7 +41,7 @@
 // restored and tells of a warm-up. One that doesn't may come from before, by a slow watch
 // or an old list, and says nothing of the cold that followed.
 func (c *Core) knowsRestoration(told catalog.BackEnd) bool {
-	return told.WarmUp > 0 && told.WarmUpRevision > c.restored[told.Zone].revision
+	return told.WarmUp > 0 && told.WarmUpAt.Compare(c.restored[told.Zone].position) > 0
 }
 
 // later returns the later of two times.
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -75,7 +75,7 @@
 	core.SetEvacuated(start, []string{"a"}, nil)
 	core.SetEvacuated(start, nil, []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}})
 	warmsUp := func(revision uint64, left time.Duration) bool {
-		list[0].WarmUp, list[0].WarmUpRevision = left, revision
+		list[0].WarmUp, list[0].WarmUpAt = left, catalog.Position{Revision: revision}
 		core.SetBackEnds(start, list)
 		return core.Beliefs(start.Add(time.Second))[0].WarmsUp
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Phase is where an exchange stands.
@@ -37,6 +38,12 @@
 	sentAt time.Time
 	// ran is what is known of all attempts so far.
 	ran failure.Ran
+	// side is the version that may take the next attempt while the service is moved to another
+	// one, and run is the current attempt as the judge of the move follows it.
+	side rollout.Side
+	run  *rollout.Run
+	// whole is set once the caller has a whole answer.
+	whole bool
 	// fingerprints are those of the request, once they were asked for.
 	fingerprints []Fingerprint
 }
@@ -72,6 +79,8 @@
 	// Estimate is the load that decided, and Candidates among how many.
 	Estimate   float64
 	Candidates int
+	// Version is that of the back end's software while its service is moved to another one.
+	Version string
 }
 
 // Decision is what to do next: send, give up with an error, or, when both are
@@ -112,7 +121,11 @@
 	if c.withholds(now, x) {
 		return c.giveUp(x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
 	}
+	c.pickSide(now, x)
 	chosen := c.choose(now, x)
+	if chosen == nil && c.yieldSide(x) {
+		chosen = c.choose(now, x)
+	}
 	if chosen == nil {
 		return c.giveUp(x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
@@ -124,11 +137,15 @@
 
 		Candidates: len(c.poolOf(now, x.service)),
 	}
+	if c.rollouts.byService[x.service] != nil {
+		send.Version = chosen.backEnd.Version
+	}
 	x.phase = Sent
 	x.attempts++
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
+	c.noteRun(now, x, chosen)
 	chosen.own++
 	c.paceOf(x.service).sent++
 	c.noteHealth(now, chosen)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -13,6 +13,7 @@
 	if m == nil {
 		return nil
 	}
+	x.run.End(now, x.whole)
 	m.own = max(m.own-1, 0)
 	m.ended++
 	if x.request.affinity() == "" {
@@ -102,8 +103,9 @@
 func (c *Core) Failed(now time.Time, x *Exchange) Decision {
 	m := x.current
 	x.ran = failure.RanYes
+	x.run.Failed(now)
 	c.noteLife(now, x, m)
-	c.Completed(x)
+	c.acquit(x)
 	everywhere := c.paths.failsEverywhere(now, x.request.Path) && !c.config.Disabled[FailingPaths]
 	c.paths.note(now, x.request.Path, m.backEnd.Incarnation())
 	if everywhere {
@@ -128,6 +130,7 @@
 	m := x.current
 	x.phase = Answering
 	x.ran = failure.RanYes
+	x.run.Answered(now)
 	m.health.settled()
 	m.health.good(now)
 	c.noteHealth(now, m)
@@ -187,7 +190,10 @@
 	return x.request.Route.MayRepeat() && x.attempts < x.request.Route.MaxAttempts
 }
 
-func (c *Core) hasOther(now time.Time, x *Exchange) bool { return len(c.candidates(now, x)) > 0 }
+func (c *Core) hasOther(now time.Time, x *Exchange) bool {
+	c.pickSide(now, x)
+	return len(c.candidates(now, x)) > 0
+}
 
 // errorRate is the mean error rate of the service's other members.
 func (c *Core) errorRate(service string, but *member) float64 {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -40,7 +40,7 @@
 	c.usable = c.usable[:0]
 	staying := 0
 	for _, m := range pool {
-		if !c.mayTake(x, m) {
+		if !c.mayTake(now, x, m) {
 			continue
 		}
 		staying++
@@ -59,7 +59,7 @@
 func (c *Core) inTrouble(now time.Time, x *Exchange, pool []*member) []*member {
 	var reachable, all []*member
 	for _, m := range pool {
-		if !c.mayTake(x, m) {
+		if !c.mayTake(now, x, m) {
 			continue
 		}
 		all = append(all, m)
@@ -73,12 +73,12 @@
 	return all
 }
 
-// mayTake tells whether the member is neither leaving nor evacuated and hasn't had the
-// request.
-func (c *Core) mayTake(x *Exchange, m *member) bool {
+// mayTake tells whether the member is neither leaving nor evacuated, hasn't had the request,
+// and is of the version that may have it.
+func (c *Core) mayTake(now time.Time, x *Exchange, m *member) bool {
 	leaves := m.backEnd.Leaving && !c.config.Disabled[RespectLeaving]
 	evacuated := m.evacuated && !c.config.Disabled[RespectEvacuations]
-	return !leaves && !evacuated && !x.wasTried(m)
+	return !leaves && !evacuated && !x.wasTried(m) && c.isOnSide(now, x, m)
 }
 
 // capacity is the load up to which a back end is given requests of an urgency.
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // In a large fleet a gateway can't hear all others. Their counts are added up on the way
@@ -24,6 +26,9 @@
 	TookMillis uint32
 }
 
+// SumKey is the key under which counts are added up.
+func (c Count) SumKey() uint32 { return c.Key }
+
 // Plus returns the sum of two counts of one back end.
 func (c Count) Plus(other Count) Count {
 	c.Requests += other.Requests
@@ -77,6 +82,8 @@
 type Totals struct {
 	// Counts holds one entry for each back end.
 	Counts []Count
+	// Tallies are those of moves to other versions.
+	Tallies []rollout.Tally
 	// Counted is the number of gateways in it, and Expected that of the gateways that
 	// should be.
 	Counted  int
--- a/internal/dispatch/warmup.go
+++ b/internal/dispatch/warmup.go
@@ -227,7 +227,7 @@
 
 // noteWarming takes what the store says of a back end's warm-up, when that has changed.
 func (c *Core) noteWarming(now time.Time, m *member, told catalog.BackEnd) {
-	if m.listed && m.backEnd.WarmUp == told.WarmUp && m.backEnd.WarmUpRevision == told.WarmUpRevision {
+	if m.listed && m.backEnd.WarmUp == told.WarmUp && m.backEnd.WarmUpAt == told.WarmUpAt {
 		return
 	}
 	m.coldUntil = now.Add(told.WarmUp)
--- a/internal/dispatch/warmup_test.go
+++ b/internal/dispatch/warmup_test.go
@@ -189,12 +189,12 @@
 func TestWarmUpThatBeginsAnewCountsFromThen(t *testing.T) {
 	is := is.New(t)
 	list := coldBackEnds(1, 1)
-	list[0].WarmUpRevision = 4
+	list[0].WarmUpAt = catalog.Position{Revision: 4}
 	core := warmingFleet(1, 2, list)[0]
 	later := start.Add(2 * time.Second)
 	core.SetBackEnds(later, list) // for another reason
 	is.True(!core.Beliefs(later.Add(2 * time.Second))[0].WarmsUp)
-	list[0].WarmUpRevision = 9
+	list[0].WarmUpAt = catalog.Position{Revision: 9}
 	core.SetBackEnds(later, list)
 	is.True(core.Beliefs(later.Add(2 * time.Second))[0].WarmsUp)
 }
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -82,9 +82,15 @@
 	return slices.ContainsFunc(x.contents(), func(each Fingerprint) bool { return c.crashes.withholds(now, each) })
 }
 
-// Completed notes that a back end answered the request whole, so that it doesn't crash what
-// runs it.
+// Completed notes that the caller has a back end's whole answer.
 func (c *Core) Completed(x *Exchange) {
+	x.whole = true
+	c.acquit(x)
+}
+
+// acquit notes that a back end answered the request whole, so that it doesn't crash what runs
+// it.
+func (c *Core) acquit(x *Exchange) {
 	if c.crashes.isEmpty() {
 		return
 	}
@@ -128,6 +134,17 @@
 	return changed
 }
 
+// WithheldRecords returns the records of the contents that are withheld.
+func (c *Core) WithheldRecords() []CrashRecord {
+	var records []CrashRecord
+	for _, fingerprint := range c.Withheld() {
+		if record, known := c.crashes.withheld.Peek(fingerprint); known {
+			records = append(records, record.whole())
+		}
+	}
+	return records
+}
+
 // Withheld returns the fingerprints of the contents that are withheld, in order.
 func (c *Core) Withheld() []Fingerprint {
 	return slices.Sorted(slices.Values(c.crashes.withheld.Keys()))
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,6 +29,7 @@
 	StoreLost        Event = "store.lost"
 	StoreRegained    Event = "store.regained"
 	ObjectUnreadable Event = "store.object_unreadable"
+	StoreRestored    Event = "store.restored"
 	PeerLost         Event = "peer.lost"
 	PeerRegained     Event = "peer.regained"
 	CollectorSilent  Event = "collector.silent"
@@ -36,6 +37,10 @@
 	Misconfigured    Event = "configuration.refused"
 	ZoneEvacuated    Event = "zone.evacuated"
 	ZoneRestored     Event = "zone.restored"
+	RolloutChanged   Event = "rollout.changed"
+	RolloutBegan     Event = "rollout.began"
+	RolloutAbandoned Event = "rollout.abandoned"
+	RolloutEnded     Event = "rollout.ended"
 	BackEndChanged   Event = "back_end.changed"
 	BackEndHealth    Event = "back_end.health"
 	RequestSent      Event = "request.sent"
@@ -56,8 +61,9 @@
 func Events() []Event {
 	return []Event{
 		Started, Stopping, Stopped, Reloaded, Resumed, ReloadFailed, Ready,
-		StoreLost, StoreRegained, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
-		Configured, Misconfigured, ZoneEvacuated, ZoneRestored, BackEndChanged, BackEndHealth,
+		StoreLost, StoreRegained, StoreRestored, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
+		Configured, Misconfigured, ZoneEvacuated, ZoneRestored,
+		RolloutChanged, RolloutBegan, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
 		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased, RecordGivenUp,
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 )
@@ -32,7 +33,7 @@
 	// read all lists and watch, where four are enough.
 	manyGateways   = 10
 	moreSettleTime = 800 * time.Millisecond
-	// watchableAge is how old a revision may be for a watch to begin there. Stores keep some
+	// watchableAge is how old a position may be for a watch to begin there. Stores keep some
 	// tens of seconds of history.
 	watchableAge = 10 * time.Second
 	// regainLook is the time between two looks of a watch at whether plain reads are
@@ -83,7 +84,7 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
-	lists := []list{{name: "configuration", reached: f.newPosition(), read: f.readConfiguration, watch: f.watchConfiguration}}
+	lists := []list{f.configurations()}
 	if config.Evacuations {
 		orders := f.evacuations()
 		lists = append(lists, orders)
@@ -93,8 +94,13 @@
 			config.State.SetRecalled()
 		}
 	}
+	if config.Rollouts {
+		lists = append(lists, f.rollouts())
+		f.tasks.Go(func() { f.decideRollouts(ctx) })
+	}
 	f.tasks.Go(func() { f.keepWithheld(ctx) })
 	lists = append(lists, f.backEnds()) // the longest one last: a gateway that starts reads them in turn
+	f.tasks.Go(func() { f.followEras(ctx, lists) })
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
 	for _, each := range lists {
 		f.tasks.Go(func() { f.watchLoop(ctx, each) })
@@ -201,13 +207,13 @@
 }
 
 // read reads a list and notes whether the store answered.
-func (f *Follower) read(ctx context.Context, from list, stale bool) (uint64, error) {
-	revision, err := from.read(ctx, stale)
+func (f *Follower) read(ctx context.Context, from list, stale bool) (catalog.Position, error) {
+	position, err := from.read(ctx, stale)
 	f.note(ctx, from.name, err)
 	if err == nil && !stale {
-		from.reached.note(revision)
+		from.reached.note(position)
 	}
-	return revision, err
+	return position, err
 }
 
 // readPeriod is the time in which readsPerPeriod plain reads are made. Readers share the
@@ -229,7 +235,7 @@
 	return min(f.readPeriod()*time.Duration(f.entries.Load()/entriesPerPeriod), longestStretch)
 }
 
-// watchLoop watches from the revision that the list is known up to, and reads it where
+// watchLoop watches from the position that the list is known up to, and reads it where
 // that is too long ago or the store has dropped its history since. While the store answers
 // no plain read, it makes no calls: those would fail as well, each at its price.
 func (f *Follower) watchLoop(ctx context.Context, followed list) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -49,8 +49,12 @@
 	restored    []catalog.Evacuation
 	oldest      uint64
 	askedBefore atomic.Int64
+	// rollouts is how the store keeps orders to move services.
+	rollouts rolloutSource
 	// withheld is how the store keeps withheld requests.
 	withheld withheldSource
+	// era is the store's; 0 for one that tells none.
+	era atomic.Uint64
 	// cuts is how many further watches on back ends are cut.
 	cuts atomic.Int64
 }
@@ -58,74 +62,96 @@
 // bubbleStart is the time at which the virtual clock begins.
 var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// at is the revision of the moment.
-func (s *source) at() uint64 {
+// at is the position of the moment.
+func (s *source) at() catalog.Position {
 	if s.changePeriod == 0 {
-		return 1
+		return catalog.Position{Era: s.era.Load(), Revision: 1}
 	}
-	return max(1, s.firstRevision) + uint64(time.Since(bubbleStart)/s.changePeriod)
+	return catalog.Position{Era: s.era.Load(), Revision: max(1, s.firstRevision) + uint64(time.Since(bubbleStart)/s.changePeriod)}
 }
 
+// first is the position of a store that hasn't changed.
+func (s *source) first() catalog.Position { return catalog.Position{Era: s.era.Load(), Revision: 1} }
+
 var errAway = errors.Wrap(context.DeadlineExceeded, "the store is away")
 
-func (s *source) Configuration(_ context.Context, stale bool) (*catalog.Configuration, uint64, error) {
+func (s *source) Configurations() Objects[*catalog.Configuration] {
+	return Objects[*catalog.Configuration]{List: s.listConfiguration, Await: s.awaitConfiguration}
+}
+
+func (s *source) BackEnds() Objects[catalog.Entry] {
+	return Objects[catalog.Entry]{List: s.listBackEnds, Await: s.awaitBackEnds}
+}
+
+func (s *source) Evacuations() Objects[catalog.Evacuation] {
+	return Objects[catalog.Evacuation]{List: s.listEvacuations, Await: s.awaitEvacuations}
+}
+
+func (s *source) Rollouts() Objects[catalog.Rollout] {
+	return Objects[catalog.Rollout]{List: s.listRollouts, Await: s.awaitRollouts}
+}
+
+func (s *source) listConfiguration(_ context.Context, stale bool) ([]*catalog.Configuration, catalog.Position, error) {
 	s.configurationReads.Add(1)
 	if stale {
 		s.staleReads.Add(1)
 	}
 	if s.failing.Load() || s.unanswered.Add(-1) >= 0 {
-		return nil, 0, errAway
+		return nil, catalog.Position{}, errAway
 	}
 	if s.configuration != nil {
-		return s.configuration, s.at(), nil
+		return []*catalog.Configuration{s.configuration}, s.at(), nil
 	}
-	return &catalog.Configuration{Version: 1}, 1, nil
+	return []*catalog.Configuration{{Version: 1}}, s.first(), nil
 }
 
-func (s *source) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error) {
+func (s *source) awaitConfiguration(ctx context.Context, after catalog.Position, wait time.Duration) ([]*catalog.Configuration, catalog.Position, error) {
 	return nil, after, s.await(ctx, wait)
 }
 
-func (s *source) BackEnds(_ context.Context, stale bool) ([]catalog.Entry, uint64, error) {
+func (s *source) listBackEnds(_ context.Context, stale bool) ([]catalog.Entry, catalog.Position, error) {
 	s.reads.Add(1)
 	if stale {
 		s.staleReads.Add(1)
 	}
 	if s.failing.Load() {
-		return nil, 0, errAway
+		return nil, catalog.Position{}, errAway
 	}
 	entries := make([]catalog.Entry, s.backEnds)
 	for i := range entries {
-		entries[i] = catalog.Entry{BackEnd: catalog.BackEnd{ID: fmt.Sprint(i), Service: "s"}, Revision: 1}
+		entries[i] = catalog.Entry{BackEnd: catalog.BackEnd{ID: fmt.Sprint(i), Service: "s"}, Revision: 1, Era: s.era.Load()}
 	}
-	return entries, 1, nil
+	return entries, s.first(), nil
 }
 
-func (s *source) AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error) {
+func (s *source) awaitBackEnds(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Entry, catalog.Position, error) {
 	s.watches.Add(1)
 	if s.cuts.Add(-1) >= 0 {
-		return nil, 0, errors.New("cut")
+		return nil, catalog.Position{}, errors.New("cut")
 	}
 	if s.changePeriod > 0 {
 		wait = s.changePeriod
 	}
 	err := s.await(ctx, wait)
-	return nil, max(after, s.at()), err
+	if at := s.at(); at.Compare(after) > 0 {
+		after = at
+	}
+	return nil, after, err
 }
 
-func (s *source) Evacuations(context.Context, bool) ([]catalog.Evacuation, uint64, error) {
+func (s *source) listEvacuations(context.Context, bool) ([]catalog.Evacuation, catalog.Position, error) {
 	s.evacuationReads.Add(1)
 	return nil, s.at(), nil
 }
 
-func (s *source) AwaitEvacuations(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Evacuation, uint64, error) {
-	if after < s.oldest {
+func (s *source) awaitEvacuations(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Evacuation, catalog.Position, error) {
+	if after.Revision < s.oldest {
 		s.askedBefore.Add(1)
-		return nil, 0, ErrHistoryGone
+		return nil, catalog.Position{}, ErrHistoryGone
 	}
 	var changes []catalog.Evacuation
 	for _, each := range s.restored {
-		if each.Revision > after {
+		if each.Revision > after.Revision {
 			changes = append(changes, each)
 		}
 	}
@@ -135,6 +161,18 @@
 	return nil, after, s.await(ctx, wait)
 }
 
+func (s *source) listRollouts(context.Context, bool) ([]catalog.Rollout, catalog.Position, error) {
+	return s.rollouts.list(s.first())
+}
+
+func (s *source) awaitRollouts(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Rollout, catalog.Position, error) {
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) WriteRollout(_ context.Context, record catalog.Rollout) (catalog.Rollout, error) {
+	return s.rollouts.write(record)
+}
+
 func (s *source) await(ctx context.Context, wait time.Duration) error {
 	if s.failing.Load() {
 		return errAway
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
-	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
@@ -14,94 +14,93 @@
 type list struct {
 	name string
 	// reached is how far it is known.
-	reached *position
+	reached *reached
 	// firstMayBeOld lets a gateway that has just started read what may be old.
 	firstMayBeOld bool
 	// isLong is set for the list that is read less often the longer it is.
 	isLong bool
-	// read makes a plain call and returns the revision that it saw.
-	read func(ctx context.Context, stale bool) (uint64, error)
-	// watch waits for changes after a revision and returns the one to go on from.
-	watch func(ctx context.Context, after uint64) (uint64, error)
+	// read makes a plain call and returns the position that it saw.
+	read func(ctx context.Context, stale bool) (catalog.Position, error)
+	// watch waits for changes after a position and returns the one to go on from.
+	watch func(ctx context.Context, after catalog.Position) (catalog.Position, error)
 }
 
-// position is a revision of the store up to which all changes of a list are known.
-type position struct {
-	clock *clock.Clock
+// reached is the position in the store's history up to which all changes of a list are known.
+type reached struct {
+	state *gateway.State
 
 	mutex    sync.Mutex
-	revision uint64
+	position catalog.Position
 	at       time.Time
 }
 
-func (f *Follower) newPosition() *position { return &position{clock: f.config.State.Clock()} }
+func (f *Follower) newReached() *reached { return &reached{state: f.config.State} }
 
-// note takes the revision that a fresh read or a watch has come to.
-func (p *position) note(revision uint64) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if revision >= p.revision {
-		p.revision, p.at = revision, p.clock.Now()
+// note takes the position that a fresh read or a watch has come to. An answer of an era that
+// has ended may come late, and says nothing of this one's changes.
+func (r *reached) note(position catalog.Position) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if position.Compare(r.position) >= 0 && position.Era >= r.state.Era() {
+		r.position, r.at = position, r.state.Clock().Now()
 	}
 }
 
-// forget drops the revision, whose history the store has dropped.
-func (p *position) forget() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.at = time.Time{}
+// forget drops the position, whose history the store has dropped.
+func (r *reached) forget() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.position, r.at = catalog.Position{}, time.Time{}
 }
 
-// watchable returns the revision if a watch may begin there: the store drops its history
+// watchable returns the position if a watch may begin there: the store drops its history
 // after a while, and a watch from before would cost a call for nothing.
-func (p *position) watchable() (revision uint64, ok bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.revision, p.clock.Since(p.at) < watchableAge
+func (r *reached) watchable() (position catalog.Position, ok bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.position, !r.at.IsZero() && r.state.Clock().Since(r.at) < watchableAge
 }
 
-func (f *Follower) readConfiguration(ctx context.Context, stale bool) (uint64, error) {
-	configuration, revision, err := f.config.Source.Configuration(ctx, stale)
-	if err == nil && configuration != nil {
-		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
-	}
-	return revision, err
-}
-
-func (f *Follower) watchConfiguration(ctx context.Context, after uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
-	defer cancel()
-	configuration, at, err := f.config.Source.AwaitConfiguration(ctx, after, watchTime)
-	if err == nil && configuration != nil {
-		f.config.State.OfferConfiguration(configuration, gateway.SourceStore)
+// configurations is the list with the operators' document. Its version orders it, whatever the
+// era: a store that was restored may hold an older one until the operators write theirs again.
+func (f *Follower) configurations() list {
+	take := func(all []*catalog.Configuration) {
+		for _, each := range slices.Backward(all) {
+			if each != nil {
+				f.config.State.OfferConfiguration(each, gateway.SourceStore)
+				return
+			}
+		}
 	}
-	return at, err
+	return listOf("configuration", f.newReached(), f.config.Source.Configurations(),
+		func(all []*catalog.Configuration, _ catalog.Position) { take(all) }, take)
 }
 
 // listOf returns a list of which the state takes whole lists and changes.
 func listOf[T any](
 	name string,
-	reached *position,
-	read func(ctx context.Context, stale bool) ([]T, uint64, error),
-	await func(ctx context.Context, after uint64, wait time.Duration) ([]T, uint64, error),
-	takeList func(all []T, revision uint64),
+	reached *reached,
+	objects Objects[T],
+	takeList func(all []T, at catalog.Position),
 	takeChanges func(changes []T),
 ) list {
 	return list{
 		name:    name,
 		reached: reached,
-		read: func(ctx context.Context, stale bool) (uint64, error) {
-			all, revision, err := read(ctx, stale)
+		read: func(ctx context.Context, stale bool) (catalog.Position, error) {
+			all, at, err := objects.List(ctx, stale)
 			if err == nil {
-				takeList(all, revision)
+				reached.state.HearEra(at.Era)
+				takeList(all, at)
 			}
-			return revision, err
+			return at, err
 		},
-		watch: func(ctx context.Context, after uint64) (uint64, error) {
+		watch: func(ctx context.Context, after catalog.Position) (catalog.Position, error) {
 			ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
 			defer cancel()
-			changes, at, err := await(ctx, after, watchTime)
+			changes, at, err := objects.Await(ctx, after, watchTime)
 			if err == nil {
+				reached.state.HearEra(at.Era)
 				takeChanges(changes)
 			}
 			return at, err
@@ -115,10 +114,10 @@
 // what is newer. What callers may do and which zones are evacuated is read fresh.
 func (f *Follower) backEnds() list {
 	state := f.config.State
-	followed := listOf("back_ends", f.newPosition(), f.config.Source.BackEnds, f.config.Source.AwaitBackEnds,
-		func(all []catalog.Entry, revision uint64) {
+	followed := listOf("back_ends", f.newReached(), f.config.Source.BackEnds(),
+		func(all []catalog.Entry, at catalog.Position) {
 			f.entries.Store(int64(len(all)))
-			state.OfferList(all, revision, gateway.SourceStore)
+			state.OfferList(all, at, gateway.SourceStore)
 		},
 		func(changes []catalog.Entry) { state.OfferEntries(changes, gateway.SourceStore) },
 	)
@@ -129,10 +128,21 @@
 // evacuations is the list of orders on zones.
 func (f *Follower) evacuations() list {
 	state := f.config.State
-	return listOf("evacuations", f.newPosition(), f.config.Source.Evacuations, f.config.Source.AwaitEvacuations,
-		func(all []catalog.Evacuation, revision uint64) {
-			state.OfferEvacuationList(all, revision, gateway.SourceStore)
+	return listOf("evacuations", f.newReached(), f.config.Source.Evacuations(),
+		func(all []catalog.Evacuation, at catalog.Position) {
+			state.OfferEvacuationList(all, at, gateway.SourceStore)
 		},
 		func(changes []catalog.Evacuation) { state.OfferEvacuations(changes, gateway.SourceStore) },
 	)
 }
+
+// rollouts is the list of orders to move services to other versions.
+func (f *Follower) rollouts() list {
+	state := f.config.State
+	return listOf("rollouts", f.newReached(), f.config.Source.Rollouts(),
+		func(all []catalog.Rollout, at catalog.Position) {
+			state.OfferRolloutList(all, at, gateway.SourceStore)
+		},
+		func(changes []catalog.Rollout) { state.OfferRollouts(changes, gateway.SourceStore) },
+	)
+}
--- a/internal/follower/recall.go
+++ b/internal/follower/recall.go
@@ -39,26 +39,26 @@
 	began := f.config.State.Clock().Now()
 	sleep(ctx, recallDelay)
 	for ctx.Err() == nil && f.config.State.Clock().Since(began) < recallLimit {
-		revision, ok := orders.reached.watchable()
+		position, ok := orders.reached.watchable()
 		if !ok {
 			sleep(ctx, regainLook)
 			continue
 		}
 		if f.config.State.Place().Rank == 0 && f.config.State.HasWarmUps() {
-			f.recall(ctx, revision)
+			f.recall(ctx, position)
 			f.config.State.SetRecalled()
 		}
 		return
 	}
 }
 
-// recall looks in the history before the revision, as far back as there is one.
-func (f *Follower) recall(ctx context.Context, revision uint64) {
+// recall looks in the history before the position, as far back as there is one.
+func (f *Follower) recall(ctx context.Context, position catalog.Position) {
 	for _, step := range recallSteps {
-		if step > revision {
+		if step > position.Revision {
 			continue
 		}
-		changes, err := f.ordersSince(ctx, revision-step)
+		changes, err := f.ordersSince(ctx, catalog.Position{Era: position.Era, Revision: position.Revision - step})
 		if errors.Is(err, ErrHistoryGone) {
 			continue
 		}
@@ -71,10 +71,10 @@
 	}
 }
 
-// ordersSince returns the orders that changed after the revision.
-func (f *Follower) ordersSince(ctx context.Context, revision uint64) ([]catalog.Evacuation, error) {
+// ordersSince returns the orders that changed after the position.
+func (f *Follower) ordersSince(ctx context.Context, after catalog.Position) ([]catalog.Evacuation, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	changes, _, err := f.config.Source.AwaitEvacuations(ctx, revision, recallWait)
+	changes, _, err := f.config.Source.Evacuations().Await(ctx, after, recallWait)
 	return changes, err
 }
--- /dev/null
+++ b/internal/follower/rollouts.go
@@ -0,0 +1,98 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// How far a roll-out has come stands in the store, and the verdict there is everybody's. Each
+// gateway finds by itself what is due; it is written under the condition that the order is as
+// it was known, so that there is one verdict whoever writes it. Nobody is elected: those that
+// read the store try in turn, and after them all others, so one that is killed before it wrote,
+// or whose answer was lost, delays the verdict by a turn.
+
+const (
+	// rolloutLook is the time between two looks at roll-outs, a part of a round of tallies.
+	rolloutLook = 100 * time.Millisecond
+	// rolloutTurn is the time between the turns of those that read, and othersTurn how long
+	// after it was due the others begin to write what is missing.
+	rolloutTurn = 300 * time.Millisecond
+	othersTurn  = 2 * time.Second
+	// rolloutRetry is the time to the next try of the same gateway.
+	rolloutRetry = 500 * time.Millisecond
+)
+
+// dueRollout is what a gateway found to be missing in the store, and when it writes it.
+type dueRollout struct {
+	record catalog.Rollout
+	at     time.Time
+}
+
+// decideRollouts looks at the roll-outs and writes what is due.
+func (f *Follower) decideRollouts(ctx context.Context) {
+	waiting := map[string]dueRollout{}
+	for ctx.Err() == nil {
+		sleep(ctx, rolloutLook)
+		if !f.config.State.HasRollouts() {
+			continue
+		}
+		found := f.config.State.LookAtRollouts()
+		now := f.config.State.Clock().Now()
+		still := map[string]dueRollout{}
+		for _, record := range found {
+			due, known := waiting[record.Service]
+			if !known || due.record.State != record.State {
+				due = dueRollout{at: now.Add(f.rolloutDelay())}
+			}
+			due.record = record
+			if !now.Before(due.at) {
+				f.writeRollout(ctx, record)
+				due.at = f.config.State.Clock().Now().Add(jitter(rolloutRetry))
+			}
+			still[record.Service] = due
+		}
+		waiting = still
+	}
+}
+
+// rolloutDelay is the time until this gateway writes what it found due.
+func (f *Follower) rolloutDelay() time.Duration {
+	place := f.config.State.Place()
+	if place.Duty == gateway.Reads {
+		return time.Duration(place.Rank) * rolloutTurn
+	}
+	return othersTurn + rand.N(time.Duration(max(place.Gateways, 1))*time.Second/triesPerSecond)
+}
+
+// writeRollout writes how far an order has come. Where the store knows it otherwise by now, that
+// is read.
+func (f *Follower) writeRollout(ctx context.Context, record catalog.Rollout) {
+	var written catalog.Rollout
+	err := callOnce(ctx, func(ctx context.Context) error {
+		var err error
+		written, err = f.config.Source.WriteRollout(ctx, record)
+		return err
+	})
+	if errors.Is(err, ErrChanged) {
+		err = callOnce(ctx, func(ctx context.Context) error {
+			list, at, err := f.config.Source.Rollouts().List(ctx, false)
+			if err == nil {
+				f.config.State.HearEra(at.Era)
+				f.config.State.OfferRolloutList(list, at, gateway.SourceStore)
+			}
+			return err
+		})
+	} else if err == nil {
+		f.config.State.HearEra(written.Era)
+		f.config.State.OfferRollouts([]catalog.Rollout{written}, gateway.SourceStore)
+	}
+	if err != nil && ctx.Err() == nil {
+		f.config.Log.Entry().WithError(err).Warn("the store can't be told how far a roll-out has come; trying again")
+	}
+}
--- /dev/null
+++ b/internal/follower/rollouts_test.go
@@ -0,0 +1,142 @@
+package follower
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/rollout"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"io"
+)
+
+// rolloutSource keeps one order, whose state is written under a condition.
+type rolloutSource struct {
+	mutex sync.Mutex
+	order *catalog.Rollout
+	// writes are the states that were written, and loses how many further answers to writes
+	// that were done are lost.
+	writes []rollout.State
+	loses  int
+}
+
+func (s *rolloutSource) list(at catalog.Position) ([]catalog.Rollout, catalog.Position, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.order == nil {
+		return nil, at, nil
+	}
+	at.Revision = max(at.Revision, s.order.Revision)
+	return []catalog.Rollout{*s.order}, at, nil
+}
+
+func (s *rolloutSource) write(record catalog.Rollout) (catalog.Rollout, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.order == nil || s.order.Revision != record.Revision {
+		return catalog.Rollout{}, ErrChanged
+	}
+	record.Unwritten = false
+	record.Revision++
+	s.order = &record
+	s.writes = append(s.writes, record.State)
+	if s.loses > 0 {
+		s.loses--
+		return catalog.Rollout{}, errors.New("the answer is lost")
+	}
+	return record, nil
+}
+
+func (s *rolloutSource) written() []rollout.State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]rollout.State(nil), s.writes...)
+}
+
+// followRollouts runs followers of several gateways that read one store which holds an order
+// whose back ends never come.
+func followRollouts(t *testing.T, s *source, gateways int, test func(states []*gateway.State)) {
+	synctest.Test(t, func(t *testing.T) {
+		s.rollouts.order = &catalog.Rollout{Service: "s", Target: "v2", Duration: 12 * time.Second, Revision: 5, Era: s.era.Load()}
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		var states []*gateway.State
+		var followers []*Follower
+		for rank := range gateways {
+			config := dispatch.DefaultConfig()
+			config.Rollout = rollout.Limits{Share: 0.1, Extra: 50}
+			state := gateway.NewState(dispatch.New(config), log)
+			state.AwaitRollouts()
+			state.SetFleet(gateway.Place{Gateways: gateways, Duty: gateway.Reads, Rank: rank}, dispatch.Fleet{})
+			states = append(states, state)
+			followers = append(followers, Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, Rollouts: true, Log: log, Metrics: tally.NoopScope}))
+		}
+		test(states)
+		for _, each := range followers {
+			each.Close()
+		}
+		log.Close()
+	})
+}
+
+// An order whose back ends never come is reverted at its deadline, and each state is written
+// once, however many gateways find it due.
+func TestStateOfARolloutIsWrittenOnce(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	followRollouts(t, s, 3, func([]*gateway.State) { time.Sleep(20 * time.Second) })
+	is.Equal(s.rollouts.written(), []rollout.State{rollout.InProgress, rollout.Reverted})
+}
+
+// A write whose answer was lost was done: the next try finds the order changed, and reads it.
+func TestLostAnswerOfAWriteDoesNotWriteTwice(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	s.rollouts.loses = 2
+	followRollouts(t, s, 2, func(states []*gateway.State) {
+		time.Sleep(20 * time.Second)
+		for _, state := range states {
+			is.Equal(state.Status().Rollouts[0].State, rollout.Reverted.String())
+		}
+	})
+	is.Equal(s.rollouts.written(), []rollout.State{rollout.InProgress, rollout.Reverted})
+}
+
+// A gateway that doesn't know the orders isn't ready.
+func TestGatewayIsReadyOnceItKnowsTheRollouts(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3}
+	followRollouts(t, s, 1, func(states []*gateway.State) {
+		is.True(!states[0].Ready())
+		time.Sleep(time.Second)
+		is.True(states[0].Ready())
+		is.Equal(len(states[0].Status().Rollouts), 1)
+	})
+}
+
+// A store that was restored to a copy from before a verdict is told it again.
+func TestVerdictIsWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	s := &source{backEnds: 3, evacuations: true}
+	s.era.Store(1)
+	followRollouts(t, s, 3, func(states []*gateway.State) {
+		time.Sleep(14 * time.Second)
+		is.Equal(s.rollouts.written(), []rollout.State{rollout.InProgress, rollout.Reverted})
+		s.era.Store(2)
+		s.rollouts.mutex.Lock()
+		s.rollouts.order = &catalog.Rollout{Service: "s", Target: "v2", Duration: 12 * time.Second, Revision: 5, Era: 2}
+		s.rollouts.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		is.Equal(states[0].Era(), uint64(2))
+		is.Equal(s.rollouts.written(), []rollout.State{rollout.InProgress, rollout.Reverted, rollout.Reverted})
+	})
+}
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -13,28 +13,36 @@
 	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
-// ErrHistoryGone means that a watch can't go on from its revision.
+// ErrHistoryGone means that a watch can't go on from its position.
 var ErrHistoryGone = errors.New("the store has dropped that part of its history")
 
-// Source is the platform's store. A plain read of a list takes a call for each page, which
-// goes through ReadPage.
+// ErrChanged means that an object isn't any more as it was known.
+var ErrChanged = errors.New("the object has changed in the store")
+
+// Objects are those of one kind in the platform's store.
+type Objects[T any] struct {
+	// List returns all and the position of the list. Where stale is allowed, it may be seconds
+	// old, and costs the store less. It takes a call for each page; see ReadList.
+	List func(ctx context.Context, stale bool) ([]T, catalog.Position, error)
+	// Await waits for changes after the position. It returns none when there was none in time,
+	// and the position to go on from.
+	Await func(ctx context.Context, after catalog.Position, wait time.Duration) ([]T, catalog.Position, error)
+}
+
+// Source is the platform's store.
 type Source interface {
-	// Configuration returns the newest document, or nil when there is none. Where
-	// stale is allowed, it may be seconds old, and costs the store less.
-	Configuration(ctx context.Context, stale bool) (*catalog.Configuration, uint64, error)
-	// AwaitConfiguration waits for a change after the revision. It returns nil
-	// when there was none in time, and the revision to go on from.
-	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*catalog.Configuration, uint64, error)
-	// BackEnds returns all back ends and the revision of the list, which may be
-	// seconds old where stale is allowed.
-	BackEnds(ctx context.Context, stale bool) ([]catalog.Entry, uint64, error)
-	// AwaitBackEnds waits for changes after the revision.
-	AwaitBackEnds(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Entry, uint64, error)
-	// Evacuations returns the zones that operators evacuate and the revision of the
-	// list, which may be seconds old where stale is allowed.
-	Evacuations(ctx context.Context, stale bool) ([]catalog.Evacuation, uint64, error)
-	// AwaitEvacuations waits for changes after the revision.
-	AwaitEvacuations(ctx context.Context, after uint64, wait time.Duration) ([]catalog.Evacuation, uint64, error)
+	// Configurations are the operators' documents, as a rule one; nil for objects of their kind
+	// that aren't one.
+	Configurations() Objects[*catalog.Configuration]
+	// BackEnds are those that register.
+	BackEnds() Objects[catalog.Entry]
+	// Evacuations are the operators' orders on zones, and Rollouts those to move services to
+	// other versions.
+	Evacuations() Objects[catalog.Evacuation]
+	Rollouts() Objects[catalog.Rollout]
+	// WriteRollout writes how far an order has come, if it is still at the record's position;
+	// it returns ErrChanged where it isn't.
+	WriteRollout(ctx context.Context, rollout catalog.Rollout) (catalog.Rollout, error)
 	// Withheld returns the records of requests that are withheld, Withhold adds one unless it
 	// is there, and Release removes one if it is there.
 	Withheld(ctx context.Context) ([]dispatch.CrashRecord, error)
@@ -54,6 +62,8 @@
 	ReadPeriod time.Duration
 	// Evacuations is true where operators may evacuate zones.
 	Evacuations bool
+	// Rollouts is true where operators may move services to other versions.
+	Rollouts bool
 	// FirstStart is true when the fleet starts for the first time, so that nothing came
 	// before.
 	FirstStart bool
--- a/internal/follower/watches.go
+++ b/internal/follower/watches.go
@@ -35,6 +35,14 @@
 	return w.term
 }
 
+// renew ends the watches: they began in a history of the store that has ended.
+func (w *watches) renew() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.end()
+	w.term, w.end = context.WithCancel(w.parent)
+}
+
 // noAnswer notes a plain call that got no answer in time.
 func (w *watches) noAnswer() {
 	w.mutex.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,6 +135,8 @@
 	switch {
 	case foreign || facts.Encoded:
 		return h.unusable(c, send, response, "the answer isn't one to this request")
+	case facts.Elsewhere && facts.Met != "" && facts.Met != send.BackEnd.ID:
+		return h.decided(c, send, response, "the back end "+facts.Met+" has the address", (*dispatch.Core).Displaced)
 	case facts.Elsewhere:
 		return h.decided(c, send, response, "another back end has the address", (*dispatch.Core).Misdirected)
 	case facts.NotRun:
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -61,6 +61,9 @@
 	NotRun bool
 	// Elsewhere is true when another back end has the address.
 	Elsewhere bool
+	// Met names the back end that has the address where it is another one; "" where it doesn't
+	// tell.
+	Met string
 	// Encoded is true when the body isn't the back end's own bytes.
 	Encoded bool
 	// Load is the back end's load, or -1.
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -9,6 +9,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // News is what a peer lacks.
@@ -28,6 +29,19 @@
 	Evacuations []catalog.Evacuation
 	Evacuation  uint64
 	Surveyed    bool
+	// Era is the store's. Rollouts are the orders to move services that changed since, and
+	// Rollout the number to go on from; KnowsRollouts is false while they aren't known.
+	Era           uint64
+	Rollouts      []catalog.Rollout
+	Rollout       uint64
+	KnowsRollouts bool
+	// Marks and Tallies are of the services that are being moved.
+	Marks   []rollout.Mark
+	Tallies []rollout.Tally
+	// Displaced are lives of back ends that have ended though they are listed, and Displacement
+	// the number to go on from.
+	Displaced    []uint32
+	Displacement uint64
 	// Loads are this gateway's requests under way.
 	Loads []dispatch.Load
 	// Holdings are prompt parts that back ends hold, and Holding the number to go on
@@ -79,6 +93,8 @@
 	Evacuation uint64
 	Holding    uint64
 	Crash      uint64
+	Rollout    uint64
+	Displaced  uint64
 }
 
 // mostCrashRecords bounds the records of crashes in one message, at some 25 bytes each.
@@ -97,6 +113,14 @@
 		news.Surveyed = true
 		news.Evacuations, news.Evacuation = s.view.EvacuationsSince(told.Evacuation)
 	}
+	news.Era = s.view.Era()
+	if s.knowsRollouts {
+		now := s.clock.Now()
+		news.KnowsRollouts = true
+		news.Rollouts, news.Rollout = s.view.RolloutsSince(told.Rollout)
+		news.Marks, news.Tallies = s.core.Marks(now), s.core.Tallies(now)
+	}
+	news.Displaced, news.Displacement = s.core.DisplacedSince(told.Displaced)
 	news.Crashes, news.Crash = s.core.CrashesSince(s.clock.Now(), told.Crash, mostCrashRecords)
 	news.Holdings, news.Holding = s.core.HoldingsSince(told.Holding, mostHoldings)
 	return news
@@ -167,6 +191,18 @@
 	s.tellCrashes()
 }
 
+// TakeDisplaced takes lives of back ends that a peer knows to have ended.
+func (s *State) TakeDisplaced(lives []uint32) {
+	if len(lives) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.core.TakeDisplaced(lives) {
+		s.announce()
+	}
+}
+
 // PeerHoldings takes prompt parts that a peer knows back ends to hold.
 func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
 	s.mutex.Lock()
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -24,21 +24,22 @@
 	}
 }
 
-// knowsOrders tells whether the gateway knows which zones are evacuated and, where back ends
+// knowsOrders tells whether the gateway knows which services are moved to another version,
+// which zones are evacuated and, where back ends
 // warm up, which were restored of late: their back ends turned cold and haven't said so yet.
 // It does without the latter, which one gateway reads for all, after startPatience.
 func (s *State) knowsOrders() bool {
 	needsNoRecall := s.view.Index() != nil && !s.core.HasWarmUps()
-	return s.surveyed && (s.recalled || needsNoRecall || s.clock.Since(s.startedAt) >= startPatience)
+	return s.surveyed && s.knowsRollouts && (s.recalled || needsNoRecall || s.clock.Since(s.startedAt) >= startPatience)
 }
 
 // OfferEvacuationList takes the complete list of evacuated zones.
-func (s *State) OfferEvacuationList(evacuations []catalog.Evacuation, revision uint64, source string) {
+func (s *State) OfferEvacuationList(evacuations []catalog.Evacuation, at catalog.Position, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	first := !s.surveyed
 	s.surveyed = true
-	s.applyEvacuations(s.view.OfferEvacuationList(evacuations, revision), first, source)
+	s.applyEvacuations(s.view.OfferEvacuationList(evacuations, at), first, source)
 }
 
 // OfferEvacuations takes changes of the evacuated zones. A peer's are complete, since it
@@ -65,7 +66,7 @@
 			event = eventlog.ZoneRestored
 			restored = append(restored, each)
 		}
-		s.log.Urgent(event, logrus.Fields{"zone": each.Zone, "revision": each.Revision, "source": source})
+		s.log.Urgent(event, logrus.Fields{"zone": each.Zone, "era": each.Era, "revision": each.Revision, "source": source})
 	}
 	s.core.SetEvacuated(s.clock.Now(), s.view.EvacuatedZones(), restored)
 	s.announce()
--- /dev/null
+++ b/internal/gateway/rollouts.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/rollout"
+)
+
+// AwaitRollouts keeps the gateway unready until it knows which services are moved to another
+// version.
+func (s *State) AwaitRollouts() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.knowsRollouts = false
+}
+
+// OfferRolloutList takes the complete list of orders to move services.
+func (s *State) OfferRolloutList(rollouts []catalog.Rollout, at catalog.Position, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first := !s.knowsRollouts
+	s.knowsRollouts = true
+	s.applyRollouts(s.view.OfferRolloutList(rollouts, at), first, source)
+}
+
+// OfferRollouts takes changes of the orders. A peer's are complete, since it tells all that it
+// knows first.
+func (s *State) OfferRollouts(rollouts []catalog.Rollout, source string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first := !s.knowsRollouts && source != SourceStore
+	s.knowsRollouts = s.knowsRollouts || first
+	s.applyRollouts(s.view.OfferRollouts(rollouts), first, source)
+}
+
+func (s *State) applyRollouts(news []catalog.Rollout, first bool, source string) {
+	if len(news) == 0 && !first {
+		return
+	}
+	for _, each := range news {
+		s.log.Urgent(eventlog.RolloutChanged, logrus.Fields{
+			"service": each.Service, "target": each.Target, "duration": each.Duration.String(), "state": each.State.String(),
+			"withdrawn": each.Withdrawn, "era": each.Era, "revision": each.Revision, "source": source,
+		})
+	}
+	list := s.view.Rollouts()
+	s.core.SetRollouts(s.clock.Now(), list, agesOf(list, time.Now()))
+	s.logRollouts()
+	s.announce()
+}
+
+// agesOf returns how long ago the orders were given whose beginning stands in the store, by
+// the time of day.
+func agesOf(list []catalog.Rollout, now time.Time) map[string]time.Duration {
+	ages := map[string]time.Duration{}
+	for _, each := range list {
+		if each.BeganAt > 0 {
+			ages[each.Service] = now.Sub(time.UnixMilli(each.BeganAt))
+		}
+	}
+	return ages
+}
+
+// logRollouts writes the steps of roll-outs with the figures that decided.
+func (s *State) logRollouts() {
+	for _, each := range s.core.TakeRolloutChanges() {
+		fields := logrus.Fields{"service": each.Order.Service, "target": each.Order.Target}
+		event := eventlog.RolloutBegan
+		switch each.Kind {
+		case dispatch.RolloutBegan:
+			fields["duration"] = each.Order.Duration.String()
+		case dispatch.RolloutAbandoned:
+			event = eventlog.RolloutAbandoned
+			fields["source"] = SourcePeer
+			if found := each.Finding; found != nil {
+				fields["source"] = SourceOwn
+				fields["what"], fields["route"] = found.What, s.routeName(found.Route)
+				fields["bad"], fields["answers"] = found.Bad, found.Answers
+				fields["usual_bad"], fields["usual_answers"] = found.UsualBad, found.UsualAnswers
+				fields["likelihood_ratio"] = found.Ratio
+			}
+		case dispatch.RolloutEnded:
+			event = eventlog.RolloutEnded
+		}
+		s.log.Urgent(event, fields)
+	}
+}
+
+// routeName returns the name of the route that a key stands for.
+func (s *State) routeName(key uint32) string {
+	if key == 0 {
+		return "all"
+	}
+	if index := s.view.Index(); index != nil {
+		for _, route := range index.Configuration().Routes {
+			if rollout.RouteKey(route.Name) == key {
+				return route.Name
+			}
+		}
+	}
+	return strconv.FormatUint(uint64(key), 16)
+}
+
+// HasRollouts tells whether any service is being moved.
+func (s *State) HasRollouts() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.view.Rollouts()) > 0
+}
+
+// LookAtRollouts weighs the evidence, and returns the records that the store should hold and
+// doesn't, as far as this gateway knows.
+func (s *State) LookAtRollouts() []catalog.Rollout {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	abandoned := s.core.LookAtRollouts(now)
+	s.logRollouts()
+	if abandoned {
+		s.announce()
+	}
+	due := s.core.RolloutsDue(now)
+	var unwritten []catalog.Rollout
+	for _, record := range s.view.Rollouts() {
+		each, known := due[record.Service]
+		if !known || record.Era != s.view.Era() || each.State <= record.State && !record.Unwritten {
+			continue
+		}
+		record.State = max(record.State, each.State)
+		if record.BeganAt == 0 {
+			record.BeganAt = time.Now().Add(-each.Age).UnixMilli()
+		}
+		unwritten = append(unwritten, record)
+	}
+	return unwritten
+}
+
+// Tallies returns what this gateway has seen of services that are being moved.
+func (s *State) Tallies() []rollout.Tally {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Tallies(s.clock.Now())
+}
+
+// TakeTallies takes the tallies of all gateways.
+func (s *State) TakeTallies(told []rollout.Tally, totals dispatch.Totals) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.TakeTallies(s.clock.Now(), told, totals)
+}
+
+// PeerTallies takes a peer's tallies in a small fleet.
+func (s *State) PeerTallies(peer string, tallies []rollout.Tally) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.PeerTallies(s.clock.Now(), peer, tallies)
+}
+
+// HearMarks takes what a peer tells of services that are being moved.
+func (s *State) HearMarks(marks []rollout.Mark) {
+	if len(marks) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.core.HearMarks(s.clock.Now(), marks) {
+		s.logRollouts()
+		s.announce()
+	}
+}
+
+// RolloutStatus is a service's move to another version, as operators see it.
+type RolloutStatus struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// State is what the store says, and Abandoned whether the candidate was found bad.
+	State     string `json:"state"`
+	Abandoned bool   `json:"abandoned,omitempty"`
+	// Finding tells why, where this gateway found so.
+	Finding *rollout.Finding `json:"finding,omitempty"`
+	// AgeSeconds is how long ago it was ordered, DurationSeconds its time.
+	AgeSeconds      float64 `json:"age_seconds"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	// Sent counts attempts of all gateways, Exposed those at the candidate, and UnderWay those
+	// that run at the standing version.
+	Sent     int `json:"sent"`
+	Exposed  int `json:"exposed"`
+	UnderWay int `json:"under_way_standing"`
+	// Awaits is what must be before it is completed.
+	Awaits []rollout.Wait       `json:"awaits,omitempty"`
+	Routes []RolloutRouteStatus `json:"routes"`
+}
+
+// RolloutRouteStatus is the evidence of one route.
+type RolloutRouteStatus struct {
+	Route string `json:"route"`
+	// Share is the part of its requests that go to the candidate.
+	Share float64 `json:"share"`
+	// Doubt is the logarithm of how much likelier a bad candidate is by its answers.
+	Doubt     float64 `json:"doubt"`
+	Answers   uint32  `json:"answers"`
+	Failed    uint32  `json:"failed"`
+	Timed     uint32  `json:"timed"`
+	Slow      uint32  `json:"slow"`
+	UsualBad  uint32  `json:"standing_failed"`
+	UsualOf   uint32  `json:"standing_answers"`
+	UsualSlow uint32  `json:"standing_slow"`
+	UsualTime uint32  `json:"standing_timed"`
+}
+
+func (s *State) rolloutStatus(now time.Time) []RolloutStatus {
+	var list []RolloutStatus
+	for _, each := range s.core.Rollouts(now) {
+		status := RolloutStatus{
+			Service: each.Order.Service, Target: each.Order.Target, State: each.State.String(), Abandoned: each.Abandoned,
+			Finding: each.Finding, AgeSeconds: each.Age.Seconds(), DurationSeconds: each.Order.Duration.Seconds(),
+			Sent: each.Sent, Exposed: each.Exposed, UnderWay: each.UnderWay, Awaits: each.Awaits, Routes: []RolloutRouteStatus{},
+		}
+		for _, route := range each.Routes {
+			status.Routes = append(status.Routes, RolloutRouteStatus{
+				Route: s.routeName(route.Route), Share: route.Share, Doubt: route.Doubt,
+				Answers: route.Candidate.Answers, Failed: route.Candidate.Failed, Timed: route.Candidate.Timed, Slow: route.Candidate.Slow,
+				UsualBad: route.Standing.Failed, UsualOf: route.Standing.Answers, UsualSlow: route.Standing.Slow, UsualTime: route.Standing.Timed,
+			})
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -31,6 +31,10 @@
 	surveyed bool
 	// recalled is set once it is known which zones were restored of late.
 	recalled bool
+	// knowsRollouts is set once it is known which services are moved to another version.
+	knowsRollouts bool
+	// eraChanged is closed and replaced whenever the store begins a new era.
+	eraChanged chan struct{}
 	// startedAt is when the gateway started, and wasReady is set once it was ready for the
 	// first time.
 	startedAt time.Time
@@ -52,6 +56,8 @@
 	changed chan struct{}
 	// unreadable are the store's objects that couldn't be used when they were read last.
 	unreadable unreadable
+	// displaced is the number of ended lives that peers were woken for.
+	displaced uint64
 	// crashChanges is the number of changes of crashes that peers were woken for.
 	crashChanges uint64
 	// unrecorded are contents that this gateway saw become withheld, or be released, and that
@@ -66,6 +72,7 @@
 	return &State{
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reads}, dutyChanged: make(chan struct{}), surveyed: true, recalled: true,
+		knowsRollouts: true, eraChanged: make(chan struct{}),
 		recordable: make(chan struct{}, 1),
 	}
 }
@@ -94,6 +101,13 @@
 	s.frozen = true
 }
 
+// IgnoreEras passes over the eras of the store, to show that checks notice.
+func (s *State) IgnoreEras() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.view.IgnoreEras()
+}
+
 // Index returns the configuration in force, or nil.
 func (s *State) Index() *catalog.Index {
 	s.mutex.Lock()
@@ -176,11 +190,11 @@
 }
 
 // OfferList takes a complete list of back ends.
-func (s *State) OfferList(entries []catalog.Entry, revision uint64, source string) {
+func (s *State) OfferList(entries []catalog.Entry, at catalog.Position, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.listed = true
-	s.apply(s.view.OfferList(entries, revision), source)
+	s.apply(s.view.OfferList(entries, at), source)
 }
 
 // OfferEntries takes changes of back ends.
@@ -228,7 +242,7 @@
 	for _, entry := range news {
 		s.log.Urgent(eventlog.BackEndChanged, logrus.Fields{
 			"back_end": entry.BackEnd.ID, "service": entry.BackEnd.Service, "address": entry.BackEnd.Address,
-			"leaving": entry.BackEnd.Leaving, "gone": entry.Gone, "revision": entry.Revision, "source": source,
+			"leaving": entry.BackEnd.Leaving, "gone": entry.Gone, "era": entry.Era, "revision": entry.Revision, "source": source,
 		})
 	}
 }
@@ -289,6 +303,7 @@
 	decision := step(s.clock.Now(), s.core)
 	changes := s.core.TakeHealthChanges()
 	s.tellCrashes()
+	s.tellDisplaced()
 	s.mutex.Unlock()
 	for _, change := range changes {
 		s.log.Urgent(eventlog.BackEndHealth, logrus.Fields{
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,7 +1,5 @@
 package gateway
 
-import ()
-
 // Gauges returns what the gateway knows at the moment, for metrics.
 func (s *State) Gauges() Gauges {
 	s.mutex.Lock()
@@ -39,6 +37,10 @@
 	Version uint64 `json:"version"`
 	// Evacuated are the zones whose back ends get nothing new.
 	Evacuated []string `json:"evacuated_zones,omitempty"`
+	// Era is that of the store; 0 where it tells none. Rollouts are the services that are moved
+	// to another version.
+	Era      uint64          `json:"store_era,omitempty"`
+	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 	// Unreadable are objects of the store that can't be used, as they were last read.
 	Unreadable []UnreadableStatus `json:"unreadable_objects,omitempty"`
 	// Withheld are fingerprints of contents that crash back ends.
@@ -66,6 +68,8 @@
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving"`
+	// Version is that of its software, where it tells one.
+	Version string `json:"version,omitempty"`
 	// Evacuated is true while its zone gets nothing new, and WarmsUp while it bears few
 	// requests.
 	Evacuated bool    `json:"evacuated,omitempty"`
@@ -87,6 +91,7 @@
 		Ready: ready, Draining: s.draining, Version: s.view.Version(), Evacuated: s.view.EvacuatedZones(),
 		Services: []ServiceStatus{}, BackEnds: []BackEndStatus{},
 	}
+	status.Era, status.Rollouts = s.view.Era(), s.rolloutStatus(now)
 	status.Unreadable = s.unreadable.status()
 	for _, each := range s.core.Withheld() {
 		status.Withheld = append(status.Withheld, each.String())
@@ -100,7 +105,7 @@
 	for _, belief := range s.core.Beliefs(now) {
 		status.BackEnds = append(status.BackEnds, BackEndStatus{
 			ID: belief.BackEnd.ID, Service: belief.BackEnd.Service, Address: belief.BackEnd.Address,
-			Zone: belief.BackEnd.Zone, Leaving: belief.BackEnd.Leaving, Health: belief.Health.String(),
+			Zone: belief.BackEnd.Zone, Leaving: belief.BackEnd.Leaving, Version: belief.BackEnd.Version, Health: belief.Health.String(),
 			Evacuated: belief.Evacuated, WarmsUp: belief.WarmsUp, Own: belief.Own, Estimate: belief.Estimate,
 		})
 	}
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -47,6 +47,9 @@
 	fields["load_estimate"] = decision.send.Estimate
 	fields["candidates"] = decision.send.Candidates
 	fields["store_age_ms"] = decision.storeAge.Milliseconds()
+	if decision.send.Version != "" {
+		fields["back_end_version"] = decision.send.Version
+	}
 	if decision.send.FetchFrom != "" {
 		fields["fetch_from"] = decision.send.FetchFrom
 	}
--- a/internal/gateway/unreadable.go
+++ b/internal/gateway/unreadable.go
@@ -24,11 +24,11 @@
 	name string
 }
 
-// note tells whether the object wasn't noted at this revision before.
+// note tells whether the object wasn't noted at this position before.
 func (u *unreadable) note(object catalog.Unreadable) bool {
 	key := objectName{object.Kind, object.Name}
 	known, exists := u.objects[key]
-	if exists && known.Revision >= object.Revision {
+	if exists && known.At.Compare(object.At) >= 0 {
 		return false
 	}
 	if u.objects == nil || !exists && len(u.objects) >= mostUnreadable {
@@ -42,6 +42,7 @@
 type UnreadableStatus struct {
 	Kind     string `json:"kind"`
 	Name     string `json:"name"`
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	Reason   string `json:"reason"`
 }
@@ -49,7 +50,7 @@
 func (u *unreadable) status() []UnreadableStatus {
 	var list []UnreadableStatus
 	for _, each := range u.objects {
-		list = append(list, UnreadableStatus{Kind: string(each.Kind), Name: each.Name, Revision: each.Revision, Reason: string(each.Reason)})
+		list = append(list, UnreadableStatus{Kind: string(each.Kind), Name: each.Name, Era: each.At.Era, Revision: each.At.Revision, Reason: string(each.Reason)})
 	}
 	slices.SortFunc(list, func(a, b UnreadableStatus) int {
 		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
@@ -66,7 +67,7 @@
 		return false
 	}
 	s.log.Urgent(eventlog.ObjectUnreadable, logrus.Fields{
-		"kind": string(object.Kind), "name": object.Name, "revision": object.Revision, "reason": string(object.Reason),
+		"kind": string(object.Kind), "name": object.Name, "era": object.At.Era, "revision": object.At.Revision, "reason": string(object.Reason),
 	})
 	return true
 }
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -94,6 +94,7 @@
 	r.mutex.Lock()
 	r.book.Heard(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis, Zone: message.Zone, Capacity: message.Capacity}, message.Peers)
 	r.mutex.Unlock()
+	r.config.State.HearEra(message.Era)
 	if message.Document != nil && message.Version > r.config.State.Version() {
 		r.takeDocument(message)
 	}
@@ -105,6 +106,12 @@
 	if message.Surveyed {
 		r.config.State.OfferEvacuations(message.Evacuations, gateway.SourcePeer)
 	}
+	if message.KnowsRollouts {
+		r.config.State.OfferRollouts(message.Rollouts, gateway.SourcePeer)
+	}
+	r.config.State.TakeDisplaced(message.Displaced)
+	r.config.State.HearMarks(message.Marks)
+	r.config.State.PeerTallies(message.From, message.Tallies)
 	r.config.State.PeerLoads(message.From, message.Loads)
 	r.config.State.PeerHoldings(message.Holdings)
 	r.config.State.TakeCrashes(message.Crashes)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -133,7 +133,7 @@
 	var list []catalog.Entry
 	for _, entry := range entries {
 		told := entry
-		told.BackEnd.WarmUpRevision = 0 // as it comes from a peer
+		told.BackEnd.WarmUpAt = catalog.Position{} // as it comes from a peer
 		if heard, ok := l.heard[entry.BackEnd.ID]; !ok || heard != told {
 			list = append(list, entry)
 		}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -23,7 +23,7 @@
 	is.Equal(link.untold([]catalog.Entry{old}), []catalog.Entry{old}) // noted once
 	cold := catalog.Entry{BackEnd: catalog.BackEnd{ID: "c", WarmUp: 3}, Revision: 5}
 	link.note([]catalog.Entry{cold})
-	cold.BackEnd.WarmUpRevision = 5
+	cold.BackEnd.WarmUpAt = catalog.Position{Revision: 5}
 	is.Equal(len(link.untold([]catalog.Entry{cold})), 0)
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -8,6 +8,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Message is what a gateway tells a peer.
@@ -50,6 +51,19 @@
 	Surveyed    bool                 `cbor:"15,keyasint,omitempty"`
 	// Crashes are records of back ends that crashed under requests, as far as it is news.
 	Crashes []dispatch.CrashRecord `cbor:"19,keyasint,omitempty"`
+	// Era is that of the platform's store, as far as the sender knows.
+	Era uint64 `cbor:"20,keyasint,omitempty"`
+	// Rollouts are the orders to move services to other versions that changed since the last
+	// message. KnowsRollouts is true when the sender knows all of them: the first message with
+	// it tells all. Marks are what is known of those that aren't decided, and Tallies what the
+	// sender has seen of them; in a large fleet tallies are collected instead.
+	Rollouts      []catalog.Rollout `cbor:"21,keyasint,omitempty"`
+	KnowsRollouts bool              `cbor:"22,keyasint,omitempty"`
+	Marks         []rollout.Mark    `cbor:"23,keyasint,omitempty"`
+	Tallies       []rollout.Tally   `cbor:"24,keyasint,omitempty"`
+	// Displaced are lives of back ends that have ended though they are listed, as far as it is
+	// news.
+	Displaced []uint32 `cbor:"25,keyasint,omitempty"`
 }
 
 const (
@@ -75,8 +89,8 @@
 // tellsNews tells whether the receiver would learn more than that the sender lives, after
 // the message before.
 func (m *Message) tellsNews(before Message) bool {
-	changed := m.Version != before.Version || m.Surveyed != before.Surveyed
-	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes)
+	changed := m.Version != before.Version || m.Surveyed != before.Surveyed || m.Era != before.Era || m.KnowsRollouts != before.KnowsRollouts
+	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes) + len(m.Rollouts) + len(m.Marks) + len(m.Displaced)
 	asks := m.Want || m.Lacking != 0
 	return changed || asks || m.Answer != 0 || lists > 0
 }
@@ -107,11 +121,17 @@
 
 		Holdings:       news.Holdings,
 		Crashes:        news.Crashes,
+		Era:            news.Era,
+		Rollouts:       news.Rollouts,
+		KnowsRollouts:  news.KnowsRollouts,
+		Marks:          news.Marks,
+		Displaced:      news.Displaced,
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways := r.config.State.Place().Gateways
 	if !IsLarge(gateways) {
 		message.Loads = news.Loads
+		message.Tallies = news.Tallies
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,6 +43,13 @@
 	// may make them fall over. Defaults 1 and 0; from 0 to 100 and to 1e6.
 	WarmUpOverage *float64 `toml:"warm_up_overage"`
 	WarmUpExtra   float64  `toml:"warm_up_extra"`
+	// ExposureShare and ExposureExtra bound what a version that turns out bad may get while a
+	// service is moved to it: in the whole time of the operators' order that part of the
+	// service's requests, and so many more, from all gateways together. Higher values find a
+	// bad version sooner and let it harm more callers. 0 for both, the default, is for
+	// platforms without such orders: nobody reads or awaits them. From 0 to 1 and to 1e6.
+	ExposureShare float64 `toml:"exposure_share"`
+	ExposureExtra float64 `toml:"exposure_extra"`
 	// ReadPeriod is the time between two plain reads of one of the store's lists by
 	// any of the gateways that read it, beside their watches. Lower values learn sooner
 	// what a watch missed and cost more calls. Default two fifths of LeavingBound or of
@@ -59,6 +66,9 @@
 	Disable []string `toml:"disable"`
 }
 
+// MovesServices tells whether operators may move services to other versions.
+func (g *Gateway) MovesServices() bool { return g.ExposureShare > 0 || g.ExposureExtra > 0 }
+
 // Disabled returns Disable as a set.
 func (g *Gateway) Disabled() dispatch.Disabled {
 	set := dispatch.Disabled{}
@@ -79,6 +89,7 @@
 	defaultWarmUpOverage = 1
 	maxWarmUpOverage     = 100
 	maxWarmUpExtra       = 1e6
+	maxExposureExtra     = 1e6
 	// leastProcessorShare to mostProcessorShare are cores.
 	defaultProcessorShare = 1
 	leastProcessorShare   = 0.01
@@ -146,6 +157,8 @@
 	c.duration("gateway.leaving_bound", g.LeavingBound, shortestReadPeriod, longestLeavingBound)
 	c.number("gateway.warm_up_overage", *g.WarmUpOverage, 0, maxWarmUpOverage)
 	c.number("gateway.warm_up_extra", g.WarmUpExtra, 0, maxWarmUpExtra)
+	c.number("gateway.exposure_share", g.ExposureShare, 0, 1)
+	c.number("gateway.exposure_extra", g.ExposureExtra, 0, maxExposureExtra)
 	if g.EvacuationBound != 0 {
 		c.duration("gateway.evacuation_bound", g.EvacuationBound, shortestReadPeriod, longestLeavingBound)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -35,6 +35,9 @@
 	StoreSlow    Kind = "store_slow"
 	StoreForgets Kind = "store_forgets"
 	StoreLapses  Kind = "store_lapses"
+	// RestoreStore brings the store back from a copy that is seconds old. What the gateways
+	// wrote since is gone; operators and back ends write theirs again within two seconds.
+	RestoreStore Kind = "restore_store"
 	// SilentConnections lets the connections of the moment to the store and to all back
 	// ends go silent for good, without a reset, while new ones work.
 	SilentConnections Kind = "silent_connections"
@@ -71,7 +74,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, DeafStore,
-		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
+		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, RestoreStore, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
 		LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll, EvacuateZone, ChangeRoute, RevokeKey,
 		CrashingRequest, RestartBackEnd, StrangeEntries,
 	}
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -19,12 +20,17 @@
 
 	mutex    sync.Mutex
 	revision uint64
+	// era counts the histories, and times are when the revisions of this one were given, by
+	// revision.
+	era   uint64
+	times map[uint64]time.Time
 	// oldest is the revision from which history is kept.
 	oldest         uint64
 	configurations []wire.StoreEntry[catalog.Configuration]
 	backEnds       []wire.StoreEntry[catalog.BackEnd]
 	evacuations    []wire.StoreEntry[catalog.Evacuation]
 	own            []wire.StoreEntry[[]byte]
+	rollouts       []wire.StoreEntry[catalog.Rollout]
 	changed        chan struct{}
 	// silent keeps every call without an answer, busy refuses it, and slow delays
 	// it; each counts the faults that ask for it.
@@ -38,7 +44,7 @@
 const keptHistory = 64
 
 func newStore(protocol wire.Protocol) *store {
-	return &store{protocol: protocol, changed: make(chan struct{})}
+	return &store{protocol: protocol, changed: make(chan struct{}), era: 1, times: map[uint64]time.Time{}}
 }
 
 func (s *store) putConfiguration(configuration catalog.Configuration) {
@@ -66,6 +72,104 @@
 	s.evacuations = append(s.evacuations, wire.StoreEntry[catalog.Evacuation]{Name: zone, Revision: s.next(), Gone: withdrawn})
 }
 
+// putRollout orders the move of a service, or takes the order back.
+func (s *store) putRollout(order catalog.Rollout) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rollouts = append(s.rollouts, wire.StoreEntry[catalog.Rollout]{Name: order.Service, Revision: s.next(), Gone: order.Withdrawn, Value: order})
+}
+
+// rollout returns the order of a service as it is kept; ok is false without one.
+func (s *store) rollout(service string) (order catalog.Rollout, ok bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range listed(s.rollouts) {
+		if each.Name == service {
+			return each.Value, true
+		}
+	}
+	return catalog.Rollout{}, false
+}
+
+// writeStatus takes how far an order has come, if it is still at the revision that the writer
+// knows.
+func (s *store) writeStatus(w http.ResponseWriter, write wire.RolloutWrite) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range listed(s.rollouts) {
+		if each.Name != write.Service {
+			continue
+		}
+		if each.Revision != write.Revision {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		each.Value.State, each.Value.BeganAt = write.State, write.BeganAt
+		each.Revision = s.next()
+		s.rollouts = append(s.rollouts, each)
+		s.protocol.WriteObject(w, s.era, each.Untyped())
+		return
+	}
+	w.WriteHeader(http.StatusNotFound)
+}
+
+// restore puts back a copy of that age: what was written since is gone, and its revisions are
+// given out again. It returns what operators and back ends write again.
+func (s *store) restore(age time.Duration) (rewrite func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	taken := time.Now().Add(-age)
+	copied := s.revision
+	for copied > 0 && s.times[copied].After(taken) {
+		delete(s.times, copied)
+		copied--
+	}
+	var lost []func()
+	lost = append(lost, cutBack(&s.configurations, copied, s.next)...)
+	lost = append(lost, cutBack(&s.backEnds, copied, s.next)...)
+	lost = append(lost, cutBack(&s.evacuations, copied, s.next)...)
+	lost = append(lost, cutBack(&s.rollouts, copied, s.next)...)
+	cutBack(&s.own, copied, s.next)
+	s.era++
+	s.revision, s.oldest = copied, min(s.oldest, copied)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		for _, write := range lost {
+			write()
+		}
+	}
+}
+
+// cutBack drops the entries after the revision, and returns what writes the newest of each
+// name again.
+func cutBack[T any](history *[]wire.StoreEntry[T], copied uint64, next func() uint64) []func() {
+	newest := map[string]wire.StoreEntry[T]{}
+	kept := (*history)[:0:0]
+	for _, entry := range *history {
+		if entry.Revision <= copied {
+			kept = append(kept, entry)
+			continue
+		}
+		newest[entry.Name] = entry
+	}
+	*history = kept
+	var rewrites []func()
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		entry := newest[name]
+		rewrites = append(rewrites, func() {
+			if rewritten := slices.ContainsFunc(*history, func(e wire.StoreEntry[T]) bool { return e.Name == name && e.Revision > copied }); rewritten {
+				return // its writer has something newer to say by now
+			}
+			entry.Revision = next()
+			*history = append(*history, entry)
+		})
+	}
+	return rewrites
+}
+
 // isAway tells whether the store takes nothing from operators at the moment.
 func (s *store) isAway() bool {
 	s.mutex.Lock()
@@ -76,6 +180,7 @@
 // next returns the revision of a change and wakes the watches.
 func (s *store) next() uint64 {
 	s.revision++
+	s.times[s.revision] = time.Now()
 	if s.revision > s.oldest+keptHistory {
 		s.oldest = s.revision - keptHistory
 	}
@@ -84,11 +189,21 @@
 	return s.revision
 }
 
+// skip lets other writers make so many changes.
+func (s *store) skip(changes uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for range changes {
+		s.next()
+	}
+}
+
 // forget drops the history: watches must read anew.
 func (s *store) forget() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
+	s.times[s.revision] = time.Now()
 	s.oldest = s.revision
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -118,6 +233,10 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
+	if write, ok := s.protocol.ReadRolloutStatus(r); ok {
+		s.writeStatus(w, write)
+		return
+	}
 	if write, ok := s.protocol.ReadStoreWrite(r); ok {
 		s.write(w, write)
 		return
@@ -150,9 +269,10 @@
 func (s *store) await(r *http.Request, call wire.StoreCall) bool {
 	timer := time.NewTimer(call.Wait)
 	defer timer.Stop()
+	era := s.eraNow()
 	for {
 		s.mutex.Lock()
-		gone := call.After < s.oldest
+		gone := call.After < s.oldest || call.After > s.revision || era != s.era
 		news, changed := s.hasNews(call), s.changed
 		s.mutex.Unlock()
 		if gone || news {
@@ -168,6 +288,12 @@
 	}
 }
 
+func (s *store) eraNow() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
 func (s *store) hasNews(call wire.StoreCall) bool {
 	switch call.Kind {
 	case wire.BackEnds:
@@ -176,6 +302,8 @@
 		return len(since(s.evacuations, call.After)) > 0
 	case wire.Own:
 		return len(since(s.own, call.After)) > 0
+	case wire.Rollouts:
+		return len(since(s.rollouts, call.After)) > 0
 	default:
 		return len(since(s.configurations, call.After)) > 0
 	}
@@ -186,18 +314,24 @@
 	defer s.mutex.Unlock()
 	switch call.Kind {
 	case wire.BackEnds:
-		s.protocol.WriteBackEnds(w, answerOfStore(s.backEnds, call, s.revision))
+		s.protocol.WriteList(w, answerOfStore(s.backEnds, call, s.revision, s.era))
 	case wire.Evacuations:
-		s.protocol.WriteEvacuations(w, answerOfStore(s.evacuations, call, s.revision))
+		s.protocol.WriteList(w, answerOfStore(s.evacuations, call, s.revision, s.era))
 	case wire.Own:
-		s.protocol.WriteOwn(w, answerOfStore(s.own, call, s.revision))
+		s.protocol.WriteList(w, answerOfStore(s.own, call, s.revision, s.era))
+	case wire.Rollouts:
+		s.protocol.WriteList(w, answerOfStore(s.rollouts, call, s.revision, s.era))
 	default:
-		s.protocol.WriteConfigurations(w, answerOfStore(s.configurations, call, s.revision))
+		s.protocol.WriteList(w, answerOfStore(s.configurations, call, s.revision, s.era))
 	}
 }
 
-func answerOfStore[T any](history []wire.StoreEntry[T], call wire.StoreCall, revision uint64) wire.StoreAnswer[T] {
-	return wire.StoreAnswer[T]{Watch: call.Watch, At: revision, Entries: entries(history, call)}
+func answerOfStore[T any](history []wire.StoreEntry[T], call wire.StoreCall, revision, era uint64) wire.StoreAnswer[any] {
+	answer := wire.StoreAnswer[any]{Watch: call.Watch, At: revision, Era: era}
+	for _, each := range entries(history, call) {
+		answer.Entries = append(answer.Entries, each.Untyped())
+	}
+	return answer
 }
 
 func entries[T any](history []wire.StoreEntry[T], call wire.StoreCall) []wire.StoreEntry[T] {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -54,6 +54,8 @@
 		f.hurtStore(func(s *store) *int { return &s.slow }, wait)
 	case StoreForgets:
 		f.hurtStore(nil, f.store.forget)
+	case RestoreStore:
+		f.restoreStore(ctx, fault.For)
 	case SilentConnections:
 		f.silence()
 	case EvacuateZone:
@@ -123,6 +125,33 @@
 	f.store.misbehave(count, -1)
 }
 
+const (
+	// rewritePause is how long after a restore operators and back ends write theirs again.
+	rewritePause = 1500 * time.Millisecond
+	// lostChanges is how many changes of other writers a restore takes back, and lostPause how
+	// long before it they were made: less than any copy's age.
+	lostChanges = 500
+	lostPause   = 300 * time.Millisecond
+)
+
+// restoreStore brings the store back from a copy of that age. The back ends have registered
+// anew since, after many changes: whoever orders by revisions alone takes what is written after
+// the restore for old.
+func (f *fleet) restoreStore(ctx context.Context, age time.Duration) {
+	over := f.check.trouble(everywhere)
+	defer over()
+	f.store.skip(lostChanges)
+	for _, b := range f.backEnds {
+		if !b.isStarting() {
+			f.store.putBackEnd(b.entry())
+		}
+	}
+	sleep(ctx, lostPause)
+	rewrite := f.store.restore(age)
+	sleep(ctx, rewritePause)
+	rewrite()
+}
+
 // silence lets all connections go silent. What it disturbs is over once each has been
 // noticed.
 func (f *fleet) silence() {
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Protocol speaks the platform's side of the protocol for the stand-ins: what the
@@ -14,14 +14,16 @@
 type Protocol interface {
 	// ReadStoreCall returns what a call to the store asks for.
 	ReadStoreCall(request *http.Request) StoreCall
-	// WriteConfigurations, WriteBackEnds and WriteEvacuations answer a list or a watch.
-	WriteConfigurations(w http.ResponseWriter, answer StoreAnswer[catalog.Configuration])
-	WriteBackEnds(w http.ResponseWriter, answer StoreAnswer[catalog.BackEnd])
-	WriteEvacuations(w http.ResponseWriter, answer StoreAnswer[catalog.Evacuation])
-	// ReadStoreWrite returns what a call writes; ok is false for one that reads. WriteOwn
-	// answers a list of the gateways' own objects.
+	// WriteList answers a list or a watch of objects, which are catalog.Configuration,
+	// catalog.BackEnd, catalog.Evacuation, catalog.Rollout, or the bytes of one of the
+	// gateways' own. WriteObject answers a call that wrote one.
+	WriteList(w http.ResponseWriter, answer StoreAnswer[any])
+	WriteObject(w http.ResponseWriter, era uint64, entry StoreEntry[any])
+	// ReadStoreWrite returns what a call writes; ok is false for one that reads.
 	ReadStoreWrite(request *http.Request) (write StoreWrite, ok bool)
-	WriteOwn(w http.ResponseWriter, answer StoreAnswer[[]byte])
+	// ReadRolloutStatus returns what a call writes of how far an order has come; ok is false
+	// for other calls.
+	ReadRolloutStatus(request *http.Request) (write RolloutWrite, ok bool)
 	// ReadForward returns what a gateway told a back end.
 	ReadForward(header http.Header) Forwarded
 	// WriteStamp marks an answer as the back end's own to the request; WriteNotRun
@@ -44,8 +46,20 @@
 	Evacuations
 	// Own are those that the gateways write.
 	Own
+	// Rollouts are orders to move services to other versions.
+	Rollouts
 )
 
+// RolloutWrite is a call that writes how far the order of a service has come, if it is at the
+// revision.
+type RolloutWrite struct {
+	Service  string
+	Target   string
+	State    rollout.State
+	BeganAt  int64
+	Revision uint64
+}
+
 // StoreWrite is a call that writes one of the gateways' own objects, or removes it.
 type StoreWrite struct {
 	Name string
@@ -67,8 +81,9 @@
 type StoreAnswer[T any] struct {
 	// Watch is true for the answer to a watch.
 	Watch bool
-	// At is the store's revision.
-	At uint64
+	// At is the store's revision, and Era its era; 0 for a store that tells none.
+	At  uint64
+	Era uint64
 	// Entries are in order of their names in a list, of their revisions in a watch.
 	Entries []StoreEntry[T]
 }
@@ -81,6 +96,11 @@
 	Value    T
 }
 
+// Untyped returns the entry as one of any kind.
+func (e StoreEntry[T]) Untyped() StoreEntry[any] {
+	return StoreEntry[any]{Name: e.Name, Revision: e.Revision, Gone: e.Gone, Value: e.Value}
+}
+
 // Forwarded is what a gateway told a back end.
 type Forwarded struct {
 	// Request is the caller's ID, BackEnd the incarnation that is meant.
