--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -24,6 +24,7 @@
 	minutes float64
 	runs    int
 	program string
+	older   string
 	folder  string
 	kinds   []string
 }
@@ -53,6 +54,7 @@
 	f.StringSliceVar(&flags.kinds, "kinds", nil, "draw these kinds of faults alone, such as "+string(soak.EvacuateZone)+" (default: all)")
 	f.StringSliceVar(&flags.options.Disable, "break", nil, "switch mechanisms of the gateways off; a violation must be found then")
 	f.StringVar(&flags.program, "program", "bin/harriernotchd", "the gateways' program")
+	f.StringVar(&flags.older, "older", "", "another build of the program, which runs by turns with it: an upgrade and its way back")
 	f.StringVar(&flags.folder, "folder", "", "where settings and logs are kept (default: a temporary folder, removed when nothing was broken)")
 	return command
 }
@@ -108,6 +110,11 @@
 	if err != nil {
 		return soak.Result{}, failure.Wrap(failure.InvalidRequest, err, "--program; build it with `go build -o bin/ ./cmd/...`")
 	}
+	if flags.older != "" {
+		if err := environment.UseOlder(flags.older); err != nil {
+			return soak.Result{}, failure.Wrap(failure.InvalidRequest, err, "--older; build it in a work tree of its commit")
+		}
+	}
 	flags.options.Duration = time.Duration(flags.minutes * float64(time.Minute))
 	result, err := soak.Run(ctx, flags.options, environment)
 	if err != nil {
--- /dev/null
+++ b/internal/collect/landed_test.go
@@ -0,0 +1,60 @@
+package collect
+
+import (
+	"os"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/rollout"
+)
+
+// countsOfLandedBuilds are those in the recorded messages.
+var countsOfLandedBuilds = []dispatch.Count{{Key: 7, Requests: 3, Wanted: 40}, {Key: 9, Requests: 1, Wanted: 2, Ended: 5, TookMillis: 600}}
+
+// Every build reads the questions and answers of the builds that landed before it.
+func TestQuestionsAndAnswersOfLandedBuildsAreRead(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("testdata/landed/question-018ec82.cbor")
+	is.NoErr(err)
+	var asked question
+	is.NoErr(cbor.Unmarshal(raw, &asked))
+	is.Equal(asked.From, "g1")
+	counts, err := asked.Counts.unpack()
+	is.NoErr(err)
+	is.Equal(counts, countsOfLandedBuilds)
+
+	raw, err = os.ReadFile("testdata/landed/answer-018ec82.cbor")
+	is.NoErr(err)
+	totals, err := decodeAnswer(raw)
+	is.NoErr(err)
+	is.Equal(totals, dispatch.Totals{Counts: countsOfLandedBuilds, Counted: 12, Expected: 14})
+}
+
+// A build before this one finds in ours what it knows.
+func TestOlderBuildsFindTheirFieldsInOurs(t *testing.T) {
+	is := is.New(t)
+	fields := func(raw []byte) map[int]cbor.RawMessage {
+		var found map[int]cbor.RawMessage
+		is.NoErr(cbor.Unmarshal(raw, &found))
+		return found
+	}
+	recorded := func(name string) map[int]cbor.RawMessage {
+		raw, err := os.ReadFile("testdata/landed/" + name + "-018ec82.cbor")
+		is.NoErr(err)
+		return fields(raw)
+	}
+	tallies := []rollout.Tally{{Key: rollout.Key{Order: 1, Route: 2, Group: 3}, Sent: 4}}
+	asked, err := cbor.Marshal(question{From: "g1", Counts: pack(countsOfLandedBuilds), Tallies: tallies})
+	is.NoErr(err)
+	answered, err := encodeAnswer(dispatch.Totals{Counts: countsOfLandedBuilds, Counted: 12, Expected: 14, Tallies: tallies})
+	is.NoErr(err)
+	for field, value := range recorded("question") {
+		is.Equal(fields(asked)[field], value)
+	}
+	for field, value := range recorded("answer") {
+		is.Equal(fields(answered)[field], value)
+	}
+}
--- /dev/null
+++ b/internal/relay/landed_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+)
+
+// landedMessages are messages as landed builds wrote them, with every field set.
+const landedMessages = "testdata/landed/message-*.cbor"
+
+// Every build reads the messages of the builds that landed before it: gateways of both run side
+// by side while machines are replaced.
+func TestMessagesOfLandedBuildsAreRead(t *testing.T) {
+	files, err := filepath.Glob(landedMessages)
+	if err != nil || len(files) == 0 {
+		t.Fatal("no message of a landed build", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			raw, err := os.ReadFile(file)
+			is.NoErr(err)
+			message, err := decode(raw)
+			is.NoErr(err)
+			is.Equal(message.From, "g1")
+			is.Equal(message.Peers, []Peer{{ID: "g2", Address: "10.0.0.2:2", AgeMillis: 5, StoreAgeMillis: 6, Zone: "z", Capacity: 30}})
+			is.Equal(message.Version, uint64(7))
+			is.True(message.Want && message.Surveyed)
+			is.Equal(len(message.Entries), 2)
+			is.Equal(message.Entries[0].BackEnd, catalog.BackEnd{
+				ID: "b", Service: "s", Address: "10.0.1.1:1", Zone: "z", Slots: 64, Leaving: true, WarmUp: time.Second, Born: 17,
+			})
+			is.Equal(message.Entries[1], catalog.Entry{BackEnd: catalog.BackEnd{ID: "c"}, Gone: true, Revision: 42, Era: message.Entries[1].Era})
+			is.Equal(message.Loads, []dispatch.Load{{BackEnd: "b", Requests: 3}})
+			is.Equal(message.Holdings, []dispatch.Holdings{{BackEnd: "b", Born: 17, Parts: []uint64{1, 2}, Tokens: []int{100, 200}}})
+			is.Equal(len(message.Digest), catalog.DigestBuckets)
+			is.Equal(message.Lacking, catalog.Buckets(5))
+			is.Equal(message.Answer, catalog.Buckets(9))
+			is.Equal(message.Evacuations[0].Zone, "y")
+			is.True(message.Evacuations[1].Withdrawn)
+			is.Equal(message.Crashes[0].Incarnations, []uint32{1, 2, 3})
+			var document catalog.Configuration
+			is.NoErr(cbor.Unmarshal(message.Document, &document))
+			is.NoErr(document.Check())
+			is.Equal(document.Services[0].WarmUpTime, 3*time.Second)
+		})
+	}
+}
+
+// fieldsOfTheFirst are the numbers of the fields that the first landed build of the record knows.
+// Their meaning may not change, and what came later has other numbers.
+const fieldsOfTheFirst = 19
+
+// A build before this one finds in a message of ours what it knows, as it wrote it itself, and
+// passes over the rest.
+func TestOlderBuildsFindTheirFieldsInOurMessages(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("testdata/landed/message-018ec82.cbor")
+	is.NoErr(err)
+	message, err := decode(raw)
+	is.NoErr(err)
+	message.Era, message.KnowsRollouts, message.Displaced = 3, true, []uint32{7}
+	ours, err := cbor.Marshal(message)
+	is.NoErr(err)
+	var before, now map[int]cbor.RawMessage
+	is.NoErr(cbor.Unmarshal(raw, &before))
+	is.NoErr(cbor.Unmarshal(ours, &now))
+	for field := 1; field <= fieldsOfTheFirst; field++ {
+		is.Equal(now[field], before[field])
+	}
+	for field := range now {
+		if _, known := before[field]; !known {
+			is.True(field > fieldsOfTheFirst)
+		}
+	}
+}
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -20,6 +20,10 @@
 type Processes struct {
 	protocol wire.Protocol
 	program  string
+	// older is the program of another build, which runs by turns with the first one; "" for
+	// none. gateways counts those that were prepared.
+	older    string
+	gateways int
 	folder   string
 	// lastPort is the place of the port that was given out last.
 	lastPort int
@@ -28,14 +32,30 @@
 // NewProcesses returns an environment that runs the program; settings and logs are
 // kept in the folder.
 func NewProcesses(protocol wire.Protocol, program, folder string) (*Processes, error) {
+	absolute, err := pathOf(program)
+	if err != nil {
+		return nil, err
+	}
+	return &Processes{protocol: protocol, program: absolute, folder: folder, lastPort: os.Getpid() * portsPerRun % ports}, nil
+}
+
+func pathOf(program string) (string, error) {
 	absolute, err := filepath.Abs(program)
 	if err != nil {
-		return nil, errors.Wrap(err, "find the program")
+		return "", errors.Wrap(err, "find the program")
 	}
 	if _, err := os.Stat(absolute); err != nil {
-		return nil, errors.Wrap(err, "the program can't be run")
+		return "", errors.Wrap(err, "the program can't be run")
 	}
-	return &Processes{protocol: protocol, program: absolute, folder: folder, lastPort: os.Getpid() * portsPerRun % ports}, nil
+	return absolute, nil
+}
+
+// UseOlder lets every second gateway begin with another build of the program, and each go over
+// to the other one whenever it starts again: an upgrade and its way back, machine by machine.
+func (e *Processes) UseOlder(program string) error {
+	absolute, err := pathOf(program)
+	e.older = absolute
+	return err
 }
 
 // loopback is where everything listens.
@@ -84,22 +104,31 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open a gateway's log")
 	}
-	return &process{program: e.program, settings: path, log: log}, nil
+	programs := []string{e.program}
+	if e.older != "" {
+		programs = append(programs, e.older)
+	}
+	e.gateways++
+	return &process{programs: programs, starts: e.gateways, settings: path, log: log}, nil
 }
 
 // process is a gateway as a process of its own.
 type process struct {
-	program, settings string
-	log               *os.File
-	command           *exec.Cmd
-	ended             chan struct{}
+	// programs run by turns, one for each start.
+	programs []string
+	starts   int
+	settings string
+	log      *os.File
+	command  *exec.Cmd
+	ended    chan struct{}
 }
 
 // startTime is how long a started gateway is given before faults may strike it.
 const startTime = 200 * time.Millisecond
 
 func (p *process) Start() error {
-	p.command = exec.Command(p.program, "--config", p.settings)
+	p.command = exec.Command(p.programs[p.starts%len(p.programs)], "--config", p.settings)
+	p.starts++
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	if err := p.command.Start(); err != nil {
 		return errors.Wrap(err, "start a gateway")
