Gateway: what is held for slow readers is bounded; roll-outs in status and metrics

Cause: answers were held without a bound on all of them, a caller that reads nothing was never given up, and its back end's place was kept until it had read. Ruled out: refusing new requests for answers that lie unread (the caller's slowness would cost another one): requests and answers have a bound each.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -31,6 +31,7 @@
 	defer log.Close()
 	// Libraries complain on the standard logger; standard output holds JSON alone.
 	stdlog.SetOutput(log.Entry().WriterLevel(logrus.DebugLevel))
+	daemon.BoundMemory(s.Gateway.MemoryMegabytes)
 	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Clock: clock.New(), Log: log})
 	if err != nil {
 		return err
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -95,11 +95,16 @@
 }
 
 func printGateway(output io.Writer, status gateway.Status) error {
-	_, err := fmt.Fprintf(output, "gateway: ready %v, draining %v, configuration %d, %d gateways, reads the store %v, store answered %.1fs ago, loads %.1fs old\n\n",
-		status.Ready, status.Draining, status.Version, status.Gateways, status.Reader, status.StoreAgeSeconds, status.LoadAgeSeconds)
+	_, err := fmt.Fprintf(output, "gateway: ready %v, draining %v, configuration %d, %d gateways, reads the store %v, store answered %.1fs ago (era %d), loads %.1fs old\n\n",
+		status.Ready, status.Draining, status.Version, status.Gateways, status.Reader, status.StoreAgeSeconds, status.Era, status.LoadAgeSeconds)
 	if err != nil {
 		return err
 	}
+	for _, each := range status.Rollouts {
+		if err := printRollout(output, each); err != nil {
+			return err
+		}
+	}
 	if len(status.Withheld) > 0 {
 		if _, err := fmt.Fprintf(output, "withheld requests, which crash back ends: %s\n\n", strings.Join(status.Withheld, ", ")); err != nil {
 			return err
@@ -162,3 +167,35 @@
 			group, node.ID, node.Health, node.Zone, node.Bundle, node.Load, node.AgeSeconds)
 	}
 }
+
+// printRollout tells how far a service's move to another version has come, by which evidence.
+func printRollout(output io.Writer, rollout gateway.RolloutStatus) error {
+	state := rollout.State
+	if rollout.Abandoned {
+		state += ", the candidate was found bad"
+	}
+	_, err := fmt.Fprintf(output, "%s moves to %s: %s, %.1fs of %.1fs, %d of %d attempts at the candidate, %d under way at the standing version\n",
+		rollout.Service, rollout.Target, state, rollout.AgeSeconds, rollout.DurationSeconds, rollout.Exposed, rollout.Sent, rollout.UnderWay)
+	if err != nil {
+		return err
+	}
+	if found := rollout.Finding; found != nil {
+		if _, err := fmt.Fprintf(output, "  found bad: %d of %d answers %s, %d of %d usual, log of the likelihood ratio %.1f\n",
+			found.Bad, found.Answers, found.What, found.UsualBad, found.UsualAnswers, found.Ratio); err != nil {
+			return err
+		}
+	}
+	for _, wait := range rollout.Awaits {
+		if _, err := fmt.Fprintf(output, "  waits for %s\n", wait); err != nil {
+			return err
+		}
+	}
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "  ROUTE\tSHARE\tDOUBT\tFAILED\tSLOW\tFAILED BEFORE\tSLOW BEFORE")
+	for _, route := range rollout.Routes {
+		_, _ = fmt.Fprintf(table, "  %s\t%.2f\t%.1f\t%d of %d\t%d of %d\t%d of %d\t%d of %d\n", route.Route, route.Share, route.Doubt,
+			route.Failed, route.Answers, route.Slow, route.Timed, route.UsualBad, route.UsualOf, route.UsualSlow, route.UsualTime)
+	}
+	_, _ = fmt.Fprintln(table)
+	return table.Flush()
+}
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 func TestStatusOfAGatewayIsATable(t *testing.T) {
@@ -32,6 +33,28 @@
 	is.Equal(again.Gateways, 103)
 }
 
+func TestStatusShowsARollout(t *testing.T) {
+	is := is.New(t)
+	raw, err := json.Marshal(gateway.Status{
+		Role: gateway.RoleName, Era: 3,
+		Rollouts: []gateway.RolloutStatus{{
+			Service: "chat", Target: "v2", State: "in_progress", Abandoned: true, Sent: 900, Exposed: 41, AgeSeconds: 4, DurationSeconds: 12,
+			Finding: &rollout.Finding{What: "failed", Bad: 14, Answers: 37, UsualBad: 6, UsualAnswers: 410, Ratio: 11.2},
+			Awaits:  []rollout.Wait{rollout.WaitStanding},
+			Routes:  []gateway.RolloutRouteStatus{{Route: "r-chat", Share: 0.05, Failed: 14, Answers: 37, UsualBad: 6, UsualOf: 410}},
+		}},
+	})
+	is.NoErr(err)
+	var output bytes.Buffer
+	is.NoErr(showStatus(&output, raw, outputTable))
+	for _, expected := range []string{
+		"era 3", "chat moves to v2: in_progress, the candidate was found bad, 4.0s of 12.0s, 41 of 900 attempts",
+		"14 of 37 answers failed", "waits for requests that end at the standing version", "r-chat", "6 of 410",
+	} {
+		is.True(strings.Contains(output.String(), expected))
+	}
+}
+
 func TestStatusOfARouterIsATable(t *testing.T) {
 	is := is.New(t)
 	raw, err := json.Marshal(daemon.Status{Role: "router", Node: "r1", Bundle: 4})
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -42,6 +42,8 @@
 	// one, and run is the current attempt as the judge of the move follows it.
 	side rollout.Side
 	run  *rollout.Run
+	// worked is set once the current attempt is off the back end's load.
+	worked bool
 	// whole is set once the caller has a whole answer.
 	whole bool
 	// fingerprints are those of the request, once they were asked for.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -14,12 +14,30 @@
 		return nil
 	}
 	x.run.End(now, x.whole)
+	if !x.worked {
+		x.endWork(now, m)
+	}
+	x.worked = false
+	return m
+}
+
+// endWork takes the attempt off the member's load.
+func (x *Exchange) endWork(now time.Time, m *member) {
 	m.own = max(m.own-1, 0)
 	m.ended++
 	if x.request.affinity() == "" {
 		m.took += now.Sub(x.sentAt)
 	}
-	return m
+}
+
+// Worked notes that the back end has done its work, though its answer isn't read yet: the head
+// of an answer that is made before it is sent. A caller who reads slowly must not keep a place
+// at the back end from others.
+func (c *Core) Worked(now time.Time, x *Exchange) {
+	if x.current != nil && !x.worked {
+		x.worked = true
+		x.endWork(now, x.current)
+	}
 }
 
 // ended releases the member of the attempt that gave no answer, once its health
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,7 +146,11 @@
 	}
 	result := outcome{answer: response, facts: facts}
 	if !c.route.Stream || response.StatusCode >= http.StatusMultipleChoices {
-		body, err := readWhole(response.Body)
+		h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+			core.Worked(now, c.exchange)
+			return dispatch.Decision{}
+		})
+		body, err := h.readWhole(c, response.Body)
 		if err != nil {
 			return outcome{next: h.noAnswer(c, send, err, false)}
 		}
@@ -175,9 +179,10 @@
 
 // readWhole reads a body to its end, so that one that is cut is never passed on
 // as whole.
-func readWhole(body io.ReadCloser) ([]byte, error) {
+func (h *Handler) readWhole(c *call, body io.ReadCloser) ([]byte, error) {
 	defer body.Close()
-	whole, err := io.ReadAll(io.LimitReader(body, maxHeldBytes+1))
+	held := &heldReader{reader: io.LimitReader(body, maxHeldBytes+1), handler: h, call: c}
+	whole, err := io.ReadAll(held)
 	if err == nil && len(whole) > maxHeldBytes {
 		err = errors.Errorf("the answer is larger than %d bytes", maxHeldBytes)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/limits"
 )
 
 // Config sets up a Handler.
@@ -31,6 +32,8 @@
 	Fresh  http.RoundTripper
 	// MaxBodyBytes bounds a body where the configuration doesn't.
 	MaxBodyBytes int64
+	// Held bounds what is held for callers and back ends together.
+	Held *limits.HeldBytes
 	// Lag tells when this process has stood still.
 	Lag *LagMeter
 	// Log and Metrics take what operators should know.
@@ -88,6 +91,8 @@
 	deadline time.Time
 	urgency  int
 	exchange *dispatch.Exchange
+	// heldRequest and heldAnswer are what it holds of Config.Held.
+	heldRequest, heldAnswer int64
 	// unlogged are the decisions that the log's budget left out.
 	unlogged []sendDecision
 }
@@ -99,6 +104,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{request: r, writer: w, began: h.clock().Now(), facts: h.config.Dialect.ReadRequest(r.Header)}
+	defer h.release(c)
+	h.boundWriting(c, defaultTimeout)
 	if h.config.State.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -134,6 +141,7 @@
 		return failure.New(failure.Overloaded, "this gateway has too little time for one more request; ask another")
 	}
 	c.deadline = c.began.Add(earliest(c.facts.Timeout, c.route.Timeout))
+	h.boundWriting(c, h.clock().Until(c.deadline))
 	return h.readBody(c, index.Configuration().Limits.MaxBodyBytes)
 }
 
@@ -183,7 +191,10 @@
 	if err := controller.SetReadDeadline(time.Now().Add(h.clock().Until(c.deadline))); err != nil {
 		return failure.Wrap(failure.Internal, err, "bound the time of the body")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	body, err := io.ReadAll(&admittedReader{reader: http.MaxBytesReader(c.writer, c.request.Body, limit), handler: h, call: c})
+	if errors.Is(err, errNoRoom) {
+		return failure.New(failure.Overloaded, "this gateway holds too much for callers that read slowly; ask another")
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Metrics counts what a gateway does. Its labels are bounded: services come from
@@ -121,6 +122,13 @@
 	m.scope.Gauge("lag_seconds").Update(gauges.Lag.Seconds())
 	m.scope.Gauge("gateways").Update(float64(gauges.Gateways))
 	m.scope.Gauge("evacuated_zones").Update(float64(gauges.Evacuated))
+	m.scope.Gauge("store_era").Update(float64(gauges.Era))
+	for _, moved := range gauges.Rollouts {
+		scope := m.scope.Tagged(map[string]string{"service": m.service(moved.Service)})
+		scope.Gauge("rollout_state").Update(float64(moved.State))
+		scope.Gauge("rollout_attempts").Update(float64(moved.Sent))
+		scope.Gauge("rollout_candidate_attempts").Update(float64(moved.Exposed))
+	}
 	m.scope.Gauge("log_lines_left_out").Update(float64(gauges.LinesLeftOut))
 	for _, service := range gauges.Services {
 		scope := m.scope.Tagged(map[string]string{"service": m.service(service.Name)})
@@ -145,12 +153,24 @@
 	Gateways int
 	// Evacuated is the number of zones whose back ends get nothing new.
 	Evacuated int
+	// Era is that of the store, and Rollouts are the services that are moved to another version.
+	Era      uint64
+	Rollouts []RolloutGauges
 	// LinesLeftOut is the number of log lines left out since the start.
 	LinesLeftOut int64
 	// Services are those with back ends.
 	Services []ServiceGauges
 }
 
+// RolloutGauges is how far a service's move has come: the state as a number (rollout.State), and
+// the attempts of all gateways since the order, all of them and those at the candidate.
+type RolloutGauges struct {
+	Service string
+	State   rollout.State
+	Sent    int
+	Exposed int
+}
+
 // ServiceGauges is what a gateway knows of one service.
 type ServiceGauges struct {
 	// Name is the service's.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -9,6 +9,10 @@
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
 		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesLeftOut: s.log.LeftOut(),
 	}
+	gauges.Era = s.view.Era()
+	for _, each := range s.core.Rollouts(now) {
+		gauges.Rollouts = append(gauges.Rollouts, RolloutGauges{Service: each.Order.Service, State: each.State, Sent: each.Sent, Exposed: each.Exposed})
+	}
 	for _, service := range s.core.Services(now) {
 		gauges.Services = append(gauges.Services, ServiceGauges(service))
 	}
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -80,15 +80,17 @@
 // Finding is why a candidate counts as bad.
 type Finding struct {
 	// Route is the route's key, 0 for all routes together.
-	Route uint32
+	Route uint32 `json:"route"`
 	// What is "failed" or "slow".
-	What string
+	What string `json:"what"`
 	// Bad of Answers are the candidate's, without the back end that is left out; UsualBad of
 	// UsualAnswers the standing version's.
-	Bad, Answers           int
-	UsualBad, UsualAnswers int
+	Bad          int `json:"bad"`
+	Answers      int `json:"answers"`
+	UsualBad     int `json:"usual_bad"`
+	UsualAnswers int `json:"usual_answers"`
 	// Ratio is the logarithm of the likelihood ratio.
-	Ratio float64
+	Ratio float64 `json:"likelihood_ratio"`
 }
 
 // measure picks what is tested out of a tally.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -60,12 +60,25 @@
 	// the gateways of a zone with the highest share collect the loads of the others.
 	// Default 1; from 0.01 to 1024.
 	ProcessorShare float64 `toml:"processor_share"`
+	// MemoryMegabytes is the memory that the process may use. The collector keeps below most of
+	// it, and what is held for callers and back ends that read slowly to an eighth; past that,
+	// back ends wait, and new requests are refused. 0, the default, sets no bound. From 32 to
+	// 1048576.
+	MemoryMegabytes int `toml:"memory_megabytes"`
 	// Disable names mechanisms to switch off (dispatch.Mechanisms). Each breaks a
 	// promise to callers or serves them worse: it is for runs that show that a check
 	// notices, or what a mechanism is worth. Default none.
 	Disable []string `toml:"disable"`
 }
 
+// heldPart is the part of the memory, as one in so many, for what is held for others. The
+// process itself, connections and the collector's slack take the rest: 48 MB at rest in a fleet
+// of hundreds, and some 20 KB a connection.
+const heldPart = 8
+
+// HeldBytes bounds what the gateway holds for callers and back ends; 0 for no bound.
+func (g *Gateway) HeldBytes() int64 { return int64(g.MemoryMegabytes) << 20 / heldPart }
+
 // MovesServices tells whether operators may move services to other versions.
 func (g *Gateway) MovesServices() bool { return g.ExposureShare > 0 || g.ExposureExtra > 0 }
 
@@ -90,6 +103,8 @@
 	maxWarmUpOverage     = 100
 	maxWarmUpExtra       = 1e6
 	maxExposureExtra     = 1e6
+	leastMemoryMegabytes = 32
+	mostMemoryMegabytes  = 1 << 20
 	// leastProcessorShare to mostProcessorShare are cores.
 	defaultProcessorShare = 1
 	leastProcessorShare   = 0.01
@@ -159,6 +174,9 @@
 	c.number("gateway.warm_up_extra", g.WarmUpExtra, 0, maxWarmUpExtra)
 	c.number("gateway.exposure_share", g.ExposureShare, 0, 1)
 	c.number("gateway.exposure_extra", g.ExposureExtra, 0, maxExposureExtra)
+	if g.MemoryMegabytes != 0 {
+		c.number("gateway.memory_megabytes", float64(g.MemoryMegabytes), leastMemoryMegabytes, mostMemoryMegabytes)
+	}
 	if g.EvacuationBound != 0 {
 		c.duration("gateway.evacuation_bound", g.EvacuationBound, shortestReadPeriod, longestLeavingBound)
 	}
