--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -20,7 +20,6 @@
 	"github.com/harriernotch/harriernotch/internal/follower"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
-	"github.com/harriernotch/harriernotch/internal/limits"
 	"github.com/harriernotch/harriernotch/internal/relay"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 	"github.com/harriernotch/harriernotch/internal/settings"
@@ -165,7 +164,7 @@
 		Reused:       g.transport(environment, true),
 		Fresh:        g.transport(environment, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
-		Held:         limits.NewHeldBytes(g.settings.Gateway.HeldBytes()),
+		Held:         gateway.NewHeldBytes(g.settings.Gateway.HeldBytes()),
 		Lag:          lag,
 		Log:          g.log,
 		Metrics:      metrics,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,7 +16,6 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
-	"github.com/harriernotch/harriernotch/internal/limits"
 )
 
 // Config sets up a Handler.
@@ -33,7 +32,7 @@
 	// MaxBodyBytes bounds a body where the configuration doesn't.
 	MaxBodyBytes int64
 	// Held bounds what is held for callers and back ends together.
-	Held *limits.HeldBytes
+	Held *HeldBytes
 	// Lag tells when this process has stood still.
 	Lag *LagMeter
 	// Log and Metrics take what operators should know.
--- a/internal/limits/held_test.go
+++ b/internal/gateway/heldbytes_test.go
@@ -1,4 +1,4 @@
-package limits
+package gateway
 
 import (
 	"context"
