--- /dev/null
+++ b/internal/rollout/judge_test.go
@@ -0,0 +1,139 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+)
+
+var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newJudge(gateways int) *Judge {
+	j := NewJudge(start, Order{Service: "s", Target: "v2", Duration: 12 * time.Second}, crowdLimits)
+	j.SetGateways(gateways)
+	j.SetCandidates(start, true)
+	return j
+}
+
+// Whatever the number of gateways, between which nobody hears of anybody: all together keep the
+// exposure, also where each of them sees a request every few seconds.
+func TestGatewaysThatHearNobodyKeepTheExposure(t *testing.T) {
+	for _, gateways := range []int{1, 7, 357, 1000} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			is := is.New(t)
+			for _, requests := range []int{20, 600, 6000} {
+				judges := make([]*Judge, gateways)
+				for i := range judges {
+					judges[i] = newJudge(max(gateways, 2))
+				}
+				exposed := 0
+				for i := range requests {
+					now := start.Add(12 * time.Second * time.Duration(i) / time.Duration(requests))
+					if judges[i%gateways].Side(now, "r", fmt.Sprint("request ", i)) == Candidate {
+						exposed++
+					}
+				}
+				is.True(float64(exposed) <= crowdLimits.Share*float64(requests)+crowdLimits.Extra)
+			}
+		})
+	}
+}
+
+// A candidate that any gateway found bad gets nothing more anywhere, and there is no way back.
+func TestAbandonedCandidateGetsNothing(t *testing.T) {
+	is := is.New(t)
+	one, other := newJudge(2), newJudge(2)
+	one.abandoned = true
+	is.True(other.Hear(start.Add(time.Second), one.Mark(start.Add(time.Second))))
+	is.True(!other.Hear(start.Add(time.Second), one.Mark(start.Add(time.Second))))
+	other.Hear(start, newJudge(2).Mark(start))
+	is.True(!other.Allows(Candidate))
+	for i := range 100 {
+		is.Equal(other.Side(start.Add(11*time.Second), "r", fmt.Sprint(i)), Standing)
+	}
+	is.Equal(other.Due(start.Add(2*time.Second)), Reverted)
+}
+
+// The verdict that stands is everybody's, whatever a gateway found itself.
+func TestVerdictInTheStoreBinds(t *testing.T) {
+	is := is.New(t)
+	j := newJudge(1)
+	j.abandoned = true
+	j.SetState(Completed)
+	is.Equal(j.Due(start), Completed)
+	is.True(!j.Allows(Standing))
+	j.SetState(InProgress) // a stale word
+	is.Equal(j.State(), Completed)
+}
+
+// An order is as old as the gateway that knows it longest says.
+func TestOrdersKeepTheirAge(t *testing.T) {
+	is := is.New(t)
+	old, young := newJudge(2), newJudge(2)
+	young.beganAt = start.Add(5 * time.Second)
+	now := start.Add(6 * time.Second)
+	young.Hear(now, old.Mark(now))
+	is.Equal(young.Age(now), 6*time.Second)
+	old.Hear(now, young.Mark(now))
+	is.Equal(old.Age(now), 6*time.Second)
+	old.Hear(now, Mark{Order: 1, AgeMillis: 1e12})
+	is.Equal(old.Age(now), 6*time.Second)
+}
+
+// The standing back ends are stopped by the verdict: it waits for what runs there.
+func TestCompletionWaitsForTheStandingVersion(t *testing.T) {
+	is := is.New(t)
+	j := newJudge(1)
+	run := j.Send(start, Standing, Facts{Route: "r", BackEnd: "a", First: true, Stream: true})
+	late := start.Add(20 * time.Second)
+	j.Look(late)
+	is.Equal(j.Due(late), InProgress)
+	is.Equal(j.Awaits(late), []Wait{WaitStanding})
+	run.End(late, true)
+	is.Equal(j.Due(late), Completed)
+}
+
+// What machines do says nothing of a version: one group that fails isn't judged by, on either
+// side, and answers that never came aren't counted.
+func TestOneMachineIsNotTheVersion(t *testing.T) {
+	is := is.New(t)
+	j := newJudge(1)
+	for i := range 400 {
+		side, backEnd := Side(i%2), fmt.Sprint("b", i%12)
+		run := j.Send(start, side, Facts{Route: "r", BackEnd: backEnd, First: true})
+		if side == Candidate && backEnd == "b3" {
+			run.Failed(start.Add(50 * time.Millisecond))
+		} else if i%5 == 0 {
+			run.End(start.Add(time.Second), false) // broke off
+			continue
+		} else {
+			run.Answered(start.Add(50 * time.Millisecond))
+		}
+		run.End(start.Add(50*time.Millisecond), true)
+	}
+	is.True(!j.Look(start.Add(3 * time.Second)))
+	is.True(!j.isDoubtful())
+}
+
+// Tallies of other builds, or of other orders, are passed over.
+func TestStrangeTalliesArePassedOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := newJudge(3)
+		var tallies []Tally
+		for range rapid.IntRange(0, 20).Draw(t, "tallies") {
+			tallies = append(tallies, Tally{
+				Key:     Key{Order: rapid.SampledFrom([]uint32{j.id, 0, 7}).Draw(t, "order"), Route: rapid.Uint32().Draw(t, "route"), Group: rapid.Uint8().Draw(t, "group")},
+				Answers: rapid.Uint32Range(0, 50).Draw(t, "answers"), Failed: rapid.Uint32Range(0, 60).Draw(t, "failed"),
+				Timed: rapid.Uint32().Draw(t, "timed"), Slow: rapid.Uint32().Draw(t, "slow"),
+			})
+		}
+		j.TakeTotals(start, tallies, 3, 3)
+		j.Look(start.Add(time.Second))
+		j.Report(start.Add(time.Second))
+	})
+}
