Held bytes: large answers leave room from their first byte on; a head settles the wait for a back end

And a back end whose answers waited for room counted as one that lets requests wait. Change: an answer's size is judged by what its head tells; Core.Worked settles the wait.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -44,6 +44,8 @@
 	run  *rollout.Run
 	// worked is set once the current attempt is off the back end's load.
 	worked bool
+	// settled is set once the current attempt doesn't wait for the back end any more.
+	settled bool
 	// whole is set once the caller has a whole answer.
 	whole bool
 	// fingerprints are those of the request, once they were asked for.
@@ -147,6 +149,7 @@
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
+	x.settled = false
 	c.noteRun(now, x, chosen)
 	chosen.own++
 	c.paceOf(x.service).sent++
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// settle notes that the attempt doesn't wait for the back end any more, once for each attempt.
+func (x *Exchange) settle(m *member) {
+	if !x.settled {
+		x.settled = true
+		m.health.settled()
+	}
+}
+
 // Worked notes that the back end has done its work, though its answer isn't read yet: the head
 // of an answer that is made before it is sent. A caller who reads slowly must not keep a place
 // at the back end from others.
@@ -37,6 +45,7 @@
 	if x.current != nil && !x.worked {
 		x.worked = true
 		x.endWork(now, x.current)
+		x.settle(x.current)
 	}
 }
 
@@ -44,7 +53,7 @@
 // has taken the outcome.
 func (c *Core) ended(now time.Time, x *Exchange, outcome func(m *member)) {
 	m := x.release(now)
-	m.health.settled()
+	x.settle(m)
 	outcome(m)
 	c.noteHealth(now, m)
 }
@@ -134,11 +143,11 @@
 	c.noteHealth(now, m)
 	if everywhere || !c.mayRepeat(x) || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
 		x.phase = Answering
-		m.health.settled()
+		x.settle(m)
 		return Decision{}
 	}
 	x.release(now)
-	m.health.settled()
+	x.settle(m)
 	return c.attempt(now, x)
 }
 
@@ -149,7 +158,7 @@
 	x.phase = Answering
 	x.ran = failure.RanYes
 	x.run.Answered(now)
-	m.health.settled()
+	x.settle(m)
 	m.health.good(now)
 	c.noteHealth(now, m)
 	c.noteLife(now, x, m)
@@ -181,7 +190,7 @@
 func (c *Core) Done(now time.Time, x *Exchange) {
 	waiting := x.phase == Sent
 	if m := x.release(now); m != nil && waiting {
-		m.health.settled()
+		x.settle(m)
 	}
 	x.phase = Ended
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -150,7 +150,7 @@
 			core.Worked(now, c.exchange)
 			return dispatch.Decision{}
 		})
-		body, err := h.readWhole(c, response.Body)
+		body, err := h.readWhole(c, response)
 		if err != nil {
 			return outcome{next: h.noAnswer(c, send, err, false)}
 		}
@@ -179,9 +179,9 @@
 
 // readWhole reads a body to its end, so that one that is cut is never passed on
 // as whole.
-func (h *Handler) readWhole(c *call, body io.ReadCloser) ([]byte, error) {
-	defer body.Close()
-	held := &heldReader{reader: io.LimitReader(body, maxHeldBytes+1), handler: h, call: c}
+func (h *Handler) readWhole(c *call, response *http.Response) ([]byte, error) {
+	defer response.Body.Close()
+	held := &heldReader{reader: io.LimitReader(response.Body, maxHeldBytes+1), handler: h, call: c, size: response.ContentLength}
 	whole, err := io.ReadAll(held)
 	if err == nil && len(whole) > maxHeldBytes {
 		err = errors.Errorf("the answer is larger than %d bytes", maxHeldBytes)
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -34,6 +34,8 @@
 	reader  io.Reader
 	handler *Handler
 	call    *call
+	// size is that of the whole answer, below 0 where it isn't told.
+	size int64
 }
 
 func (r *heldReader) Read(into []byte) (int, error) {
@@ -43,7 +45,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.call.request.Context(), r.handler.clock().Until(r.call.deadline))
 	defer cancel()
-	if waited := r.handler.config.Held.Hold(ctx, int64(n), r.call.heldAnswer); waited != nil {
+	if waited := r.handler.config.Held.Hold(ctx, int64(n), r.call.heldAnswer, r.size); waited != nil {
 		return 0, errors.Wrap(waited, "wait for room for the answer")
 	}
 	r.call.heldAnswer += int64(n)
--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -31,8 +31,8 @@
 	heldUrgencyStep = 0.1
 	lastHeldUrgency = 4
 	// smallAnswer is the size up to which an answer may use all of the bound on answers; what
-	// is larger leaves smallPart of it, as one in so many. Most answers are small, and mustn't
-	// wait for callers that let large ones lie.
+	// is larger, or doesn't tell its size, leaves smallPart of it, as one in so many. Most
+	// answers are small, and mustn't wait for callers that let large ones lie.
 	smallAnswer = 8 << 10
 	smallPart   = 4
 )
@@ -56,10 +56,11 @@
 }
 
 // Hold holds further bytes of an answer of which so many are held, and waits for room until the
-// context ends. One that is larger than the bound by itself finds room once it is alone.
-func (h *HeldBytes) Hold(ctx context.Context, bytes, before int64) error {
+// context ends. size is that of the whole answer, below 0 where it isn't told. One that is larger
+// than the bound by itself finds room once it is alone.
+func (h *HeldBytes) Hold(ctx context.Context, bytes, before, size int64) error {
 	room := h.each
-	if before+bytes > smallAnswer {
+	if size < 0 || size > smallAnswer {
 		room -= h.each / smallPart
 	}
 	for {
--- a/internal/gateway/heldbytes_test.go
+++ b/internal/gateway/heldbytes_test.go
@@ -27,12 +27,13 @@
 func TestAnswersDoNotTakeTheRoomOfRequests(t *testing.T) {
 	is := is.New(t)
 	held := NewHeldBytes(100 << 10)
-	is.NoErr(held.Hold(t.Context(), 37<<10, 0))
+	is.NoErr(held.Hold(t.Context(), 37<<10, 0, -1))
 	is.True(held.Admit(40<<10, 0))
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	is.True(held.Hold(ended, 10<<10, 0) != nil) // a large one waits
-	is.NoErr(held.Hold(ended, 8<<10, 0))        // a small one passes beside it
+	is.True(held.Hold(ended, 1<<10, 0, 10<<10) != nil) // a large one waits, its beginning too
+	is.True(held.Hold(ended, 1<<10, 0, -1) != nil)
+	is.NoErr(held.Hold(ended, 8<<10, 0, 8<<10)) // a small one passes beside it
 }
 
 // An answer that is ready waits for room, and gets it when another was read.
@@ -40,17 +41,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		held := NewHeldBytes(200 << 10)
-		is.NoErr(held.Hold(t.Context(), 70<<10, 0))
+		is.NoErr(held.Hold(t.Context(), 70<<10, 0, 70<<10))
 		go func() {
 			time.Sleep(time.Second)
 			held.Release(0, 70<<10)
 		}()
 		began := time.Now()
-		is.NoErr(held.Hold(t.Context(), 20<<10, 0))
+		is.NoErr(held.Hold(t.Context(), 20<<10, 0, 20<<10))
 		is.Equal(time.Since(began), time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		is.True(held.Hold(ctx, 70<<10, 0) != nil)
+		is.True(held.Hold(ctx, 70<<10, 0, 70<<10) != nil)
 		_, answers := held.Held()
 		is.Equal(answers, int64(20<<10))
 	})
@@ -59,8 +60,8 @@
 func TestAnswerLargerThanTheBoundPassesAlone(t *testing.T) {
 	is := is.New(t)
 	held := NewHeldBytes(1000)
-	is.NoErr(held.Hold(t.Context(), 5000, 0))
-	is.NoErr(held.Hold(t.Context(), 5000, 5000))
+	is.NoErr(held.Hold(t.Context(), 5000, 0, -1))
+	is.NoErr(held.Hold(t.Context(), 5000, 5000, -1))
 }
 
 // Whatever is admitted, held and released: what is held is what wasn't released, within the
