Start: of a fleet that starts for the first time, the seeds read the store

Change: a gateway that isn't among its seeds waits up to two seconds for its peers to tell it all, and reads by itself only then. Only at the first start of a fleet, when nobody calls it yet.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -274,12 +275,19 @@
 		Evacuations: g.settings.Gateway.EvacuationBound > 0,
 		Rollouts:    g.settings.Gateway.MovesServices(),
 		FirstStart:  g.settings.Gateway.FirstStart,
+		PeersFirst:  g.settings.Gateway.FirstStart && g.hasOtherSeeds(),
 		Connections: toStore,
 		Log:         g.log,
 		Metrics:     g.metrics.Scope,
 	})
 }
 
+// hasOtherSeeds tells whether the settings name gateways to meet first, and this one isn't among
+// them: those read the platform's store at once.
+func (g *Gateway) hasOtherSeeds() bool {
+	return len(g.settings.Seeds) > 0 && !slices.Contains(g.settings.Seeds, g.settings.Listen.Peers)
+}
+
 // noteUnreadable counts objects of the store that can't be used, each revision once.
 func (g *Gateway) noteUnreadable(object catalog.Unreadable) {
 	if g.state.NoteUnreadable(object) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -122,8 +122,11 @@
 func (f *Follower) readLoop(ctx context.Context, lists ...list) {
 	pause := firstPause
 	unread := 0 // so many are read without a pause
+	if f.config.PeersFirst {
+		f.awaitPeers(ctx)
+	}
 	longReadAt := f.config.State.Clock().Now()
-	if f.readTogether(ctx, lists) {
+	if f.config.State.Ready() || f.readTogether(ctx, lists) {
 		f.rest(ctx, f.turnPause())
 	} else {
 		unread = len(lists)
@@ -156,6 +159,25 @@
 	}
 }
 
+const (
+	// peersTime is how long a gateway of a fleet that starts for the first time waits for its
+	// peers to tell it all, before it reads the store itself. Nobody calls it before that, and
+	// each of 357 gateways that read for themselves made four calls: two thirds of a quiet
+	// day's.
+	peersTime = 2 * time.Second
+	// peersLook is the time between two looks at whether they have.
+	peersLook = 50 * time.Millisecond
+)
+
+// awaitPeers waits until this gateway knows enough to serve, or has waited for long enough.
+func (f *Follower) awaitPeers(ctx context.Context) {
+	began := f.config.State.Clock().Now()
+	wait := jitter(peersTime)
+	for ctx.Err() == nil && !f.config.State.Ready() && f.config.State.Clock().Since(began) < wait {
+		sleep(ctx, peersLook)
+	}
+}
+
 // readTogether reads all lists at the same time, and tells whether all were answered.
 func (f *Follower) readTogether(ctx context.Context, lists []list) bool {
 	var failed atomic.Bool
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -67,6 +67,9 @@
 	// FirstStart is true when the fleet starts for the first time, so that nothing came
 	// before.
 	FirstStart bool
+	// PeersFirst is true where others that start at the same time read the store at once and
+	// tell: this gateway reads it by itself only when they haven't told it all in time.
+	PeersFirst bool
 	// Connections are those to the store; nil for one that keeps none.
 	Connections interface{ CloseIdleConnections() }
 	// Log and Metrics take what operators should know.
