Rollout: an order that was withdrawn binds only while both versions stand

Cause: found in reading: a version whose order was withdrawn before a verdict got nothing for ever, also once it served alone, and a later start of the same version neither. Change: such an order is forgotten once either version is gone.

--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -20,6 +20,8 @@
 	// byService holds the orders that bind: also one that was withdrawn before a verdict, whose
 	// candidate gets nothing while it is there.
 	byService map[string]*rollout.Judge
+	// withdrawn are the services of which the latter is true.
+	withdrawn map[string]bool
 	// endedAt is when an order was last withdrawn, by its ID: what peers say of it from before
 	// doesn't speak of one that is given anew.
 	endedAt map[uint32]time.Time
@@ -53,7 +55,7 @@
 
 func newRollouts(limits rollout.Limits) rollouts {
 	return rollouts{
-		limits: limits, byService: map[string]*rollout.Judge{}, endedAt: map[uint32]time.Time{},
+		limits: limits, byService: map[string]*rollout.Judge{}, withdrawn: map[string]bool{}, endedAt: map[uint32]time.Time{},
 		familiar: map[string]map[string]bool{},
 	}
 }
@@ -85,6 +87,7 @@
 		c.rollouts.byService[record.Service] = judge
 		c.noteRollout(record.Order(), RolloutBegan, nil)
 	}
+	delete(c.rollouts.withdrawn, record.Service)
 	before := judge.State()
 	judge.SetState(record.State)
 	if record.State.IsVerdict() && !before.IsVerdict() {
@@ -96,9 +99,13 @@
 }
 
 // withdrawRollout ends an order that is gone. Without a verdict its candidate was never found
-// good, and counts as reverted.
+// good, and counts as reverted for as long as it stands beside others.
 func (c *Core) withdrawRollout(now time.Time, service string) {
+	if c.rollouts.withdrawn[service] {
+		return
+	}
 	judge := c.rollouts.byService[service]
+	c.rollouts.withdrawn[service] = true
 	if judge.State() == rollout.Completed {
 		c.familiarize(service, judge.Order().Target)
 		delete(c.rollouts.byService, service)
@@ -127,7 +134,12 @@
 		return
 	}
 	for service, judge := range c.rollouts.byService {
-		judge.SetCandidates(now, c.serves(service, judge.Order().Target))
+		target := judge.Order().Target
+		judge.SetCandidates(now, c.serves(service, target))
+		if c.rollouts.withdrawn[service] && (!c.serves(service, target) || !c.servesOther(service, target)) {
+			delete(c.rollouts.byService, service)
+			delete(c.rollouts.withdrawn, service)
+		}
 	}
 	for service, pool := range c.pools {
 		isFirst := c.rollouts.familiar[service] == nil
@@ -154,6 +166,14 @@
 	})
 }
 
+// servesOther tells whether back ends of other versions are in service.
+func (c *Core) servesOther(service, version string) bool {
+	pool := c.pools[service]
+	return pool != nil && slices.ContainsFunc(pool.members, func(m *member) bool {
+		return m.backEnd.Version != version && !m.backEnd.Leaving
+	})
+}
+
 // pickSide decides which of two versions may take the exchange's next attempt.
 func (c *Core) pickSide(now time.Time, x *Exchange) {
 	judge := c.rollouts.byService[x.service]
