--- a/internal/follower/rollouts_test.go
+++ b/internal/follower/rollouts_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -8,16 +9,14 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/rollout"
-
-	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
-	"io"
 )
 
 // rolloutSource keeps one order, whose state is written under a condition.
--- /dev/null
+++ b/internal/follower/source_test.go
@@ -0,0 +1,177 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// source is a store with so many back ends, which may fail.
+type source struct {
+	backEnds int
+	failing  atomic.Bool
+	reads    atomic.Int64
+	// configurationReads are those of the configuration, and staleReads those of
+	// both lists that may be old.
+	configurationReads atomic.Int64
+	staleReads         atomic.Int64
+	watches            atomic.Int64
+	// evacuations is set where zones may be evacuated, and evacuationReads counts the
+	// reads of these.
+	evacuations     bool
+	evacuationReads atomic.Int64
+	// changePeriod is the time between two changes of the back ends, or 0 for none.
+	changePeriod time.Duration
+	// firstRevision is that of the start, 1 where it is 0.
+	firstRevision uint64
+	// deaf is set where each watch waits on a connection that has fallen silent, and
+	// unanswered is how many further plain reads get no answer in time.
+	deaf       atomic.Bool
+	unanswered atomic.Int64
+	// configuration is the document, or nil for an empty one.
+	configuration *catalog.Configuration
+	// restored are the orders that were taken back of late, in the history of the store,
+	// which begins at the revision oldest; askedBefore counts the watches from before.
+	restored    []catalog.Evacuation
+	oldest      uint64
+	askedBefore atomic.Int64
+	// rollouts is how the store keeps orders to move services.
+	rollouts rolloutSource
+	// withheld is how the store keeps withheld requests.
+	withheld withheldSource
+	// era is the store's; 0 for one that tells none.
+	era atomic.Uint64
+	// cuts is how many further watches on back ends are cut.
+	cuts atomic.Int64
+}
+
+// bubbleStart is the time at which the virtual clock begins.
+var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at is the position of the moment.
+func (s *source) at() catalog.Position {
+	if s.changePeriod == 0 {
+		return catalog.Position{Era: s.era.Load(), Revision: 1}
+	}
+	return catalog.Position{Era: s.era.Load(), Revision: max(1, s.firstRevision) + uint64(time.Since(bubbleStart)/s.changePeriod)}
+}
+
+// first is the position of a store that hasn't changed.
+func (s *source) first() catalog.Position { return catalog.Position{Era: s.era.Load(), Revision: 1} }
+
+var errAway = errors.Wrap(context.DeadlineExceeded, "the store is away")
+
+func (s *source) Configurations() Objects[*catalog.Configuration] {
+	return Objects[*catalog.Configuration]{List: s.listConfiguration, Await: s.awaitConfiguration}
+}
+
+func (s *source) BackEnds() Objects[catalog.Entry] {
+	return Objects[catalog.Entry]{List: s.listBackEnds, Await: s.awaitBackEnds}
+}
+
+func (s *source) Evacuations() Objects[catalog.Evacuation] {
+	return Objects[catalog.Evacuation]{List: s.listEvacuations, Await: s.awaitEvacuations}
+}
+
+func (s *source) Rollouts() Objects[catalog.Rollout] {
+	return Objects[catalog.Rollout]{List: s.listRollouts, Await: s.awaitRollouts}
+}
+
+func (s *source) listConfiguration(_ context.Context, stale bool) ([]*catalog.Configuration, catalog.Position, error) {
+	s.configurationReads.Add(1)
+	if stale {
+		s.staleReads.Add(1)
+	}
+	if s.failing.Load() || s.unanswered.Add(-1) >= 0 {
+		return nil, catalog.Position{}, errAway
+	}
+	if s.configuration != nil {
+		return []*catalog.Configuration{s.configuration}, s.at(), nil
+	}
+	return []*catalog.Configuration{{Version: 1}}, s.first(), nil
+}
+
+func (s *source) awaitConfiguration(ctx context.Context, after catalog.Position, wait time.Duration) ([]*catalog.Configuration, catalog.Position, error) {
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) listBackEnds(_ context.Context, stale bool) ([]catalog.Entry, catalog.Position, error) {
+	s.reads.Add(1)
+	if stale {
+		s.staleReads.Add(1)
+	}
+	if s.failing.Load() {
+		return nil, catalog.Position{}, errAway
+	}
+	entries := make([]catalog.Entry, s.backEnds)
+	for i := range entries {
+		entries[i] = catalog.Entry{BackEnd: catalog.BackEnd{ID: fmt.Sprint(i), Service: "s"}, Revision: 1, Era: s.era.Load()}
+	}
+	return entries, s.first(), nil
+}
+
+func (s *source) awaitBackEnds(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Entry, catalog.Position, error) {
+	s.watches.Add(1)
+	if s.cuts.Add(-1) >= 0 {
+		return nil, catalog.Position{}, errors.New("cut")
+	}
+	if s.changePeriod > 0 {
+		wait = s.changePeriod
+	}
+	err := s.await(ctx, wait)
+	if at := s.at(); at.Compare(after) > 0 {
+		after = at
+	}
+	return nil, after, err
+}
+
+func (s *source) listEvacuations(context.Context, bool) ([]catalog.Evacuation, catalog.Position, error) {
+	s.evacuationReads.Add(1)
+	return nil, s.at(), nil
+}
+
+func (s *source) awaitEvacuations(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Evacuation, catalog.Position, error) {
+	if after.Revision < s.oldest {
+		s.askedBefore.Add(1)
+		return nil, catalog.Position{}, ErrHistoryGone
+	}
+	var changes []catalog.Evacuation
+	for _, each := range s.restored {
+		if each.Revision > after.Revision {
+			changes = append(changes, each)
+		}
+	}
+	if len(changes) > 0 {
+		return changes, s.at(), nil
+	}
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) listRollouts(context.Context, bool) ([]catalog.Rollout, catalog.Position, error) {
+	return s.rollouts.list(s.first())
+}
+
+func (s *source) awaitRollouts(ctx context.Context, after catalog.Position, wait time.Duration) ([]catalog.Rollout, catalog.Position, error) {
+	return nil, after, s.await(ctx, wait)
+}
+
+func (s *source) WriteRollout(_ context.Context, record catalog.Rollout) (catalog.Rollout, error) {
+	return s.rollouts.write(record)
+}
+
+func (s *source) await(ctx context.Context, wait time.Duration) error {
+	if s.failing.Load() {
+		return errAway
+	}
+	if s.deaf.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	sleep(ctx, wait)
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/follower/start_test.go
@@ -0,0 +1,48 @@
+package follower
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/gateway"
+)
+
+// Of a fleet that starts for the first time the seeds read the store, and tell the others: one
+// that was told all makes no call of its own, and one that wasn't reads in time.
+func TestPeersAreHeardBeforeTheStoreIsRead(t *testing.T) {
+	is := is.New(t)
+	start := func(told bool) (reads int64, ready bool) {
+		synctest.Test(t, func(*testing.T) {
+			s := &source{backEnds: 3}
+			log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+			state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
+			f := Start(Config{Source: s, State: state, ReadPeriod: 800 * time.Millisecond, PeersFirst: true, Log: log, Metrics: tally.NoopScope})
+			state.SetFleet(placeOf(23, false), dispatch.Fleet{})
+			time.Sleep(300 * time.Millisecond)
+			if told {
+				state.OfferConfiguration(&catalog.Configuration{Version: 1}, gateway.SourcePeer)
+				state.OfferBuckets(catalog.AllBuckets, nil)
+			}
+			time.Sleep(3 * time.Second)
+			reads, ready = s.reads.Load()+s.configurationReads.Load(), state.Ready()
+			f.Close()
+			log.Close()
+		})
+		return reads, ready
+	}
+	reads, ready := start(true)
+	is.True(ready)
+	is.Equal(reads, int64(0))
+	reads, ready = start(false)
+	is.True(ready)
+	is.True(reads > 0)
+}
