Explain: the story names the version that a request was sent to

Cause: during a roll-out the cause of a bad answer may be the version. Figures: TestStoryNamesTheVersion.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -153,3 +153,12 @@
 		}
 	})
 }
+
+// While a service is moved to another version, the story names the one that a request was sent to.
+func TestStoryNamesTheVersion(t *testing.T) {
+	is := is.New(t)
+	log := logOf(t, nil, `g1 10 request.sent "request":"r","back_end":"b1","back_end_version":"v2","service":"s","attempts":1`)
+	var output strings.Builder
+	is.NoErr(log.Tell("r").Print(&output, nil))
+	is.True(strings.Contains(output.String(), "back_end_version=v2"))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -48,12 +48,14 @@
 	DeadlineMillis int64 `json:"deadline_ms"`
 	StoreAgeMillis int64 `json:"store_age_ms"`
 
-	BackEnd      string  `json:"back_end"`
-	Address      string  `json:"address"`
-	LoadEstimate float64 `json:"load_estimate"`
-	Candidates   int     `json:"candidates"`
-	FetchFrom    string  `json:"fetch_from"`
-	ResumeAfter  string  `json:"resume_after"`
+	BackEnd string `json:"back_end"`
+	Address string `json:"address"`
+	// BackEndVersion is that of the back end while its service is moved to another one.
+	BackEndVersion string  `json:"back_end_version"`
+	LoadEstimate   float64 `json:"load_estimate"`
+	Candidates     int     `json:"candidates"`
+	FetchFrom      string  `json:"fetch_from"`
+	ResumeAfter    string  `json:"resume_after"`
 
 	NotSent        bool   `json:"not_sent"`
 	Expired        bool   `json:"expired"`
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -52,7 +52,7 @@
 	add := func(format string, arguments ...any) { parts = append(parts, fmt.Sprintf(format, arguments...)) }
 	for _, field := range []struct{ name, value string }{
 		{"kind", line.Kind}, {"service", line.Service}, {"route", line.Route}, {"tenant", line.Tenant},
-		{"back_end", line.BackEnd}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
+		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
 		{"what", line.What}, {"source", line.Source}, {"fetch_from", line.FetchFrom},
 		{"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
 	} {
