--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -161,9 +161,8 @@
 
 const (
 	// peersTime is how long a gateway of a fleet that starts for the first time waits for its
-	// peers to tell it all, before it reads the store itself. Nobody calls it before that, and
-	// each of 357 gateways that read for themselves made four calls: two thirds of a quiet
-	// day's.
+	// peers to tell it all, before it reads the store itself. Nobody calls it before that. In a
+	// fleet of 357 it saves one call of a gateway, 348 of the 2,207 of a quiet day.
 	peersTime = 2 * time.Second
 	// peersLook is the time between two looks at whether they have.
 	peersLook = 50 * time.Millisecond
