Soak: no roll-outs in its store, since none are drawn

Cause: staticcheck: what the stand-in store had for roll-outs was used by nothing. Change: taken out, with its words in the protocol; roll-outs have their own worlds in platform/.

--- a/internal/rollout/crowdtable_test.go
+++ b/internal/rollout/crowdtable_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -86,7 +85,7 @@
 	case Completed:
 		k.completed++
 		if shownBad {
-			finding += fmt.Sprint(" bad one completed")
+			finding += " bad one completed"
 		}
 		if isBad && result.fiftieth > 0 {
 			k.completedBad++
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -30,7 +30,6 @@
 	backEnds       []wire.StoreEntry[catalog.BackEnd]
 	evacuations    []wire.StoreEntry[catalog.Evacuation]
 	own            []wire.StoreEntry[[]byte]
-	rollouts       []wire.StoreEntry[catalog.Rollout]
 	changed        chan struct{}
 	// silent keeps every call without an answer, busy refuses it, and slow delays
 	// it; each counts the faults that ask for it.
@@ -72,47 +71,6 @@
 	s.evacuations = append(s.evacuations, wire.StoreEntry[catalog.Evacuation]{Name: zone, Revision: s.next(), Gone: withdrawn})
 }
 
-// putRollout orders the move of a service, or takes the order back.
-func (s *store) putRollout(order catalog.Rollout) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.rollouts = append(s.rollouts, wire.StoreEntry[catalog.Rollout]{Name: order.Service, Revision: s.next(), Gone: order.Withdrawn, Value: order})
-}
-
-// rollout returns the order of a service as it is kept; ok is false without one.
-func (s *store) rollout(service string) (order catalog.Rollout, ok bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, each := range listed(s.rollouts) {
-		if each.Name == service {
-			return each.Value, true
-		}
-	}
-	return catalog.Rollout{}, false
-}
-
-// writeStatus takes how far an order has come, if it is still at the revision that the writer
-// knows.
-func (s *store) writeStatus(w http.ResponseWriter, write wire.RolloutWrite) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, each := range listed(s.rollouts) {
-		if each.Name != write.Service {
-			continue
-		}
-		if each.Revision != write.Revision {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-		each.Value.State, each.Value.BeganAt = write.State, write.BeganAt
-		each.Revision = s.next()
-		s.rollouts = append(s.rollouts, each)
-		s.protocol.WriteObject(w, s.era, each.Untyped())
-		return
-	}
-	w.WriteHeader(http.StatusNotFound)
-}
-
 // restore puts back a copy of that age: what was written since is gone, and its revisions are
 // given out again. It returns what operators and back ends write again.
 func (s *store) restore(age time.Duration) (rewrite func()) {
@@ -128,7 +86,6 @@
 	lost = append(lost, cutBack(&s.configurations, copied, s.next)...)
 	lost = append(lost, cutBack(&s.backEnds, copied, s.next)...)
 	lost = append(lost, cutBack(&s.evacuations, copied, s.next)...)
-	lost = append(lost, cutBack(&s.rollouts, copied, s.next)...)
 	cutBack(&s.own, copied, s.next)
 	s.era++
 	s.revision, s.oldest = copied, min(s.oldest, copied)
@@ -233,10 +190,6 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
-	if write, ok := s.protocol.ReadRolloutStatus(r); ok {
-		s.writeStatus(w, write)
-		return
-	}
 	if write, ok := s.protocol.ReadStoreWrite(r); ok {
 		s.write(w, write)
 		return
@@ -302,8 +255,6 @@
 		return len(since(s.evacuations, call.After)) > 0
 	case wire.Own:
 		return len(since(s.own, call.After)) > 0
-	case wire.Rollouts:
-		return len(since(s.rollouts, call.After)) > 0
 	default:
 		return len(since(s.configurations, call.After)) > 0
 	}
@@ -319,8 +270,6 @@
 		s.protocol.WriteList(w, answerOfStore(s.evacuations, call, s.revision, s.era))
 	case wire.Own:
 		s.protocol.WriteList(w, answerOfStore(s.own, call, s.revision, s.era))
-	case wire.Rollouts:
-		s.protocol.WriteList(w, answerOfStore(s.rollouts, call, s.revision, s.era))
 	default:
 		s.protocol.WriteList(w, answerOfStore(s.configurations, call, s.revision, s.era))
 	}
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -5,8 +5,6 @@
 import (
 	"net/http"
 	"time"
-
-	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
 // Protocol speaks the platform's side of the protocol for the stand-ins: what the
@@ -15,15 +13,10 @@
 	// ReadStoreCall returns what a call to the store asks for.
 	ReadStoreCall(request *http.Request) StoreCall
 	// WriteList answers a list or a watch of objects, which are catalog.Configuration,
-	// catalog.BackEnd, catalog.Evacuation, catalog.Rollout, or the bytes of one of the
-	// gateways' own. WriteObject answers a call that wrote one.
+	// catalog.BackEnd, catalog.Evacuation, or the bytes of one of the gateways' own.
 	WriteList(w http.ResponseWriter, answer StoreAnswer[any])
-	WriteObject(w http.ResponseWriter, era uint64, entry StoreEntry[any])
 	// ReadStoreWrite returns what a call writes; ok is false for one that reads.
 	ReadStoreWrite(request *http.Request) (write StoreWrite, ok bool)
-	// ReadRolloutStatus returns what a call writes of how far an order has come; ok is false
-	// for other calls.
-	ReadRolloutStatus(request *http.Request) (write RolloutWrite, ok bool)
 	// ReadForward returns what a gateway told a back end.
 	ReadForward(header http.Header) Forwarded
 	// WriteStamp marks an answer as the back end's own to the request; WriteNotRun
@@ -46,20 +39,8 @@
 	Evacuations
 	// Own are those that the gateways write.
 	Own
-	// Rollouts are orders to move services to other versions.
-	Rollouts
 )
 
-// RolloutWrite is a call that writes how far the order of a service has come, if it is at the
-// revision.
-type RolloutWrite struct {
-	Service  string
-	Target   string
-	State    rollout.State
-	BeganAt  int64
-	Revision uint64
-}
-
 // StoreWrite is a call that writes one of the gateways' own objects, or removes it.
 type StoreWrite struct {
 	Name string
