Soak: what a back end's link held up isn't late by its gateway

The users' rule doesn't count what a harmed link holds up. Change: an arrival over a link that was in trouble within the contact time isn't judged by the bound on leaving; the check of warm-ups does so already.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -247,6 +247,12 @@
 	return !c.disturbed(from, to, gateway, everywhere) && c.lives[gateway].Before(from)
 }
 
+// heldUp tells whether the link of the back end was in trouble of late: what a gateway sent
+// before may have waited there, and arrive later than any bound.
+func (c *checker) heldUp(a arrival) bool {
+	return c.disturbed(a.at.Add(-contact), a.at, linkOf(nameOf(a.backEnd)))
+}
+
 // disturbed tells whether a trouble at one of the places overlaps the time.
 func (c *checker) disturbed(from, to time.Time, places ...string) bool {
 	for _, each := range c.spans {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -37,7 +37,7 @@
 	}
 	c.checkEvacuation(s, a)
 	since, leaves := c.leavingAt[a.backEnd]
-	if leaves && a.at.Sub(since) > leavingBound+slack && c.inTouch(s.gateway, since, a.at) {
+	if leaves && a.at.Sub(since) > leavingBound+slack && c.inTouch(s.gateway, since, a.at) && !c.heldUp(a) {
 		c.failLocked(PromiseLeaving, "%s got %s from %s %v after its leaving", a.backEnd, a.request, s.gateway, a.at.Sub(since).Round(time.Millisecond))
 	}
 }
