--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -153,20 +154,10 @@
 	for _, each := range j.own {
 		list = append(list, *each)
 	}
-	slices.SortFunc(list, func(a, b Tally) int { return compareKeys(a.Key, b.Key) })
+	slices.SortFunc(list, Tally.compare)
 	return list
 }
 
-func compareKeys(a, b Key) int {
-	if a.Route != b.Route {
-		if a.Route < b.Route {
-			return -1
-		}
-		return 1
-	}
-	return int(a.Group) - int(b.Group)
-}
-
 // TakeTotals takes the tallies of all other gateways of a large fleet together, of which so
 // many were counted of those expected, this one included.
 func (j *Judge) TakeTotals(now time.Time, tallies []Tally, counted, expected int) {
@@ -192,9 +183,7 @@
 // sum returns the tallies of all gateways that are heard.
 func (j *Judge) sum(now time.Time) map[Key]Tally {
 	sum := j.others.sum(now)
-	for _, each := range j.Tallies(now) {
-		sum[each.Key] = each.Plus(sum[each.Key])
-	}
+	addTo(sum, j.Tallies(now))
 	return sum
 }
 
@@ -308,12 +297,7 @@
 }
 
 func values(tallies map[Key]Tally) []Tally {
-	list := make([]Tally, 0, len(tallies))
-	for _, each := range tallies {
-		list = append(list, each)
-	}
-	slices.SortFunc(list, func(a, b Tally) int { return compareKeys(a.Key, b.Key) })
-	return list
+	return slices.SortedFunc(maps.Values(tallies), Tally.compare)
 }
 
 // Due returns the state that the store should show by now.
--- a/internal/rollout/others.go
+++ b/internal/rollout/others.go
@@ -58,17 +58,12 @@
 func (o *others) sum(now time.Time) map[Key]Tally {
 	sum := map[Key]Tally{}
 	if o.totalsAreFresh(now) {
-		for _, each := range o.totals {
-			sum[each.Key] = each.Plus(sum[each.Key])
-		}
+		addTo(sum, o.totals)
 		return sum
 	}
 	for _, peer := range o.peers {
-		if now.Sub(peer.at) > freshTallies {
-			continue
-		}
-		for _, each := range peer.tallies {
-			sum[each.Key] = each.Plus(sum[each.Key])
+		if now.Sub(peer.at) <= freshTallies {
+			addTo(sum, peer.tallies)
 		}
 	}
 	return sum
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -71,6 +72,6 @@
 	for _, each := range routes {
 		report.Routes = append(report.Routes, *each)
 	}
-	slices.SortFunc(report.Routes, func(a, b RouteReport) int { return int(int64(a.Route) - int64(b.Route)) })
+	slices.SortFunc(report.Routes, func(a, b RouteReport) int { return cmp.Compare(a.Route, b.Route) })
 	return report
 }
--- a/internal/rollout/tally.go
+++ b/internal/rollout/tally.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,6 +94,18 @@
 	return t
 }
 
+// addTo adds tallies up by their keys.
+func addTo(sum map[Key]Tally, tallies []Tally) {
+	for _, each := range tallies {
+		sum[each.Key] = each.Plus(sum[each.Key])
+	}
+}
+
+// compare orders the tallies of one order by their keys.
+func (t Tally) compare(other Tally) int {
+	return cmp.Or(cmp.Compare(t.Key.Route, other.Key.Route), cmp.Compare(t.Key.Group, other.Key.Group))
+}
+
 // IsZero tells whether nothing is counted.
 func (t Tally) IsZero() bool { return t == Tally{Key: t.Key} }
 
