Collect: counts and tallies of one source are kept together

Cause: sums held four ledgers side by side, set and expired one by one. Change: one pair of ledgers for members, one for groups.

--- a/internal/collect/sums.go
+++ b/internal/collect/sums.go
@@ -15,72 +15,87 @@
 // Sums adds up the counts that a collector was told: those of its members, and the sums
 // of the other groups. It is not safe for concurrent use.
 type Sums struct {
-	members ledger[uint32, dispatch.Count]
-	groups  ledger[uint32, dispatch.Count]
-	// memberTallies and groupTallies are those of moves to other versions, of the same sources.
-	memberTallies ledger[rollout.Key, rollout.Tally]
-	groupTallies  ledger[rollout.Key, rollout.Tally]
+	members ledgers
+	groups  ledgers
 }
 
 // NewSums returns sums that know nothing.
-func NewSums() *Sums {
-	return &Sums{
-		members: newLedger[uint32, dispatch.Count](), groups: newLedger[uint32, dispatch.Count](),
-		memberTallies: newLedger[rollout.Key, rollout.Tally](), groupTallies: newLedger[rollout.Key, rollout.Tally](),
-	}
-}
+func NewSums() *Sums { return &Sums{members: newLedgers(), groups: newLedgers()} }
 
 // TakeMember takes a gateway's own counts and tallies, which replace those that it told before.
 func (s *Sums) TakeMember(now time.Time, id string, counts []dispatch.Count, tallies []rollout.Tally) {
-	s.members.set(now, id, counts, 1)
-	s.memberTallies.set(now, id, tallies, 1)
+	s.members.set(now, id, dispatch.Totals{Counts: counts, Tallies: tallies, Counted: 1})
 }
 
 // TakeGroup takes the sums over another group.
 func (s *Sums) TakeGroup(now time.Time, group string, sums dispatch.Totals) {
-	s.groups.set(now, group, sums.Counts, sums.Counted)
-	s.groupTallies.set(now, group, sums.Tallies, sums.Counted)
+	s.groups.set(now, group, sums)
 }
 
 // Collecting tells whether a gateway told its counts of late.
 func (s *Sums) Collecting(now time.Time) bool {
 	s.members.expire(now)
-	return len(s.members.sources) > 0
+	return s.members.counted() > 0
 }
 
 // Group returns the sums over the members alone.
 func (s *Sums) Group(now time.Time) dispatch.Totals {
-	s.expire(now)
-	totals := dispatch.Totals{Counts: s.members.totals(), Tallies: s.memberTallies.totals(), Counted: s.members.counted()}
-	totals.Expected = totals.Counted
-	return totals
-}
-
-func (s *Sums) expire(now time.Time) {
 	s.members.expire(now)
-	s.groups.expire(now)
-	s.memberTallies.expire(now)
-	s.groupTallies.expire(now)
+	return s.members.totals()
 }
 
 // Totals returns the sums over all that is known. Those of the others that should be
 // known and aren't count as expected.
 func (s *Sums) Totals(now time.Time, others []Group) dispatch.Totals {
-	s.expire(now)
-	totals := dispatch.Totals{
-		Counts:  addUp[uint32](s.members.totals(), s.groups.totals()),
-		Tallies: addUp[rollout.Key](s.memberTallies.totals(), s.groupTallies.totals()),
-		Counted: s.members.counted() + s.groups.counted(),
-	}
+	s.members.expire(now)
+	s.groups.expire(now)
+	totals, more := s.members.totals(), s.groups.totals()
+	totals.Counts = addUp[uint32](totals.Counts, more.Counts)
+	totals.Tallies = addUp[rollout.Key](totals.Tallies, more.Tallies)
+	totals.Counted += more.Counted
 	totals.Expected = totals.Counted
 	for _, group := range others {
-		if _, known := s.groups.sources[group.key()]; !known {
+		if !s.groups.knows(group.key()) {
 			totals.Expected += len(group.Members)
 		}
 	}
 	return totals
 }
 
+// ledgers add up the counts and the tallies of the same sources.
+type ledgers struct {
+	counts  ledger[uint32, dispatch.Count]
+	tallies ledger[rollout.Key, rollout.Tally]
+}
+
+func newLedgers() ledgers {
+	return ledgers{counts: newLedger[uint32, dispatch.Count](), tallies: newLedger[rollout.Key, rollout.Tally]()}
+}
+
+func (l *ledgers) set(now time.Time, id string, told dispatch.Totals) {
+	l.counts.set(now, id, told.Counts, told.Counted)
+	l.tallies.set(now, id, told.Tallies, told.Counted)
+}
+
+func (l *ledgers) expire(now time.Time) {
+	l.counts.expire(now)
+	l.tallies.expire(now)
+}
+
+// counted returns the number of gateways in the sums.
+func (l *ledgers) counted() int { return l.counts.counted() }
+
+func (l *ledgers) knows(id string) bool {
+	_, known := l.counts.sources[id]
+	return known
+}
+
+// totals returns the sums, of which all that are expected are counted.
+func (l *ledgers) totals() dispatch.Totals {
+	counted := l.counted()
+	return dispatch.Totals{Counts: l.counts.totals(), Tallies: l.tallies.totals(), Counted: counted, Expected: counted}
+}
+
 // summable is what a ledger adds up by a key.
 type summable[K comparable, C any] interface {
 	SumKey() K
