Dispatch: one index by key, and who is in service is asked once

Cause: tallies were indexed by a second copy of byKey; whether candidates are in service was searched for anew with each choice, by two copies of one search, though the judge is told of each change. Change: byKey serves both; inService tells of both versions; a choice asks the judge (HasCandidates). Ruled out: a change that the judge isn't told of (pools change in SetBackEnds alone, which tells it). Tests unchanged, green.

--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -135,8 +135,9 @@
 	}
 	for service, judge := range c.rollouts.byService {
 		target := judge.Order().Target
-		judge.SetCandidates(now, c.serves(service, target))
-		if c.rollouts.withdrawn[service] && (!c.serves(service, target) || !c.servesOther(service, target)) {
+		candidates, standing := c.inService(service, target)
+		judge.SetCandidates(now, candidates)
+		if c.rollouts.withdrawn[service] && !(candidates && standing) {
 			delete(c.rollouts.byService, service)
 			delete(c.rollouts.withdrawn, service)
 		}
@@ -158,20 +159,23 @@
 	c.rollouts.familiar[service][version] = true
 }
 
-// serves tells whether back ends of the version are in service.
-func (c *Core) serves(service, version string) bool {
+// inService tells whether back ends of the target version, and of others, are in service.
+func (c *Core) inService(service, target string) (candidates, standing bool) {
 	pool := c.pools[service]
-	return pool != nil && slices.ContainsFunc(pool.members, func(m *member) bool {
-		return m.backEnd.Version == version && !m.backEnd.Leaving
-	})
-}
-
-// servesOther tells whether back ends of other versions are in service.
-func (c *Core) servesOther(service, version string) bool {
-	pool := c.pools[service]
-	return pool != nil && slices.ContainsFunc(pool.members, func(m *member) bool {
-		return m.backEnd.Version != version && !m.backEnd.Leaving
-	})
+	if pool == nil {
+		return false, false
+	}
+	for _, m := range pool.members {
+		if m.backEnd.Leaving {
+			continue
+		}
+		if m.backEnd.Version == target {
+			candidates = true
+		} else {
+			standing = true
+		}
+	}
+	return candidates, standing
 }
 
 // pickSide decides which of two versions may take the exchange's next attempt.
@@ -212,7 +216,7 @@
 	if !judge.Allows(side) {
 		// Whatever is left of the standing version serves until the candidate's back ends are
 		// heard of.
-		return side == rollout.Standing && !c.serves(m.backEnd.Service, judge.Order().Target)
+		return side == rollout.Standing && !judge.HasCandidates()
 	}
 	return judge.State().IsVerdict() || side == x.side
 }
@@ -263,10 +267,7 @@
 	if totals.Counted < 1 {
 		return
 	}
-	own := make(map[rollout.Key]rollout.Tally, len(told))
-	for _, each := range told {
-		own[each.Key] = each
-	}
+	own := byKey[rollout.Key](told)
 	others := make([]rollout.Tally, 0, len(totals.Tallies))
 	for _, each := range totals.Tallies {
 		others = append(others, each.Minus(own[each.Key]))
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -121,7 +121,7 @@
 	if totals.Counted > 1 && totals.Expected > totals.Counted {
 		scale = float64(totals.Expected-1) / float64(totals.Counted-1)
 	}
-	total, own := byKey(totals.Counts), byKey(told)
+	total, own := byKey[uint32](totals.Counts), byKey[uint32](told)
 	c.everyMember(func(m *member) {
 		all, mine := total[m.key], own[m.key]
 		m.others = othersCount{
@@ -133,10 +133,11 @@
 	})
 }
 
-func byKey(counts []Count) map[uint32]Count {
-	index := make(map[uint32]Count, len(counts))
-	for _, each := range counts {
-		index[each.Key] = each
+// byKey returns counts or tallies by the key under which they are added up.
+func byKey[K comparable, C interface{ SumKey() K }](list []C) map[K]C {
+	index := make(map[K]C, len(list))
+	for _, each := range list {
+		index[each.SumKey()] = each
 	}
 	return index
 }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -75,6 +75,9 @@
 	}
 }
 
+// HasCandidates tells whether back ends of the target version are in service.
+func (j *Judge) HasCandidates() bool { return !j.candidateSince.IsZero() }
+
 // SetGateways notes how many gateways there are.
 func (j *Judge) SetGateways(count int) { j.others.gateways = count }
 
@@ -308,7 +311,7 @@
 		return j.state
 	case j.abandoned:
 		return Reverted
-	case elapsed >= j.order.Duration && j.candidateSince.IsZero():
+	case elapsed >= j.order.Duration && !j.HasCandidates():
 		// There is nothing to move to, and the standing back ends mustn't be stopped.
 		return Reverted
 	case elapsed >= j.completeAt() && j.isDoubtful():
@@ -335,7 +338,7 @@
 // Awaits returns what must be before a good candidate's verdict is written.
 func (j *Judge) Awaits(now time.Time) []Wait {
 	var awaits []Wait
-	if j.candidateSince.IsZero() {
+	if !j.HasCandidates() {
 		awaits = append(awaits, WaitCandidates)
 	}
 	if !j.hears(now) {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -75,7 +75,7 @@
 	switch {
 	case j.state == Completed:
 		return 1
-	case j.state == Reverted || j.abandoned || j.candidateSince.IsZero():
+	case j.state == Reverted || j.abandoned || !j.HasCandidates():
 		return 0
 	case !j.hears(now):
 		// Alone, a gateway sees too little to give more.
