--- a/internal/follower/eras.go
+++ b/internal/follower/eras.go
@@ -17,30 +17,30 @@
 // again: back ends do with the second of their heartbeats at the latest.
 const rewriteTime = 2300 * time.Millisecond
 
-// followEras begins anew with each era of the store.
+// followEras begins anew with each era of the store but the first that it hears of.
 func (f *Follower) followEras(ctx context.Context, lists []list) {
-	settled := uint64(0)
+	followed := uint64(0)
 	for ctx.Err() == nil {
 		changed := f.config.State.EraChanged()
 		era := f.config.State.Era()
-		if era == settled {
+		if era == followed {
 			sleepUntil(ctx, changed, longestStretch)
 			continue
 		}
-		if settled > 0 {
+		isRestored := followed > 0
+		followed = era
+		if isRestored {
 			f.beginAnew(lists)
 		}
 		if isNewer := sleepUntil(ctx, changed, rewriteTime); isNewer {
-			settled = era
 			continue
 		}
 		f.config.State.SettleEra(era)
-		if settled > 0 {
+		if isRestored {
 			// Those that watch read the lists again, which now say what is gone.
 			f.beginAnew(lists)
 			f.tasks.Go(func() { f.rewriteAsReader(ctx) })
 		}
-		settled = era
 	}
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -95,8 +95,9 @@
 		}
 	}
 	if config.Rollouts {
-		lists = append(lists, f.rollouts())
-		f.tasks.Go(func() { f.decideRollouts(ctx) })
+		orders := f.rollouts()
+		lists = append(lists, orders)
+		f.tasks.Go(func() { f.decideRollouts(ctx, orders) })
 	}
 	f.tasks.Go(func() { f.keepWithheld(ctx) })
 	lists = append(lists, f.backEnds()) // the longest one last: a gateway that starts reads them in turn
--- a/internal/follower/rollouts.go
+++ b/internal/follower/rollouts.go
@@ -34,8 +34,8 @@
 	at     time.Time
 }
 
-// decideRollouts looks at the roll-outs and writes what is due.
-func (f *Follower) decideRollouts(ctx context.Context) {
+// decideRollouts looks at the roll-outs, which are those of the list, and writes what is due.
+func (f *Follower) decideRollouts(ctx context.Context, orders list) {
 	waiting := map[string]dueRollout{}
 	for ctx.Err() == nil {
 		sleep(ctx, rolloutLook)
@@ -52,7 +52,7 @@
 			}
 			due.record = record
 			if !now.Before(due.at) {
-				f.writeRollout(ctx, record)
+				f.writeRollout(ctx, orders, record)
 				due.at = f.config.State.Clock().Now().Add(jitter(rolloutRetry))
 			}
 			still[record.Service] = due
@@ -72,25 +72,17 @@
 
 // writeRollout writes how far an order has come. Where the store knows it otherwise by now, that
 // is read.
-func (f *Follower) writeRollout(ctx context.Context, record catalog.Rollout) {
-	var written catalog.Rollout
-	err := callOnce(ctx, func(ctx context.Context) error {
-		var err error
-		written, err = f.config.Source.WriteRollout(ctx, record)
-		return err
+func (f *Follower) writeRollout(ctx context.Context, orders list, record catalog.Rollout) {
+	written, err := callOnce(ctx, func(ctx context.Context) (catalog.Rollout, error) {
+		return f.config.Source.WriteRollout(ctx, record)
 	})
-	if errors.Is(err, ErrChanged) {
-		err = callOnce(ctx, func(ctx context.Context) error {
-			list, at, err := f.config.Source.Rollouts().List(ctx, false)
-			if err == nil {
-				f.config.State.HearEra(at.Era)
-				f.config.State.OfferRolloutList(list, at, gateway.SourceStore)
-			}
-			return err
-		})
-	} else if err == nil {
+	if err == nil {
 		f.config.State.HearEra(written.Era)
 		f.config.State.OfferRollouts([]catalog.Rollout{written}, gateway.SourceStore)
+		return
+	}
+	if errors.Is(err, ErrChanged) {
+		_, err = f.read(ctx, orders, false)
 	}
 	if err != nil && ctx.Err() == nil {
 		f.config.Log.Entry().WithError(err).Warn("the store can't be told how far a roll-out has come; trying again")
--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -39,7 +39,7 @@
 func (f *Follower) persist(ctx context.Context, call func(ctx context.Context) error) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		err := callOnce(ctx, call)
+		_, err := callOnce(ctx, func(ctx context.Context) (struct{}, error) { return struct{}{}, call(ctx) })
 		if err == nil {
 			return
 		}
