Gateway: orders become known in one way; status of roll-outs in its own file

Cause: zones and roll-outs each had their own copy of how a list becomes known; the file of roll-outs held their status too, that of eras what peers hear of ended lives; a count of waiting answers was used as a flag. Change: learn, rolloutstatus.go, tellDisplaced beside TakeDisplaced, HeldBytes.isAwaited. No behaviour changed; tests unchanged and green (gateway, daemon, relay).

--- a/internal/gateway/eras.go
+++ b/internal/gateway/eras.go
@@ -37,14 +37,6 @@
 	}
 }
 
-// tellDisplaced wakes who tells peers of back ends whose lives have ended.
-func (s *State) tellDisplaced() {
-	if now := s.core.Displacements(); now != s.displaced {
-		s.displaced = now
-		s.announce()
-	}
-}
-
 // SettleEra notes that operators and back ends have had the time to write theirs again.
 func (s *State) SettleEra(era uint64) {
 	s.mutex.Lock()
--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -20,9 +20,9 @@
 	mutex    sync.Mutex
 	requests int64
 	answers  int64
-	// freed is closed and replaced when bytes of answers are released while somebody waits.
-	freed   chan struct{}
-	waiting int
+	// freed is closed and replaced when bytes of answers are released, if isAwaited.
+	freed     chan struct{}
+	isAwaited bool
 }
 
 const (
@@ -71,7 +71,7 @@
 			return nil
 		}
 		freed := h.freed
-		h.waiting++
+		h.isAwaited = true
 		h.mutex.Unlock()
 		select {
 		case <-freed:
@@ -87,8 +87,8 @@
 	defer h.mutex.Unlock()
 	h.requests -= request
 	h.answers -= answer
-	if answer > 0 && h.waiting > 0 {
-		h.waiting = 0
+	if answer > 0 && h.isAwaited {
+		h.isAwaited = false
 		close(h.freed)
 		h.freed = make(chan struct{})
 	}
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -203,6 +203,14 @@
 	}
 }
 
+// tellDisplaced wakes who tells peers of back ends whose lives have ended.
+func (s *State) tellDisplaced() {
+	if now := s.core.Displacements(); now != s.displaced {
+		s.displaced = now
+		s.announce()
+	}
+}
+
 // PeerHoldings takes prompt parts that a peer knows back ends to hold.
 func (s *State) PeerHoldings(holdings []dispatch.Holdings) {
 	s.mutex.Lock()
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -25,20 +25,27 @@
 }
 
 // knowsOrders tells whether the gateway knows which services are moved to another version,
-// which zones are evacuated and, where back ends
-// warm up, which were restored of late: their back ends turned cold and haven't said so yet.
-// It does without the latter, which one gateway reads for all, after startPatience.
+// which zones are evacuated and, where back ends warm up, which were restored of late: their
+// back ends turned cold and haven't said so yet. It does without the latter, which one gateway
+// reads for all, after startPatience.
 func (s *State) knowsOrders() bool {
 	needsNoRecall := s.view.Index() != nil && !s.core.HasWarmUps()
 	return s.surveyed && s.knowsRollouts && (s.recalled || needsNoRecall || s.clock.Since(s.startedAt) >= startPatience)
 }
 
+// learn notes that all orders of a kind are known once they were told completely, and tells
+// whether they weren't before.
+func learn(known *bool, isComplete bool) (first bool) {
+	first = isComplete && !*known
+	*known = *known || isComplete
+	return first
+}
+
 // OfferEvacuationList takes the complete list of evacuated zones.
 func (s *State) OfferEvacuationList(evacuations []catalog.Evacuation, at catalog.Position, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	first := !s.surveyed
-	s.surveyed = true
+	first := learn(&s.surveyed, true)
 	s.applyEvacuations(s.view.OfferEvacuationList(evacuations, at), first, source)
 }
 
@@ -47,8 +54,7 @@
 func (s *State) OfferEvacuations(evacuations []catalog.Evacuation, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	first := !s.surveyed && source != SourceStore
-	s.surveyed = s.surveyed || first
+	first := learn(&s.surveyed, source != SourceStore)
 	s.recalled = s.recalled || source == SourcePeer
 	s.applyEvacuations(s.view.OfferEvacuations(evacuations), first, source)
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -24,8 +24,7 @@
 func (s *State) OfferRolloutList(rollouts []catalog.Rollout, at catalog.Position, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	first := !s.knowsRollouts
-	s.knowsRollouts = true
+	first := learn(&s.knowsRollouts, true)
 	s.applyRollouts(s.view.OfferRolloutList(rollouts, at), first, source)
 }
 
@@ -34,8 +33,7 @@
 func (s *State) OfferRollouts(rollouts []catalog.Rollout, source string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	first := !s.knowsRollouts && source != SourceStore
-	s.knowsRollouts = s.knowsRollouts || first
+	first := learn(&s.knowsRollouts, source != SourceStore)
 	s.applyRollouts(s.view.OfferRollouts(rollouts), first, source)
 }
 
@@ -174,62 +172,3 @@
 		s.announce()
 	}
 }
-
-// RolloutStatus is a service's move to another version, as operators see it.
-type RolloutStatus struct {
-	Service string `json:"service"`
-	Target  string `json:"target"`
-	// State is what the store says, and Abandoned whether the candidate was found bad.
-	State     string `json:"state"`
-	Abandoned bool   `json:"abandoned,omitempty"`
-	// Finding tells why, where this gateway found so.
-	Finding *rollout.Finding `json:"finding,omitempty"`
-	// AgeSeconds is how long ago it was ordered, DurationSeconds its time.
-	AgeSeconds      float64 `json:"age_seconds"`
-	DurationSeconds float64 `json:"duration_seconds"`
-	// Sent counts attempts of all gateways, Exposed those at the candidate, and UnderWay those
-	// that run at the standing version.
-	Sent     int `json:"sent"`
-	Exposed  int `json:"exposed"`
-	UnderWay int `json:"under_way_standing"`
-	// Awaits is what must be before it is completed.
-	Awaits []rollout.Wait       `json:"awaits,omitempty"`
-	Routes []RolloutRouteStatus `json:"routes"`
-}
-
-// RolloutRouteStatus is the evidence of one route.
-type RolloutRouteStatus struct {
-	Route string `json:"route"`
-	// Share is the part of its requests that go to the candidate.
-	Share float64 `json:"share"`
-	// Doubt is the logarithm of how much likelier a bad candidate is by its answers.
-	Doubt     float64 `json:"doubt"`
-	Answers   uint32  `json:"answers"`
-	Failed    uint32  `json:"failed"`
-	Timed     uint32  `json:"timed"`
-	Slow      uint32  `json:"slow"`
-	UsualBad  uint32  `json:"standing_failed"`
-	UsualOf   uint32  `json:"standing_answers"`
-	UsualSlow uint32  `json:"standing_slow"`
-	UsualTime uint32  `json:"standing_timed"`
-}
-
-func (s *State) rolloutStatus(now time.Time) []RolloutStatus {
-	var list []RolloutStatus
-	for _, each := range s.core.Rollouts(now) {
-		status := RolloutStatus{
-			Service: each.Order.Service, Target: each.Order.Target, State: each.State.String(), Abandoned: each.Abandoned,
-			Finding: each.Finding, AgeSeconds: each.Age.Seconds(), DurationSeconds: each.Order.Duration.Seconds(),
-			Sent: each.Sent, Exposed: each.Exposed, UnderWay: each.UnderWay, Awaits: each.Awaits, Routes: []RolloutRouteStatus{},
-		}
-		for _, route := range each.Routes {
-			status.Routes = append(status.Routes, RolloutRouteStatus{
-				Route: s.routeName(route.Route), Share: route.Share, Doubt: route.Doubt,
-				Answers: route.Candidate.Answers, Failed: route.Candidate.Failed, Timed: route.Candidate.Timed, Slow: route.Candidate.Slow,
-				UsualBad: route.Standing.Failed, UsualOf: route.Standing.Answers, UsualSlow: route.Standing.Slow, UsualTime: route.Standing.Timed,
-			})
-		}
-		list = append(list, status)
-	}
-	return list
-}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -8,8 +8,8 @@
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.OldestPeer(now),
 		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesLeftOut: s.log.LeftOut(),
+		Era: s.view.Era(),
 	}
-	gauges.Era = s.view.Era()
 	for _, each := range s.core.Rollouts(now) {
 		gauges.Rollouts = append(gauges.Rollouts, RolloutGauges{Service: each.Order.Service, State: each.State, Sent: each.Sent, Exposed: each.Exposed})
 	}
