--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -45,7 +45,7 @@
 	"draining": shared, "settings": shared, "slo": shared, "telemetry": shared, "tomlfile": shared,
 
 	"soak": laboratory, "simulation": laboratory, "standin": laboratory, "loadgen": laboratory, "demo": laboratory,
-	"explain": laboratory, "pipenet": laboratory, "fixedseed": laboratory,
+	"explain": laboratory, "pipenet": laboratory, "fixedseed": laboratory, "bubble": laboratory,
 
 	"daemon": programs, "cli": programs, "architecture": programs,
 }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bubble"
 )
 
 func TestClockCountsSuspensions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		suspended := 5 * time.Second // before the start
 		c := NewFrom(func() time.Duration { return suspended })
@@ -27,7 +28,7 @@
 }
 
 func TestNilClockIsTheMonotonicOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var c *Clock
 		began := c.Now()
--- a/internal/collect/service_test.go
+++ b/internal/collect/service_test.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/pipenet"
@@ -100,7 +100,7 @@
 // A connection that the collector closed since it rested is opened again within one
 // question: the collector isn't taken for silent.
 func TestRestedConnectionIsOpenedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		nodes := startFleet(t, 12)
 		time.Sleep(2 * time.Second)
@@ -122,7 +122,7 @@
 // A collector whose members don't tell it yet is asked again soon: one that was asked a moment
 // before the first of them told it was passed over for 3 s, and a whole zone unknown so long.
 func TestCollectorThatNobodyTellsYetIsAskedAgainSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const count = 40 // groups are larger than a second has questions
 		nodes := startFleet(t, count)
@@ -146,7 +146,7 @@
 // Every gateway knows the sums over all of them within two seconds of its start, and
 // again soon after the collector of its group was lost.
 func TestGatewaysKnowAllLoads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const count = 40
 		nodes := startFleet(t, count)
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/objectstore"
@@ -48,7 +49,7 @@
 // inFleet runs the test in a bubble with a ready fleet and ends the fleet.
 func inFleet(t *testing.T, protocol hop.Protocol, test func(f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := &fleet{
 			t: t, network: pipenet.New(), store: standin.NewPlatform(), protocol: protocol,
 			nodes: map[string]*Node{}, engines: map[string]*standin.Engine{}, services: map[string]*standin.Service{},
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -9,11 +9,12 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/bubble"
 )
 
 // stalled is an output whose reader has stopped reading.
@@ -27,7 +28,7 @@
 func noFields() logrus.Fields { return nil }
 
 func TestStalledReaderBlocksNobody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		output := stalled{release: make(chan struct{})}
 		log := New(output, logrus.InfoLevel, nil)
@@ -47,7 +48,7 @@
 }
 
 func TestNumberOfLinesLeftOutIsTold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var output bytes.Buffer
 		log := New(&output, logrus.InfoLevel, logrus.Fields{"node": "n"})
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
@@ -18,7 +19,7 @@
 // follow runs a follower of the source for a while in a fleet of so many
 // gateways.
 func follow(t *testing.T, s *source, gateways int, reader bool, test func(state *gateway.State)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 		state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
 		state.SetFleet(placeOf(gateways, reader), dispatch.Fleet{})
--- a/internal/follower/rollouts_test.go
+++ b/internal/follower/rollouts_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
@@ -65,7 +65,7 @@
 // followRollouts runs followers of several gateways that read one store which holds an order
 // whose back ends never come.
 func followRollouts(t *testing.T, s *source, gateways int, test func(states []*gateway.State)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s.rollouts.order = &catalog.Rollout{Service: "s", Target: "v2", Duration: 12 * time.Second, Revision: 5, Era: s.era.Load()}
 		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 		var states []*gateway.State
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -3,13 +3,13 @@
 import (
 	"io"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
@@ -21,7 +21,7 @@
 func TestPeersAreHeardBeforeTheStoreIsRead(t *testing.T) {
 	is := is.New(t)
 	start := func(told bool) (reads int64, ready bool) {
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			s := &source{backEnds: 3}
 			log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 			state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
--- a/internal/follower/withheld_test.go
+++ b/internal/follower/withheld_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
@@ -68,7 +68,7 @@
 }
 
 func TestStartedGatewayReadsWhatIsWithheld(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &source{backEnds: 1}
 		s.withheld.records = map[dispatch.Fingerprint]dispatch.CrashRecord{
--- a/internal/gateway/heldbytes_test.go
+++ b/internal/gateway/heldbytes_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
@@ -38,7 +38,7 @@
 
 // An answer that is ready waits for room, and gets it when another was read.
 func TestAnswersWaitForRoom(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		held := NewHeldBytes(200 << 10)
 		is.NoErr(held.Hold(t.Context(), 70<<10, 0, 70<<10))
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bubble"
 )
 
 // TestSilenceIsJudgedByTimeKept: a process that runs late gives a stream that much
@@ -19,7 +21,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				began := time.Now()
 				ended := make(chan time.Duration, 1)
@@ -35,7 +37,7 @@
 }
 
 func TestEventEndsASilence(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ended := false
 		watch := &pauseWatch{
@@ -70,7 +72,7 @@
 }
 
 func TestProcessThatKeepsTimeHasNoLag(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		done := make(chan struct{})
 		told := 0
--- a/internal/objectstore/publish_test.go
+++ b/internal/objectstore/publish_test.go
@@ -7,11 +7,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/bundle"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/objectstore"
@@ -87,7 +87,7 @@
 }
 
 func TestLostAnswerIsSettledByReadingBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := standin.NewPlatform()
 		store.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
