Rollout: a gateway that has just started completes nothing untried

Ruled out: the sequential test (its judges had given the version up 6.4 s after the order); marks between gateways (told, but not heard yet).

Change: completing waits until the judge itself has had the candidate for its probation, one ramp and a round of answers, as the moves of routes do. By then it hears its peers. A fleet that restarts as a whole completes 3 s later.

Figures: TestGatewayThatStartsLateCompletesNothingUntried fails before; internal/rollout passes with its drawn roll-outs as they are.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -344,7 +344,9 @@
 	if !j.hears(now) {
 		awaits = append(awaits, WaitGateways)
 	}
-	underWay, unmoved := uint32(0), false
+	// A gateway that has just started knows nothing of what the candidate did before: it completes
+	// nothing that it hasn't seen tried itself, by when it hears what its peers have found.
+	underWay, unmoved := uint32(0), now.Sub(j.beganAt) < j.triedAt()+j.rampTime()+leastRamp
 	for key, each := range j.sum(now) {
 		unmoved = unmoved || now.Sub(j.beganAt) < j.fullAt(key.Route)+leastRamp
 		if each.side() == Standing {
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -137,3 +137,20 @@
 		j.Report(start.Add(time.Second))
 	})
 }
+
+// A gateway that starts after an order's time, and has heard of nobody yet, knows nothing of the
+// candidate: it must see it tried before it may say that all is well.
+func TestGatewayThatStartsLateCompletesNothingUntried(t *testing.T) {
+	is := is.New(t)
+	began := time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	order := Order{Service: "pool", Target: "v2", Duration: 12 * time.Second}
+	started := began.Add(order.Duration + 4*time.Second)
+	j := NewJudge(started, order, Limits{Share: 0.1, Extra: 50})
+	j.Hear(started, Mark{Order: order.ID(), AgeMillis: started.Sub(began).Milliseconds()})
+	j.SetCandidates(started, true)
+	is.Equal(j.Due(started), InProgress)
+	is.Equal(j.Awaits(started), []Wait{WaitRoutes})
+	tried := started.Add(order.Duration/probationPart + j.rampTime() + leastRamp)
+	is.Equal(j.Due(tried.Add(-time.Millisecond)), InProgress)
+	is.Equal(j.Due(tried), Completed) // nobody asks for the service, and nobody knows otherwise
+}
