Soak: a service is moved to other versions, good and bad

Cause: roll-outs were proved in worlds of their own, not under the faults that strike all else; the soak drew none.

Change: the fault move_service. An operator orders another version, whose back ends start beside the standing ones; two in three turn out bad, at once or later. Once the verdict says completed, the standing ones stop at once and come back with the new version, else the new ones leave. Checked: exposure of all gateways in touch until the deadline, nothing 5 s after the fiftieth bad answer, no verdict replaced. `--break exposure` lets them be chosen like any other, and the soak finds that. With `--older` no service is moved: an older build may know no setting for it.

Now it keeps what each writer wrote last, and that is written again where the store lost it.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -79,6 +79,9 @@
 	for _, kind := range flags.kinds {
 		flags.options.Kinds = append(flags.options.Kinds, soak.Kind(kind))
 	}
+	if flags.older != "" {
+		flags.options.Kinds = withoutMoves(flags.options.Kinds)
+	}
 	broken := 0
 	for range flags.runs {
 		result, err := soakOnce(ctx, output, protocol, flags)
@@ -96,6 +99,15 @@
 	return nil
 }
 
+// withoutMoves takes away the moves to other versions: an older build may know no setting for
+// them, and doesn't start with one that it doesn't know.
+func withoutMoves(kinds []soak.Kind) []soak.Kind {
+	if len(kinds) == 0 {
+		kinds = soak.Kinds()
+	}
+	return slices.DeleteFunc(kinds, func(kind soak.Kind) bool { return kind == soak.MoveService })
+}
+
 // soakOnce plays one seed and prints what it found.
 func soakOnce(ctx context.Context, output io.Writer, protocol wire.Protocol, flags soakFlags) (soak.Result, error) {
 	folder := flags.folder
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -25,6 +25,8 @@
 	Withholding Mechanism = "withholding"
 	// RetryBudget bounds further attempts.
 	RetryBudget Mechanism = "retry-budget"
+	// Exposure keeps most requests from a version that isn't known to be good.
+	Exposure Mechanism = "exposure"
 )
 
 // The mechanisms that make a better choice. Without one of them every promise but the
@@ -78,7 +80,7 @@
 
 // Promises lists the mechanisms without which a promise is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras}
+	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
 }
 
 // Choices lists the mechanisms without which callers are served worse.
--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -204,7 +204,7 @@
 
 // isOnSide tells whether a move to another version lets the exchange go to the member.
 func (c *Core) isOnSide(now time.Time, x *Exchange, m *member) bool {
-	if !c.rollouts.enabled() {
+	if !c.rollouts.enabled() || c.config.Disabled[Exposure] {
 		return true
 	}
 	judge := c.rollouts.byService[m.backEnd.Service]
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -31,6 +31,9 @@
 	life        int
 	born        time.Time
 	leaving     bool
+	// version is that of its software, and ill is what is wrong with it.
+	version string
+	ill     illness
 	// coldUntil is when this incarnation is warm, and starting is set until it is up.
 	coldUntil time.Time
 	starting  bool
@@ -75,7 +78,7 @@
 	defer b.mutex.Unlock()
 	return catalog.BackEnd{
 		ID: id, Service: service, Address: b.address, Zone: b.zone, Slots: slots, Leaving: b.leaving,
-		WarmUp: max(0, time.Until(b.coldUntil)), Born: b.born.UnixMilli(),
+		WarmUp: max(0, time.Until(b.coldUntil)), Born: b.born.UnixMilli(), Version: b.version,
 	}
 }
 
@@ -115,7 +118,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	acts := b.behaviour()
-	arrival := arrival{request: forwarded.Request, backEnd: b.id(), zone: b.zone, at: time.Now(), tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != ""}
+	version, ill := b.software()
+	arrival := arrival{
+		request: forwarded.Request, backEnd: b.id(), zone: b.zone, version: version, at: time.Now(),
+		tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != "",
+	}
 	if forwarded.BackEnd != b.id() {
 		protocol.WriteNotRun(w.Header(), forwarded.Request)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -133,6 +140,10 @@
 	if isCrashing(r.URL.Path) {
 		b.crashUnder(r)
 	}
+	if ill.strikes(forwarded.Request, arrival.at) {
+		b.fleet.check.failedByVersion(version)
+		acts.fail = true
+	}
 	b.run(w, r, forwarded, acts)
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,8 @@
 	PromiseRecovery      Promise = "recovery"
 	PromiseWithheld      Promise = "what crashes back ends is withheld"
 	PromiseStart         Promise = "gateways start"
+	PromiseExposure      Promise = "a bad version gets little"
+	PromiseVerdict       Promise = "one verdict on a version"
 )
 
 // Violation is a broken promise.
@@ -69,7 +71,7 @@
 // arrival is a request at a back end.
 type arrival struct {
 	request, backEnd, tenant string
-	zone                     string
+	zone, version            string
 	at                       time.Time
 	// ran is false when the back end refused it, changed is true when its body
 	// wasn't the caller's, and resumed when it continues a stream.
@@ -122,9 +124,11 @@
 	crashes map[string][]time.Time
 	// evacuations are all orders on zones so far.
 	evacuations []evacuation
-	recoverAt   time.Time
-	violations  []Violation
-	counts      map[Promise]int
+	// moves are all orders to move the service to another version.
+	moves      []*move
+	recoverAt  time.Time
+	violations []Violation
+	counts     map[Promise]int
 }
 
 func newChecker(f *fleet) *checker {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -121,11 +121,15 @@
 	environment Environment
 	store       *store
 	backEnds    []*backEnd
-	gateways    []*gatewayState
-	servers     []*http.Server
-	serving     conc.WaitGroup
-	check       *checker
-	struck      *strikes
+	// candidates are the back ends of the version that the service is moved to, which stand
+	// by until an order is given; moving is held while one stands.
+	candidates []*backEnd
+	moving     sync.Mutex
+	gateways   []*gatewayState
+	servers    []*http.Server
+	serving    conc.WaitGroup
+	check      *checker
+	struck     *strikes
 
 	mutex   sync.Mutex
 	version uint64
@@ -144,7 +148,15 @@
 	}
 	f.serve(storeListener, f.store)
 	for i := range options.BackEnds {
-		if err := f.addBackEnd(i); err != nil {
+		b, err := f.newBackEnd(i)
+		if err != nil {
+			return nil, err
+		}
+		f.backEnds = append(f.backEnds, b)
+		f.store.putBackEnd(b.entry())
+	}
+	if options.draws(MoveService) {
+		if err := f.addCandidates(); err != nil {
 			return nil, err
 		}
 	}
@@ -164,22 +176,21 @@
 	f.serving.Go(func() { _ = server.Serve(listener) })
 }
 
-func (f *fleet) addBackEnd(number int) error {
+// newBackEnd makes a back end that can be reached and isn't listed.
+func (f *fleet) newBackEnd(number int) (*backEnd, error) {
 	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), born: time.Now(), zone: zones[number%len(zones)]}
 	own, err := f.environment.Listen()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	front, err := f.environment.Listen()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f.serve(own, b)
 	b.address = front.Addr().String()
 	b.link = newLink(f.environment, front, own.Addr().String())
-	f.backEnds = append(f.backEnds, b)
-	f.store.putBackEnd(b.entry())
-	return nil
+	return b, nil
 }
 
 func (f *fleet) addGateway(number int, storeAddress string, seeds []string) ([]string, error) {
@@ -197,7 +208,7 @@
 	}
 	g.callers = addresses[0]
 	seeds = append(seeds, addresses[1])
-	text := gatewaySettings(g, addresses, front.Addr().String(), seeds, f.options.Disable)
+	text := gatewaySettings(g, addresses, front.Addr().String(), seeds, f.options)
 	if g.gateway, err = f.environment.Gateway(g.id, text); err != nil {
 		return nil, err
 	}
@@ -205,7 +216,11 @@
 	return seeds, nil
 }
 
-func gatewaySettings(g *gatewayState, addresses [3]string, store string, seeds, disable []string) string {
+func gatewaySettings(g *gatewayState, addresses [3]string, store string, seeds []string, options Options) string {
+	moves := ""
+	if options.draws(MoveService) {
+		moves = fmt.Sprintf("exposure_share = %v\nexposure_extra = %v\n", exposureShare, exposureExtra)
+	}
 	return fmt.Sprintf(`role = "gateway"
 id = %q
 zone = "z"
@@ -226,10 +241,10 @@
 warm_up_overage = %v
 warm_up_extra = %v
 disable = %s
-[log]
+%s[log]
 format = "json"
 `, g.id, tomlList(seeds), drainDelay, drainTimeout, addresses[0], addresses[1], addresses[2], store,
-		retryRatio, retryExtra, leavingBound, evacuationBound, warmUpOverage, warmUpExtra, tomlList(disable))
+		retryRatio, retryExtra, leavingBound, evacuationBound, warmUpOverage, warmUpExtra, tomlList(options.Disable), moves)
 }
 
 func tomlList(values []string) string {
@@ -255,7 +270,7 @@
 		g.gateway.Kill()
 		g.storeLink.close()
 	}
-	for _, b := range f.backEnds {
+	for _, b := range f.everyBackEnd() {
 		b.link.close()
 	}
 	for _, server := range f.servers {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -73,6 +73,7 @@
 	c.judgeBudget()
 	c.judgeWarmUps()
 	c.judgeCrashing()
+	c.judgeMoves()
 	if float64(recovered) < leastRecovered*float64(expected) || expected == 0 {
 		c.failLocked(PromiseRecovery, "%d of %d requests were served after all faults", recovered, expected)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -68,6 +68,9 @@
 	RestartBackEnd Kind = "restart_back_end"
 	// StrangeEntries lets another writer list what no gateway can read.
 	StrangeEntries Kind = "strange_entries"
+	// MoveService orders that the service is moved to back ends of another version, which may
+	// be bad. One order at a time stands.
+	MoveService Kind = "move_service"
 )
 
 // Kinds lists every kind.
@@ -76,7 +79,7 @@
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, DeafStore,
 		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, RestoreStore, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
 		LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll, EvacuateZone, ChangeRoute, RevokeKey,
-		CrashingRequest, RestartBackEnd, StrangeEntries,
+		CrashingRequest, RestartBackEnd, StrangeEntries, MoveService,
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -33,6 +34,9 @@
 	Disable []string
 }
 
+// draws tells whether faults of the kind may be drawn.
+func (o Options) draws(kind Kind) bool { return len(o.Kinds) == 0 || slices.Contains(o.Kinds, kind) }
+
 // DefaultOptions returns the defaults.
 func DefaultOptions() Options {
 	return Options{Seed: 1, Duration: time.Minute, Gateways: 3, BackEnds: 4, Callers: 24}
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -26,11 +25,14 @@
 	times map[uint64]time.Time
 	// oldest is the revision from which history is kept.
 	oldest         uint64
-	configurations []wire.StoreEntry[catalog.Configuration]
-	backEnds       []wire.StoreEntry[catalog.BackEnd]
-	evacuations    []wire.StoreEntry[catalog.Evacuation]
+	configurations objects[catalog.Configuration]
+	backEnds       objects[catalog.BackEnd]
+	evacuations    objects[catalog.Evacuation]
+	rollouts       objects[catalog.Rollout]
 	own            []wire.StoreEntry[[]byte]
-	changed        chan struct{}
+	// overruled counts the verdicts on roll-outs that were replaced by another one.
+	overruled int
+	changed   chan struct{}
 	// silent keeps every call without an answer, busy refuses it, and slow delays
 	// it; each counts the faults that ask for it.
 	silent, busy, slow int
@@ -43,36 +45,40 @@
 const keptHistory = 64
 
 func newStore(protocol wire.Protocol) *store {
-	return &store{protocol: protocol, changed: make(chan struct{}), era: 1, times: map[uint64]time.Time{}}
+	return &store{
+		protocol: protocol, changed: make(chan struct{}), era: 1, times: map[uint64]time.Time{},
+		configurations: newObjects[catalog.Configuration](), backEnds: newObjects[catalog.BackEnd](),
+		evacuations: newObjects[catalog.Evacuation](), rollouts: newObjects[catalog.Rollout](),
+	}
 }
 
 func (s *store) putConfiguration(configuration catalog.Configuration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.configurations = append(s.configurations, wire.StoreEntry[catalog.Configuration]{Name: "main", Revision: s.next(), Value: configuration})
+	s.configurations.put(wire.StoreEntry[catalog.Configuration]{Name: "main", Revision: s.next(), Value: configuration})
 }
 
 func (s *store) putBackEnd(backEnd catalog.BackEnd) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backEnds = append(s.backEnds, wire.StoreEntry[catalog.BackEnd]{Name: backEnd.ID, Revision: s.next(), Value: backEnd})
+	s.backEnds.put(wire.StoreEntry[catalog.BackEnd]{Name: backEnd.ID, Revision: s.next(), Value: backEnd})
 }
 
 func (s *store) removeBackEnd(id string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.backEnds = append(s.backEnds, wire.StoreEntry[catalog.BackEnd]{Name: id, Revision: s.next(), Gone: true, Value: catalog.BackEnd{ID: id}})
+	s.backEnds.put(wire.StoreEntry[catalog.BackEnd]{Name: id, Revision: s.next(), Gone: true, Value: catalog.BackEnd{ID: id}})
 }
 
 // putEvacuation orders or takes back the evacuation of a zone.
 func (s *store) putEvacuation(zone string, withdrawn bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.evacuations = append(s.evacuations, wire.StoreEntry[catalog.Evacuation]{Name: zone, Revision: s.next(), Gone: withdrawn})
+	s.evacuations.put(wire.StoreEntry[catalog.Evacuation]{Name: zone, Revision: s.next(), Gone: withdrawn})
 }
 
 // restore puts back a copy of that age: what was written since is gone, and its revisions are
-// given out again. It returns what operators and back ends write again.
+// given out again. It returns what lets operators and back ends write theirs again.
 func (s *store) restore(age time.Duration) (rewrite func()) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -82,11 +88,11 @@
 		delete(s.times, copied)
 		copied--
 	}
-	var lost []func()
-	lost = append(lost, cutBack(&s.configurations, copied, s.next)...)
-	lost = append(lost, cutBack(&s.backEnds, copied, s.next)...)
-	lost = append(lost, cutBack(&s.evacuations, copied, s.next)...)
-	cutBack(&s.own, copied, s.next)
+	s.configurations.cutBack(copied)
+	s.backEnds.cutBack(copied)
+	s.evacuations.cutBack(copied)
+	s.rollouts.cutBack(copied)
+	s.own = upTo(s.own, copied)
 	s.era++
 	s.revision, s.oldest = copied, min(s.oldest, copied)
 	close(s.changed)
@@ -94,39 +100,13 @@
 	return func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		for _, write := range lost {
-			write()
-		}
+		s.configurations.rewrite(s.next)
+		s.backEnds.rewrite(s.next)
+		s.evacuations.rewrite(s.next)
+		s.rollouts.rewrite(s.next)
 	}
 }
 
-// cutBack drops the entries after the revision, and returns what writes the newest of each
-// name again.
-func cutBack[T any](history *[]wire.StoreEntry[T], copied uint64, next func() uint64) []func() {
-	newest := map[string]wire.StoreEntry[T]{}
-	kept := (*history)[:0:0]
-	for _, entry := range *history {
-		if entry.Revision <= copied {
-			kept = append(kept, entry)
-			continue
-		}
-		newest[entry.Name] = entry
-	}
-	*history = kept
-	var rewrites []func()
-	for _, name := range slices.Sorted(maps.Keys(newest)) {
-		entry := newest[name]
-		rewrites = append(rewrites, func() {
-			if rewritten := slices.ContainsFunc(*history, func(e wire.StoreEntry[T]) bool { return e.Name == name && e.Revision > copied }); rewritten {
-				return // its writer has something newer to say by now
-			}
-			entry.Revision = next()
-			*history = append(*history, entry)
-		})
-	}
-	return rewrites
-}
-
 // isAway tells whether the store takes nothing from operators at the moment.
 func (s *store) isAway() bool {
 	s.mutex.Lock()
@@ -190,6 +170,10 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
+	if record, ok := s.protocol.ReadRolloutWrite(r); ok {
+		s.writeRollout(w, record)
+		return
+	}
 	if write, ok := s.protocol.ReadStoreWrite(r); ok {
 		s.write(w, write)
 		return
@@ -250,13 +234,15 @@
 func (s *store) hasNews(call wire.StoreCall) bool {
 	switch call.Kind {
 	case wire.BackEnds:
-		return len(since(s.backEnds, call.After)) > 0
+		return len(since(s.backEnds.history, call.After)) > 0
 	case wire.Evacuations:
-		return len(since(s.evacuations, call.After)) > 0
+		return len(since(s.evacuations.history, call.After)) > 0
+	case wire.Rollouts:
+		return len(since(s.rollouts.history, call.After)) > 0
 	case wire.Own:
 		return len(since(s.own, call.After)) > 0
 	default:
-		return len(since(s.configurations, call.After)) > 0
+		return len(since(s.configurations.history, call.After)) > 0
 	}
 }
 
@@ -265,13 +251,15 @@
 	defer s.mutex.Unlock()
 	switch call.Kind {
 	case wire.BackEnds:
-		s.protocol.WriteList(w, answerOfStore(s.backEnds, call, s.revision, s.era))
+		s.protocol.WriteList(w, answerOfStore(s.backEnds.history, call, s.revision, s.era))
 	case wire.Evacuations:
-		s.protocol.WriteList(w, answerOfStore(s.evacuations, call, s.revision, s.era))
+		s.protocol.WriteList(w, answerOfStore(s.evacuations.history, call, s.revision, s.era))
+	case wire.Rollouts:
+		s.protocol.WriteList(w, answerOfStore(s.rollouts.history, call, s.revision, s.era))
 	case wire.Own:
 		s.protocol.WriteList(w, answerOfStore(s.own, call, s.revision, s.era))
 	default:
-		s.protocol.WriteList(w, answerOfStore(s.configurations, call, s.revision, s.era))
+		s.protocol.WriteList(w, answerOfStore(s.configurations.history, call, s.revision, s.era))
 	}
 }
 
@@ -303,12 +291,8 @@
 
 // listed returns the newest entry of each name that isn't gone, by name.
 func listed[T any](history []wire.StoreEntry[T]) []wire.StoreEntry[T] {
-	newest := map[string]wire.StoreEntry[T]{}
-	for _, entry := range history {
-		newest[entry.Name] = entry
-	}
 	var list []wire.StoreEntry[T]
-	for _, entry := range newest {
+	for _, entry := range newest(history) {
 		if !entry.Gone {
 			list = append(list, entry)
 		}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -66,6 +66,8 @@
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
 	case CrashingRequest:
 		f.repeatCrashing(ctx, fault)
+	case MoveService:
+		f.moveService(ctx, fault)
 	case RevokeKey:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareKey }, wait)
 	}
@@ -141,7 +143,7 @@
 	over := f.check.trouble(everywhere)
 	defer over()
 	f.store.skip(lostChanges)
-	for _, b := range f.backEnds {
+	for _, b := range f.everyBackEnd() {
 		if !b.isStarting() {
 			f.store.putBackEnd(b.entry())
 		}
@@ -156,7 +158,7 @@
 // noticed.
 func (f *fleet) silence() {
 	places := []string{everywhere}
-	for _, b := range f.backEnds {
+	for _, b := range f.everyBackEnd() {
 		places = append(places, b.name)
 		b.link.silence()
 	}
@@ -172,11 +174,11 @@
 func (f *fleet) lapse(ctx context.Context) {
 	over := f.check.trouble(everywhere)
 	defer over()
-	for _, b := range f.backEnds {
+	for _, b := range f.everyBackEnd() {
 		f.store.removeBackEnd(b.id())
 	}
 	sleep(ctx, lapsePause)
-	for _, b := range f.backEnds {
+	for _, b := range f.everyBackEnd() {
 		if !b.isStarting() {
 			f.store.putBackEnd(b.entry())
 		}
--- a/internal/soak/warmup.go
+++ b/internal/soak/warmup.go
@@ -36,7 +36,7 @@
 		f.check.evacuated(zone)
 	case by < 0 && f.evacuated[zone] == 0:
 		f.check.restored(zone)
-		for _, b := range f.backEnds {
+		for _, b := range f.everyBackEnd() {
 			if b.zone == zone {
 				f.turnCold(ctx, b)
 			}
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 // Protocol speaks the platform's side of the protocol for the stand-ins: what the
@@ -13,10 +15,16 @@
 	// ReadStoreCall returns what a call to the store asks for.
 	ReadStoreCall(request *http.Request) StoreCall
 	// WriteList answers a list or a watch of objects, which are catalog.Configuration,
-	// catalog.BackEnd, catalog.Evacuation, or the bytes of one of the gateways' own.
+	// catalog.BackEnd, catalog.Evacuation, catalog.Rollout, or the bytes of one of the
+	// gateways' own.
 	WriteList(w http.ResponseWriter, answer StoreAnswer[any])
 	// ReadStoreWrite returns what a call writes; ok is false for one that reads.
 	ReadStoreWrite(request *http.Request) (write StoreWrite, ok bool)
+	// ReadRolloutWrite returns how far a roll-out has come as a call writes it, on the condition
+	// that the order is at the revision; ok is false for other calls.
+	ReadRolloutWrite(request *http.Request) (record catalog.Rollout, ok bool)
+	// WriteObject answers a write with the object as it is now.
+	WriteObject(w http.ResponseWriter, entry StoreEntry[any], era uint64)
 	// ReadForward returns what a gateway told a back end.
 	ReadForward(header http.Header) Forwarded
 	// WriteStamp marks an answer as the back end's own to the request; WriteNotRun
@@ -39,6 +47,9 @@
 	Evacuations
 	// Own are those that the gateways write.
 	Own
+	// Rollouts are orders to move a service to another version. Gateways write how far they
+	// have come.
+	Rollouts
 )
 
 // StoreWrite is a call that writes one of the gateways' own objects, or removes it.
