Soak: the fault, its checks and the store's part of a move, a file each

Read as a newcomer: moving.go held all three, and drew versions by bare numbers. Now named constants; a test of its own holds that writers write their last word again, once, whatever several restores lost.

--- /dev/null
+++ b/internal/soak/movejudge.go
@@ -0,0 +1,99 @@
+package soak
+
+import "time"
+
+// Bounds on what a version that is bad gets.
+const (
+	// exposureShare of the requests between the order and its deadline, and exposureExtra more.
+	exposureShare = 0.1
+	exposureExtra = 20
+	// rollBackBound is the time after the badAnswersKnown-th bad answer from which it gets none.
+	rollBackBound   = 5 * time.Second
+	badAnswersKnown = 50
+)
+
+// ordered notes an order.
+func (c *checker) ordered(order *move) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.moves = append(c.moves, order)
+}
+
+// failedByVersion notes an answer that failed since the version is bad.
+func (c *checker) failedByVersion(version string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, each := range c.moves {
+		if each.version == version {
+			each.badAnswersAt = append(each.badAnswersAt, time.Now())
+		}
+	}
+}
+
+// judgeMoves checks that bad versions got little, and that verdicts weren't replaced.
+func (c *checker) judgeMoves() {
+	if overruled := c.fleet.store.verdictsOverruled(); overruled > 0 {
+		c.failLocked(PromiseVerdict, "%d verdicts were replaced by others", overruled)
+	}
+	for _, each := range c.moves {
+		if each.ill.share > 0 {
+			c.judgeExposure(each)
+			c.judgeRollBack(each)
+		}
+	}
+}
+
+// judgeExposure checks what gateways in touch sent to a bad version between the order and its
+// deadline.
+func (c *checker) judgeExposure(order *move) {
+	all, exposed := 0, 0
+	for _, id := range c.order {
+		for _, each := range c.arrivals[id] {
+			if each.at.Before(order.from) || each.at.After(order.from.Add(moveTime)) {
+				continue
+			}
+			all++
+			if each.version == order.version && c.inTouch(c.sends[id].gateway, each.at, each.at) {
+				exposed++
+			}
+		}
+	}
+	if allowed := exposureShare*float64(all) + exposureExtra; float64(exposed) > allowed {
+		c.failLocked(PromiseExposure, "%s, which is bad, got %d of %d requests, %.0f are allowed", order.version, exposed, all, allowed)
+	}
+}
+
+// judgeRollBack checks that gateways in touch sent nothing to a bad version after its bad
+// answers could be known. Those from before the store was last in trouble don't count.
+func (c *checker) judgeRollBack(order *move) {
+	for _, id := range c.order {
+		for _, each := range c.arrivals[id] {
+			known := each.at.Add(-rollBackBound - slack)
+			if each.version != order.version || !c.inTouch(c.sends[id].gateway, known, each.at) {
+				continue
+			}
+			if c.badAnswersBefore(order, known) >= badAnswersKnown {
+				c.failLocked(PromiseExposure, "%s got %s from %s %v after its bad answers were known", order.version, id, c.sends[id].gateway, rollBackBound)
+				return
+			}
+		}
+	}
+}
+
+// badAnswersBefore counts the bad answers until the time, from the end of the last trouble that
+// touched all gateways.
+func (c *checker) badAnswersBefore(order *move, until time.Time) int {
+	var from time.Time
+	for _, each := range c.spans {
+		if each.place == everywhere && each.from.Before(until) && each.to.After(from) {
+			from = each.to
+		}
+	}
+	count := 0
+	for _, at := range order.badAnswersAt {
+		if at.After(from) && !at.After(until) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/soak/moving.go
+++ b/internal/soak/moving.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/rollout"
-	"github.com/harriernotch/harriernotch/internal/soak/wire"
 )
 
 // An operator orders that the service is moved to back ends of another version, which start
@@ -33,13 +31,6 @@
 	// replacedPause how long they serve alone until the standing ones are back.
 	revertedPause = 2 * time.Second
 	replacedPause = listedAfterCrash + warmUpTime + time.Second
-
-	// exposureShare, exposureExtra and rollBackBound bound what a bad version gets.
-	exposureShare = 0.1
-	exposureExtra = 20
-	rollBackBound = 5 * time.Second
-	// badAnswersKnown is the number of bad answers after which a version is known to be bad.
-	badAnswersKnown = 50
 )
 
 // illness is what is wrong with a version: from a time on, this share of its answers are
@@ -89,23 +80,37 @@
 // everyBackEnd returns the standing back ends and the candidates.
 func (f *fleet) everyBackEnd() []*backEnd { return slices.Concat(f.backEnds, f.candidates) }
 
-// move is an order as the checks see it.
+// move is an order to move the service to a version, given at from.
 type move struct {
-	version      string
-	ill          illness
-	from         time.Time
+	version string
+	ill     illness
+	from    time.Time
+	// badAnswersAt are when the version failed a request.
 	badAnswersAt []time.Time
 }
 
-// drawMove draws a version: one in three is well, and of the others half turn bad only later.
-func (f *fleet) drawMove(fault Fault) *move {
+const (
+	// wellOneIn is how many versions are drawn for one that is well, and lateOneIn how many of
+	// the others for one that turns bad only after turnsBadAfter.
+	wellOneIn     = 3
+	lateOneIn     = 2
+	turnsBadAfter = moveTime / 4
+	// leastIll is the least share of failures of a bad version, and illSteps the number of
+	// steps of illStep above it that are drawn from.
+	leastIll = 0.3
+	illStep  = 0.1
+	illSteps = 5
+)
+
+// newMove returns the order that a fault draws.
+func newMove(fault Fault) *move {
 	drawn := &move{version: fmt.Sprintf("v%d", fault.Target), from: time.Now()}
-	if fault.Target%3 == 0 {
+	if fault.Target%wellOneIn == 0 {
 		return drawn
 	}
-	drawn.ill = illness{share: 0.3 + 0.1*float64(fault.Target%5), from: drawn.from}
-	if fault.Target%2 == 0 {
-		drawn.ill.from = drawn.from.Add(moveTime / 4)
+	drawn.ill = illness{share: leastIll + illStep*float64(fault.Target%illSteps), from: drawn.from}
+	if fault.Target%lateOneIn == 0 {
+		drawn.ill.from = drawn.from.Add(turnsBadAfter)
 	}
 	return drawn
 }
@@ -119,7 +124,7 @@
 	for f.store.isAway() && ctx.Err() == nil {
 		sleep(ctx, awayPause)
 	}
-	order := f.drawMove(fault)
+	order := newMove(fault)
 	f.check.ordered(order)
 	f.store.putRollout(catalog.Rollout{Service: service, Target: order.version, Duration: moveTime})
 	sleep(ctx, candidateStart)
@@ -178,144 +183,3 @@
 		b.restart(false)
 	}
 }
-
-// ordered notes an order.
-func (c *checker) ordered(order *move) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.moves = append(c.moves, order)
-}
-
-// failedByVersion notes an answer that failed since the version is bad.
-func (c *checker) failedByVersion(version string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, each := range c.moves {
-		if each.version == version {
-			each.badAnswersAt = append(each.badAnswersAt, time.Now())
-		}
-	}
-}
-
-// judgeMoves checks that bad versions got little, and that verdicts weren't replaced.
-func (c *checker) judgeMoves() {
-	if overruled := c.fleet.store.verdictsOverruled(); overruled > 0 {
-		c.failLocked(PromiseVerdict, "%d verdicts were replaced by others", overruled)
-	}
-	for _, each := range c.moves {
-		if each.ill.share > 0 {
-			c.judgeExposure(each)
-			c.judgeRollBack(each)
-		}
-	}
-}
-
-// judgeExposure checks what gateways in touch sent to a bad version between the order and its
-// deadline.
-func (c *checker) judgeExposure(order *move) {
-	all, exposed := 0, 0
-	for _, id := range c.order {
-		for _, each := range c.arrivals[id] {
-			if each.at.Before(order.from) || each.at.After(order.from.Add(moveTime)) {
-				continue
-			}
-			all++
-			if each.version == order.version && c.inTouch(c.sends[id].gateway, each.at, each.at) {
-				exposed++
-			}
-		}
-	}
-	if allowed := exposureShare*float64(all) + exposureExtra; float64(exposed) > allowed {
-		c.failLocked(PromiseExposure, "%s, which is bad, got %d of %d requests, %.0f are allowed", order.version, exposed, all, allowed)
-	}
-}
-
-// judgeRollBack checks that gateways in touch sent nothing to a bad version after its bad
-// answers could be known. Those from before the store was last in trouble don't count.
-func (c *checker) judgeRollBack(order *move) {
-	for _, id := range c.order {
-		for _, each := range c.arrivals[id] {
-			known := each.at.Add(-rollBackBound - slack)
-			if each.version != order.version || !c.inTouch(c.sends[id].gateway, known, each.at) {
-				continue
-			}
-			if c.badAnswersBefore(order, known) >= badAnswersKnown {
-				c.failLocked(PromiseExposure, "%s got %s from %s %v after its bad answers were known", order.version, id, c.sends[id].gateway, rollBackBound)
-				return
-			}
-		}
-	}
-}
-
-// badAnswersBefore counts the bad answers until the time, from the end of the last trouble that
-// touched all gateways.
-func (c *checker) badAnswersBefore(order *move, until time.Time) int {
-	var from time.Time
-	for _, each := range c.spans {
-		if each.place == everywhere && each.from.Before(until) && each.to.After(from) {
-			from = each.to
-		}
-	}
-	count := 0
-	for _, at := range order.badAnswersAt {
-		if at.After(from) && !at.After(until) {
-			count++
-		}
-	}
-	return count
-}
-
-// putRollout gives an order.
-func (s *store) putRollout(order catalog.Rollout) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.rollouts.put(wire.StoreEntry[catalog.Rollout]{Name: service, Revision: s.next(), Value: order})
-}
-
-// removeRollout takes the order back.
-func (s *store) removeRollout() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.rollouts.put(wire.StoreEntry[catalog.Rollout]{Name: service, Revision: s.next(), Gone: true})
-}
-
-// rolloutState returns how far the order to move to the version has come.
-func (s *store) rolloutState(version string) rollout.State {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if now, exists := newest(s.rollouts.history)[service]; exists && !now.Gone && now.Value.Target == version {
-		return now.Value.State
-	}
-	return rollout.Ordered
-}
-
-func (s *store) verdictsOverruled() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.overruled
-}
-
-// writeRollout takes how far an order has come, if it is at the revision that the writer knows.
-// What is said of another target is kept and counts for nothing.
-func (s *store) writeRollout(w http.ResponseWriter, record catalog.Rollout) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now, exists := newest(s.rollouts.history)[record.Service]
-	switch {
-	case !exists || now.Gone:
-		w.WriteHeader(http.StatusNotFound)
-		return
-	case now.Revision != record.Revision:
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	if record.Target == now.Value.Target {
-		if now.Value.State.IsVerdict() && now.Value.State != record.State {
-			s.overruled++
-		}
-		now.Value.State, now.Value.BeganAt = record.State, record.BeganAt
-	}
-	now.Revision = s.next()
-	s.rollouts.history = append(s.rollouts.history, now) // the order is still its operator's
-	s.protocol.WriteObject(w, now.Untyped(), s.era)
-}
--- /dev/null
+++ b/internal/soak/objects_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/soak/wire"
+)
+
+// Whatever several restores have lost between them, each writer writes its last word again, once,
+// and nothing that it had replaced.
+func TestWritersWriteTheirLastWordAgain(t *testing.T) {
+	is := is.New(t)
+	revision := uint64(0)
+	next := func() uint64 { revision++; return revision }
+	kept := newObjects[string]()
+	put := func(name, value string, gone bool) {
+		kept.put(wire.StoreEntry[string]{Name: name, Revision: next(), Gone: gone, Value: value})
+	}
+	put("a", "first", false)
+	put("b", "stays", false)
+	copied := revision
+	put("a", "", true)
+	kept.cutBack(copied) // the removal is lost
+	revision = copied
+	put("a", "second", false) // at the revision that the removal had
+	kept.cutBack(copied)
+	revision = copied
+	kept.rewrite(next)
+	kept.rewrite(next)
+	is.Equal(revision, copied+1)
+	is.Equal(listed(kept.history), []wire.StoreEntry[string]{
+		{Name: "a", Revision: copied + 1, Value: "second"}, {Name: "b", Revision: copied, Value: "stays"},
+	})
+}
