Rollout: trouble of the whole service excuses no bad version afterwards

All four standing back ends failed or lost answers for two seconds, two of them for five, while the candidate failed 60 in 100 for good. Above 60 in 100 nothing is judged, and what is usual is the higher of always and lately: the trouble stood in the "always" until the end. The version was completed and failed 60 in 100 of all.

Change: the failures of the latest span are weighed by themselves against the standing version's of the same span, or without enough of those against three in ten at the most; where as much speaks against the candidate as a finding needs, it gets no more and isn't completed while that lasts.

Figures: TestTroubleOfTheServiceExcusesNoBadVersion fails before; TestTroubleOfTheServiceIsNotHeldAgainstAGoodVersion holds the other side.

--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -154,3 +154,58 @@
 	is.Equal(j.Due(tried.Add(-time.Millisecond)), InProgress)
 	is.Equal(j.Due(tried), Completed) // nobody asks for the service, and nobody knows otherwise
 }
+
+// answer lets one attempt end at once.
+func (j *Judge) answer(at time.Time, side Side, backEnd int, fails bool) {
+	run := j.Send(at, side, Facts{Route: "r", BackEnd: fmt.Sprint("b", backEnd), First: true})
+	if fails {
+		run.Failed(at)
+	} else {
+		run.Answered(at)
+	}
+	run.End(at, true)
+}
+
+// While its service is in trouble, of whatever version, a bad version can't be told from it. That
+// must not excuse it later: what it answers now is compared with what is usual now, and without
+// that no version that fails three in ten gets more, or is completed.
+func TestTroubleOfTheServiceExcusesNoBadVersion(t *testing.T) {
+	for name, standingRecovers := range map[string]bool{"standing one recovers": true, "standing one gets nothing more": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := newJudge(1)
+			const perSecond = 50
+			for second := range 11 {
+				at := start.Add(time.Duration(second) * time.Second)
+				inTrouble := second < 8
+				for i := range perSecond {
+					if inTrouble || standingRecovers {
+						j.answer(at, Standing, i%8, inTrouble && i%4 != 0)
+					}
+					j.answer(at, Candidate, i%8, i%5 < 3)
+				}
+				j.Look(at.Add(900 * time.Millisecond))
+			}
+			late := start.Add(11900 * time.Millisecond)
+			is.True(j.isDoubtful() || j.abandoned)
+			is.Equal(j.Due(late), Reverted)
+		})
+	}
+}
+
+// A version that answers well goes on, though its service had trouble before.
+func TestTroubleOfTheServiceIsNotHeldAgainstAGoodVersion(t *testing.T) {
+	is := is.New(t)
+	j := newJudge(1)
+	for second := range 11 {
+		at := start.Add(time.Duration(second) * time.Second)
+		for i := range 50 {
+			fails := second < 6 && i%4 != 0
+			j.answer(at, Standing, i%8, fails)
+			j.answer(at, Candidate, i%8, fails)
+		}
+		j.Look(at.Add(900 * time.Millisecond))
+	}
+	is.True(!j.abandoned)
+	is.True(!j.isDoubtful())
+}
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -49,6 +49,10 @@
 	// mostBad is the part of bad answers of the standing version above which nothing is judged:
 	// the service is in trouble, whatever its version.
 	mostBad = 0.6
+	// mostExcused is the part of bad answers above which no candidate gets more, whatever the
+	// standing version does: trouble of the whole service, while it lasts, says nothing good of
+	// either, and afterwards the standing version may have no answers left to compare with.
+	mostExcused = 0.3
 )
 
 // proportion is so many bad ones of so many answers.
@@ -75,7 +79,11 @@
 	if usual > mostBad {
 		return 0
 	}
-	bearable := usual*worseFactor + worseMargin
+	return ratioAbove(candidate, usual*worseFactor+worseMargin)
+}
+
+// ratioAbove returns the same for a part of bad answers that is bearable.
+func ratioAbove(candidate proportion, bearable float64) float64 {
 	highest := 0.0
 	for _, step := range worseSteps {
 		unbearable := min(bearable+step, 1-worseMargin)
@@ -195,11 +203,34 @@
 					finding = &found
 				}
 			}
+			if of == failed {
+				latest := spans[len(spans)-1]
+				doubts[route] = max(doubts[route], latest.doubtOfTheMoment(route, always))
+			}
 		}
 	}
 	return finding, doubts
 }
 
+// doubtOfTheMoment is what speaks against the candidate by the answers of the latest span alone,
+// where that is as much as a finding needs. The standing version's are those of the same span, if
+// there are enough: trouble that is over excuses nothing. It is no finding, since so short a span
+// may hold a moment's bad luck, but while it lasts the candidate gets no more and isn't completed.
+// Failures alone are looked at: what is slow goes by the standing version's mean, which says
+// little once a few of its machines are left.
+func (s span) doubtOfTheMoment(route uint32, always proportion) float64 {
+	standing := s.withoutWorst(route, failed, Standing)
+	if standing.of < leastControl {
+		standing = always
+	}
+	bearable := min(standing.rate()*worseFactor+worseMargin, mostExcused)
+	ratio := ratioAbove(s.withoutWorst(route, failed, Candidate), bearable)
+	if ratio < evidence {
+		return 0
+	}
+	return ratio
+}
+
 // test compares the sides in a span. In a short one, above all once most requests are moved, a
 // few answers without a bad one say little of what is usual: then what always was counts.
 func test(of span, route uint32, what measure, always proportion) Finding {
