Rollout: failures of the moment are weighed against what always was

Change: the latest span is compared with the whole time's failures of the standing version, three in ten at the most, and not with those of the span.

--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -167,8 +167,7 @@
 }
 
 // While its service is in trouble, of whatever version, a bad version can't be told from it. That
-// must not excuse it later: what it answers now is compared with what is usual now, and without
-// that no version that fails three in ten gets more, or is completed.
+// must not excuse it later: none that fails six in ten gets more, or is completed.
 func TestTroubleOfTheServiceExcusesNoBadVersion(t *testing.T) {
 	for name, standingRecovers := range map[string]bool{"standing one recovers": true, "standing one gets nothing more": false} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -212,18 +212,13 @@
 	return finding, doubts
 }
 
-// doubtOfTheMoment is what speaks against the candidate by the answers of the latest span alone,
-// where that is as much as a finding needs. The standing version's are those of the same span, if
-// there are enough: trouble that is over excuses nothing. It is no finding, since so short a span
-// may hold a moment's bad luck, but while it lasts the candidate gets no more and isn't completed.
-// Failures alone are looked at: what is slow goes by the standing version's mean, which says
-// little once a few of its machines are left.
+// doubtOfTheMoment is what speaks against the candidate by its failures in the latest span alone,
+// where that is as much as a finding needs: trouble of the service that is over excuses mostExcused
+// of its answers at most. It is no finding, since so short a span may hold a moment's bad luck, but
+// while it lasts the candidate gets no more and isn't completed. The standing version's failures
+// of so short a span are too few to compare with many of the candidate's, and aren't.
 func (s span) doubtOfTheMoment(route uint32, always proportion) float64 {
-	standing := s.withoutWorst(route, failed, Standing)
-	if standing.of < leastControl {
-		standing = always
-	}
-	bearable := min(standing.rate()*worseFactor+worseMargin, mostExcused)
+	bearable := min(always.rate()*worseFactor+worseMargin, mostExcused)
 	ratio := ratioAbove(s.withoutWorst(route, failed, Candidate), bearable)
 	if ratio < evidence {
 		return 0
