--- a/internal/rollout/sequential.go
+++ b/internal/rollout/sequential.go
@@ -43,6 +43,9 @@
 	// priorAnswers and priorBad stand for what is known of a standing version without answers.
 	priorAnswers = 10
 	priorBad     = 0.5
+	// momentPriorBad is added to the failures of the standing version in a short span: thirty
+	// answers without one bear out 5 in 100, and must not convict a candidate with hundreds.
+	momentPriorBad = 1.5
 	// leastControl is how many answers of the standing version in the last seconds let it be
 	// compared by these alone.
 	leastControl = 30
@@ -213,12 +216,16 @@
 }
 
 // doubtOfTheMoment is what speaks against the candidate by its failures in the latest span alone,
-// where that is as much as a finding needs: trouble of the service that is over excuses mostExcused
-// of its answers at most. It is no finding, since so short a span may hold a moment's bad luck, but
-// while it lasts the candidate gets no more and isn't completed. The standing version's failures
-// of so short a span are too few to compare with many of the candidate's, and aren't.
+// where that is as much as a finding needs. The standing version's are those of the same span, if
+// there are enough: trouble that is over excuses nothing. It is no finding, since so short a span
+// may hold a moment's bad luck, but while it lasts the candidate gets no more and isn't completed.
 func (s span) doubtOfTheMoment(route uint32, always proportion) float64 {
-	bearable := min(always.rate()*worseFactor+worseMargin, mostExcused)
+	standing := s.withoutWorst(route, failed, Standing)
+	standing.bad += momentPriorBad
+	if standing.of < leastControl {
+		standing = always
+	}
+	bearable := min(standing.rate()*worseFactor+worseMargin, mostExcused)
 	ratio := ratioAbove(s.withoutWorst(route, failed, Candidate), bearable)
 	if ratio < evidence {
 		return 0
--- a/internal/soak/movestore.go
+++ b/internal/soak/movestore.go
@@ -40,10 +40,10 @@
 
 // writeRollout takes how far an order has come, if it is at the revision that the writer knows.
 // What is said of another target is kept and counts for nothing.
-func (s *store) writeRollout(w http.ResponseWriter, record catalog.Rollout) {
+func (s *store) writeRollout(w http.ResponseWriter, name string, record catalog.Rollout) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, exists := newest(s.rollouts.history)[record.Service]
+	now, exists := newest(s.rollouts.history)[name]
 	switch {
 	case !exists || now.Gone:
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -170,12 +170,12 @@
 	case slow:
 		sleep(r.Context(), slowAnswer)
 	}
-	if record, ok := s.protocol.ReadRolloutWrite(r); ok {
-		s.writeRollout(w, record)
-		return
-	}
 	if write, ok := s.protocol.ReadStoreWrite(r); ok {
-		s.write(w, write)
+		if write.Rollout != nil {
+			s.writeRollout(w, write.Name, *write.Rollout)
+		} else {
+			s.write(w, write)
+		}
 		return
 	}
 	call := s.protocol.ReadStoreCall(r)
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -20,9 +20,6 @@
 	WriteList(w http.ResponseWriter, answer StoreAnswer[any])
 	// ReadStoreWrite returns what a call writes; ok is false for one that reads.
 	ReadStoreWrite(request *http.Request) (write StoreWrite, ok bool)
-	// ReadRolloutWrite returns how far a roll-out has come as a call writes it, on the condition
-	// that the order is at the revision; ok is false for other calls.
-	ReadRolloutWrite(request *http.Request) (record catalog.Rollout, ok bool)
 	// WriteObject answers a write with the object as it is now.
 	WriteObject(w http.ResponseWriter, entry StoreEntry[any], era uint64)
 	// ReadForward returns what a gateway told a back end.
@@ -52,11 +49,13 @@
 	Rollouts
 )
 
-// StoreWrite is a call that writes one of the gateways' own objects, or removes it.
+// StoreWrite is a call that writes one of the gateways' own objects, or removes it, or writes
+// how far the roll-out of that name has come, on the condition that the order is at its revision.
 type StoreWrite struct {
-	Name string
-	Gone bool
-	Spec []byte
+	Name    string
+	Gone    bool
+	Spec    []byte
+	Rollout *catalog.Rollout
 }
 
 // StoreCall is a call to the store.
