Logs and metrics: what an answer says of its back end

No decision changes.

An answer to another request, or by another back end than was meant, isn't taken: nobody can tell whose word it is.

go test ./internal/failure ./internal/gateway ./internal/eventlog ./platform: passed.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -43,6 +43,7 @@
 	RolloutEnded     Event = "rollout.ended"
 	BackEndChanged   Event = "back_end.changed"
 	BackEndHealth    Event = "back_end.health"
+	BackEndNotice    Event = "back_end.notice"
 	RequestSent      Event = "request.sent"
 	RequestDone      Event = "request.answered"
 	RequestRetried   Event = "request.attempt_failed"
@@ -63,7 +64,7 @@
 		Started, Stopping, Stopped, Reloaded, Resumed, ReloadFailed, Ready,
 		StoreLost, StoreRegained, StoreRestored, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
 		Configured, Misconfigured, ZoneEvacuated, ZoneRestored,
-		RolloutChanged, RolloutBegan, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth,
+		RolloutChanged, RolloutBegan, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth, BackEndNotice,
 		RequestSent, RequestDone, RequestRetried, RequestResumed,
 		RequestFailed, RequestRefused, CallerLeft, LinesLeftOut, RequestsWithheld, RequestsReleased, RecordGivenUp,
 	}
--- a/internal/failure/failure_test.go
+++ b/internal/failure/failure_test.go
@@ -64,3 +64,13 @@
 		}
 	}
 }
+
+func TestWaitsAreRead(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ParseWait("3"), 3*time.Second)
+	is.Equal(ParseWait(" 0.25 "), 250*time.Millisecond)
+	is.Equal(ParseWait("1e300"), 24*time.Hour)
+	for _, none := range []string{"", "0", "-1", "NaN", "soon", "Wed, 21 Oct 2015 07:28:00 GMT"} {
+		is.Equal(ParseWait(none), time.Duration(0))
+	}
+}
--- a/internal/failure/http.go
+++ b/internal/failure/http.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -67,6 +68,19 @@
 	_ = json.NewEncoder(w).Encode(BodyOf(typed))
 }
 
+// longestWait bounds what ParseWait returns.
+const longestWait = 24 * time.Hour
+
+// ParseWait reads a Retry-After header in seconds, with fractions or without. It returns 0 where
+// there is none, and for what isn't a time to wait.
+func ParseWait(header string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, longestWait.Seconds()) * float64(time.Second))
+}
+
 // retryAfterSeconds rounds up to whole seconds, as the header requires.
 func retryAfterSeconds(wait time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,6 +132,9 @@
 	if h.config.Disabled[dispatch.OwnAnswers] {
 		foreign, unsigned = false, false
 	}
+	if !foreign && !facts.Elsewhere {
+		h.takeNotice(c, send, response.StatusCode, facts)
+	}
 	switch {
 	case foreign || facts.Encoded:
 		return h.unusable(c, send, response, "the answer isn't one to this request")
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -68,4 +68,8 @@
 	Encoded bool
 	// Load is the back end's load, or -1.
 	Load int
+	// Leaving is true when the back end says that it leaves: it wants no new work.
+	Leaving bool
+	// Rest is for how long the back end wants nothing from this gateway; 0 when it doesn't say.
+	Rest time.Duration
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -111,6 +111,16 @@
 	m.forCall(c).Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
 }
 
+// noticed counts what an answer says of its back end.
+func (m *Metrics) noticed(c *call, facts AnswerFacts) {
+	if facts.Leaving {
+		m.forCall(c).Tagged(map[string]string{"notice": "leaving"}).Counter("back_end_notices").Inc(1)
+	}
+	if facts.Rest > 0 {
+		m.forCall(c).Tagged(map[string]string{"notice": "rest"}).Counter("back_end_notices").Inc(1)
+	}
+}
+
 // cut counts an answer that ended before it was whole.
 func (m *Metrics) cut(c *call) { m.forCall(c).Counter("answers_cut").Inc(1) }
 
