Gateways heed a back end that says in its answers that it leaves

What callers saw: nothing at first; their requests went to a back end that was about to end, and with it they would have ended. Class: a fact taken from one source that can be away, while the one whom it concerns tells it.

Now an answer's word binds its gateway at once and, for the life that gave it, until that ends: neither an entry that says ready, nor a list read again, nor a store restored from a copy takes it back. Gateways tell each other, as they do of lives that have ended; both share one bounded set of lives (lives.go). The word is applied where entries are (noteLeaving), so every way to a back end heeds it through the one check in mayTake: attempts, repeats, continued streams, trials, last resorts, lapsed entries, sides of a roll-out.

Ruled out: keeping it as an entry of the view (it has no position of the store, by which entries are ordered).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,8 +103,10 @@
 	restored  map[string]restoration
 	draw      draw
 	rollouts  rollouts
-	// displacements are known lives that have ended though they are listed.
-	displacements displacements
+	// displaced are lives that have ended though they are listed, and leaving those whose
+	// answers have said that they leave.
+	displaced lifeSet
+	leaving   lifeSet
 }
 
 // HealthChange is a changed belief on a back end.
@@ -160,7 +162,8 @@
 		budgets:        map[string]*limits.ShareOfBudget{},
 		gateways:       1,
 		rollouts:       newRollouts(config.Rollout),
-		displacements:  newDisplacements(),
+		displaced:      newLifeSet(),
+		leaving:        newLifeSet(),
 	}
 }
 
@@ -186,6 +189,7 @@
 		known.backEnd = backEnd
 		known.listed = true
 		c.noteDisplaced(known)
+		c.noteLeaving(known)
 		known.evacuated = slices.Contains(c.evacuated, backEnd.Zone)
 		members[backEnd.ID] = known
 		if pools[backEnd.Service] == nil {
--- a/internal/dispatch/displaced_test.go
+++ b/internal/dispatch/displaced_test.go
@@ -57,12 +57,12 @@
 func TestDisplacedLivesAreBounded(t *testing.T) {
 	is := is.New(t)
 	core := newCore(nil)
-	for i := range uint32(3 * mostDisplaced) {
+	for i := range uint32(3 * mostLives) {
 		core.TakeDisplaced([]uint32{i})
 	}
 	lives, number := core.DisplacedSince(5)
-	is.Equal(len(lives), mostDisplaced)
-	is.Equal(number, uint64(3*mostDisplaced))
+	is.Equal(len(lives), mostLives)
+	is.Equal(number, uint64(3*mostLives))
 	lives, _ = core.DisplacedSince(number - 2)
-	is.Equal(lives, []uint32{3*mostDisplaced - 2, 3*mostDisplaced - 1})
+	is.Equal(lives, []uint32{3*mostLives - 2, 3*mostLives - 1})
 }
--- /dev/null
+++ b/internal/dispatch/notice.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import "time"
+
+// Notice is what a back end's answer says of the back end itself, whatever becomes of the
+// answer.
+type Notice struct {
+	// Leaving is true when it wants no new work any more. That is true for all gateways, and
+	// until its life ends: a platform's store that is away or lists it as ready says nothing
+	// against it.
+	Leaving bool
+}
+
+// Heed takes the notice of the answer to the exchange's attempt, and tells whether it is news.
+func (c *Core) Heed(now time.Time, x *Exchange, notice Notice) (isNews bool) {
+	m := x.current
+	if m == nil || !notice.Leaving || !c.leaving.add(lifeOf(m.backEnd)) {
+		return false
+	}
+	c.applyLeaving(now)
+	return true
+}
+
+// LeavingSince returns the lives known from answers to be leaving that a peer may lack which was
+// told so many, and the number to go on from.
+func (c *Core) LeavingSince(told uint64) (lives []uint32, number uint64) {
+	return c.leaving.since(told)
+}
+
+// TakeLeaving takes the lives that a peer knows to be leaving, and returns the IDs of those back
+// ends of which it is news.
+func (c *Core) TakeLeaving(now time.Time, lives []uint32) (news []string, isNews bool) {
+	if !c.leaving.take(lives) {
+		return nil, false
+	}
+	return c.applyLeaving(now), true
+}
+
+// applyLeaving takes the members that are known from answers to be leaving for such, and returns
+// the IDs of those that weren't before.
+func (c *Core) applyLeaving(now time.Time) (changed []string) {
+	c.everyMember(func(m *member) {
+		before := m.backEnd.Leaving
+		if c.noteLeaving(m); m.backEnd.Leaving != before {
+			changed = append(changed, m.backEnd.ID)
+		}
+	})
+	c.noteCandidates(now)
+	return changed
+}
+
+// noteLeaving takes a member for leaving whose answers have said so, whatever the list says.
+func (c *Core) noteLeaving(m *member) {
+	if c.leaving.holds(m.backEnd) {
+		m.backEnd.Leaving = true
+	}
+}
+
+// Words returns the number of lives of which gateways have told each other something: it grows
+// with each that is news.
+func (c *Core) Words() uint64 { return c.displaced.number() + c.leaving.number() }
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -42,6 +42,10 @@
 	// the number to go on from.
 	Displaced    []uint32
 	Displacement uint64
+	// Leaving are lives of back ends whose answers have said that they leave, and Departure the
+	// number to go on from.
+	Leaving   []uint32
+	Departure uint64
 	// Loads are this gateway's requests under way.
 	Loads []dispatch.Load
 	// Holdings are prompt parts that back ends hold, and Holding the number to go on
@@ -95,6 +99,7 @@
 	Crash      uint64
 	Rollout    uint64
 	Displaced  uint64
+	Leaving    uint64
 }
 
 // mostCrashRecords bounds the records of crashes in one message, at some 25 bytes each.
@@ -121,6 +126,7 @@
 		news.Marks, news.Tallies = s.core.Marks(now), s.core.Tallies(now)
 	}
 	news.Displaced, news.Displacement = s.core.DisplacedSince(told.Displaced)
+	news.Leaving, news.Departure = s.core.LeavingSince(told.Leaving)
 	news.Crashes, news.Crash = s.core.CrashesSince(s.clock.Now(), told.Crash, mostCrashRecords)
 	news.Holdings, news.Holding = s.core.HoldingsSince(told.Holding, mostHoldings)
 	return news
@@ -203,10 +209,26 @@
 	}
 }
 
-// tellDisplaced wakes who tells peers of back ends whose lives have ended.
-func (s *State) tellDisplaced() {
-	if now := s.core.Displacements(); now != s.displaced {
-		s.displaced = now
+// TakeLeaving takes lives of back ends that a peer knows to be leaving.
+func (s *State) TakeLeaving(lives []uint32) {
+	if len(lives) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	news, isNews := s.core.TakeLeaving(s.clock.Now(), lives)
+	for _, id := range news {
+		s.log.Urgent(eventlog.BackEndNotice, logrus.Fields{"back_end": id, "leaving": true, "source": SourcePeer})
+	}
+	if isNews {
+		s.announce()
+	}
+}
+
+// tellWords wakes who tells peers of lives of back ends that have ended or are leaving.
+func (s *State) tellWords() {
+	if now := s.core.Words(); now != s.words {
+		s.words = now
 		s.announce()
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -56,8 +56,8 @@
 	changed chan struct{}
 	// unreadable are the store's objects that couldn't be used when they were read last.
 	unreadable unreadable
-	// displaced is the number of ended lives that peers were woken for.
-	displaced uint64
+	// words is the number of lives of back ends that peers were woken for.
+	words uint64
 	// crashChanges is the number of changes of crashes that peers were woken for.
 	crashChanges uint64
 	// unrecorded are contents that this gateway saw become withheld, or be released, and that
@@ -303,7 +303,7 @@
 	decision := step(s.clock.Now(), s.core)
 	changes := s.core.TakeHealthChanges()
 	s.tellCrashes()
-	s.tellDisplaced()
+	s.tellWords()
 	s.mutex.Unlock()
 	for _, change := range changes {
 		s.log.Urgent(eventlog.BackEndHealth, logrus.Fields{
--- a/internal/relay/hear.go
+++ b/internal/relay/hear.go
@@ -110,6 +110,7 @@
 		r.config.State.OfferRollouts(message.Rollouts, gateway.SourcePeer)
 	}
 	r.config.State.TakeDisplaced(message.Displaced)
+	r.config.State.TakeLeaving(message.Leaving)
 	r.config.State.HearMarks(message.Marks)
 	r.config.State.PeerTallies(message.From, message.Tallies)
 	r.config.State.PeerLoads(message.From, message.Loads)
--- a/internal/relay/landed_test.go
+++ b/internal/relay/landed_test.go
@@ -67,7 +67,7 @@
 	is.NoErr(err)
 	message, err := decode(raw)
 	is.NoErr(err)
-	message.Era, message.KnowsRollouts, message.Displaced = 3, true, []uint32{7}
+	message.Era, message.KnowsRollouts, message.Displaced, message.Leaving = 3, true, []uint32{7}, []uint32{8}
 	ours, err := cbor.Marshal(message)
 	is.NoErr(err)
 	var before, now map[int]cbor.RawMessage
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -64,6 +64,9 @@
 	// Displaced are lives of back ends that have ended though they are listed, as far as it is
 	// news.
 	Displaced []uint32 `cbor:"25,keyasint,omitempty"`
+	// Leaving are lives of back ends whose answers have said that they leave, as far as it is
+	// news.
+	Leaving []uint32 `cbor:"26,keyasint,omitempty"`
 }
 
 const (
@@ -90,7 +93,7 @@
 // the message before.
 func (m *Message) tellsNews(before Message) bool {
 	changed := m.Version != before.Version || m.Surveyed != before.Surveyed || m.Era != before.Era || m.KnowsRollouts != before.KnowsRollouts
-	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes) + len(m.Rollouts) + len(m.Marks) + len(m.Displaced)
+	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes) + len(m.Rollouts) + len(m.Marks) + len(m.Displaced) + len(m.Leaving)
 	asks := m.Want || m.Lacking != 0
 	return changed || asks || m.Answer != 0 || lists > 0
 }
@@ -126,6 +129,7 @@
 		KnowsRollouts:  news.KnowsRollouts,
 		Marks:          news.Marks,
 		Displaced:      news.Displaced,
+		Leaving:        news.Leaving,
 		StoreAgeMillis: min(news.StoreAge, forgetAge).Milliseconds(),
 	}
 	gateways := r.config.State.Place().Gateways
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -81,7 +81,7 @@
 		message.Sums = r.config.State.SumsOf(message.Lacking)
 	}
 	r.answer(&message, to.takeAsked())
-	talk.told = gateway.Told{Listing: news.Listing, Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding, Crash: news.Crash, Rollout: news.Rollout, Displaced: news.Displacement}
+	talk.told = gateway.Told{Listing: news.Listing, Change: news.Change, Evacuation: news.Evacuation, Holding: news.Holding, Crash: news.Crash, Rollout: news.Rollout, Displaced: news.Displacement, Leaving: news.Departure}
 	return message, news.Changed
 }
 
