Gateways leave a back end alone for as long as it asks when it refuses

A refusal counted towards an error rate; the second one ejected for 2 s, whatever had been asked for, a trial came in the middle of the rest, and in a pool in trouble nothing held back. Class: a peer's explicit word replaced by a guess of our own.

Now the word binds the gateway that was told, until its time is over: neither an answer to an earlier request nor a shorter rest takes it back. It is asked in mayTake, so no way goes around it; a resting back end is no source of copies either. Afterwards one request at a time tries it. A refusal with a time of rest isn't counted as a failure. Where all back ends of a service rest, callers are told so at once, with the time until the first rest ends, in place of 250 ms or 2 s.

Ruled out: ejecting for the time asked (an ejection is a belief, which the last resort of a pool in trouble passes over), telling peers (each back end decides for each gateway; one that is told for another would leave work undone).

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -11,6 +11,8 @@
 	AtMostOnce Mechanism = "at-most-once"
 	// RespectLeaving keeps new work from back ends that leave.
 	RespectLeaving Mechanism = "leaving"
+	// RespectRest keeps requests from back ends that asked to be left alone.
+	RespectRest Mechanism = "rest"
 	// RespectEvacuations keeps new work from the zones that operators evacuate.
 	RespectEvacuations Mechanism = "evacuations"
 	// WarmUpLimit keeps back ends that warm up within the rate that they bear.
@@ -80,7 +82,7 @@
 
 // Promises lists the mechanisms without which a promise is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
+	return []Mechanism{AtMostOnce, RespectLeaving, RespectRest, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
 }
 
 // Choices lists the mechanisms without which callers are served worse.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -120,10 +120,10 @@
 // attempt chooses a back end and notes the attempt.
 func (c *Core) attempt(now time.Time, x *Exchange) Decision {
 	if !now.Before(x.request.Deadline) {
-		return c.giveUp(x, failure.DeadlineUnmeetable, "the deadline passed before a back end answered")
+		return c.giveUp(now, x, failure.DeadlineUnmeetable, "the deadline passed before a back end answered")
 	}
 	if c.withholds(now, x) {
-		return c.giveUp(x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
+		return c.giveUp(now, x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
 	}
 	c.pickSide(now, x)
 	chosen := c.choose(now, x)
@@ -131,7 +131,7 @@
 		chosen = c.choose(now, x)
 	}
 	if chosen == nil {
-		return c.giveUp(x, failure.PoolExhausted, "no back end of "+x.service+" has room")
+		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
 	send := &Send{
 		BackEnd:   chosen.backEnd,
@@ -169,16 +169,30 @@
 
 // giveUp ends the exchange. A request that may have run gets an answer that
 // promises nothing, whatever the last cause.
-func (c *Core) giveUp(x *Exchange, kind failure.Kind, message string) Decision {
+func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
 	}
 	refusal := failure.New(kind, message)
-	if kind == failure.PoolExhausted && x.attempts > 0 {
-		// One back end refused; another may take the request at once.
-		refusal.RetryAfter = refusedWait
+	if kind == failure.PoolExhausted {
+		refusal.RetryAfter = c.whenToComeBack(now, x)
 	}
 	return Decision{GiveUp: refusal}
 }
+
+// whenToComeBack returns when a caller may find a back end of the exchange's service that takes
+// its request; 0 for the default.
+func (c *Core) whenToComeBack(now time.Time, x *Exchange) time.Duration {
+	rest, all := c.firstRestEnds(now, x)
+	switch {
+	case all:
+		return rest
+	case x.attempts > 0:
+		// One back end refused; another may take the request at once.
+		return refusedWait
+	default:
+		return min(rest, failure.PoolExhausted.Answer().RetryAfter)
+	}
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -18,9 +18,11 @@
 	// Ejected back ends broke off, could not be reached, or failed much more
 	// often than their pool.
 	Ejected
+	// Resting back ends have turned this gateway away and asked it to leave them alone.
+	Resting
 )
 
-var healthNames = map[Health]string{Healthy: "healthy", OnTrial: "on_trial", Silent: "silent", Ejected: "ejected"}
+var healthNames = map[Health]string{Healthy: "healthy", OnTrial: "on_trial", Silent: "silent", Ejected: "ejected", Resting: "resting"}
 
 // String returns the name used in logs.
 func (h Health) String() string { return healthNames[h] }
@@ -64,21 +66,43 @@
 	// displaced is set when another back end was met at its address: its incarnation has
 	// ended, whatever the list says.
 	displaced bool
+	// restUntil is until when it wants nothing.
+	restUntil time.Time
 	// connectsFailed is set while the last sign was a connection that could not be
 	// made.
 	connectsFailed bool
 }
 
 // reachable tells whether another back end may copy from this one: what it
-// answers to callers doesn't matter, only that it is there.
+// answers to callers doesn't matter, only that it is there and doesn't want to be left alone.
 func (h *health) reachable(now time.Time) bool {
-	return !h.connectsFailed && !h.displaced && h.status(now) != Silent
+	return !h.connectsFailed && !h.displaced && h.restLeft(now) == 0 && h.status(now) != Silent
+}
+
+// rest notes that it wants nothing for so long. Then one request at a time finds out whether
+// it takes work again: a crowd that has waited for the moment would make it rest once more.
+func (h *health) rest(now time.Time, wait time.Duration) {
+	if until := now.Add(wait); until.After(h.restUntil) {
+		h.restUntil = until
+	}
+	h.onTrial = true
+}
+
+// restLeft returns for how long it wants nothing; 0 for one that takes work.
+func (h *health) restLeft(now time.Time) time.Duration {
+	if h.disabled[RespectRest] {
+		return 0
+	}
+	return max(0, h.restUntil.Sub(now))
 }
 
 func (h *health) status(now time.Time) Health {
 	if h.displaced || now.Before(h.ejectedUntil) && !h.disabled[Ejection] {
 		return Ejected
 	}
+	if h.restLeft(now) > 0 {
+		return Resting
+	}
 	if !h.disabled[Silence] && h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
 		return Silent
 	}
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -9,16 +9,45 @@
 	// until its life ends: a platform's store that is away or lists it as ready says nothing
 	// against it.
 	Leaving bool
+	// Rest is for how long it wants nothing from this gateway, which it has just turned away; 0
+	// for one that doesn't say. Other gateways aren't bound by it: each is told by itself.
+	Rest time.Duration
 }
 
 // Heed takes the notice of the answer to the exchange's attempt, and tells whether it is news.
 func (c *Core) Heed(now time.Time, x *Exchange, notice Notice) (isNews bool) {
 	m := x.current
-	if m == nil || !notice.Leaving || !c.leaving.add(lifeOf(m.backEnd)) {
+	if m == nil {
 		return false
 	}
-	c.applyLeaving(now)
-	return true
+	if notice.Rest > 0 {
+		m.health.rest(now, notice.Rest)
+		isNews = true
+	}
+	if notice.Leaving && c.leaving.add(lifeOf(m.backEnd)) {
+		c.applyLeaving(now)
+		isNews = true
+	}
+	return isNews
+}
+
+// firstRestEnds returns how long it takes until the first of the members may be asked again that
+// want to be left alone and could take the exchange's request; 0 for none. all is set where no
+// other member could take it.
+func (c *Core) firstRestEnds(now time.Time, x *Exchange) (left time.Duration, all bool) {
+	all = true
+	for _, m := range c.poolOf(now, x.service) {
+		if !c.isOpen(now, x, m) {
+			continue
+		}
+		rest := m.health.restLeft(now)
+		if rest == 0 {
+			all = false
+		} else if left == 0 || rest < left {
+			left = rest
+		}
+	}
+	return left, all && left > 0
 }
 
 // LeavingSince returns the lives known from answers to be leaving that a peer may lack which was
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -77,3 +77,60 @@
 	lives, _ = one.LeavingSince(number)
 	is.Equal(len(lives), 0)
 }
+
+// refusesFor lets a request of the core be refused with a time of rest, and returns by whom.
+func refusesFor(c *Core, now time.Time, id string, rest time.Duration) (by string, next Decision) {
+	x, decision := c.Begin(now, request(once(), id))
+	c.Heed(now, x, Notice{Rest: rest})
+	next = c.Refused(now, x)
+	c.Done(now, x)
+	return decision.Send.BackEnd.ID, next
+}
+
+func TestRestEndsOnlyWithItsTime(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(3, 6))
+	resting, next := refusesFor(core, start, "a", 3*time.Second)
+	is.True(next.Send.BackEnd.ID != resting) // another takes it at once
+	core.members[resting].health.rest(start, time.Second)
+	is.True(!sendsTo(core, start.Add(2900*time.Millisecond), resting)) // a shorter one takes nothing back
+	core.members[resting].health.good(start.Add(time.Second))
+	is.True(!sendsTo(core, start.Add(2900*time.Millisecond), resting)) // nor does an answer to an earlier request
+	is.True(sendsTo(core, start.Add(3*time.Second), resting))
+}
+
+// Who asks for rest has said all there is to say: it isn't ejected beyond that.
+func TestRestIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(1, 6))
+	for i := range 20 {
+		refusesFor(core, start.Add(time.Duration(i)*time.Second), fmt.Sprint(i), time.Second)
+	}
+	is.True(sendsTo(core, start.Add(20*time.Second), "b00"))
+}
+
+func TestCallersComeBackWhenTheFirstRestEnds(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	refusesFor(core, start, "a", 5*time.Second)
+	for _, m := range core.members {
+		if m.health.restLeft(start) == 0 {
+			m.health.rest(start, 4*time.Second)
+		}
+	}
+	_, decision := core.Begin(start.Add(time.Second), request(once(), "b"))
+	is.Equal(decision.GiveUp.Wait(), 3*time.Second)
+}
+
+// What a back end that rests has read is copied from another one, or read again.
+func TestRestingMemberIsNoSourceOfCopies(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(4, 64))
+	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
+	x, first := core.Begin(start, request(repeatable(2), "a", parts...))
+	core.Answered(start, x, -1)
+	core.Done(start, x)
+	core.members[first.Send.BackEnd.ID].health.rest(start, time.Second)
+	_, meanwhile := core.Begin(start, request(repeatable(2), "b", parts...))
+	is.True(meanwhile.Send.FetchFrom != first.Send.BackEnd.Address)
+}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -67,17 +67,17 @@
 	x.attempts--
 	x.connects++
 	if x.connects >= maxConnects {
-		return c.giveUp(x, failure.BackendUnreachable, "no back end can be connected to")
+		return c.giveUp(now, x, failure.BackendUnreachable, "no back end can be connected to")
 	}
 	return c.attempt(now, x)
 }
 
 // Refused notes that the back end said that it did not run the request. Refusing
-// while it has room speaks against it.
+// while it has room speaks against it, unless it said for how long.
 func (c *Core) Refused(now time.Time, x *Exchange) Decision {
 	c.ended(now, x, func(m *member) {
 		c.noteLife(now, x, m)
-		if c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
+		if m.health.restLeft(now) == 0 && c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
 			m.health.bad(now, c.errorRate(x.service, m))
 		} else {
 			m.health.answered(now)
@@ -198,14 +198,14 @@
 // again decides on another attempt after one that gave no answer.
 func (c *Core) again(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	if c.config.Disabled[FurtherAttempts] {
-		return c.giveUp(x, kind, message)
+		return c.giveUp(now, x, kind, message)
 	}
 	once := !c.config.Disabled[AtMostOnce]
 	if once && x.ran != failure.RanNo && !x.request.Route.MayRepeat() {
-		return c.giveUp(x, kind, message)
+		return c.giveUp(now, x, kind, message)
 	}
 	if once && x.attempts >= x.request.Route.MaxAttempts || !c.hasOther(now, x) || !c.budget(x.service).Spend() {
-		return c.giveUp(x, kind, message)
+		return c.giveUp(now, x, kind, message)
 	}
 	return c.attempt(now, x)
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -73,12 +73,18 @@
 	return all
 }
 
-// mayTake tells whether the member is neither leaving nor evacuated, hasn't had the request,
-// and is of the version that may have it.
+// mayTake tells whether the member is open to the request, hasn't had it, and didn't ask to be
+// left alone. No way to a back end goes around it.
 func (c *Core) mayTake(now time.Time, x *Exchange, m *member) bool {
+	return c.isOpen(now, x, m) && !x.wasTried(m) && m.health.restLeft(now) == 0
+}
+
+// isOpen tells whether the member is neither leaving nor evacuated, and of the version that may
+// have the request.
+func (c *Core) isOpen(now time.Time, x *Exchange, m *member) bool {
 	leaves := m.backEnd.Leaving && !c.config.Disabled[RespectLeaving]
 	evacuated := m.evacuated && !c.config.Disabled[RespectEvacuations]
-	return !leaves && !evacuated && !x.wasTried(m) && c.isOnSide(now, x, m)
+	return !leaves && !evacuated && c.isOnSide(now, x, m)
 }
 
 // capacity is the load up to which a back end is given requests of an urgency.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -112,11 +113,11 @@
 }
 
 // noticed counts what an answer says of its back end.
-func (m *Metrics) noticed(c *call, facts AnswerFacts) {
-	if facts.Leaving {
+func (m *Metrics) noticed(c *call, notice dispatch.Notice) {
+	if notice.Leaving {
 		m.forCall(c).Tagged(map[string]string{"notice": "leaving"}).Counter("back_end_notices").Inc(1)
 	}
-	if facts.Rest > 0 {
+	if notice.Rest > 0 {
 		m.forCall(c).Tagged(map[string]string{"notice": "rest"}).Counter("back_end_notices").Inc(1)
 	}
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -14,17 +14,20 @@
 	if !facts.Leaving && facts.Rest == 0 {
 		return
 	}
-	h.config.Metrics.noticed(c, facts)
-	isNews := false
+	notice, isNews := dispatch.Notice{Leaving: facts.Leaving}, false
+	if facts.NotRun || promisesNotRun(status) {
+		notice.Rest = facts.Rest
+	}
+	h.config.Metrics.noticed(c, notice)
 	h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
-		isNews = core.Heed(now, c.exchange, dispatch.Notice{Leaving: facts.Leaving})
+		isNews = core.Heed(now, c.exchange, notice)
 		return dispatch.Decision{}
 	})
-	if !isNews && facts.Rest == 0 {
+	if !isNews {
 		return
 	}
 	h.config.Log.Urgent(eventlog.BackEndNotice, logrus.Fields{
 		"back_end": send.BackEnd.ID, "service": send.BackEnd.Service, "address": send.BackEnd.Address, "source": SourceOwn,
-		"request": c.facts.ID, "status": status, "leaving": facts.Leaving, "rest_ms": facts.Rest.Milliseconds(),
+		"request": c.facts.ID, "status": status, "leaving": facts.Leaving, "rest_ms": notice.Rest.Milliseconds(),
 	})
 }
