Agents heed what their back ends say of themselves

An answer with Server-Leaving withdraws the agent as SIGTERM does; a 503 with Retry-After closes its gate for so long. What waits there and hasn't started is refused unrun with the time that is left, so that routers send it elsewhere; a kept answer of a keyed call is given all the same.

The gate's drawn test has the event now, and fails when queued requests are left where they are.

Not changed: a 503 of a plain back end is passed on to the caller, since nothing in that protocol promises that it wasn't run.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -58,6 +58,9 @@
 // Leave closes the gate for new work for good.
 type Leave struct{}
 
+// Rest closes the gate for a while: the back end has asked to be left alone for so long.
+type Rest struct{ For time.Duration }
+
 // Tick lets time-based decisions take place.
 type Tick struct{}
 
@@ -67,6 +70,7 @@
 func (PoolObserved) isEvent() {}
 func (Configured) isEvent()   {}
 func (Leave) isEvent()        {}
+func (Rest) isEvent()         {}
 func (Tick) isEvent()         {}
 
 // Action is something the owner must do; see the types below.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -67,6 +67,8 @@
 	held    map[RequestID]*accepted
 	running int
 	leaving bool
+	// restUntil is until when the back end wants nothing.
+	restUntil time.Time
 	// service is the average time a request runs; 0 until one finished.
 	service time.Duration
 }
@@ -118,6 +120,8 @@
 		return g.admitWaiters(now)
 	case Leave:
 		return g.leave()
+	case Rest:
+		return g.rest(now, e.For)
 	case Tick:
 		return g.tick(now)
 	}
@@ -136,6 +140,9 @@
 			return []Action{action}
 		}
 	}
+	if left := g.restUntil.Sub(now); left > 0 {
+		return []Action{g.refuseReleasing(request, failure.QueueFull, left)}
+	}
 	limit := g.limitFor(now, request)
 	if g.Load()+1 <= limit.Max {
 		return g.accept(now, request, limit.Max)
@@ -333,6 +340,25 @@
 	return actions
 }
 
+// rest refuses what hasn't started: it would reach the back end within its rest, and can go
+// elsewhere. What runs is finished.
+func (g *Gate) rest(now time.Time, wait time.Duration) []Action {
+	if until := now.Add(wait); until.After(g.restUntil) {
+		g.restUntil = until
+	}
+	left := g.restUntil.Sub(now)
+	var actions []Action
+	for _, waiting := range g.waiters {
+		actions = append(actions, g.refuseReleasing(waiting.request, failure.QueueFull, left))
+	}
+	g.waiters = nil
+	for request, ok := g.queue.pop(); ok; request, ok = g.queue.pop() {
+		delete(g.held, request.ID)
+		actions = append(actions, g.refuseReleasing(request, failure.QueueFull, left))
+	}
+	return actions
+}
+
 func (g *Gate) refuse(request Request, kind failure.Kind, wait time.Duration) Refuse {
 	return Refuse{ID: request.ID, Kind: kind, RetryAfter: wait, Load: g.Load()}
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -102,9 +102,10 @@
 				t.Fatalf("running %d, queued %d", g.Running(), g.Load()-g.Running())
 			}
 		}
+		var restUntil time.Time
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0, 1:
 				last++
 				before := g.Load()
@@ -116,6 +117,9 @@
 					Affine:   rapid.Bool().Draw(t, "affine"),
 				}
 				check(arrive(g, now, r))
+				if g.Load() > before && now.Before(restUntil) {
+					t.Fatalf("request %d was accepted within a rest", last)
+				}
 				if g.Load() > before && g.Load() > limit.Max {
 					t.Fatalf("load %d over the bound %d", g.Load(), limit.Max)
 				}
@@ -135,6 +139,15 @@
 					others = append(others, ObservedLoad{Load: load, At: now})
 				}
 				check(g.Step(now, PoolObserved{Others: others}))
+			case 5:
+				rest := time.Duration(rapid.IntRange(1, 1000).Draw(t, "rest")) * time.Millisecond
+				if now.Add(rest).After(restUntil) {
+					restUntil = now.Add(rest)
+				}
+				check(g.Step(now, Rest{For: rest}))
+				if g.Load() > g.Running() || g.Waiting() > 0 {
+					t.Fatalf("%d requests wait within a rest", g.Load()-g.Running()+g.Waiting())
+				}
 			}
 		}
 	})
@@ -286,3 +299,31 @@
 	is.Equal(kindOf(arrive(g, start, request(2))), failure.Leaving)
 	is.Equal(kindOf(g.Step(start, Finished{ID: 1000})), "start") // the queued one was accepted
 }
+
+// What was accepted and hadn't started reached the back end within the rest that it had asked for.
+func TestRestRefusesWhatHasNotStarted(t *testing.T) {
+	is := is.New(t)
+	g := full(t, request(1))
+	refused, ok := g.Step(start, Rest{For: 3 * time.Second})[0].(Refuse)
+	is.True(ok)
+	is.Equal(refused.RetryAfter, 3*time.Second)
+	is.Equal(len(g.Step(start, Finished{ID: 1000})), 0)
+	later := start.Add(time.Second)
+	refused, ok = arrive(g, later, request(2))[0].(Refuse)
+	is.True(ok)
+	is.Equal(refused.RetryAfter, 2*time.Second)
+	is.Equal(kindOf(arrive(g, start.Add(3*time.Second), request(3))), "start")
+}
+
+// A repeat of a call that has run gets its answer from memory, whatever the back end wants.
+func TestKeptAnswerIsGivenWithinARest(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(testConfig(), testOnce())
+	now := start.Add(10 * time.Second)
+	arrive(g, now, keyed(1, "k", now))
+	g.Step(now, Finished{ID: 1, Outcome: Outcome{Known: true}})
+	g.Step(now, Rest{For: time.Second})
+	is.Equal(kindOf(arrive(g, now, keyed(2, "k", now))), "replay")
+	is.Equal(kindOf(arrive(g, now, keyed(3, "other", now))), failure.QueueFull)
+	is.Equal(kindOf(arrive(g, now.Add(time.Second), keyed(4, "other", now))), "start") // not run, so it may
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -173,6 +173,24 @@
 	return c.settle(now, Effects{Requests: c.gate.Step(now, event)})
 }
 
+// Noticed takes what an answer of the back end says of the back end itself: that it leaves, and
+// for how long it wants nothing; 0 when it doesn't say. A back end that leaves gets nothing that
+// waits at the gate either: that could reach it long after it has gone.
+func (c *Core) Noticed(now time.Time, leaving bool, rest time.Duration) Effects {
+	var effects Effects
+	if leaving && !c.gate.IsLeaving() {
+		effects = c.Control(now, coordination.LocalState{State: membership.StateLeaving})
+		rest = forGood
+	}
+	if rest > 0 {
+		effects.Requests = append(effects.Requests, c.gate.Step(now, admission.Rest{For: rest})...)
+	}
+	return effects
+}
+
+// forGood is longer than any agent runs beside a back end that leaves.
+const forGood = 24 * time.Hour
+
 // Cancelled says that the caller left before the request was started.
 func (c *Core) Cancelled(now time.Time, id admission.RequestID) Effects {
 	return c.settle(now, Effects{Requests: c.gate.Step(now, admission.Cancelled{ID: id})})
--- a/internal/agent/agenthttp/forward.go
+++ b/internal/agent/agenthttp/forward.go
@@ -51,6 +51,7 @@
 		return
 	}
 	defer response.Body.Close()
+	s.takeNotice(response)
 	finished.Outcome = s.passOn(w, response, r.URL.Path, head)
 }
 
