Soak: back ends say in their answers that they leave, or ask for rest

All back ends that leave now say so in their answers, as the users' do. Two further kinds: leave_untold (the store hears of it 3 s later) and ask_for_rest (refuses, and wants nothing for 2 s). Two further checks, from what callers and back ends see: no request sent to a gateway 2 s after that had passed on a back end's word reaches it, in touch or not; and at most two within a rest from half a second on. A restart or a freeze of the gateway excuses both, connections that went silent and a dark link the second.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -11,8 +11,9 @@
 	AtMostOnce Mechanism = "at-most-once"
 	// RespectLeaving keeps new work from back ends that leave.
 	RespectLeaving Mechanism = "leaving"
-	// RespectRest keeps requests from back ends that asked to be left alone.
-	RespectRest Mechanism = "rest"
+	// HeedNotices keeps requests from back ends whose answers say that they leave, or that they
+	// want to be left alone.
+	HeedNotices Mechanism = "notices"
 	// RespectEvacuations keeps new work from the zones that operators evacuate.
 	RespectEvacuations Mechanism = "evacuations"
 	// WarmUpLimit keeps back ends that warm up within the rate that they bear.
@@ -82,7 +83,7 @@
 
 // Promises lists the mechanisms without which a promise is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectRest, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
+	return []Mechanism{AtMostOnce, RespectLeaving, HeedNotices, RespectEvacuations, WarmUpLimit, OwnAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
 }
 
 // Choices lists the mechanisms without which callers are served worse.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -89,12 +89,7 @@
 }
 
 // restLeft returns for how long it wants nothing; 0 for one that takes work.
-func (h *health) restLeft(now time.Time) time.Duration {
-	if h.disabled[RespectRest] {
-		return 0
-	}
-	return max(0, h.restUntil.Sub(now))
-}
+func (h *health) restLeft(now time.Time) time.Duration { return max(0, h.restUntil.Sub(now)) }
 
 func (h *health) status(now time.Time) Health {
 	if h.displaced || now.Before(h.ejectedUntil) && !h.disabled[Ejection] {
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -17,7 +17,7 @@
 // Heed takes the notice of the answer to the exchange's attempt, and tells whether it is news.
 func (c *Core) Heed(now time.Time, x *Exchange, notice Notice) (isNews bool) {
 	m := x.current
-	if m == nil {
+	if m == nil || c.config.Disabled[HeedNotices] {
 		return false
 	}
 	if notice.Rest > 0 {
@@ -59,7 +59,7 @@
 // TakeLeaving takes the lives that a peer knows to be leaving, and returns the IDs of those back
 // ends of which it is news.
 func (c *Core) TakeLeaving(now time.Time, lives []uint32) (news []string, isNews bool) {
-	if !c.leaving.take(lives) {
+	if c.config.Disabled[HeedNotices] || !c.leaving.take(lives) {
 		return nil, false
 	}
 	return c.applyLeaving(now), true
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -37,8 +37,8 @@
 	// coldUntil is when this incarnation is warm, and starting is set until it is up.
 	coldUntil time.Time
 	starting  bool
-	// lose, spoil, fail and refuse count the faults that ask for it.
-	lose, spoil, fail, refuse int
+	// lose, spoil, fail, refuse and rest count the faults that ask for it.
+	lose, spoil, fail, refuse, rest int
 	// turn picks a way to spoil an answer.
 	turn int
 }
@@ -98,15 +98,15 @@
 
 // behaviour is what the back end does with one request.
 type behaviour struct {
-	lose, spoil, fail, refuse bool
-	turn                      int
+	lose, spoil, fail, refuse, rest bool
+	turn                            int
 }
 
 func (b *backEnd) behaviour() behaviour {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.turn++
-	return behaviour{lose: b.lose > 0, spoil: b.spoil > 0, fail: b.fail > 0, refuse: b.refuse > 0, turn: b.turn}
+	return behaviour{lose: b.lose > 0, spoil: b.spoil > 0, fail: b.fail > 0, refuse: b.refuse > 0, rest: b.rest > 0, turn: b.turn}
 }
 
 // ServeHTTP implements http.Handler.
@@ -128,6 +128,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.speak(w.Header(), forwarded)
+	if acts.rest {
+		b.fleet.check.arrived(arrival)
+		b.askForRest(w, forwarded)
+		return
+	}
 	if acts.refuse {
 		b.fleet.check.arrived(arrival)
 		protocol.WriteNotRun(w.Header(), forwarded.Request)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,8 @@
 	PromiseAttempts      Promise = "attempts within the route"
 	PromiseBudget        Promise = "retries within the budget"
 	PromiseLeaving       Promise = "leaving"
+	PromiseNotice        Promise = "leaving, told in answers"
+	PromiseRest          Promise = "rest that was asked for"
 	PromiseEvacuation    Promise = "evacuations"
 	PromiseWarmUp        Promise = "warm-up"
 	PromiseConfiguration Promise = "configuration"
@@ -86,8 +88,9 @@
 	place    string
 	from, to time.Time
 	ended    bool
-	// planned is true for a gateway's planned stop.
+	// planned is true for a gateway's planned stop, and stopped while a gateway doesn't run.
 	planned bool
+	stopped bool
 }
 
 func (s *span) overlaps(from, to time.Time) bool {
@@ -124,6 +127,7 @@
 	crashes map[string][]time.Time
 	// evacuations are all orders on zones so far.
 	evacuations []evacuation
+	notices     notices
 	// moves are all orders to move the service to another version.
 	moves      []*move
 	recoverAt  time.Time
@@ -136,7 +140,7 @@
 		fleet: f, started: time.Now(), sends: map[string]sending{}, replies: map[string]reply{},
 		arrivals: map[string][]arrival{}, lives: map[string]time.Time{}, ends: map[string]*span{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
-		crashes: map[string][]time.Time{},
+		crashes: map[string][]time.Time{}, notices: newNotices(),
 	}
 }
 
@@ -158,9 +162,12 @@
 
 // trouble notes that a place is disturbed until the returned function is called.
 func (c *checker) trouble(place string) (over func()) {
+	return c.note(&span{place: place, from: time.Now()})
+}
+
+func (c *checker) note(noted *span) (over func()) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	noted := &span{place: place, from: time.Now()}
 	c.spans = append(c.spans, noted)
 	return func() { c.end(noted) }
 }
@@ -175,7 +182,7 @@
 func (c *checker) ending(g *gatewayState, planned bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.ends[g.id] = &span{place: g.id, from: time.Now(), planned: planned}
+	c.ends[g.id] = &span{place: g.id, from: time.Now(), planned: planned, stopped: true}
 	c.spans = append(c.spans, c.ends[g.id])
 }
 
@@ -212,6 +219,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.leavingAt, id)
+	c.forgetNotices(id)
 }
 
 func (c *checker) sent(s sending) {
@@ -226,6 +234,7 @@
 	defer c.mutex.Unlock()
 	c.replies[s.request] = r
 	c.checkAnswer(s, r)
+	c.notePassedOn(s, r)
 }
 
 func (c *checker) arrived(a arrival) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -36,6 +36,7 @@
 		c.failLocked(PromiseAsked, "%s ran %s with another body or as tenant %q", a.backEnd, a.request, a.tenant)
 	}
 	c.checkEvacuation(s, a)
+	c.checkNotices(s, a)
 	since, leaves := c.leavingAt[a.backEnd]
 	if leaves && a.at.Sub(since) > leavingBound+slack && c.inTouch(s.gateway, since, a.at) && !c.heldUp(a) {
 		c.failLocked(PromiseLeaving, "%s got %s from %s %v after its leaving", a.backEnd, a.request, s.gateway, a.at.Sub(since).Round(time.Millisecond))
@@ -148,7 +149,7 @@
 	case runs > 0 && !allows:
 		c.failLocked(PromiseConfiguration, "%s ran with %s through %s, which no version in force allows", s.request, s.key, s.gateway)
 	case r.status == http.StatusNotFound && !deniesRoute, r.status == http.StatusUnauthorized && !deniesKey:
-		c.failLocked(PromiseConfiguration, "%s was told %d by %s, and every version in force allows it", s.request, r.status, s.gateway)
+		c.failLocked(PromiseConfiguration, "%s, sent %.3f s after the start, was told %d by %s, and every version in force allows it", s.request, s.at.Sub(c.started).Seconds(), r.status, s.gateway)
 	}
 }
 
--- a/internal/soak/moving.go
+++ b/internal/soak/moving.go
@@ -80,6 +80,12 @@
 // everyBackEnd returns the standing back ends and the candidates.
 func (f *fleet) everyBackEnd() []*backEnd { return slices.Concat(f.backEnds, f.candidates) }
 
+// backEndOf returns the back end that has or had the ID.
+func (f *fleet) backEndOf(id string) *backEnd {
+	all := f.everyBackEnd()
+	return all[slices.IndexFunc(all, func(b *backEnd) bool { return b.name == nameOf(id) })]
+}
+
 // move is an order to move the service to a version, given at from.
 type move struct {
 	version string
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -71,6 +71,10 @@
 	// MoveService orders that the service is moved to back ends of another version, which may
 	// be bad. One order at a time stands.
 	MoveService Kind = "move_service"
+	// LeaveUntold empties a back end that says so in its answers alone at first. AskForRest is
+	// a back end that refuses, and says for how long it wants nothing.
+	LeaveUntold Kind = "leave_untold"
+	AskForRest  Kind = "ask_for_rest"
 )
 
 // Kinds lists every kind.
@@ -79,7 +83,7 @@
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, DeafStore,
 		StoreDown, StoreBusy, StoreSlow, StoreForgets, StoreLapses, RestoreStore, SilentConnections, CrashBackEnd, DarkBackEnd, LeaveBackEnd,
 		LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll, EvacuateZone, ChangeRoute, RevokeKey,
-		CrashingRequest, RestartBackEnd, StrangeEntries, MoveService,
+		CrashingRequest, RestartBackEnd, StrangeEntries, MoveService, LeaveUntold, AskForRest,
 	}
 }
 
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -60,7 +60,8 @@
 		f.silence()
 	case EvacuateZone:
 		f.evacuate(ctx, zones[fault.Target%len(zones)], wait)
-	case CrashBackEnd, RestartBackEnd, StrangeEntries, DarkBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll:
+	case CrashBackEnd, RestartBackEnd, StrangeEntries, DarkBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll,
+		LeaveUntold, AskForRest:
 		f.strikeBackEnd(ctx, b, fault)
 	case ChangeRoute:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
@@ -100,7 +101,7 @@
 }
 
 func (f *fleet) pause(g *gatewayState, wait time.Duration) {
-	over := f.check.trouble(g.id)
+	over := f.check.note(&span{place: g.id, from: time.Now(), stopped: true})
 	defer over()
 	g.gateway.Pause()
 	time.Sleep(wait)
@@ -157,7 +158,7 @@
 // silence lets all connections go silent. What it disturbs is over once each has been
 // noticed.
 func (f *fleet) silence() {
-	places := []string{everywhere}
+	places := []string{everywhere, silenced}
 	for _, b := range f.everyBackEnd() {
 		places = append(places, b.name)
 		b.link.silence()
@@ -215,6 +216,8 @@
 		misbehave(func(b *backEnd) *int { return &b.fail })
 	case RefuseAll:
 		misbehave(func(b *backEnd) *int { return &b.refuse })
+	case AskForRest:
+		misbehave(func(b *backEnd) *int { return &b.rest })
 	case DarkBackEnd:
 		linkIsOver := f.check.trouble(linkOf(b.name))
 		defer linkIsOver()
@@ -229,6 +232,8 @@
 		f.writeStrange(ctx, b, fault)
 	case LeaveBackEnd:
 		f.leave(ctx, b)
+	case LeaveUntold:
+		f.leaveUntold(ctx, b)
 	}
 }
 
@@ -279,9 +284,7 @@
 // send it work, and then ends. Another incarnation comes.
 func (f *fleet) leave(ctx context.Context, b *backEnd) {
 	id, life := b.id(), b.lifeNow()
-	b.mutex.Lock()
-	b.leaving = true
-	b.mutex.Unlock()
+	b.setLeaving()
 	f.store.putBackEnd(b.entry())
 	f.check.leaving(id)
 	sleep(ctx, leavingBound+servesAfterBound)
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -28,6 +28,8 @@
 	// marks it as the promise that the request was not run.
 	WriteStamp(header http.Header, request, stamp string)
 	WriteNotRun(header http.Header, request string)
+	// WriteLeaving adds that the back end leaves.
+	WriteLeaving(header http.Header)
 	// WriteAsk adds what a caller says of its request.
 	WriteAsk(header http.Header, ask Ask)
 	// ReadStamp returns a back end's mark, or "".
