Follower: watches have connections of their own

Cause, from the gateways' lines: after a first silence all watches began anew and took the kept connections; plain reads dialled new ones. A second silence then struck the watches alone. No plain read got no answer, which is what ends deaf watches; and the three readers' turns over four lists were in step, so that none read the configuration for 4.8 s. Class: evidence that depends on which connection a pool happens to hand out.

Now watches never share a pool with plain reads, so a plain read always stands on a connection as old as theirs. Ruled out: readers' turns out of step (2.4 s between two reads of a list, still over the bound).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -266,7 +266,7 @@
 }
 
 func (g *Gateway) follow(environment GatewayEnvironment) {
-	toStore := g.transport(environment, true)
+	toStore := follower.Transports{Plain: g.transport(environment, true), Watches: g.transport(environment, true)}
 	g.follower = follower.Start(follower.Config{
 		Source:     environment.Adapter.Source(g.settings.Platform.URL, toStore, g.noteUnreadable),
 		State:      g.state,
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -96,7 +96,7 @@
 			return at, err
 		},
 		watch: func(ctx context.Context, after catalog.Position) (catalog.Position, error) {
-			ctx, cancel := context.WithTimeout(ctx, watchTime+watchGrace)
+			ctx, cancel := context.WithTimeout(asWatch(ctx), watchTime+watchGrace)
 			defer cancel()
 			changes, at, err := objects.Await(ctx, after, watchTime)
 			if err == nil {
