Soak: what a dark link held up isn't late after an order on a zone

The users' rule doesn't count such requests (link harmed within the contact time), and the check on leaving has the same exception.

--- a/internal/soak/warmup.go
+++ b/internal/soak/warmup.go
@@ -145,7 +145,7 @@
 		if each.zone != a.zone || !each.to.IsZero() || a.at.Sub(each.from) <= evacuationBound+slack {
 			continue
 		}
-		if c.inTouch(s.gateway, each.from, a.at) {
+		if c.inTouch(s.gateway, each.from, a.at) && !c.heldUp(a) {
 			c.failLocked(PromiseEvacuation, "%s in %s got %s from %s %v after the order", a.backEnd, a.zone, a.request, s.gateway, a.at.Sub(each.from).Round(time.Millisecond))
 		}
 	}
