Agents: all waits of a request for the load bound have one budget

Cause: a last attempt may wait 4 s for the bound; refused, its router found that its budget of further attempts allowed one more, which was the last one again, and waited 4 s anew at the next agent. Nothing counted the waits of one request together.

Now the router tells how long it has had the request (WaitedMillis, as it tells what is left of the deadline), and an agent holds it no longer than to 6 s from its arrival: two windows of the mean for a last attempt, as before, and one for what came before it. A caller who is refused comes back to the same wait; one window more is what it would spend on that. Agents of an older build take the field for nothing, and hold as before.

Neither bound was moved.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -26,6 +26,8 @@
 	// less while a pool fills, and hold longer what is refused in the end.
 	OwnerWait time.Duration
 	LastWait  time.Duration
+	// WaitBudget bounds all waits of a request together, from its arrival at the router.
+	WaitBudget time.Duration
 	// MaxRunning is how many requests run at a time.
 	MaxRunning int
 	// MaxQueued is how many accepted requests may wait to run.
@@ -186,17 +188,20 @@
 	return g.service
 }
 
+// waitFor returns how long the request may wait for the bound: all its waits together are no
+// longer than WaitBudget from its arrival at the router. A wait anew at each back end would add
+// up to a multiple, for a refusal that the caller could have had at once.
 func (g *Gate) waitFor(request Request) time.Duration {
-	if request.Key != nil {
-		return g.config.OwnerWait
-	}
-	if request.Last {
-		return g.config.LastWait
-	}
-	if request.Affine {
-		return g.config.AffinityWait
+	wait := time.Duration(0)
+	switch {
+	case request.Key != nil:
+		wait = g.config.OwnerWait
+	case request.Last:
+		wait = g.config.LastWait
+	case request.Affine:
+		wait = g.config.AffinityWait
 	}
-	return 0
+	return min(wait, g.config.WaitBudget-request.Waited)
 }
 
 func (g *Gate) hold(now time.Time, request Request, wait time.Duration) []Action {
