--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -36,12 +36,6 @@
 	Weights map[string]float64
 }
 
-// waiter is a request that waits for the bound; it isn't accepted yet.
-type waiter struct {
-	request Request
-	until   time.Time
-}
-
 // accepted is a request under the bound: running or queued.
 type accepted struct {
 	request   Request
@@ -50,9 +44,6 @@
 	running   bool
 }
 
-// maxWaiters bounds the requests that wait for the bound.
-const maxWaiters = 256
-
 // assumedService stands for the service time until a request has finished.
 const assumedService = time.Second
 
@@ -188,34 +179,6 @@
 	return g.service
 }
 
-// waitFor returns how long the request may wait for the bound: all its waits together are no
-// longer than WaitBudget from its arrival at the router. A wait anew at each back end would add
-// up to a multiple, for a refusal that the caller could have had at once.
-func (g *Gate) waitFor(request Request) time.Duration {
-	wait := time.Duration(0)
-	switch {
-	case request.Key != nil:
-		wait = g.config.OwnerWait
-	case request.Last:
-		wait = g.config.LastWait
-	case request.Affine:
-		wait = g.config.AffinityWait
-	}
-	return min(wait, g.config.WaitBudget-request.Waited)
-}
-
-func (g *Gate) hold(now time.Time, request Request, wait time.Duration) []Action {
-	until := now.Add(wait)
-	if request.Deadline.Before(until) {
-		until = request.Deadline
-	}
-	g.waiters = append(g.waiters, waiter{request: request, until: until})
-	slices.SortStableFunc(g.waiters, func(a, b waiter) int {
-		return int(a.request.Priority) - int(b.request.Priority)
-	})
-	return nil
-}
-
 // accept takes the request under the bound; it runs at once or is queued.
 func (g *Gate) accept(now time.Time, request Request, limit int) []Action {
 	if g.running < g.config.MaxRunning {
@@ -296,22 +259,6 @@
 	return actions
 }
 
-// admitWaiters accepts waiting requests that have come under the bound.
-func (g *Gate) admitWaiters(now time.Time) []Action {
-	var actions []Action
-	var remaining []waiter
-	for _, waiting := range g.waiters {
-		limit := g.limitFor(now, waiting.request)
-		if g.Load()+1 <= limit.Max {
-			actions = append(actions, g.accept(now, waiting.request, limit.Max)...)
-			continue
-		}
-		remaining = append(remaining, waiting)
-	}
-	g.waiters = remaining
-	return actions
-}
-
 // cancelled drops a request that has not started. One that runs is ended by
 // Finished, once the back end has let go of it.
 func (g *Gate) cancelled(now time.Time, id RequestID) []Action {
@@ -337,12 +284,7 @@
 		return nil
 	}
 	g.leaving = true
-	var actions []Action
-	for _, waiting := range g.waiters {
-		actions = append(actions, g.refuseReleasing(waiting.request, failure.Leaving, 0))
-	}
-	g.waiters = nil
-	return actions
+	return g.refuseWaiters(failure.Leaving, 0)
 }
 
 // rest refuses what hasn't started: it would reach the back end within its rest, and can go
@@ -352,11 +294,7 @@
 		g.restUntil = until
 	}
 	left := g.restUntil.Sub(now)
-	var actions []Action
-	for _, waiting := range g.waiters {
-		actions = append(actions, g.refuseReleasing(waiting.request, failure.QueueFull, left))
-	}
-	g.waiters = nil
+	actions := g.refuseWaiters(failure.QueueFull, left)
 	for request, ok := g.queue.pop(); ok; request, ok = g.queue.pop() {
 		delete(g.held, request.ID)
 		actions = append(actions, g.refuseReleasing(request, failure.QueueFull, left))
--- a/internal/dispatch/lapse_test.go
+++ b/internal/dispatch/lapse_test.go
@@ -61,9 +61,7 @@
 	is := is.New(t)
 	core := newCore(backEnds(4, 64))
 	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
-	x, first := core.Begin(start, request(repeatable(2), "a", parts...))
-	core.Answered(start, x, -1)
-	core.Done(start, x)
+	first := answers(core, "a", parts)
 	var left []catalog.BackEnd
 	for _, each := range backEnds(4, 64) {
 		if each.ID != first.Send.BackEnd.ID {
@@ -77,3 +75,11 @@
 	_, later := core.Begin(start.Add(core.config.LapseTime), request(repeatable(2), "c", parts...))
 	is.True(later.Send.FetchFrom != first.Send.BackEnd.Address)
 }
+
+// answers lets a request with the parts be answered, and returns the decision on it.
+func answers(c *Core, id string, parts []Part) Decision {
+	x, decision := c.Begin(start, request(repeatable(2), id, parts...))
+	c.Answered(start, x, -1)
+	c.Done(start, x)
+	return decision
+}
--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -127,9 +127,7 @@
 	is := is.New(t)
 	core := newCore(backEnds(4, 64))
 	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "own", Tokens: 10}}
-	x, first := core.Begin(start, request(repeatable(2), "a", parts...))
-	core.Answered(start, x, -1)
-	core.Done(start, x)
+	first := answers(core, "a", parts)
 	core.members[first.Send.BackEnd.ID].health.rest(start, time.Second)
 	_, meanwhile := core.Begin(start, request(repeatable(2), "b", parts...))
 	is.True(meanwhile.Send.FetchFrom != first.Send.BackEnd.Address)
