Taken back: one budget for all waits of a request at agents

Presumed, not traced: callers who are refused sooner come back sooner, after a time that doesn't grow, and keep the pool over its bound.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -25,8 +25,6 @@
 	// Last says that its router makes no further attempt, so it may wait a moment
 	// rather than be refused.
 	Last bool
-	// Waited is how long its router has had it, over all attempts.
-	Waited time.Duration
 	// Evidence holds the loads met where the request was refused before.
 	Evidence []ObservedLoad
 	// Key is set for an unrepeatable request with a key that this agent owns.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -26,8 +26,6 @@
 	// less while a pool fills, and hold longer what is refused in the end.
 	OwnerWait time.Duration
 	LastWait  time.Duration
-	// WaitBudget bounds all waits of a request together, from its arrival at the router.
-	WaitBudget time.Duration
 	// MaxRunning is how many requests run at a time.
 	MaxRunning int
 	// MaxQueued is how many accepted requests may wait to run.
--- a/internal/admission/waiters.go
+++ b/internal/admission/waiters.go
@@ -16,20 +16,17 @@
 // maxWaiters bounds the requests that wait for the bound.
 const maxWaiters = 256
 
-// waitFor returns how long the request may wait for the bound: all its waits together are no
-// longer than WaitBudget from its arrival at the router. A wait anew at each back end would add
-// up to a multiple, for a refusal that the caller could have had at once.
 func (g *Gate) waitFor(request Request) time.Duration {
-	wait := time.Duration(0)
-	switch {
-	case request.Key != nil:
-		wait = g.config.OwnerWait
-	case request.Last:
-		wait = g.config.LastWait
-	case request.Affine:
-		wait = g.config.AffinityWait
+	if request.Key != nil {
+		return g.config.OwnerWait
 	}
-	return min(wait, g.config.WaitBudget-request.Waited)
+	if request.Last {
+		return g.config.LastWait
+	}
+	if request.Affine {
+		return g.config.AffinityWait
+	}
+	return 0
 }
 
 func (g *Gate) hold(now time.Time, request Request, wait time.Duration) []Action {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,10 +30,6 @@
 	// LastWait is how long a request may wait for it whose router makes no further
 	// attempt. Default 4s, two windows of the mean.
 	LastWait time.Duration
-	// WaitBudget bounds the time from a request's arrival at its router after which it doesn't
-	// wait for the load bound any more, at whichever agent. Default 6s: two windows of the mean
-	// for a last attempt, and one for those before it.
-	WaitBudget time.Duration
 	// KeyCapacity is the number of keys remembered, ReplyBytes the memory of
 	// their kept answers. Defaults 20000 and 8 MiB.
 	KeyCapacity int
@@ -64,7 +60,6 @@
 		IsolatedAfter: 5 * time.Second,
 		OwnerWait:     2 * time.Second,
 		LastWait:      4 * time.Second,
-		WaitBudget:    6 * time.Second,
 		KeyCapacity:   20_000,
 		ReplyBytes:    8 << 20,
 	}
@@ -255,7 +250,6 @@
 		Deadline: now.Add(head.Remaining()),
 		Affine:   head.Affine,
 		Last:     head.Last,
-		Waited:   head.Waited(),
 	}
 	for _, met := range head.LoadsMet {
 		request.Evidence = append(request.Evidence, admission.ObservedLoad{Member: met.BackEnd, Load: met.Load, At: now.Add(-time.Duration(met.AgeMillis) * time.Millisecond)})
@@ -290,7 +284,6 @@
 		AffinityWait: pool.AffinityWait.Std(),
 		OwnerWait:    c.config.OwnerWait,
 		LastWait:     c.config.LastWait,
-		WaitBudget:   c.config.WaitBudget,
 		MaxRunning:   pool.MaxRunning,
 		MaxQueued:    pool.MaxQueued,
 		Weights:      weights,
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -62,9 +62,6 @@
 	// Last says that the router makes no further attempt: the request may wait a
 	// moment for a place rather than be refused.
 	Last bool `cbor:"13,keyasint,omitempty"`
-	// WaitedMillis is how long ago the router took the request: what it may wait for a place
-	// counts from then, over all attempts.
-	WaitedMillis int64 `cbor:"14,keyasint,omitempty"`
 	// LoadsMet are the loads of the back ends that refused before.
 	LoadsMet []routing.LoadMet `cbor:"7,keyasint,omitempty"`
 	// Unreachable are members of the pool that the router could not reach a
@@ -99,9 +96,6 @@
 // KeyIssued returns the key's time of issue.
 func (h Head) KeyIssued() time.Time { return time.UnixMilli(h.KeyIssuedMillis) }
 
-// Waited returns how long ago the router took the request.
-func (h Head) Waited() time.Duration { return time.Duration(h.WaitedMillis) * time.Millisecond }
-
 // Remaining returns the time until the deadline.
 func (h Head) Remaining() time.Duration { return time.Duration(h.RemainingMillis) * time.Millisecond }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,8 +86,6 @@
 	request Request
 	route   *routing.Route
 	target  string
-	// begunAt is when the router took the request.
-	begunAt time.Time
 }
 
 // Attempts returns how many attempts were made.
@@ -175,7 +173,7 @@
 
 // Begin takes a new request.
 func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
-	exchange := &Exchange{request: request, route: &routing.Route{}, begunAt: now}
+	exchange := &Exchange{request: request, route: &routing.Route{}}
 	if err := c.admit(now, request); err != nil {
 		return exchange, Decision{GiveUp: err}
 	}
@@ -251,7 +249,6 @@
 		RemainingMillis: request.Deadline.Sub(now).Milliseconds(),
 		Affine:          attempt.Affine,
 		Last:            c.isLast(exchange),
-		WaitedMillis:    now.Sub(exchange.begunAt).Milliseconds(),
 		LoadsMet:        attempt.LoadsMet,
 		Unreachable:     c.unreachable(now, request.Pool),
 		News:            c.news(now, request.Pool),
