Agents: the header on leaving has a name of the product's own

Nothing outside platform/ may know the users' names; agents and their test used one of them. In the agents' test one string changes, no check.

--- a/internal/agent/agenthttp/notice.go
+++ b/internal/agent/agenthttp/notice.go
@@ -12,7 +12,7 @@
 // Headers in which a back end speaks of itself.
 const (
 	// headerLeaving is in all answers of one that leaves.
-	headerLeaving = "Server-Leaving"
+	headerLeaving = "X-Leaving"
 	// headerRest is in refusals of one that wants nothing for so many seconds.
 	headerRest = "Retry-After"
 )
--- a/internal/daemon/notice_test.go
+++ b/internal/daemon/notice_test.go
@@ -79,7 +79,7 @@
 	inFleet(t, hop.HTTP1, func(f *fleet) {
 		is := is.NewRelaxed(f.t)
 		leaving := f.replaceService("service-1", func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Server-Leaving", "1")
+			w.Header().Set("X-Leaving", "1")
 			sayHello(w, r)
 		})
 		f.loadService(500 * time.Millisecond)
