Facts of overload control: tokens of requests, engine settings and pace are read

The gateways counted requests although engines spend tokens: the prompt's and the answer's length, the size of a token in a cache and the pace that a back end reports were on the wire and not read.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -77,6 +77,16 @@
 	// start. Both are 0 if back ends need no warm-up.
 	WarmUpRate float64       `cbor:"5,keyasint,omitempty"`
 	WarmUpTime time.Duration `cbor:"6,keyasint,omitempty"`
+	// TokenBytes is the size of one token in an engine's cache, in bytes, and EventTokens the
+	// number of tokens in one event of a stream; 0 if unknown.
+	TokenBytes  int `cbor:"7,keyasint,omitempty"`
+	EventTokens int `cbor:"8,keyasint,omitempty"`
+	// Backups is true if an engine can back up the memory of a running request to another one,
+	// and Moves if it can move a running request to another one. A copy that is no longer written
+	// to is kept for CopyLifetime.
+	Backups      bool          `cbor:"9,keyasint,omitempty"`
+	Moves        bool          `cbor:"10,keyasint,omitempty"`
+	CopyLifetime time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Tenant owns API keys.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,6 +25,12 @@
 	Path string
 	// Parts are the parts of the prompt in order; empty without a prompt.
 	Parts []Part
+	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the answer.
+	// They are 0 if unknown.
+	PromptTokens int
+	OutputTokens int
+	// Tenant is the authenticated tenant, or "" on a public route.
+	Tenant string
 	// Urgency ranks the request; 0 is the most urgent.
 	Urgency int
 	// Fingerprints returns the fingerprints of the request's content. It is nil if the content
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -34,6 +34,20 @@
 	Timeout time.Duration
 	// Parts are the parts of the prompt, in order.
 	Parts []dispatch.Part
+	// PromptTokens is the length of the prompt. MaxOutputTokens is the largest length of the
+	// answer, and OutputEstimate the caller's estimate of it. Each is 0 if unknown.
+	PromptTokens    int
+	MaxOutputTokens int
+	OutputEstimate  int
+}
+
+// expectedOutput returns the caller's estimate of the length of the answer, limited by the largest
+// length, or the largest length without an estimate; 0 if neither is known.
+func (f RequestFacts) expectedOutput() int {
+	if f.OutputEstimate == 0 || f.MaxOutputTokens > 0 && f.OutputEstimate > f.MaxOutputTokens {
+		return f.MaxOutputTokens
+	}
+	return f.OutputEstimate
 }
 
 // Forward is the content of the headers that are sent to a back end.
@@ -48,6 +62,11 @@
 	Urgency int
 	// FetchFrom is the address of a back end from which prompt parts can be copied, or "".
 	FetchFrom string
+	// BackUpTo is the address of a back end to which the memory of the request is backed up, or "".
+	BackUpTo string
+	// ContinueFrom identifies the copy of the request's memory that the back end has: the address
+	// of the back end that ran the request, and the copy's ID. It is "" for a new run.
+	ContinueFrom string
 	// ResumeAfter is the ID of the last event that the caller has, or "" for a new stream.
 	ResumeAfter string
 }
@@ -69,6 +88,8 @@
 	Encoded bool
 	// Load is the back end's load, or -1 if unknown.
 	Load int
+	// Pace is the time that work takes at the back end now, relative to the usual time; 0 if unknown.
+	Pace float64
 	// Leaving is true if the back end says that it is leaving and wants no new work.
 	Leaving bool
 	// RetryAfter is how long the back end wants no requests from this gateway; 0 if not given.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -215,6 +215,7 @@
 	decision := h.decideSend(c, func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
 		c.exchange, d = core.Begin(now, dispatch.Request{
 			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
+			PromptTokens: c.facts.PromptTokens, OutputTokens: c.facts.expectedOutput(), Tenant: c.tenant,
 			Urgency: c.urgency, Deadline: c.deadline, Fingerprints: c.fingerprints,
 		})
 		return d
