Dispatch: places near a back end's capacity are given away by lottery, prompts stay at their homes

Cause: under overload each gateway filled all the places that it saw free until it heard of the others. The lottery knew the bound on load (a multiple of the mean, which overload raises) and not the capacity, and the fallback to the least loaded back end had no lottery. When one of the full back ends had a few places free, 22 gateways sent to it for half a second: 256 requests at one back end where the mean was 120, which broke the bound on load. Full homes also pushed their prompts on to all others.

--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -40,18 +40,18 @@
 }
 
 // admissionChance returns the probability with which a request may take one of the places
-// that the bound leaves at the member. The other gateways see the same free places, and each
+// that the limit leaves at the member. The other gateways see the same free places, and each
 // gateway decides without asking the others. If there are fewer places than requests that
 // compete for them before the gateways count each other's, each gateway takes its share of the
 // places by lottery. overflow is the expected number of other gateways' requests that go on to
 // this member from members preferred to it, and passedOn the number that go on from this one.
-func (c *Core) admissionChance(now time.Time, m *member, bound, overflow float64) (chance, passedOn float64) {
+func (c *Core) admissionChance(now time.Time, m *member, limit, overflow float64) (chance, passedOn float64) {
 	if c.config.Disabled[LoadBound] {
 		return 1, 0
 	}
 	ownDemand, competing := c.expectedDemand(now, m)
 	competing = max(competing, overflow)
-	room := bound - c.pessimisticEstimate(now, m)
+	room := limit - c.pessimisticEstimate(now, m)
 	if room < 1 {
 		return 0, competing
 	}
@@ -61,10 +61,21 @@
 	if room >= 1+competing || c.config.Disabled[AdmissionLottery] {
 		return 1, 0
 	}
-	chance = lotteryShare * room / (1 + competing) / max(1, ownDemand)
+	chance = lotteryShare * room / c.contenders(now, ownDemand, competing)
 	return chance, competing * (1 - acceptedShare*min(1, chance))
 }
 
+// contenders returns the number of requests that compete for the places of a member, given this
+// gateway's and the others' expected demand. Without totals, the others' demand is the number of
+// gateways that have a request for the member, each as many as this gateway.
+func (c *Core) contenders(now time.Time, ownDemand, others float64) float64 {
+	own := max(1, ownDemand)
+	if c.totalsAreFresh(now) {
+		return own + others
+	}
+	return own * (1 + others)
+}
+
 // winsLottery reports whether the request wins a lottery with the given chance. The draw is a
 // hash of the request and the member.
 func winsLottery(x *Exchange, m *member, chance float64) bool {
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -49,6 +49,8 @@
 	PrefixCopies Mechanism = "prefix-copies"
 	// LoadBound keeps the load of a caching back end within the bound.
 	LoadBound Mechanism = "load-bound"
+	// KeepParts keeps prompts at their homes once back ends have no room to spare.
+	KeepParts Mechanism = "keep-parts"
 	// AdmissionLottery divides the room near the bound among gateways at random.
 	AdmissionLottery Mechanism = "lots"
 	// ExtrapolatePeers assumes that peers have sent as much as this gateway since their last
@@ -90,7 +92,7 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
 		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,9 +96,11 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	gateways        int
-	healthChanges   []HealthChange
-	lag             time.Duration
+	// overflows holds the rates of requests that no home of their prompt takes, by service.
+	overflows     map[string]*demand
+	gateways      int
+	healthChanges []HealthChange
+	lag           time.Duration
 	// evacuated lists the zones whose back ends get no new requests, and restored holds, by
 	// zone, the last withdrawal of an evacuation.
 	evacuated []string
@@ -162,6 +164,7 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
+		overflows:       map[string]*demand{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -88,60 +88,33 @@
 	return !leaves && !evacuated && c.allowedByRollout(now, x, m)
 }
 
-// capacity returns the load up to which the member is given the request. Requests without a
-// prompt may queue for a while, since they are short. At back ends that cache prompts, every
-// further request slows down all others that run there. So there the least urgent requests are
-// refused first, while more urgent ones still find room.
-func (c *Core) capacity(m *member, x *Exchange) float64 {
-	if m.backEnd.Slots <= 0 {
-		return defaultCapacity
-	}
-	slots := float64(m.backEnd.Slots)
-	if x.request.affinity() == "" {
-		return slots * c.config.QueueFactor
-	}
-	rank := min(x.request.Urgency, lastUrgencyStep)
-	if c.config.Disabled[UrgencySteps] {
-		rank = 0
-	}
-	return slots * (c.config.CachingFactor - urgencyStep*float64(rank))
-}
-
-const (
-	// urgencyStep is the fraction of a caching back end's slots that each less urgent rank
-	// leaves free, up to lastUrgencyStep ranks.
-	urgencyStep     = 0.08
-	lastUrgencyStep = 4
-)
-
-// hasRoom reports whether the request fits into the member's capacity. It uses knownLoad: no
-// request is refused because of what other gateways may have sent since their reports, or, unless
-// there are totals, because of an estimate for gateways that haven't reported.
-func (c *Core) hasRoom(now time.Time, m *member, x *Exchange) bool {
-	return c.knownLoad(now, m)+1 <= c.capacity(m, x)
-}
-
-// defaultCapacity applies to back ends that don't report their number of slots.
-const defaultCapacity = 64
-
 // chooseByAffinity returns the first member, in the order of preference, that stays within the
-// bound on load, which a lottery may decide, and has room. If there is none, it returns the least
-// loaded member that has room, or nil.
+// bound on load and has room, which a lottery may decide. If there is none, it returns the least
+// loaded member that has room to spare, or nil. Members that have no room to spare for a prompt
+// that isn't theirs are passed over; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	bound := c.bound(now, x)
 	overflow := 0.0
 	c.orderByPreference(now, x, candidates)
-	for m := c.nextPreferred(); m != nil; m = c.nextPreferred() {
+	for position := 0; ; position++ {
+		isHome := c.nextIsHome(position)
+		m := c.nextPreferred()
+		if m == nil {
+			return c.leastLoadedWithSpareRoom(now, x, candidates)
+		}
+		room := c.roomFor(now, m, x, isHome)
+		if !isHome && room.left < 1 {
+			continue
+		}
 		var chance float64
-		chance, overflow = c.admissionChance(now, m, bound, overflow)
+		chance, overflow = c.admissionChance(now, m, min(bound, room.limit), overflow)
 		// Recorded only after admissionChance: a rate that includes this request would be too
 		// high by one per second.
 		m.demand.note(now)
-		if winsLottery(x, m, chance) && c.hasRoom(now, m, x) {
+		if winsLottery(x, m, chance) && room.left >= 1 {
 			return m
 		}
 	}
-	return c.leastLoaded(now, x, candidates)
 }
 
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
@@ -197,6 +170,12 @@
 	return first
 }
 
+// nextIsHome reports whether the next candidate, at the given position of the order, is a home of
+// the prompt: one that is assumed to hold its shared parts, or one of the first in the order.
+func (c *Core) nextIsHome(position int) bool {
+	return position < homesPerPart || c.order.second == nil && c.order.ranking.firstIsPreferred()
+}
+
 // memoryShare returns the share of the member's memory that the prompts it is assumed to hold
 // take up; 0 if its size is unknown.
 func (c *Core) memoryShare(m *member) float64 {
@@ -222,7 +201,7 @@
 	var bestLoad float64
 	var bestHash uint64
 	for _, m := range candidates {
-		if !c.hasRoom(now, m, x) {
+		if c.roomFor(now, m, x, false).left < 1 {
 			continue
 		}
 		load := c.estimate(now, m)
