Dispatch: Retry-After by the backlog of refused callers; a tenth more requests than slots, smaller steps

Refused callers were all told 2 s. The backlog ahead of a caller is now estimated from refusals and admissions, and the time in which it drains is moved to the return slot of the prompt, a moment that follows from the prompt and the time alone.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -51,6 +51,9 @@
 	LoadBound Mechanism = "load-bound"
 	// KeepParts keeps prompts at their homes once back ends have no room to spare.
 	KeepParts Mechanism = "keep-parts"
+	// Backlog tells refused callers to come back when the backlog ahead of them has drained, and
+	// lets those that do so go first.
+	Backlog Mechanism = "backlog"
 	// AdmissionLottery divides the room near the bound among gateways at random.
 	AdmissionLottery Mechanism = "lots"
 	// ExtrapolatePeers assumes that peers have sent as much as this gateway since their last
@@ -92,7 +95,7 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
 		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,7 +97,9 @@
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
 	// overflows holds the rates of requests that no home of their prompt takes, by service.
-	overflows     map[string]*demand
+	overflows map[string]*demand
+	// backlogs holds the backlogs of refused callers, by service.
+	backlogs      map[string]*backlog
 	gateways      int
 	healthChanges []HealthChange
 	lag           time.Duration
@@ -165,6 +167,7 @@
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
 		overflows:       map[string]*demand{},
+		backlogs:        map[string]*backlog{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -145,6 +145,9 @@
 	if c.rollouts.byService[x.service] != nil {
 		send.Version = chosen.backEnd.Version
 	}
+	if x.attempts == 0 && c.countsTokens(x) {
+		c.backlogOf(x.service).admit(now)
+	}
 	x.phase = Sent
 	x.attempts++
 	x.tried = append(x.tried, chosen.backEnd.ID)
@@ -193,6 +196,8 @@
 	case x.attempts > 0:
 		// One back end refused; another one may accept the request at once.
 		return refusalRetryAfter
+	case c.countsTokens(x) && !c.config.Disabled[Backlog]:
+		return returnTime(now, x, c.backlogOf(x.service).refuse(now))
 	default:
 		return min(wait, failure.PoolExhausted.Answer().RetryAfter)
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// ownPart returns the ID of the part that belongs to the request or its chat: the last one. It
+// stays the same when the caller sends the request again. Without a prompt it is the request's ID.
+func (r *Request) ownPart() string {
+	if len(r.Parts) == 0 {
+		return r.ID
+	}
+	return r.Parts[len(r.Parts)-1].ID
+}
+
 // sharedTokens returns the length of the prompt up to the end of the last shared part.
 func (r *Request) sharedTokens() int {
 	total := 0
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -19,6 +19,12 @@
 	// leaves free, up to lastUrgencyStep ranks.
 	urgencyStep     = 0.08
 	lastUrgencyStep = 4
+	// engineFactor and engineUrgencyStep replace Config.CachingFactor and urgencyStep where work
+	// is counted in tokens. More requests than slots wait at the engine, which keeps its slots in
+	// use while gateways know loads late; a tenth of the slots ends within that time. A few places
+	// per rank suffice to let more urgent requests in first.
+	engineFactor      = 1.1
+	engineUrgencyStep = 0.03
 	// unreservedShare is the share of each rank that may take every place.
 	unreservedShare = 0.3
 	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
@@ -69,6 +75,9 @@
 	if x.request.affinity() == "" {
 		return slots * c.config.QueueFactor
 	}
+	if c.countsTokens(x) {
+		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(x)))
+	}
 	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(x)))
 }
 
