The platform's stand-in is a package of its own

It is now platform/standin.

Passed: go test ./platform/... ./internal/soak/... ./internal/demo/... ./cmd/... ./internal/architecture ./internal/cli; go vet ./...

--- a/cmd/harriernotch/main.go
+++ b/cmd/harriernotch/main.go
@@ -6,11 +6,11 @@
 	"os"
 
 	"github.com/harriernotch/harriernotch/internal/cli"
-	"github.com/harriernotch/harriernotch/platform"
+	"github.com/harriernotch/harriernotch/platform/standin"
 )
 
 func main() {
-	if err := cli.NewToolCommand(platform.StandIn{}).Execute(); err != nil {
+	if err := cli.NewToolCommand(standin.Protocol{}).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "harriernotch:", err)
 		os.Exit(1)
 	}
--- a/cmd/harriernotchd/main.go
+++ b/cmd/harriernotchd/main.go
@@ -7,12 +7,13 @@
 
 	"github.com/harriernotch/harriernotch/internal/cli"
 	"github.com/harriernotch/harriernotch/platform"
+	"github.com/harriernotch/harriernotch/platform/standin"
 )
 
 func main() {
 	command := cli.NewDaemonCommand(cli.Platform{
 		Adapter:      platform.Adapter{},
-		Protocol:     platform.StandIn{},
+		Protocol:     standin.Protocol{},
 		SettingsPath: platform.SettingsPath(),
 	})
 	if err := command.Execute(); err != nil {
