--- /dev/null
+++ b/internal/dispatch/continuation.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// maxContinuations is the number of times that one run is continued. A request may be the cause of
+// the failures of its engines: each continuation may cost a further one.
+const maxContinuations = 2
+
+// Continuations returns how often the run was continued from a backup.
+func (x *Exchange) Continuations() int { return x.continuations }
+
+// continuationTarget returns the member at which the broken run can be continued from its backup, or
+// nil. All conditions on a member that gets a new request apply.
+//
+// On a route that allows to run a request again, a further attempt must be left: if the target has
+// no copy after all, the stream is resumed without it.
+func (c *Core) continuationTarget(now time.Time, x *Exchange) *member {
+	route := x.request.Route
+	if x.backup == nil || c.config.Disabled[Backups] || c.config.Disabled[Retries] || x.continuations >= maxContinuations ||
+		!x.eventsNumbered() || !now.Before(x.request.Deadline) || route.MayRepeat() && x.attempts+1 >= route.MaxAttempts {
+		return nil
+	}
+	target := x.backup.target
+	pool := c.poolMembers(now, x.service)
+	at := slices.IndexFunc(pool, func(m *member) bool {
+		return m.backEnd.Incarnation().Matches(target.Incarnation()) && m.backEnd.Address == target.Address
+	})
+	if at < 0 {
+		return nil
+	}
+	m := pool[at]
+	c.pickSide(now, x)
+	if !m.health.reachable(now) || !c.acceptsNew(now, x, m) || !c.hasRoom(now, m, x) || len(c.withWarmUpQuota(now, []*member{m})) == 0 {
+		return nil
+	}
+	return m
+}
+
+// continueRun continues a run whose stream broke off from its backup, and reports whether it can be
+// continued.
+//
+// A continuation uses the retry budget, since it adds load when back ends fail. It is not an attempt
+// to run the request: the target goes on with the memory of the first engine, which has stopped, so
+// there is still one run. Therefore it is allowed on routes whose requests may run only once, and
+// doesn't count towards the attempts there. On other routes it counts, because the limit there
+// bounds the work that one request may cause.
+func (c *Core) continueRun(now time.Time, x *Exchange) (Decision, bool) {
+	if x.backup == nil || c.withholds(now, x) {
+		return Decision{}, false
+	}
+	target := c.continuationTarget(now, x)
+	if target == nil || !c.budget(x.service).Spend() {
+		return Decision{}, false
+	}
+	send := c.newSend(now, x, target)
+	send.HeadTimeout = c.headTimeout(x)
+	send.ContinueFrom = x.backup.source
+	if c.isWarmingUp(now, target) {
+		target.warmUpSends = append(target.warmUpSends, now)
+	}
+	if x.request.Route.MayRepeat() {
+		x.attempts++
+	}
+	x.continuations++
+	x.continuing = true
+	c.orderBackup(now, x, target, send)
+	return c.start(now, x, target, send), true
+}
+
+// afterContinuation decides how to proceed after a continuation that got no answer to pass on: as if
+// there had been no backup.
+func (c *Core) afterContinuation(now time.Time, x *Exchange) Decision {
+	x.continuing = false
+	c.endBackup(x)
+	return c.resume(now, x)
+}
+
+// resume resumes a broken stream at another back end by a further run, if the route allows that.
+func (c *Core) resume(now time.Time, x *Exchange) Decision {
+	if !x.request.Route.Resumable || c.config.Disabled[Resumption] || !c.mayRetry(x) || !c.hasAlternative(now, x) || !c.budget(x.service).Spend() {
+		x.phase = Ended
+		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
+	}
+	return c.attempt(now, x)
+}
+
+// forgetTried makes the member available for another attempt.
+func (x *Exchange) forgetTried(m *member) {
+	x.tried = slices.DeleteFunc(x.tried, func(id string) bool { return id == m.backEnd.ID })
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 	// requests within any second, from all gateways together.
 	WarmUpOverage float64
 	WarmUpExtra   float64
+	// BackupShare is the fraction of all long streams that may not be repeated whose runs are backed
+	// up although their engine isn't suspect. It is for measuring; the default is 0.
+	BackupShare float64
 	// Rollout bounds the exposure to a bad version during a rollout. The zero value
 	// disables rollouts.
 	Rollout rollout.Limits
@@ -96,9 +99,11 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	gateways        int
-	healthChanges   []HealthChange
-	lag             time.Duration
+	// runMemory is the mean memory of a run, in tokens, by service.
+	runMemory     map[string]float64
+	gateways      int
+	healthChanges []HealthChange
+	lag           time.Duration
 	// evacuated lists the zones whose back ends get no new requests, and restored holds, by
 	// zone, the last withdrawal of an evacuation.
 	evacuated []string
@@ -162,6 +167,7 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
+		runMemory:       map[string]float64{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -50,6 +50,19 @@
 	completed bool
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
+	// backup is the copy of the current run's memory that was ordered, or nil. continuing is set
+	// while the current attempt continues the run of an earlier one, and continuations counts these.
+	backup        *backup
+	continuing    bool
+	continuations int
+	// events and numbered count the events that the caller has been sent and those of them that have
+	// a number; attemptEvents counts those of the current attempt. They are 0 if the stream isn't
+	// watched by its pace. gaps are the times between events.
+	events, numbered, attemptEvents int
+	gaps                            gaps
+	// answeredAt is when the current attempt was answered, and lastEventAt the time of the last event.
+	answeredAt  time.Time
+	lastEventAt time.Time
 }
 
 // Attempts returns how many back ends may have received the request.
@@ -86,6 +99,13 @@
 	PoolSize int
 	// Version is the software version of the target during a rollout of its service, else "".
 	Version string
+	// BackUpTo is the address of the back end to which the memory of the run is backed up, or "", and
+	// BackupReason why.
+	BackUpTo     string
+	BackupReason BackupReason
+	// ContinueFrom is the address of the back end that ran the request until now, of whose memory the
+	// target has a copy; "" for a new run.
+	ContinueFrom string
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
@@ -134,19 +154,28 @@
 	if chosen == nil {
 		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
-	send := &Send{
-		BackEnd:     chosen.backEnd,
-		FetchFrom:   c.copySource(now, x, chosen),
-		HeadTimeout: c.headTimeout(x),
-		Estimate:    c.estimate(now, chosen),
+	send := c.newSend(now, x, chosen)
+	send.FetchFrom = c.copySource(now, x, chosen)
+	send.HeadTimeout = c.headTimeout(x)
+	x.attempts++
+	x.continuing = false
+	c.orderBackup(now, x, chosen, send)
+	return c.start(now, x, chosen, send)
+}
 
-		PoolSize: len(c.poolMembers(now, x.service)),
-	}
+// newSend returns an attempt at the member without what depends on the kind of attempt.
+func (c *Core) newSend(now time.Time, x *Exchange, chosen *member) *Send {
+	send := &Send{BackEnd: chosen.backEnd, Estimate: c.estimate(now, chosen), PoolSize: len(c.poolMembers(now, x.service))}
 	if c.rollouts.byService[x.service] != nil {
 		send.Version = chosen.backEnd.Version
 	}
+	return send
+}
+
+// start records that the attempt at the member begins.
+func (c *Core) start(now time.Time, x *Exchange, chosen *member, send *Send) Decision {
 	x.phase = Sent
-	x.attempts++
+	x.attemptEvents = 0
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -75,6 +75,8 @@
 	retryAt time.Time
 	// lastConnectFailed is set if the back end hasn't answered since a connection attempt failed.
 	lastConnectFailed bool
+	// lastFailureAt is when an attempt last failed, for whatever reason.
+	lastFailureAt time.Time
 }
 
 // reachable reports whether the back end presumably accepts connections and answers, and hasn't
@@ -159,6 +161,7 @@
 // failed records an error answer, or a refusal although the back end had room.
 func (h *health) failed(now time.Time, poolRate float64) {
 	h.answered(now)
+	h.lastFailureAt = now
 	h.errorRate += errorWeight * (1 - h.errorRate)
 	if h.onTrial || h.errorRate > ejectionErrorRate && h.errorRate > ejectionPoolFactor*poolRate {
 		h.eject(now, errorEjectionTime)
@@ -169,6 +172,7 @@
 // connectionLost records an attempt whose connection was lost, whose answer was invalid, or that
 // timed out.
 func (h *health) connectionLost(now time.Time) {
+	h.lastFailureAt = now
 	h.consecutiveFailures++
 	if h.consecutiveFailures >= failuresToEject || h.onTrial {
 		h.eject(now, h.ejectionTime())
@@ -179,6 +183,7 @@
 func (h *health) connectFailed(now time.Time) {
 	h.consecutiveFailures++
 	h.lastConnectFailed = true
+	h.lastFailureAt = now
 	h.eject(now, h.ejectionTime())
 }
 
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -31,6 +31,15 @@
 	own    int
 	health health
 	demand demand
+	// copies is the number of tokens of this gateway's backups at the back end.
+	copies int
+	// pace is the pace that the back end last reported, at paceAt.
+	pace   float64
+	paceAt time.Time
+	// gaps are the times between events of this gateway's streams from the back end, and lastEventAt
+	// is the time of the last event.
+	gaps        gaps
+	lastEventAt time.Time
 	// loggedHealth is the health that was last recorded as a change.
 	loggedHealth Health
 	// reported is the load that the back end last reported, reportedAt the time of that
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -64,6 +64,12 @@
 		m.health.connectFailed(now)
 		c.noteGone(m)
 	})
+	if x.continuing {
+		if x.request.Route.MayRepeat() {
+			x.attempts--
+		}
+		return c.afterContinuation(now, x)
+	}
 	x.attempts--
 	x.failedConnects++
 	if x.failedConnects >= maxFailedConnects {
@@ -74,10 +80,15 @@
 
 // Refused records that the back end declared that it did not run the request. The refusal counts
 // as a failure if the back end's estimated load is less than half of its slots, unless a
-// Retry-After is pending.
+// Retry-After is pending. A back end that refuses a continuation has no copy, which is no failure.
 func (c *Core) Refused(now time.Time, x *Exchange) Decision {
 	c.endUnanswered(now, x, func(m *member) {
 		c.noteAnswered(now, x, m)
+		if x.continuing {
+			x.forgetTried(m)
+			m.health.answered(now)
+			return
+		}
 		if m.health.retryWait(now) == 0 && c.estimate(now, m) < float64(m.backEnd.Slots)/2 {
 			m.health.failed(now, c.poolErrorRate(x.service, m))
 		} else {
@@ -161,6 +172,8 @@
 	m := x.current
 	x.phase = Answering
 	x.ran = failure.RanYes
+	x.continuing = false
+	x.answeredAt = now
 	x.rolloutAttempt.Answered(now)
 	x.endWait(m)
 	m.health.succeeded(now)
@@ -176,18 +189,17 @@
 	}
 }
 
-// Truncated records that a stream broke off after its head, and decides whether it is resumed at
-// another back end.
+// Truncated records that a stream broke off after its head, and decides whether its run is continued
+// from a backup, or the stream is resumed at another back end.
 func (c *Core) Truncated(now time.Time, x *Exchange) Decision {
 	m := x.release(now)
 	m.health.connectionLost(now)
 	c.recordHealthChange(now, m)
 	c.noteConnectionLost(now, x, m)
-	if !x.request.Route.Resumable || c.config.Disabled[Resumption] || !c.mayRetry(x) || !c.hasAlternative(now, x) || !c.budget(x.service).Spend() {
-		x.phase = Ended
-		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
+	if decision, continued := c.continueRun(now, x); continued {
+		return decision
 	}
-	return c.attempt(now, x)
+	return c.resume(now, x)
 }
 
 // Done ends the exchange, after a final answer or because the caller disconnected.
@@ -196,11 +208,15 @@
 	if m := x.release(now); m != nil && waiting {
 		x.endWait(m)
 	}
+	c.endBackup(x)
 	x.phase = Ended
 }
 
 // retryOrGiveUp decides whether to try again after an attempt that got no answer to pass on.
 func (c *Core) retryOrGiveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
+	if x.continuing {
+		return c.afterContinuation(now, x)
+	}
 	if c.config.Disabled[Retries] {
 		return c.giveUp(now, x, kind, message)
 	}
