Gateway: interrupted streams are continued from a backup

Change: the handler sends the order for a backup and the continuation, and closes the connection to the first engine before it continues a run. Events of a continued stream must have numbers, so that none is sent twice or skipped. The silence of streams of engines with backups is judged by the core; time in which a caller doesn't read isn't silence of the engine.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -107,6 +107,7 @@
 	config.LoadSlack = *s.Gateway.LoadSlack
 	config.WarmUpOverage = *s.Gateway.WarmUpOverage
 	config.WarmUpExtra = s.Gateway.WarmUpExtra
+	config.BackupShare = s.Gateway.BackupShare
 	config.Rollout = rollout.Limits{Share: s.Gateway.ExposureShare, Extra: s.Gateway.ExposureExtra}
 	config.LapseTime = min(s.Gateway.LeavingBound.Std()*lapseTimeTenths/10, maxLapseTime)
 	config.Disabled = s.Gateway.Disabled()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -50,6 +50,7 @@
 	RequestAnswered      Event = "request.answered"
 	AttemptFailed        Event = "request.attempt_failed"
 	RequestResumed       Event = "request.resumed"
+	RequestContinued     Event = "request.continued"
 	RequestFailed        Event = "request.failed"
 	RequestRefused       Event = "request.refused"
 	CallerLeft           Event = "request.caller_left"
@@ -69,7 +70,7 @@
 		StoreLost, StoreRegained, StoreRestored, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
 		ConfigurationAdopted, ConfigurationRefused, ZoneEvacuated, ZoneRestored,
 		RolloutChanged, RolloutStarted, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth, BackEndNotice,
-		RequestSent, RequestAnswered, AttemptFailed, RequestResumed,
+		RequestSent, RequestAnswered, AttemptFailed, RequestResumed, RequestContinued,
 		RequestFailed, RequestRefused, CallerLeft, LinesDropped, RequestsWithheld, RequestsReleased, RecordAbandoned,
 	}
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -104,6 +104,24 @@
 // The lines of a gateway whose clock is 40 s ahead are corrected by the changes that
 // all gateways log. Changes that the gateway reads at its start don't distort the
 // correction.
+// An operator must see in the explanation that a stream survived a crash by its backup.
+func TestExplanationNamesContinuation(t *testing.T) {
+	is := is.New(t)
+	log := newTestLog(t, nil,
+		`g1 10 request.sent "request":"r","back_end":"b1","service":"s","attempts":1,"back_up_to":"10.0.0.2:1","backup_reason":"suspect"`,
+		`g1 10.5 request.attempt_failed "request":"r","back_end":"b1","service":"s","path":"/r","events":7,"cause":"unexpected EOF"`,
+		`g1 10.5 request.continued "request":"r","back_end":"b2","continue_from":"10.0.0.1:1","resume_after":"7"`,
+		`g1 11 request.answered "request":"r","back_end":"b2","status":200,"attempts":1`)
+	explanation := log.Explain("r")
+	is.Equal(explanation.Verdict.Cause, ServedLate)
+	is.True(strings.Contains(explanation.Verdict.Why, "continued from a backup 1 time(s), at last by b2 after event 7"))
+	var text strings.Builder
+	is.NoErr(explanation.Print(&text, nil))
+	for _, part := range []string{"back_up_to=10.0.0.2:1 backup_reason=suspect", "continue_from=10.0.0.1:1 resume_after=7"} {
+		is.True(strings.Contains(text.String(), part))
+	}
+}
+
 func TestAlignCorrectsClockOffset(t *testing.T) {
 	is := is.New(t)
 	clockOffsets := map[string]time.Duration{"g2": 40 * time.Second}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -58,6 +58,11 @@
 	Candidates     int     `json:"candidates"`
 	FetchFrom      string  `json:"fetch_from"`
 	ResumeAfter    string  `json:"resume_after"`
+	// BackUpTo is the address of the back end that gets a backup of the run, and ContinueFrom that
+	// of the back end whose run is continued.
+	BackUpTo     string `json:"back_up_to"`
+	BackupReason string `json:"backup_reason"`
+	ContinueFrom string `json:"continue_from"`
 
 	NotSent        bool   `json:"not_sent"`
 	Expired        bool   `json:"expired"`
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -54,6 +54,7 @@
 		{"kind", line.Kind}, {"service", line.Service}, {"route", line.Route}, {"tenant", line.Tenant},
 		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
 		{"what", line.What}, {"source", line.Source}, {"fetch_from", line.FetchFrom},
+		{"back_up_to", line.BackUpTo}, {"backup_reason", line.BackupReason}, {"continue_from", line.ContinueFrom},
 		{"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
 	} {
 		if field.value != "" {
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -93,7 +93,17 @@
 	}
 	cause := attemptVerdict(e, failures[0])
 	why := fmt.Sprintf("answered whole after %d attempts and %d ms; the first failed: %s", end.Attempts, end.ElapsedMillis, cause.Why)
-	return Verdict{Cause: ServedLate, Why: why, Evidence: append(cause.Evidence, end)}, true
+	continued := e.requestLinesOf(eventlog.RequestContinued)
+	if len(continued) > 0 {
+		why += "; " + continuation(continued)
+	}
+	return Verdict{Cause: ServedLate, Why: why, Evidence: slices.Concat(cause.Evidence, continued, []Line{end})}, true
+}
+
+// continuation describes how a run was continued from its backup.
+func continuation(lines []Line) string {
+	last := lines[len(lines)-1]
+	return fmt.Sprintf("its run was continued from a backup %d time(s), at last by %s after event %s", len(lines), last.BackEnd, last.ResumeAfter)
 }
 
 func callerLeft(e *Explanation) (Verdict, bool) {
@@ -159,7 +169,11 @@
 	}
 	attempt := attemptVerdict(e, lines[0])
 	why := fmt.Sprintf("the answer broke off after %d events (%s) and could not be continued: %s", lines[0].Events, lines[0].Cause, attempt.Why)
-	return Verdict{Cause: StreamBroken, Why: why, Evidence: append(lines, attempt.Evidence...)}, true
+	continued := e.requestLinesOf(eventlog.RequestContinued)
+	if len(continued) > 0 {
+		why += "; before, " + continuation(continued)
+	}
+	return Verdict{Cause: StreamBroken, Why: why, Evidence: slices.Concat(lines, attempt.Evidence, continued)}, true
 }
 
 // failedAttempt handles requests with failed attempts. If the request got a server
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -48,14 +48,24 @@
 	// events sent.
 	lastID string
 	events int
+	// continued is set once a run was continued from a backup.
+	continued bool
 }
 
-// errEventGap means that a resumed stream skips events.
-var errEventGap = errors.New("the resumed stream skips an event")
+// errEventGap means that a resumed stream skips events, and errNoEventNumber that it isn't known
+// whether a continued one does.
+var (
+	errEventGap      = errors.New("the resumed stream skips an event")
+	errNoEventNumber = errors.New("the continued stream has an event without a number")
+)
 
-// passStream passes events on as they arrive. If the stream breaks off, and the route
-// allows it, the stream is resumed at another back end. An answer that can't be completed is
-// cut in a way that the caller notices.
+// passStream passes events on as they arrive. If the stream breaks off, its run is continued from a
+// backup, or it is resumed at another back end if the route allows that. An answer that can't be
+// completed is cut in a way that the caller notices.
+//
+// The connection to the back end is closed before the run is continued elsewhere: Close returns once
+// it is. A back end that is only silent may still be working, and the end of the connection ends its
+// work, so that no two back ends work on one run.
 func (h *Handler) passStream(ctx context.Context, c *call, result outcome) {
 	s := &stream{controller: http.NewResponseController(c.writer)}
 	for {
@@ -64,6 +74,9 @@
 		result.cancel()
 		if err == nil {
 			h.completed(c)
+			if s.continued {
+				h.config.Metrics.continuationSucceeded(c)
+			}
 			h.logDone(c, result, s.events)
 			return
 		}
@@ -82,20 +95,14 @@
 func (e *callerWriteError) Error() string { return "write to the caller: " + e.cause.Error() }
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
-const (
-	// silenceFactor times the route's pause objective, but at least minSilence, is the
-	// silence after which a stream that can be resumed elsewhere is abandoned.
-	silenceFactor = 4
-	minSilence    = time.Second
-)
-
 // copyEvents passes complete events on until the stream ends. A stream that ends before its
 // first event has broken off.
 func (h *Handler) copyEvents(c *call, s *stream, result outcome) error {
-	silence := h.watchSilence(c, result)
+	silence, watch := h.watchSilence(c, result)
 	defer silence.stop()
 	reader := eventstream.NewReader(result.answer.Body)
 	for {
+		began := h.clock().Now()
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) && s.events > 0 {
 			return nil
@@ -103,7 +110,13 @@
 		if err != nil {
 			return err
 		}
-		silence.reset()
+		waited := h.clock().Since(began)
+		if watch.ByPace {
+			// A caller that reads slowly isn't a silent back end.
+			silence.pause()
+		} else {
+			silence.reset()
+		}
 		if s.events == 0 {
 			// The response header is sent with the first event. Until then, the answer of another
 			// back end or an error can still replace this one.
@@ -114,18 +127,30 @@
 		if err != nil {
 			return err
 		}
-		if !isNext {
-			continue
+		if isNext {
+			if err := s.write(c.writer, event); err != nil {
+				return &callerWriteError{err}
+			}
 		}
-		if err := s.write(c.writer, event); err != nil {
-			return &callerWriteError{err}
+		if watch.ByPace {
+			h.config.State.eventPassed(c.exchange, waited, isNumber(event.ID))
+			silence.reset()
 		}
 	}
 }
 
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // isNext reports whether the event follows the last one sent. Events that the caller already
-// has are to be skipped; a gap is an error.
+// has are to be skipped; a gap is an error, and so is an event without a number in a continued
+// stream.
 func (s *stream) isNext(id string) (isNext bool, err error) {
+	if s.continued && (!isNumber(id) || !isNumber(s.lastID)) {
+		return false, errNoEventNumber
+	}
 	if id == "" || s.lastID == "" {
 		return true, nil
 	}
@@ -160,10 +185,25 @@
 	lag   func() time.Duration
 	// extended is set once the limit has been extended in the current silence.
 	extended atomic.Bool
-	cancel   func()
+	// wait, unless nil, decides instead of lag how much longer to wait; 0 or less ends the attempt.
+	wait func() time.Duration
+	// paused is set while a silence has no consequence.
+	paused atomic.Bool
+	cancel func()
 }
 
 func (t *silenceTimer) fire() {
+	if t.paused.Load() {
+		return
+	}
+	if t.wait != nil {
+		if more := t.wait(); more > 0 {
+			t.timer.Reset(more)
+			return
+		}
+		t.cancel()
+		return
+	}
 	if late := t.lag(); late > 0 && !t.extended.Swap(true) {
 		t.timer.Reset(late)
 		return
@@ -171,17 +211,22 @@
 	t.cancel()
 }
 
-// watchSilence returns the silence timer of a stream. It is started only if the stream can
-// still be resumed at another back end.
-func (h *Handler) watchSilence(c *call, result outcome) *silenceTimer {
-	silence := &silenceTimer{
-		limit: max(minSilence, silenceFactor*c.route.PauseObjective),
-		lag:   h.config.State.Lag, cancel: result.cancel,
+// watchSilence returns the silence timer of a stream, and how the stream is watched. The timer is
+// started only if the core says that silence has a consequence.
+func (h *Handler) watchSilence(c *call, result outcome) (*silenceTimer, dispatch.StreamWatch) {
+	var watch dispatch.StreamWatch
+	h.config.State.decide(func(_ time.Time, core *dispatch.Core) dispatch.Decision {
+		watch = core.WatchStream(c.exchange)
+		return dispatch.Decision{}
+	})
+	silence := &silenceTimer{limit: watch.Limit, lag: h.config.State.Lag, cancel: result.cancel}
+	if watch.ByPace {
+		silence.wait = func() time.Duration { return h.config.State.stallWait(c.exchange) }
 	}
-	if c.route.Resumable && c.exchange.Attempts() < c.route.MaxAttempts {
+	if watch.Limit > 0 {
 		silence.start()
 	}
-	return silence
+	return silence, watch
 }
 
 // start starts the timer. Its function waits until t.timer is set, because it may reset it.
@@ -191,8 +236,14 @@
 	close(started)
 }
 
+func (t *silenceTimer) pause() {
+	t.paused.Store(true)
+	t.stop()
+}
+
 func (t *silenceTimer) reset() {
 	if t.timer != nil {
+		t.paused.Store(false)
 		t.extended.Store(false)
 		t.timer.Reset(t.limit)
 	}
@@ -221,6 +272,7 @@
 			continue
 		}
 		if result.answer.StatusCode == http.StatusOK {
+			s.continued = s.continued || result.send.ContinueFrom != ""
 			return result, true
 		}
 		result.cancel()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,7 @@
 // attempt sends the request to one back end and evaluates its answer.
 func (h *Handler) attempt(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) outcome {
 	h.logSend(c, send, resumeAfter)
+	h.config.Metrics.sent(c, send)
 	ctx, cancel := context.WithCancel(ctx)
 	var expired atomic.Bool
 	if send.HeadTimeout > 0 {
@@ -75,13 +76,20 @@
 		// An empty value stops the transport from adding its own.
 		request.Header["User-Agent"] = []string{""}
 	}
+	continueFrom := ""
+	if send.ContinueFrom != "" {
+		continueFrom = send.ContinueFrom + "/" + c.facts.ID
+	}
 	h.config.Dialect.WriteForward(request.Header, Forward{
-		Remaining:   h.clock().Until(c.deadline),
-		BackEnd:     send.BackEnd.ID,
-		Tenant:      c.tenant,
-		Urgency:     h.forwardedUrgency(c),
-		FetchFrom:   send.FetchFrom,
-		ResumeAfter: resumeAfter,
+		Remaining: h.clock().Until(c.deadline),
+		BackEnd:   send.BackEnd.ID,
+		Tenant:    c.tenant,
+		Urgency:   h.forwardedUrgency(c),
+		FetchFrom: send.FetchFrom,
+
+		BackUpTo:     send.BackUpTo,
+		ContinueFrom: continueFrom,
+		ResumeAfter:  resumeAfter,
 	})
 	if c.route.MayRepeat() {
 		return h.config.Reused.RoundTrip(request)
@@ -137,6 +145,7 @@
 		foreign, untrusted = false, false
 	}
 	if !foreign && !facts.Misdirected {
+		h.reportPace(c, facts)
 		h.applyNotice(c, send, response.StatusCode, facts)
 	}
 	switch {
@@ -173,6 +182,17 @@
 	return result
 }
 
+// reportPace passes the pace that a back end reported to the core.
+func (h *Handler) reportPace(c *call, facts AnswerFacts) {
+	if facts.Pace <= 0 {
+		return
+	}
+	h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		core.ReportPace(now, c.exchange, facts.Pace)
+		return dispatch.Decision{}
+	})
+}
+
 // promisesNotRun reports whether callers take the status as a promise that the request was
 // not run. An answer with such a status from a back end that did run it can't be passed on.
 func promisesNotRun(status int) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// sent counts the backup that is ordered with an attempt, and an attempt to continue a run from its
+// backup.
+func (m *Metrics) sent(c *call, send dispatch.Send) {
+	if send.BackUpTo != "" {
+		m.forCall(c).Tagged(map[string]string{"reason": string(send.BackupReason)}).Counter("backups_ordered").Inc(1)
+	}
+	if send.ContinueFrom != "" {
+		m.forCall(c).Tagged(map[string]string{"result": "tried"}).Counter("continuations").Inc(1)
+	}
+}
+
+// continuationSucceeded counts a stream that was passed on completely after its run was continued
+// from a backup.
+func (m *Metrics) continuationSucceeded(c *call) {
+	m.forCall(c).Tagged(map[string]string{"result": "succeeded"}).Counter("continuations").Inc(1)
+}
+
 // refused counts an error that the gateway itself returned.
 func (m *Metrics) refused(c *call, kind failure.Kind) {
 	m.forCall(c).Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -26,6 +26,14 @@
 // logSend logs the decision to send a request to a back end.
 func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
 	decision := sendDecision{at: h.clock().Now(), attempt: c.exchange.Attempts(), send: send, storeAge: h.config.State.StoreAge()}
+	if send.ContinueFrom != "" {
+		fields := h.sendFields(c, decision)
+		fields["continue_from"] = send.ContinueFrom
+		fields["resume_after"] = resumeAfter
+		fields["continuations"] = c.exchange.Continuations()
+		h.config.Log.Warn(eventlog.RequestContinued, fields)
+		return
+	}
 	if resumeAfter != "" {
 		fields := h.sendFields(c, decision)
 		fields["resume_after"] = resumeAfter
@@ -54,6 +62,10 @@
 	if decision.send.FetchFrom != "" {
 		fields["fetch_from"] = decision.send.FetchFrom
 	}
+	if decision.send.BackUpTo != "" {
+		fields["back_up_to"] = decision.send.BackUpTo
+		fields["backup_reason"] = decision.send.BackupReason
+	}
 	return fields
 }
 
@@ -189,7 +201,7 @@
 		fields["events"] = events
 		return fields
 	}
-	if c.exchange.Attempts() > 1 || result.answer.StatusCode >= serverFailure {
+	if c.exchange.Attempts() > 1 || c.exchange.Continuations() > 0 || result.answer.StatusCode >= serverFailure {
 		h.logUnloggedSends(c)
 		h.config.Log.Warn(eventlog.RequestAnswered, fields())
 		return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -319,6 +319,20 @@
 	return decision
 }
 
+// eventPassed records an event of a stream that was passed on; see dispatch.Core.EventPassed.
+func (s *State) eventPassed(x *dispatch.Exchange, waited time.Duration, numbered bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.EventPassed(s.clock.Now(), x, waited, numbered)
+}
+
+// stallWait returns how much longer a silent stream is waited for; see dispatch.Core.StallWait.
+func (s *State) stallWait(x *dispatch.Exchange) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.StallWait(s.clock.Now(), x)
+}
+
 // SetLag sets how late this process runs due work: lag is the recent maximum, and sustained
 // the delay that persists; see LagMeter.
 func (s *State) SetLag(lag, sustained time.Duration) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -55,6 +55,10 @@
 	// they are ready. From 0 to 1 and to 1e6.
 	ExposureShare float64 `toml:"exposure_share"`
 	ExposureExtra float64 `toml:"exposure_extra"`
+	// BackupShare is the fraction of the long streams that may not be repeated whose memory a
+	// second engine gets although the first one isn't suspect. More streams survive a crash with a
+	// higher value, and engines spend more on copies. Default 0; from 0 to 1.
+	BackupShare float64 `toml:"backup_share"`
 	// ReadPeriod is the time between two plain reads of the same list of the store by
 	// any of the gateways that read it, in addition to their watches. With both
 	// evacuation and rollout orders that time is half as long again, and a long list of
@@ -183,6 +187,7 @@
 	c.number("gateway.warm_up_overage", *g.WarmUpOverage, 0, maxWarmUpOverage)
 	c.number("gateway.warm_up_extra", g.WarmUpExtra, 0, maxWarmUpExtra)
 	c.number("gateway.exposure_share", g.ExposureShare, 0, 1)
+	c.number("gateway.backup_share", g.BackupShare, 0, 1)
 	c.number("gateway.exposure_extra", g.ExposureExtra, 0, maxExposureExtra)
 	if g.MemoryMegabytes != 0 {
 		c.number("gateway.memory_megabytes", float64(g.MemoryMegabytes), minMemoryMegabytes, maxMemoryMegabytes)
