--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 	// requests within any second, from all gateways together.
 	WarmUpOverage float64
 	WarmUpExtra   float64
+	// BackupShare is the fraction of all long streams that may not be repeated whose runs are backed
+	// up although their engine isn't suspect. It is for measuring; the default is 0.
+	BackupShare float64
 	// Rollout bounds the exposure to a bad version during a rollout. The zero value
 	// disables rollouts.
 	Rollout rollout.Limits
@@ -99,7 +102,9 @@
 	// overflows holds the rates of requests that no home of their prompt takes, by service.
 	overflows map[string]*demand
 	// backlogs holds the backlogs of refused callers, by service.
-	backlogs      map[string]*backlog
+	backlogs map[string]*backlog
+	// runMemory is the mean memory of a run, in tokens, by service.
+	runMemory     map[string]float64
 	gateways      int
 	healthChanges []HealthChange
 	lag           time.Duration
@@ -168,6 +173,7 @@
 		budgets:         map[string]*limits.RetryBudgetShare{},
 		overflows:       map[string]*demand{},
 		backlogs:        map[string]*backlog{},
+		runMemory:       map[string]float64{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -57,6 +57,11 @@
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
 }
 
+// hasRoom reports whether the member, as a home of the request's prompt, has room for the request.
+func (c *Core) hasRoom(now time.Time, m *member, x *Exchange) bool {
+	return c.roomFor(now, m, x, true).left >= 1
+}
+
 // countsTokens reports whether the work of the request is known in tokens: its service's engines
 // state their memory, and its caller the length of the prompt.
 func (c *Core) countsTokens(x *Exchange) bool {
