--- /dev/null
+++ b/internal/fairshare/demand.go
@@ -0,0 +1,233 @@
+package fairshare
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+)
+
+// Demand holds the figures of one tenant of a service, or of all its tenants together, at one
+// gateway or summed up over several.
+type Demand struct {
+	// Service and Tenant identify the service and the tenant; see Key. Tenant is allTenants for the
+	// figures of all tenants together.
+	Service, Tenant uint32
+	// Demand is the work asked for.
+	Demand Rate
+	// Admitted is the work admitted, and Refused the work refused recently. Both are set only for
+	// all tenants together.
+	Admitted, Refused Rate
+}
+
+// Rate is a rate of work, in units of rateUnit tokens per second.
+type Rate uint32
+
+// rateUnit is the resolution of rates. It is small compared with one request per second, and the
+// largest tenants of 520 in front of 660 engines still take two or three bytes.
+const rateUnit = 16
+
+func units(perSecond float64) Rate {
+	return Rate(min(max(0, perSecond/rateUnit+0.5), maxRate))
+}
+
+func (r Rate) perSecond() float64 { return float64(r) * rateUnit }
+
+// keyBytes is the length of a key. Among 520 tenants, two have the same key with a probability of
+// 1 in 124; they then have one share together.
+const keyBytes = 3
+
+// allTenants is the key of all tenants of a service together.
+const allTenants = 0
+
+// Key returns the key that identifies a service or a tenant.
+func Key(name string) uint32 { return 1 + uint32(xxhash.Sum64String(name)%(1<<(8*keyBytes)-1)) }
+
+// DemandKey is the key under which demands are summed up.
+type DemandKey struct{ Service, Tenant uint32 }
+
+// SumKey returns the key under which demands are summed up.
+func (d Demand) SumKey() DemandKey { return DemandKey{d.Service, d.Tenant} }
+
+// Plus returns the sum of two demands with the same key.
+func (d Demand) Plus(other Demand) Demand {
+	d.Demand += other.Demand
+	d.Admitted += other.Admitted
+	d.Refused += other.Refused
+	return d
+}
+
+// Minus subtracts what Plus added.
+func (d Demand) Minus(other Demand) Demand {
+	d.Demand -= other.Demand
+	d.Admitted -= other.Admitted
+	d.Refused -= other.Refused
+	return d
+}
+
+// IsZero reports whether all figures are zero.
+func (d Demand) IsZero() bool { return d.Demand == 0 && d.Admitted == 0 && d.Refused == 0 }
+
+// Sum returns the sums of the lists by key.
+func Sum(lists ...[]Demand) []Demand {
+	var sums []Demand
+	index := map[DemandKey]int{}
+	for _, each := range slices.Concat(lists...) {
+		if i, known := index[each.SumKey()]; known {
+			sums[i] = sums[i].Plus(each)
+			continue
+		}
+		index[each.SumKey()] = len(sums)
+		sums = append(sums, each)
+	}
+	return sums
+}
+
+// MaxTenants is the number of tenants, of all services together, whose demands are exchanged. A
+// tenant that isn't among the largest ones is hardly beyond its share.
+const MaxTenants = 64
+
+// Largest returns the figures of the services, and those of the MaxTenants tenants that ask for
+// the largest part of their service's demand, in a fixed order. It reorders the list.
+func Largest(list []Demand) []Demand {
+	all := map[uint32]Rate{}
+	for _, each := range list {
+		if each.Tenant == allTenants {
+			all[each.Service] = each.Demand
+		}
+	}
+	part := func(each Demand) float64 {
+		if each.Tenant == allTenants {
+			return math.Inf(1)
+		}
+		return float64(each.Demand) / float64(max(1, all[each.Service]))
+	}
+	slices.SortFunc(list, func(a, b Demand) int {
+		return cmp.Or(compareDescending(part(a), part(b)), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	return list[:min(len(list), len(all)+MaxTenants)]
+}
+
+// Relevant returns what Largest does, without the tenants of services that refuse hardly anything:
+// none of their requests is marked, so only the figures of these services are needed. That leaves
+// the traffic and the age of the totals of a large fleet as they are until capacity is short.
+func Relevant(totals []Demand) []Demand {
+	isShort := map[uint32]bool{}
+	for _, each := range totals {
+		if each.Tenant == allTenants {
+			isShort[each.Service] = each.refuses()
+		}
+	}
+	return Largest(slices.DeleteFunc(totals, func(each Demand) bool { return each.Tenant != allTenants && !isShort[each.Service] }))
+}
+
+// refusedTolerance is the fraction of the demand that may be refused before capacity counts as
+// short. It covers refusals for other reasons than a lack of capacity.
+const refusedTolerance = 0.02
+
+// refuses reports whether a noticeable part of the demand on a service was refused recently.
+func (d Demand) refuses() bool { return float64(d.Refused) > refusedTolerance*float64(d.Demand) }
+
+func compareDescending(a, b float64) int { return cmp.Compare(b, a) }
+
+// Packed encodes demands compactly: for each service its key, its demand, admitted and refused
+// work, the number of its tenants, and for each tenant its key and its demand. Keys take three
+// bytes; rates and numbers are varints. A tenant usually takes five bytes.
+type Packed []byte
+
+const (
+	// maxRate limits each rate, and maxPackedBytes the length of an encoding. Both are far above
+	// those of any fleet, and keep a damaged message from exhausting the memory.
+	maxRate        = 1<<32 - 1
+	maxPackedBytes = 16 << 10
+)
+
+var errMalformed = errors.New("malformed packed demands")
+
+// Pack encodes demands. Tenants of a service without figures of its own are left out.
+func Pack(list []Demand) Packed {
+	var packed Packed
+	for _, service := range list {
+		if service.Tenant != allTenants {
+			continue
+		}
+		packed = appendKey(packed, service.Service)
+		for _, each := range []Rate{service.Demand, service.Admitted, service.Refused} {
+			packed = binary.AppendUvarint(packed, uint64(each))
+		}
+		var tenants Packed
+		count := 0
+		for _, each := range list {
+			if each.Service == service.Service && each.Tenant != allTenants {
+				tenants = binary.AppendUvarint(appendKey(tenants, each.Tenant), uint64(each.Demand))
+				count++
+			}
+		}
+		packed = append(binary.AppendUvarint(packed, uint64(count)), tenants...)
+	}
+	return packed
+}
+
+func appendKey(packed Packed, key uint32) Packed {
+	return append(packed, byte(key>>16), byte(key>>8), byte(key))
+}
+
+// Unpack decodes demands.
+func (p Packed) Unpack() ([]Demand, error) {
+	if len(p) > maxPackedBytes {
+		return nil, errMalformed
+	}
+	var list []Demand
+	remaining := unpacker{bytes: p}
+	for len(remaining.bytes) > 0 {
+		service := Demand{Service: remaining.key(), Tenant: allTenants}
+		service.Demand, service.Admitted, service.Refused = remaining.rate(), remaining.rate(), remaining.rate()
+		list = append(list, service)
+		for count := remaining.rate(); count > 0 && !remaining.failed; count-- {
+			list = append(list, Demand{Service: service.Service, Tenant: remaining.key(), Demand: remaining.rate()})
+		}
+	}
+	if remaining.failed {
+		return nil, errMalformed
+	}
+	return list, nil
+}
+
+// unpacker decodes packed demands. After a failure it returns zeros.
+type unpacker struct {
+	bytes  []byte
+	failed bool
+}
+
+// key decodes a key. No key is allTenants.
+func (u *unpacker) key() uint32 {
+	if len(u.bytes) < keyBytes {
+		u.fail()
+		return 0
+	}
+	key := uint32(u.bytes[0])<<16 | uint32(u.bytes[1])<<8 | uint32(u.bytes[2])
+	if key == allTenants {
+		u.fail()
+		return 0
+	}
+	u.bytes = u.bytes[keyBytes:]
+	return key
+}
+
+func (u *unpacker) rate() Rate {
+	value, length := binary.Uvarint(u.bytes)
+	if length <= 0 || value > maxRate {
+		u.fail()
+		return 0
+	}
+	u.bytes = u.bytes[length:]
+	return Rate(value)
+}
+
+func (u *unpacker) fail() {
+	u.bytes = nil
+	u.failed = true
+}
--- /dev/null
+++ b/internal/fairshare/share_test.go
@@ -0,0 +1,173 @@
+package fairshare
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// totalsOf returns sums of one service: what each tenant asks for, what is admitted, and what was
+// refused recently.
+func totalsOf(admitted float64, demands map[string]float64) []Demand {
+	all := Demand{Service: Key("s"), Admitted: units(admitted)}
+	var list []Demand
+	for name, demand := range demands {
+		list = append(list, Demand{Service: Key("s"), Tenant: Key(name), Demand: units(demand)})
+		all.Demand += units(demand)
+	}
+	all.Refused = max(all.Demand, all.Admitted) - all.Admitted
+	return append(list, all)
+}
+
+// excessPart returns the part of the tenant's requests that are marked.
+func excessPart(s *Share, now time.Time, name string) float64 {
+	const requests = 4000
+	marked := 0
+	for i := range requests {
+		if s.Excess(now, name, fmt.Sprint("request-", i)) {
+			marked++
+		}
+	}
+	return float64(marked) / requests
+}
+
+func isNear(a, b float64) bool { return math.Abs(a-b) < 0.03 }
+
+// The levels use up exactly what is admitted and give nobody more than it asks for, with any
+// demands and weights. Otherwise tenants would be marked for work that nobody else gets.
+func TestSharesAddUpToWhatIsAdmitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		claims := make([]claim, rapid.IntRange(1, 30).Draw(t, "claims"))
+		sum := 0.0
+		for i := range claims {
+			claims[i] = claim{demand: rapid.Float64Range(0, 1000).Draw(t, "demand"), weight: rapid.Float64Range(0.1, 10).Draw(t, "weight")}
+			sum += claims[i].demand
+		}
+		capacity := rapid.Float64Range(0, 1.2).Draw(t, "capacity") * sum
+		level, used := fairLevel(claims, capacity), 0.0
+		for _, each := range claims {
+			used += min(each.demand, each.weight*level)
+		}
+		if math.Abs(used-min(capacity, sum)) > 1e-6*(1+sum) {
+			t.Fatalf("%v of %v used at level %v", used, min(capacity, sum), level)
+		}
+	})
+}
+
+// Only the tenants beyond their share are marked, and each down to its share. Marking others would
+// make them pay for the one that asks for more.
+func TestOnlyTenantsBeyondTheirShareAreMarked(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	share.SetTotals(start, totalsOf(100_000, map[string]float64{"a": 10_000, "b": 30_000, "c": 90_000, "d": 120_000}))
+	is.Equal(excessPart(share, start, "a"), 0.0)
+	is.Equal(excessPart(share, start, "b"), 0.0)
+	is.True(isNear(excessPart(share, start, "c"), 1-30.0/90))
+	is.True(isNear(excessPart(share, start, "d"), 1-30.0/120))
+	is.Equal(excessPart(share, start, "unknown"), 0.0)
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		is.True(!share.Excess(start, "c", key) || share.Excess(start, "d", key)) // the same ones are drawn
+	}
+}
+
+// A tenant of twice the weight gets twice the share.
+func TestWeightsScaleShares(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	share.SetWeights(map[string]float64{"b": 2, "c": -1})
+	share.SetTotals(start, totalsOf(80_000, map[string]float64{"a": 100_000, "b": 100_000, "c": 100_000}))
+	is.True(isNear(excessPart(share, start, "a"), 0.8))
+	is.True(isNear(excessPart(share, start, "b"), 0.6))
+	is.True(isNear(excessPart(share, start, "c"), 0.8)) // an invalid weight counts as 1
+}
+
+// A few refusals for other reasons than capacity, and a tenant without competitors, lead to no
+// marks: these would keep room free that nobody else needs.
+func TestNothingIsMarkedWithoutNeed(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	share.SetTotals(start, totalsOf(99_000, map[string]float64{"a": 90_000, "b": 10_000}))
+	is.Equal(excessPart(share, start, "a"), 0.0)
+	share.SetTotals(start, totalsOf(50_000, map[string]float64{"a": 100_000}))
+	is.Equal(excessPart(share, start, "a"), 0.0)
+	share.SetTotals(start, totalsOf(50_000, map[string]float64{"": 90_000, "a": 10_000}))
+	is.True(isNear(excessPart(share, start, ""), 1-40.0/90)) // requests without a tenant count as one
+}
+
+// Without recent totals, this gateway's own figures decide. Totals that no longer arrive would
+// otherwise mark requests long after a surge, or leave one at a lone gateway unnoticed.
+func TestOutdatedTotalsAreReplacedByOwnFigures(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	now := start
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		share.NoteDemand(now, "a", 900)
+		share.NoteDemand(now, "b", 100)
+		share.NoteAdmitted(now, "a", 400)
+		share.NoteAdmitted(now, "b", 100)
+	}
+	is.True(isNear(excessPart(share, now, "a"), 1-4.0/9))
+	is.Equal(excessPart(share, now, "b"), 0.0)
+	share.SetTotals(now, totalsOf(100_000, map[string]float64{"a": 1000, "b": 150_000}))
+	is.Equal(excessPart(share, now, "a"), 0.0)
+	is.True(isNear(excessPart(share, now, "b"), 1-99.0/150))
+	is.True(isNear(excessPart(share, now.Add(maxTotalsAge), "b"), 1-99.0/150))
+	is.Equal(excessPart(share, now.Add(maxTotalsAge+1), "b"), 0.0)
+}
+
+// Of 520 tenants that ask for the same, of which 64 are listed, none is marked: the others would
+// get more than the listed ones. A much larger one among them is.
+func TestListedTenantsAreNotWorseOffThanOthers(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	demands := map[string]float64{"hot": 300_000}
+	for i := range 519 {
+		demands[fmt.Sprint("tenant-", i)] = 10_000
+	}
+	share.SetTotals(start, Largest(totalsOf(2_000_000, demands)))
+	is.True(excessPart(share, start, "hot") > 0.9)
+	for i := range 519 {
+		is.Equal(excessPart(share, start, fmt.Sprint("tenant-", i)), 0.0)
+	}
+}
+
+// A tenant that is gone is forgotten, so that neither the memory nor the messages grow with all
+// tenants that ever sent a request.
+func TestTenantsThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	for i := range 2000 {
+		share.NoteDemand(start.Add(time.Duration(i)*100*time.Millisecond), fmt.Sprint("tenant-", i), 1000)
+		share.Demands(start.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	is.True(len(share.tenants) < 100)
+	now := start.Add(time.Hour)
+	is.Equal(share.Demands(now), []Demand{{Service: Key("s")}})
+	is.Equal(len(share.tenants), 0)
+	is.Equal(len(share.Statuses(now)), 0)
+}
+
+// Work that a back end refused counts as refused, not as admitted, also if the refusal comes later.
+// Otherwise engines that refuse would seem to have room, and nothing would be marked.
+func TestWithdrawnWorkIsNotAdmitted(t *testing.T) {
+	is := is.New(t)
+	share, without := New("s"), New("s")
+	share.NoteDemand(start, "a", 5000)
+	without.NoteDemand(start, "a", 5000)
+	share.NoteAdmitted(start, "a", 5000)
+	later := start.Add(300 * time.Millisecond)
+	is.Equal(share.Demands(later)[0].Refused, Rate(0))
+	share.WithdrawAdmitted(later, start, "a", 5000)
+	is.Equal(share.Demands(later), without.Demands(later))
+	is.True(share.Demands(later)[0].Refused > 0)
+}
