Fair share of tenants: dispatch counts work and knows excess requests

Core keeps a fairshare.Share for each service with CacheTokens. Begin notes the demand, the first attempt the admission; if the request is given up and no back end took it, the admission is withdrawn. isExcess tells whether a request is beyond its tenant's share; no decision uses it yet but the record of a refused exchange. The mechanism fair-share switches it off.

Requests without known tokens, and services without known memory, are not counted.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -58,6 +58,9 @@
 	Spread Mechanism = "spread"
 	// UrgencySteps refuses the least urgent requests first.
 	UrgencySteps Mechanism = "urgency-steps"
+	// FairShare marks requests beyond their tenant's fair share, which get only the room that no
+	// other request needs.
+	FairShare Mechanism = "fair-share"
 	// EnginePriority sends the urgency of a request to the back end.
 	EnginePriority Mechanism = "engine-rank"
 	// Ejection stops sending to failing back ends for a while.
@@ -90,7 +93,7 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps, FairShare,
 		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/limits"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -109,6 +110,10 @@
 	// leaving those whose answers announced that they are leaving.
 	displaced incarnationLog
 	leaving   incarnationLog
+	// fairShares holds the fair shares of tenants by service, and peerDemands the demands of
+	// tenants by peer, in a small fleet.
+	fairShares  map[string]*fairshare.Share
+	peerDemands map[string]peerDemands
 }
 
 // HealthChange is a change in the assumed health of a back end.
@@ -166,6 +171,8 @@
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
 		leaving:         newIncarnationLog(),
+		fairShares:      map[string]*fairshare.Share{},
+		peerDemands:     map[string]peerDemands{},
 	}
 }
 
@@ -212,6 +219,7 @@
 	for _, each := range list {
 		c.services[each.Name] = each
 	}
+	c.updateFairShares()
 }
 
 // SetLag sets how late this process currently runs its work. The lag is added to the silence
@@ -320,6 +328,8 @@
 	// Healthy.
 	BackEnds int
 	Unusable int
+	// Tenants are the tenants with the largest demand.
+	Tenants []fairshare.TenantStatus
 }
 
 // ServiceStatuses returns the status of all services that have back ends, ordered by name.
@@ -333,6 +343,9 @@
 				status.Unusable++
 			}
 		}
+		if share := c.fairShares[name]; share != nil {
+			status.Tenants = share.Statuses(now)
+		}
 		statuses = append(statuses, status)
 	}
 	return statuses
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -48,6 +48,12 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
+	// work is the request's work in tokens, for the fair shares of tenants; 0 if unknown or not
+	// counted. admittedAt is when it was counted as admitted, and excess is set if the request was
+	// refused while it was beyond its tenant's share.
+	work       float64
+	admittedAt time.Time
+	excess     bool
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
 }
@@ -61,6 +67,9 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
+// RefusedAsExcess reports whether the request was refused while it was beyond its tenant's share.
+func (x *Exchange) RefusedAsExcess() bool { return x.excess }
+
 func (x *Exchange) wasTried(m *member) bool {
 	for _, id := range x.tried {
 		if id == m.backEnd.ID {
@@ -115,6 +124,7 @@
 	}
 	x.service = request.Route.Target(seed)
 	c.budget(x.service).Earn()
+	c.noteDemand(now, x)
 	return x, c.attempt(now, x)
 }
 
@@ -147,6 +157,7 @@
 	}
 	x.phase = Sent
 	x.attempts++
+	c.noteAdmitted(now, x)
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
@@ -172,6 +183,7 @@
 // otherwise, regardless of the last cause.
 func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
+	c.noteRefused(now, x)
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
--- /dev/null
+++ b/internal/dispatch/fairshare.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
+)
+
+// The fair shares of tenants are kept for services of engines whose memory is known, and for
+// requests whose tokens are known. The demands of tenants are exchanged like the loads of back
+// ends: in a large fleet as totals, in a small one directly.
+
+// outputCost is the work of one output token, in prompt tokens. An engine prefills 57 tokens per
+// millisecond, and with 40 streams it decodes 5.
+const outputCost = 10
+
+// workOf returns the request's work in tokens, or 0 if it is unknown.
+func (r *Request) workOf() float64 {
+	if r.PromptTokens > 0 || r.OutputTokens > 0 {
+		return float64(r.PromptTokens + outputCost*r.OutputTokens)
+	}
+	tokens := 0
+	for _, part := range r.Parts {
+		tokens += part.Tokens
+	}
+	return float64(tokens)
+}
+
+// shareKey returns the key by which requests are drawn as excess: the part of the prompt that
+// belongs to the request or its chat, or the request's ID. A chat that is served thus goes on to
+// be served.
+func (r *Request) shareKey() string {
+	if len(r.Parts) > 1 {
+		return r.Parts[len(r.Parts)-1].ID
+	}
+	return r.ID
+}
+
+// updateFairShares creates and removes the fair shares according to the settings of the services.
+func (c *Core) updateFairShares() {
+	maps.DeleteFunc(c.fairShares, func(name string, _ *fairshare.Share) bool { return c.services[name].CacheTokens <= 0 })
+	for name, service := range c.services {
+		if service.CacheTokens > 0 && c.fairShares[name] == nil && !c.config.Disabled[FairShare] {
+			c.fairShares[name] = fairshare.New(name)
+		}
+	}
+}
+
+// noteDemand counts the request's work as asked for.
+func (c *Core) noteDemand(now time.Time, x *Exchange) {
+	if share := c.fairShares[x.service]; share != nil {
+		x.work = x.request.workOf()
+		share.NoteDemand(now, x.request.Tenant, x.work)
+	}
+}
+
+// noteAdmitted counts the request's work as admitted, at the first of its attempts.
+func (c *Core) noteAdmitted(now time.Time, x *Exchange) {
+	if share := c.fairShares[x.service]; share != nil && x.work > 0 && x.admittedAt.IsZero() {
+		x.admittedAt = now
+		share.NoteAdmitted(now, x.request.Tenant, x.work)
+	}
+}
+
+// noteRefused records, when the request is given up, whether it was in excess. Work that no back
+// end took no longer counts as admitted.
+func (c *Core) noteRefused(now time.Time, x *Exchange) {
+	x.excess = c.isExcess(now, x)
+	if share := c.fairShares[x.service]; share != nil && x.ran == failure.RanNo && !x.admittedAt.IsZero() {
+		share.WithdrawAdmitted(now, x.admittedAt, x.request.Tenant, x.work)
+		x.admittedAt = time.Time{}
+	}
+}
+
+// isExcess reports whether the request is beyond its tenant's fair share of what the service
+// admits. Such a request gets only the room that no other request needs.
+func (c *Core) isExcess(now time.Time, x *Exchange) bool {
+	share := c.fairShares[x.service]
+	return share != nil && x.work > 0 && share.Excess(now, x.request.Tenant, x.request.shareKey())
+}
+
+// Demands returns the demands of the largest tenants at this gateway, to be summed up over all
+// gateways.
+func (c *Core) Demands(now time.Time) []fairshare.Demand {
+	var list []fairshare.Demand
+	for _, name := range slices.Sorted(maps.Keys(c.fairShares)) {
+		list = append(list, c.fairShares[name].Demands(now)...)
+	}
+	return fairshare.Largest(list)
+}
+
+// setTenantTotals sets the demands of tenants, summed up over all gateways.
+func (c *Core) setTenantTotals(now time.Time, totals []fairshare.Demand) {
+	for _, share := range c.fairShares {
+		share.SetTotals(now, totals)
+	}
+}
+
+// peerDemands are the demands of tenants that a peer reported.
+type peerDemands struct {
+	at      time.Time
+	demands []fairshare.Demand
+}
+
+// SetPeerDemands replaces the demands of tenants that a peer reported before. In a large fleet
+// peers report none, and totals are used instead.
+func (c *Core) SetPeerDemands(now time.Time, peer string, demands []fairshare.Demand) {
+	if len(demands) == 0 || len(c.fairShares) == 0 || c.totalsAreFresh(now) {
+		delete(c.peerDemands, peer)
+		return
+	}
+	c.peerDemands[peer] = peerDemands{at: now, demands: demands}
+	maps.DeleteFunc(c.peerDemands, func(_ string, each peerDemands) bool { return now.Sub(each.at) > maxPeerLoadAge })
+	lists := [][]fairshare.Demand{c.Demands(now)}
+	for _, each := range c.peerDemands {
+		lists = append(lists, each.demands)
+	}
+	c.setTenantTotals(now, fairshare.Sum(lists...))
+}
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -84,6 +85,8 @@
 	Counts []Count
 	// Tallies are the summed tallies of rollouts.
 	Tallies []rollout.Tally
+	// Tenants are the summed demands of the largest tenants.
+	Tenants []fairshare.Demand
 	// Counted is the number of gateways included, and Expected the number that should be.
 	Counted  int
 	Expected int
@@ -115,6 +118,7 @@
 	}
 	c.noteLocalResidences(elapsed)
 	c.totalsAt = now
+	c.setTenantTotals(now, totals.Tenants)
 	// Gateways that weren't counted are assumed to have the mean load of the others.
 	scale := 1.0
 	if totals.Counted > 1 && totals.Expected > totals.Counted {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -14,7 +14,10 @@
 		gauges.Rollouts = append(gauges.Rollouts, RolloutGauges{Service: each.Order.Service, State: each.State, Sent: each.Sent, Exposed: each.Exposed})
 	}
 	for _, service := range s.core.ServiceStatuses(now) {
-		gauges.Services = append(gauges.Services, ServiceGauges(service))
+		gauges.Services = append(gauges.Services, ServiceGauges{
+			Name: service.Name, RetryBudget: service.RetryBudget, InFlight: service.InFlight,
+			BackEnds: service.BackEnds, Unusable: service.Unusable,
+		})
 	}
 	return gauges
 }
