Fair share of tenants: demands are carried between gateways

Cause: a gateway sees a slice of each tenant's requests, and slices differ.

In a small one they go to all peers (field 28). Earlier builds ignore the fields, and messages without them are decoded.

--- a/internal/collect/aggregator.go
+++ b/internal/collect/aggregator.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -22,9 +23,10 @@
 // NewAggregator returns an empty Aggregator.
 func NewAggregator() *Aggregator { return &Aggregator{members: newSumTables(), groups: newSumTables()} }
 
-// SetMember sets a gateway's own counts and tallies, which replace those that it reported before.
-func (a *Aggregator) SetMember(now time.Time, id string, counts []dispatch.Count, tallies []rollout.Tally) {
-	a.members.set(now, id, dispatch.Totals{Counts: counts, Tallies: tallies, Counted: 1})
+// SetMember sets a gateway's own counts, tallies and demands of tenants, which replace those that
+// it reported before.
+func (a *Aggregator) SetMember(now time.Time, id string, counts []dispatch.Count, tallies []rollout.Tally, tenants []fairshare.Demand) {
+	a.members.set(now, id, dispatch.Totals{Counts: counts, Tallies: tallies, Tenants: tenants, Counted: 1})
 }
 
 // SetGroup sets the totals of another group.
@@ -41,7 +43,9 @@
 // GroupTotals returns the totals of the members only.
 func (a *Aggregator) GroupTotals(now time.Time) dispatch.Totals {
 	a.members.expire(now)
-	return a.members.totals()
+	totals := a.members.totals()
+	totals.Tenants = fairshare.Largest(totals.Tenants)
+	return totals
 }
 
 // Totals returns the totals of all members and groups. The gateways of the other groups of which no
@@ -52,6 +56,7 @@
 	totals, more := a.members.totals(), a.groups.totals()
 	totals.Counts = addSums[uint32](totals.Counts, more.Counts)
 	totals.Tallies = addSums[rollout.Key](totals.Tallies, more.Tallies)
+	totals.Tenants = fairshare.Relevant(addSums[fairshare.DemandKey](totals.Tenants, more.Tenants))
 	totals.Counted += more.Counted
 	totals.Expected = totals.Counted
 	for _, group := range others {
@@ -62,24 +67,30 @@
 	return totals
 }
 
-// sumTables sums up the counts and the tallies of the same sources.
+// sumTables sums up the counts, the tallies and the demands of tenants of the same sources.
 type sumTables struct {
 	counts  sumTable[uint32, dispatch.Count]
 	tallies sumTable[rollout.Key, rollout.Tally]
+	tenants sumTable[fairshare.DemandKey, fairshare.Demand]
 }
 
 func newSumTables() sumTables {
-	return sumTables{counts: newSumTable[uint32, dispatch.Count](), tallies: newSumTable[rollout.Key, rollout.Tally]()}
+	return sumTables{
+		counts: newSumTable[uint32, dispatch.Count](), tallies: newSumTable[rollout.Key, rollout.Tally](),
+		tenants: newSumTable[fairshare.DemandKey, fairshare.Demand](),
+	}
 }
 
 func (t *sumTables) set(now time.Time, id string, totals dispatch.Totals) {
 	t.counts.set(now, id, totals.Counts, totals.Counted)
 	t.tallies.set(now, id, totals.Tallies, totals.Counted)
+	t.tenants.set(now, id, totals.Tenants, totals.Counted)
 }
 
 func (t *sumTables) expire(now time.Time) {
 	t.counts.expire(now)
 	t.tallies.expire(now)
+	t.tenants.expire(now)
 }
 
 // counted returns the number of gateways that are included in the totals.
@@ -93,7 +104,7 @@
 // totals returns the sums. All gateways that are counted are also expected.
 func (t *sumTables) totals() dispatch.Totals {
 	counted := t.counted()
-	return dispatch.Totals{Counts: t.counts.totals(), Tallies: t.tallies.totals(), Counted: counted, Expected: counted}
+	return dispatch.Totals{Counts: t.counts.totals(), Tallies: t.tallies.totals(), Tenants: t.tenants.totals(), Counted: counted, Expected: counted}
 }
 
 // summable is what a sumTable sums up by key.
--- a/internal/collect/aggregator_test.go
+++ b/internal/collect/aggregator_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
@@ -29,9 +30,9 @@
 				}
 			}
 			last[id] = source[dispatch.Count]{receivedAt: now, values: counts}
-			aggregator.SetMember(now, id, counts, nil)
+			aggregator.SetMember(now, id, counts, nil, nil)
 			if rapid.Bool().Draw(t, "doubled") {
-				aggregator.SetMember(now, id, counts, nil)
+				aggregator.SetMember(now, id, counts, nil, nil)
 			}
 			want, counted := map[uint32]uint32{}, 0
 			for _, each := range last {
@@ -59,7 +60,7 @@
 	is := is.New(t)
 	aggregator := NewAggregator()
 	others := []Group{{Zone: "a", Members: make([]Gateway, 17)}, {Zone: "b", Members: make([]Gateway, 16)}}
-	aggregator.SetMember(start, "g0", []dispatch.Count{{Key: 1, Requests: 2}}, nil)
+	aggregator.SetMember(start, "g0", []dispatch.Count{{Key: 1, Requests: 2}}, nil, nil)
 	aggregator.SetGroup(start, others[0].key(), dispatch.Totals{Counts: []dispatch.Count{{Key: 1, Requests: 5}, {Key: 2, Requests: 1}}, Counted: 15})
 	totals := aggregator.Totals(start, others)
 	is.Equal(totals.Counted, 16)
@@ -141,18 +142,34 @@
 	})
 }
 
-// The answers to a member stay within their limit at the target size, in front of 660 back ends.
+// The answers to a member stay within their limit at the target size, in front of 660 back ends,
+// with 520 tenants that each use all of 5 services, one of them thirty times as much as the others.
 // The log also shows the traffic that the collector of a full group sends.
 func TestTrafficAtTargetFleetSize(t *testing.T) {
 	is := is.New(t)
-	const backEnds, gateways = 660, 340
+	const backEnds, gateways, tenants, services = 660, 340, 520, 5
 	totals := dispatch.Totals{Counted: gateways, Expected: gateways}
 	for key := range uint32(backEnds) {
 		totals.Counts = append(totals.Counts, dispatch.Count{Key: 1<<23 + key, Requests: 8, Demand: 104, Ended: 3})
 	}
+	withoutTenants, err := encodeAnswer(totals)
+	is.NoErr(err)
+	const work = 8000 // mean of a request, in tokens
+	for i := range services {
+		share := fairshare.New(fmt.Sprint("service-", i))
+		for j := range tenants {
+			share.NoteDemand(start, fmt.Sprint("tenant-", j), 4300*work/tenants/services)
+		}
+		share.NoteDemand(start, "tenant-0", 29*4300*work/tenants/services)
+		totals.Tenants = append(totals.Tenants, share.Demands(start)...)
+	}
+	totals.Tenants = fairshare.Relevant(totals.Tenants)
+	is.Equal(len(totals.Tenants), services+fairshare.MaxTenants)
 	raw, err := encodeAnswer(totals)
 	is.NoErr(err)
-	perSecond := 1 / periodFor(backEnds).Seconds()
+	t.Logf("%d bytes per answer are the demands of tenants", len(raw)-len(withoutTenants))
+	is.True(len(raw)-len(withoutTenants) < 6*fairshare.MaxTenants+16*services)
+	perSecond := 1 / periodFor(backEnds+len(totals.Tenants)).Seconds()
 	groups := (gateways + maxGroupSize - 1) / maxGroupSize
 	member := float64(len(raw)) * perSecond
 	collector := member * float64(maxGroupSize+groups-1)
--- a/internal/collect/compatibility_test.go
+++ b/internal/collect/compatibility_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -47,9 +48,10 @@
 		return fields(raw)
 	}
 	tallies := []rollout.Tally{{Key: rollout.Key{Order: 1, Route: 2, Group: 3}, Sent: 4}}
-	query, err := cbor.Marshal(queryMessage{From: "g1", Counts: pack(recordedCounts), Tallies: tallies})
+	tenants := []fairshare.Demand{{Service: 1, Demand: 7}, {Service: 1, Tenant: 2, Demand: 7}}
+	query, err := cbor.Marshal(queryMessage{From: "g1", Counts: pack(recordedCounts), Tallies: tallies, Tenants: fairshare.Pack(tenants)})
 	is.NoErr(err)
-	answer, err := encodeAnswer(dispatch.Totals{Counts: recordedCounts, Counted: 12, Expected: 14, Tallies: tallies})
+	answer, err := encodeAnswer(dispatch.Totals{Counts: recordedCounts, Counted: 12, Expected: 14, Tallies: tallies, Tenants: tenants})
 	is.NoErr(err)
 	for field, value := range recorded("question") {
 		is.Equal(fields(query)[field], value)
--- a/internal/collect/message.go
+++ b/internal/collect/message.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -22,6 +23,8 @@
 	Group bool `cbor:"3,keyasint,omitempty"`
 	// Tallies are a member's own tallies of rollouts.
 	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
+	// Tenants are the demands of a member's largest tenants.
+	Tenants fairshare.Packed `cbor:"6,keyasint,omitempty"`
 }
 
 // answerMessage is a collector's answer.
@@ -32,6 +35,8 @@
 	Expected int `cbor:"3,keyasint"`
 	// Tallies are those of dispatch.Totals.
 	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
+	// Tenants are those of dispatch.Totals.
+	Tenants fairshare.Packed `cbor:"6,keyasint,omitempty"`
 }
 
 // packedCounts encodes counts compactly for a large fleet: for each back end three bytes of the
@@ -124,7 +129,9 @@
 }
 
 func encodeAnswer(totals dispatch.Totals) ([]byte, error) {
-	return cbor.Marshal(answerMessage{Counts: pack(totals.Counts), Counted: totals.Counted, Expected: totals.Expected, Tallies: totals.Tallies})
+	return cbor.Marshal(answerMessage{
+		Counts: pack(totals.Counts), Counted: totals.Counted, Expected: totals.Expected, Tallies: totals.Tallies, Tenants: fairshare.Pack(totals.Tenants),
+	})
 }
 
 func decodeAnswer(raw []byte) (dispatch.Totals, error) {
@@ -133,5 +140,9 @@
 		return dispatch.Totals{}, err
 	}
 	counts, err := message.Counts.unpack()
-	return dispatch.Totals{Counts: counts, Counted: max(0, message.Counted), Expected: max(0, message.Expected), Tallies: message.Tallies}, err
+	if err != nil {
+		return dispatch.Totals{}, err
+	}
+	tenants, err := message.Tenants.Unpack()
+	return dispatch.Totals{Counts: counts, Counted: max(0, message.Counted), Expected: max(0, message.Expected), Tallies: message.Tallies, Tenants: tenants}, err
 }
--- a/internal/collect/serve.go
+++ b/internal/collect/serve.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
 
 // errNoMembers means that the gateway that was queried as a collector gets no reports from its
@@ -42,20 +43,24 @@
 	if err != nil {
 		return err
 	}
-	reply, err := encodeAnswer(s.totalsFor(query, counts))
+	tenants, err := query.Tenants.Unpack()
+	if err != nil {
+		return err
+	}
+	reply, err := encodeAnswer(s.totalsFor(query, counts, tenants))
 	if err != nil {
 		return err
 	}
 	return socket.Write(ctx, websocket.MessageBinary, reply)
 }
 
-func (s *Service) totalsFor(query queryMessage, counts []dispatch.Count) dispatch.Totals {
+func (s *Service) totalsFor(query queryMessage, counts []dispatch.Count, tenants []fairshare.Demand) dispatch.Totals {
 	now := s.config.Clock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if query.Group {
 		return s.aggregator.GroupTotals(now)
 	}
-	s.aggregator.SetMember(now, query.From, counts, query.Tallies)
+	s.aggregator.SetMember(now, query.From, counts, query.Tallies, tenants)
 	return s.aggregator.Totals(now, s.plan.Others)
 }
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -15,6 +15,7 @@
 	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -35,6 +36,9 @@
 	// are the tallies that it reported and that are included in them.
 	Tallies() []rollout.Tally
 	SetTallyTotals(own []rollout.Tally, totals dispatch.Totals)
+	// Demands returns the demands of the gateway's largest tenants. ApplyTotals also sets their
+	// totals.
+	Demands() []fairshare.Demand
 }
 
 // Config configures a Service.
@@ -55,10 +59,10 @@
 const (
 	// period is the time between two reports of a gateway. Together with the interval at which
 	// collectors query each other, it bounds the age of what a gateway knows. It grows with the
-	// number of back ends beyond fullRateBackEnds, since an answer contains counts for each of
-	// them.
-	period           = 250 * time.Millisecond
-	fullRateBackEnds = 500
+	// length of an answer beyond fullRateEntries, the number of back ends and tenants in it, so
+	// that the traffic doesn't.
+	period          = 250 * time.Millisecond
+	fullRateEntries = 500
 	// answerTimeout is how long a collector may take to answer, and silentSkipTime how long one
 	// that didn't answer is skipped.
 	answerTimeout  = 400 * time.Millisecond
@@ -157,17 +161,17 @@
 // report reports the counts to the group's collector and applies the totals. It returns the time
 // until the next report.
 func (s *Service) report() time.Duration {
-	counts, tallies := s.config.Source.Counts(), s.config.Source.Tallies()
+	counts, tallies, tenants := s.config.Source.Counts(), s.config.Source.Tallies(), s.config.Source.Demands()
 	collector := s.collectorOf(s.plan.Own)
 	var totals dispatch.Totals
 	if collector.ID == s.config.ID {
 		s.mutex.Lock()
-		s.aggregator.SetMember(s.config.Clock.Now(), s.config.ID, counts, tallies)
+		s.aggregator.SetMember(s.config.Clock.Now(), s.config.ID, counts, tallies, tenants)
 		totals = s.aggregator.Totals(s.config.Clock.Now(), s.plan.Others)
 		s.mutex.Unlock()
 	} else {
 		var err error
-		totals, err = s.query(collector, queryMessage{From: s.config.ID, Counts: pack(counts), Tallies: tallies})
+		totals, err = s.query(collector, queryMessage{From: s.config.ID, Counts: pack(counts), Tallies: tallies, Tenants: fairshare.Pack(tenants)})
 		if err != nil {
 			s.skipCollector(collector, err)
 			return 0 // the next collector is tried immediately
@@ -175,12 +179,12 @@
 	}
 	s.config.Source.ApplyTotals(counts, totals)
 	s.config.Source.SetTallyTotals(tallies, totals)
-	return periodFor(len(totals.Counts))
+	return periodFor(len(totals.Counts) + len(totals.Tenants))
 }
 
-// periodFor returns the time between two reports in front of the given number of back ends.
-func periodFor(backEnds int) time.Duration {
-	return max(period, period*time.Duration(backEnds)/fullRateBackEnds)
+// periodFor returns the time between two reports if answers have the given number of entries.
+func periodFor(entries int) time.Duration {
+	return max(period, period*time.Duration(entries)/fullRateEntries)
 }
 
 // collectorOf returns the gateway that collects for the group: the first one that isn't being
--- a/internal/collect/service_test.go
+++ b/internal/collect/service_test.go
@@ -15,6 +15,7 @@
 	"github.com/harriernotch/harriernotch/internal/bubble"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/pipenet"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -43,6 +44,11 @@
 // Counts has one request in flight at the same back end for every gateway.
 func (n *node) Counts() []dispatch.Count { return []dispatch.Count{{Key: 7, Requests: 1, Demand: 3}} }
 
+// Demands has the same demand of one tenant, by its key, at every gateway.
+func (n *node) Demands() []fairshare.Demand {
+	return []fairshare.Demand{{Service: 5, Demand: 70, Admitted: 60, Refused: 10}, {Service: 5, Tenant: 6, Demand: 70}}
+}
+
 func (n *node) ApplyTotals(_ []dispatch.Count, totals dispatch.Totals) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -65,6 +71,8 @@
 	defer n.mutex.Unlock()
 	return time.Since(n.totalsAt) < 2*period && n.totals.Counted == gateways &&
 		len(n.totals.Counts) == 1 && n.totals.Counts[0].Requests == uint32(gateways) &&
+		len(n.totals.Tenants) == 2 && n.totals.Tenants[1] == (fairshare.Demand{Service: 5, Tenant: 6, Demand: 70 * fairshare.Rate(gateways)}) &&
+		n.totals.Tenants[0].Refused == 10*fairshare.Rate(gateways) &&
 		len(n.tallies) == 1 && n.tallies[0].Sent == 2*uint32(gateways)
 }
 
--- a/internal/collect/simulation_test.go
+++ b/internal/collect/simulation_test.go
@@ -148,7 +148,7 @@
 		return
 	}
 	counts := from.core.Counts(s.now)
-	collector.aggregator.SetMember(s.now, from.id, counts, nil)
+	collector.aggregator.SetMember(s.now, from.id, counts, nil, nil)
 	if !s.isLost() {
 		from.core.ApplyTotals(s.now, counts, collector.aggregator.Totals(s.now, collector.plan.Others))
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -9,6 +9,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -170,7 +171,7 @@
 	return s.core.Counts(s.clock.Now())
 }
 
-// ApplyTotals sets the request counts of all gateways together. own are the counts of this
+// ApplyTotals sets the request counts and the demands of tenants of all gateways together. own are the counts of this
 // gateway that are included in them.
 func (s *State) ApplyTotals(own []dispatch.Count, totals dispatch.Totals) {
 	s.mutex.Lock()
@@ -178,6 +179,20 @@
 	s.core.ApplyTotals(s.clock.Now(), own, totals)
 }
 
+// Demands returns the demands of the largest tenants at this gateway, for a collector or a peer.
+func (s *State) Demands() []fairshare.Demand {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.Demands(s.clock.Now())
+}
+
+// SetPeerDemands replaces the demands of tenants at a peer, in a small fleet.
+func (s *State) SetPeerDemands(peer string, demands []fairshare.Demand) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.SetPeerDemands(s.clock.Now(), peer, demands)
+}
+
 // SetPeerLoads replaces the loads of a peer.
 func (s *State) SetPeerLoads(peer string, loads []dispatch.Load) {
 	s.mutex.Lock()
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -70,6 +71,9 @@
 	// Leaving are incarnations of back ends whose answers said that they are leaving; only updates
 	// are sent.
 	Leaving []uint32 `cbor:"26,keyasint,omitempty"`
+	// Tenants are the demands of the sender's largest tenants. In a large fleet they are collected
+	// instead; see package collect.
+	Tenants fairshare.Packed `cbor:"28,keyasint,omitempty"`
 }
 
 const (
@@ -142,6 +146,7 @@
 	if !IsLarge(gateways) {
 		message.Loads = update.Loads
 		message.Tallies = update.Tallies
+		message.Tenants = fairshare.Pack(r.config.State.Demands())
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -116,6 +116,9 @@
 	r.config.State.MergeMarks(message.Marks)
 	r.config.State.SetPeerTallies(message.From, message.Tallies)
 	r.config.State.SetPeerLoads(message.From, message.Loads)
+	if tenants, err := message.Tenants.Unpack(); err == nil {
+		r.config.State.SetPeerDemands(message.From, tenants)
+	}
 	r.config.State.MergePeerHoldings(message.Holdings)
 	r.config.State.MergeCrashes(message.Crashes)
 }
