Fair share of tenants: shares follow what is refused within them

The work within shares varies around what is admitted, and there is no margin for it.

Now the shares together are 1.04 times what is admitted, less ten times the work refused within shares recently, at most 0.12 of what is admitted. For that, a request is counted with its verdict: Begin, Admit and Withdraw replace the separate notes, and the figures of a service have one more number. A verdict holds for all attempts of a request.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -48,12 +49,10 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
-	// work is the request's work in tokens, for the fair shares of tenants; 0 if unknown or not
-	// counted. admittedAt is when it was counted as admitted, and excess is set if the request was
-	// refused while it was beyond its tenant's share.
-	work       float64
-	admittedAt time.Time
-	excess     bool
+	// share is the fair share by which the request was counted, or nil, and counted is what was
+	// counted.
+	share   *fairshare.Share
+	counted fairshare.Request
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
 }
@@ -67,8 +66,8 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
-// RefusedAsExcess reports whether the request was refused while it was beyond its tenant's share.
-func (x *Exchange) RefusedAsExcess() bool { return x.excess }
+// Excess reports whether the request is beyond its tenant's fair share.
+func (x *Exchange) Excess() bool { return x.counted.Excess }
 
 func (x *Exchange) wasTried(m *member) bool {
 	for _, id := range x.tried {
--- a/internal/dispatch/fairshare.go
+++ b/internal/dispatch/fairshare.go
@@ -49,38 +49,35 @@
 	}
 }
 
-// noteDemand counts the request's work as asked for.
+// noteDemand counts the request's work as asked for, and determines whether the request is beyond
+// its tenant's fair share.
 func (c *Core) noteDemand(now time.Time, x *Exchange) {
-	if share := c.fairShares[x.service]; share != nil {
-		x.work = x.request.workOf()
-		share.NoteDemand(now, x.request.Tenant, x.work)
+	share, work := c.fairShares[x.service], x.request.workOf()
+	if share != nil && work > 0 {
+		x.counted = share.Begin(now, x.request.Tenant, x.request.shareKey(), work)
+		x.share = share
 	}
 }
 
 // noteAdmitted counts the request's work as admitted, at the first of its attempts.
 func (c *Core) noteAdmitted(now time.Time, x *Exchange) {
-	if share := c.fairShares[x.service]; share != nil && x.work > 0 && x.admittedAt.IsZero() {
-		x.admittedAt = now
-		share.NoteAdmitted(now, x.request.Tenant, x.work)
+	if x.share != nil {
+		x.share.Admit(now, &x.counted)
 	}
 }
 
-// noteRefused records, when the request is given up, whether it was in excess. Work that no back
-// end took no longer counts as admitted.
+// noteRefused records that the request is given up. Work that no back end took no longer counts as
+// admitted.
 func (c *Core) noteRefused(now time.Time, x *Exchange) {
-	x.excess = c.isExcess(now, x)
-	if share := c.fairShares[x.service]; share != nil && x.ran == failure.RanNo && !x.admittedAt.IsZero() {
-		share.WithdrawAdmitted(now, x.admittedAt, x.request.Tenant, x.work)
-		x.admittedAt = time.Time{}
+	if x.share != nil && x.ran == failure.RanNo {
+		x.share.Withdraw(now, &x.counted)
 	}
 }
 
 // isExcess reports whether the request is beyond its tenant's fair share of what the service
-// admits. Such a request gets only the room that no other request needs.
-func (c *Core) isExcess(now time.Time, x *Exchange) bool {
-	share := c.fairShares[x.service]
-	return share != nil && x.work > 0 && share.Excess(now, x.request.Tenant, x.request.shareKey())
-}
+// admits. Such a request gets only the room that no other request needs. The verdict of its arrival
+// holds for all attempts.
+func (c *Core) isExcess(_ time.Time, x *Exchange) bool { return x.counted.Excess }
 
 // Demands returns the demands of the largest tenants at this gateway, to be summed up over all
 // gateways.
--- a/internal/fairshare/demand.go
+++ b/internal/fairshare/demand.go
@@ -18,9 +18,9 @@
 	Service, Tenant uint32
 	// Demand is the work asked for.
 	Demand Rate
-	// Admitted is the work admitted, and Refused the work refused recently. Both are set only for
-	// all tenants together.
-	Admitted, Refused Rate
+	// Admitted is the work admitted. Refused is the work refused recently, and Unserved the part of
+	// it that wasn't in excess. They are set only for all tenants together.
+	Admitted, Refused, Unserved Rate
 }
 
 // Rate is a rate of work, in units of rateUnit tokens per second.
@@ -57,6 +57,7 @@
 	d.Demand += other.Demand
 	d.Admitted += other.Admitted
 	d.Refused += other.Refused
+	d.Unserved += other.Unserved
 	return d
 }
 
@@ -65,11 +66,14 @@
 	d.Demand -= other.Demand
 	d.Admitted -= other.Admitted
 	d.Refused -= other.Refused
+	d.Unserved -= other.Unserved
 	return d
 }
 
 // IsZero reports whether all figures are zero.
-func (d Demand) IsZero() bool { return d.Demand == 0 && d.Admitted == 0 && d.Refused == 0 }
+func (d Demand) IsZero() bool {
+	return d.Demand == 0 && d.Admitted == 0 && d.Refused == 0 && d.Unserved == 0
+}
 
 // Sum returns the sums of the lists by key.
 func Sum(lists ...[]Demand) []Demand {
@@ -133,8 +137,7 @@
 
 func compareDescending(a, b float64) int { return cmp.Compare(b, a) }
 
-// Packed encodes demands compactly: for each service its key, its demand, admitted and refused
-// work, the number of its tenants, and for each tenant its key and its demand. Keys take three
+// Packed encodes demands compactly: for each service its key and rates, the number of its tenants, and for each tenant its key and its demand. Keys take three
 // bytes; rates and numbers are varints. A tenant usually takes five bytes.
 type Packed []byte
 
@@ -155,7 +158,7 @@
 			continue
 		}
 		packed = appendKey(packed, service.Service)
-		for _, each := range []Rate{service.Demand, service.Admitted, service.Refused} {
+		for _, each := range []Rate{service.Demand, service.Admitted, service.Refused, service.Unserved} {
 			packed = binary.AppendUvarint(packed, uint64(each))
 		}
 		var tenants Packed
@@ -184,7 +187,7 @@
 	remaining := unpacker{bytes: p}
 	for len(remaining.bytes) > 0 {
 		service := Demand{Service: remaining.key(), Tenant: allTenants}
-		service.Demand, service.Admitted, service.Refused = remaining.rate(), remaining.rate(), remaining.rate()
+		service.Demand, service.Admitted, service.Refused, service.Unserved = remaining.rate(), remaining.rate(), remaining.rate(), remaining.rate()
 		list = append(list, service)
 		for count := remaining.rate(); count > 0 && !remaining.failed; count-- {
 			list = append(list, Demand{Service: service.Service, Tenant: remaining.key(), Demand: remaining.rate()})
--- a/internal/fairshare/level.go
+++ b/internal/fairshare/level.go
@@ -55,11 +55,31 @@
 		result.smallest = smallest
 	}
 	if len(claims) > 1 { // a sole tenant displaces nobody
-		result.level = fairLevel(claims, all.Admitted.perSecond())
+		result.level = fairLevel(claims, capacityOf(all))
 	}
 	return result
 }
 
+const (
+	// growth is the fraction by which the shares together exceed what is admitted while no request
+	// within a share is refused. Without it, excess requests that find no room would keep the level
+	// where it is after capacity has become free.
+	growth = 0.04
+	// correction is how much less the shares are together, as a multiple of the work within shares
+	// that was refused recently, and maxCorrection limits that to a fraction of what is admitted.
+	// The work within shares varies, and without a margin some of it would find no room. Without
+	// the limit, the refusals at the beginning of a surge would lower the level below the demand
+	// of the other tenants.
+	correction    = 10
+	maxCorrection = 0.12
+)
+
+// capacityOf returns what the shares together are: about what is admitted.
+func capacityOf(all Demand) float64 {
+	admitted := all.Admitted.perSecond()
+	return (1+growth)*admitted - min(correction*all.Unserved.perSecond(), maxCorrection*admitted)
+}
+
 // fairLevel returns the level at which the sum of min(demand, weight * level) over the claims is
 // the given capacity, or infinity if that exceeds the sum of the demands.
 func fairLevel(claims []claim, capacity float64) float64 {
--- a/internal/fairshare/share.go
+++ b/internal/fairshare/share.go
@@ -31,10 +31,10 @@
 	service uint32
 	tenants map[string]*tenant
 	weights map[uint32]float64
-	// demand and admitted are the rates of all tenants together. recentDemand and recentAdmitted
-	// are the same over a shorter time; their difference is what was refused recently.
-	demand, admitted             rate
-	recentDemand, recentAdmitted rate
+	// demand and admitted are the rates of all tenants together. refused and unserved are what was
+	// refused recently, in total and without excess requests.
+	demand, admitted  rate
+	refused, unserved rate
 	// assessment is the last one. assessedAt is when it was made, and isOwn is set if it is based
 	// on this gateway's own figures only.
 	assessment assessment
@@ -53,7 +53,7 @@
 	return &Share{
 		service: Key(service), tenants: map[string]*tenant{}, isOwn: true,
 		demand: newRate(timeConstant), admitted: newRate(timeConstant),
-		recentDemand: newRate(recentTimeConstant), recentAdmitted: newRate(recentTimeConstant),
+		refused: newRate(recentTimeConstant), unserved: newRate(recentTimeConstant),
 	}
 }
 
@@ -65,27 +65,56 @@
 	}
 }
 
-// NoteDemand counts work that a tenant asked for, whether or not it is admitted. Requests without
-// a tenant count as those of the tenant "".
-func (s *Share) NoteDemand(now time.Time, name string, work float64) {
+// Request is a request as it was counted.
+type Request struct {
+	// Excess is set if it is beyond its tenant's share.
+	Excess bool
+
+	tenant              string
+	work                float64
+	arrivedAt, admitted time.Time
+}
+
+// Begin counts a request of the given work as asked for and, until Admit, as refused. Requests
+// without a tenant count as those of the tenant "". See Excess for the key.
+func (s *Share) Begin(now time.Time, name, key string, work float64) Request {
+	request := Request{Excess: s.Excess(now, name, key), tenant: name, work: work, arrivedAt: now}
 	s.tenant(name).demand.note(now, work)
 	s.demand.note(now, work)
-	s.recentDemand.note(now, work)
+	s.refused.note(now, work)
+	if !request.Excess {
+		s.unserved.note(now, work)
+	}
+	return request
 }
 
-// NoteAdmitted counts work that was sent to a back end.
-func (s *Share) NoteAdmitted(now time.Time, name string, work float64) {
-	s.tenant(name).admitted.note(now, work)
-	s.admitted.note(now, work)
-	s.recentAdmitted.note(now, work)
+// Admit counts the request as admitted: it is sent to a back end. It has no effect on one that
+// counts as admitted.
+func (s *Share) Admit(now time.Time, request *Request) {
+	if !request.admitted.IsZero() {
+		return
+	}
+	request.admitted = now
+	s.tenant(request.tenant).admitted.note(now, request.work)
+	s.admitted.note(now, request.work)
+	s.refused.withdraw(now, request.arrivedAt, request.work)
+	if !request.Excess {
+		s.unserved.withdraw(now, request.arrivedAt, request.work)
+	}
 }
 
-// WithdrawAdmitted takes back work that was counted as admitted at the given time, and that the
-// back end then refused.
-func (s *Share) WithdrawAdmitted(now, admittedAt time.Time, name string, work float64) {
-	s.tenant(name).admitted.withdraw(now, admittedAt, work)
-	s.admitted.withdraw(now, admittedAt, work)
-	s.recentAdmitted.withdraw(now, admittedAt, work)
+// Withdraw undoes Admit: no back end took the request.
+func (s *Share) Withdraw(now time.Time, request *Request) {
+	if request.admitted.IsZero() {
+		return
+	}
+	s.tenant(request.tenant).admitted.withdraw(now, request.admitted, request.work)
+	s.admitted.withdraw(now, request.admitted, request.work)
+	request.admitted = time.Time{}
+	s.refused.note(now, request.work)
+	if !request.Excess {
+		s.unserved.note(now, request.work)
+	}
 }
 
 func (s *Share) tenant(name string) *tenant {
@@ -104,10 +133,9 @@
 // ownDemands returns the figures of the service and of all its tenants. It forgets tenants that
 // are gone.
 func (s *Share) ownDemands(now time.Time) []Demand {
-	demand := s.recentDemand.at(now)
 	list := []Demand{{
 		Service: s.service, Tenant: allTenants, Demand: units(s.demand.at(now)), Admitted: units(s.admitted.at(now)),
-		Refused: units(demand - s.recentAdmitted.at(now)),
+		Refused: units(s.refused.at(now)), Unserved: units(s.unserved.at(now)),
 	}}
 	for name, each := range s.tenants {
 		wanted := units(each.demand.at(now))
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
 
 // recordedMessages are messages as earlier builds wrote them, with every field set.
@@ -72,6 +73,7 @@
 				message.Era, message.KnowsRollouts, message.Displaced = 3, true, []uint32{7}
 			}
 			message.Leaving = []uint32{8}
+			message.Tenants = fairshare.Pack([]fairshare.Demand{{Service: 1, Demand: 7}, {Service: 1, Tenant: 2, Demand: 7}})
 			ours, err := cbor.Marshal(message)
 			is.NoErr(err)
 			var before, now map[int]cbor.RawMessage
