--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -48,6 +49,10 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
+	// share is the fair share by which the request was counted, or nil, and counted is what was
+	// counted.
+	share   *fairshare.Share
+	counted fairshare.Request
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
 	// backup is the copy of the current run's memory that was ordered, or nil. continuing is set
@@ -74,6 +79,9 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
+// Excess reports whether the request is beyond its tenant's fair share.
+func (x *Exchange) Excess() bool { return x.counted.Excess }
+
 func (x *Exchange) wasTried(m *member) bool {
 	for _, id := range x.tried {
 		if id == m.backEnd.ID {
@@ -135,6 +143,7 @@
 	}
 	x.service = request.Route.Target(seed)
 	c.budget(x.service).Earn()
+	c.noteDemand(now, x)
 	return x, c.attempt(now, x)
 }
 
@@ -161,6 +170,7 @@
 		c.backlogOf(x.service).admit(now)
 	}
 	x.attempts++
+	c.noteAdmitted(now, x)
 	x.continuing = false
 	c.orderBackup(now, x, chosen, send)
 	return c.start(now, x, chosen, send)
@@ -204,6 +214,7 @@
 // otherwise, regardless of the last cause.
 func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
+	c.noteRefused(now, x)
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -27,6 +27,9 @@
 	engineUrgencyStep = 0.03
 	// unreservedShare is the share of each rank that may take every place.
 	unreservedShare = 0.3
+	// excessShare is the fraction of a caching back end's places that requests beyond their
+	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
+	excessShare = 0.85
 	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
 	// it isn't a home of.
 	spareShare = 0.6
@@ -50,7 +53,10 @@
 // roomFor returns the member's room for the request. isHome tells whether the member is a home of
 // the request's prompt; it doesn't matter without a prompt.
 func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
-	limit := c.capacity(m, x)
+	limit := c.capacity(now, m, x)
+	if c.isExcess(now, x) {
+		limit *= excessShare
+	}
 	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
 		limit *= spareShare
 	}
@@ -72,7 +78,7 @@
 // prompt may queue for a while, since they are short. At back ends that cache prompts, every
 // further request slows down all others that run there. So there the least urgent requests are
 // refused first, while more urgent ones still find room.
-func (c *Core) capacity(m *member, x *Exchange) float64 {
+func (c *Core) capacity(now time.Time, m *member, x *Exchange) float64 {
 	if m.backEnd.Slots <= 0 {
 		return defaultCapacity
 	}
@@ -81,15 +87,15 @@
 		return slots * c.config.QueueFactor
 	}
 	if c.countsTokens(x) {
-		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(x)))
+		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(now, x)))
 	}
-	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(x)))
+	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(now, x)))
 }
 
 // reservedRank returns the number of steps by which the request leaves places free for more urgent
 // ones.
-func (c *Core) reservedRank(x *Exchange) int {
-	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && isDrawn(x, unreservedShare) {
+func (c *Core) reservedRank(now time.Time, x *Exchange) int {
+	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !c.isExcess(now, x) && isDrawn(x, unreservedShare) {
 		return 0
 	}
 	return min(x.request.Urgency, lastUrgencyStep)
