--- a/internal/dispatch/backup_test.go
+++ b/internal/dispatch/backup_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
+
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
 )
