--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -49,6 +49,11 @@
 	PrefixCopies Mechanism = "prefix-copies"
 	// LoadBound keeps the load of a caching back end within the bound.
 	LoadBound Mechanism = "load-bound"
+	// KeepParts keeps prompts at their homes once back ends have no room to spare.
+	KeepParts Mechanism = "keep-parts"
+	// Backlog tells refused callers to come back when the backlog ahead of them has drained, and
+	// lets those that do so go first.
+	Backlog Mechanism = "backlog"
 	// AdmissionLottery divides the room near the bound among gateways at random.
 	AdmissionLottery Mechanism = "lots"
 	// ExtrapolatePeers assumes that peers have sent as much as this gateway since their last
@@ -58,6 +63,9 @@
 	Spread Mechanism = "spread"
 	// UrgencySteps refuses the least urgent requests first.
 	UrgencySteps Mechanism = "urgency-steps"
+	// FairShare marks requests beyond their tenant's fair share, which get only the room that no
+	// other request needs.
+	FairShare Mechanism = "fair-share"
 	// EnginePriority sends the urgency of a request to the back end.
 	EnginePriority Mechanism = "engine-rank"
 	// Ejection stops sending to failing back ends for a while.
@@ -80,6 +88,9 @@
 	Retries Mechanism = "further-attempts"
 	// Resumption continues interrupted streams at another back end.
 	Resumption Mechanism = "resumption"
+	// Backups backs up the memory of running requests at a second engine, continues interrupted
+	// streams from there, and recognises stalled streams by the pace of their engine.
+	Backups Mechanism = "backups"
 )
 
 // Promises returns the mechanisms without which a promise to callers is broken.
@@ -90,8 +101,8 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
-		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps, FairShare,
+		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/limits"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
@@ -47,6 +48,9 @@
 	// requests within any second, from all gateways together.
 	WarmUpOverage float64
 	WarmUpExtra   float64
+	// BackupShare is the fraction of all long streams that may not be repeated whose runs are backed
+	// up although their engine isn't suspect. It is for measuring; the default is 0.
+	BackupShare float64
 	// Rollout bounds the exposure to a bad version during a rollout. The zero value
 	// disables rollouts.
 	Rollout rollout.Limits
@@ -96,9 +100,15 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	gateways        int
-	healthChanges   []HealthChange
-	lag             time.Duration
+	// overflows holds the rates of requests that no home of their prompt takes, by service.
+	overflows map[string]*demand
+	// backlogs holds the backlogs of refused callers, by service.
+	backlogs map[string]*backlog
+	// runMemory is the mean memory of a run, in tokens, by service.
+	runMemory     map[string]float64
+	gateways      int
+	healthChanges []HealthChange
+	lag           time.Duration
 	// evacuated lists the zones whose back ends get no new requests, and restored holds, by
 	// zone, the last withdrawal of an evacuation.
 	evacuated []string
@@ -109,6 +119,10 @@
 	// leaving those whose answers announced that they are leaving.
 	displaced incarnationLog
 	leaving   incarnationLog
+	// fairShares holds the fair shares of tenants by service, and peerDemands the demands of
+	// tenants by peer, in a small fleet.
+	fairShares  map[string]*fairshare.Share
+	peerDemands map[string]peerDemands
 }
 
 // HealthChange is a change in the assumed health of a back end.
@@ -162,10 +176,15 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
+		overflows:       map[string]*demand{},
+		backlogs:        map[string]*backlog{},
+		runMemory:       map[string]float64{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
 		leaving:         newIncarnationLog(),
+		fairShares:      map[string]*fairshare.Share{},
+		peerDemands:     map[string]peerDemands{},
 	}
 }
 
@@ -212,6 +231,7 @@
 	for _, each := range list {
 		c.services[each.Name] = each
 	}
+	c.updateFairShares()
 }
 
 // SetLag sets how late this process currently runs its work. The lag is added to the silence
@@ -320,6 +340,8 @@
 	// Healthy.
 	BackEnds int
 	Unusable int
+	// Tenants are the tenants with the largest demand.
+	Tenants []fairshare.TenantStatus
 }
 
 // ServiceStatuses returns the status of all services that have back ends, ordered by name.
@@ -333,6 +355,9 @@
 				status.Unusable++
 			}
 		}
+		if share := c.fairShares[name]; share != nil {
+			status.Tenants = share.Statuses(now)
+		}
 		statuses = append(statuses, status)
 	}
 	return statuses
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -48,8 +49,25 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
+	// share is the fair share by which the request was counted, or nil, and counted is what was
+	// counted.
+	share   *fairshare.Share
+	counted fairshare.Request
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
+	// backup is the copy of the current run's memory that was ordered, or nil. continuing is set
+	// while the current attempt continues the run of an earlier one, and continuations counts these.
+	backup        *backup
+	continuing    bool
+	continuations int
+	// events and numbered count the events that the caller has been sent and those of them that have
+	// a number; attemptEvents counts those of the current attempt. They are 0 if the stream isn't
+	// watched by its pace. gaps are the times between events.
+	events, numbered, attemptEvents int
+	gaps                            gaps
+	// answeredAt is when the current attempt was answered, and lastEventAt the time of the last event.
+	answeredAt  time.Time
+	lastEventAt time.Time
 }
 
 // Attempts returns how many back ends may have received the request.
@@ -61,6 +79,9 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
+// Excess reports whether the request is beyond its tenant's fair share.
+func (x *Exchange) Excess() bool { return x.counted.Excess }
+
 func (x *Exchange) wasTried(m *member) bool {
 	for _, id := range x.tried {
 		if id == m.backEnd.ID {
@@ -86,6 +107,13 @@
 	PoolSize int
 	// Version is the software version of the target during a rollout of its service, else "".
 	Version string
+	// BackUpTo is the address of the back end to which the memory of the run is backed up, or "", and
+	// BackupReason why.
+	BackUpTo     string
+	BackupReason BackupReason
+	// ContinueFrom is the address of the back end that ran the request until now, of whose memory the
+	// target has a copy; "" for a new run.
+	ContinueFrom string
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
@@ -115,6 +143,7 @@
 	}
 	x.service = request.Route.Target(seed)
 	c.budget(x.service).Earn()
+	c.noteDemand(now, x)
 	return x, c.attempt(now, x)
 }
 
@@ -134,19 +163,32 @@
 	if chosen == nil {
 		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
-	send := &Send{
-		BackEnd:     chosen.backEnd,
-		FetchFrom:   c.copySource(now, x, chosen),
-		HeadTimeout: c.headTimeout(x),
-		Estimate:    c.estimate(now, chosen),
-
-		PoolSize: len(c.poolMembers(now, x.service)),
+	send := c.newSend(now, x, chosen)
+	send.FetchFrom = c.copySource(now, x, chosen)
+	send.HeadTimeout = c.headTimeout(x)
+	if x.attempts == 0 && c.countsTokens(x) {
+		c.backlogOf(x.service).admit(now)
 	}
+	x.attempts++
+	c.noteAdmitted(now, x)
+	x.continuing = false
+	c.orderBackup(now, x, chosen, send)
+	return c.start(now, x, chosen, send)
+}
+
+// newSend returns an attempt at the member without what depends on the kind of attempt.
+func (c *Core) newSend(now time.Time, x *Exchange, chosen *member) *Send {
+	send := &Send{BackEnd: chosen.backEnd, Estimate: c.estimate(now, chosen), PoolSize: len(c.poolMembers(now, x.service))}
 	if c.rollouts.byService[x.service] != nil {
 		send.Version = chosen.backEnd.Version
 	}
+	return send
+}
+
+// start records that the attempt at the member begins.
+func (c *Core) start(now time.Time, x *Exchange, chosen *member, send *Send) Decision {
 	x.phase = Sent
-	x.attempts++
+	x.attemptEvents = 0
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
@@ -172,6 +214,7 @@
 // otherwise, regardless of the last cause.
 func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
+	c.noteRefused(now, x)
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
@@ -193,6 +236,8 @@
 	case x.attempts > 0:
 		// One back end refused; another one may accept the request at once.
 		return refusalRetryAfter
+	case c.countsTokens(x) && !c.config.Disabled[Backlog]:
+		return returnTime(now, x, c.backlogOf(x.service).refuse(now))
 	default:
 		return min(wait, failure.PoolExhausted.Answer().RetryAfter)
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,6 +25,12 @@
 	Path string
 	// Parts are the parts of the prompt in order; empty without a prompt.
 	Parts []Part
+	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the answer.
+	// They are 0 if unknown.
+	PromptTokens int
+	OutputTokens int
+	// Tenant is the authenticated tenant, or "" on a public route.
+	Tenant string
 	// Urgency ranks the request; 0 is the most urgent.
 	Urgency int
 	// Fingerprints returns the fingerprints of the request's content. It is nil if the content
@@ -46,6 +52,15 @@
 	}
 }
 
+// ownPart returns the ID of the part that belongs to the request or its chat: the last one. It
+// stays the same when the caller sends the request again. Without a prompt it is the request's ID.
+func (r *Request) ownPart() string {
+	if len(r.Parts) == 0 {
+		return r.ID
+	}
+	return r.Parts[len(r.Parts)-1].ID
+}
+
 // sharedTokens returns the length of the prompt up to the end of the last shared part.
 func (r *Request) sharedTokens() int {
 	total := 0
