Gateways keep connections for requests that may not be repeated

Requests that may not be repeated go by the transport of internal/keepalive, and by a new connection if it reports that nothing was sent. Requests that may be repeated use its idle connections too, and their own pool otherwise, so that nothing changes where back ends state no time. A request that gets no answer on a reused connection makes the gateway close all idle ones, as before for requests that may be repeated; so does the kernel's ETIMEDOUT.

30 requests to two back ends that state 5 s: 2 new connections, 28 reused; 30 new ones if they state nothing or with the mechanism switched off (TestUnrepeatableRequestsReuseStatedConnections). After an end of the connection the caller gets "unknown", and there is no second attempt (TestRequestOnEndedConnectionMayHaveRun).

Passed: go test ./platform ./internal/gateway/... ./internal/daemon ./internal/soak/... ./internal/dispatch ./internal/architecture ./internal/settings ./internal/cli ./internal/hop ./cmd/...

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/harriernotch/harriernotch/internal/follower"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/keepalive"
 	"github.com/harriernotch/harriernotch/internal/relay"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 	"github.com/harriernotch/harriernotch/internal/settings"
@@ -168,10 +169,15 @@
 	g.tasks.Go(func() { g.reportGauges(metrics) })
 	lag := gateway.NewLagMeter(environment.Clock)
 	g.tasks.Go(func() { lag.Run(g.done, g.state.SetLag) })
+	var persistent *keepalive.Transport
+	if !g.settings.Gateway.Disabled()[dispatch.PersistentConnections] {
+		persistent = keepalive.New(g.newTransport(environment, true), environment.Clock, g.state.Lag)
+	}
 	handler := gateway.NewHandler(gateway.Config{
 		State:        g.state,
 		Dialect:      environment.Adapter.Dialect(),
 		Reused:       g.newTransport(environment, true),
+		Persistent:   persistent,
 		Fresh:        g.newTransport(environment, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
 		Buffers:      gateway.NewBufferLimit(g.settings.Gateway.BufferBytes()),
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -80,6 +80,9 @@
 	Retries Mechanism = "further-attempts"
 	// Resumption continues interrupted streams at another back end.
 	Resumption Mechanism = "resumption"
+	// PersistentConnections sends requests that may not be repeated on persistent connections while
+	// the back end certainly keeps them open.
+	PersistentConnections Mechanism = "persistent-connections"
 )
 
 // Promises returns the mechanisms without which a promise to callers is broken.
@@ -91,7 +94,7 @@
 func Optimizations() []Mechanism {
 	return []Mechanism{
 		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
-		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
+		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption, PersistentConnections,
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +17,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/keepalive"
 )
 
 // outcome is the result of an attempt: an answer to pass on, or the next decision.
@@ -58,7 +61,52 @@
 	return result
 }
 
+// roundTrip sends the request at most once, and returns the head of the answer.
 func (h *Handler) roundTrip(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) (*http.Response, error) {
+	transport := h.transport(c, send)
+	response, err := h.sendOn(ctx, transport, c, send, resumeAfter)
+	if errors.Is(err, keepalive.ErrNotSent) {
+		return h.sendOn(ctx, h.config.Fresh, c, send, resumeAfter)
+	}
+	return response, err
+}
+
+// transport chooses the transport for an attempt; see Config.
+func (h *Handler) transport(c *call, send dispatch.Send) http.RoundTripper {
+	persistent := h.config.Persistent
+	switch {
+	case persistent != nil && (!c.route.MayRepeat() || persistent.HasIdle(send.BackEnd.Address)):
+		return persistent
+	case c.route.MayRepeat():
+		return h.config.Reused
+	default:
+		return h.config.Fresh
+	}
+}
+
+// sendOn sends the request by a transport, and records the connection that it took.
+func (h *Handler) sendOn(ctx context.Context, transport http.RoundTripper, c *call, send dispatch.Send, resumeAfter string) (*http.Response, error) {
+	c.connection = connectionNone
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c.connection = connectionNew
+		if info.Reused {
+			c.connection = connectionReused
+		}
+	}})
+	request, err := h.newForward(ctx, c, send, resumeAfter)
+	if err != nil {
+		return nil, err
+	}
+	response, err := transport.RoundTrip(request)
+	if errors.Is(err, keepalive.ErrNotSent) {
+		c.connection = connectionUnsafe
+	}
+	h.config.Metrics.connected(c)
+	return response, err
+}
+
+// newForward returns the request to send to the back end.
+func (h *Handler) newForward(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) (*http.Request, error) {
 	var body io.ReadCloser
 	if len(c.body) > 0 {
 		body = io.NopCloser(bytes.NewReader(c.body))
@@ -83,10 +131,7 @@
 		FetchFrom:   send.FetchFrom,
 		ResumeAfter: resumeAfter,
 	})
-	if c.route.MayRepeat() {
-		return h.config.Reused.RoundTrip(request)
-	}
-	return h.config.Fresh.RoundTrip(request)
+	return request, nil
 }
 
 // defaultUrgency is the urgency that back ends assume for requests without one.
@@ -107,8 +152,9 @@
 	}
 	notSent := hop.NothingSent(cause)
 	deadlinePassed := !h.clock().Now().Before(c.deadline)
-	// Only requests that may be repeated are sent on pooled connections; see Config.Reused.
-	if (expired || deadlinePassed) && !notSent && c.route.MayRepeat() {
+	// The kernel reports ETIMEDOUT if the back end's machine acknowledges nothing.
+	isSilent := expired || deadlinePassed || errors.Is(cause, syscall.ETIMEDOUT)
+	if isSilent && !notSent && (c.route.MayRepeat() || c.connection == connectionReused) {
 		h.closeReused()
 	}
 	next := h.decideSend(c, func(now time.Time, core *dispatch.Core) dispatch.Decision {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/keepalive"
 )
 
 // Config configures a Handler.
@@ -24,11 +25,15 @@
 	State *State
 	// Dialect translates headers between callers, the gateway and back ends.
 	Dialect Dialect
-	// Reused sends requests that may be repeated, on pooled connections. Fresh sends all
-	// others, each on a new connection: a back end may close a pooled connection while a
-	// request is on its way, and it is then unknown whether the request ran.
-	Reused Transport
-	Fresh  http.RoundTripper
+	// Reused sends requests that may be repeated, on pooled connections. A back end may close
+	// a pooled connection while a request is on its way, and it is then unknown whether the
+	// request ran. So Persistent sends all others, on connections that the back end certainly
+	// keeps open, or else on new ones; where Persistent already has a connection, it also
+	// sends requests that may be repeated. Fresh sends each request on a new connection, if
+	// Persistent is nil or has sent nothing because a connection became unsafe.
+	Reused     Transport
+	Persistent *keepalive.Transport
+	Fresh      http.RoundTripper
 	// MaxBodyBytes limits a request body if the configuration sets no limit.
 	MaxBodyBytes int64
 	// Buffers limits the bytes buffered for callers and back ends together.
@@ -76,6 +81,9 @@
 		return
 	}
 	h.config.Reused.CloseIdleConnections()
+	if h.config.Persistent != nil {
+		h.config.Persistent.CloseIdleConnections()
+	}
 }
 
 // call is one caller's request.
@@ -91,6 +99,8 @@
 	deadline time.Time
 	urgency  int
 	exchange *dispatch.Exchange
+	// connection is the connection of the last attempt.
+	connection connection
 	// bufferedRequest and bufferedAnswer are the bytes that the call uses of Config.Buffers.
 	bufferedRequest, bufferedAnswer int64
 	// unloggedSends are the decisions to send that haven't been logged; see sendDecision.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// connection says what connection to a back end an attempt took.
+type connection string
+
+const (
+	// connectionNone: no connection was made.
+	connectionNone connection = ""
+	// connectionNew was opened for the attempt; connectionReused had carried others.
+	connectionNew    connection = "new"
+	connectionReused connection = "reused"
+	// connectionUnsafe could no longer be used safely and was closed; nothing was sent on it.
+	connectionUnsafe connection = "unsafe"
+)
+
+// connected counts the connection that an attempt took.
+func (m *Metrics) connected(c *call) {
+	if c.connection != connectionNone {
+		m.forCall(c).Tagged(map[string]string{"connection": string(c.connection)}).Counter("back_end_connections").Inc(1)
+	}
+}
+
 // refused counts an error that the gateway itself returned.
 func (m *Metrics) refused(c *call, kind failure.Kind) {
 	m.forCall(c).Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
