--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -91,6 +91,9 @@
 	// Backups backs up the memory of running requests at a second engine, continues interrupted
 	// streams from there, and recognises stalled streams by the pace of their engine.
 	Backups Mechanism = "backups"
+	// PersistentConnections sends requests that may not be repeated on persistent connections while
+	// the back end certainly keeps them open.
+	PersistentConnections Mechanism = "persistent-connections"
 )
 
 // Promises returns the mechanisms without which a promise to callers is broken.
@@ -101,8 +104,9 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps, FairShare,
-		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
+		ExtrapolatePeers, Spread, UrgencySteps, FairShare, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
+		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections,
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -95,10 +95,14 @@
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	bound := c.bound(now, x)
 	overflow := 0.0
+	lostPlace := false
 	c.orderByPreference(now, x, candidates)
 	for position := 0; ; position++ {
 		isHome := c.nextIsHome(position)
 		m := c.nextPreferred()
+		if m == nil && lostPlace {
+			return nil
+		}
 		if m == nil {
 			return c.leastLoadedWithSpareRoom(now, x, candidates)
 		}
@@ -114,6 +118,8 @@
 		if winsLottery(x, m, chance) && room.left >= 1 {
 			return m
 		}
+		// The spare places were drawn for here, so they aren't given away once more below.
+		lostPlace = lostPlace || !isHome && room.limit < bound
 	}
 }
 
