Fair share of tenants: shown to operators

Refusals are counted and logged with whether the request was in excess. There are no labels for tenants, of which there are hundreds.

An infinite share is left out of the JSON, which has no number for it.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -125,6 +126,7 @@
 	for _, service := range status.Services {
 		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget)
 	}
+	printTenants(table, status.Services)
 	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)")
 	for _, each := range status.BackEnds {
 		health := each.Health
@@ -142,6 +144,22 @@
 	return table.Flush()
 }
 
+// printTenants prints the largest tenants of each service whose tenants have fair shares. Rates are
+// in tokens of work per second.
+func printTenants(table io.Writer, services []gateway.ServiceStatus) {
+	header := "\t\t\t\t\nTENANT\tSERVICE\tDEMAND (HERE)\tSHARE\tADMITTED HERE\n"
+	for _, service := range services {
+		for _, tenant := range service.Tenants {
+			name, share := cmp.Or(tenant.Name, "(none)"), "no limit"
+			if tenant.Share != nil {
+				share = fmt.Sprintf("%.0f", *tenant.Share)
+			}
+			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.0f (%.0f)\t%s\t%.0f\n", header, name, service.Name, tenant.Demand, tenant.OwnDemand, share, tenant.OwnAdmitted)
+			header = ""
+		}
+	}
+}
+
 func printStatus(output io.Writer, status daemon.Status) error {
 	confirmed := "never"
 	if status.ConfirmedSeconds >= 0 {
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -15,15 +15,17 @@
 
 func TestGatewayStatusAsTableAndJSON(t *testing.T) {
 	is := is.New(t)
+	share := 12_000.0
+	tenants := []gateway.TenantStatus{{Name: "school", Demand: 54_000, Share: &share, OwnDemand: 3000, OwnAdmitted: 700}, {Demand: 20}}
 	raw, err := json.Marshal(gateway.Status{
 		Role: gateway.RoleName, Ready: true, Version: 7, Gateways: 103, LoadAgeSeconds: 0.2,
-		Services: []gateway.ServiceStatus{{Name: "chat", BackEnds: 2, Unusable: 1, InFlight: 3, RetryBudget: 2.5}},
+		Services: []gateway.ServiceStatus{{Name: "chat", BackEnds: 2, Unusable: 1, InFlight: 3, RetryBudget: 2.5, Tenants: tenants}},
 		BackEnds: []gateway.BackEndStatus{{ID: "i-1", Service: "chat", Zone: "a", Health: "healthy", Leaving: true, Own: 3, Estimate: 8}},
 	})
 	is.NoErr(err)
 	var output bytes.Buffer
 	is.NoErr(showStatus(&output, raw, outputTable))
-	for _, expected := range []string{"103 gateways", "configuration 7", "loads 0.2s old", "chat", "healthy, leaving", "8.0 (3)"} {
+	for _, expected := range []string{"103 gateways", "configuration 7", "loads 0.2s old", "chat", "healthy, leaving", "8.0 (3)", "school", "54000 (3000)", "12000", "(none)", "no limit"} {
 		is.True(strings.Contains(output.String(), expected))
 	}
 	output.Reset()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -97,6 +97,9 @@
 	unloggedSends []sendDecision
 }
 
+// isExcess reports whether the request is beyond its tenant's fair share.
+func (c *call) isExcess() bool { return c.exchange != nil && c.exchange.Excess() }
+
 // defaultTimeout applies if neither the caller nor the route sets a shorter timeout.
 const defaultTimeout = time.Minute
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -107,9 +107,14 @@
 	}
 }
 
-// refused counts an error that the gateway itself returned.
+// refused counts an error that the gateway itself returned, and whether the request was beyond its
+// tenant's fair share. Tenants have no labels: there are hundreds of them.
 func (m *Metrics) refused(c *call, kind failure.Kind) {
-	m.forCall(c).Tagged(map[string]string{"kind": kind.String()}).Counter("refusals").Inc(1)
+	labels := map[string]string{"kind": kind.String(), "excess": "no"}
+	if c.isExcess() {
+		labels["excess"] = "yes"
+	}
+	m.forCall(c).Tagged(labels).Counter("refusals").Inc(1)
 }
 
 // noticed counts a notice: what a back end's answer says about the back end itself.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -144,6 +144,9 @@
 		fields["kind"] = kind.String()
 		fields["cause"] = cause.Error()
 		fields["store_age_ms"] = h.config.State.StoreAge().Milliseconds()
+		if c.isExcess() {
+			fields["excess"] = true
+		}
 		if kind == failure.Withheld {
 			fields["path"] = c.loggedPath()
 			fields["fingerprint"] = c.fingerprints()[0].String()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,5 +1,11 @@
 package gateway
 
+import (
+	"math"
+
+	"github.com/harriernotch/harriernotch/internal/fairshare"
+)
+
 // Gauges returns the current values of the gateway's gauges.
 func (s *State) Gauges() Gauges {
 	s.mutex.Lock()
@@ -68,6 +74,36 @@
 	Unusable int `json:"unusable"`
 	// InFlight is the number of this gateway's own requests in flight.
 	InFlight int `json:"under_way"`
+	// Tenants are the tenants of this gateway that ask for the most work.
+	Tenants []TenantStatus `json:"tenants,omitempty"`
+}
+
+// TenantStatus is a gateway's assessment of one tenant of a service. Rates are in tokens of work
+// per second.
+type TenantStatus struct {
+	// Name is empty for requests without a tenant.
+	Name string `json:"name"`
+	// Demand is what it asks all gateways for, as far as is known: while nothing is refused, that
+	// may be what it asks this one for. Share is its fair share of what they admit, or nil while
+	// nothing is refused.
+	Demand float64  `json:"demand"`
+	Share  *float64 `json:"share,omitempty"`
+	// OwnDemand is what it asks this gateway for, and OwnAdmitted what this gateway admits.
+	OwnDemand   float64 `json:"own_demand"`
+	OwnAdmitted float64 `json:"own_admitted"`
+}
+
+// tenantStatuses converts the status of tenants. An infinite share can't be written in JSON.
+func tenantStatuses(list []fairshare.TenantStatus) []TenantStatus {
+	var statuses []TenantStatus
+	for _, each := range list {
+		status := TenantStatus{Name: each.Name, Demand: each.Demand, OwnDemand: each.OwnDemand, OwnAdmitted: each.OwnAdmitted}
+		if !math.IsInf(each.Share, 1) {
+			status.Share = &each.Share
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
 }
 
 // BackEndStatus is a gateway's assessment of one back end.
@@ -110,7 +146,7 @@
 	for _, service := range s.core.ServiceStatuses(now) {
 		status.Services = append(status.Services, ServiceStatus{
 			Name: service.Name, RetryBudget: service.RetryBudget, BackEnds: service.BackEnds,
-			Unusable: service.Unusable, InFlight: service.InFlight,
+			Unusable: service.Unusable, InFlight: service.InFlight, Tenants: tenantStatuses(service.Tenants),
 		})
 	}
 	for _, each := range s.core.BackEndStatuses(now) {
