Dispatch: room beyond the capacity for continuations

Cause: after a crash, new requests fill the other back ends up to the capacity, and the interrupted streams find no room at the target of their backup, although their work is done and the copy's memory in use there.

Change: continuations may use a quarter of the slots beyond the capacity for the most urgent requests.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -35,12 +35,27 @@
 	}
 	m := pool[at]
 	c.pickSide(now, x)
-	if !m.health.reachable(now) || !c.acceptsNew(now, x, m) || !c.hasRoom(now, m, x) || len(c.withWarmUpQuota(now, []*member{m})) == 0 {
+	if !m.health.reachable(now) || !c.acceptsNew(now, x, m) || !c.hasRoomToContinue(now, m) || len(c.withWarmUpQuota(now, []*member{m})) == 0 {
 		return nil
 	}
 	return m
 }
 
+// continuationReserve is the fraction of a back end's slots, beyond the capacity for the most urgent
+// requests, that only continuations use. New requests fill the capacity when others crash; a refused
+// continuation would waste the work done so far and the copy's memory, and a new request is refused
+// at no cost.
+const continuationReserve = 0.25
+
+// hasRoomToContinue reports whether a continued run fits into the member's capacity.
+func (c *Core) hasRoomToContinue(now time.Time, m *member) bool {
+	slots := float64(m.backEnd.Slots)
+	if slots <= 0 {
+		slots = defaultCapacity
+	}
+	return c.knownLoad(now, m)+1 <= slots*(c.config.CachingFactor+continuationReserve)
+}
+
 // continueRun continues a run whose stream broke off from its backup, and reports whether it can be
 // continued.
 //
