Soak: back ends that back up streams, and streams that stall

Cause: nothing checked with whole gateways that a continued run isn't doubled and that streams survive a crash.

Two back ends at work on a run 400 ms after it was continued break the promise "at most once". A continuation isn't an attempt there. Kind stall_streams leaves streams silent at back ends that are at work; it is drawn only if named, so that the schedules of known seeds don't change.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -53,6 +53,7 @@
 	f.IntVar(&flags.options.Callers, "callers", flags.options.Callers, "callers")
 	f.StringSliceVar(&flags.kinds, "kinds", nil, "draw only these kinds of faults, such as "+string(soak.EvacuateZone)+" (default: all)")
 	f.StringSliceVar(&flags.options.Disable, "break", nil, "switch off mechanisms of the gateways; the run is then expected to find a violation")
+	f.BoolVar(&flags.options.Backups, "backups", false, "the back ends are engines that back up streams to each other, and gateways back up every stream that may not be repeated")
 	f.StringVar(&flags.program, "program", "bin/harriernotchd", "the gateways' program")
 	f.StringVar(&flags.olderProgram, "older", "", "another build of the program that alternates with it, as in an upgrade and its rollback")
 	f.StringVar(&flags.directory, "folder", "", "the folder for settings and logs (default: a temporary folder, removed if no promise was broken)")
@@ -65,7 +66,7 @@
 		return failure.New(failure.InvalidRequest, "gateways, callers, seeds and minutes must be above 0, and back ends at least 2")
 	}
 	for _, kind := range f.kinds {
-		if !slices.Contains(soak.Kinds(), soak.Kind(kind)) {
+		if !slices.Contains(append(soak.Kinds(), soak.StallStreams), soak.Kind(kind)) {
 			return failure.New(failure.InvalidRequest, fmt.Sprintf("--kinds: %q is unknown; name some of %v", kind, soak.Kinds()))
 		}
 	}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -38,8 +38,8 @@
 	// is up.
 	coldUntil time.Time
 	starting  bool
-	// lose, spoil, fail, refuse and rest count the active faults of each kind.
-	lose, spoil, fail, refuse, rest int
+	// lose, spoil, fail, refuse, rest and stall count the active faults of each kind.
+	lose, spoil, fail, refuse, rest, stall int
 	// turn counts the requests and selects the way in which an answer is spoiled.
 	turn int
 }
@@ -47,7 +47,7 @@
 const (
 	// slots is the number of concurrent requests that a back end lists.
 	slots = 8
-	// plainWork is the processing time of a plain request. eventPause is the time between two
+	// plainWork is the processing time of a plain request. eventPause is the usual time between two
 	// events of a stream.
 	plainWork  = 30 * time.Millisecond
 	eventPause = 25 * time.Millisecond
@@ -124,7 +124,7 @@
 	version, defect := b.software()
 	arrival := arrival{
 		request: forwarded.Request, backEnd: b.id(), zone: b.zone, version: version, at: time.Now(),
-		tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != "",
+		tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != "", continued: forwarded.ContinueFrom != "",
 	}
 	if forwarded.BackEnd != b.id() {
 		protocol.WriteNotRun(w.Header(), forwarded.Request)
@@ -143,6 +143,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b.lacksCopy(w, forwarded) {
+		b.fleet.check.arrived(arrival)
+		return
+	}
 	arrival.ran = true
 	arrival.changed = string(body) != bodyOf(forwarded.Request, r.Method)
 	b.fleet.check.arrived(arrival)
@@ -199,18 +203,28 @@
 func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	task := &work{backEnd: b.id(), continued: forwarded.ContinueFrom != "", backedUp: forwarded.BackUpTo != ""}
+	b.fleet.check.workBegan(forwarded.Request, task)
+	defer b.fleet.check.workEnded(task)
 	first := 1
 	if last, err := strconv.Atoi(forwarded.ResumeAfter); err == nil {
 		first = last + 1
 	}
-	for number := first; number <= eventsOf(forwarded.Request); number++ {
-		sleep(r.Context(), eventPause)
+	last := eventsOf(forwarded.Request)
+	for number := first; number <= last; number++ {
+		sleep(r.Context(), b.fleet.eventPause())
+		b.awaitEndOfStall(r.Context())
 		if _, err := io.WriteString(w, eventOf(forwarded.Request, number)); err != nil {
 			return
 		}
 		if err := controller.Flush(); err != nil {
 			return
 		}
+		task.events++
+		if forwarded.BackUpTo != "" {
+			b.fleet.writeCopy(forwarded.BackUpTo, b.address+"/"+forwarded.Request)
+		}
+		task.whole = number == last
 	}
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -96,7 +96,11 @@
 		request.Body, request.ContentLength, request.GetBody = nil, 0, nil
 	}
 	request.Host = host
-	c.fleet.environment.Protocol().WriteCallerRequest(request.Header, wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt})
+	stated := wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt}
+	if c.fleet.options.Backups && prompt != "" {
+		stated.PromptTokens, stated.OutputTokens = promptTokens, outputTokens
+	}
+	c.fleet.environment.Protocol().WriteCallerRequest(request.Header, stated)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return reply{cause: err.Error(), timedOut: ctx.Err() != nil}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -107,8 +107,9 @@
 	zone, version            string
 	at                       time.Time
 	// ran is false if the back end refused the request. changed is true if its body differs from
-	// the caller's, and resumed is true if it continues a stream.
-	ran, changed, resumed bool
+	// the caller's, and resumed is true if it continues a stream. continued is true if it continues
+	// a run from its backup.
+	ran, changed, resumed, continued bool
 }
 
 // everywhere is the place of a disturbance that affects all gateways.
@@ -168,6 +169,7 @@
 	// evacuations are all orders to evacuate a zone so far.
 	evacuations []evacuation
 	notices     notices
+	backedUp    backedUp
 	// moveOrders are all orders to move the service to another version.
 	moveOrders []*moveOrder
 	// recoverAt is the time after which requests must be served again.
@@ -182,6 +184,7 @@
 		arrivals: map[string][]arrival{}, gatewayStarts: map[string]time.Time{}, outages: map[string]*disturbance{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
 		crashes: map[string][]time.Time{}, notices: newNotices(),
+		backedUp: backedUp{work: map[string][]*work{}, crashes: map[string][]time.Time{}},
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -135,6 +135,7 @@
 	serving    conc.WaitGroup
 	check      *checker
 	faultLog   *faultLog
+	copies     copies
 
 	mutex   sync.Mutex
 	version uint64
@@ -146,6 +147,7 @@
 
 func newFleet(options Options, environment Environment) (*fleet, error) {
 	f := &fleet{options: options, environment: environment, store: newStore(environment.Protocol()), faultLog: &faultLog{}, evacuated: map[string]int{}}
+	f.copies.held = map[runCopy]time.Time{}
 	f.check = newChecker(f)
 	storeListener, err := environment.Listen()
 	if err != nil {
@@ -222,9 +224,12 @@
 }
 
 func gatewaySettings(g *gatewayState, addresses [3]string, store string, seeds []string, options Options) string {
-	moves := ""
+	extra := ""
 	if options.includes(MoveService) {
-		moves = fmt.Sprintf("exposure_share = %v\nexposure_extra = %v\n", exposureShare, exposureExtra)
+		extra = fmt.Sprintf("exposure_share = %v\nexposure_extra = %v\n", exposureShare, exposureExtra)
+	}
+	if options.Backups {
+		extra += "backup_share = 1.0\n"
 	}
 	return fmt.Sprintf(`role = "gateway"
 id = %q
@@ -249,7 +254,7 @@
 %s[log]
 format = "json"
 `, g.id, tomlList(seeds), drainDelay, drainTimeout, addresses[0], addresses[1], addresses[2], store,
-		retryRatio, retryExtra, leavingBound, evacuationBound, warmUpOverage, warmUpExtra, tomlList(options.Disable), moves)
+		retryRatio, retryExtra, leavingBound, evacuationBound, warmUpOverage, warmUpExtra, tomlList(options.Disable), extra)
 }
 
 func tomlList(values []string) string {
@@ -319,9 +324,13 @@
 	if f.noSpareKey > 0 {
 		allowed = keys[:len(keys)-1]
 	}
+	served := catalog.Service{Name: service, MaxConnections: 100, WarmUpRate: warmUpRate, WarmUpTime: warmUpTime}
+	if f.options.Backups {
+		served = engineService(served)
+	}
 	return catalog.Configuration{
 		Version: f.version, Routes: routes,
-		Services: []catalog.Service{{Name: service, MaxConnections: 100, WarmUpRate: warmUpRate, WarmUpTime: warmUpTime}},
+		Services: []catalog.Service{served},
 		Tenants:  []catalog.Tenant{{Name: tenant, Keys: allowed}},
 		Limits:   catalog.Limits{MaxBodyBytes: 1 << 20},
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -61,7 +61,7 @@
 	case EvacuateZone:
 		f.evacuate(ctx, zones[fault.Target%len(zones)], wait)
 	case CrashBackEnd, RestartBackEnd, UnreadableEntries, CutBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll,
-		LeaveUnannounced, RefuseWithRetryAfter:
+		LeaveUnannounced, RefuseWithRetryAfter, StallStreams:
 		f.injectAtBackEnd(ctx, b, fault)
 	case ChangeRoute:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
@@ -222,6 +222,8 @@
 		applyFault(func(b *backEnd) *int { return &b.refuse })
 	case RefuseWithRetryAfter:
 		applyFault(func(b *backEnd) *int { return &b.rest })
+	case StallStreams:
+		applyFault(func(b *backEnd) *int { return &b.stall })
 	case CutBackEnd:
 		endAtLink := f.check.beginDisturbance(linkPlace(b.name))
 		defer endAtLink()
@@ -245,6 +247,7 @@
 // starts at the same address.
 func (f *fleet) crash(ctx context.Context, b *backEnd, wait time.Duration) {
 	id := b.id()
+	f.check.backEndCrashing(b.name)
 	b.link.changeFaults(func(l *link) *int { return &l.refused }, 1)
 	incarnation := b.restart(false)
 	sleep(ctx, max(wait, listedAfterCrash))
@@ -255,6 +258,7 @@
 // restartWithSameID ends a back end and starts it again under the same ID. The store lists it
 // throughout.
 func (f *fleet) restartWithSameID(ctx context.Context, b *backEnd, wait time.Duration) {
+	f.check.backEndCrashing(b.name)
 	b.link.changeFaults(func(l *link) *int { return &l.refused }, 1)
 	incarnation := b.restart(true)
 	f.check.backEndRestarted(b.id())
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -80,9 +80,12 @@
 	// the store. RefuseWithRetryAfter makes a back end refuse requests with a Retry-After.
 	LeaveUnannounced     Kind = "leave_untold"
 	RefuseWithRetryAfter Kind = "ask_for_rest"
+	// StallStreams makes a back end send no events of its streams, with connections that stay open.
+	// It is drawn only if it is named, because a seed gives the same schedule only for the same kinds.
+	StallStreams Kind = "stall_streams"
 )
 
-// Kinds lists every kind.
+// Kinds lists every kind that is drawn if none is named.
 func Kinds() []Kind {
 	return []Kind{
 		KillGateway, KillAllGateways, StopGateway, ReloadGateway, PauseGateway, CutStore, ResetStore, CutStoreAnswers,
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,8 @@
 	Callers  int
 	// Kinds are the kinds of faults to draw from. If it is empty, all kinds are drawn.
 	Kinds []Kind
+	// Backups makes the back ends engines that back up running streams to each other.
+	Backups bool
 	// Disable names mechanisms of the gateways to switch off, to show that the checks detect it;
 	// see dispatch.Disable.
 	Disable []string
@@ -59,6 +61,10 @@
 	Requests int
 	Served   int
 	Unknown  int
+	// Interrupted counts the streams that may not be repeated, had a backup and were interrupted by
+	// a crash of their back end, and Survived those of them that were answered completely.
+	Interrupted int
+	Survived    int
 	// Violations holds the first few violations of each promise.
 	Violations []Violation
 	// Counts is the number of violations by promise.
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -105,6 +105,10 @@
 	Tenant string
 	// ResumeAfter is the ID of the last event that the caller has received, or "".
 	ResumeAfter string
+	// BackUpTo is the address to which the memory of the run is to be copied, and ContinueFrom the
+	// run of which the back end is to have a copy; "" if there is none.
+	BackUpTo     string
+	ContinueFrom string
 }
 
 // CallerRequest holds the headers of a caller's request.
@@ -116,4 +120,6 @@
 	Timeout time.Duration
 	// Prompt identifies the shared prefix of the prompt, or is "".
 	Prompt string
+	// PromptTokens and OutputTokens are the sizes that the caller states; 0 if it states none.
+	PromptTokens, OutputTokens int
 }
