--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -14,11 +14,6 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a service without room.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
-	// returnCycle is the period after which the return slot of a prompt recurs, and returnWindow
-	// the length of a slot. It covers the differences between the gateways' clocks and the time
-	// that a caller takes to come back.
-	returnCycle  = 2 * time.Second
-	returnWindow = 250 * time.Millisecond
 )
 
 // backlog estimates the number of refused callers that will come back to a service. Every gateway
@@ -81,19 +76,10 @@
 	return known
 }
 
-// returnTime moves a time to come back to the return slot of the request: a moment that follows
-// from its prompt and the time alone. So callers are spread, and any gateway recognises one that
-// comes back when it was told to.
-func returnTime(now time.Time, x *Exchange, wait time.Duration) time.Duration {
-	return wait + (returnCycle-sinceReturnSlot(now.Add(wait), x))%returnCycle
-}
-
-// isReturning reports whether the request may come from a caller that was refused and comes back
-// when it was told to. One in returnCycle/returnWindow new requests is taken for one, too.
-func isReturning(now time.Time, x *Exchange) bool { return sinceReturnSlot(now, x) < returnWindow }
-
-// sinceReturnSlot returns the time since the beginning of the request's last return slot.
-func sinceReturnSlot(now time.Time, x *Exchange) time.Duration {
-	phase := time.Duration(xxhash.Sum64String(x.request.ownPart()) % uint64(returnCycle))
-	return (time.Duration(now.UnixNano()%int64(returnCycle)) + returnCycle - phase) % returnCycle
+// spreadReturn spreads the time to come back over half of its length, by a hash of the request, so
+// that callers that are refused together don't come back together.
+func spreadReturn(x *Exchange, wait time.Duration) time.Duration {
+	const scale = 1 << 16
+	share := float64(xxhash.Sum64String(x.request.ID)%scale) / scale
+	return wait + time.Duration(share*float64(wait)/2)
 }
--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -155,6 +155,11 @@
 	}
 	size := runSize{prompt: x.request.PromptTokens, output: x.request.OutputTokens, mayRepeat: x.request.Route.MayRepeat()}
 	c.noteRunMemory(x.service, size)
+	if !c.backlogOf(x.service).isEmpty(now) {
+		// While requests are refused, their places and memory are worth more than backups. Engines
+		// that are merely full also look suspect then.
+		return
+	}
 	reason := c.conditionOf(now, m).reason()
 	if reason == "" && !size.mayRepeat && isInBackupShare(x.request.ID, c.config.BackupShare) {
 		reason = BackupShared
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -51,8 +51,7 @@
 	LoadBound Mechanism = "load-bound"
 	// KeepParts keeps prompts at their homes once back ends have no room to spare.
 	KeepParts Mechanism = "keep-parts"
-	// Backlog tells refused callers to come back when the backlog ahead of them has drained, and
-	// lets those that do so go first.
+	// Backlog tells refused callers to come back when the backlog ahead of them has drained.
 	Backlog Mechanism = "backlog"
 	// AdmissionLottery divides the room near the bound among gateways at random.
 	AdmissionLottery Mechanism = "lots"
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -237,7 +237,7 @@
 		// One back end refused; another one may accept the request at once.
 		return refusalRetryAfter
 	case c.countsTokens(x) && !c.config.Disabled[Backlog]:
-		return returnTime(now, x, c.backlogOf(x.service).refuse(now))
+		return spreadReturn(x, c.backlogOf(x.service).refuse(now))
 	default:
 		return min(wait, failure.PoolExhausted.Answer().RetryAfter)
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -29,7 +29,7 @@
 	unreservedShare = 0.3
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
-	excessShare = 0.85
+	excessShare = 0.93
 	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
 	// it isn't a home of.
 	spareShare = 0.6
