--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -14,6 +14,8 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a service without room.
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// minDrainRate, in callers per second, is assumed for a service that admits nearly nothing.
+	minDrainRate = 0.1
 )
 
 // backlog estimates the number of refused callers that will come back to a service. Every gateway
@@ -27,15 +29,20 @@
 	updatedAt time.Time
 }
 
-// update drains the backlog by the admissions that aren't needed for new callers: the share of all
-// requests that is refused is the share of the room that new callers lack.
+// update drains the backlog.
 func (b *backlog) update(now time.Time) {
 	if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
-		b.waiting = max(0, b.waiting-elapsed*b.admitted.perSecond(now)*(1-b.refusedShare(now)))
+		b.waiting = max(0, b.waiting-elapsed*b.drainRate(now))
 	}
 	b.updatedAt = now
 }
 
+// drainRate returns the number of callers per second that can come back and be admitted: the
+// admissions that aren't needed for new callers, who lack room for the share that is refused.
+func (b *backlog) drainRate(now time.Time) float64 {
+	return b.admitted.perSecond(now) * (1 - b.refusedShare(now))
+}
+
 // refusedShare returns the share of the recent requests that was refused.
 func (b *backlog) refusedShare(now time.Time) float64 {
 	refused := b.refused.perSecond(now)
@@ -56,8 +63,8 @@
 	b.update(now)
 	b.refused.note(now)
 	b.waiting++
-	drain := b.waiting / max(1, b.admitted.perSecond(now))
-	return min(max(minRetryAfter, time.Duration(drain*float64(time.Second))), maxRetryAfter)
+	drain := min(b.waiting/max(minDrainRate, b.drainRate(now)), maxRetryAfter.Seconds())
+	return max(minRetryAfter, time.Duration(drain*float64(time.Second)))
 }
 
 // isEmpty reports whether no refused callers are expected back.
