Add workload: the work at an engine in tokens, its learned speed, predicted waits

Gateways counted requests, although one with 11,800 unread tokens takes a hundred times as long as one with 130.

Speed is learned at two time scales: usual rates (two lines fitted by least squares of relative errors, forgotten with 20 s, falling back to the mean of other engines) and a pace (300 ms) that is a factor on all of them. With one time scale of a second or two, an engine seen once a second would either lose what makes it permanently slower or not show a slow neighbour.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -41,7 +41,7 @@
 // belong to the same part.
 var partOf = map[string]part{
 	"catalog": gateways, "dispatch": gateways, "collect": gateways, "relay": gateways, "follower": gateways, "gateway": gateways,
-	"rollout": gateways,
+	"rollout": gateways, "workload": gateways,
 
 	"router": routers, "agent": routers, "coordination": routers, "admission": routers, "bundle": routers,
 	"membership": routers, "peering": routers, "objectstore": routers,
--- /dev/null
+++ b/internal/workload/fit.go
@@ -0,0 +1,94 @@
+package workload
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// priorWeight is the weight of what is assumed without samples, in samples.
+	priorWeight = 0.5
+	// smallestRatio and largestRatio limit what one sample says of the engine's speed. A slow
+	// neighbour makes work take 2.5 times as long; higher ratios are mostly due to unknown work.
+	smallestRatio = 0.5
+	largestRatio  = 4
+	// outlierRatio limits the ratio of a sample to the current fit of a line.
+	outlierRatio = 2
+	// smallestShare limits how far the parts of a line can fall below the fallback.
+	smallestShare = 0.1
+)
+
+// factor is a slowness, 1 being usual: the geometric mean of recent ratios.
+type factor struct {
+	weight, sum float64
+	at          time.Time
+	forgetting  time.Duration
+}
+
+// kept returns the fraction of the earlier samples' weight that is left.
+func (f *factor) kept(now time.Time) float64 {
+	return math.Exp(-max(now.Sub(f.at), 0).Seconds() / f.forgetting.Seconds())
+}
+
+func (f *factor) observe(now time.Time, ratio, weight float64) {
+	kept := f.kept(now)
+	f.weight = f.weight*kept + weight
+	f.sum = f.sum*kept + weight*math.Log(min(max(ratio, smallestRatio), largestRatio))
+	f.at = now
+}
+
+func (f *factor) value(now time.Time) float64 {
+	if f.weight == 0 {
+		return 1
+	}
+	kept := f.kept(now)
+	return math.Exp(f.sum * kept / (f.weight*kept + priorWeight))
+}
+
+// fittedLine is a line fitted to recent samples by least squares of relative errors. Two samples of
+// the fallback, at no load and at the typical load, are always included.
+type fittedLine struct {
+	Line
+	fallback Line
+	// typical is a typical load.
+	typical float64
+	// w to wxy are the weighted sums of the samples.
+	w, wx, wy, wxx, wxy float64
+}
+
+// sample is one observation: the load of a line, the ratio of the observed time to the usual one,
+// the weight for the line, and the weight for the engine's speed as a whole.
+type sample struct{ load, ratio, weight, speedWeight float64 }
+
+func (l *fittedLine) observe(seen sample) {
+	expected := l.at(seen.load)
+	l.add(seen.load, expected*min(max(seen.ratio, 1/outlierRatio), outlierRatio), seen.weight/(expected*expected))
+	l.Samples += seen.weight
+}
+
+func (l *fittedLine) add(x, y, weight float64) {
+	l.w += weight
+	l.wx += weight * x
+	l.wy += weight * y
+	l.wxx += weight * x * x
+	l.wxy += weight * x * y
+}
+
+// decay multiplies the weight of all samples by the fraction kept.
+func (l *fittedLine) decay(kept float64) {
+	l.Samples *= kept
+	l.w, l.wx, l.wy, l.wxx, l.wxy = l.w*kept, l.wx*kept, l.wy*kept, l.wxx*kept, l.wxy*kept
+}
+
+// fit updates the line. level scales the fallback: an engine that is slow at one load is probably
+// slow at all.
+func (l *fittedLine) fit(level float64) {
+	all := *l
+	for _, x := range [...]float64{0, l.typical} {
+		y := level * l.fallback.at(x)
+		all.add(x, y, priorWeight/(y*y))
+	}
+	slope := (all.w*all.wxy - all.wx*all.wy) / (all.w*all.wxx - all.wx*all.wx)
+	l.Each = max(slope, smallestShare*l.fallback.Each)
+	l.Fixed = max((all.wy-l.Each*all.wx)/all.w, smallestShare*l.fallback.Fixed)
+}
