Workload: rates fitted to one load only can't drift; guessed sizes are learned from

Engines whose fallback is the mean of all of them lost the slope of their prompt line together: where all samples have about the same load, the fit left the slope at its smallest value, a tenth of the fallback, and the next mean made that the new fallback. A dispatch test whose engine was ever slower showed it: 4e-10 s per token after 40 requests instead of 1.75e-5. The smallest value is now relative to the defaults, and the level that scales the fallback follows engines that are more than four times slower than it.

The lower limit of outliers was the integer division 1/2, that is 0: found by the property test once the level used it.

A run of a guessed size (the engine may copy parts that no one is known to hold) was never learned from. But the guess can only make the first token come early, so only those below 0.7 of the usual time are left out now.

--- a/internal/workload/fit.go
+++ b/internal/workload/fit.go
@@ -8,16 +8,16 @@
 const (
 	// priorWeight is the weight of what is assumed without samples, in samples.
 	priorWeight = 0.5
-	// smallestRatio and largestRatio limit what one sample says of the engine's speed. A slow
-	// neighbour makes work take 2.5 times as long; higher ratios are mostly due to unknown work.
-	smallestRatio = 0.5
-	largestRatio  = 4
-	// outlierRatio limits the ratio of a sample to the current fit of a line.
-	outlierRatio = 2
-	// smallestShare limits how far the parts of a line can fall below the fallback.
-	smallestShare = 0.1
+	// outlierRatio limits the ratio of a sample to the usual rates.
+	outlierRatio = 2.0
+	// smallestShare limits how far the parts of a line can fall below the default. A limit relative
+	// to the fallback, which is the mean of such lines, would let all of them fall together.
+	smallestShare = 0.02
 )
 
+// withoutOutlier limits the ratio of a sample to the usual rates.
+func withoutOutlier(ratio float64) float64 { return min(max(ratio, 1/outlierRatio), outlierRatio) }
+
 // factor is a slowness, 1 being usual: the geometric mean of recent ratios.
 type factor struct {
 	weight, sum float64
@@ -33,7 +33,7 @@
 func (f *factor) observe(now time.Time, ratio, weight float64) {
 	kept := f.kept(now)
 	f.weight = f.weight*kept + weight
-	f.sum = f.sum*kept + weight*math.Log(min(max(ratio, smallestRatio), largestRatio))
+	f.sum = f.sum*kept + weight*math.Log(ratio)
 	f.at = now
 }
 
@@ -50,6 +50,8 @@
 type fittedLine struct {
 	Line
 	fallback Line
+	// smallest holds the smallest possible parts of the line.
+	smallest Line
 	// typical is a typical load.
 	typical float64
 	// w to wxy are the weighted sums of the samples.
@@ -60,9 +62,13 @@
 // the weight for the line, and the weight for the engine's speed as a whole.
 type sample struct{ load, ratio, weight, speedWeight float64 }
 
+func newFittedLine(typical float64, standard Line) fittedLine {
+	return fittedLine{typical: typical, smallest: Line{Fixed: smallestShare * standard.Fixed, Each: smallestShare * standard.Each}}
+}
+
 func (l *fittedLine) observe(seen sample) {
 	expected := l.at(seen.load)
-	l.add(seen.load, expected*min(max(seen.ratio, 1/outlierRatio), outlierRatio), seen.weight/(expected*expected))
+	l.add(seen.load, expected*withoutOutlier(seen.ratio), seen.weight/(expected*expected))
 	l.Samples += seen.weight
 }
 
@@ -89,6 +95,6 @@
 		all.add(x, y, priorWeight/(y*y))
 	}
 	slope := (all.w*all.wxy - all.wx*all.wy) / (all.w*all.wxx - all.wx*all.wx)
-	l.Each = max(slope, smallestShare*l.fallback.Each)
-	l.Fixed = max((all.wy-l.Each*all.wx)/all.w, smallestShare*l.fallback.Fixed)
+	l.Each = max(slope, l.smallest.Each)
+	l.Fixed = max((all.wy-l.Each*all.wx)/all.w, l.smallest.Fixed)
 }
--- a/internal/workload/speed.go
+++ b/internal/workload/speed.go
@@ -46,7 +46,7 @@
 
 func newSpeed(fallback Rates) speed {
 	s := speed{
-		prompt: fittedLine{typical: typicalTokens}, step: fittedLine{typical: typicalStreams},
+		prompt: newFittedLine(typicalTokens, defaultRates.Prompt), step: newFittedLine(typicalStreams, defaultRates.Step),
 		level: factor{forgetting: usualForgetting}, pace: factor{forgetting: paceForgetting},
 		lastStepRatio: math.Inf(1),
 	}
@@ -104,10 +104,21 @@
 	s.observe(now, &s.step, sample{load: streams, ratio: lower, weight: stepWeight, speedWeight: stepWeight})
 }
 
+// smallestPace and largestPace limit what one sample says of the pace. A slow neighbour makes work
+// take 2.5 times as long; higher ratios are mostly due to unknown work.
+const (
+	smallestPace = 0.5
+	largestPace  = 4
+)
+
+func (s *speed) observePace(now time.Time, ratio, weight float64) {
+	s.pace.observe(now, min(max(ratio, smallestPace), largestPace), weight)
+}
+
 func (s *speed) observe(now time.Time, line *fittedLine, seen sample) {
 	s.age(now)
-	s.pace.observe(now, seen.ratio, seen.speedWeight)
-	s.level.observe(now, seen.ratio*line.at(seen.load)/line.fallback.at(seen.load), seen.speedWeight)
+	s.observePace(now, seen.ratio, seen.speedWeight)
+	s.level.observe(now, withoutOutlier(seen.ratio)*line.at(seen.load)/line.fallback.at(seen.load), seen.speedWeight)
 	line.observe(seen)
 	line.fit(s.level.value(now))
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -18,8 +18,8 @@
 	Memory int
 	// Output is the expected length of the answer; 0 if unknown.
 	Output int
-	// Guessed is true if Unread is uncertain, so that nothing is learned from the time to the
-	// first token.
+	// Guessed is true if the engine may hold more of the prompt than assumed, so that the first
+	// token may come far earlier than Unread suggests.
 	Guessed bool
 }
 
@@ -146,7 +146,7 @@
 	run := &Run{
 		size: size, began: now, ahead: forecast.ahead, usual: forecast.firstToken,
 		predicted: forecast.firstToken * e.speed.pace.value(now),
-		learnable: !size.Guessed && size.Unread > 0 && !forecast.queued,
+		learnable: size.Unread > 0 && !forecast.queued,
 	}
 	if e.waiting == 0 {
 		e.advancedAt = now
@@ -170,11 +170,17 @@
 	if run.size.Unread > 0 {
 		e.errors.note(now, run.Predicted(), actual)
 	}
-	if run.learnable {
-		e.speed.observePrefill(now, run.ahead, actual.Seconds()/run.usual)
+	ratio := actual.Seconds() / run.usual
+	if run.learnable && (!run.size.Guessed || ratio >= smallestGuessedRatio) {
+		e.speed.observePrefill(now, run.ahead, ratio)
 	}
 }
 
+// smallestGuessedRatio is the ratio to the usual time below which the first token of a run of a
+// guessed size is assumed to have come early because the engine held more of the prompt. Engines
+// differ by a factor of 1.3.
+const smallestGuessedRatio = 0.7
+
 // Progress records further tokens of the run after the first one.
 func (e *Engine) Progress(now time.Time, run *Run, tokens int) {
 	if run == nil || run.stage != streaming || tokens <= 0 {
@@ -224,8 +230,8 @@
 // time. Otherwise an engine that serves none of its requests in time would keep its prediction.
 func (e *Engine) noteAbandoned(now time.Time, run *Run) {
 	elapsed := now.Sub(run.began).Seconds()
-	if run.learnable && elapsed > run.predicted {
-		e.speed.pace.observe(now, elapsed/run.usual, 1)
+	if run.learnable && !run.size.Guessed && elapsed > run.predicted {
+		e.speed.observePace(now, elapsed/run.usual, 1)
 	}
 }
 
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -233,20 +233,24 @@
 	is.True(e.Pace(start.Add(time.Second)) > 1.5)
 }
 
-// The time to the first token of a guessed size, of an unknown one, and of a request that waited for
-// a slot says nothing about the engine's speed.
+// The time to the first token of an unknown size, and of a request that waited for a slot, says
+// nothing about the engine's speed. Nor does that of a guessed size if it is short.
 func TestUncertainTimesAreNotLearned(t *testing.T) {
 	is := is.New(t)
 	e := NewEngine(testLimits, Rates{}, nil)
-	for _, size := range []Size{{Unread: 9000, Guessed: true}, {Unread: 0}} {
+	for size, after := range map[Size]time.Duration{{Unread: 9000, Guessed: true}: 30 * time.Millisecond, {Unread: 0}: time.Second} {
 		run := e.Begin(start, Work{}, size)
-		e.FirstToken(start.Add(time.Second), run)
-		e.End(start.Add(time.Second), run)
+		e.FirstToken(start.Add(after), run)
+		e.End(start.Add(after), run)
 	}
+	e.End(start.Add(time.Second), e.Begin(start, Work{}, Size{Unread: 9000, Guessed: true}))
 	run := e.Begin(start, Work{Streams: 64}, Size{Unread: 9000})
 	e.FirstToken(start.Add(time.Second), run)
 	is.True(near(e.Pace(start.Add(time.Second)), 1))
 	is.Equal(e.Rates().Prompt.Samples, 0.0)
+	run = e.Begin(start, Work{}, Size{Unread: 9000, Guessed: true})
+	e.FirstToken(start.Add(time.Second), run)
+	is.True(e.Pace(start.Add(time.Second)) > 1.5) // it can't be explained by the guess
 }
 
 // What was learned is forgotten as time goes by without events, and the fallback applies again: the
@@ -276,6 +280,28 @@
 	is.True(rates.Step.at(4) > 2.4*defaultRates.Step.at(4) && rates.Step.at(4) < 3.6*defaultRates.Step.at(4))
 }
 
+// Engines whose fallback is the mean of their own rates must not drift away together, whatever
+// their samples are: here all at the same load, and each far slower than predicted.
+func TestRatesDoNotDriftWithMean(t *testing.T) {
+	is := is.New(t)
+	engines := []*Engine{NewEngine(testLimits, Rates{}, nil), NewEngine(testLimits, Rates{}, nil)}
+	now := start
+	for i := range 400 {
+		e := engines[i%2]
+		run := e.Begin(now, Work{}, Size{Unread: 500})
+		now = now.Add(time.Second)
+		e.FirstToken(now, run)
+		e.End(now, run)
+		mean := MeanRates(slices.Values([]Rates{engines[0].Rates(), engines[1].Rates()}))
+		engines[0].SetFallback(mean)
+		engines[1].SetFallback(mean)
+	}
+	t.Logf("%+v", engines[0].Rates())
+	is.True(engines[0].Rates().Prompt.Each >= smallestShare*defaultRates.Prompt.Each)
+	usual := engines[0].Rates().Prompt.at(500)
+	is.True(usual > 0.8 && usual < 1.2) // seconds
+}
+
 // The slope of the decode step shows in streams at several loads.
 func TestDecodeStepByStreams(t *testing.T) {
 	is := is.New(t)
