Dispatch: count the work of engines in tokens, learn their pace, predict waits

Members of services whose configuration names the memory of an engine have a workload.Engine. An attempt begins a run there; the handler passes on each event (Core.Progressed), and the release of the attempt ends the run. Tokens that the member is assumed to hold aren't unread, and those that it copies from a known holder count 0.08. A resumed stream includes what was received. No decision uses this yet. The mechanism "token-work" switches it off.

The other gateways' streams at an engine are those of the load estimate. Their unread and committed tokens are assumed to be this gateway's mean per stream of the service, until totals and peers' reports carry them.

harriernotch status shows unread and committed tokens, the predicted wait of an average request and the pace of each engine; request.sent has the predicted time to the first token; two gauges have the prediction error.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -125,7 +125,7 @@
 	for _, service := range status.Services {
 		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget)
 	}
-	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)")
+	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)\tUNREAD\tMEMORY\tWAIT\tPACE")
 	for _, each := range status.BackEnds {
 		health := each.Health
 		if each.Leaving {
@@ -137,11 +137,20 @@
 		if each.WarmsUp {
 			health += ", warming up"
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\t%s\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own, workColumns(each.Work))
 	}
 	return table.Flush()
 }
 
+// workColumns returns the columns of a table for the work of an engine, in tokens, its predicted
+// wait for the first token, and its pace. They are empty for other back ends.
+func workColumns(work *gateway.WorkStatus) string {
+	if work == nil {
+		return "\t\t\t"
+	}
+	return fmt.Sprintf("%d\t%d\t%.2fs\t%.2f", work.UnreadTokens, work.CommittedTokens, work.WaitSeconds, work.Pace)
+}
+
 func printStatus(output io.Writer, status daemon.Status) error {
 	confirmed := "never"
 	if status.ConfirmedSeconds >= 0 {
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -18,12 +18,13 @@
 	raw, err := json.Marshal(gateway.Status{
 		Role: gateway.RoleName, Ready: true, Version: 7, Gateways: 103, LoadAgeSeconds: 0.2,
 		Services: []gateway.ServiceStatus{{Name: "chat", BackEnds: 2, Unusable: 1, InFlight: 3, RetryBudget: 2.5}},
-		BackEnds: []gateway.BackEndStatus{{ID: "i-1", Service: "chat", Zone: "a", Health: "healthy", Leaving: true, Own: 3, Estimate: 8}},
+		BackEnds: []gateway.BackEndStatus{{ID: "i-1", Service: "chat", Zone: "a", Health: "healthy", Leaving: true, Own: 3, Estimate: 8,
+			Work: &gateway.WorkStatus{UnreadTokens: 5100, CommittedTokens: 70_000, WaitSeconds: 0.12, Pace: 1.31}}, {ID: "i-2", Service: "mail"}},
 	})
 	is.NoErr(err)
 	var output bytes.Buffer
 	is.NoErr(showStatus(&output, raw, outputTable))
-	for _, expected := range []string{"103 gateways", "configuration 7", "loads 0.2s old", "chat", "healthy, leaving", "8.0 (3)"} {
+	for _, expected := range []string{"103 gateways", "configuration 7", "loads 0.2s old", "chat", "healthy, leaving", "8.0 (3)", "5100", "70000", "0.12s", "1.31"} {
 		is.True(strings.Contains(output.String(), expected))
 	}
 	output.Reset()
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -3,13 +3,26 @@
 import (
 	"fmt"
 	"testing"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 // BenchmarkBegin measures one decision in pools of several sizes, with the fleet's totals known.
 func BenchmarkBegin(b *testing.B) {
+	benchmarkBegin(b, nil)
+}
+
+// BenchmarkBeginWithEngines measures the same with the work counted in tokens.
+func BenchmarkBeginWithEngines(b *testing.B) {
+	benchmarkBegin(b, []catalog.Service{engineService()})
+}
+
+func benchmarkBegin(b *testing.B, services []catalog.Service) {
 	for _, members := range []int{6, 180, 660} {
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
 			core := newCore(backEnds(members, 12))
+			core.SetServices(services)
 			core.SetGateways(103)
 			counts := make([]Count, members)
 			for i := range counts {
@@ -28,3 +41,26 @@
 		})
 	}
 }
+
+// BenchmarkRefreshWork measures the update of all engines of a service, every 250 ms at most.
+func BenchmarkRefreshWork(b *testing.B) {
+	core := newCore(backEnds(660, 12))
+	core.SetServices([]catalog.Service{engineService()})
+	now := start
+	for b.Loop() {
+		now = now.Add(workInterval)
+		core.refreshWork(now, "s", core.workOf("s"))
+	}
+}
+
+// BenchmarkProgressed measures one event of a stream.
+func BenchmarkProgressed(b *testing.B) {
+	core := engineCore(6)
+	x, _ := core.Begin(start, streamRequest("a"))
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(30 * time.Millisecond)
+		core.Progressed(now, x, testEventTokens)
+	}
+}
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -80,6 +80,8 @@
 	Retries Mechanism = "further-attempts"
 	// Resumption continues interrupted streams at another back end.
 	Resumption Mechanism = "resumption"
+	// Workload counts the work of engines in tokens and predicts waits from it.
+	Workload Mechanism = "token-work"
 )
 
 // Promises returns the mechanisms without which a promise to callers is broken.
@@ -91,7 +93,7 @@
 func Optimizations() []Mechanism {
 	return []Mechanism{
 		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, AdmissionLottery, ExtrapolatePeers, Spread, UrgencySteps,
-		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption,
+		EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse, FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Workload,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/limits"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // Config holds the parameters of a Core.
@@ -109,6 +110,8 @@
 	// leaving those whose answers announced that they are leaving.
 	displaced incarnationLog
 	leaving   incarnationLog
+	// work is what the engines of a service have in common, by service.
+	work map[string]*serviceWork
 }
 
 // HealthChange is a change in the assumed health of a back end.
@@ -166,6 +169,7 @@
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
 		leaving:         newIncarnationLog(),
+		work:            map[string]*serviceWork{},
 	}
 }
 
@@ -203,6 +207,7 @@
 	c.lapse(now, members)
 	c.members = members
 	c.pools = pools
+	c.updateEngines()
 	c.refreshRollouts(now)
 }
 
@@ -212,6 +217,7 @@
 	for _, each := range list {
 		c.services[each.Name] = each
 	}
+	c.updateEngines()
 }
 
 // SetLag sets how late this process currently runs its work. The lag is added to the silence
@@ -287,6 +293,8 @@
 	// the back end is warming up and its request rate is limited.
 	Evacuated bool
 	WarmsUp   bool
+	// Work is the work there; zero without an engine.
+	Work WorkStatus
 }
 
 // BackEndStatuses returns the status of all listed back ends, ordered by service and ID.
@@ -302,6 +310,7 @@
 
 				Evacuated: m.evacuated,
 				WarmsUp:   c.isWarmingUp(now, m),
+				Work:      c.workStatus(now, m),
 			})
 		}
 	}
@@ -320,13 +329,17 @@
 	// Healthy.
 	BackEnds int
 	Unusable int
+	// PredictionErrors are the recent errors of the predicted times to the first token.
+	PredictionErrors workload.ErrorSummary
 }
 
 // ServiceStatuses returns the status of all services that have back ends, ordered by name.
 func (c *Core) ServiceStatuses(now time.Time) []ServiceStatus {
 	var statuses []ServiceStatus
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
-		status := ServiceStatus{Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members)}
+		status := ServiceStatus{
+			Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members), PredictionErrors: c.predictionErrors(now, name),
+		}
 		for _, m := range c.pools[name].members {
 			status.InFlight += m.own
 			if m.health.status(now) != Healthy {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -6,6 +6,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // Phase is the state of an exchange.
@@ -50,6 +51,13 @@
 	completed bool
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
+	// engine and run account for the current attempt in tokens; nil if its member has no engine.
+	// hasFirstToken is set once the attempt has its first token, and received is the number of
+	// tokens received in all attempts.
+	engine        *workload.Engine
+	run           *workload.Run
+	hasFirstToken bool
+	received      int
 }
 
 // Attempts returns how many back ends may have received the request.
@@ -86,6 +94,10 @@
 	PoolSize int
 	// Version is the software version of the target during a rollout of its service, else "".
 	Version string
+	// EventTokens is the number of tokens in an event of a stream; see Core.Progressed. Predicted
+	// is the predicted time to the first token. Both are 0 if work isn't counted in tokens there.
+	EventTokens int
+	Predicted   time.Duration
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
@@ -152,6 +164,7 @@
 	x.sentAt = now
 	x.waitEnded = false
 	c.startRolloutAttempt(now, x, chosen)
+	c.beginWork(now, x, chosen, send)
 	chosen.own++
 	c.localResidenceOf(x.service).sent++
 	c.recordHealthChange(now, chosen)
--- a/internal/dispatch/holders.go
+++ b/internal/dispatch/holders.go
@@ -143,6 +143,19 @@
 	return backEnds
 }
 
+// holds reports whether the back end is assumed to hold the part, and whether any back end is known
+// to.
+func (h *holderMemory) holds(now time.Time, part partKey, backEnd catalog.Incarnation) (isHeld, isKnown bool) {
+	known, _ := h.parts.Peek(part)
+	for _, each := range known {
+		if now.Sub(each.usedAt) < holdingTTL {
+			isKnown = true
+			isHeld = isHeld || backEnd.Matches(each.backEnd)
+		}
+	}
+	return isHeld, isKnown
+}
+
 // updatesSince returns at most limit updates after the cursor, oldest first and grouped by back
 // end, and the next cursor.
 func (h *holderMemory) updatesSince(cursor uint64, limit int) ([]Holdings, uint64) {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // member is the state of one back end as this gateway sees it.
@@ -52,6 +53,9 @@
 	selected         bool
 	selectionCount   int
 	selectionVersion int
+	// engine accounts for the work there in tokens; nil unless the service's configuration calls
+	// for it.
+	engine *workload.Engine
 }
 
 func newMember(now time.Time, id string) *member {
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -23,6 +23,7 @@
 
 // releaseSlot subtracts the attempt from the member's load.
 func (x *Exchange) releaseSlot(now time.Time, m *member) {
+	x.endWork(now)
 	m.own = max(m.own-1, 0)
 	m.ended++
 	if x.request.affinity() == "" {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -63,6 +63,15 @@
 	return total
 }
 
+// partTokens returns the length of all parts of the prompt.
+func (r *Request) partTokens() int {
+	total := 0
+	for _, part := range r.Parts {
+		total += part.Tokens
+	}
+	return total
+}
+
 // shorterPrefixes returns the shared parts before the last one: the prefix that the prompt
 // has in common with prompts whose last shared part is another one. Each of them stands for the
 // prefix that ends with it.
--- /dev/null
+++ b/internal/dispatch/work.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/workload"
+)
+
+// The load of a model engine is also counted in tokens, because one request costs an engine up to a
+// hundred times as much as another; see package workload. Members of services whose configuration
+// states the memory of an engine have a workload.Engine.
+
+const (
+	// workInterval is the minimum time between two updates of what an engine is assumed to have
+	// in common with the others of its service.
+	workInterval = 250 * time.Millisecond
+	// workSmoothing is the weight of the latest update in the mean work per stream. A gateway of a
+	// large fleet has only about ten streams, so the mean is taken over about two seconds.
+	workSmoothing = 0.1
+	// averageSmoothing is the weight of the latest request in the average one.
+	averageSmoothing = 0.02
+	// copyShare is what copying a token costs an engine, relative to prefilling it: 16 ms instead
+	// of 200 ms for 10,000 tokens.
+	copyShare = 0.08
+)
+
+// serviceWork is what the engines of a service have in common.
+type serviceWork struct {
+	errors *workload.ErrorRecord
+	// updatedAt is when the engines' fallback rates and perStream were last updated.
+	updatedAt time.Time
+	fallback  workload.Rates
+	// perStream is the mean work per stream of this gateway, and average the average request,
+	// both in tokens.
+	perStream struct{ streams, unread, memory float64 }
+	average   struct{ unread, memory, output float64 }
+}
+
+// workOf returns the common state of the service's engines.
+func (c *Core) workOf(service string) *serviceWork {
+	work := c.work[service]
+	if work == nil {
+		work = &serviceWork{errors: workload.NewErrorRecord()}
+		c.work[service] = work
+	}
+	return work
+}
+
+// updateEngines gives each listed member an engine if its service's configuration calls for one.
+func (c *Core) updateEngines() {
+	for name, pool := range c.pools {
+		service := c.services[name]
+		if service.CacheTokens <= 0 || c.config.Disabled[Workload] {
+			delete(c.work, name)
+			for _, m := range pool.members {
+				m.engine = nil
+			}
+			continue
+		}
+		work := c.workOf(name)
+		for _, m := range pool.members {
+			limits := workload.Limits{Slots: m.backEnd.Slots, Memory: service.CacheTokens, EventTokens: service.EventTokens}
+			if m.engine == nil {
+				m.engine = workload.NewEngine(limits, work.fallback, work.errors)
+			}
+			m.engine.SetLimits(limits)
+		}
+	}
+}
+
+// refreshWork updates what the engines of the service have in common, at most once in each
+// workInterval.
+func (c *Core) refreshWork(now time.Time, service string, work *serviceWork) {
+	pool := c.pools[service]
+	if pool == nil || now.Sub(work.updatedAt) < workInterval {
+		return
+	}
+	work.updatedAt = now
+	work.fallback = workload.MeanRates(pool.rates)
+	var own workload.Work
+	for _, m := range pool.members {
+		if m.engine != nil {
+			m.engine.SetFallback(work.fallback)
+			own = own.Plus(m.engine.Own())
+		}
+	}
+	work.perStream.streams += workSmoothing * (float64(own.Streams) - work.perStream.streams)
+	work.perStream.unread += workSmoothing * (float64(own.Unread) - work.perStream.unread)
+	work.perStream.memory += workSmoothing * (float64(own.Memory) - work.perStream.memory)
+}
+
+// rates yields the rates of the pool's engines.
+func (p *pool) rates(yield func(workload.Rates) bool) {
+	for _, m := range p.members {
+		if m.engine != nil && !yield(m.engine.Rates()) {
+			return
+		}
+	}
+}
+
+// othersWork returns the work of all other gateways at the member's engine, given the estimated
+// load of the member. The number of their
+// streams is known as well as their load is. Their streams are assumed to have as many unread and
+// committed tokens as this gateway's streams of the service have on average.
+func (c *Core) othersWork(m *member, load float64) workload.Work {
+	streams := max(load-float64(m.own), 0)
+	result := workload.Work{Streams: int(streams + 0.5)}
+	if mean := c.workOf(m.backEnd.Service).perStream; mean.streams > 0 {
+		result.Unread = int(streams * mean.unread / mean.streams)
+		result.Memory = int(streams * mean.memory / mean.streams)
+	}
+	return result
+}
+
+// sizeAt returns the size of the exchange's request at the member. fetchFrom is the address from
+// which the member may copy parts of the prompt, or "".
+func (c *Core) sizeAt(now time.Time, x *Exchange, m *member, fetchFrom string) workload.Size {
+	shared := x.request.sharedTokens()
+	prompt := max(x.request.PromptTokens, x.request.partTokens())
+	held, copyable := c.knownTokens(now, x, m)
+	unread := prompt - held
+	if fetchFrom != "" {
+		unread -= int((1 - copyShare) * float64(copyable-held))
+	}
+	output := max(x.request.OutputTokens-x.received, 0)
+	return workload.Size{
+		Unread: unread + x.received, Memory: prompt - shared + x.received + output, Output: output,
+		// The source of a copy may hold more of the prompt than is known. The end of an answer that
+		// isn't a stream doesn't show that its first token was late.
+		Guessed: fetchFrom != "" && copyable < shared || !x.request.Route.Stream,
+	}
+}
+
+// knownTokens returns how many of the prompt's shared tokens the member is assumed to hold, and how
+// many it or any other back end is.
+func (c *Core) knownTokens(now time.Time, x *Exchange, m *member) (held, copyable int) {
+	tokens := 0
+	for i, part := range x.request.Parts {
+		if i > 0 && i == len(x.request.Parts)-1 {
+			break // the request's own part
+		}
+		tokens += part.Tokens
+		isHeld, isKnown := c.holders.holds(now, keyOf(part.ID), m.backEnd.Incarnation())
+		if isHeld {
+			held = tokens
+		}
+		if isKnown {
+			copyable = tokens
+		}
+	}
+	return held, copyable
+}
+
+// beginWork adds the attempt to the work of the chosen member's engine.
+func (c *Core) beginWork(now time.Time, x *Exchange, chosen *member, send *Send) {
+	if chosen.engine == nil {
+		return
+	}
+	work := c.workOf(x.service)
+	c.refreshWork(now, x.service, work)
+	size := c.sizeAt(now, x, chosen, send.FetchFrom)
+	work.average.unread += averageSmoothing * (float64(size.Unread) - work.average.unread)
+	work.average.memory += averageSmoothing * (float64(size.Memory) - work.average.memory)
+	work.average.output += averageSmoothing * (float64(size.Output) - work.average.output)
+	x.engine, x.run, x.hasFirstToken = chosen.engine, chosen.engine.Begin(now, c.othersWork(chosen, send.Estimate), size), false
+	send.EventTokens = max(c.services[x.service].EventTokens, 1)
+	send.Predicted = x.run.Predicted()
+}
+
+// Progressed records that an event with the given number of tokens has arrived. It needs to be
+// called only for attempts whose Send has EventTokens.
+func (c *Core) Progressed(now time.Time, x *Exchange, tokens int) {
+	if x.run == nil {
+		return
+	}
+	x.received += tokens
+	if !x.hasFirstToken {
+		x.hasFirstToken = true
+		x.engine.FirstToken(now, x.run)
+		return
+	}
+	x.engine.Progress(now, x.run, tokens)
+}
+
+// endWork removes the attempt from the work of its engine.
+func (x *Exchange) endWork(now time.Time) {
+	if x.run != nil {
+		x.engine.End(now, x.run)
+		x.engine, x.run = nil, nil
+	}
+}
+
+// WorkStatus is the work at a back end as this gateway sees it; zero without an engine.
+type WorkStatus struct {
+	// Own is the work of this gateway's requests, and All that of all gateways.
+	Own, All workload.Work
+	// Wait is the predicted time to the first token of an average request, and Pace the time
+	// that work takes there now, relative to the mean of the service's engines.
+	Wait time.Duration
+	Pace float64
+}
+
+func (c *Core) workStatus(now time.Time, m *member) WorkStatus {
+	if m.engine == nil {
+		return WorkStatus{}
+	}
+	others := c.othersWork(m, c.estimate(now, m))
+	average := c.workOf(m.backEnd.Service).average
+	size := workload.Size{Unread: int(average.unread), Memory: int(average.memory), Output: int(average.output)}
+	return WorkStatus{
+		Own: m.engine.Own(), All: m.engine.Own().Plus(others),
+		Wait: m.engine.Predict(now, others, size).FirstToken, Pace: m.engine.Pace(now),
+	}
+}
+
+// predictionErrors returns the recent errors of the service's predicted times to the first token.
+func (c *Core) predictionErrors(now time.Time, service string) workload.ErrorSummary {
+	if work := c.work[service]; work != nil {
+		return work.errors.Summary(now)
+	}
+	return workload.ErrorSummary{}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -104,6 +104,7 @@
 			return err
 		}
 		silence.reset()
+		h.config.State.progressed(c.exchange, result.send.EventTokens)
 		if s.events == 0 {
 			// The response header is sent with the first event. Until then, the answer of another
 			// back end or an error can still replace this one.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // Metrics records a gateway's metrics. The number of label values is bounded: services come from
@@ -147,6 +148,10 @@
 		scope.Gauge("under_way").Update(float64(service.InFlight))
 		scope.Gauge("back_ends").Update(float64(service.BackEnds))
 		scope.Gauge("back_ends_unusable").Update(float64(service.Unusable))
+		if errors := service.PredictionErrors; errors.Count > 0 {
+			scope.Gauge("prediction_error_median_seconds").Update(errors.Median.Seconds())
+			scope.Gauge("prediction_error_95th_seconds").Update(errors.Percentile95.Seconds())
+		}
 	}
 }
 
@@ -194,4 +199,6 @@
 	// dispatch.Healthy.
 	BackEnds int
 	Unusable int
+	// PredictionErrors are the recent errors of the predicted times to the first token.
+	PredictionErrors workload.ErrorSummary
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -48,6 +48,9 @@
 	fields["load_estimate"] = decision.send.Estimate
 	fields["candidates"] = decision.send.PoolSize
 	fields["store_age_ms"] = decision.storeAge.Milliseconds()
+	if decision.send.Predicted > 0 {
+		fields["predicted_first_token_ms"] = decision.send.Predicted.Milliseconds()
+	}
 	if decision.send.Version != "" {
 		fields["back_end_version"] = decision.send.Version
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -319,6 +319,16 @@
 	return decision
 }
 
+// progressed records an event of a stream with the given number of tokens, or nothing for 0.
+func (s *State) progressed(x *dispatch.Exchange, tokens int) {
+	if tokens == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.Progressed(s.clock.Now(), x, tokens)
+}
+
 // SetLag sets how late this process runs due work: lag is the recent maximum, and sustained
 // the delay that persists; see LagMeter.
 func (s *State) SetLag(lag, sustained time.Duration) {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/harriernotch/harriernotch/internal/dispatch"
+
 // Gauges returns the current values of the gateway's gauges.
 func (s *State) Gauges() Gauges {
 	s.mutex.Lock()
@@ -85,6 +87,31 @@
 	// number of all gateways' requests.
 	Own      int     `json:"own"`
 	Estimate float64 `json:"estimate"`
+	// Work is the work of a model engine; nil for other back ends.
+	Work *WorkStatus `json:"work,omitempty"`
+}
+
+// WorkStatus is the work of all gateways at a model engine, as estimated by this one.
+type WorkStatus struct {
+	// Streams counts the requests, UnreadTokens the prompt tokens to be prefilled, and
+	// CommittedTokens the memory that the requests take.
+	Streams         int `json:"streams"`
+	UnreadTokens    int `json:"unread_tokens"`
+	CommittedTokens int `json:"committed_tokens"`
+	// WaitSeconds is the predicted time to the first token of an average request, and Pace the
+	// time that work takes now, relative to the mean of the service's engines.
+	WaitSeconds float64 `json:"wait_seconds"`
+	Pace        float64 `json:"pace"`
+}
+
+func workStatus(work dispatch.WorkStatus) *WorkStatus {
+	if work == (dispatch.WorkStatus{}) {
+		return nil
+	}
+	return &WorkStatus{
+		Streams: work.All.Streams, UnreadTokens: work.All.Unread, CommittedTokens: work.All.Memory,
+		WaitSeconds: work.Wait.Seconds(), Pace: work.Pace,
+	}
 }
 
 // Status returns the current status.
@@ -115,6 +142,7 @@
 			ID: each.BackEnd.ID, Service: each.BackEnd.Service, Address: each.BackEnd.Address,
 			Zone: each.BackEnd.Zone, Leaving: each.BackEnd.Leaving, Version: each.BackEnd.Version, Health: each.Health.String(),
 			Evacuated: each.Evacuated, WarmsUp: each.WarmsUp, Own: each.Own, Estimate: each.Estimate,
+			Work: workStatus(each.Work),
 		})
 	}
 	return status
