--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -93,6 +93,8 @@
 	// PersistentConnections sends requests that may not be repeated on persistent connections while
 	// the back end certainly keeps them open.
 	PersistentConnections Mechanism = "persistent-connections"
+	// Workload counts the work of engines in tokens and predicts waits from it.
+	Workload Mechanism = "token-work"
 )
 
 // Promises returns the mechanisms without which a promise to callers is broken.
@@ -105,7 +107,7 @@
 	return []Mechanism{
 		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
 		ExtrapolatePeers, Spread, UrgencySteps, FairShare, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
-		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections,
+		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections, Workload,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/limits"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // Config holds the parameters of a Core.
@@ -123,6 +124,8 @@
 	// tenants by peer, in a small fleet.
 	fairShares  map[string]*fairshare.Share
 	peerDemands map[string]peerDemands
+	// work is what the engines of a service have in common, by service.
+	work map[string]*serviceWork
 }
 
 // HealthChange is a change in the assumed health of a back end.
@@ -185,6 +188,7 @@
 		leaving:         newIncarnationLog(),
 		fairShares:      map[string]*fairshare.Share{},
 		peerDemands:     map[string]peerDemands{},
+		work:            map[string]*serviceWork{},
 	}
 }
 
@@ -222,6 +226,7 @@
 	c.lapse(now, members)
 	c.members = members
 	c.pools = pools
+	c.updateEngines()
 	c.refreshRollouts(now)
 }
 
@@ -232,6 +237,7 @@
 		c.services[each.Name] = each
 	}
 	c.updateFairShares()
+	c.updateEngines()
 }
 
 // SetLag sets how late this process currently runs its work. The lag is added to the silence
@@ -307,6 +313,8 @@
 	// the back end is warming up and its request rate is limited.
 	Evacuated bool
 	WarmsUp   bool
+	// Work is the work there; zero without an engine.
+	Work WorkStatus
 }
 
 // BackEndStatuses returns the status of all listed back ends, ordered by service and ID.
@@ -322,6 +330,7 @@
 
 				Evacuated: m.evacuated,
 				WarmsUp:   c.isWarmingUp(now, m),
+				Work:      c.workStatus(now, m),
 			})
 		}
 	}
@@ -342,13 +351,17 @@
 	Unusable int
 	// Tenants are the tenants with the largest demand.
 	Tenants []fairshare.TenantStatus
+	// PredictionErrors are the recent errors of the predicted times to the first token.
+	PredictionErrors workload.ErrorSummary
 }
 
 // ServiceStatuses returns the status of all services that have back ends, ordered by name.
 func (c *Core) ServiceStatuses(now time.Time) []ServiceStatus {
 	var statuses []ServiceStatus
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
-		status := ServiceStatus{Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members)}
+		status := ServiceStatus{
+			Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members), PredictionErrors: c.predictionErrors(now, name),
+		}
 		for _, m := range c.pools[name].members {
 			status.InFlight += m.own
 			if m.health.status(now) != Healthy {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/fairshare"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 // Phase is the state of an exchange.
@@ -68,6 +69,13 @@
 	// answeredAt is when the current attempt was answered, and lastEventAt the time of the last event.
 	answeredAt  time.Time
 	lastEventAt time.Time
+	// engine and run account for the current attempt in tokens; nil if its member has no engine.
+	// hasFirstToken is set once the attempt has its first token, and received is the number of
+	// tokens received in all attempts.
+	engine        *workload.Engine
+	run           *workload.Run
+	hasFirstToken bool
+	received      int
 }
 
 // Attempts returns how many back ends may have received the request.
@@ -114,6 +122,10 @@
 	// ContinueFrom is the address of the back end that ran the request until now, of whose memory the
 	// target has a copy; "" for a new run.
 	ContinueFrom string
+	// EventTokens is the number of tokens in an event of a stream; see Core.Progressed. Predicted
+	// is the predicted time to the first token. Both are 0 if work isn't counted in tokens there.
+	EventTokens int
+	Predicted   time.Duration
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
@@ -194,6 +206,7 @@
 	x.sentAt = now
 	x.waitEnded = false
 	c.startRolloutAttempt(now, x, chosen)
+	c.beginWork(now, x, chosen, send)
 	chosen.own++
 	c.localResidenceOf(x.service).sent++
 	c.recordHealthChange(now, chosen)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -115,7 +115,7 @@
 		// Recorded only after admissionChance: a rate that includes this request would be too
 		// high by one per second.
 		m.demand.note(now)
-		if winsLottery(x, m, chance) && room.left >= 1 {
+		if winsLottery(x, m, chance) && room.left >= 1 && c.startsInTime(now, x, m) {
 			return m
 		}
 		// The spare places were drawn for here, so they aren't given away once more below.
