--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -15,7 +15,7 @@
 
 // BenchmarkBeginWithEngines measures the same with the work counted in tokens.
 func BenchmarkBeginWithEngines(b *testing.B) {
-	benchmarkBegin(b, []catalog.Service{engineService()})
+	benchmarkBegin(b, []catalog.Service{serviceOfEngines()})
 }
 
 func benchmarkBegin(b *testing.B, services []catalog.Service) {
@@ -45,7 +45,7 @@
 // BenchmarkRefreshWork measures the update of all engines of a service, every 250 ms at most.
 func BenchmarkRefreshWork(b *testing.B) {
 	core := newCore(backEnds(660, 12))
-	core.SetServices([]catalog.Service{engineService()})
+	core.SetServices([]catalog.Service{serviceOfEngines()})
 	now := start
 	for b.Loop() {
 		now = now.Add(workInterval)
@@ -55,7 +55,7 @@
 
 // BenchmarkProgressed measures one event of a stream.
 func BenchmarkProgressed(b *testing.B) {
-	core := engineCore(6)
+	core := coreOfEngines(6)
 	x, _ := core.Begin(start, streamRequest("a"))
 	now := start
 	b.ReportAllocs()
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -16,11 +16,11 @@
 // coreOfEngines returns a core whose service names engines with memory in tokens.
 func coreOfEngines(members int) *Core {
 	core := newCore(backEnds(members, 64))
-	core.SetServices([]catalog.Service{engineService()})
+	core.SetServices([]catalog.Service{serviceOfEngines()})
 	return core
 }
 
-func engineService() catalog.Service {
+func serviceOfEngines() catalog.Service {
 	return catalog.Service{Name: "s", CachesPrefixes: true, CacheTokens: 421_980, EventTokens: testEventTokens}
 }
 
@@ -77,7 +77,7 @@
 		// The configuration changes while the request is in flight.
 		func(*Exchange) {
 			core.SetServices(nil)
-			core.SetServices([]catalog.Service{engineService()})
+			core.SetServices([]catalog.Service{serviceOfEngines()})
 		},
 	}
 	for i, outcome := range outcomes {
