--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -23,7 +23,7 @@
 	for _, service := range s.core.ServiceStatuses(now) {
 		gauges.Services = append(gauges.Services, ServiceGauges{
 			Name: service.Name, RetryBudget: service.RetryBudget, InFlight: service.InFlight,
-			BackEnds: service.BackEnds, Unusable: service.Unusable,
+			BackEnds: service.BackEnds, Unusable: service.Unusable, PredictionErrors: service.PredictionErrors,
 		})
 	}
 	return gauges
