--- a/internal/dispatch/backup_test.go
+++ b/internal/dispatch/backup_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
 // engineService is a service of engines that back up runs.
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // BenchmarkBegin measures one decision in pools of several sizes, with the fleet's totals known.
@@ -28,3 +29,22 @@
 		})
 	}
 }
+
+// BenchmarkEventPassed measures what a gateway does in the core for each event of a stream.
+func BenchmarkEventPassed(b *testing.B) {
+	core := newEngineCore(46, 1)
+	x, _ := core.Begin(start, longRequest(singleStream(), "a"))
+	core.Answered(start, x, -1)
+	for i := range b.N {
+		core.EventPassed(start.Add(time.Duration(i)), x, 30*time.Millisecond, true)
+	}
+}
+
+// BenchmarkBeginWithBackup measures a decision that includes the choice of the backup's target.
+func BenchmarkBeginWithBackup(b *testing.B) {
+	core := newEngineCore(46, 1)
+	for range b.N {
+		x, _ := core.Begin(start, longRequest(singleStream(), "a"))
+		core.Done(start, x)
+	}
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -95,10 +95,11 @@
 }
 
 // WatchStream returns how the stream of the current attempt is watched. Silence has a consequence
-// only if the stream can be continued elsewhere.
+// only if the stream can be continued elsewhere. Only requests that state their tokens are watched by
+// pace, like everything else that concerns backups.
 func (c *Core) WatchStream(x *Exchange) StreamWatch {
 	route := x.request.Route
-	watch := StreamWatch{ByPace: c.backsUp(c.services[x.service])}
+	watch := StreamWatch{ByPace: c.backsUp(c.services[x.service]) && x.request.PromptTokens > 0}
 	if c.canBeResumed(x) {
 		watch.Limit = fixedSilenceLimit(route)
 	}
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
 // Callers leave after two seconds, four times the objective or eight times the pause objective.
@@ -79,6 +80,9 @@
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second, ByPace: true})
 	passEvents(core, start, x, 30)
 	is.True(core.StallWait(start.Add(time.Second), x) <= 0) // can be resumed without a backup
+
+	x, _ = core.Begin(start, request(resumableStream(3), "c"))
+	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second}) // a request without tokens is served as before
 }
 
 func (c *Core) memberAt(address string) *member {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -99,7 +99,7 @@
 // first event has broken off.
 func (h *Handler) copyEvents(c *call, s *stream, result outcome) error {
 	silence, watch := h.watchSilence(c, result)
-	defer silence.stop()
+	defer silence.pause()
 	reader := eventstream.NewReader(result.answer.Body)
 	for {
 		began := h.clock().Now()
@@ -236,6 +236,7 @@
 	close(started)
 }
 
+// pause stops the timer until reset. A decision in progress may start it again; that has no effect.
 func (t *silenceTimer) pause() {
 	t.paused.Store(true)
 	t.stop()
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -46,11 +46,12 @@
 	is.NoErr(err)
 	is.Equal(s.Gateway.LoadMultiple, 1.4)
 	is.Equal(*s.Gateway.WarmUpOverage, 1.0)
+	is.Equal(s.Gateway.BackupShare, 0.0)
 	s, err = Parse("s.toml", []byte(gatewaySettings+"warm_up_overage = 1.5\nwarm_up_extra = 5\n"))
 	is.NoErr(err)
 	is.Equal(*s.Gateway.WarmUpOverage, 1.5)
 	is.Equal(s.Gateway.WarmUpExtra, 5.0)
-	for _, line := range []string{"warm_up_overage = -1\n", "warm_up_extra = nan\n", "evacuation_bound = \"20m\"\n"} {
+	for _, line := range []string{"warm_up_overage = -1\n", "warm_up_extra = nan\n", "evacuation_bound = \"20m\"\n", "backup_share = 1.5\n"} {
 		_, err = Parse("s.toml", []byte(gatewaySettings+line))
 		is.True(err != nil)
 	}
