Fair share of tenants: only tenants beyond their share pay for refusals

The correction for refusals within shares lowered the level of all, so that at the beginning of a surge it marked tenants within their shares.

Now it lowers the shares of tenants that ask for more, down to what the largest of the others asks for. So it can be stronger: 30 times what was refused within shares instead of 10, at most 0.2 of what is admitted instead of 0.12.

A growth of 0.02 or 0.03 loses less, but TestLevelRisesOnceThereIsRoom fails: marks last longer than six seconds after the room has come back.

--- a/internal/fairshare/level.go
+++ b/internal/fairshare/level.go
@@ -55,7 +55,7 @@
 		result.smallest = smallest
 	}
 	if len(claims) > 1 { // a sole tenant displaces nobody
-		result.level = fairLevel(claims, capacityOf(all))
+		result.level = levelOf(claims, all.Admitted.perSecond(), all.Unserved.perSecond())
 	}
 	return result
 }
@@ -65,24 +65,35 @@
 	// within a share is refused. Without it, excess requests that find no room would keep the level
 	// where it is after capacity has become free.
 	growth = 0.04
-	// correction is how much less the shares are together, as a multiple of the work within shares
-	// that was refused recently, and maxCorrection limits that to a fraction of what is admitted.
-	// The work within shares varies, and without a margin some of it would find no room. Without
-	// the limit, the refusals at the beginning of a surge would lower the level below the demand
-	// of the other tenants.
-	correction    = 10
-	maxCorrection = 0.12
+	// correction is by how much less the shares are together, as a multiple of the work within
+	// shares that was refused recently, and maxCorrection limits that to a fraction of what is
+	// admitted. The work within shares varies, and without a margin some of it finds no room.
+	correction    = 30
+	maxCorrection = 0.2
 )
 
-// capacityOf returns what the shares together are: about what is admitted.
-func capacityOf(all Demand) float64 {
-	admitted := all.Admitted.perSecond()
-	return (1+growth)*admitted - min(correction*all.Unserved.perSecond(), maxCorrection*admitted)
+// levelOf returns the level for what is admitted, and for the part of the work within shares that
+// was refused. For the latter, only the shares of tenants that ask for more are lowered, and not
+// below what the others ask for: these must not be marked while there is one to take from.
+func levelOf(claims []claim, admitted, unserved float64) float64 {
+	level, within := fairLevel(claims, (1+growth)*admitted)
+	weights, largest := 0.0, 0.0
+	for _, each := range claims[within:] {
+		weights += each.weight
+	}
+	if within > 0 {
+		largest = claims[within-1].demand / claims[within-1].weight
+	}
+	if weights == 0 {
+		return level
+	}
+	return max(level-min(correction*unserved, maxCorrection*admitted)/weights, largest, 0)
 }
 
 // fairLevel returns the level at which the sum of min(demand, weight * level) over the claims is
-// the given capacity, or infinity if that exceeds the sum of the demands.
-func fairLevel(claims []claim, capacity float64) float64 {
+// the given capacity, or infinity if that exceeds the sum of the demands. It orders the claims by
+// demand for each weight and returns how many of them are within their share.
+func fairLevel(claims []claim, capacity float64) (level float64, within int) {
 	slices.SortFunc(claims, func(a, b claim) int {
 		return cmp.Or(cmp.Compare(a.demand*b.weight, b.demand*a.weight), cmp.Compare(a.weight, b.weight))
 	})
@@ -90,12 +101,12 @@
 	for _, each := range claims {
 		weights += each.weight
 	}
-	for _, each := range claims {
+	for i, each := range claims {
 		if each.demand*weights > capacity*each.weight {
-			return capacity / weights
+			return capacity / weights, i
 		}
 		capacity -= each.demand
 		weights -= each.weight
 	}
-	return math.Inf(1)
+	return math.Inf(1), len(claims)
 }
--- a/internal/fairshare/share_test.go
+++ b/internal/fairshare/share_test.go
@@ -52,7 +52,8 @@
 			sum += claims[i].demand
 		}
 		capacity := rapid.Float64Range(0, 1.2).Draw(t, "capacity") * sum
-		level, used := fairLevel(claims, capacity), 0.0
+		level, _ := fairLevel(claims, capacity)
+		used := 0.0
 		for _, each := range claims {
 			used += min(each.demand, each.weight*level)
 		}
@@ -62,6 +63,21 @@
 	})
 }
 
+// Refusals of work within shares lower the shares of tenants that ask for more, but not below what
+// the others ask for: those would be marked for the surge of one tenant.
+func TestRefusalsWithinSharesDoNotAffectSmallTenants(t *testing.T) {
+	is := is.New(t)
+	claims := func() []claim {
+		return []claim{{demand: 1000, weight: 1}, {demand: 40, weight: 1}, {demand: 60, weight: 2}, {demand: 20, weight: 1}}
+	}
+	const admitted = 400 / (1 + growth)
+	is.True(isNear(levelOf(claims(), admitted, 0), 280))
+	is.True(isNear(levelOf(claims(), admitted, 1), 280-correction))
+	is.True(levelOf(claims(), admitted, 5) > 200) // maxCorrection
+	is.True(isNear(levelOf(claims(), 160/(1+growth), 20), 40))
+	is.True(levelOf(claims()[:1], admitted, 20) < 400) // all ask for more
+}
+
 // Only the tenants beyond their share are marked, and each down to its share. Marking others would
 // make them pay for the one that asks for more.
 func TestOnlyTenantsBeyondTheirShareAreMarked(t *testing.T) {
