--- a/internal/workload/predict.go
+++ b/internal/workload/predict.go
@@ -19,10 +19,9 @@
 func (e *Engine) Predict(now time.Time, others Work, size Size) Prediction {
 	size = size.valid()
 	forecast := e.forecast(now, others, size)
-	pace := e.speed.pace.value(now)
 	return Prediction{
-		FirstToken: duration(pace * forecast.firstToken),
-		Pause:      duration(pace * e.pause(size.Unread, forecast.step)),
+		FirstToken: duration(e.speed.now(now, forecast.queued) * forecast.firstToken),
+		Pause:      duration(e.speed.now(now, false) * e.pause(size.Unread, forecast.step)),
 		Memory:     e.own.Memory + others.valid().Memory + size.Memory,
 	}
 }
--- a/internal/workload/simulated_test.go
+++ b/internal/workload/simulated_test.go
@@ -130,15 +130,17 @@
 	f.exchangedAt = now
 }
 
-// send lets a gateway send a request now.
-func (f *simulatedFleet) send(gateway int, size Size) *Run {
+// send lets a gateway send a request now. atFirstToken is called at the first token.
+func (f *simulatedFleet) send(gateway int, size Size, atFirstToken func(now time.Time)) {
 	e := f.gateways[gateway]
 	run := e.Begin(f.engine.now, f.others[gateway], size)
 	f.engine.queue = append(f.engine.queue, &simulatedRun{
 		unread: size.Unread, output: size.Output,
-		firstToken: func(now time.Time) { e.FirstToken(now.Add(f.network), run) },
-		progress:   func(now time.Time, tokens int) { e.Progress(now.Add(f.network), run, tokens) },
-		end:        func(now time.Time) { e.End(now.Add(f.network), run) },
+		firstToken: func(now time.Time) {
+			e.FirstToken(now.Add(f.network), run)
+			atFirstToken(now)
+		},
+		progress: func(now time.Time, tokens int) { e.Progress(now.Add(f.network), run, tokens) },
+		end:      func(now time.Time) { e.End(now.Add(f.network), run) },
 	})
-	return run
 }
--- a/internal/workload/speed.go
+++ b/internal/workload/speed.go
@@ -12,6 +12,9 @@
 	// paceForgetting is the time constant with which a temporary slowdown is forgotten. A slow
 	// neighbour lasts about 0.6 s. With 500 ms, too little of it showed before it was over.
 	paceForgetting = 300 * time.Millisecond
+	// queueForgetting is the time constant with which the waits of queued requests are forgotten: the
+	// time in which a queue of a few seconds is served.
+	queueForgetting = 4 * time.Second
 	// agingInterval is the minimum time between two updates of the usual rates for their age.
 	agingInterval = time.Second
 	// stepWeight is the weight of a sample of the decode step. There are several in each run.
@@ -38,6 +41,9 @@
 	// level is the engine's usual slowness relative to the fallback.
 	level factor
 	pace  factor
+	// queue is the factor by which the time of requests that wait for a slot or for memory differs
+	// from the forecast, which assumes that streams end at an even rate.
+	queue factor
 	// agedAt is when the age of the usual rates was last taken into account.
 	agedAt time.Time
 	// lastStepRatio is the previous sample of the decode step, relative to the usual one.
@@ -48,6 +54,7 @@
 	s := speed{
 		prompt: newFittedLine(typicalTokens, defaultRates.Prompt), step: newFittedLine(typicalStreams, defaultRates.Step),
 		level: factor{forgetting: usualForgetting}, pace: factor{forgetting: paceForgetting},
+		queue:         factor{forgetting: queueForgetting},
 		lastStepRatio: math.Inf(1),
 	}
 	s.setFallback(fallback)
@@ -91,6 +98,19 @@
 	s.observe(now, &s.prompt, sample{load: tokens, ratio: ratio, weight: 1, speedWeight: tokens / (tokens + halfWeightTokens)})
 }
 
+// observeQueue learns from a time to the first token that includes waiting for a slot or for memory.
+func (s *speed) observeQueue(now time.Time, ratio float64) {
+	s.queue.observe(now, withoutOutlier(ratio/s.pace.value(now)), 1)
+}
+
+// now returns the factor on the usual times at present, for a request that is queued or not.
+func (s *speed) now(now time.Time, queued bool) float64 {
+	if queued {
+		return s.pace.value(now) * s.queue.value(now)
+	}
+	return s.pace.value(now)
+}
+
 // observeSteps learns from the mean time of several decode steps, in seconds. Of each two
 // consecutive samples, the lower one is used: a slow engine delays both, whereas the unknown prefill
 // of another gateway's prompt mostly delays one.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -103,8 +103,8 @@
 	// speed and at its speed when the run began.
 	usual     float64
 	predicted float64
-	// learnable is false if the time to the first token says little about the engine's speed.
-	learnable bool
+	// queued is true if the run had to wait for a slot or for memory.
+	queued bool
 	// progressAt is when tokens, the number of tokens received since, was last set to 0.
 	progressAt time.Time
 	tokens     int
@@ -145,8 +145,7 @@
 	forecast := e.forecast(now, others, size)
 	run := &Run{
 		size: size, began: now, ahead: forecast.ahead, usual: forecast.firstToken,
-		predicted: forecast.firstToken * e.speed.pace.value(now),
-		learnable: size.Unread > 0 && !forecast.queued,
+		predicted: forecast.firstToken * e.speed.now(now, forecast.queued), queued: forecast.queued,
 	}
 	if e.waiting == 0 {
 		e.advancedAt = now
@@ -166,12 +165,19 @@
 	e.stopWaiting(now, run)
 	run.stage = streaming
 	run.progressAt = now
-	actual := now.Sub(run.began)
 	if run.size.Unread > 0 {
-		e.errors.note(now, run.Predicted(), actual)
+		e.errors.note(now, run.Predicted(), now.Sub(run.began))
+		e.learnFirstToken(now, run)
 	}
-	ratio := actual.Seconds() / run.usual
-	if run.learnable && (!run.size.Guessed || ratio >= smallestGuessedRatio) {
+}
+
+func (e *Engine) learnFirstToken(now time.Time, run *Run) {
+	ratio := now.Sub(run.began).Seconds() / run.usual
+	switch {
+	case run.size.Guessed && ratio < smallestGuessedRatio:
+	case run.queued:
+		e.speed.observeQueue(now, ratio)
+	default:
 		e.speed.observePrefill(now, run.ahead, ratio)
 	}
 }
@@ -230,7 +236,8 @@
 // time. Otherwise an engine that serves none of its requests in time would keep its prediction.
 func (e *Engine) noteAbandoned(now time.Time, run *Run) {
 	elapsed := now.Sub(run.began).Seconds()
-	if run.learnable && !run.size.Guessed && elapsed > run.predicted {
+	isKnown := run.size.Unread > 0 && !run.size.Guessed && !run.queued
+	if isKnown && elapsed > run.predicted {
 		e.speed.observePace(now, elapsed/run.usual, 1)
 	}
 }
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -31,7 +31,7 @@
 	sizes := []int{130, 4000, 1200, 11_800, 600, 7000}
 	for i, at := 0, f.engine.now; at.Before(start.Add(until)); i, at = i+1, at.Add(interval) {
 		f.advance(at)
-		f.send(i%len(f.gateways), Size{Unread: sizes[i%len(sizes)], Memory: 300, Output: 80})
+		f.send(i%len(f.gateways), Size{Unread: sizes[i%len(sizes)], Memory: 300, Output: 80}, func(time.Time) {})
 	}
 	f.advance(start.Add(until))
 }
@@ -125,6 +125,25 @@
 	is.True(last > 2*time.Second && last < 3*time.Second)
 }
 
+// The forecast of the wait for a slot assumes that streams end at an even rate. Where that is wrong,
+// the waits of earlier requests correct it.
+func TestWaitsForSlotsAreLearned(t *testing.T) {
+	is := is.New(t)
+	e := NewEngine(testLimits, Rates{}, nil)
+	size, others := Size{Unread: 100, Memory: 100, Output: 80}, Work{Streams: 150}
+	forecast := e.Predict(start, others, size).FirstToken
+	now := start
+	for range 5 {
+		run := e.Begin(now, others, size)
+		now = now.Add(forecast * 3 / 2)
+		e.FirstToken(now, run)
+		e.End(now, run)
+	}
+	ratio := e.Predict(now, others, size).FirstToken.Seconds() / forecast.Seconds()
+	is.True(ratio > 1.3 && ratio < 1.6)
+	is.True(near(e.Pace(now), 1)) // the engine isn't slower
+}
+
 // A request that doesn't fit into memory waits for running ones to end.
 func TestQueueForMemory(t *testing.T) {
 	is := is.New(t)
@@ -401,7 +420,7 @@
 				sizes := []int{130, 1200, 4000, 11_800, 600, 7000}
 				for at := start; at.Before(start.Add(60 * time.Second)); {
 					fleet.advance(at)
-					fleet.send(random.IntN(gateways), Size{Unread: sizes[random.IntN(len(sizes))], Memory: 300, Output: 80})
+					fleet.send(random.IntN(gateways), Size{Unread: sizes[random.IntN(len(sizes))], Memory: 300, Output: 80}, func(time.Time) {})
 					at = at.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
 				}
 				summary := fleet.errors.Summary(start.Add(60 * time.Second))
