Persistent connections need a recent sign of life of their back end

Connections can fall silent without a reset, and a machine that is cut off can't be reached on a new connection either. A request on a persistent connection is lost then, while one on a new connection is served or goes to another back end. With 3 s as the only limit, about every connection that was idle at the time would cost a request.

A connection is now used only if something arrived from its back end within 0.5 s, on itself or on a connection that was open when it last carried something: what silenced the one would have silenced the other too. Running streams give this proof. A refused connection closes the idle ones that would be refused as well, and the request is then sent on a new connection of the same transport, which can be kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,12 @@
 	transport := h.transport(c, send)
 	response, err := h.sendOn(ctx, transport, c, send, resumeAfter)
 	if errors.Is(err, keepalive.ErrNotSent) {
-		return h.sendOn(ctx, h.config.Fresh, c, send, resumeAfter)
+		// No idle connection is usable, so this opens one, unless the transport hasn't yet
+		// noticed that one is closed.
+		response, err = h.sendOn(ctx, transport, c, send, resumeAfter)
+	}
+	if errors.Is(err, keepalive.ErrNotSent) {
+		response, err = h.sendOn(ctx, h.config.Fresh, c, send, resumeAfter)
 	}
 	return response, err
 }
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -77,7 +77,6 @@
 		return
 	}
 	c.isIdle = true
-	e.transport.idle[c.address]++
 	closeNow := e.isAnswered && !c.closeWhenUnusable()
 	e.transport.mutex.Unlock()
 	if closeNow {
@@ -86,11 +85,12 @@
 }
 
 // conn is a connection that refuses to begin a request when that isn't safe. Transport.mutex
-// protects all fields but the first three, which don't change.
+// protects all fields but the first four, which don't change.
 type conn struct {
 	net.Conn
 	transport *Transport
 	address   string
+	openedAt  time.Time
 
 	// closed is true once the connection accepts no more bytes.
 	closed bool
@@ -110,6 +110,8 @@
 	// wrote long before, so finishedAfter no longer changes.
 	readAt       time.Time
 	readerPaused bool
+	// heardAt is when something arrived last.
+	heardAt time.Time
 	// usable is how long after finishedAfter another request may begin.
 	usable time.Duration
 	// isIdle is true while the connection is in the pool.
@@ -131,9 +133,14 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: opened, transport: t, address: address, finishedAfter: t.clock.Now(), usable: maxUnused}
+		now := t.clock.Now()
+		c := &conn{Conn: opened, transport: t, address: address, openedAt: now, finishedAfter: now, usable: maxUnused}
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
+		if t.conns[address] == nil {
+			t.conns[address] = map[*conn]bool{}
+		}
+		t.conns[address][c] = true
 		// If the request for which it was opened has got another one meanwhile, it waits in the pool.
 		c.closer = time.AfterFunc(maxUnused, c.closeWaiting)
 		return c, nil
@@ -149,6 +156,7 @@
 	isFirst, ok := c.accept()
 	if !ok {
 		_ = c.Close()
+		c.transport.closeUnusable(c.address)
 		return 0, errRefused
 	}
 	count, err := c.Conn.Write(bytes)
@@ -184,11 +192,24 @@
 // isUsable reports whether a request may begin. The lag of this process counts only after an answer:
 // a new connection isn't at risk, and replacing it would cost time that this process lacks.
 func (c *conn) isUsable(lag time.Duration) bool {
-	age := c.transport.clock.Since(c.finishedAfter)
-	if c.accepted != nil {
-		age += lag
+	now := c.transport.clock.Now()
+	age := now.Sub(c.finishedAfter)
+	if c.accepted == nil {
+		return age < c.usable
+	}
+	return age+lag < c.usable && c.isProven(now)
+}
+
+// isProven reports whether something has arrived within maxUnproven on this connection, or on one to
+// the same address that was open when this one last carried something: what silences this one since
+// then would have silenced that one too.
+func (c *conn) isProven(now time.Time) bool {
+	for other := range c.transport.conns[c.address] {
+		if !other.openedAt.After(c.heardAt) && now.Sub(other.heardAt) < maxUnproven {
+			return true
+		}
 	}
-	return age < c.usable
+	return false
 }
 
 // revoke records that no byte of the request was written, and that none will be.
@@ -214,6 +235,7 @@
 	now := c.transport.clock.Now()
 	c.transport.mutex.Lock()
 	defer c.transport.mutex.Unlock()
+	c.heardAt = now
 	if !c.readAt.IsZero() && began.Sub(c.readAt) > maxReadPause {
 		c.readerPaused = true
 	}
@@ -234,10 +256,32 @@
 	c.transport.mutex.Lock()
 	c.closed = true
 	c.stopWaiting()
+	sameAddress := c.transport.conns[c.address]
+	delete(sameAddress, c)
+	if len(sameAddress) == 0 {
+		delete(c.transport.conns, c.address)
+	}
 	c.transport.mutex.Unlock()
 	return c.Conn.Close()
 }
 
+// closeUnusable closes the idle connections to an address that aren't usable. net/http would choose them
+// next.
+func (t *Transport) closeUnusable(address string) {
+	lag := t.lag()
+	t.mutex.Lock()
+	var unusable []*conn
+	for c := range t.conns[address] {
+		if c.isIdle && !c.isUsable(lag) {
+			unusable = append(unusable, c)
+		}
+	}
+	t.mutex.Unlock()
+	for _, c := range unusable {
+		c.closeWaiting()
+	}
+}
+
 // closeWhenUnusable arranges that the idle connection is closed when it is no longer usable. It
 // returns false if it already isn't.
 func (c *conn) closeWhenUnusable() bool {
@@ -268,13 +312,5 @@
 		c.closer.Stop()
 		c.closer = nil
 	}
-	if !c.isIdle {
-		return
-	}
 	c.isIdle = false
-	idle := c.transport.idle
-	idle[c.address]--
-	if idle[c.address] == 0 {
-		delete(idle, c.address)
-	}
 }
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -10,7 +10,10 @@
 //   - The back end finished that answer less than N minus a margin ago. The margin covers the
 //     rounding of N, the way of the answer and of the request, and the lag of this process. When the
 //     back end finished isn't known: the earliest possible time is used; see conn.finishedAfter.
-//   - That was also less than maxIdle ago, because a connection may have gone silent since.
+//   - That was also less than maxIdle ago, and something has arrived from the back end within
+//     maxUnproven, on this connection or on one that is at least as old: connections may have gone
+//     silent without a reset, all of them or those to one machine. On a new connection the request
+//     wouldn't be lost, because it couldn't be opened or works.
 //   - The socket has no unread input. Before a request, input can only be the end of the connection
 //     or an error. This detects a back end that closed early, once the end has arrived here.
 //
@@ -26,8 +29,8 @@
 //   - The back end closes earlier than it stated, and the end is still on its way to this process.
 //   - The back end doesn't read a request that arrived in time until its own idle timer has fired.
 //     It must be stalled for longer than the margin for that.
-//   - The connection went silent less than maxIdle ago. The same would happen to a request that is
-//     waiting for its answer.
+//   - The connection went silent less than maxUnproven ago, or went silent alone. The same would
+//     happen to a request that is waiting for its answer.
 //   - This process is stopped between the check and the system call that follows it.
 package keepalive
 
@@ -49,6 +52,9 @@
 	// a longer time, but a path that lost its state in between (a failed-over address translation, a
 	// replaced machine) is noticed only by sending.
 	maxIdle = 3 * time.Second
+	// maxUnproven is the longest silence of a back end after which its connections are still used. The
+	// events of a stream from a busy engine come up to 0.3 s apart.
+	maxUnproven = 500 * time.Millisecond
 	// roundingMargin is the most by which a back end that rounds up to whole seconds states too much.
 	roundingMargin = time.Second
 	// transferMargin covers the end of the answer, the request, and one retransmission of each, which
@@ -70,26 +76,33 @@
 	clock *clock.Clock
 	lag   func() time.Duration
 
-	// mutex protects idle and the state of all connections and exchanges.
+	// mutex protects conns and the state of all connections and exchanges.
 	mutex sync.Mutex
-	// idle counts the idle connections by address.
-	idle map[string]int
+	// conns holds the open connections by address.
+	conns map[string]map[*conn]bool
 }
 
 // New returns a Transport that sends by inner, whose DialContext it replaces by one that calls the
 // previous one; nothing else may use inner for requests. lag returns how late this process runs.
 func New(inner *http.Transport, clock *clock.Clock, lag func() time.Duration) *Transport {
-	t := &Transport{inner: inner, clock: clock, lag: lag, idle: map[string]int{}}
+	t := &Transport{inner: inner, clock: clock, lag: lag, conns: map[string]map[*conn]bool{}}
 	inner.DialContext = t.trackDial(inner.DialContext)
 	inner.IdleConnTimeout = maxIdle
 	return t
 }
 
-// HasIdle reports whether an idle connection to the address exists, which has the form HOST:PORT.
+// HasIdle reports whether an idle connection to the address exists that may be used. The address has
+// the form HOST:PORT.
 func (t *Transport) HasIdle(address string) bool {
+	lag := t.lag()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.idle[address] > 0
+	for c := range t.conns[address] {
+		if c.isIdle && c.isUsable(lag) {
+			return true
+		}
+	}
+	return false
 }
 
 // CloseIdleConnections closes the connections that carry no request.
