Soak: back ends state and keep idle times

Stand-ins stated nothing, so the soak used no persistent connection for requests that may not be repeated. Of four back ends, three now state 2, 5 and 60 s, and close idle connections then.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -23,6 +23,9 @@
 	address string
 	zone    string
 	link    *link
+	// idleTime is how long it keeps an idle connection, which it states in its answers; 0 means always,
+	// and it states nothing.
+	idleTime time.Duration
 
 	mutex sync.Mutex
 	// idNumber is part of its ID. incarnation is the number of the current incarnation, which
@@ -57,6 +60,9 @@
 	eventCounts = 12
 )
 
+// idleTimes are the idle times of back ends, by their number.
+var idleTimes = []time.Duration{5 * time.Second, 0, 2 * time.Second, 60 * time.Second}
+
 func (b *backEnd) id() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -120,6 +126,9 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if b.idleTime > 0 {
+		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%.0f", b.idleTime.Seconds()))
+	}
 	acts := b.behaviour()
 	version, defect := b.software()
 	arrival := arrival{
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -176,14 +176,17 @@
 }
 
 func (f *fleet) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ErrorLog: discardLog()}
+	f.serveWith(&http.Server{Handler: handler, ErrorLog: discardLog()}, listener)
+}
+
+func (f *fleet) serveWith(server *http.Server, listener net.Listener) {
 	f.servers = append(f.servers, server)
 	f.serving.Go(func() { _ = server.Serve(listener) })
 }
 
 // newBackEnd creates a back end that is reachable but not listed in the store.
 func (f *fleet) newBackEnd(number int) (*backEnd, error) {
-	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), born: time.Now(), zone: zones[number%len(zones)]}
+	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), born: time.Now(), zone: zones[number%len(zones)], idleTime: idleTimes[number%len(idleTimes)]}
 	own, err := f.environment.Listen()
 	if err != nil {
 		return nil, err
@@ -192,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.serve(own, b)
+	f.serveWith(&http.Server{Handler: b, ErrorLog: discardLog(), IdleTimeout: b.idleTime}, own)
 	b.address = front.Addr().String()
 	b.link = newLink(f.environment, front, own.Addr().String())
 	return b, nil
