--- a/internal/keepalive/server_test.go
+++ b/internal/keepalive/server_test.go
@@ -155,7 +155,7 @@
 
 // startTCP starts the server on loopback, and returns its address and a transport to it that
 // measures time by the clock.
-func startTCP(t *testing.T, server *testServer, clock *clock.Clock) (string, *Transport) {
+func startTCP(t testing.TB, server *testServer, clock *clock.Clock) (string, *Transport) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
