--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -148,6 +148,11 @@
 		result.Seed, result.Faults, result.Requests, result.Served, result.Unknown, verdict); err != nil {
 		return err
 	}
+	if result.Interrupted > 0 {
+		if _, err := fmt.Fprintf(output, "  of %d streams with a backup that a crash interrupted, %d were answered whole\n", result.Interrupted, result.Survived); err != nil {
+			return err
+		}
+	}
 	if len(result.Violations) == 0 {
 		return nil
 	}
