--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -102,13 +102,13 @@
 // work returns the cost of the copy in prefilled tokens.
 func (b backupCost) work() int { return b.tokens * b.tokenBytes / copyBytesPerToken }
 
-// minBackupLoss is the smallest loss, in prefilled tokens, that is worth a backup. It corresponds to
-// 18 ms of an engine, about the time that setting up a copy takes.
-const minBackupLoss = 1024
+// minBackupLoss is the smallest loss, in prefilled tokens, that is worth a backup: a smaller one costs
+// no more than setting up a copy, as for minPublishedTokens.
+const minBackupLoss = minPublishedTokens
 
 // failureChance returns the assumed probability that the engine fails, or ends the run, before the
-// run has ended. These are assumptions: the fleet gives no figures. They only have to tell an engine
-// that works, where a backup in 10,000 is used, from one that probably doesn't.
+// run has ended. The values are assumptions, not measured: they only have to separate engines that
+// probably fail from the others, which get no backup at all.
 func (r BackupReason) failureChance() float64 {
 	switch r {
 	case BackupLeaving:
@@ -222,7 +222,8 @@
 }
 
 // spareMemoryShare is the share of an engine's memory that backups leave free: cached parts that are
-// in use take up some of it, and the loads of other gateways are out of date.
+// in use take up some of it, and the loads of other gateways are out of date. The value is an
+// assumption, since the memory in use isn't reported.
 const spareMemoryShare = 0.25
 
 // freeMemory estimates the memory of the member that neither running requests nor backups need. It
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -14,7 +14,7 @@
 	minSilence    = time.Second
 	// gapFactor and longestGapFactor are how many times the mean gap between events, and the longest
 	// gap so far, a silence may last before the pace of the engine no longer explains it. A step
-	// takes ten times as long while a prompt is prefilled beside it, which shows in single gaps.
+	// takes up to ten times as long while prompts are prefilled beside it, so gapFactor is above ten.
 	gapFactor        = 12
 	longestGapFactor = 2
 	// Callers leave after a gap of minPatience, patienceObjectives times the route's objective or
