Dispatch: one draw for the free places of a service; busy engines don't count as failed

Causes: requests that wait for a slot are too late; a second draw for places at back ends that aren't homes of a prompt gave away more than the room; a limit of six tenths for these concentrated all of them on the few engines below it; time-outs and silence at full engines ejected them, which moved parts.

Change: a request draws for the free places of the whole service before a back end is chosen, with a demand averaged over 250 ms; one request per slot; the limit of six tenths and homes are gone; engines at three quarters of their slots aren't taken for silent or failed because a request waited there.

--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -122,11 +123,15 @@
 type demand struct {
 	rate float64 // requests per second at the time at
 	at   time.Time
+	// timeConstant is demandTimeConstant if it is 0.
+	timeConstant time.Duration
 }
 
+func (d *demand) seconds() float64 { return cmp.Or(d.timeConstant, demandTimeConstant).Seconds() }
+
 // note counts a request for which the member was considered.
 func (d *demand) note(now time.Time) {
-	d.rate = d.perSecond(now) + 1/demandTimeConstant.Seconds()
+	d.rate = d.perSecond(now) + 1/d.seconds()
 	d.at = now
 }
 
@@ -134,5 +139,5 @@
 	if d.at.IsZero() {
 		return 0
 	}
-	return d.rate * math.Exp(-now.Sub(d.at).Seconds()/demandTimeConstant.Seconds())
+	return d.rate * math.Exp(-now.Sub(d.at).Seconds()/d.seconds())
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -101,8 +101,8 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	// overflows holds the rates of requests that no home of their prompt takes, by service.
-	overflows map[string]*demand
+	// asked holds the rates of this gateway's requests, by service.
+	asked map[string]*demand
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
 	// runMemory is the mean memory of a run, in tokens, by service.
@@ -179,7 +179,7 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
-		overflows:       map[string]*demand{},
+		asked:           map[string]*demand{},
 		backlogs:        map[string]*backlog{},
 		runMemory:       map[string]float64{},
 		gateways:        1,
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -66,6 +66,8 @@
 	quietSince time.Time
 	// allowance is added to silenceLimit; see Core.SetLag.
 	allowance time.Duration
+	// busy is set while the back end's load explains that requests wait longer than silenceLimit.
+	busy bool
 	// disabled is the set of mechanisms that are switched off; see Disabled.
 	disabled Disabled
 	// displaced is set when another back end was found at its address: the incarnation has
@@ -106,7 +108,7 @@
 	if h.retryWait(now) > 0 {
 		return Resting
 	}
-	if !h.disabled[SilenceDetection] && h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
+	if !h.disabled[SilenceDetection] && !h.busy && h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
 		return Silent
 	}
 	if h.onTrial && !h.disabled[Ejection] && !h.disabled[Trials] {
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -136,7 +136,12 @@
 // TimedOut records that no answer to pass on arrived within the attempt's head timeout or the
 // deadline. The request may have run.
 func (c *Core) TimedOut(now time.Time, x *Exchange) Decision {
-	c.endUnanswered(now, x, func(m *member) { m.health.connectionLost(now) })
+	c.endUnanswered(now, x, func(m *member) {
+		answeredOthers := m.health.quietSince.After(x.sentAt)
+		if !answeredOthers || !c.isBusy(now, m) {
+			m.health.connectionLost(now)
+		}
+	})
 	x.ran = failure.RanUnknown
 	return c.retryOrGiveUp(now, x, failure.TimedOut, "the back end did not answer in time")
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		eligible++
+		m.health.busy = c.isBusy(now, m)
 		if m.health.usable(now, x.request.Route.MayRepeat()) {
 			c.usable = append(c.usable, m)
 		}
@@ -89,27 +90,18 @@
 }
 
 // chooseByAffinity returns the first member, in the order of preference, that stays within the
-// bound on load and has room, which a lottery may decide. If there is none, it returns the least
-// loaded member that has room to spare, or nil. Members that have no room to spare for a prompt
-// that isn't theirs are passed over; see room.go.
+// bound on load and has room, which lotteries may decide. If there is none, it returns the least
+// loaded member that has room, or nil. It returns nil at once if the request doesn't get one of the
+// free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
+	if !c.winsPlace(now, x, candidates) {
+		return nil
+	}
 	bound := c.bound(now, x)
 	overflow := 0.0
-	lostPlace := false
 	c.orderByPreference(now, x, candidates)
-	for position := 0; ; position++ {
-		isHome := c.nextIsHome(position)
-		m := c.nextPreferred()
-		if m == nil && lostPlace {
-			return nil
-		}
-		if m == nil {
-			return c.leastLoadedWithSpareRoom(now, x, candidates)
-		}
-		room := c.roomFor(now, m, x, isHome)
-		if !isHome && room.left < 1 {
-			continue
-		}
+	for m := c.nextPreferred(); m != nil; m = c.nextPreferred() {
+		room := c.roomFor(now, m, x)
 		var chance float64
 		chance, overflow = c.admissionChance(now, m, min(bound, room.limit), overflow)
 		// Recorded only after admissionChance: a rate that includes this request would be too
@@ -118,9 +110,8 @@
 		if winsLottery(x, m, chance) && room.left >= 1 && c.startsInTime(now, x, m) {
 			return m
 		}
-		// The spare places were drawn for here, so they aren't given away once more below.
-		lostPlace = lostPlace || !isHome && room.limit < bound
 	}
+	return c.leastLoaded(now, x, candidates)
 }
 
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
@@ -176,12 +167,6 @@
 	return first
 }
 
-// nextIsHome reports whether the next candidate, at the given position of the order, is a home of
-// the prompt: one that is assumed to hold its shared parts, or one of the first in the order.
-func (c *Core) nextIsHome(position int) bool {
-	return position < homesPerPart || c.order.second == nil && c.order.ranking.firstIsPreferred()
-}
-
 // memoryShare returns the share of the member's memory that the prompts it is assumed to hold
 // take up; 0 if its size is unknown.
 func (c *Core) memoryShare(m *member) float64 {
@@ -207,7 +192,7 @@
 	var bestLoad float64
 	var bestHash uint64
 	for _, m := range candidates {
-		if c.roomFor(now, m, x, false).left < 1 {
+		if !c.hasRoom(now, m, x) {
 			continue
 		}
 		load := c.estimate(now, m)
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -7,35 +7,34 @@
 )
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
-// places that become free. Three rules answer this load pattern. The less urgent a request is, the
-// more places it leaves free (trunk reservation), except for a part of each rank, so that none is
-// starved. A back end keeps places free for the prompts that it is a home of: otherwise every full
-// home would push its prompts on to all other back ends, where they are prefilled again and evict
-// what is cached there. And the places that are free anywhere are given away by lottery, because
-// each gateway would fill all of them before it hears of the others.
+// places that become free. Two rules answer this load pattern. The less urgent a request is, the
+// more places it leaves free (trunk reservation), and so does a request beyond its tenant's fair
+// share; a part of each rank leaves none, so that no rank is starved. And the places that are free
+// in the whole service are given away by lottery before a back end is chosen: each gateway would
+// fill all of them before it hears of the others, and requests that are refused only after they
+// looked for a place at every back end would have moved their prompts' parts there.
 
 const (
 	// urgencyStep is the fraction of a caching back end's slots that each less urgent rank
 	// leaves free, up to lastUrgencyStep ranks.
 	urgencyStep     = 0.08
 	lastUrgencyStep = 4
-	// engineFactor and engineUrgencyStep replace Config.CachingFactor and urgencyStep where work
-	// is counted in tokens. More requests than slots wait at the engine, which keeps its slots in
-	// use while gateways know loads late; a tenth of the slots ends within that time. A few places
-	// per rank suffice to let more urgent requests in first.
-	engineFactor      = 1.1
+	// engineFactor and engineUrgencyStep replace Config.CachingFactor and urgencyStep where work is
+	// counted in tokens. A request that waits for a slot has its first token too late; and a few
+	// places for each rank suffice to let more urgent requests in first.
+	engineFactor      = 1.0
 	engineUrgencyStep = 0.03
 	// unreservedShare is the share of each rank that may take every place.
 	unreservedShare = 0.3
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
 	excessShare = 0.93
-	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
-	// it isn't a home of.
-	spareShare = 0.6
-	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
-	// one can be used, which balances parts of unequal demand.
-	homesPerPart = 2
+	// serviceDemandTime is the time constant of the demand for a service. A longer one would let
+	// the first moments of a burst fill several times the free places.
+	serviceDemandTime = 250 * time.Millisecond
+	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
+	// than silenceLimit.
+	busyShare = 0.75
 	// defaultCapacity applies to back ends that don't report their number of slots.
 	defaultCapacity = 64
 )
@@ -50,22 +49,18 @@
 	left  float64
 }
 
-// roomFor returns the member's room for the request. isHome tells whether the member is a home of
-// the request's prompt; it doesn't matter without a prompt.
-func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
+// roomFor returns the member's room for the request.
+func (c *Core) roomFor(now time.Time, m *member, x *Exchange) room {
 	limit := c.capacity(now, m, x)
 	if c.isExcess(now, x) {
 		limit *= excessShare
 	}
-	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
-		limit *= spareShare
-	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
 }
 
-// hasRoom reports whether the member, as a home of the request's prompt, has room for the request.
+// hasRoom reports whether the member has room for the request.
 func (c *Core) hasRoom(now time.Time, m *member, x *Exchange) bool {
-	return c.roomFor(now, m, x, true).left >= 1
+	return c.roomFor(now, m, x).left >= 1
 }
 
 // countsTokens reports whether the work of the request is known in tokens: its service's engines
@@ -119,37 +114,45 @@
 	return float64(xxhash.Sum64String(x.request.ID)%scale) < scale*share
 }
 
-// leastLoadedWithSpareRoom returns a member that has room to spare for a prompt that none of its
-// homes takes, or nil. Every gateway sees the same free places, so they are given away by lottery.
-func (c *Core) leastLoadedWithSpareRoom(now time.Time, x *Exchange, candidates []*member) *member {
-	if c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] {
-		return c.leastLoaded(now, x, candidates)
-	}
-	rooms := 0.0
-	for _, m := range candidates {
-		if each := c.roomFor(now, m, x, false); each.left >= 1 {
-			rooms += each.left
-		}
+// winsPlace draws whether the request gets one of the free places of its service. Every gateway
+// sees the same places, so each gives away its share of them. The demand of the other gateways is
+// assumed to be as high as this one's: the balancer distributes callers evenly, and what others
+// report is older than the places.
+func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
+	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
+		return true
 	}
-	overflow := c.overflowOf(x.service)
 	interval := c.peers.interval
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	contenders := max(1, overflow.perSecond(now)*interval.Seconds()) * float64(c.gateways)
-	overflow.note(now)
-	if !isDrawn(x, min(1, lotteryShare*rooms/contenders)) {
-		return nil
+	rooms := 0.0
+	for _, m := range candidates {
+		left := c.roomFor(now, m, x).left
+		if c.totalsAreFresh(now) {
+			left += reusableShare * m.endedPerSecond * interval.Seconds()
+		}
+		rooms += max(0, left)
 	}
-	return c.leastLoaded(now, x, candidates)
+	asked := c.askedOf(x.service)
+	contenders := max(1, asked.perSecond(now)*interval.Seconds()) * float64(c.gateways)
+	asked.note(now)
+	const scale = 1 << 16
+	return float64(xxhash.Sum64String("place"+x.request.ID)%scale) < scale*lotteryShare*rooms/contenders
 }
 
-// overflowOf returns the rate of this gateway's requests to the service that no home takes.
-func (c *Core) overflowOf(service string) *demand {
-	known := c.overflows[service]
+// askedOf returns the rate of this gateway's requests to the service.
+func (c *Core) askedOf(service string) *demand {
+	known := c.asked[service]
 	if known == nil {
-		known = &demand{}
-		c.overflows[service] = known
+		known = &demand{timeConstant: serviceDemandTime}
+		c.asked[service] = known
 	}
 	return known
 }
+
+// isBusy reports whether the member is an engine at which so much runs that new requests may wait
+// for longer than silenceLimit. Silence and time-outs there are no sign of a failure.
+func (c *Core) isBusy(now time.Time, m *member) bool {
+	return c.services[m.backEnd.Service].CacheTokens > 0 && m.backEnd.Slots > 0 && c.knownLoad(now, m) >= busyShare*float64(m.backEnd.Slots)
+}
