--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -107,7 +107,7 @@
 		// Recorded only after admissionChance: a rate that includes this request would be too
 		// high by one per second.
 		m.demand.note(now)
-		if winsLottery(x, m, chance) && room.left >= 1 && c.startsInTime(now, x, m) {
+		if winsLottery(x, m, chance) && room.left >= 1 {
 			return m
 		}
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -96,18 +96,6 @@
 	return min(x.request.Urgency, lastUrgencyStep)
 }
 
-// startsInTime reports whether the first token of the request is predicted to come from the member
-// before the caller leaves. A request that would only wait there takes memory and a place in the
-// queue from others.
-func (c *Core) startsInTime(now time.Time, x *Exchange, m *member) bool {
-	if m.engine == nil || !c.countsTokens(x) || !x.request.Route.Stream {
-		return true
-	}
-	size := c.sizeAt(now, x, m, "")
-	predicted := m.engine.Predict(now, c.othersWork(m, c.estimate(now, m)), size).FirstToken
-	return predicted < min(patience(x.request.Route), x.request.Deadline.Sub(now))
-}
-
 // isDrawn draws the given share of requests, by a hash of the request.
 func isDrawn(x *Exchange, share float64) bool {
 	const scale = 1 << 16
