--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -4,8 +4,8 @@
 	"container/heap"
 	"fmt"
 	"math"
+	"math/bits"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -89,12 +89,11 @@
 	// while it predicts none. waits are the predicted and the actual waits.
 	predict func(x *Exchange, send *Send) time.Duration
 	waits   [][2]time.Duration
-	// trace is called for each attempt before it reaches its engine, with the loads that it finds.
-	trace func(c *caller, explained choice, send *Send, load int, mean float64)
 }
 
 // caller is a request of a caller with its outcome.
 type caller struct {
+	number        int
 	class         *requestClass
 	tenant        int
 	part          string
@@ -114,6 +113,7 @@
 	firstToken    time.Duration
 	longestPause  time.Duration
 	served        bool
+	endedAt       time.Time
 	refusals      int
 	lateRefusals  int // after an attempt had been sent
 	latestRefusal time.Duration
@@ -199,7 +199,9 @@
 		totals.Counts = append(totals.Counts, sum.Minus(summed[key]).Plus(own[key]))
 	}
 	core.ApplyTotals(f.now, counts, totals)
-	const holdingsPerMessage = 12
+	// As in internal/relay: 500 per second on all links, less in large fleets, and at least 4 in a message.
+	links := bits.Len(uint(len(f.cores) - 1))
+	holdingsPerMessage := max(4, int(500*exchangeInterval.Seconds()*min(1, 30/float64(len(f.cores)))/float64(max(links, 1))))
 	for distance := 1; distance < len(f.cores); distance *= 2 {
 		peer := (gateway + distance) % len(f.cores)
 		link := [2]int{gateway, peer}
@@ -260,9 +262,9 @@
 		class = &requestClasses[(indexOf(class)+1)%len(requestClasses)]
 	}
 	large := max(f.load.largeTenant, 1)
-	tenant := max(0, int(f.random.Float64()*(overloadTenants-1+large)-large)+1)
+	tenant := max(0, int(math.Floor(f.random.Float64()*(overloadTenants-1+large)-large))+1)
 	c := &caller{
-		class: class, tenant: tenant, own: f.varied(class.own), output: f.varied(class.output), askedAt: f.now,
+		number: len(f.callers), class: class, tenant: tenant, own: f.varied(class.own), output: f.varied(class.output), askedAt: f.now,
 		deadline: f.now.Add(class.deadline), gateway: f.random.IntN(len(f.cores)), returnsLeft: 1,
 		part: fmt.Sprint(class.name, int(partsPerClass*math.Pow(f.random.Float64(), 1+overloadPartSkew))),
 	}
@@ -289,21 +291,17 @@
 	c.arrivedAt = f.now
 	request := Request{
 		ID: fmt.Sprint(f.requests), Route: c.class.route, Path: "/" + c.class.name, Tenant: fmt.Sprint("t", c.tenant),
-		Parts:        []Part{{ID: c.part, Tokens: c.class.shared}, {ID: fmt.Sprint("own", f.requests), Tokens: c.own}},
+		Parts:        []Part{{ID: c.part, Tokens: c.class.shared}, {ID: fmt.Sprint("own", c.number), Tokens: c.own}},
 		PromptTokens: c.class.shared + c.own, OutputTokens: c.hint, Urgency: c.class.route.Priority, Deadline: c.deadline,
 	}
 	core := f.cores[c.gateway]
-	var explained choice
-	if f.trace != nil {
-		explained = explainChoice(core, f.now, request)
-	}
 	var decision Decision
 	c.x, decision = core.Begin(f.now, request)
-	f.follow(c, decision, explained)
+	f.follow(c, decision)
 }
 
 // follow carries out a decision for the caller.
-func (f *overloadFleet) follow(c *caller, decision Decision, explained choice) {
+func (f *overloadFleet) follow(c *caller, decision Decision) {
 	if decision.Send == nil {
 		f.refuse(c, decision.GiveUp)
 		return
@@ -318,9 +316,6 @@
 	mean := float64(total) / float64(len(f.engines))
 	load := engine.load() + 1
 	f.arrivals = append(f.arrivals, arrival{at: f.now, overBound: float64(load) > allowedMultiple*mean+allowedSlack})
-	if f.trace != nil {
-		f.trace(c, explained, send, load, mean)
-	}
 	if f.predict != nil {
 		c.predicted = f.predict(c.x, send)
 	}
@@ -340,6 +335,7 @@
 		onEnd: func() {
 			c.attempt++
 			c.longestPause = max(c.longestPause, f.now.Sub(c.lastEventAt))
+			c.endedAt = f.now
 			c.served = c.firstToken <= c.class.route.Objective && c.longestPause <= c.class.route.PauseObjective
 			core.Completed(c.x)
 			core.Done(f.now, c.x)
@@ -355,7 +351,7 @@
 	if send.HeadTimeout > 0 && f.now.Add(send.HeadTimeout).Before(c.deadline) {
 		f.schedule(f.now.Add(send.HeadTimeout), func() {
 			if c.attempt == attempt && c.run.generated == 0 {
-				f.follow(c, f.endAttempt(c, core), choice{path: "after a time-out"})
+				f.follow(c, f.endAttempt(c, core))
 			}
 		})
 	}
@@ -400,58 +396,3 @@
 	}
 	f.prefills[part] = true
 }
-
-// choice is how Core chooses the back end of a request: the path in chooseByAffinity, the number of
-// members that were considered before, and what was known of the chosen one.
-type choice struct {
-	path          string
-	rank          int
-	isHolder      bool
-	chance        float64
-	bound         float64
-	estimatedMean float64
-	// candidates and withRoom count the members that may be chosen and those of them that have
-	// room, by the core's estimates; excludedWithRoom are the other members that have room.
-	candidates, withRoom, excludedWithRoom int
-	totalsAge                              time.Duration
-}
-
-// explainChoice returns how the core would choose now. It repeats the steps of chooseByAffinity
-// without recording any demand.
-func explainChoice(c *Core, now time.Time, request Request) choice {
-	x := &Exchange{request: request, service: "s"}
-	candidates := c.withWarmUpQuota(now, c.candidates(now, x))
-	pool := c.poolMembers(now, "s")
-	explained := choice{bound: c.bound(now, x), candidates: len(candidates), totalsAge: now.Sub(c.totalsAt)}
-	for _, m := range pool {
-		explained.estimatedMean += c.estimate(now, m) / float64(len(pool))
-		switch {
-		case !c.hasRoom(now, m, x):
-		case slices.Contains(candidates, m):
-			explained.withRoom++
-		default:
-			explained.excludedWithRoom++
-		}
-	}
-	c.orderByPreference(now, x, candidates)
-	overflow := 0.0
-	for ; ; explained.rank++ {
-		explained.isHolder = c.order.ranking.firstIsPreferred()
-		m := c.nextPreferred()
-		if m == nil {
-			explained.path = "leastLoaded"
-			if c.totalsAreFresh(now) {
-				explained.path = "spread"
-			}
-			return explained
-		}
-		explained.chance, overflow = c.admissionChance(now, m, explained.bound, overflow)
-		if winsLottery(x, m, explained.chance) && c.hasRoom(now, m, x) {
-			explained.path = "lottery"
-			if explained.chance >= 1 {
-				explained.path = "bound"
-			}
-			return explained
-		}
-	}
-}
