Dispatch test: gateways together don't overfill the last back end with room

When nearly all back ends were full, each gateway filled all the places that it saw free until the next totals. The test has eight gateways and four back ends, three of them full, and counts what the gateways together send until totals contain it (two intervals).

--- /dev/null
+++ b/internal/dispatch/room_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// Guards against gateways that each fill all the places that they see free: when nearly all back ends
+// were full, one got 256 requests where the mean was 120.
+func TestGatewaysTogetherDontOverfillTheLastBackEndWithRoom(t *testing.T) {
+	const gateways, backEndCount, rounds = 8, 4, 12
+	for _, load := range []struct{ full, last uint32 }{{90, 30}, {90, 70}, {200, 50}} {
+		for _, perRound := range []int{1, 5, 20} {
+			t.Run(fmt.Sprint(load.full, " and ", load.last, " requests, ", perRound, " more each"), func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(5, 5))
+				list := backEnds(backEndCount, modelSlots)
+				totals := Totals{Counted: gateways, Expected: gateways}
+				for i, each := range list {
+					count := Count{Key: CountKey(each.ID), Requests: load.full}
+					if i == 0 {
+						count.Requests = load.last
+					}
+					totals.Counts = append(totals.Counts, count)
+				}
+				var cores []*Core
+				for range gateways {
+					core := newCore(list)
+					core.SetServices([]catalog.Service{{Name: "s", CachesPrefixes: true, CacheTokens: modelMemory}})
+					core.SetGateways(gateways)
+					cores = append(cores, core)
+				}
+				room := int(DefaultConfig().CachingFactor*modelSlots) - int(load.last)
+				now, sent, taken, most := start, 0, 0, 0
+				var ends []func()
+				for round := range rounds {
+					if round == rounds/2 {
+						most = 0 // until then, the gateways don't know the demand
+					}
+					reports := make([][]Count, gateways)
+					for i := range totals.Counts {
+						totals.Counts[i].Demand = 0
+					}
+					for i, core := range cores {
+						reports[i] = core.Counts(now)
+						for j := range reports[i] {
+							reports[i][j].Requests, reports[i][j].Ended = 0, 0
+						}
+						for key, report := range byKey[uint32](reports[i]) {
+							at := slices.IndexFunc(totals.Counts, func(each Count) bool { return each.Key == key })
+							totals.Counts[at].Demand += report.Demand
+						}
+					}
+					for i, core := range cores {
+						core.ApplyTotals(now, reports[i], totals)
+					}
+					for range perRound * gateways {
+						sent++
+						r := request(nonRepeatable(), fmt.Sprint(sent), Part{ID: fmt.Sprint("part", random.IntN(50)), Tokens: 3000}, Part{ID: fmt.Sprint("own", sent), Tokens: 500})
+						r.PromptTokens, r.OutputTokens, r.Deadline = 3500, 100, now.Add(time.Minute)
+						now = now.Add(exchangeInterval / time.Duration(perRound*gateways))
+						core := cores[random.IntN(gateways)]
+						x, decision := core.Begin(now, r)
+						if decision.Send == nil {
+							continue
+						}
+						core.Answered(now, x, -1)
+						ends = append(ends, func() { core.Done(now, x) })
+						if decision.Send.BackEnd.ID == list[0].ID {
+							taken++
+						}
+					}
+					most = max(most, taken)
+					if round%2 == 0 {
+						continue // totals contain only requests that are up to two rounds old
+					}
+					for _, end := range ends {
+						end()
+					}
+					ends, taken = nil, 0
+				}
+				t.Logf("at most %d requests for %d places until the totals contain them", most, room)
+				is.True(most <= room)
+			})
+		}
+	}
+}
