--- a/internal/dispatch/goodput_test.go
+++ b/internal/dispatch/goodput_test.go
@@ -206,12 +206,13 @@
 // Guards against shared parts that move from engine to engine under overload and are prefilled
 // again at each: this costs more the less time there is for it.
 func TestSharedPartsStayUnderOverload(t *testing.T) {
-	const warmUp, measured = 4 * time.Second, 6 * time.Second
+	const usualLoadTime, warmUp, measured = 3 * time.Second, 3 * time.Second, 6 * time.Second
 	for _, size := range fleetSizes {
 		t.Run(fmt.Sprint(size.gateways, " gateways"), func(t *testing.T) {
 			t.Parallel()
 			perSecond := func(multiple float64) float64 {
 				f := newOverloadFleet(4, size.gateways, size.engines)
+				f.simulate(usualLoadTime, f.multipleOfCapacity(usualShare))
 				f.simulate(warmUp, f.multipleOfCapacity(multiple))
 				before := f.prefilledAgain
 				f.simulate(measured, f.multipleOfCapacity(multiple))
