Dispatch test: the room of the last back end follows the core's capacity

The test computed the places from Config.CachingFactor, so that it would have allowed too many requests if the capacity fell. It now asks the core.

--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -37,7 +37,7 @@
 					core.SetGateways(gateways)
 					cores = append(cores, core)
 				}
-				room := int(DefaultConfig().CachingFactor*modelSlots) - int(load.last)
+				room := 0
 				now, sent, taken, most := start, 0, 0, 0
 				var ends []func()
 				for round := range rounds {
@@ -68,6 +68,7 @@
 						now = now.Add(exchangeInterval / time.Duration(perRound*gateways))
 						core := cores[random.IntN(gateways)]
 						x, decision := core.Begin(now, r)
+						room = max(0, int(core.capacity(core.members[list[0].ID], x))-int(load.last))
 						if decision.Send == nil {
 							continue
 						}
