--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -122,18 +122,36 @@
 		}
 		rooms += max(0, left)
 	}
-	asked := c.askedOf(x.service)
-	contenders := max(1, asked.perSecond(now)*interval.Seconds()) * float64(c.gateways)
-	asked.note(now)
+	chance := c.askedOf(x.service).chance(now, c.isExcess(now, x), lotteryShare*rooms/float64(c.gateways), interval)
 	const scale = 1 << 16
-	return float64(xxhash.Sum64String("place"+x.request.ID)%scale) < scale*lotteryShare*rooms/contenders
+	return float64(xxhash.Sum64String("place"+x.request.ID)%scale) < scale*chance
+}
+
+// serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
+// of their tenant, and of the excess.
+type serviceDemand struct {
+	within demand
+	excess demand
+}
+
+// chance returns the probability with which a request gets one of this gateway's places, and counts
+// the request. Excess requests get only the places that the others don't need.
+func (d *serviceDemand) chance(now time.Time, isExcess bool, places float64, interval time.Duration) float64 {
+	within := d.within.perSecond(now) * interval.Seconds()
+	excess := d.excess.perSecond(now) * interval.Seconds()
+	if isExcess {
+		d.excess.note(now)
+		return (places - within) / max(1, excess)
+	}
+	d.within.note(now)
+	return places / max(1, within)
 }
 
 // askedOf returns the rate of this gateway's requests to the service.
-func (c *Core) askedOf(service string) *demand {
+func (c *Core) askedOf(service string) *serviceDemand {
 	known := c.asked[service]
 	if known == nil {
-		known = &demand{timeConstant: serviceDemandTime}
+		known = &serviceDemand{within: demand{timeConstant: serviceDemandTime}, excess: demand{timeConstant: serviceDemandTime}}
 		c.asked[service] = known
 	}
 	return known
