Dispatch: homes of prompts keep four tenths of their places, and full back ends aren't competed for

Cause: requests that pass full back ends counted as their demand, which took the lottery's chances from the prompts that are at home there. Back ends without room for a request are passed over now without being counted, and a request that met one isn't sent to the least loaded back end.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -49,6 +49,8 @@
 	PrefixCopies Mechanism = "prefix-copies"
 	// LoadBound keeps the load of a caching back end within the bound.
 	LoadBound Mechanism = "load-bound"
+	// KeepParts keeps prompts at their homes once back ends have little room to spare.
+	KeepParts Mechanism = "keep-parts"
 	// Backlog tells refused callers to come back when the backlog ahead of them has drained.
 	Backlog Mechanism = "backlog"
 	// AdmissionLottery divides the room near the bound among gateways at random.
@@ -103,7 +105,7 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, Backlog, AdmissionLottery,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
 		ExtrapolatePeers, Spread, UrgencySteps, FairShare, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
 		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections, Workload,
 	}
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
 
 // requestClass is a kind of request of the overload tests. Own tokens and outputs vary with the
@@ -59,6 +60,8 @@
 
 // overloadFleet simulates gateways with their cores, engines and callers on a virtual clock.
 type overloadFleet struct {
+	// tenants are the demands of tenants, summed up over all gateways.
+	tenants  []fairshare.Demand
 	random   *rand.Rand
 	now      time.Time
 	events   eventQueue
@@ -191,7 +194,7 @@
 	f.reports[gateway] = counts
 	own := byKey[uint32](counts)
 	summed := byKey[uint32](f.summed[gateway])
-	totals := Totals{Counted: len(f.cores), Expected: len(f.cores)}
+	totals := Totals{Counted: len(f.cores), Expected: len(f.cores), Tenants: f.tenants}
 	for _, engine := range f.engines {
 		key := CountKey(engine.id)
 		sum := f.sums[key]
@@ -222,6 +225,11 @@
 			f.sums[each.Key] = sum.Plus(each)
 		}
 	}
+	demands := make([][]fairshare.Demand, len(f.cores))
+	for i, core := range f.cores {
+		demands[i] = core.Demands(f.now)
+	}
+	f.tenants = fairshare.Largest(fairshare.Sum(demands...))
 	f.schedule(f.now.Add(exchangeInterval), f.sumReports)
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -92,16 +92,32 @@
 // chooseByAffinity returns the first member, in the order of preference, that stays within the
 // bound on load and has room, which lotteries may decide. If there is none, it returns the least
 // loaded member that has room, or nil. It returns nil at once if the request doesn't get one of the
-// free places of the service; see room.go.
+// free places of the service, and at the end if members were full: any other member would have to
+// prefill the prompt first, and would evict what is cached there. See room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	if !c.winsPlace(now, x, candidates) {
 		return nil
 	}
 	bound := c.bound(now, x)
 	overflow := 0.0
+	isFull := false
 	c.orderByPreference(now, x, candidates)
-	for m := c.nextPreferred(); m != nil; m = c.nextPreferred() {
-		room := c.roomFor(now, m, x)
+	for position := 0; ; position++ {
+		isHome := c.nextIsHome(position)
+		m := c.nextPreferred()
+		if m == nil && isFull && c.countsTokens(x) {
+			return nil
+		}
+		if m == nil {
+			return c.leastLoaded(now, x, candidates)
+		}
+		room := c.roomFor(now, m, x, isHome)
+		if !isHome && room.left < 1 {
+			// It doesn't count as demand either: that would take away chances from the prompts of
+			// which the member is a home.
+			isFull = true
+			continue
+		}
 		var chance float64
 		chance, overflow = c.admissionChance(now, m, min(bound, room.limit), overflow)
 		// Recorded only after admissionChance: a rate that includes this request would be too
@@ -110,8 +126,8 @@
 		if winsLottery(x, m, chance) && room.left >= 1 {
 			return m
 		}
+		isFull = isFull || !isHome && room.limit < bound
 	}
-	return c.leastLoaded(now, x, candidates)
 }
 
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
@@ -167,6 +183,12 @@
 	return first
 }
 
+// nextIsHome reports whether the next candidate, at the given position of the order, is a home of
+// the prompt: one that is assumed to hold its shared parts, or one of the first in the order.
+func (c *Core) nextIsHome(position int) bool {
+	return position < homesPerPart || c.order.second == nil && c.order.ranking.firstIsPreferred()
+}
+
 // memoryShare returns the share of the member's memory that the prompts it is assumed to hold
 // take up; 0 if its size is unknown.
 func (c *Core) memoryShare(m *member) float64 {
@@ -192,7 +214,7 @@
 	var bestLoad float64
 	var bestHash uint64
 	for _, m := range candidates {
-		if !c.hasRoom(now, m, x) {
+		if c.roomFor(now, m, x, false).left < 1 {
 			continue
 		}
 		load := c.estimate(now, m)
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -29,6 +29,13 @@
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
 	excessShare = 0.93
+	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
+	// it isn't a home of. Without it, full homes push their prompts on to all other back ends, where
+	// they evict what is cached there.
+	spareShare = 0.6
+	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
+	// one can be used, which balances parts of unequal demand.
+	homesPerPart = 2
 	// serviceDemandTime is the time constant of the demand for a service. A longer one would let
 	// the first moments of a burst fill several times the free places.
 	serviceDemandTime = 250 * time.Millisecond
@@ -49,18 +56,22 @@
 	left  float64
 }
 
-// roomFor returns the member's room for the request.
-func (c *Core) roomFor(now time.Time, m *member, x *Exchange) room {
+// roomFor returns the member's room for the request. isHome tells whether the member is a home of
+// the request's prompt; it doesn't matter without a prompt.
+func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
 	limit := c.capacity(now, m, x)
 	if c.isExcess(now, x) {
 		limit *= excessShare
 	}
+	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
+		limit *= spareShare
+	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
 }
 
-// hasRoom reports whether the member has room for the request.
+// hasRoom reports whether the member, as a home of the request's prompt, has room for the request.
 func (c *Core) hasRoom(now time.Time, m *member, x *Exchange) bool {
-	return c.roomFor(now, m, x).left >= 1
+	return c.roomFor(now, m, x, true).left >= 1
 }
 
 // countsTokens reports whether the work of the request is known in tokens: its service's engines
@@ -116,7 +127,7 @@
 	}
 	rooms := 0.0
 	for _, m := range candidates {
-		left := c.roomFor(now, m, x).left
+		left := c.roomFor(now, m, x, true).left
 		if c.totalsAreFresh(now) {
 			left += reusableShare * m.endedPerSecond * interval.Seconds()
 		}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -113,7 +113,7 @@
 	c.shares = c.shares[:0]
 	requests := 1.0
 	for _, m := range candidates {
-		if !c.hasRoom(now, m, x) {
+		if c.roomFor(now, m, x, false).left < 1 {
 			continue
 		}
 		load := c.estimate(now, m)
