Dispatch: a busy engine is silent after 3 s; the backlog of refused callers empties by itself

An engine that stops answering while it is full was never taken for silent, and would have got requests until their deadlines. A backlog without further requests stayed, so that backups stayed off and the next refusal named the longest time.

--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,10 +30,10 @@
 	updatedAt time.Time
 }
 
-// update drains the backlog.
+// update drains the backlog. Callers that haven't come back after maxRetryAfter won't.
 func (b *backlog) update(now time.Time) {
 	if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
-		b.waiting = max(0, b.waiting-elapsed*b.drainRate(now))
+		b.waiting = max(0, b.waiting-elapsed*b.drainRate(now)) * math.Exp(-elapsed/maxRetryAfter.Seconds())
 	}
 	b.updatedAt = now
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -38,6 +38,9 @@
 	failuresToEject = 2
 	// silenceLimit is how long requests may wait without any answer from the back end.
 	silenceLimit = time.Second
+	// busySilenceLimit is the same for a busy back end, where the first token may wait for prompts
+	// that were sent before. It is below the time after which callers leave.
+	busySilenceLimit = 3 * time.Second
 	// errorWeight is the weight of the newest outcome in the error rate.
 	errorWeight = 0.15
 	// A back end is ejected if its error rate exceeds both ejectionErrorRate and
@@ -108,7 +111,7 @@
 	if h.retryWait(now) > 0 {
 		return Resting
 	}
-	if !h.disabled[SilenceDetection] && !h.busy && h.awaiting > 0 && now.Sub(h.quietSince) > silenceLimit+h.allowance {
+	if !h.disabled[SilenceDetection] && h.awaiting > 0 && now.Sub(h.quietSince) > h.silenceLimit()+h.allowance {
 		return Silent
 	}
 	if h.onTrial && !h.disabled[Ejection] && !h.disabled[Trials] {
@@ -117,6 +120,14 @@
 	return Healthy
 }
 
+// silenceLimit returns how long requests may wait without any answer from the back end.
+func (h *health) silenceLimit() time.Duration {
+	if h.busy {
+		return busySilenceLimit
+	}
+	return silenceLimit
+}
+
 // usable reports whether a request may go to the back end while others are available.
 func (h *health) usable(now time.Time, mayRepeat bool) bool {
 	switch h.status(now) {
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -123,3 +123,15 @@
 	core.SetBackEnds(start, moved)
 	is.Equal(core.members[gone].health.status(start.Add(time.Minute)), OnTrial) // it has a new address
 }
+
+// Guards against an engine that stops answering while it is full: its load must not hide that for
+// as long as callers wait, nor must a first token that waits for earlier prompts count as silence.
+func TestBusyBackEndIsSilentLater(t *testing.T) {
+	is := is.New(t)
+	h := health{busy: true}
+	h.sent(start)
+	is.Equal(h.status(start.Add(silenceLimit+time.Millisecond)), Healthy)
+	is.Equal(h.status(start.Add(busySilenceLimit+time.Millisecond)), Silent)
+	h.busy = false
+	is.Equal(h.status(start.Add(silenceLimit+time.Millisecond)), Silent)
+}
