--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // A service that refuses requests has a backlog: the callers that will come back. If each was
 // told the same short time, they would come back while the overload lasts, be refused again, and
@@ -86,7 +82,5 @@
 // spreadReturn spreads the time to come back over half of its length, by a hash of the request, so
 // that callers that are refused together don't come back together.
 func spreadReturn(x *Exchange, wait time.Duration) time.Duration {
-	const scale = 1 << 16
-	share := float64(xxhash.Sum64String(x.request.ID)%scale) / scale
-	return wait + time.Duration(share*float64(wait)/2)
+	return wait + time.Duration(hashFraction(x.request.ID)*float64(wait)/2)
 }
--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -190,8 +190,7 @@
 
 // isInBackupShare selects a fraction of the requests by a hash of their ID.
 func isInBackupShare(request string, share float64) bool {
-	const steps = 1 << 16
-	return float64(xxhash.Sum64String("backup "+request)%steps) < share*steps
+	return hashFraction("backup "+request) < share
 }
 
 // conditionOf returns what is known of the member's condition.
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -80,8 +80,13 @@
 // winsLottery reports whether the request wins a lottery with the given chance. The draw is a
 // hash of the request and the member.
 func winsLottery(x *Exchange, m *member, chance float64) bool {
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(x.request.ID+m.backEnd.ID)%scale) < scale*chance
+	return hashFraction(x.request.ID+m.backEnd.ID) < chance
+}
+
+// hashFraction returns a fraction in [0, 1) that depends only on the key, for reproducible draws.
+func hashFraction(key string) float64 {
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String(key)%steps) / steps
 }
 
 // expectedDemand returns how many requests this gateway probably has for the member before the
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -87,7 +87,9 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
-// Excess reports whether the request is beyond its tenant's fair share.
+// Excess reports whether the request is beyond its tenant's fair share of what the service admits.
+// It is determined when the request arrives, for all attempts. An excess request gets only the room
+// that no other request needs.
 func (x *Exchange) Excess() bool { return x.counted.Excess }
 
 func (x *Exchange) wasTried(m *member) bool {
--- a/internal/dispatch/fairshare.go
+++ b/internal/dispatch/fairshare.go
@@ -74,11 +74,6 @@
 	}
 }
 
-// isExcess reports whether the request is beyond its tenant's fair share of what the service
-// admits. Such a request gets only the room that no other request needs. The verdict of its arrival
-// holds for all attempts.
-func (c *Core) isExcess(_ time.Time, x *Exchange) bool { return x.counted.Excess }
-
 // Demands returns the demands of the largest tenants at this gateway, to be summed up over all
 // gateways.
 func (c *Core) Demands(now time.Time) []fairshare.Demand {
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -71,7 +71,7 @@
 	for i := range 20 {
 		x, decision := core.Begin(now, tenantRequest("hot", fmt.Sprint("again-", i)))
 		is.True(decision.GiveUp != nil)
-		if core.isExcess(now, x) && x.Excess() {
+		if x.Excess() {
 			excess++
 		}
 	}
@@ -87,7 +87,7 @@
 	core = engineCore()
 	now := surge(core)
 	unknown, _ := core.Begin(now, Request{ID: "x", Route: repeatable(1), Tenant: "hot", Deadline: now.Add(time.Minute)})
-	is.True(!core.isExcess(now, unknown))
+	is.True(!unknown.Excess())
 	core.SetServices([]catalog.Service{{Name: "s"}})
 	is.Equal(marked(core, now, "hot"), 0)
 	is.Equal(len(core.Demands(now)), 0)
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// minSheddingLag is the sustained lag of this process up to which it accepts every
@@ -31,6 +27,5 @@
 	if over <= 0 || share <= 0 {
 		return true
 	}
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(id)%scale) >= share*scale
+	return hashFraction(id) >= share
 }
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
 // places that become free. Two rules answer this load pattern. The less urgent a request is, the
@@ -59,8 +55,8 @@
 // roomFor returns the member's room for the request. isHome tells whether the member is a home of
 // the request's prompt; it doesn't matter without a prompt.
 func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
-	limit := c.capacity(now, m, x)
-	if c.isExcess(now, x) {
+	limit := c.capacity(m, x)
+	if x.Excess() {
 		limit *= excessShare
 	}
 	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
@@ -84,7 +80,7 @@
 // prompt may queue for a while, since they are short. At back ends that cache prompts, every
 // further request slows down all others that run there. So there the least urgent requests are
 // refused first, while more urgent ones still find room.
-func (c *Core) capacity(now time.Time, m *member, x *Exchange) float64 {
+func (c *Core) capacity(m *member, x *Exchange) float64 {
 	if m.backEnd.Slots <= 0 {
 		return defaultCapacity
 	}
@@ -93,26 +89,20 @@
 		return slots * c.config.QueueFactor
 	}
 	if c.countsTokens(x) {
-		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(now, x)))
+		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(x)))
 	}
-	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(now, x)))
+	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(x)))
 }
 
 // reservedRank returns the number of steps by which the request leaves places free for more urgent
 // ones.
-func (c *Core) reservedRank(now time.Time, x *Exchange) int {
-	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !c.isExcess(now, x) && isDrawn(x, unreservedShare) {
+func (c *Core) reservedRank(x *Exchange) int {
+	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !x.Excess() && hashFraction(x.request.ID) < unreservedShare {
 		return 0
 	}
 	return min(x.request.Urgency, lastUrgencyStep)
 }
 
-// isDrawn draws the given share of requests, by a hash of the request.
-func isDrawn(x *Exchange, share float64) bool {
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(x.request.ID)%scale) < scale*share
-}
-
 // winsPlace draws whether the request gets one of the free places of its service. Every gateway
 // sees the same places, so each gives away its share of them. The demand of the other gateways is
 // assumed to be as high as this one's: the balancer distributes callers evenly, and what others
@@ -133,9 +123,8 @@
 		}
 		rooms += max(0, left)
 	}
-	chance := c.askedOf(x.service).chance(now, c.isExcess(now, x), lotteryShare*rooms/float64(c.gateways), interval)
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String("place"+x.request.ID)%scale) < scale*chance
+	chance := c.askedOf(x.service).chance(now, x.Excess(), lotteryShare*rooms/float64(c.gateways), interval)
+	return hashFraction("place"+x.request.ID) < chance
 }
 
 // serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -68,7 +68,7 @@
 						now = now.Add(exchangeInterval / time.Duration(perRound*gateways))
 						core := cores[random.IntN(gateways)]
 						x, decision := core.Begin(now, r)
-						room = max(0, int(core.capacity(start, core.members[list[0].ID], x))-int(load.last))
+						room = max(0, int(core.capacity(core.members[list[0].ID], x))-int(load.last))
 						if decision.Send == nil {
 							continue
 						}
