--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -123,8 +123,8 @@
 // and short compared with changes in traffic.
 const demandTimeConstant = time.Second
 
-// demand is the rate at which this gateway would send to a member, as an exponentially
-// weighted average.
+// demand is the rate of this gateway's requests, for example of those for which a member was
+// considered, as an exponentially weighted average.
 type demand struct {
 	rate float64 // requests per second at the time at
 	at   time.Time
@@ -134,7 +134,7 @@
 
 func (d *demand) seconds() float64 { return cmp.Or(d.timeConstant, demandTimeConstant).Seconds() }
 
-// note counts a request for which the member was considered.
+// note counts a request.
 func (d *demand) note(now time.Time) {
 	d.rate = d.perSecond(now) + 1/d.seconds()
 	d.at = now
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -101,8 +101,8 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	// asked holds the rates of this gateway's requests, by service.
-	asked map[string]*serviceDemand
+	// serviceDemands holds the rates of this gateway's requests, by service.
+	serviceDemands map[string]*serviceDemand
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
 	// runMemory is the mean memory of a run, in tokens, by service.
@@ -179,7 +179,7 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
-		asked:           map[string]*serviceDemand{},
+		serviceDemands:  map[string]*serviceDemand{},
 		backlogs:        map[string]*backlog{},
 		runMemory:       map[string]float64{},
 		gateways:        1,
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -35,7 +35,8 @@
 // candidates returns the members that may take the request: the eligible ones that are usable.
 // If these are fewer than half of the eligible ones, the cause is probably common to the whole
 // pool. Then it returns all eligible members that are usable or at least reachable, so that a few
-// don't get the whole load, or all eligible members if there are none.
+// don't get the whole load, or all eligible members if there are none. It also updates which members
+// are busy, since their health depends on that.
 func (c *Core) candidates(now time.Time, x *Exchange) []*member {
 	pool := c.poolMembers(now, x.service)
 	c.usable = c.usable[:0]
@@ -89,11 +90,11 @@
 	return !leaves && !evacuated && c.allowedByRollout(now, x, m)
 }
 
-// chooseByAffinity returns the first member, in the order of preference, that stays within the
-// bound on load and has room, which lotteries may decide. If there is none, it returns the least
-// loaded member that has room, or nil. It returns nil at once if the request doesn't get one of the
-// free places of the service, and at the end if members were full: any other member would have to
-// prefill the prompt first, and would evict what is cached there. See room.go.
+// chooseByAffinity returns the first member, in the order of preference, that has room, stays within
+// the bound on load, and is won by lottery. If there is none, it returns the least loaded member that
+// has room. Where work is counted in tokens, it returns nil instead if a member was full: any other
+// one would have to prefill the prompt first, and would evict what is cached there. It also returns
+// nil if the request doesn't get one of the free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	if !c.winsPlace(now, x, candidates) {
 		return nil
@@ -105,29 +106,30 @@
 	for position := 0; ; position++ {
 		isHome := c.nextIsHome(position)
 		m := c.nextPreferred()
-		if m == nil && isFull && c.countsTokens(x) {
-			return nil
-		}
 		if m == nil {
-			return c.leastLoaded(now, x, candidates)
+			break
 		}
-		room := c.roomFor(now, m, x, isHome)
-		if !isHome && room.left < 1 {
-			// It doesn't count as demand either: that would take away chances from the prompts of
-			// which the member is a home.
+		available := c.roomFor(now, m, x, isHome)
+		if !isHome && available.left < 1 {
+			// The request isn't counted as demand here: that would lower the chances of the prompts
+			// that the member is a home of.
 			isFull = true
 			continue
 		}
 		var chance float64
-		chance, overflow = c.admissionChance(now, m, min(bound, room.limit), overflow)
+		chance, overflow = c.admissionChance(now, m, min(bound, available.limit), overflow)
 		// Recorded only after admissionChance: a rate that includes this request would be too
 		// high by one per second.
 		m.demand.note(now)
-		if winsLottery(x, m, chance) && room.left >= 1 {
+		if winsLottery(x, m, chance) && available.left >= 1 {
 			return m
 		}
-		isFull = isFull || !isHome && room.limit < bound
+		isFull = isFull || !isHome && available.limit < bound
+	}
+	if isFull && c.countsTokens(x) {
+		return nil
 	}
+	return c.leastLoaded(now, x, candidates)
 }
 
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -3,12 +3,14 @@
 import "time"
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
-// places that become free. Two rules answer this load pattern. The less urgent a request is, the
-// more places it leaves free (trunk reservation), and so does a request beyond its tenant's fair
-// share; a part of each rank leaves none, so that no rank is starved. And the places that are free
-// in the whole service are given away by lottery before a back end is chosen: each gateway would
-// fill all of them before it hears of the others, and requests that are refused only after they
-// looked for a place at every back end would have moved their prompts' parts there.
+// places that become free. Three rules apply, the last two only where work is counted in tokens:
+//   - The less urgent a request is, the more places it leaves free (trunk reservation), and so does
+//     a request beyond its tenant's fair share. A part of each rank leaves none, so that no rank is
+//     starved.
+//   - A back end reserves a part of its places for the prompts that it is a home of. Other prompts
+//     would evict what is cached there.
+//   - The places that are free in the whole service are given away by lottery before a back end is
+//     chosen. Otherwise each gateway would fill all of them before it hears of the others.
 
 const (
 	// urgencyStep is the fraction of a caching back end's slots that each less urgent rank
@@ -32,9 +34,9 @@
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
-	// serviceDemandTime is the time constant of the demand for a service. A longer one would let
+	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would let
 	// the first moments of a burst fill several times the free places.
-	serviceDemandTime = 250 * time.Millisecond
+	serviceDemandTimeConstant = 250 * time.Millisecond
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
 	busyShare = 0.75
@@ -94,8 +96,7 @@
 	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(x)))
 }
 
-// reservedRank returns the number of steps by which the request leaves places free for more urgent
-// ones.
+// reservedRank returns by how many urgency steps the request leaves places free for more urgent ones.
 func (c *Core) reservedRank(x *Exchange) int {
 	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !x.Excess() && hashFraction(x.request.ID) < unreservedShare {
 		return 0
@@ -103,8 +104,8 @@
 	return min(x.request.Urgency, lastUrgencyStep)
 }
 
-// winsPlace draws whether the request gets one of the free places of its service. Every gateway
-// sees the same places, so each gives away its share of them. The demand of the other gateways is
+// winsPlace draws whether the request gets one of the free places of its service, and counts the
+// request towards the demand for them. Every gateway sees the same places, so each gives away its share of them. The demand of the other gateways is
 // assumed to be as high as this one's: the balancer distributes callers evenly, and what others
 // report is older than the places.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
@@ -115,15 +116,17 @@
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	rooms := 0.0
+	places := 0.0
 	for _, m := range candidates {
 		left := c.roomFor(now, m, x, true).left
 		if c.totalsAreFresh(now) {
 			left += reusableShare * m.endedPerSecond * interval.Seconds()
 		}
-		rooms += max(0, left)
+		places += max(0, left)
 	}
-	chance := c.askedOf(x.service).chance(now, x.Excess(), lotteryShare*rooms/float64(c.gateways), interval)
+	requests := c.serviceDemandOf(x.service)
+	chance := requests.chance(now, x.Excess(), lotteryShare*places/float64(c.gateways), interval)
+	requests.note(now, x.Excess())
 	return hashFraction("place"+x.request.ID) < chance
 }
 
@@ -134,25 +137,33 @@
 	excess demand
 }
 
-// chance returns the probability with which a request gets one of this gateway's places, and counts
-// the request. Excess requests get only the places that the others don't need.
+// chance returns the probability with which a request gets one of this gateway's places. Excess
+// requests get only the places that the others don't need.
 func (d *serviceDemand) chance(now time.Time, isExcess bool, places float64, interval time.Duration) float64 {
 	within := d.within.perSecond(now) * interval.Seconds()
 	excess := d.excess.perSecond(now) * interval.Seconds()
 	if isExcess {
-		d.excess.note(now)
 		return (places - within) / max(1, excess)
 	}
-	d.within.note(now)
 	return places / max(1, within)
 }
 
-// askedOf returns the rate of this gateway's requests to the service.
-func (c *Core) askedOf(service string) *serviceDemand {
-	known := c.asked[service]
+// note counts a request. It is called after chance: a rate that includes the request would be too
+// high.
+func (d *serviceDemand) note(now time.Time, isExcess bool) {
+	if isExcess {
+		d.excess.note(now)
+		return
+	}
+	d.within.note(now)
+}
+
+// serviceDemandOf returns the rate of this gateway's requests to the service.
+func (c *Core) serviceDemandOf(service string) *serviceDemand {
+	known := c.serviceDemands[service]
 	if known == nil {
-		known = &serviceDemand{within: demand{timeConstant: serviceDemandTime}, excess: demand{timeConstant: serviceDemandTime}}
-		c.asked[service] = known
+		known = &serviceDemand{within: demand{timeConstant: serviceDemandTimeConstant}, excess: demand{timeConstant: serviceDemandTimeConstant}}
+		c.serviceDemands[service] = known
 	}
 	return known
 }
