Dispatch: distinct names for works, and comments that match the code

Request.workOf and Core.workOf were different things. noteRefused is called for every request that is given up. A failure of any kind makes an engine suspect. TimedOut says when a time-out is no failure. A candidate for a backup is made by a function of its own.

--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -31,8 +31,7 @@
 // engineCondition is what is known of an engine when a request is sent there.
 type engineCondition struct {
 	health Health
-	// failedRecently is true if a connection was lost, a connection attempt failed, or the engine
-	// answered with a failure within suspicionTime.
+	// failedRecently is true if an attempt there failed, for whatever reason, within suspicionTime.
 	failedRecently bool
 	// vanished is true if the engine disappeared from the list without having announced that it
 	// leaves.
@@ -213,7 +212,8 @@
 	}
 }
 
-// runMemoryWeight is the weight of the newest request in the mean memory of a run.
+// runMemoryWeight is the weight of the newest request in the mean memory of a run. Sizes differ a
+// hundredfold, so the mean covers about the last 50 requests.
 const runMemoryWeight = 0.02
 
 // noteRunMemory records the size of a request of the service.
@@ -250,16 +250,8 @@
 		if !c.canReceiveBackup(now, x, m, source) {
 			continue
 		}
-		candidate := backupCandidate{
-			member: m, hash: xxhash.Sum64String(x.request.ID + m.backEnd.ID),
-			holdsParts: x.request.affinity() != "" && slices.ContainsFunc(holders, m.backEnd.Incarnation().Matches),
-			cost: backupCost{
-				tokens: size.memory(), tokenBytes: c.services[x.service].TokenBytes, freeMemory: c.freeMemory(now, m),
-			},
-		}
-		if candidate.holdsParts {
-			candidate.cost.tokens = max(size.memory()-x.request.sharedTokens(), 0)
-		}
+		holdsParts := x.request.affinity() != "" && slices.ContainsFunc(holders, m.backEnd.Incarnation().Matches)
+		candidate := c.newBackupCandidate(now, x, m, size, holdsParts)
 		switch {
 		case candidate.cost.tokens > candidate.cost.freeMemory:
 		case candidate.precedes(best):
@@ -282,6 +274,18 @@
 	cost       backupCost
 }
 
+// newBackupCandidate returns the member as a candidate for the backup of a run of the given size.
+func (c *Core) newBackupCandidate(now time.Time, x *Exchange, m *member, size runSize, holdsParts bool) backupCandidate {
+	tokens := size.memory()
+	if holdsParts {
+		tokens = max(tokens-x.request.sharedTokens(), 0)
+	}
+	return backupCandidate{
+		member: m, holdsParts: holdsParts, hash: xxhash.Sum64String(x.request.ID + m.backEnd.ID),
+		cost: backupCost{tokens: tokens, tokenBytes: c.services[x.service].TokenBytes, freeMemory: c.freeMemory(now, m)},
+	}
+}
+
 // precedes reports whether the candidate comes before another one, which may be zero.
 func (b backupCandidate) precedes(other backupCandidate) bool {
 	if other.member == nil || b.holdsParts != other.holdsParts {
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -49,7 +49,7 @@
 	now := start
 	for b.Loop() {
 		now = now.Add(workInterval)
-		core.refreshWork(now, "s", core.workOf("s"))
+		core.refreshWork(now, "s", core.serviceWorkOf("s"))
 	}
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -229,7 +229,7 @@
 // otherwise, regardless of the last cause.
 func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
-	c.noteRefused(now, x)
+	c.noteGivenUp(now, x)
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
--- a/internal/dispatch/fairshare.go
+++ b/internal/dispatch/fairshare.go
@@ -17,16 +17,12 @@
 // millisecond, and with 40 streams it decodes 5.
 const outputCost = 10
 
-// workOf returns the request's work in tokens, or 0 if it is unknown.
-func (r *Request) workOf() float64 {
+// work returns the request's work in prompt tokens, or 0 if it is unknown.
+func (r *Request) work() float64 {
 	if r.PromptTokens > 0 || r.OutputTokens > 0 {
 		return float64(r.PromptTokens + outputCost*r.OutputTokens)
 	}
-	tokens := 0
-	for _, part := range r.Parts {
-		tokens += part.Tokens
-	}
-	return float64(tokens)
+	return float64(r.partTokens())
 }
 
 // shareKey returns the key by which requests are drawn as excess: the part of the prompt that
@@ -52,7 +48,7 @@
 // noteDemand counts the request's work as asked for, and determines whether the request is beyond
 // its tenant's fair share.
 func (c *Core) noteDemand(now time.Time, x *Exchange) {
-	share, work := c.fairShares[x.service], x.request.workOf()
+	share, work := c.fairShares[x.service], x.request.work()
 	if share != nil && work > 0 {
 		x.counted = share.Begin(now, x.request.Tenant, x.request.shareKey(), work)
 		x.share = share
@@ -66,9 +62,9 @@
 	}
 }
 
-// noteRefused records that the request is given up. Work that no back end took no longer counts as
+// noteGivenUp records that the request is given up. Work that no back end took no longer counts as
 // admitted.
-func (c *Core) noteRefused(now time.Time, x *Exchange) {
+func (c *Core) noteGivenUp(now time.Time, x *Exchange) {
 	if x.share != nil && x.ran == failure.RanNo {
 		x.share.Withdraw(now, &x.counted)
 	}
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -96,8 +96,8 @@
 func TestWorkOfARequest(t *testing.T) {
 	is := is.New(t)
 	parts := []Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 100}}
-	is.Equal((&Request{Parts: parts}).workOf(), 1000.0)
-	is.Equal((&Request{Parts: parts, PromptTokens: 1200, OutputTokens: 50}).workOf(), 1700.0)
+	is.Equal((&Request{Parts: parts}).work(), 1000.0)
+	is.Equal((&Request{Parts: parts, PromptTokens: 1200, OutputTokens: 50}).work(), 1700.0)
 	is.Equal((&Request{ID: "r", Parts: parts}).shareKey(), "b")
 	is.Equal((&Request{ID: "r", Parts: parts[:1]}).shareKey(), "r") // a sole part is shared
 }
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -134,10 +134,11 @@
 }
 
 // TimedOut records that no answer to pass on arrived within the attempt's head timeout or the
-// deadline. The request may have run.
+// deadline. The request may have run. It counts as a failure of the member, unless the member is busy
+// and has answered other requests since.
 func (c *Core) TimedOut(now time.Time, x *Exchange) Decision {
 	c.endUnanswered(now, x, func(m *member) {
-		answeredOthers := m.health.quietSince.After(x.sentAt)
+		answeredOthers := m.health.quietSince.After(x.sentAt) // this request waits, so only answers change quietSince
 		if !answeredOthers || !c.isBusy(now, m) {
 			m.health.connectionLost(now)
 		}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -15,9 +15,10 @@
 	// in common with the others of its service.
 	workInterval = 250 * time.Millisecond
 	// workSmoothing is the weight of the latest update in the mean work per stream. A gateway of a
-	// large fleet has only about ten streams, so the mean is taken over about two seconds.
+	// large fleet has few streams, so the mean covers about ten updates, which is 2.5 s.
 	workSmoothing = 0.1
-	// averageSmoothing is the weight of the latest request in the average one.
+	// averageSmoothing is the weight of the latest request in the average one. Sizes differ a
+	// hundredfold, so the average covers about the last 50 requests.
 	averageSmoothing = 0.02
 	// copyShare is what copying a token costs an engine, relative to prefilling it: 16 ms instead
 	// of 200 ms for 10,000 tokens.
@@ -36,8 +37,8 @@
 	average   struct{ unread, memory, output float64 }
 }
 
-// workOf returns the common state of the service's engines.
-func (c *Core) workOf(service string) *serviceWork {
+// serviceWorkOf returns the common state of the service's engines.
+func (c *Core) serviceWorkOf(service string) *serviceWork {
 	work := c.work[service]
 	if work == nil {
 		work = &serviceWork{errors: workload.NewErrorRecord()}
@@ -57,7 +58,7 @@
 			}
 			continue
 		}
-		work := c.workOf(name)
+		work := c.serviceWorkOf(name)
 		for _, m := range pool.members {
 			limits := workload.Limits{Slots: m.backEnd.Slots, Memory: service.CacheTokens, EventTokens: service.EventTokens}
 			if m.engine == nil {
@@ -98,14 +99,13 @@
 	}
 }
 
-// othersWork returns the work of all other gateways at the member's engine, given the estimated
-// load of the member. The number of their
-// streams is known as well as their load is. Their streams are assumed to have as many unread and
-// committed tokens as this gateway's streams of the service have on average.
+// othersWork returns the estimated work of all other gateways at the member's engine, given the
+// estimated load of the member. Each of their streams is assumed to have as many unread and committed
+// tokens as this gateway's streams of the service have on average.
 func (c *Core) othersWork(m *member, load float64) workload.Work {
 	streams := max(load-float64(m.own), 0)
 	result := workload.Work{Streams: int(streams + 0.5)}
-	if mean := c.workOf(m.backEnd.Service).perStream; mean.streams > 0 {
+	if mean := c.serviceWorkOf(m.backEnd.Service).perStream; mean.streams > 0 {
 		result.Unread = int(streams * mean.unread / mean.streams)
 		result.Memory = int(streams * mean.memory / mean.streams)
 	}
@@ -113,7 +113,8 @@
 }
 
 // sizeAt returns the size of the exchange's request at the member. fetchFrom is the address from
-// which the member may copy parts of the prompt, or "".
+// which the member may copy parts of the prompt, or "". Tokens that earlier attempts received are
+// prefilled like the prompt.
 func (c *Core) sizeAt(now time.Time, x *Exchange, m *member, fetchFrom string) workload.Size {
 	shared := x.request.sharedTokens()
 	prompt := max(x.request.PromptTokens, x.request.partTokens())
@@ -156,19 +157,21 @@
 	if chosen.engine == nil {
 		return
 	}
-	work := c.workOf(x.service)
+	work := c.serviceWorkOf(x.service)
 	c.refreshWork(now, x.service, work)
 	size := c.sizeAt(now, x, chosen, send.FetchFrom)
 	work.average.unread += averageSmoothing * (float64(size.Unread) - work.average.unread)
 	work.average.memory += averageSmoothing * (float64(size.Memory) - work.average.memory)
 	work.average.output += averageSmoothing * (float64(size.Output) - work.average.output)
-	x.engine, x.run, x.hasFirstToken = chosen.engine, chosen.engine.Begin(now, c.othersWork(chosen, send.Estimate), size), false
+	x.engine = chosen.engine
+	x.run = x.engine.Begin(now, c.othersWork(chosen, send.Estimate), size)
+	x.hasFirstToken = false
 	send.EventTokens = max(c.services[x.service].EventTokens, 1)
 	send.Predicted = x.run.Predicted()
 }
 
-// Progressed records that an event with the given number of tokens has arrived. It needs to be
-// called only for attempts whose Send has EventTokens.
+// Progressed records that an event with the given number of tokens has arrived. It has no effect on
+// attempts whose Send has no EventTokens.
 func (c *Core) Progressed(now time.Time, x *Exchange, tokens int) {
 	if x.run == nil {
 		return
@@ -205,7 +208,7 @@
 		return WorkStatus{}
 	}
 	others := c.othersWork(m, c.estimate(now, m))
-	average := c.workOf(m.backEnd.Service).average
+	average := c.serviceWorkOf(m.backEnd.Service).average
 	size := workload.Size{Unread: int(average.unread), Memory: int(average.memory), Output: int(average.output)}
 	return WorkStatus{
 		Own: m.engine.Own(), All: m.engine.Own().Plus(others),
