--- a/internal/fairshare/demand.go
+++ b/internal/fairshare/demand.go
@@ -10,8 +10,8 @@
 	"github.com/go-faster/errors"
 )
 
-// Demand holds the figures of one tenant of a service, or of all its tenants together, at one
-// gateway or summed up over several.
+// Demand holds the rates of one tenant of a service, or of all its tenants together, at one gateway
+// or summed up over several.
 type Demand struct {
 	// Service and Tenant identify the service and the tenant; see Key. Tenant is allTenants for the
 	// figures of all tenants together.
@@ -26,8 +26,8 @@
 // Rate is a rate of work, in units of rateUnit tokens per second.
 type Rate uint32
 
-// rateUnit is the resolution of rates. It is small compared with one request per second, and the
-// largest tenants of 520 in front of 660 engines still take two or three bytes.
+// rateUnit is the resolution of rates. It is small compared with one request per second, and rates of
+// up to 33 million tokens per second, the prompts of hundreds of engines, take at most three bytes.
 const rateUnit = 16
 
 func units(perSecond float64) Rate {
@@ -36,8 +36,8 @@
 
 func (r Rate) perSecond() float64 { return float64(r) * rateUnit }
 
-// keyBytes is the length of a key. Among 520 tenants, two have the same key with a probability of
-// 1 in 124; they then have one share together.
+// keyBytes is the length of a key. Two of n tenants have the same key with a probability of about
+// n²/2²⁵, for example 1 in 134 with 500 tenants; they then have one share together.
 const keyBytes = 3
 
 // allTenants is the key of all tenants of a service together.
@@ -103,14 +103,14 @@
 			all[each.Service] = each.Demand
 		}
 	}
-	part := func(each Demand) float64 {
+	portion := func(each Demand) float64 {
 		if each.Tenant == allTenants {
 			return math.Inf(1)
 		}
 		return float64(each.Demand) / float64(max(1, all[each.Service]))
 	}
 	slices.SortFunc(list, func(a, b Demand) int {
-		return cmp.Or(compareDescending(part(a), part(b)), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Tenant, b.Tenant))
+		return cmp.Or(compareDescending(portion(a), portion(b)), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Tenant, b.Tenant))
 	})
 	return list[:min(len(list), len(all)+MaxTenants)]
 }
@@ -137,8 +137,9 @@
 
 func compareDescending(a, b float64) int { return cmp.Compare(b, a) }
 
-// Packed encodes demands compactly: for each service its key and rates, the number of its tenants, and for each tenant its key and its demand. Keys take three
-// bytes; rates and numbers are varints. A tenant usually takes five bytes.
+// Packed encodes demands compactly: for each service its key and rates, the number of its tenants,
+// and for each tenant its key and its demand. Keys take three bytes; rates and numbers are varints. A
+// tenant usually takes five bytes.
 type Packed []byte
 
 const (
