--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -60,7 +60,7 @@
 	}
 	e.isAnswered = true
 	c.usable = usable
-	closeNow := c.isIdle && !c.closeWhenUnusable()
+	closeNow := c.isIdle && !c.scheduleClose()
 	e.transport.mutex.Unlock()
 	if closeNow {
 		_ = c.Close()
@@ -77,7 +77,7 @@
 		return
 	}
 	c.isIdle = true
-	closeNow := e.isAnswered && !c.closeWhenUnusable()
+	closeNow := e.isAnswered && !c.scheduleClose()
 	e.transport.mutex.Unlock()
 	if closeNow {
 		_ = c.Close()
@@ -265,8 +265,8 @@
 	return c.Conn.Close()
 }
 
-// closeUnusable closes the idle connections to an address that aren't usable. net/http would choose them
-// next.
+// closeUnusable closes the idle connections to an address that aren't usable. net/http would choose
+// them next.
 func (t *Transport) closeUnusable(address string) {
 	lag := t.lag()
 	t.mutex.Lock()
@@ -282,9 +282,9 @@
 	}
 }
 
-// closeWhenUnusable arranges that the idle connection is closed when it is no longer usable. It
+// scheduleClose arranges that the idle connection is closed when it is no longer usable. It
 // returns false if it already isn't.
-func (c *conn) closeWhenUnusable() bool {
+func (c *conn) scheduleClose() bool {
 	left := c.usable - c.transport.clock.Since(c.finishedAfter)
 	if left <= 0 {
 		return false
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -12,8 +12,8 @@
 //     back end finished isn't known: the earliest possible time is used; see conn.finishedAfter.
 //   - That was also less than maxIdle ago, and something has arrived from the back end within
 //     maxUnproven, on this connection or on one that is at least as old: connections may have gone
-//     silent without a reset, all of them or those to one machine. On a new connection the request
-//     wouldn't be lost, because it couldn't be opened or works.
+//     silent without a reset, all of them or those to one machine. A new connection isn't at risk:
+//     if the back end is silent, it can't be opened, and nothing is sent.
 //   - The socket has no unread input. Before a request, input can only be the end of the connection
 //     or an error. This detects a back end that closed early, once the end has arrived here.
 //
@@ -57,8 +57,8 @@
 	maxUnproven = 500 * time.Millisecond
 	// roundingMargin is the most by which a back end that rounds up to whole seconds states too much.
 	roundingMargin = time.Second
-	// transferMargin covers the end of the answer, the request, and one retransmission of each, which
-	// the kernel sends after at least 200 ms.
+	// transferMargin covers the end of the answer, the request, one retransmission of each, which the
+	// kernel sends after at least 200 ms, and maxReadPause.
 	transferMargin = 500 * time.Millisecond
 	// maxUnused is how long a new connection may wait for its first request. Back ends allow several
 	// seconds for it, but don't state how many.
