--- a/internal/workload/fit.go
+++ b/internal/workload/fit.go
@@ -8,15 +8,16 @@
 const (
 	// priorWeight is the weight of what is assumed without samples, in samples.
 	priorWeight = 0.5
-	// outlierRatio limits the ratio of a sample to the usual rates.
+	// outlierRatio and its inverse limit the ratio of a sample to the usual rates. Engines differ by
+	// less; ratios beyond it are due to a temporary slowdown or to unknown work.
 	outlierRatio = 2.0
 	// smallestShare limits how far the parts of a line can fall below the default. A limit relative
 	// to the fallback, which is the mean of such lines, would let all of them fall together.
 	smallestShare = 0.02
 )
 
-// withoutOutlier limits the ratio of a sample to the usual rates.
-func withoutOutlier(ratio float64) float64 { return min(max(ratio, 1/outlierRatio), outlierRatio) }
+// clampOutlier limits the ratio of a sample to the usual rates.
+func clampOutlier(ratio float64) float64 { return min(max(ratio, 1/outlierRatio), outlierRatio) }
 
 // factor is a slowness, 1 being usual: the geometric mean of recent ratios.
 type factor struct {
@@ -25,7 +26,7 @@
 	forgetting  time.Duration
 }
 
-// kept returns the fraction of the earlier samples' weight that is left.
+// kept returns the fraction of the weight of earlier samples that is left at the given time.
 func (f *factor) kept(now time.Time) float64 {
 	return math.Exp(-max(now.Sub(f.at), 0).Seconds() / f.forgetting.Seconds())
 }
@@ -68,7 +69,7 @@
 
 func (l *fittedLine) observe(seen sample) {
 	expected := l.at(seen.load)
-	l.add(seen.load, expected*withoutOutlier(seen.ratio), seen.weight/(expected*expected))
+	l.add(seen.load, expected*clampOutlier(seen.ratio), seen.weight/(expected*expected))
 	l.Samples += seen.weight
 }
 
--- a/internal/workload/predict.go
+++ b/internal/workload/predict.go
@@ -20,8 +20,8 @@
 	size = size.valid()
 	forecast := e.forecast(now, others, size)
 	return Prediction{
-		FirstToken: duration(e.speed.now(now, forecast.queued) * forecast.firstToken),
-		Pause:      duration(e.speed.now(now, false) * e.pause(size.Unread, forecast.step)),
+		FirstToken: duration(e.speed.currentFactor(now, forecast.queued) * forecast.firstToken),
+		Pause:      duration(e.speed.currentFactor(now, false) * e.pause(size.Unread, forecast.step)),
 		Memory:     e.own.Memory + others.valid().Memory + size.Memory,
 	}
 }
@@ -43,7 +43,7 @@
 // steps.
 func (e *Engine) forecast(now time.Time, others Work, size Size) forecast {
 	e.speed.age(now)
-	total := e.own.Plus(others.valid()).plus(size)
+	total := e.own.Plus(others.valid()).plusRequest(size)
 	step := e.speed.step.at(e.running(total.Streams))
 	ahead := float64(total.Unread) - e.prefilledPart(now, step)
 	steps := ahead / chunkTokens
--- a/internal/workload/rates.go
+++ b/internal/workload/rates.go
@@ -12,22 +12,22 @@
 
 func (l Line) at(load float64) float64 { return l.Fixed + l.Each*load }
 
-// orDefault replaces a line that isn't known.
-func (l Line) orDefault(line Line) Line {
+// orDefault returns the line, or the standard one if it isn't known.
+func (l Line) orDefault(standard Line) Line {
 	if l.Fixed <= 0 || l.Each <= 0 {
-		return line
+		return standard
 	}
 	return l
 }
 
-// plus adds a line, weighted by its samples; sum contains only weighted lines.
-func (l Line) plus(other Line) Line {
+// plusWeighted adds a line, weighted by its samples, to a sum of weighted lines.
+func (l Line) plusWeighted(other Line) Line {
 	return Line{
 		Fixed: l.Fixed + other.Fixed*other.Samples, Each: l.Each + other.Each*other.Samples, Samples: l.Samples + other.Samples,
 	}
 }
 
-// mean divides a sum of weighted lines by their samples; without any it is zero.
+// mean returns the mean of the lines in a sum of weighted lines, or zero without samples.
 func (l Line) mean() Line {
 	if l.Samples == 0 {
 		return Line{}
@@ -52,8 +52,8 @@
 func MeanRates(engines iter.Seq[Rates]) Rates {
 	var sum Rates
 	for each := range engines {
-		sum.Prompt = sum.Prompt.plus(each.Prompt)
-		sum.Step = sum.Step.plus(each.Step)
+		sum.Prompt = sum.Prompt.plusWeighted(each.Prompt)
+		sum.Step = sum.Step.plusWeighted(each.Step)
 	}
 	return Rates{Prompt: sum.Prompt.mean(), Step: sum.Step.mean()}
 }
--- a/internal/workload/speed.go
+++ b/internal/workload/speed.go
@@ -32,9 +32,9 @@
 	largestStepRatio  = 4
 )
 
-// speed is the learned speed of an engine. Its usual rates change slowly, which averages out what
-// the gateway doesn't know, such as the work of others. pace is a short-term factor on all of them,
-// because a slow neighbour slows down prefill and decode alike.
+// speed is the learned speed of an engine. Its usual rates, prompt and step, change slowly, which
+// averages out what the gateway doesn't know, such as the work of others. pace is a short-term factor
+// on both of them, because a slow neighbour slows down prefill and decode alike.
 type speed struct {
 	prompt fittedLine
 	step   fittedLine
@@ -100,11 +100,11 @@
 
 // observeQueue learns from a time to the first token that includes waiting for a slot or for memory.
 func (s *speed) observeQueue(now time.Time, ratio float64) {
-	s.queue.observe(now, withoutOutlier(ratio/s.pace.value(now)), 1)
+	s.queue.observe(now, clampOutlier(ratio/s.pace.value(now)), 1)
 }
 
-// now returns the factor on the usual times at present, for a request that is queued or not.
-func (s *speed) now(now time.Time, queued bool) float64 {
+// currentFactor returns the factor on the usual times at present, for a request that is queued or not.
+func (s *speed) currentFactor(now time.Time, queued bool) float64 {
 	if queued {
 		return s.pace.value(now) * s.queue.value(now)
 	}
@@ -138,7 +138,7 @@
 func (s *speed) observe(now time.Time, line *fittedLine, seen sample) {
 	s.age(now)
 	s.observePace(now, seen.ratio, seen.speedWeight)
-	s.level.observe(now, withoutOutlier(seen.ratio)*line.at(seen.load)/line.fallback.at(seen.load), seen.speedWeight)
+	s.level.observe(now, clampOutlier(seen.ratio)*line.at(seen.load)/line.fallback.at(seen.load), seen.speedWeight)
 	line.observe(seen)
 	line.fit(s.level.value(now))
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -37,8 +37,8 @@
 	return Work{Streams: w.Streams + other.Streams, Unread: w.Unread + other.Unread, Memory: w.Memory + other.Memory}
 }
 
-// plus returns the work with a request of the given size added.
-func (w Work) plus(size Size) Work {
+// plusRequest returns the work with a request of the given size added.
+func (w Work) plusRequest(size Size) Work {
 	return w.Plus(Work{Streams: 1, Unread: size.Unread, Memory: size.Memory})
 }
 
@@ -145,14 +145,14 @@
 	forecast := e.forecast(now, others, size)
 	run := &Run{
 		size: size, began: now, ahead: forecast.ahead, usual: forecast.firstToken,
-		predicted: forecast.firstToken * e.speed.now(now, forecast.queued), queued: forecast.queued,
+		predicted: forecast.firstToken * e.speed.currentFactor(now, forecast.queued), queued: forecast.queued,
 	}
 	if e.waiting == 0 {
 		e.advancedAt = now
 	}
 	e.waiting++
 	e.output += size.Output
-	e.own = e.own.plus(size)
+	e.own = e.own.plusRequest(size)
 	e.others = others.valid()
 	return run
 }
@@ -171,6 +171,7 @@
 	}
 }
 
+// learnFirstToken learns the engine's speed from the run's time to the first token.
 func (e *Engine) learnFirstToken(now time.Time, run *Run) {
 	ratio := now.Sub(run.began).Seconds() / run.usual
 	switch {
