--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -171,8 +171,8 @@
 	return s.core.Counts(s.clock.Now())
 }
 
-// ApplyTotals sets the request counts and the demands of tenants of all gateways together. own are the counts of this
-// gateway that are included in them.
+// ApplyTotals sets the request counts and the demands of tenants of all gateways together. own are
+// the counts of this gateway that are included in them.
 func (s *State) ApplyTotals(own []dispatch.Count, totals dispatch.Totals) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
