--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -15,9 +15,9 @@
 func (x *Exchange) Continuations() int { return x.continuations }
 
 // continuationTarget returns the member at which the broken run can be continued from its backup, or
-// nil. All conditions on a member that gets a new request apply.
+// nil. It must accept new requests, be reachable, have warm-up quota left, and have room to continue.
 //
-// On a route that allows to run a request again, a further attempt must be left: if the target has
+// On a route that allows a request to be repeated, another attempt must be left: if the target has
 // no copy after all, the stream is resumed without it.
 func (c *Core) continuationTarget(now time.Time, x *Exchange) *member {
 	route := x.request.Route
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -49,11 +49,12 @@
 	PrefixCopies Mechanism = "prefix-copies"
 	// LoadBound keeps the load of a caching back end within the bound.
 	LoadBound Mechanism = "load-bound"
-	// KeepParts keeps prompts at their homes once back ends have little room to spare.
+	// KeepParts reserves a part of a back end's places for the prompts that it is a home of.
 	KeepParts Mechanism = "keep-parts"
 	// Backlog tells refused callers to come back when the backlog ahead of them has drained.
 	Backlog Mechanism = "backlog"
-	// AdmissionLottery divides the room near the bound among gateways at random.
+	// AdmissionLottery divides the room near the bound, and the free places of a service whose work is
+	// counted in tokens, among gateways at random.
 	AdmissionLottery Mechanism = "lots"
 	// ExtrapolatePeers assumes that peers have sent as much as this gateway since their last
 	// report, limited by the demand for the member.
