--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -152,7 +152,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if b.lacksCopy(w, forwarded) {
+	if b.refuseWithoutCopy(w, forwarded) {
 		b.fleet.check.arrived(arrival)
 		return
 	}
@@ -212,7 +212,7 @@
 func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
-	task := &work{backEnd: b.id(), continued: forwarded.ContinueFrom != "", backedUp: forwarded.BackUpTo != ""}
+	task := &streamWork{backEnd: b.id(), continued: forwarded.ContinueFrom != "", backedUp: forwarded.BackUpTo != ""}
 	b.fleet.check.workBegan(forwarded.Request, task)
 	defer b.fleet.check.workEnded(task)
 	first := 1
--- a/internal/soak/backups.go
+++ b/internal/soak/backups.go
@@ -19,6 +19,8 @@
 	// enough for a backup.
 	promptTokens = 9000
 	outputTokens = 800
+	// copyLifetime is how long an engine keeps a copy that is no longer written to.
+	copyLifetime = 5 * time.Second
 	// handoverTime is the time after which the first back end must have stopped working on a run
 	// that another one continues.
 	handoverTime = 400 * time.Millisecond
@@ -38,7 +40,7 @@
 // engineService returns the service with the facts of engines.
 func engineService(base catalog.Service) catalog.Service {
 	base.CachesPrefixes, base.CacheTokens, base.TokenBytes, base.EventTokens = true, 400_000, 18_432, 7
-	base.Backups, base.CopyLifetime = true, 5*time.Second
+	base.Backups, base.CopyLifetime = true, copyLifetime
 	return base
 }
 
@@ -56,7 +58,7 @@
 	held  map[runCopy]time.Time
 }
 
-// write records that a piece of the run's memory arrived at the back end with the address.
+// writeCopy records that a piece of the run's memory arrived at the back end with the address.
 func (f *fleet) writeCopy(address, run string) {
 	for _, b := range f.everyBackEnd() {
 		if b.address == address && !b.isStarting() {
@@ -75,11 +77,12 @@
 	defer c.mutex.Unlock()
 	at, held := c.held[key]
 	delete(c.held, key)
-	return held && time.Since(at) <= 5*time.Second
+	return held && time.Since(at) <= copyLifetime
 }
 
-// lacksCopy refuses a continuation for which the back end has no copy, and returns whether it did.
-func (b *backEnd) lacksCopy(w http.ResponseWriter, forwarded wire.Forwarded) bool {
+// refuseWithoutCopy refuses a continuation for which the back end has no copy, and returns whether it
+// did.
+func (b *backEnd) refuseWithoutCopy(w http.ResponseWriter, forwarded wire.Forwarded) bool {
 	if forwarded.ContinueFrom == "" || b.takeCopy(forwarded.ContinueFrom) {
 		return false
 	}
@@ -88,8 +91,8 @@
 	return true
 }
 
-// work is the time in which a back end worked on a stream.
-type work struct {
+// streamWork is the time in which a back end worked on a stream, and what came of it.
+type streamWork struct {
 	backEnd string
 	// continued is true if the back end continued the run of another one, and backedUp if a copy of
 	// the run was ordered.
@@ -119,20 +122,20 @@
 // backedUp holds the observations of streams with backups.
 type backedUp struct {
 	// work is by request, in the order in which it began.
-	work map[string][]*work
+	work map[string][]*streamWork
 	// crashes holds the times at which back ends crashed, by name.
 	crashes map[string][]time.Time
 }
 
 // workBegan and workEnded record that a back end begins and stops working on a stream.
-func (c *checker) workBegan(request string, task *work) {
+func (c *checker) workBegan(request string, task *streamWork) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	task.from = time.Now()
 	c.backedUp.work[request] = append(c.backedUp.work[request], task)
 }
 
-func (c *checker) workEnded(task *work) {
+func (c *checker) workEnded(task *streamWork) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	task.to, task.ended = time.Now(), true
@@ -146,7 +149,7 @@
 }
 
 // interruptedByCrash returns whether a crash of the back end interrupted its work on a stream.
-func (c *checker) interruptedByCrash(task *work) bool {
+func (c *checker) interruptedByCrash(task *streamWork) bool {
 	return task.ended && task.events > 0 && !task.whole && slices.ContainsFunc(c.backedUp.crashes[nameOf(task.backEnd)], func(at time.Time) bool {
 		return !at.Before(task.from) && !at.After(task.to)
 	})
@@ -174,7 +177,7 @@
 // crash, and those of them that were completed.
 func (c *checker) countSurvivors(result *Result) {
 	for request, list := range c.backedUp.work {
-		isInterrupted := slices.ContainsFunc(list, func(each *work) bool { return each.backedUp && c.interruptedByCrash(each) })
+		isInterrupted := slices.ContainsFunc(list, func(each *streamWork) bool { return each.backedUp && c.interruptedByCrash(each) })
 		if !isInterrupted || c.sentRequests[request].prefix != prefixStream {
 			continue
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -184,7 +184,7 @@
 		arrivals: map[string][]arrival{}, gatewayStarts: map[string]time.Time{}, outages: map[string]*disturbance{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
 		crashes: map[string][]time.Time{}, notices: newNotices(),
-		backedUp: backedUp{work: map[string][]*work{}, crashes: map[string][]time.Time{}},
+		backedUp: backedUp{work: map[string][]*streamWork{}, crashes: map[string][]time.Time{}},
 	}
 }
 
