--- a/internal/dispatch/backup_test.go
+++ b/internal/dispatch/backup_test.go
@@ -16,19 +16,19 @@
 	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
-// engineService is a service of engines that back up runs.
-func engineService() catalog.Service {
+// backupService is a service of engines that back up runs.
+func backupService() catalog.Service {
 	return catalog.Service{
 		Name: "s", CachesPrefixes: true, CacheTokens: 421_980, TokenBytes: 18_432, Backups: true, CopyLifetime: 5 * time.Second,
 	}
 }
 
-// newEngineCore returns a core with engines that back up runs; share is Config.BackupShare.
-func newEngineCore(count int, share float64) *Core {
+// newBackupCore returns a core with engines that back up runs; share is Config.BackupShare.
+func newBackupCore(count int, share float64) *Core {
 	config := DefaultConfig()
 	config.Zone, config.BackupShare = "z", share
 	core := New(config)
-	core.SetServices([]catalog.Service{engineService()})
+	core.SetServices([]catalog.Service{backupService()})
 	core.SetBackEnds(start, backEnds(count, 64))
 	return core
 }
@@ -60,6 +60,7 @@
 	}
 }
 
+// Guards against backups at healthy engines, and against engines that are likely to fail without one.
 func TestBackupOnlyForSuspectEngines(t *testing.T) {
 	cases := map[string]struct {
 		condition engineCondition
@@ -106,7 +107,7 @@
 // The backup goes to a member that holds the shared parts: it only needs the rest.
 func TestBackupPrefersHolder(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(6, 1)
+	core := newBackupCore(6, 1)
 	x, first := core.Begin(start, longRequest(singleStream(), "a"))
 	passEvents(core, start, x, 3)
 	holder := first.Send.BackEnd
@@ -126,7 +127,7 @@
 // The copies of many runs don't fill the memory of the targets beyond their share.
 func TestBackupsLeaveMemoryFree(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(3, 1)
+	core := newBackupCore(3, 1)
 	ordered := 0
 	var open []*Exchange
 	for i := range 150 {
@@ -156,7 +157,7 @@
 func TestNoBackupWithoutSupport(t *testing.T) {
 	for name, change := range map[string]func(*Core){
 		"service": func(c *Core) {
-			service := engineService()
+			service := backupService()
 			service.Backups = false
 			c.SetServices([]catalog.Service{service})
 		},
@@ -164,7 +165,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			core := newEngineCore(4, 1)
+			core := newBackupCore(4, 1)
 			change(core)
 			x, decision := core.Begin(start, longRequest(singleStream(), "a"))
 			is.Equal(decision.Send.BackUpTo, "")
@@ -184,7 +185,7 @@
 // requests may run once, or none could be made there.
 func TestContinuationUsesRetryBudget(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(4, 1)
+	core := newBackupCore(4, 1)
 	x, first := core.Begin(start, longRequest(singleStream(), "a"))
 	passEvents(core, start, x, 5)
 	before := core.budget("s").Tokens()
@@ -212,7 +213,7 @@
 	for name, outcome := range outcomes {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			core := newEngineCore(6, 1)
+			core := newBackupCore(6, 1)
 			x, _ := core.Begin(start, longRequest(singleStream(), "a"))
 			passEvents(core, start, x, 5)
 			is.True(core.Truncated(start, x).Send != nil)
@@ -229,7 +230,7 @@
 // A back end that has no copy isn't ejected for it.
 func TestRefusedContinuationIsNoFailure(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(4, 1)
+	core := newBackupCore(4, 1)
 	for i := range 20 {
 		x, _ := core.Begin(start, longRequest(singleStream(), fmt.Sprint(i)))
 		passEvents(core, start, x, 5)
@@ -283,7 +284,7 @@
 			for i := range list {
 				list[i].Born = 1
 			}
-			core := newEngineCore(4, 1)
+			core := newBackupCore(4, 1)
 			core.SetBackEnds(start, slices.Clone(list))
 			x, first := core.Begin(start, longRequest(singleStream(), "a"))
 			passEvents(core, start, x, 5)
@@ -300,7 +301,7 @@
 	for attempts, continues := range map[int]bool{2: false, 3: true} {
 		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
 			is := is.New(t)
-			core := newEngineCore(4, 0)
+			core := newBackupCore(4, 0)
 			for _, m := range core.members {
 				m.pace, m.paceAt = 4, start
 			}
@@ -332,7 +333,7 @@
 // A request whose content crashes back ends isn't continued.
 func TestWithheldRequestIsNotContinued(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(8, 1)
+	core := newBackupCore(8, 1)
 	asked := longRequest(singleStream(), "a")
 	asked.Fingerprints = func() []Fingerprint { return []Fingerprint{7} }
 	x, _ := core.Begin(start, asked)
@@ -348,7 +349,7 @@
 func TestContinuationInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		core := newEngineCore(rapid.IntRange(2, 6).Draw(t, "engines"), 1)
+		core := newBackupCore(rapid.IntRange(2, 6).Draw(t, "engines"), 1)
 		x, decision := core.Begin(start, longRequest(singleStream(), "a"))
 		fresh, continued, sent := 0, 0, false
 		for step := 0; decision.Send != nil && step < 20; step++ {
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -15,7 +15,7 @@
 
 // BenchmarkBeginWithEngines measures the same with the work counted in tokens.
 func BenchmarkBeginWithEngines(b *testing.B) {
-	benchmarkBegin(b, []catalog.Service{serviceOfEngines()})
+	benchmarkBegin(b, []catalog.Service{workService()})
 }
 
 func benchmarkBegin(b *testing.B, services []catalog.Service) {
@@ -45,7 +45,7 @@
 // BenchmarkRefreshWork measures the update of all engines of a service, every 250 ms at most.
 func BenchmarkRefreshWork(b *testing.B) {
 	core := newCore(backEnds(660, 12))
-	core.SetServices([]catalog.Service{serviceOfEngines()})
+	core.SetServices([]catalog.Service{workService()})
 	now := start
 	for b.Loop() {
 		now = now.Add(workInterval)
@@ -55,7 +55,7 @@
 
 // BenchmarkProgressed measures one event of a stream.
 func BenchmarkProgressed(b *testing.B) {
-	core := coreOfEngines(6)
+	core := newWorkCore(6)
 	x, _ := core.Begin(start, streamRequest("a"))
 	now := start
 	b.ReportAllocs()
@@ -67,7 +67,7 @@
 
 // BenchmarkEventPassed measures what a gateway does in the core for each event of a stream.
 func BenchmarkEventPassed(b *testing.B) {
-	core := newEngineCore(46, 1)
+	core := newBackupCore(46, 1)
 	x, _ := core.Begin(start, longRequest(singleStream(), "a"))
 	core.Answered(start, x, -1)
 	for i := range b.N {
@@ -77,7 +77,7 @@
 
 // BenchmarkBeginWithBackup measures a decision that includes the choice of the backup's target.
 func BenchmarkBeginWithBackup(b *testing.B) {
-	core := newEngineCore(46, 1)
+	core := newBackupCore(46, 1)
 	for range b.N {
 		x, _ := core.Begin(start, longRequest(singleStream(), "a"))
 		core.Done(start, x)
--- a/internal/dispatch/engine_model_test.go
+++ b/internal/dispatch/engine_model_test.go
@@ -126,7 +126,6 @@
 			return false
 		}
 		e.remove(oldest)
-		e.fleet.evictions++
 	}
 	return true
 }
@@ -175,7 +174,6 @@
 			source.usedAt = e.fleet.now
 			part.ready = true
 			run.readyAt = e.fleet.now.Add(millis(copyMillisPer10k * float64(run.shared) / 10000))
-			e.fleet.copied += run.shared
 			return
 		}
 	}
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -11,8 +11,8 @@
 	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
 
-// engineCore returns a core with one engine that has room for 11 requests.
-func engineCore(disabled ...Mechanism) *Core {
+// newFairShareCore returns a core with one engine that has room for 11 requests.
+func newFairShareCore(disabled ...Mechanism) *Core {
 	config := DefaultConfig()
 	config.Disabled = Disabled{}
 	for _, each := range disabled {
@@ -59,7 +59,7 @@
 // Requests of the tenant that asks for too much are marked, and only those.
 func TestRequestsBeyondTheTenantsShareAreExcess(t *testing.T) {
 	is := is.New(t)
-	core := engineCore()
+	core := newFairShareCore()
 	now := surge(core)
 	is.True(marked(core, now, "hot") > 50)
 	is.Equal(marked(core, now, "other"), 0)
@@ -82,9 +82,9 @@
 // and all requests without the mechanism are served as before.
 func TestFairSharesApplyOnlyWhereTokensAreKnown(t *testing.T) {
 	is := is.New(t)
-	core := engineCore(FairShare)
+	core := newFairShareCore(FairShare)
 	is.Equal(marked(core, surge(core), "hot"), 0)
-	core = engineCore()
+	core = newFairShareCore()
 	now := surge(core)
 	unknown, _ := core.Begin(now, Request{ID: "x", Route: repeatable(1), Tenant: "hot", Deadline: now.Add(time.Minute)})
 	is.True(!unknown.Excess())
@@ -93,6 +93,8 @@
 	is.Equal(len(core.Demands(now)), 0)
 }
 
+// Guards against requests that are counted with too little work because they don't state their tokens,
+// and against chats whose requests are drawn anew each time.
 func TestWorkOfARequest(t *testing.T) {
 	is := is.New(t)
 	parts := []Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 100}}
@@ -108,7 +110,7 @@
 	for _, large := range []bool{false, true} {
 		t.Run(fmt.Sprint("large ", large), func(t *testing.T) {
 			is := is.New(t)
-			busy, idle := engineCore(), engineCore()
+			busy, idle := newFairShareCore(), newFairShareCore()
 			now := surge(busy)
 			if large {
 				idle.ApplyTotals(now, nil, Totals{Counted: 1, Expected: 1, Tenants: busy.Demands(now)})
@@ -126,7 +128,7 @@
 // A request that no back end took doesn't count as admitted.
 func TestRefusedAttemptsAreNotAdmitted(t *testing.T) {
 	is := is.New(t)
-	core := engineCore()
+	core := newFairShareCore()
 	x, decision := core.Begin(start, tenantRequest("a", "1"))
 	is.True(decision.Send != nil)
 	is.Equal(core.Demands(start)[0].Refused, fairshare.Rate(0))
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -83,15 +83,9 @@
 	callers   []*caller
 	arrivals  []arrival
 	prefills  map[string]bool
-	evictions int
 	preempted int
-	copied    int
 	// prefilledAgain counts the tokens of shared parts that were prefilled after the first time.
 	prefilledAgain int
-	// predict returns the wait for the first token that the core has predicted for an attempt; nil
-	// while it predicts none. waits are the predicted and the actual waits.
-	predict func(x *Exchange, send *Send) time.Duration
-	waits   [][2]time.Duration
 }
 
 // caller is a request of a caller with its outcome.
@@ -111,7 +105,6 @@
 	x             *Exchange
 	run           *modelRun
 	attempt       int
-	predicted     time.Duration
 	lastEventAt   time.Time
 	firstToken    time.Duration
 	longestPause  time.Duration
@@ -315,7 +308,7 @@
 		return
 	}
 	c.attempt++
-	attempt, send, sentAt := c.attempt, decision.Send, f.now
+	attempt, send := c.attempt, decision.Send
 	engine := f.byID[send.BackEnd.ID]
 	total := 1
 	for _, each := range f.engines {
@@ -324,16 +317,12 @@
 	mean := float64(total) / float64(len(f.engines))
 	load := engine.load() + 1
 	f.arrivals = append(f.arrivals, arrival{at: f.now, overBound: float64(load) > allowedMultiple*mean+allowedSlack})
-	if f.predict != nil {
-		c.predicted = f.predict(c.x, send)
-	}
 	core := f.cores[c.gateway]
 	c.run = &modelRun{
 		urgency: c.class.route.Priority, part: c.part, shared: c.class.shared, own: c.own, output: c.output, fetchFrom: f.byAddr[send.FetchFrom],
 		onEvent: func(generated int) {
 			if generated == 1 {
 				c.firstToken = f.now.Sub(c.arrivedAt)
-				f.waits = append(f.waits, [2]time.Duration{c.predicted, f.now.Sub(sentAt)})
 				core.Answered(f.now, c.x, engine.load())
 			} else {
 				c.longestPause = max(c.longestPause, f.now.Sub(c.lastEventAt))
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -44,6 +44,7 @@
 	}
 }
 
+// Guards against a limit that leaves no time for the continuation, or is shorter than minSilence.
 func TestSilenceLimitIsWithinPatience(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		span := func(name string) time.Duration {
@@ -62,7 +63,7 @@
 // A stream that may not be repeated and can't be continued is never abandoned for its silence.
 func TestSilentStreamIsAbandonedOnlyIfItCanBeContinued(t *testing.T) {
 	is := is.New(t)
-	core := newEngineCore(4, 1)
+	core := newBackupCore(4, 1)
 	x, decision := core.Begin(start, longRequest(singleStream(), "a"))
 	target := core.memberAt(decision.Send.BackUpTo)
 	core.Answered(start, x, -1)
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -13,14 +13,14 @@
 
 const testEventTokens = 7
 
-// coreOfEngines returns a core whose service names engines with memory in tokens.
-func coreOfEngines(members int) *Core {
+// newWorkCore returns a core whose service names engines with memory in tokens.
+func newWorkCore(members int) *Core {
 	core := newCore(backEnds(members, 64))
-	core.SetServices([]catalog.Service{serviceOfEngines()})
+	core.SetServices([]catalog.Service{workService()})
 	return core
 }
 
-func serviceOfEngines() catalog.Service {
+func workService() catalog.Service {
 	return catalog.Service{Name: "s", CachesPrefixes: true, CacheTokens: 421_980, EventTokens: testEventTokens}
 }
 
@@ -36,7 +36,7 @@
 // The work of a request follows its progress: unread until the first token, gone with the attempt.
 func TestWorkFollowsRequest(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(1)
+	core := newWorkCore(1)
 	m := core.members["b00"]
 	x, decision := core.Begin(start, streamRequest("a"))
 	is.Equal(m.engine.Own(), workload.Work{Streams: 1, Unread: 9500, Memory: 580})
@@ -59,7 +59,7 @@
 // Every outcome of an attempt releases its work, or the engine would seem loaded for good.
 func TestWorkReturnsToZero(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(3)
+	core := newWorkCore(3)
 	outcomes := []func(*Exchange){
 		func(x *Exchange) { core.ConnectionLost(start, x) },
 		func(x *Exchange) { core.Refused(start, x) },
@@ -77,7 +77,7 @@
 		// The configuration changes while the request is in flight.
 		func(*Exchange) {
 			core.SetServices(nil)
-			core.SetServices([]catalog.Service{serviceOfEngines()})
+			core.SetServices([]catalog.Service{workService()})
 		},
 	}
 	for i, outcome := range outcomes {
@@ -94,7 +94,7 @@
 // predictions for holders would be as bad as for all others.
 func TestHeldAndCopiedTokensAreNotUnread(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(2)
+	core := newWorkCore(2)
 	now := start.Add(30 * time.Second)
 	first, _ := core.Begin(now, streamRequest("a"))
 	core.Answered(now, first, -1)
@@ -117,7 +117,7 @@
 // A stream that is resumed elsewhere is prefilled there including what was already received.
 func TestResumedStreamIncludesReceivedTokens(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(2)
+	core := newWorkCore(2)
 	x, _ := core.Begin(start, streamRequest("a"))
 	core.Answered(start, x, -1)
 	core.Progressed(start, x, testEventTokens)
@@ -137,7 +137,7 @@
 // Other gateways' streams are assumed to have as many unread tokens as this gateway's on average.
 func TestOthersWorkFollowsLoad(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(2)
+	core := newWorkCore(2)
 	core.SetGateways(2)
 	now := start
 	for i := range 20 {
@@ -163,7 +163,7 @@
 // A new engine starts with the mean of the others: a gateway may get an engine at any time.
 func TestNewEngineStartsWithMeanOfOthers(t *testing.T) {
 	is := is.New(t)
-	core := coreOfEngines(2)
+	core := newWorkCore(2)
 	now := start
 	for i := range 40 {
 		request := streamRequest(fmt.Sprint(i))
@@ -192,13 +192,13 @@
 	is.Equal(core.BackEndStatuses(start)[0].Work, WorkStatus{})
 	core.Done(start, x)
 
-	core = coreOfEngines(1)
+	core = newWorkCore(1)
 	core.config.Disabled = Disabled{Workload: true}
 	core.SetBackEnds(start, backEnds(1, 64))
 	_, decision = core.Begin(start, streamRequest("a"))
 	is.Equal(decision.Send.EventTokens, 0)
 
-	core = coreOfEngines(1)
+	core = newWorkCore(1)
 	x, _ = core.Begin(start, request(nonRepeatable(), "b"))
 	is.Equal(core.members["b00"].engine.Own(), workload.Work{Streams: 1})
 	core.Done(start, x)
