--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -34,8 +34,8 @@
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
-	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would let
-	// the first moments of a burst fill several times the free places.
+	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would
+	// let the first moments of a burst fill several times the free places.
 	serviceDemandTimeConstant = 250 * time.Millisecond
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
@@ -105,9 +105,9 @@
 }
 
 // winsPlace draws whether the request gets one of the free places of its service, and counts the
-// request towards the demand for them. Every gateway sees the same places, so each gives away its share of them. The demand of the other gateways is
-// assumed to be as high as this one's: the balancer distributes callers evenly, and what others
-// report is older than the places.
+// request towards the demand for them. Every gateway sees the same places, so each gives away its
+// share of them. The demand of the other gateways is assumed to be as high as this one's: the
+// balancer distributes callers evenly, and what others report is older than the places.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
 	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
 		return true
@@ -162,7 +162,8 @@
 func (c *Core) serviceDemandOf(service string) *serviceDemand {
 	known := c.serviceDemands[service]
 	if known == nil {
-		known = &serviceDemand{within: demand{timeConstant: serviceDemandTimeConstant}, excess: demand{timeConstant: serviceDemandTimeConstant}}
+		average := demand{timeConstant: serviceDemandTimeConstant}
+		known = &serviceDemand{within: average, excess: average}
 		c.serviceDemands[service] = known
 	}
 	return known
