--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,8 @@
 	LoadSlack    float64
 	// QueueFactor is the load, in requests per slot, up to which a back end is given
 	// requests without a prompt, and CachingFactor the same for the most urgent
-	// requests with a prompt. If no back end has room, the request is refused.
+	// requests with a prompt whose work isn't known in tokens; engineFactor applies to the
+	// others. If no back end has room, the request is refused.
 	QueueFactor   float64
 	CachingFactor float64
 	// RetryRatio and RetryExtra bound the retries of all gateways together in any
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -35,8 +35,8 @@
 // candidates returns the members that may take the request: the eligible ones that are usable.
 // If these are fewer than half of the eligible ones, the cause is probably common to the whole
 // pool. Then it returns all eligible members that are usable or at least reachable, so that a few
-// don't get the whole load, or all eligible members if there are none. It also updates which members
-// are busy, since their health depends on that.
+// don't get the whole load, or all eligible members if there are none. It also updates which
+// members are busy, since their health depends on that.
 func (c *Core) candidates(now time.Time, x *Exchange) []*member {
 	pool := c.poolMembers(now, x.service)
 	c.usable = c.usable[:0]
@@ -91,10 +91,10 @@
 }
 
 // chooseByAffinity returns the first member, in the order of preference, that has room, stays within
-// the bound on load, and is won by lottery. If there is none, it returns the least loaded member that
-// has room, or nil. Where work is counted in tokens, it returns nil instead if a member was full: any other
-// one would have to prefill the prompt first, and would evict what is cached there. It also returns
-// nil if the request doesn't get one of the free places of the service; see room.go.
+// the bound on load, and is won by lottery. If there is none, it returns the least loaded member
+// that has room, or nil. Where work is counted in tokens, it returns nil instead if a member was
+// full: any other one would have to prefill the prompt first, and would evict what is cached there.
+// It also returns nil if the request doesn't get one of the free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	if !c.winsPlace(now, x, candidates) {
 		return nil
