--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -140,6 +140,7 @@
 	}
 }
 
+// isNumber reports whether the ID of an event is a number, by which gaps are noticed.
 func isNumber(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
 	return err == nil
@@ -257,7 +258,8 @@
 	}
 }
 
-// resume tries to continue a broken stream at another back end.
+// resume sends attempts for the rest of a broken stream, as the core decides: its run is continued
+// from a backup, or the stream is resumed by a new run. It returns false if there is no answer.
 func (h *Handler) resume(ctx context.Context, c *call, s *stream, broken outcome, cause error) (outcome, bool) {
 	var caller *callerWriteError
 	if c.request.Context().Err() != nil || errors.As(cause, &caller) {
