--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -27,10 +27,10 @@
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
 	excessShare = 0.93
-	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
-	// it isn't a home of. Without it, full homes push their prompts on to all other back ends, where
-	// they evict what is cached there.
-	spareShare = 0.6
+	// nonHomeShare is the fraction of a caching back end's places up to which it takes prompts that
+	// it isn't a home of. Without it, the prompts of full homes go on to all other back ends, where
+	// they evict what is cached.
+	nonHomeShare = 0.6
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
@@ -62,7 +62,7 @@
 		limit *= excessShare
 	}
 	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
-		limit *= spareShare
+		limit *= nonHomeShare
 	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
 }
