--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -1,6 +1,8 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+)
 
 // A service that refuses requests has a backlog: the callers that will come back. If each was
 // told the same short time, they would come back while the overload lasts, be refused again, and
