--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -80,8 +80,13 @@
 // winsLottery reports whether the request wins a lottery with the given chance. The draw is a
 // hash of the request and the member.
 func winsLottery(x *Exchange, m *member, chance float64) bool {
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(x.request.ID+m.backEnd.ID)%scale) < scale*chance
+	return hashFraction(x.request.ID+m.backEnd.ID) < chance
+}
+
+// hashFraction returns a fraction in [0, 1) that depends only on the key, for reproducible draws.
+func hashFraction(key string) float64 {
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String(key)%steps) / steps
 }
 
 // expectedDemand returns how many requests this gateway probably has for the member before the
@@ -118,8 +123,8 @@
 // and short compared with changes in traffic.
 const demandTimeConstant = time.Second
 
-// demand is the rate at which this gateway would send to a member, as an exponentially
-// weighted average.
+// demand is the rate of this gateway's requests, for example of those for which a member was
+// considered, as an exponentially weighted average.
 type demand struct {
 	rate float64 // requests per second at the time at
 	at   time.Time
@@ -129,7 +134,7 @@
 
 func (d *demand) seconds() float64 { return cmp.Or(d.timeConstant, demandTimeConstant).Seconds() }
 
-// note counts a request for which the member was considered.
+// note counts a request.
 func (d *demand) note(now time.Time) {
 	d.rate = d.perSecond(now) + 1/d.seconds()
 	d.at = now
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,7 +32,8 @@
 	LoadSlack    float64
 	// QueueFactor is the load, in requests per slot, up to which a back end is given
 	// requests without a prompt, and CachingFactor the same for the most urgent
-	// requests with a prompt. If no back end has room, the request is refused.
+	// requests with a prompt whose work isn't known in tokens; engineFactor applies to the
+	// others. If no back end has room, the request is refused.
 	QueueFactor   float64
 	CachingFactor float64
 	// RetryRatio and RetryExtra bound the retries of all gateways together in any
@@ -101,8 +102,8 @@
 	paths           *pathMemory
 	crashes         *crashMemory
 	budgets         map[string]*limits.RetryBudgetShare
-	// asked holds the rates of this gateway's requests, by service.
-	asked map[string]*serviceDemand
+	// serviceDemands holds the rates of this gateway's requests, by service.
+	serviceDemands map[string]*serviceDemand
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
 	// runMemory is the mean memory of a run, in tokens, by service.
@@ -179,7 +180,7 @@
 		paths:           newPathMemory(),
 		crashes:         newCrashMemory(),
 		budgets:         map[string]*limits.RetryBudgetShare{},
-		asked:           map[string]*serviceDemand{},
+		serviceDemands:  map[string]*serviceDemand{},
 		backlogs:        map[string]*backlog{},
 		runMemory:       map[string]float64{},
 		gateways:        1,
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -87,7 +87,9 @@
 // Service returns the service that the request goes to.
 func (x *Exchange) Service() string { return x.service }
 
-// Excess reports whether the request is beyond its tenant's fair share.
+// Excess reports whether the request is beyond its tenant's fair share of what the service admits.
+// It is determined when the request arrives, for all attempts. An excess request gets only the room
+// that no other request needs.
 func (x *Exchange) Excess() bool { return x.counted.Excess }
 
 func (x *Exchange) wasTried(m *member) bool {
@@ -227,7 +229,7 @@
 // otherwise, regardless of the last cause.
 func (c *Core) giveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
 	x.phase = Ended
-	c.noteRefused(now, x)
+	c.noteGivenUp(now, x)
 	if x.ran != failure.RanNo && kind.Answer().Ran == failure.RanNo {
 		kind = failure.BackendFailed
 		message += "; an earlier attempt may have run"
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -11,8 +11,8 @@
 	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
 
-// engineCore returns a core with one engine that has room for 11 requests.
-func engineCore(disabled ...Mechanism) *Core {
+// newFairShareCore returns a core with one engine that has room for 11 requests.
+func newFairShareCore(disabled ...Mechanism) *Core {
 	config := DefaultConfig()
 	config.Disabled = Disabled{}
 	for _, each := range disabled {
@@ -59,7 +59,7 @@
 // Requests of the tenant that asks for too much are marked, and only those.
 func TestRequestsBeyondTheTenantsShareAreExcess(t *testing.T) {
 	is := is.New(t)
-	core := engineCore()
+	core := newFairShareCore()
 	now := surge(core)
 	is.True(marked(core, now, "hot") > 50)
 	is.Equal(marked(core, now, "other"), 0)
@@ -71,7 +71,7 @@
 	for i := range 20 {
 		x, decision := core.Begin(now, tenantRequest("hot", fmt.Sprint("again-", i)))
 		is.True(decision.GiveUp != nil)
-		if core.isExcess(now, x) && x.Excess() {
+		if x.Excess() {
 			excess++
 		}
 	}
@@ -82,22 +82,24 @@
 // and all requests without the mechanism are served as before.
 func TestFairSharesApplyOnlyWhereTokensAreKnown(t *testing.T) {
 	is := is.New(t)
-	core := engineCore(FairShare)
+	core := newFairShareCore(FairShare)
 	is.Equal(marked(core, surge(core), "hot"), 0)
-	core = engineCore()
+	core = newFairShareCore()
 	now := surge(core)
 	unknown, _ := core.Begin(now, Request{ID: "x", Route: repeatable(1), Tenant: "hot", Deadline: now.Add(time.Minute)})
-	is.True(!core.isExcess(now, unknown))
+	is.True(!unknown.Excess())
 	core.SetServices([]catalog.Service{{Name: "s"}})
 	is.Equal(marked(core, now, "hot"), 0)
 	is.Equal(len(core.Demands(now)), 0)
 }
 
+// Guards against requests that are counted with too little work because they don't state their tokens,
+// and against chats whose requests are drawn anew each time.
 func TestWorkOfARequest(t *testing.T) {
 	is := is.New(t)
 	parts := []Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 100}}
-	is.Equal((&Request{Parts: parts}).workOf(), 1000.0)
-	is.Equal((&Request{Parts: parts, PromptTokens: 1200, OutputTokens: 50}).workOf(), 1700.0)
+	is.Equal((&Request{Parts: parts}).work(), 1000.0)
+	is.Equal((&Request{Parts: parts, PromptTokens: 1200, OutputTokens: 50}).work(), 1700.0)
 	is.Equal((&Request{ID: "r", Parts: parts}).shareKey(), "b")
 	is.Equal((&Request{ID: "r", Parts: parts[:1]}).shareKey(), "r") // a sole part is shared
 }
@@ -108,7 +110,7 @@
 	for _, large := range []bool{false, true} {
 		t.Run(fmt.Sprint("large ", large), func(t *testing.T) {
 			is := is.New(t)
-			busy, idle := engineCore(), engineCore()
+			busy, idle := newFairShareCore(), newFairShareCore()
 			now := surge(busy)
 			if large {
 				idle.ApplyTotals(now, nil, Totals{Counted: 1, Expected: 1, Tenants: busy.Demands(now)})
@@ -126,7 +128,7 @@
 // A request that no back end took doesn't count as admitted.
 func TestRefusedAttemptsAreNotAdmitted(t *testing.T) {
 	is := is.New(t)
-	core := engineCore()
+	core := newFairShareCore()
 	x, decision := core.Begin(start, tenantRequest("a", "1"))
 	is.True(decision.Send != nil)
 	is.Equal(core.Demands(start)[0].Refused, fairshare.Rate(0))
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -1,18 +1,16 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
-// places that become free. Two rules answer this load pattern. The less urgent a request is, the
-// more places it leaves free (trunk reservation), and so does a request beyond its tenant's fair
-// share; a part of each rank leaves none, so that no rank is starved. And the places that are free
-// in the whole service are given away by lottery before a back end is chosen: each gateway would
-// fill all of them before it hears of the others, and requests that are refused only after they
-// looked for a place at every back end would have moved their prompts' parts there.
+// places that become free. Three rules apply, the last two only where work is counted in tokens:
+//   - The less urgent a request is, the more places it leaves free (trunk reservation), and so does
+//     a request beyond its tenant's fair share. A part of each rank leaves none, so that no rank is
+//     starved.
+//   - A back end reserves a part of its places for the prompts that it is a home of. Other prompts
+//     would evict what is cached there.
+//   - The places that are free in the whole service are given away by lottery before a back end is
+//     chosen. Otherwise each gateway would fill all of them before it hears of the others.
 
 const (
 	// urgencyStep is the fraction of a caching back end's slots that each less urgent rank
@@ -29,16 +27,16 @@
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
 	excessShare = 0.93
-	// spareShare is the fraction of a caching back end's places up to which it takes prompts that
-	// it isn't a home of. Without it, full homes push their prompts on to all other back ends, where
-	// they evict what is cached there.
-	spareShare = 0.6
+	// nonHomeShare is the fraction of a caching back end's places up to which it takes prompts that
+	// it isn't a home of. Without it, the prompts of full homes go on to all other back ends, where
+	// they evict what is cached.
+	nonHomeShare = 0.6
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
-	// serviceDemandTime is the time constant of the demand for a service. A longer one would let
-	// the first moments of a burst fill several times the free places.
-	serviceDemandTime = 250 * time.Millisecond
+	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would
+	// let the first moments of a burst fill several times the free places.
+	serviceDemandTimeConstant = 250 * time.Millisecond
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
 	busyShare = 0.75
@@ -59,12 +57,12 @@
 // roomFor returns the member's room for the request. isHome tells whether the member is a home of
 // the request's prompt; it doesn't matter without a prompt.
 func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
-	limit := c.capacity(now, m, x)
-	if c.isExcess(now, x) {
+	limit := c.capacity(m, x)
+	if x.Excess() {
 		limit *= excessShare
 	}
 	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
-		limit *= spareShare
+		limit *= nonHomeShare
 	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
 }
@@ -84,7 +82,7 @@
 // prompt may queue for a while, since they are short. At back ends that cache prompts, every
 // further request slows down all others that run there. So there the least urgent requests are
 // refused first, while more urgent ones still find room.
-func (c *Core) capacity(now time.Time, m *member, x *Exchange) float64 {
+func (c *Core) capacity(m *member, x *Exchange) float64 {
 	if m.backEnd.Slots <= 0 {
 		return defaultCapacity
 	}
@@ -93,30 +91,23 @@
 		return slots * c.config.QueueFactor
 	}
 	if c.countsTokens(x) {
-		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(now, x)))
+		return slots * (engineFactor - engineUrgencyStep*float64(c.reservedRank(x)))
 	}
-	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(now, x)))
+	return slots * (c.config.CachingFactor - urgencyStep*float64(c.reservedRank(x)))
 }
 
-// reservedRank returns the number of steps by which the request leaves places free for more urgent
-// ones.
-func (c *Core) reservedRank(now time.Time, x *Exchange) int {
-	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !c.isExcess(now, x) && isDrawn(x, unreservedShare) {
+// reservedRank returns by how many urgency steps the request leaves places free for more urgent ones.
+func (c *Core) reservedRank(x *Exchange) int {
+	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !x.Excess() && hashFraction(x.request.ID) < unreservedShare {
 		return 0
 	}
 	return min(x.request.Urgency, lastUrgencyStep)
 }
 
-// isDrawn draws the given share of requests, by a hash of the request.
-func isDrawn(x *Exchange, share float64) bool {
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String(x.request.ID)%scale) < scale*share
-}
-
-// winsPlace draws whether the request gets one of the free places of its service. Every gateway
-// sees the same places, so each gives away its share of them. The demand of the other gateways is
-// assumed to be as high as this one's: the balancer distributes callers evenly, and what others
-// report is older than the places.
+// winsPlace draws whether the request gets one of the free places of its service, and counts the
+// request towards the demand for them. Every gateway sees the same places, so each gives away its
+// share of them. The demand of the other gateways is assumed to be as high as this one's: the
+// balancer distributes callers evenly, and what others report is older than the places.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
 	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
 		return true
@@ -125,17 +116,18 @@
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	rooms := 0.0
+	places := 0.0
 	for _, m := range candidates {
 		left := c.roomFor(now, m, x, true).left
 		if c.totalsAreFresh(now) {
 			left += reusableShare * m.endedPerSecond * interval.Seconds()
 		}
-		rooms += max(0, left)
+		places += max(0, left)
 	}
-	chance := c.askedOf(x.service).chance(now, c.isExcess(now, x), lotteryShare*rooms/float64(c.gateways), interval)
-	const scale = 1 << 16
-	return float64(xxhash.Sum64String("place"+x.request.ID)%scale) < scale*chance
+	requests := c.serviceDemandOf(x.service)
+	chance := requests.chance(now, x.Excess(), lotteryShare*places/float64(c.gateways), interval)
+	requests.note(now, x.Excess())
+	return hashFraction("place"+x.request.ID) < chance
 }
 
 // serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
@@ -145,25 +137,34 @@
 	excess demand
 }
 
-// chance returns the probability with which a request gets one of this gateway's places, and counts
-// the request. Excess requests get only the places that the others don't need.
+// chance returns the probability with which a request gets one of this gateway's places. Excess
+// requests get only the places that the others don't need.
 func (d *serviceDemand) chance(now time.Time, isExcess bool, places float64, interval time.Duration) float64 {
 	within := d.within.perSecond(now) * interval.Seconds()
 	excess := d.excess.perSecond(now) * interval.Seconds()
 	if isExcess {
-		d.excess.note(now)
 		return (places - within) / max(1, excess)
 	}
-	d.within.note(now)
 	return places / max(1, within)
 }
 
-// askedOf returns the rate of this gateway's requests to the service.
-func (c *Core) askedOf(service string) *serviceDemand {
-	known := c.asked[service]
+// note counts a request. It is called after chance: a rate that includes the request would be too
+// high.
+func (d *serviceDemand) note(now time.Time, isExcess bool) {
+	if isExcess {
+		d.excess.note(now)
+		return
+	}
+	d.within.note(now)
+}
+
+// serviceDemandOf returns the rate of this gateway's requests to the service.
+func (c *Core) serviceDemandOf(service string) *serviceDemand {
+	known := c.serviceDemands[service]
 	if known == nil {
-		known = &serviceDemand{within: demand{timeConstant: serviceDemandTime}, excess: demand{timeConstant: serviceDemandTime}}
-		c.asked[service] = known
+		average := demand{timeConstant: serviceDemandTimeConstant}
+		known = &serviceDemand{within: average, excess: average}
+		c.serviceDemands[service] = known
 	}
 	return known
 }
