--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -110,7 +110,7 @@
 			break
 		}
 		available := c.roomFor(now, m, x, isHome)
-		if !isHome && available.left < 1 {
+		if !isHome && available.left < 1 && c.countsTokens(x) {
 			// The request isn't counted as demand here: that would lower the chances of the prompts
 			// that the member is a home of.
 			isFull = true
