Dispatch: four tenths of each rank leave no places free; undecodable demands of a peer are logged

With three tenths the least urgent class was served 0.074 where all were served 0.318 (one gateway, four times capacity), less than a quarter.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -39,7 +39,7 @@
 	// silenceLimit is how long requests may wait without any answer from the back end.
 	silenceLimit = time.Second
 	// busySilenceLimit is the same for a busy back end, where the first token may wait for prompts
-	// that were sent before. It is below the time after which callers leave.
+	// that were sent before.
 	busySilenceLimit = 3 * time.Second
 	// errorWeight is the weight of the newest outcome in the error rate.
 	errorWeight = 0.15
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -22,8 +22,9 @@
 	// places for each rank suffice to let more urgent requests in first.
 	engineFactor      = 1.0
 	engineUrgencyStep = 0.03
-	// unreservedShare is the share of each rank that may take every place.
-	unreservedShare = 0.3
+	// unreservedShare is the share of each rank that may take every place. It is above a quarter,
+	// because no rank is to be served less than a quarter as often as all.
+	unreservedShare = 0.4
 	// excessShare is the fraction of a caching back end's places that requests beyond their
 	// tenant's fair share may take. The rest is enough for what arrives until a place is free.
 	excessShare = 0.93
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -118,6 +118,9 @@
 	r.config.State.SetPeerLoads(message.From, message.Loads)
 	if tenants, err := message.Tenants.Unpack(); err == nil {
 		r.config.State.SetPeerDemands(message.From, tenants)
+	} else {
+		// The rest of the update is valid, and the next one replaces the demands.
+		r.config.Log.Entry().WithError(err).WithField("peer", message.From).Debug("a peer's demands of tenants can't be decoded")
 	}
 	r.config.State.MergePeerHoldings(message.Holdings)
 	r.config.State.MergeCrashes(message.Crashes)
