--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -15,7 +15,9 @@
 virtual=$(grep ' [^ ]*/internal/bubble\( \|$\)' <<<"$packages" | cut -d' ' -f1,2)
 others=$(grep -v ' [^ ]*/internal/bubble\( \|$\)' <<<"$packages" | cut -d' ' -f2)
 
-go test -race -skip "$skip" $others &
+# The simulated fleets of internal/dispatch take minutes under the race detector on a busy machine,
+# where the default limit of ten minutes isn't enough.
+go test -race -timeout 20m -skip "$skip" $others &
 usual=$!
 
 # run_one DIRECTORY BINARY TEST runs one test and prints its output if it fails.
