Sockets and packed lists: one package each for what stood twice

internal/keepalive looked into a socket with the same code as internal/draining, and internal/fairshare decoded packed lists with a copy of the decoder of internal/collect. Cause: the parts were built side by side. internal/socket.Peek tells apart bytes, an end and nothing; internal/packed has the reader. The encodings are the same: the recorded messages of earlier builds are decoded (TestMessagesOfEarlierBuildsAreDecoded).

Passed, tests unchanged: collect, fairshare, keepalive, draining, relay, architecture.

--- a/internal/collect/message.go
+++ b/internal/collect/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/fairshare"
+	"github.com/harriernotch/harriernotch/internal/packed"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -45,12 +46,10 @@
 // varints.
 type packedCounts []byte
 
-const keyBytes = dispatch.CountKeyBits / 8
-
 func pack(counts []dispatch.Count) packedCounts {
-	bytes := make(packedCounts, 0, len(counts)*(keyBytes+2))
+	bytes := make(packedCounts, 0, len(counts)*(packed.KeyBytes+2))
 	for _, each := range counts {
-		bytes = append(bytes, byte(each.Key>>16), byte(each.Key>>8), byte(each.Key))
+		bytes = packed.AppendKey(bytes, each.Key)
 		requests := 2 * uint64(each.Requests)
 		if each.Ended > 0 {
 			requests++
@@ -75,21 +74,22 @@
 var errMalformedCounts = errors.New("malformed packed counts")
 
 func (p packedCounts) unpack() ([]dispatch.Count, error) {
-	if len(p) > maxPackedCounts*(keyBytes+2) {
+	if len(p) > maxPackedCounts*(packed.KeyBytes+2) {
 		return nil, errMalformedCounts
 	}
-	counts := make([]dispatch.Count, 0, len(p)/(keyBytes+2))
-	remaining := unpacker{bytes: p}
-	for len(remaining.bytes) > 0 {
-		count := dispatch.Count{Key: remaining.key()}
-		requests := remaining.uvarint()
+	counts := make([]dispatch.Count, 0, len(p)/(packed.KeyBytes+2))
+	reader := packed.NewReader(p)
+	next := func() uint32 { return uint32(reader.Uvarint(maxCount)) }
+	for reader.HasMore() {
+		count := dispatch.Count{Key: reader.Key()}
+		requests := next()
 		count.Requests = requests / 2
-		count.Demand = remaining.uvarint()
+		count.Demand = next()
 		if requests%2 == 1 {
-			count.Ended = remaining.uvarint()
-			count.ResidenceMillis = remaining.uvarint()
+			count.Ended = next()
+			count.ResidenceMillis = next()
 		}
-		if remaining.failed {
+		if reader.Malformed() {
 			return nil, errMalformedCounts
 		}
 		counts = append(counts, count)
@@ -97,37 +97,6 @@
 	return counts, nil
 }
 
-// unpacker decodes packed counts. After a failure it returns zeros.
-type unpacker struct {
-	bytes  []byte
-	failed bool
-}
-
-func (u *unpacker) key() uint32 {
-	if len(u.bytes) < keyBytes {
-		u.fail()
-		return 0
-	}
-	key := uint32(u.bytes[0])<<16 | uint32(u.bytes[1])<<8 | uint32(u.bytes[2])
-	u.bytes = u.bytes[keyBytes:]
-	return key
-}
-
-func (u *unpacker) uvarint() uint32 {
-	value, length := binary.Uvarint(u.bytes)
-	if length <= 0 || value > maxCount {
-		u.fail()
-		return 0
-	}
-	u.bytes = u.bytes[length:]
-	return uint32(value)
-}
-
-func (u *unpacker) fail() {
-	u.bytes = nil
-	u.failed = true
-}
-
 func encodeAnswer(totals dispatch.Totals) ([]byte, error) {
 	return cbor.Marshal(answerMessage{
 		Counts: pack(totals.Counts), Counted: totals.Counted, Expected: totals.Expected, Tallies: totals.Tallies, Tenants: fairshare.Pack(totals.Tenants),
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/harriernotch/harriernotch/internal/fairshare"
+	"github.com/harriernotch/harriernotch/internal/packed"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -57,7 +58,7 @@
 
 // CountKeyBits is the length of a key. Among 660 back ends, two have the same key with a
 // probability of 1 in 77; each of them then seems to have the load of both.
-const CountKeyBits = 24
+const CountKeyBits = 8 * packed.KeyBytes
 
 // CountKey returns the key that identifies a back end in counts.
 func CountKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) % (1 << CountKeyBits) }
--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/harriernotch/harriernotch/internal/socket"
 )
 
 // Connections tracks the connections of one server. It is safe for concurrent use.
@@ -224,3 +226,7 @@
 	c.connections.noteClosed(c)
 	return err
 }
+
+// hasUnread reports whether unread bytes are in the connection's socket. It doesn't block, and
+// returns false if this can't be determined.
+func hasUnread(connection net.Conn) bool { return socket.Peek(connection) == socket.Bytes }
--- a/internal/fairshare/demand.go
+++ b/internal/fairshare/demand.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/packed"
 )
 
 // Demand holds the rates of one tenant of a service, or of all its tenants together, at one gateway
@@ -36,16 +38,16 @@
 
 func (r Rate) perSecond() float64 { return float64(r) * rateUnit }
 
-// keyBytes is the length of a key. Two of n tenants have the same key with a probability of about
-// n²/2²⁵, for example 1 in 134 with 500 tenants; they then have one share together.
-const keyBytes = 3
+// Key returns the key that identifies a service or a tenant. Two of n tenants have the same key with
+// a probability of about n²/2²⁵, for example 1 in 134 with 500 tenants; they then have one share
+// together.
+func Key(name string) uint32 {
+	return 1 + uint32(xxhash.Sum64String(name)%(1<<(8*packed.KeyBytes)-1))
+}
 
 // allTenants is the key of all tenants of a service together.
 const allTenants = 0
 
-// Key returns the key that identifies a service or a tenant.
-func Key(name string) uint32 { return 1 + uint32(xxhash.Sum64String(name)%(1<<(8*keyBytes)-1)) }
-
 // DemandKey is the key under which demands are summed up.
 type DemandKey struct{ Service, Tenant uint32 }
 
@@ -153,30 +155,26 @@
 
 // Pack encodes demands. Tenants of a service without figures of its own are left out.
 func Pack(list []Demand) Packed {
-	var packed Packed
+	var encoded Packed
 	for _, service := range list {
 		if service.Tenant != allTenants {
 			continue
 		}
-		packed = appendKey(packed, service.Service)
+		encoded = packed.AppendKey(encoded, service.Service)
 		for _, each := range []Rate{service.Demand, service.Admitted, service.Refused, service.Unserved} {
-			packed = binary.AppendUvarint(packed, uint64(each))
+			encoded = binary.AppendUvarint(encoded, uint64(each))
 		}
-		var tenants Packed
+		var tenants []byte
 		count := 0
 		for _, each := range list {
 			if each.Service == service.Service && each.Tenant != allTenants {
-				tenants = binary.AppendUvarint(appendKey(tenants, each.Tenant), uint64(each.Demand))
+				tenants = binary.AppendUvarint(packed.AppendKey(tenants, each.Tenant), uint64(each.Demand))
 				count++
 			}
 		}
-		packed = append(binary.AppendUvarint(packed, uint64(count)), tenants...)
+		encoded = append(binary.AppendUvarint(encoded, uint64(count)), tenants...)
 	}
-	return packed
-}
-
-func appendKey(packed Packed, key uint32) Packed {
-	return append(packed, byte(key>>16), byte(key>>8), byte(key))
+	return encoded
 }
 
 // Unpack decodes demands.
@@ -185,53 +183,28 @@
 		return nil, errMalformed
 	}
 	var list []Demand
-	remaining := unpacker{bytes: p}
-	for len(remaining.bytes) > 0 {
-		service := Demand{Service: remaining.key(), Tenant: allTenants}
-		service.Demand, service.Admitted, service.Refused, service.Unserved = remaining.rate(), remaining.rate(), remaining.rate(), remaining.rate()
+	reader := packed.NewReader(p)
+	for reader.HasMore() {
+		service := Demand{Service: readKey(reader), Tenant: allTenants}
+		service.Demand, service.Admitted, service.Refused, service.Unserved = readRate(reader), readRate(reader), readRate(reader), readRate(reader)
 		list = append(list, service)
-		for count := remaining.rate(); count > 0 && !remaining.failed; count-- {
-			list = append(list, Demand{Service: service.Service, Tenant: remaining.key(), Demand: remaining.rate()})
+		for count := readRate(reader); count > 0 && !reader.Malformed(); count-- {
+			list = append(list, Demand{Service: service.Service, Tenant: readKey(reader), Demand: readRate(reader)})
 		}
 	}
-	if remaining.failed {
+	if reader.Malformed() {
 		return nil, errMalformed
 	}
 	return list, nil
 }
 
-// unpacker decodes packed demands. After a failure it returns zeros.
-type unpacker struct {
-	bytes  []byte
-	failed bool
-}
-
-// key decodes a key. No key is allTenants.
-func (u *unpacker) key() uint32 {
-	if len(u.bytes) < keyBytes {
-		u.fail()
-		return 0
-	}
-	key := uint32(u.bytes[0])<<16 | uint32(u.bytes[1])<<8 | uint32(u.bytes[2])
+// readKey decodes the key of a service or a tenant; none of them has that of allTenants.
+func readKey(reader *packed.Reader) uint32 {
+	key := reader.Key()
 	if key == allTenants {
-		u.fail()
-		return 0
+		reader.Reject()
 	}
-	u.bytes = u.bytes[keyBytes:]
 	return key
 }
 
-func (u *unpacker) rate() Rate {
-	value, length := binary.Uvarint(u.bytes)
-	if length <= 0 || value > maxRate {
-		u.fail()
-		return 0
-	}
-	u.bytes = u.bytes[length:]
-	return Rate(value)
-}
-
-func (u *unpacker) fail() {
-	u.bytes = nil
-	u.failed = true
-}
+func readRate(reader *packed.Reader) Rate { return Rate(reader.Uvarint(maxRate)) }
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/socket"
 )
 
 // exchange is one request and its answer. Transport.mutex protects it.
@@ -314,3 +316,7 @@
 	}
 	c.isIdle = false
 }
+
+// inputPending reports whether the connection's socket holds bytes, its end or an error that haven't
+// been read. It doesn't block, and returns false if this can't be determined.
+func inputPending(connection net.Conn) bool { return socket.Peek(connection) != socket.None }
