Dispatch: continued runs have no unread tokens, and their room follows from an engine's slots

Found by a reading of the diff. A continued run counted its whole prompt as unread although the target has the copy: the engine seemed occupied and then faster than it is. Its room was 1.65 requests a slot, a quarter more than the capacity of requests that state no tokens; it is a quarter more than one request a slot now, as its comment says. health.allowedSilence no longer has the name of a constant.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -53,7 +53,7 @@
 	if slots <= 0 {
 		slots = defaultCapacity
 	}
-	return c.knownLoad(now, m)+1 <= slots*(c.config.CachingFactor+continuationReserve)
+	return c.knownLoad(now, m)+1 <= slots*(engineFactor+continuationReserve)
 }
 
 // continueRun continues a run whose stream broke off from its backup, and reports whether it can be
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -94,7 +94,8 @@
 	// PersistentConnections sends requests that may not be repeated on persistent connections while
 	// the back end certainly keeps them open.
 	PersistentConnections Mechanism = "persistent-connections"
-	// Workload counts the work of engines in tokens and predicts waits from it.
+	// Workload counts the work of engines in tokens and predicts waits from it, for operators. It
+	// doesn't switch off the rules that apply to requests which state their tokens; see room.go.
 	Workload Mechanism = "token-work"
 )
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -111,7 +111,7 @@
 	if h.retryWait(now) > 0 {
 		return Resting
 	}
-	if !h.disabled[SilenceDetection] && h.awaiting > 0 && now.Sub(h.quietSince) > h.silenceLimit()+h.allowance {
+	if !h.disabled[SilenceDetection] && h.awaiting > 0 && now.Sub(h.quietSince) > h.allowedSilence()+h.allowance {
 		return Silent
 	}
 	if h.onTrial && !h.disabled[Ejection] && !h.disabled[Trials] {
@@ -120,8 +120,8 @@
 	return Healthy
 }
 
-// silenceLimit returns how long requests may wait without any answer from the back end.
-func (h *health) silenceLimit() time.Duration {
+// allowedSilence returns how long requests may wait without any answer from the back end.
+func (h *health) allowedSilence() time.Duration {
 	if h.busy {
 		return busySilenceLimit
 	}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -123,9 +123,13 @@
 	if fetchFrom != "" {
 		unread -= int((1 - copyShare) * float64(copyable-held))
 	}
+	unread += x.received
+	if x.continuing {
+		unread = 0 // the member has a copy of all but the last moments; nothing is learned from it
+	}
 	output := max(x.request.OutputTokens-x.received, 0)
 	return workload.Size{
-		Unread: unread + x.received, Memory: prompt - shared + x.received + output, Output: output,
+		Unread: unread, Memory: prompt - shared + x.received + output, Output: output,
 		// The source of a copy may hold more of the prompt than is known. The end of an answer that
 		// isn't a stream doesn't show that its first token was late.
 		Guessed: fetchFrom != "" && copyable < shared || !x.request.Route.Stream,
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -204,3 +204,15 @@
 	core.Done(start, x)
 	is.Equal(core.members["b00"].engine.Own(), workload.Work{})
 }
+
+// Guards against a continued run that counts as a prompt to prefill: its engine would seem occupied,
+// and faster than it is, because the first token comes at once.
+func TestContinuedRunHasNoUnreadTokens(t *testing.T) {
+	is := is.New(t)
+	core := newWorkCore(6)
+	x, decision := core.Begin(start, streamRequest("a"))
+	target := core.members[decision.Send.BackEnd.ID]
+	is.True(core.sizeAt(start, x, target, "").Unread > 0)
+	x.continuing, x.received = true, 70
+	is.Equal(core.sizeAt(start, x, target, "").Unread, 0)
+}
