--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -85,5 +85,5 @@
 // spreadReturn spreads the time to come back over half of its length, by a hash of the request, so
 // that callers that are refused together don't come back together.
 func spreadReturn(x *Exchange, wait time.Duration) time.Duration {
-	return wait + time.Duration(hashFraction(x.request.ID)*float64(wait)/2)
+	return wait + time.Duration(hashFraction("return"+x.request.ID)*float64(wait)/2)
 }
--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -83,7 +83,9 @@
 	return hashFraction(x.request.ID+m.backEnd.ID) < chance
 }
 
-// hashFraction returns a fraction in [0, 1) that depends only on the key, for reproducible draws.
+// hashFraction returns a fraction in [0, 1) that depends only on the key, for reproducible draws. Each
+// kind of draw has a prefix of its own in the key: otherwise the requests that one draw selects would
+// have a skewed chance in another.
 func hashFraction(key string) float64 {
 	const steps = 1 << 16
 	return float64(xxhash.Sum64String(key)%steps) / steps
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -99,7 +99,7 @@
 
 // reservedRank returns by how many urgency steps the request leaves places free for more urgent ones.
 func (c *Core) reservedRank(x *Exchange) int {
-	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !x.Excess() && hashFraction(x.request.ID) < unreservedShare {
+	if c.config.Disabled[UrgencySteps] || c.countsTokens(x) && !x.Excess() && hashFraction("unreserved"+x.request.ID) < unreservedShare {
 		return 0
 	}
 	return min(x.request.Urgency, lastUrgencyStep)
