--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -105,9 +105,9 @@
 // no more than setting up a copy, as for minPublishedTokens.
 const minBackupLoss = minPublishedTokens
 
-// failureChance returns the assumed probability that the engine fails, or ends the run, before the
-// run has ended. The values are assumptions, not measured: they only have to separate engines that
-// probably fail from the others, which get no backup at all.
+// failureChance returns the probability with which the engine is taken to fail, or to end the run,
+// before the run has ended. It weighs the loss against the cost of a backup; an engine without a
+// reason gets none at any cost.
 func (r BackupReason) failureChance() float64 {
 	switch r {
 	case BackupLeaving:
--- a/internal/workload/speed.go
+++ b/internal/workload/speed.go
@@ -10,7 +10,7 @@
 	// gateway sees an engine about once a second, so its usual rates rest on about 20 requests.
 	usualForgetting = 20 * time.Second
 	// paceForgetting is the time constant with which a temporary slowdown is forgotten. A slow
-	// neighbour lasts about 0.6 s. With 500 ms, too little of it showed before it was over.
+	// neighbour lasts about 0.6 s, and must show within half of that.
 	paceForgetting = 300 * time.Millisecond
 	// queueForgetting is the time constant with which the waits of queued requests are forgotten: the
 	// time in which a queue of a few seconds is served.
