Dispatch: the unread tokens of other gateways are exchanged, not assumed

Cause: each stream of other gateways was assumed to have this gateway's mean of unread tokens. Requests differ a hundredfold in them, so a crowded engine and an idle one with as many streams looked alike.

Core.othersUnread returns what all other gateways have at an engine; it falls at the engine's learned prefill rate (workload.Engine.PrefillRate) from the time of the totals, or from the reports of the peers in a small fleet. othersWork uses it while every other gateway is known, and otherwise the mean per stream as before. Decisions are unchanged: predictions feed none.

TestOthersWorkFollowsLoad describes the fallback now, so a gateway of its fleet doesn't report; its figures are the same.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -278,12 +278,14 @@
 	return budget
 }
 
-// Load is the number of requests that a gateway has in flight at a back end.
+// Load is what a gateway has in flight at a back end.
 type Load struct {
 	// BackEnd is the back end's ID.
 	BackEnd string `cbor:"1,keyasint"`
 	// Requests counts the requests that were sent and haven't finished.
 	Requests int `cbor:"2,keyasint"`
+	// Unread is that of Count.
+	Unread uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Loads returns this gateway's own loads, without zeros, to be sent to its peers.
@@ -291,7 +293,7 @@
 	var loads []Load
 	c.forEachMember(func(m *member) {
 		if m.own > 0 {
-			loads = append(loads, Load{BackEnd: m.backEnd.ID, Requests: m.own})
+			loads = append(loads, Load{BackEnd: m.backEnd.ID, Requests: m.own, Unread: m.unreadUnits()})
 		}
 	})
 	return loads
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -102,6 +102,8 @@
 	// loads is what the peer reported, and own this gateway's loads at that moment.
 	loads map[string]int
 	own   map[string]int
+	// unread holds the unread tokens that the peer reported, in units of UnreadUnit, without zeros.
+	unread map[string]uint32
 }
 
 func newPeerLoads() peerLoads {
@@ -123,7 +125,7 @@
 	if before, known := p.byPeer[peer]; known && now.Sub(before.at) <= maxPeerLoadAge {
 		p.interval += time.Duration(intervalWeight * float64(now.Sub(before.at)-p.interval))
 	}
-	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd(loads), own: byBackEnd(own)}
+	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd(loads), own: byBackEnd(own), unread: unreadByBackEnd(loads)}
 }
 
 // oldestAge returns the age of the oldest loads that are still in use.
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -86,6 +86,8 @@
 	preempted int
 	// prefilledAgain counts the tokens of shared parts that were prefilled after the first time.
 	prefilledAgain int
+	// predictions are the predicted and the actual times to the first token of the attempts.
+	predictions []prediction
 }
 
 // caller is a request of a caller with its outcome.
@@ -318,16 +320,19 @@
 	load := engine.load() + 1
 	f.arrivals = append(f.arrivals, arrival{at: f.now, overBound: float64(load) > allowedMultiple*mean+allowedSlack})
 	core := f.cores[c.gateway]
+	sentAt := f.now
 	c.run = &modelRun{
 		urgency: c.class.route.Priority, part: c.part, shared: c.class.shared, own: c.own, output: c.output, fetchFrom: f.byAddr[send.FetchFrom],
 		onEvent: func(generated int) {
 			if generated == 1 {
 				c.firstToken = f.now.Sub(c.arrivedAt)
 				core.Answered(f.now, c.x, engine.load())
+				f.predictions = append(f.predictions, prediction{at: f.now, predicted: send.Predicted, actual: f.now.Sub(sentAt)})
 			} else {
 				c.longestPause = max(c.longestPause, f.now.Sub(c.lastEventAt))
 			}
 			c.lastEventAt = f.now
+			core.Progressed(f.now, c.x, tokensOfEvent(generated))
 		},
 		onEnd: func() {
 			c.attempt++
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -26,6 +26,9 @@
 	// total time that those without prompts spent there, in milliseconds.
 	Ended           uint32
 	ResidenceMillis uint32
+	// Unread is the number of prompt tokens that were sent there and, as far as is known, aren't
+	// prefilled yet, in units of UnreadUnit. It is 0 without an engine; see unread.go.
+	Unread uint32
 }
 
 // SumKey returns the key under which counts are summed up.
@@ -37,6 +40,7 @@
 	c.Demand += other.Demand
 	c.Ended += other.Ended
 	c.ResidenceMillis += other.ResidenceMillis
+	c.Unread += other.Unread
 	return c
 }
 
@@ -46,6 +50,7 @@
 	c.Demand -= other.Demand
 	c.Ended -= other.Ended
 	c.ResidenceMillis -= other.ResidenceMillis
+	c.Unread -= other.Unread
 	return c
 }
 
@@ -70,7 +75,7 @@
 	c.forEachMember(func(m *member) {
 		count := Count{
 			Key: m.key, Requests: uint32(m.own), Demand: uint32(m.demand.perSecond(now)*demandUnits + 0.5),
-			Ended: uint32(m.ended), ResidenceMillis: uint32(m.residenceSum.Milliseconds()),
+			Ended: uint32(m.ended), ResidenceMillis: uint32(m.residenceSum.Milliseconds()), Unread: m.unreadUnits(),
 		}
 		m.ended, m.residenceSum = 0, 0
 		if !count.IsZero() {
@@ -98,6 +103,8 @@
 	requests float64
 	// demand is in requests per second.
 	demand float64
+	// unread is in tokens, at the time of the totals.
+	unread float64
 }
 
 // maxTotalsAge is the age up to which totals are used: several of their intervals.
@@ -131,6 +138,7 @@
 		m.others = othersLoad{
 			requests: scale * max(0, float64(all.Requests)-float64(mine.Requests)),
 			demand:   scale * max(0, float64(all.Demand)-float64(mine.Demand)) / demandUnits,
+			unread:   scale * max(0, float64(all.Unread)-float64(mine.Unread)) * UnreadUnit,
 		}
 		m.residenceTime.note(float64(all.ResidenceMillis)/1000, float64(all.Ended), residenceWeight)
 		m.endedPerSecond += residenceWeight * (scale*float64(all.Ended)/c.totalsInterval.Seconds() - m.endedPerSecond)
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -100,9 +100,19 @@
 }
 
 // othersWork returns the estimated work of all other gateways at the member's engine, given the
-// estimated load of the member. Each of their streams is assumed to have as many unread and committed
-// tokens as this gateway's streams of the service have on average.
-func (c *Core) othersWork(m *member, load float64) workload.Work {
+// estimated load of the member.
+func (c *Core) othersWork(now time.Time, m *member, load float64) workload.Work {
+	work := c.assumedOthersWork(m, load)
+	if c.knowsOthersUnread(now) {
+		work.Unread = int(c.othersUnread(now, m))
+	}
+	return work
+}
+
+// assumedOthersWork is othersWork as far as the loads show it: each stream of other gateways is
+// assumed to have as many unread and committed tokens as this gateway's streams of the service have
+// on average.
+func (c *Core) assumedOthersWork(m *member, load float64) workload.Work {
 	streams := max(load-float64(m.own), 0)
 	result := workload.Work{Streams: int(streams + 0.5)}
 	if mean := c.serviceWorkOf(m.backEnd.Service).perStream; mean.streams > 0 {
@@ -168,7 +178,7 @@
 	work.average.memory += averageSmoothing * (float64(size.Memory) - work.average.memory)
 	work.average.output += averageSmoothing * (float64(size.Output) - work.average.output)
 	x.engine = chosen.engine
-	x.run = x.engine.Begin(now, c.othersWork(chosen, send.Estimate), size)
+	x.run = x.engine.Begin(now, c.othersWork(now, chosen, send.Estimate), size)
 	x.hasFirstToken = false
 	send.EventTokens = max(c.services[x.service].EventTokens, 1)
 	send.Predicted = x.run.Predicted()
@@ -211,7 +221,7 @@
 	if m.engine == nil {
 		return WorkStatus{}
 	}
-	others := c.othersWork(m, c.estimate(now, m))
+	others := c.othersWork(now, m, c.estimate(now, m))
 	average := c.serviceWorkOf(m.backEnd.Service).average
 	size := workload.Size{Unread: int(average.unread), Memory: int(average.memory), Output: int(average.output)}
 	return WorkStatus{
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -134,11 +134,12 @@
 	is.Equal(x.current.engine.Own().Unread, 0)
 }
 
-// Other gateways' streams are assumed to have as many unread tokens as this gateway's on average.
+// While the other gateways' unread tokens aren't known, their streams are assumed to have as many as
+// this gateway's on average. Otherwise a gateway without totals would take a crowded engine for idle.
 func TestOthersWorkFollowsLoad(t *testing.T) {
 	is := is.New(t)
 	core := newWorkCore(2)
-	core.SetGateways(2)
+	core.SetGateways(3) // one of which hasn't reported
 	now := start
 	for i := range 20 {
 		x, _ := core.Begin(now, streamRequest(fmt.Sprint(i)))
@@ -149,12 +150,14 @@
 		now = now.Add(workInterval)
 	}
 	core.SetPeerLoads(now, "peer", []Load{{BackEnd: "b00", Requests: 10}})
-	m := core.members["b00"]
-	others := core.othersWork(m, core.estimate(now, m))
+	m, other := core.members["b00"], core.members["b01"]
+	m.report(now, m.own+10)
+	other.report(now, other.own)
+	others := core.othersWork(now, m, core.estimate(now, m))
 	is.Equal(others.Streams, 10)
 	is.True(others.Unread > 0 && others.Unread < 10*9500)
 	is.Equal(others.Memory, 10*580)
-	is.Equal(core.othersWork(core.members["b01"], core.estimate(now, core.members["b01"])), workload.Work{})
+	is.Equal(core.othersWork(now, other, core.estimate(now, other)), workload.Work{})
 	status := core.BackEndStatuses(now)[0].Work
 	is.Equal(status.All, m.engine.Own().Plus(others))
 	is.True(status.Wait > 0 && status.Pace > 0)
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -56,6 +56,36 @@
 	}
 }
 
+// Guards against a load that an earlier build can't decode, and against a field that is sent where it
+// says nothing.
+func TestUnreadTokensInLoads(t *testing.T) {
+	is := is.New(t)
+	type earlierLoad struct {
+		BackEnd  string `cbor:"1,keyasint"`
+		Requests int    `cbor:"2,keyasint"`
+	}
+	raw, err := cbor.Marshal(dispatch.Load{BackEnd: "b", Requests: 3, Unread: 70})
+	is.NoErr(err)
+	var decoded dispatch.Load
+	is.NoErr(cbor.Unmarshal(raw, &decoded))
+	is.Equal(decoded, dispatch.Load{BackEnd: "b", Requests: 3, Unread: 70})
+	var earlier earlierLoad
+	is.NoErr(cbor.Unmarshal(raw, &earlier))
+	is.Equal(earlier, earlierLoad{BackEnd: "b", Requests: 3})
+	without, err := cbor.Marshal(dispatch.Load{BackEnd: "b", Requests: 3})
+	is.NoErr(err)
+	same, err := cbor.Marshal(earlier)
+	is.NoErr(err)
+	is.Equal(without, same)
+
+	for _, unread := range []any{-1, "text", uint64(1) << 32} {
+		raw, err := cbor.Marshal(map[int]any{1: "g1", 2: "a", 4: 1, 7: []any{map[int]any{1: "b", 2: 3, 3: unread}}, 8: 0})
+		is.NoErr(err)
+		_, err = decode(raw)
+		is.True(err != nil) // the message is invalid
+	}
+}
+
 // lastFields are the highest field numbers that the recorded builds know.
 var lastFields = map[string]int{"018ec82": 19, "6219fa5": 25}
 
--- a/internal/workload/predict.go
+++ b/internal/workload/predict.go
@@ -68,11 +68,23 @@
 	if e.waiting == 0 {
 		return 0
 	}
-	perToken := (e.speed.prompt.Each + step/chunkTokens) * e.speed.pace.value(now)
-	done := max(now.Sub(e.advancedAt).Seconds(), 0) / perToken
+	done := max(now.Sub(e.advancedAt).Seconds(), 0) / e.secondsPerToken(now, step)
 	return min(done, float64(e.own.Unread)/float64(e.waiting))
 }
 
+// PrefillRate returns the number of prompt tokens that the engine is expected to prefill per second
+// now, beside its streams.
+func (e *Engine) PrefillRate(now time.Time) float64 {
+	e.speed.age(now)
+	return 1 / e.secondsPerToken(now, e.speed.step.at(e.running(e.own.Streams+e.others.Streams)))
+}
+
+// secondsPerToken returns the time in which the engine prefills one token, given the time of a step
+// that only decodes, in seconds.
+func (e *Engine) secondsPerToken(now time.Time, step float64) float64 {
+	return (e.speed.prompt.Each + step/chunkTokens) * e.speed.pace.value(now)
+}
+
 // streamsToEnd returns the number of streams that must end before the last request of the total has
 // a slot and memory.
 func (e *Engine) streamsToEnd(total Work) float64 {
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -431,6 +431,24 @@
 	}
 }
 
+// Guards against a prefill rate that doesn't follow the engine's speed: unread tokens of other gateways
+// would seem to be prefilled too soon at a slow engine.
+func TestPrefillRateFollowsTheEnginesSpeed(t *testing.T) {
+	is := is.New(t)
+	fast, slow := newSimulatedFleet(1, constant(1)), newSimulatedFleet(1, constant(1.3))
+	for _, fleet := range []*simulatedFleet{fast, slow} {
+		for i := range 60 {
+			fleet.advance(start.Add(time.Duration(i) * 500 * time.Millisecond))
+			fleet.send(0, Size{Unread: 8000, Memory: 300, Output: 20}, func(time.Time) {})
+		}
+	}
+	end := start.Add(30 * time.Second)
+	ratio := fast.gateways[0].PrefillRate(end) / slow.gateways[0].PrefillRate(end)
+	is.True(ratio > 1.2 && ratio < 1.4)
+	rate := fast.gateways[0].PrefillRate(end) // 2,048 tokens in 36 ms and a step of 3.8 ms
+	is.True(rate > 45_000 && rate < 57_000)
+}
+
 // Whatever happens to runs, in any order, sums are never negative, and nothing is left once all
 // runs have ended.
 func TestOwnWorkIsNeverNegativeAndReturnsToZero(t *testing.T) {
