--- a/internal/fairshare/share_test.go
+++ b/internal/fairshare/share_test.go
@@ -195,3 +195,13 @@
 	is.True(withdrawn.Refused > 0)
 	is.Equal(withdrawn.Unserved, withdrawn.Refused)
 }
+
+// Guards against a status page, or a report of metrics, that panics once a tenant has sent nothing for a
+// while at a gateway without peers: the assessment that the status rests on forgets the tenant.
+func TestStatusesAfterTenantIsForgotten(t *testing.T) {
+	is := is.New(t)
+	share := New("s")
+	share.Begin(start, "gone", "a", 9000)
+	is.Equal(len(share.Statuses(start)), 1)
+	is.Equal(len(share.Statuses(start.Add(time.Minute))), 0)
+}
