Dispatch: each refusal for lack of room has a reason

Cause: operators see that callers are refused with pool_exhausted, but not whether engines are full, the draw for places was lost, a tenant asks for too much, back ends rest or warm up, or there is none.

Change: Exchange.Refusal returns a reason of a closed list. It is recorded where no member is chosen, from what that decision saw; the decision is unchanged. ServiceStatuses also has rates of refusals by reason, the backlog and the Retry-After that was last given, and BackEndStatuses the room left for the most urgent requests.

Measured: each reason has a test; TestStatusChangesNoDecision compares 400 decisions of a gateway whose status is read with one whose isn't.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,6 +106,8 @@
 	serviceDemands map[string]*serviceDemand
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
+	// refusals records what operators see of refusals, by service.
+	refusals map[string]*refusalRecord
 	// runMemory is the mean memory of a run, in tokens, by service.
 	runMemory     map[string]float64
 	gateways      int
@@ -182,6 +184,7 @@
 		budgets:         map[string]*limits.RetryBudgetShare{},
 		serviceDemands:  map[string]*serviceDemand{},
 		backlogs:        map[string]*backlog{},
+		refusals:        map[string]*refusalRecord{},
 		runMemory:       map[string]float64{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
@@ -318,6 +321,10 @@
 	WarmsUp   bool
 	// Work is the work there; zero without an engine.
 	Work WorkStatus
+	// RoomLeft is how many more of the most urgent requests the back end takes, by this gateway's
+	// estimate. IsRoomKnown is false where that isn't known: without an engine, or without slots.
+	RoomLeft    float64
+	IsRoomKnown bool
 }
 
 // BackEndStatuses returns the status of all listed back ends, ordered by service and ID.
@@ -325,15 +332,18 @@
 	var statuses []BackEndStatus
 	for _, service := range slices.Sorted(maps.Keys(c.pools)) {
 		for _, m := range c.pools[service].members {
+			roomLeft, isRoomKnown := c.roomLeft(now, m)
 			statuses = append(statuses, BackEndStatus{
 				BackEnd:  m.backEnd,
 				Health:   m.health.status(now),
 				Own:      m.own,
 				Estimate: c.estimate(now, m),
 
-				Evacuated: m.evacuated,
-				WarmsUp:   c.isWarmingUp(now, m),
-				Work:      c.workStatus(now, m),
+				Evacuated:   m.evacuated,
+				WarmsUp:     c.isWarmingUp(now, m),
+				Work:        c.workStatus(now, m),
+				RoomLeft:    roomLeft,
+				IsRoomKnown: isRoomKnown,
 			})
 		}
 	}
@@ -356,6 +366,8 @@
 	Tenants []fairshare.TenantStatus
 	// PredictionErrors are the recent errors of the predicted times to the first token.
 	PredictionErrors workload.ErrorSummary
+	// Refusals are the recent refusals.
+	Refusals RefusalStatus
 }
 
 // ServiceStatuses returns the status of all services that have back ends, ordered by name.
@@ -364,6 +376,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
 		status := ServiceStatus{
 			Name: name, RetryBudget: c.budget(name).Tokens(), BackEnds: len(c.pools[name].members), PredictionErrors: c.predictionErrors(now, name),
+			Refusals: c.refusalStatus(now, name),
 		}
 		for _, m := range c.pools[name].members {
 			status.InFlight += m.own
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -50,6 +50,10 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
+	// lostDraw is set while the request has lost the draw for the places of its service, and refusal is
+	// the reason of its refusal, or "".
+	lostDraw bool
+	refusal  RefusalReason
 	// share is the fair share by which the request was counted, or nil, and counted is what was
 	// counted.
 	share   *fairshare.Share
@@ -175,6 +179,7 @@
 		chosen = c.choose(now, x)
 	}
 	if chosen == nil {
+		x.refusal = c.reasonNoneChosen(now, x)
 		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
 	send := c.newSend(now, x, chosen)
@@ -244,6 +249,7 @@
 	if kind == failure.PoolExhausted {
 		refusal.RetryAfter = c.retryAfter(now, x)
 	}
+	c.noteRefusal(now, x, refusal)
 	return Decision{GiveUp: refusal}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -96,7 +96,7 @@
 // full: any other one would have to prefill the prompt first, and would evict what is cached there.
 // It also returns nil if the request doesn't get one of the free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
-	if !c.winsPlace(now, x, candidates) {
+	if x.lostDraw = !c.winsPlace(now, x, candidates); x.lostDraw {
 		return nil
 	}
 	bound := c.bound(now, x)
--- /dev/null
+++ b/internal/dispatch/refusal_test.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// refusalOf sends requests until one is refused, and returns the reason.
+func refusalOf(t *testing.T, core *Core, now time.Time, next func(id string) Request) RefusalReason {
+	t.Helper()
+	for i := range 1000 {
+		x, decision := core.Begin(now, next(fmt.Sprint("r", i)))
+		if decision.GiveUp != nil {
+			is.New(t).Equal(decision.GiveUp.Kind, failure.PoolExhausted)
+			return x.Refusal()
+		}
+	}
+	t.Fatal("no request was refused")
+	return ""
+}
+
+func plainRequest(id string) Request { return request(nonRepeatable(), id) }
+
+// Guards against operators who look for missing engines while tenants ask for too much, or the other
+// way round: each cause of a refusal has a reason of its own.
+func TestRefusalsHaveReasons(t *testing.T) {
+	leaving, evacuated := backEnds(2, 6), backEnds(2, 6)
+	leaving[0].Leaving, leaving[1].Leaving = true, true
+	for _, each := range []struct {
+		reason RefusalReason
+		core   func() *Core
+		next   func(id string) Request
+	}{
+		{RefusedNoRoom, func() *Core { return newCore(backEnds(1, 6)) }, plainRequest},
+		{RefusedNoRoom, func() *Core { return newWorkCore(1) }, streamRequest},
+		{RefusedLostDraw, func() *Core {
+			core := newWorkCore(1)
+			core.SetGateways(100)
+			return core
+		}, streamRequest},
+		{RefusedNoBackEnd, func() *Core { return newCore(nil) }, plainRequest},
+		{RefusedNoBackEnd, func() *Core { return newCore(leaving) }, plainRequest},
+		{RefusedNoBackEnd, func() *Core {
+			core := newCore(evacuated)
+			core.SetEvacuated(start, []string{"z"}, nil)
+			return core
+		}, plainRequest},
+		{RefusedResting, func() *Core {
+			core := newCore(backEnds(1, 6))
+			refuseWithRetryAfter(core, start, "rest", 5*time.Second)
+			return core
+		}, plainRequest},
+		{RefusedWarmUp, func() *Core {
+			core := newWarmUpFleet(1, 1, coldBackEnds(2, 2))[0]
+			return core
+		}, plainRequest},
+	} {
+		t.Run(string(each.reason), func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(refusalOf(t, each.core(), start, each.next), each.reason)
+		})
+	}
+}
+
+// Requests within and beyond their tenant's share are refused for different reasons.
+func TestRefusalOfExcess(t *testing.T) {
+	is := is.New(t)
+	core := newFairShareCore()
+	now := surge(core)
+	reasons := map[bool]RefusalReason{}
+	for i := range 100 {
+		x, decision := core.Begin(now, tenantRequest("hot", fmt.Sprint("later-", i)))
+		is.True(decision.GiveUp != nil)
+		reasons[x.Excess()] = x.Refusal()
+	}
+	is.Equal(reasons, map[bool]RefusalReason{true: RefusedExcess, false: RefusedNoRoom})
+}
+
+// What a back end refuses isn't a lack of room by the gateway's estimate.
+func TestRefusalAfterAttempts(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, 6))
+	x, _ := core.Begin(start, plainRequest("a"))
+	is.Equal(x.Refusal(), RefusalReason(""))
+	is.True(core.Refused(start, x).Send != nil)
+	is.Equal(x.Refusal(), RefusalReason(""))
+	is.Equal(core.Refused(start, x).GiveUp.Kind, failure.PoolExhausted)
+	is.Equal(x.Refusal(), RefusedAfterAttempt)
+
+	x, _ = core.Begin(start, request(repeatable(2), "b"))
+	core.ConnectionLost(start, x)
+	is.Equal(core.Refused(start, x).GiveUp.Kind, failure.BackendFailed) // the first attempt may have run
+	is.Equal(x.Refusal(), RefusalReason(""))
+}
+
+// The status shows rates by reason, the backlog and the Retry-After, until they have passed.
+func TestRefusalStatus(t *testing.T) {
+	is := is.New(t)
+	core := newWorkCore(1)
+	is.Equal(core.ServiceStatuses(start)[0].Refusals, RefusalStatus{})
+	room := core.BackEndStatuses(start)[0]
+	is.True(room.IsRoomKnown)
+	is.Equal(room.RoomLeft, 64.0)
+	now, told := start, time.Duration(0)
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		if _, decision := core.Begin(now, streamRequest(fmt.Sprint(i))); decision.GiveUp != nil {
+			told = decision.GiveUp.RetryAfter
+		}
+	}
+	status := core.ServiceStatuses(now)[0].Refusals
+	is.Equal(status.RetryAfter, told)
+	is.True(status.Backlog > 50)
+	is.Equal(len(status.Rates), 1)
+	is.Equal(status.Rates[0].Reason, RefusedNoRoom)
+	is.True(status.Rates[0].PerSecond > 1)
+	is.Equal(core.BackEndStatuses(now)[0].RoomLeft, 0.0)
+	is.Equal(core.ServiceStatuses(now.Add(5 * time.Minute))[0].Refusals.RetryAfter, time.Duration(0))
+	is.Equal(len(core.ServiceStatuses(now.Add(5 * time.Minute))[0].Refusals.Rates), 0)
+
+	plain := newCore(backEnds(1, 6))
+	is.True(!plain.BackEndStatuses(start)[0].IsRoomKnown)
+}
+
+// Guards against a status page that changes what is decided: a gateway that is watched would tell
+// callers another time to come back than one that isn't.
+func TestStatusChangesNoDecision(t *testing.T) {
+	is := is.New(t)
+	watched, unwatched := newWorkCore(2), newWorkCore(2)
+	now := start
+	for i := range 400 {
+		now = now.Add(10 * time.Millisecond)
+		watched.ServiceStatuses(now)
+		watched.BackEndStatuses(now)
+		_, one := watched.Begin(now, streamRequest(fmt.Sprint(i)))
+		_, other := unwatched.Begin(now, streamRequest(fmt.Sprint(i)))
+		is.Equal(one.GiveUp, other.GiveUp)
+		is.Equal(one.Send == nil, other.Send == nil)
+		now = now.Add(time.Millisecond)
+		watched.ServiceStatuses(now)
+	}
+}
+
+// Each reason that a request can get is in the list by which status and metrics go.
+func TestRefusalReasonsAreListedOnce(t *testing.T) {
+	is := is.New(t)
+	list := RefusalReasons()
+	is.Equal(len(list), 7)
+	sorted := slices.Sorted(slices.Values(list))
+	is.Equal(len(slices.Compact(sorted)), len(list))
+}
