--- a/internal/collect/unread_test.go
+++ b/internal/collect/unread_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
 // Guards against unread tokens that are attributed to another back end of the message.
