Dispatch: the limit for prompts away from home applies to long shared parts only

An engine that isn't a home of a prompt takes it up to six tenths of its places. That kept shared parts of 700 tokens from engines with room, although prefilling them takes no longer than setting up a copy does.

The limit now applies from minPublishedTokens on.

--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -30,7 +30,8 @@
 	excessShare = 0.93
 	// nonHomeShare is the fraction of a caching back end's places up to which it takes prompts that
 	// it isn't a home of. Without it, the prompts of full homes go on to all other back ends, where
-	// they evict what is cached.
+	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
+	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
@@ -62,7 +63,7 @@
 	if x.Excess() {
 		limit *= excessShare
 	}
-	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
+	if !isHome && c.countsTokens(x) && x.request.sharedTokens() >= minPublishedTokens && !c.config.Disabled[KeepParts] {
 		limit *= nonHomeShare
 	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
