Dispatch: a request that has won a place isn't drawn again

A request whose attempt failed took part in the draw for the places of its service a second time, and if it lost, it was refused after the attempt instead of on arrival.

The draw now applies to the first attempt only; a further one still needs a back end with room. TestFurtherAttemptsAreNotDrawnAgain fails without it.

--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -109,9 +109,11 @@
 // winsPlace draws whether the request gets one of the free places of its service, and counts the
 // request towards the demand for them. Every gateway sees the same places, so each gives away its
 // share of them. The demand of the other gateways is assumed to be as high as this one's: the
-// balancer distributes callers evenly, and what others report is older than the places.
+// balancer distributes callers evenly, and what others report is older than the places. A request
+// that has won a place before isn't drawn again: it would be refused late, after an attempt.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
-	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
+	hasWon := !x.sentAt.IsZero()
+	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
 		return true
 	}
 	interval := c.peers.interval
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -93,3 +93,29 @@
 		}
 	}
 }
+
+// Guards against requests that are refused late: one that had won a place and failed there took part
+// in the draw again, and lost it while another back end had room.
+func TestFurtherAttemptsAreNotDrawnAgain(t *testing.T) {
+	const gateways, requests = 22, 200
+	is := is.New(t)
+	core := newCore(backEnds(2, modelSlots))
+	core.SetServices([]catalog.Service{{Name: "s", CachesPrefixes: true, CacheTokens: modelMemory}})
+	core.SetGateways(gateways)
+	begin := func(i int) (*Exchange, Decision) {
+		r := request(repeatable(2), fmt.Sprint(i), Part{ID: "shared", Tokens: 700}, Part{ID: fmt.Sprint("own", i), Tokens: 100})
+		r.PromptTokens = 800
+		return core.Begin(start.Add(time.Duration(i)*time.Millisecond), r)
+	}
+	first, decision := begin(0)
+	is.True(decision.Send != nil)
+	refused := 0
+	for i := 1; i < requests; i++ {
+		if _, decision := begin(i); decision.Send == nil {
+			refused++
+		}
+	}
+	is.True(refused > requests/2) // hardly any request still wins
+	decision = core.NotConnected(start.Add(requests*time.Millisecond), first)
+	is.True(decision.Send != nil)
+}
