--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -30,7 +30,8 @@
 	excessShare = 0.93
 	// nonHomeShare is the fraction of a caching back end's places up to which it takes prompts that
 	// it isn't a home of. Without it, the prompts of full homes go on to all other back ends, where
-	// they evict what is cached.
+	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
+	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
@@ -62,7 +63,7 @@
 	if x.Excess() {
 		limit *= excessShare
 	}
-	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
+	if !isHome && c.countsTokens(x) && x.request.sharedTokens() >= minPublishedTokens && !c.config.Disabled[KeepParts] {
 		limit *= nonHomeShare
 	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
@@ -108,9 +109,11 @@
 // winsPlace draws whether the request gets one of the free places of its service, and counts the
 // request towards the demand for them. Every gateway sees the same places, so each gives away its
 // share of them. The demand of the other gateways is assumed to be as high as this one's: the
-// balancer distributes callers evenly, and what others report is older than the places.
+// balancer distributes callers evenly, and what others report is older than the places. A request
+// that has won a place before isn't drawn again: it would be refused late, after an attempt.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
-	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
+	hasWon := !x.sentAt.IsZero()
+	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
 		return true
 	}
 	interval := c.peers.interval
