Daemon tests: requests reach both back ends of a service

The tests of a back end's headers need a request to reach the back end in question within 500 ms. Which of the two back ends gets a request is decided by rendezvous hashing of its random ID, and loads don't change the order of the first attempt. That is intended: requests spread in expectation, and nothing promises that they alternate. The other back end took 50 ms for an answer, and the test paused for 20 ms between two calls, so 500 ms had 8 calls at most, all of which go to the other back end once in 2^8 runs. In the last second of TestAgentLeavesABackEndAloneThatAsksForRest the same could happen once in 2^15 runs.

The back ends beside the one under test now answer at once, and the pause between calls is 10 ms. Half a second has 50 calls. All checks and spans are unchanged, and each span has more calls than before.

--- a/internal/daemon/backend_headers_test.go
+++ b/internal/daemon/backend_headers_test.go
@@ -25,20 +25,29 @@
 
 func (b *countingBackEnd) setHandler(answer http.HandlerFunc) { b.handler.Store(&answer) }
 
-// replaceService replaces the back end of a service's agent by a counting one.
+// replaceService replaces the back end of a service's agent by a counting one, and makes the other
+// back ends of the pool answer at once.
 func (f *fleet) replaceService(id string, answer http.HandlerFunc) *countingBackEnd {
 	backEnd := &countingBackEnd{}
 	backEnd.setHandler(answer)
+	for _, service := range f.services {
+		service.Delay = 0
+	}
 	f.network.Close(addressOf(id, "back-end"))
 	f.serveStandIn(id, backEnd)
 	return backEnd
 }
 
+// callPause is the pause between two calls of callServiceFor. Which of the two back ends a call goes to
+// depends on its random ID. At this pause and with answers at once, half a second has 50 calls, and the
+// chance that none of them goes to a given back end is below 1 in 10^15.
+const callPause = 10 * time.Millisecond
+
 // callServiceFor sends requests to the plain service for the given time and returns the number of
 // answers by status; status 0 stands for calls without an answer.
 func (f *fleet) callServiceFor(span time.Duration) map[int]int {
 	statuses := map[int]int{}
-	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(callPause) {
 		got, err := f.call(f.t.Context(), http.MethodGet, "router-1", "/loans/plan", "", nil)
 		if err != nil {
 			got.status = 0
