Soak: bad versions whose back ends stay until the deadline

Trace: without the limit, candidates get three in seven of the requests, but the gateways still find the version bad and write the verdict 0.9 to 4 s after the order, and the operator of move_service then withdraws the candidates within 2 s. Before that, the back ends that fail most are ejected for their error rate. So a bad version got 31 to 202 requests where 129 to 135 are allowed: orders of versions that fail from the start break nothing, and the others end within a few requests of the limit. Which requests a candidate gets depends on loads, and so on the order in which the Go scheduler runs goroutines that are due at the same virtual instant. The race detector's build randomizes that order, and the number of threads and preemption change it too.

The new kind move_unattended orders a move to a bad version whose back ends stay until the order's deadline. The version fails as seldom as any bad one, so that ejection doesn't hide the missing limit.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -66,7 +66,7 @@
 		return failure.New(failure.InvalidRequest, "gateways, callers, seeds and minutes must be above 0, and back ends at least 2")
 	}
 	for _, kind := range f.kinds {
-		if !slices.Contains(append(soak.Kinds(), soak.StallStreams), soak.Kind(kind)) {
+		if !slices.Contains(append(soak.Kinds(), soak.StallStreams, soak.MoveUnattended), soak.Kind(kind)) {
 			return failure.New(failure.InvalidRequest, fmt.Sprintf("--kinds: %q is unknown; name some of %v", kind, soak.Kinds()))
 		}
 	}
@@ -100,13 +100,13 @@
 	return nil
 }
 
-// withoutRollouts removes the kind of fault that moves a service to another version. An older
+// withoutRollouts removes the kinds of faults that move a service to another version. An older
 // build may not have the settings for it, and doesn't start with unknown settings.
 func withoutRollouts(kinds []soak.Kind) []soak.Kind {
 	if len(kinds) == 0 {
 		kinds = soak.Kinds()
 	}
-	return slices.DeleteFunc(kinds, func(kind soak.Kind) bool { return kind == soak.MoveService })
+	return slices.DeleteFunc(kinds, func(kind soak.Kind) bool { return kind == soak.MoveService || kind == soak.MoveUnattended })
 }
 
 // runSoakSeed runs the soak for one seed and prints the result.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -162,7 +162,7 @@
 		f.backEnds = append(f.backEnds, b)
 		f.store.putBackEnd(b.entry())
 	}
-	if options.includes(MoveService) {
+	if options.includesMoves() {
 		if err := f.addCandidates(); err != nil {
 			return nil, err
 		}
@@ -228,7 +228,7 @@
 
 func gatewaySettings(g *gatewayState, addresses [3]string, store string, seeds []string, options Options) string {
 	extra := ""
-	if options.includes(MoveService) {
+	if options.includesMoves() {
 		extra = fmt.Sprintf("exposure_share = %v\nexposure_extra = %v\n", exposureShare, exposureExtra)
 	}
 	if options.Backups {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -67,7 +67,7 @@
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
 	case CrashingRequest:
 		f.repeatCrashing(ctx, fault)
-	case MoveService:
+	case MoveService, MoveUnattended:
 		f.moveService(ctx, fault)
 	case RevokeKey:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareKey }, wait)
--- a/internal/soak/moving.go
+++ b/internal/soak/moving.go
@@ -113,10 +113,15 @@
 // newMoveOrder returns the order for a fault; the fault's target selects the version and defect.
 func newMoveOrder(fault Fault) *moveOrder {
 	drawn := &moveOrder{version: fmt.Sprintf("v%d", fault.Target), from: time.Now()}
-	if fault.Target%soundOneIn == 0 {
+	if fault.Kind == MoveService && fault.Target%soundOneIn == 0 {
 		return drawn
 	}
-	drawn.defect = versionDefect{share: minFailureShare + failureShareStep*float64(fault.Target%failureShareSteps), from: drawn.from}
+	// Back ends that fail more often are ejected for it, also by gateways that don't limit a version's
+	// exposure. So an unattended version fails as seldom as possible.
+	drawn.defect = versionDefect{share: minFailureShare, from: drawn.from}
+	if fault.Kind == MoveService {
+		drawn.defect.share += failureShareStep * float64(fault.Target%failureShareSteps)
+	}
 	if fault.Target%lateDefectOneIn == 0 {
 		drawn.defect.from = drawn.from.Add(lateDefectDelay)
 	}
@@ -143,9 +148,12 @@
 	}
 	verdict := f.awaitVerdict(ctx, order)
 	f.faultLog.add(fmt.Sprintf("%s: %s", order.version, verdict))
-	if verdict == rollout.Completed {
+	switch {
+	case verdict == rollout.Completed:
 		f.replaceStanding(ctx, order)
-	} else {
+	case fault.Kind == MoveUnattended:
+		sleep(ctx, time.Until(order.from.Add(moveTime)))
+	default:
 		sleep(ctx, revertedPause)
 	}
 	f.retireCandidates(ctx)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -76,6 +76,9 @@
 	// MoveService orders a move of the service to back ends of another version, which may be
 	// defective. Only one such order is in force at a time.
 	MoveService Kind = "move_service"
+	// MoveUnattended orders a move of the service to a defective version, whose back ends stay until the
+	// order's deadline, also after the gateways have abandoned it. It is drawn only if it is named.
+	MoveUnattended Kind = "move_unattended"
 	// LeaveUnannounced drains a back end that at first announces it only in its answers, not in
 	// the store. RefuseWithRetryAfter makes a back end refuse requests with a Retry-After.
 	LeaveUnannounced     Kind = "leave_untold"
