Gateway: status, log and metrics tell why callers are refused

Cause: operators saw only that requests are refused with pool_exhausted, neither why, nor what callers are told, nor whether a stream was late.

Change: request.refused has reason and retry_after_ms. request.answered has first_token_ms, predicted_first_token_ms and longest_pause_ms of a stream, without the time that its caller takes. The counter refusals_by_reason, and the gauges backlog_callers and retry_after_seconds, are new. The status has the rates of refusals by reason, the backlog and the time to come back for each service, and the room and this gateway's unread tokens for each engine; harriernotch status prints them, and explain describes the reason. Existing names are unchanged: the command reads the status of earlier builds and the other way round.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -122,12 +122,13 @@
 		}
 	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET")
+	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET\tBACKLOG\tRETRY AFTER")
 	for _, service := range status.Services {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget)
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\t%.0f\t%.1fs\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget, service.BacklogCallers, service.RetryAfterSeconds)
 	}
+	printRefusals(table, status.Services)
 	printTenants(table, status.Services)
-	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)\tUNREAD\tMEMORY\tWAIT\tPACE")
+	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)\tROOM\tUNREAD (HERE)\tMEMORY\tWAIT\tPACE")
 	for _, each := range status.BackEnds {
 		health := each.Health
 		if each.Leaving {
@@ -139,11 +140,27 @@
 		if each.WarmsUp {
 			health += ", warming up"
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\t%s\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own, workColumns(each.Work))
+		room := ""
+		if each.RoomLeft != nil {
+			room = fmt.Sprintf("%.0f", *each.RoomLeft)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\t%s\t%s\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own, room, workColumns(each.Work))
 	}
 	return table.Flush()
 }
 
+// printRefusals prints how many requests per second the gateway refuses for lack of a back end with
+// room, by reason.
+func printRefusals(table io.Writer, services []gateway.ServiceStatus) {
+	header := "\t\t\t\t\nREFUSED HERE\tSERVICE\tPER SECOND\n"
+	for _, service := range services {
+		for _, refusal := range service.Refusals {
+			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.2f\n", header, refusal.Reason, service.Name, refusal.PerSecond)
+			header = ""
+		}
+	}
+}
+
 // printTenants prints the largest tenants of each service whose tenants have fair shares. Rates are
 // in tokens of work per second.
 func printTenants(table io.Writer, services []gateway.ServiceStatus) {
@@ -166,7 +183,7 @@
 	if work == nil {
 		return "\t\t\t"
 	}
-	return fmt.Sprintf("%d\t%d\t%.2fs\t%.2f", work.UnreadTokens, work.CommittedTokens, work.WaitSeconds, work.Pace)
+	return fmt.Sprintf("%d (%d)\t%d\t%.2fs\t%.2f", work.UnreadTokens, work.OwnUnreadTokens, work.CommittedTokens, work.WaitSeconds, work.Pace)
 }
 
 func printStatus(output io.Writer, status daemon.Status) error {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
 var start = time.Date(2026, 1, 6, 22, 0, 0, 0, time.UTC)
@@ -101,6 +103,43 @@
 	}
 }
 
+// An explanation tells why a request was refused, and what the caller was told; each reason that a
+// gateway logs has a description. Lines of earlier builds have no reason.
+func TestRefusalReasonsAreDescribed(t *testing.T) {
+	for _, reason := range dispatch.RefusalReasons() {
+		t.Run(string(reason), func(t *testing.T) {
+			is := is.New(t)
+			line := fmt.Sprintf(`g1 10 request.refused "request":"r","service":"s","kind":"pool_exhausted","cause":"c","reason":%q,"retry_after_ms":750,"excess":true`, reason)
+			log := newTestLog(t, nil, line)
+			offsets := log.Align()
+			explanation := log.Explain("r")
+			is.Equal(explanation.Verdict.Cause, PoolFull)
+			is.Equal(explanation.Verdict.Why, refusalReasons[reason]+": c")
+			is.True(refusalReasons[reason] != "")
+			var text strings.Builder
+			is.NoErr(explanation.Print(&text, offsets))
+			is.True(strings.Contains(text.String(), "reason="+string(reason)))
+			is.True(strings.Contains(text.String(), "retry_after=750ms"))
+			is.True(strings.Contains(text.String(), " excess "))
+		})
+	}
+	is := is.New(t)
+	log := newTestLog(t, nil, `g1 10 request.refused "request":"r","service":"s","kind":"pool_exhausted","cause":"c"`)
+	log.Align()
+	is.True(strings.Contains(log.Explain("r").Verdict.Why, "no back end of the service had room by the gateway's estimate"))
+}
+
+// An explanation shows whether a stream that was answered whole came late.
+func TestExplanationShowsTimesOfStream(t *testing.T) {
+	is := is.New(t)
+	log := newTestLog(t, nil, `g1 10 request.answered "request":"r","back_end":"b","status":200,"events":9,"first_token_ms":420,"predicted_first_token_ms":90,"longest_pause_ms":610`)
+	offsets := log.Align()
+	explanation := log.Explain("r")
+	var text strings.Builder
+	is.NoErr(explanation.Print(&text, offsets))
+	is.True(strings.Contains(text.String(), "predicted_first_token=90ms first_token=420ms longest_pause=610ms"))
+}
+
 // The lines of a gateway whose clock is 40 s ahead are corrected by the changes that
 // all gateways log. Changes that the gateway reads at its start don't distort the
 // correction.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -39,6 +39,11 @@
 	Attempts  int       `json:"attempts"`
 	Ran       string    `json:"ran"`
 	Kind      string    `json:"kind"`
+	// Reason is why the gateway refused the request, and RetryAfterMillis the time to come back that
+	// the caller was told. Excess is set if the request was beyond its tenant's fair share.
+	Reason           string `json:"reason"`
+	RetryAfterMillis int64  `json:"retry_after_ms"`
+	Excess           bool   `json:"excess"`
 	// Fingerprint identifies the request's content.
 	Fingerprint string `json:"fingerprint"`
 	Cause       string `json:"cause"`
@@ -48,6 +53,11 @@
 	ElapsedMillis  int64 `json:"elapsed_ms"`
 	DeadlineMillis int64 `json:"deadline_ms"`
 	StoreAgeMillis int64 `json:"store_age_ms"`
+	// PredictedFirstTokenMillis and FirstTokenMillis are the predicted and the actual time from an
+	// attempt to its first token, and LongestPauseMillis the longest pause between events of a stream.
+	PredictedFirstTokenMillis int64 `json:"predicted_first_token_ms"`
+	FirstTokenMillis          int64 `json:"first_token_ms"`
+	LongestPauseMillis        int64 `json:"longest_pause_ms"`
 
 	BackEnd string `json:"back_end"`
 	Address string `json:"address"`
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -51,7 +51,7 @@
 	var parts []string
 	add := func(format string, arguments ...any) { parts = append(parts, fmt.Sprintf(format, arguments...)) }
 	for _, field := range []struct{ name, value string }{
-		{"kind", line.Kind}, {"service", line.Service}, {"route", line.Route}, {"tenant", line.Tenant},
+		{"kind", line.Kind}, {"reason", line.Reason}, {"service", line.Service}, {"route", line.Route}, {"tenant", line.Tenant},
 		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
 		{"what", line.What}, {"source", line.Source}, {"fetch_from", line.FetchFrom},
 		{"back_up_to", line.BackUpTo}, {"backup_reason", line.BackupReason}, {"continue_from", line.ContinueFrom},
@@ -64,7 +64,7 @@
 	for _, flag := range []struct {
 		name string
 		set  bool
-	}{{"leaving", line.Leaving}, {"gone", line.Gone}, {"not_sent", line.NotSent}, {"expired", line.Expired}, {"deadline_passed", line.DeadlinePassed}} {
+	}{{"leaving", line.Leaving}, {"gone", line.Gone}, {"excess", line.Excess}, {"not_sent", line.NotSent}, {"expired", line.Expired}, {"deadline_passed", line.DeadlinePassed}} {
 		if flag.set {
 			add("%s", flag.name)
 		}
@@ -87,6 +87,17 @@
 	if line.Request != "" {
 		add("elapsed=%dms", line.ElapsedMillis)
 	}
+	for _, span := range []struct {
+		name   string
+		millis int64
+	}{
+		{"retry_after", line.RetryAfterMillis}, {"predicted_first_token", line.PredictedFirstTokenMillis},
+		{"first_token", line.FirstTokenMillis}, {"longest_pause", line.LongestPauseMillis},
+	} {
+		if span.millis > 0 {
+			add("%s=%dms", span.name, span.millis)
+		}
+	}
 	if line.DroppedLines > 0 {
 		add("lines=%d", line.DroppedLines)
 	}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -1,11 +1,13 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 )
 
@@ -284,5 +286,17 @@
 	if len(gone) >= minFailingBackEnds {
 		return Verdict{Cause: BackEndsVanished, Why: fmt.Sprintf("%d back ends of the service had vanished from the list just before", len(gone)), Evidence: append(gone, lines...)}, true
 	}
-	return Verdict{Cause: PoolFull, Why: "no back end of the service had room by the gateway's estimate, and nothing was sent: " + lines[0].Cause, Evidence: lines}, true
+	why := cmp.Or(refusalReasons[dispatch.RefusalReason(lines[0].Reason)], "no back end of the service had room by the gateway's estimate, and nothing was sent")
+	return Verdict{Cause: PoolFull, Why: why + ": " + lines[0].Cause, Evidence: lines}, true
+}
+
+// refusalReasons describes the reasons of refusals. Lines of earlier builds have none.
+var refusalReasons = map[dispatch.RefusalReason]string{
+	dispatch.RefusedNoRoom:       "the back ends that may take it had no room for it by the gateway's estimate, and nothing was sent",
+	dispatch.RefusedLostDraw:     "it got none of the free places of the service, which gateways draw for, and nothing was sent",
+	dispatch.RefusedExcess:       "its tenant asked for more than its share, others left no place for it, and nothing was sent",
+	dispatch.RefusedWarmUp:       "the back ends that may take it were warming up and got no more just then, and nothing was sent",
+	dispatch.RefusedResting:      "all back ends of the service had asked for a pause, and nothing was sent",
+	dispatch.RefusedNoBackEnd:    "the service had no back end that accepts new requests, and nothing was sent",
+	dispatch.RefusedAfterAttempt: "back ends were tried, none of them took it, and no further attempt was possible",
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -27,7 +27,7 @@
 		// A write error means that the caller has left, so there is nobody to send an error to.
 		_, _ = c.writer.Write(result.body)
 		h.completed(c)
-		h.logDone(c, result, 0)
+		h.logDone(c, result, 0, streamTimes{})
 		return
 	}
 	h.passStream(ctx, c, result)
@@ -50,6 +50,7 @@
 	events int
 	// continued is set once a run was continued from a backup.
 	continued bool
+	times     streamTimes
 }
 
 // errEventGap means that a resumed stream skips events, and errNoEventNumber that it isn't known
@@ -77,7 +78,7 @@
 			if s.continued {
 				h.config.Metrics.continuationSucceeded(c)
 			}
-			h.logDone(c, result, s.events)
+			h.logDone(c, result, s.events, s.times)
 			return
 		}
 		next, resumed := h.resume(ctx, c, s, result, err)
@@ -111,6 +112,7 @@
 			return err
 		}
 		waited := h.clock().Since(began)
+		s.times.arrived(h.clock().Now(), result)
 		if watch.ByPace {
 			// A caller that reads slowly isn't a silent back end.
 			silence.pause()
@@ -133,6 +135,7 @@
 				return &callerWriteError{err}
 			}
 		}
+		s.times.passed(h.clock().Now())
 		if watch.ByPace {
 			h.config.State.eventPassed(c.exchange, waited, isNumber(event.ID))
 			silence.reset()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,8 @@
 	// cancel ends the attempt.
 	cancel context.CancelFunc
 	send   dispatch.Send
+	// sentAt is when the attempt began.
+	sentAt time.Time
 	next   dispatch.Decision
 }
 
@@ -39,6 +41,7 @@
 func (h *Handler) attempt(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) outcome {
 	h.logSend(c, send, resumeAfter)
 	h.config.Metrics.sent(c, send)
+	sentAt := h.clock().Now()
 	ctx, cancel := context.WithCancel(ctx)
 	var expired atomic.Bool
 	if send.HeadTimeout > 0 {
@@ -58,7 +61,7 @@
 		return result
 	}
 	result.cancel = cancel
-	result.send = send
+	result.send, result.sentAt = send, sentAt
 	return result
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -110,6 +110,14 @@
 // isExcess reports whether the request is beyond its tenant's fair share.
 func (c *call) isExcess() bool { return c.exchange != nil && c.exchange.Excess() }
 
+// refusal returns why the request was refused for lack of a back end with room, or "".
+func (c *call) refusal() dispatch.RefusalReason {
+	if c.exchange == nil {
+		return ""
+	}
+	return c.exchange.Refusal()
+}
+
 // defaultTimeout applies if neither the caller nor the route sets a shorter timeout.
 const defaultTimeout = time.Minute
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -146,13 +146,17 @@
 }
 
 // refused counts an error that the gateway itself returned, and whether the request was beyond its
-// tenant's fair share. Tenants have no labels: there are hundreds of them.
+// tenant's fair share. Tenants have no labels: there are hundreds of them. Refusals for lack of a back
+// end with room are also counted by reason.
 func (m *Metrics) refused(c *call, kind failure.Kind) {
 	labels := map[string]string{"kind": kind.String(), "excess": "no"}
 	if c.isExcess() {
 		labels["excess"] = "yes"
 	}
 	m.forCall(c).Tagged(labels).Counter("refusals").Inc(1)
+	if reason := c.refusal(); reason != "" {
+		m.forCall(c).Tagged(map[string]string{"reason": string(reason)}).Counter("refusals_by_reason").Inc(1)
+	}
 }
 
 // noticed counts a notice: what a back end's answer says about the back end itself.
@@ -190,6 +194,8 @@
 		scope.Gauge("under_way").Update(float64(service.InFlight))
 		scope.Gauge("back_ends").Update(float64(service.BackEnds))
 		scope.Gauge("back_ends_unusable").Update(float64(service.Unusable))
+		scope.Gauge("backlog_callers").Update(service.Backlog)
+		scope.Gauge("retry_after_seconds").Update(service.RetryAfter.Seconds())
 		if errors := service.PredictionErrors; errors.Count > 0 {
 			scope.Gauge("prediction_error_median_seconds").Update(errors.Median.Seconds())
 			scope.Gauge("prediction_error_95th_seconds").Update(errors.Percentile95.Seconds())
@@ -243,4 +249,8 @@
 	Unusable int
 	// PredictionErrors are the recent errors of the predicted times to the first token.
 	PredictionErrors workload.ErrorSummary
+	// Backlog is the estimated number of refused callers that will come back to this gateway, and
+	// RetryAfter the time to come back that a caller was last told; 0 without recent refusals.
+	Backlog    float64
+	RetryAfter time.Duration
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -162,6 +162,12 @@
 		if c.isExcess() {
 			fields["excess"] = true
 		}
+		if reason := c.refusal(); reason != "" {
+			fields["reason"] = reason
+		}
+		if wait := failure.From(cause).RetryDelay(); wait > 0 {
+			fields["retry_after_ms"] = wait.Milliseconds()
+		}
 		if kind == failure.Withheld {
 			fields["path"] = c.loggedPath()
 			fields["fingerprint"] = c.fingerprints()[0].String()
@@ -198,13 +204,14 @@
 
 // logDone logs an answer that was passed on completely. If it took more than one attempt or
 // reports a failure, the decisions to send are logged as well.
-func (h *Handler) logDone(c *call, result outcome, events int) {
+func (h *Handler) logDone(c *call, result outcome, events int, times streamTimes) {
 	h.config.Metrics.answered(c, result)
 	fields := func() logrus.Fields {
 		fields := h.fields(c)
 		fields["back_end"] = result.send.BackEnd.ID
 		fields["status"] = result.answer.StatusCode
 		fields["events"] = events
+		times.addTo(fields)
 		return fields
 	}
 	if c.exchange.Attempts() > 1 || c.exchange.Continuations() > 0 || result.answer.StatusCode >= serverFailure {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -24,6 +24,7 @@
 		gauges.Services = append(gauges.Services, ServiceGauges{
 			Name: service.Name, RetryBudget: service.RetryBudget, InFlight: service.InFlight,
 			BackEnds: service.BackEnds, Unusable: service.Unusable, PredictionErrors: service.PredictionErrors,
+			Backlog: service.Refusals.Backlog, RetryAfter: service.Refusals.RetryAfter,
 		})
 	}
 	return gauges
@@ -77,6 +78,28 @@
 	InFlight int `json:"under_way"`
 	// Tenants are the tenants of this gateway that ask for the most work.
 	Tenants []TenantStatus `json:"tenants,omitempty"`
+	// Refusals are the requests that this gateway itself refuses for lack of a back end with room, by
+	// reason. BacklogCallers is the estimated number of refused callers that will come back to it,
+	// and RetryAfterSeconds the time to come back that a caller was last told, or 0 if none was
+	// within the last ten seconds.
+	Refusals          []RefusalStatus `json:"refusals,omitempty"`
+	BacklogCallers    float64         `json:"backlog_callers,omitempty"`
+	RetryAfterSeconds float64         `json:"retry_after_seconds,omitempty"`
+}
+
+// RefusalStatus is how often a gateway refuses requests for one reason.
+type RefusalStatus struct {
+	// Reason is a dispatch.RefusalReason, and PerSecond its rate in the last ten seconds or so.
+	Reason    string  `json:"reason"`
+	PerSecond float64 `json:"per_second"`
+}
+
+func refusalStatuses(list []dispatch.RefusalRate) []RefusalStatus {
+	var statuses []RefusalStatus
+	for _, each := range list {
+		statuses = append(statuses, RefusalStatus{Reason: string(each.Reason), PerSecond: each.PerSecond})
+	}
+	return statuses
 }
 
 // TenantStatus is a gateway's assessment of one tenant of a service. Rates are in tokens of work
@@ -127,14 +150,19 @@
 	Estimate float64 `json:"estimate"`
 	// Work is the work of a model engine; nil for other back ends.
 	Work *WorkStatus `json:"work,omitempty"`
+	// RoomLeft is how many more of the most urgent requests it takes, as far as this gateway knows;
+	// nil unless it is a model engine with a known number of slots.
+	RoomLeft *float64 `json:"room_left,omitempty"`
 }
 
 // WorkStatus is the work of all gateways at a model engine, as estimated by this one.
 type WorkStatus struct {
 	// Streams counts the requests, UnreadTokens the prompt tokens to be prefilled, and
-	// CommittedTokens the memory that the requests take.
+	// CommittedTokens the memory that the requests take. OwnUnreadTokens are those of this gateway's
+	// requests.
 	Streams         int `json:"streams"`
 	UnreadTokens    int `json:"unread_tokens"`
+	OwnUnreadTokens int `json:"own_unread_tokens"`
 	CommittedTokens int `json:"committed_tokens"`
 	// WaitSeconds is the predicted time to the first token of an average request, and Pace the
 	// time that work takes now, relative to the mean of the service's engines.
@@ -147,7 +175,7 @@
 		return nil
 	}
 	return &WorkStatus{
-		Streams: work.All.Streams, UnreadTokens: work.All.Unread, CommittedTokens: work.All.Memory,
+		Streams: work.All.Streams, UnreadTokens: work.All.Unread, OwnUnreadTokens: work.Own.Unread, CommittedTokens: work.All.Memory,
 		WaitSeconds: work.Wait.Seconds(), Pace: work.Pace,
 	}
 }
@@ -173,14 +201,20 @@
 		status.Services = append(status.Services, ServiceStatus{
 			Name: service.Name, RetryBudget: service.RetryBudget, BackEnds: service.BackEnds,
 			Unusable: service.Unusable, InFlight: service.InFlight, Tenants: tenantStatuses(service.Tenants),
+			Refusals: refusalStatuses(service.Refusals.Rates), BacklogCallers: service.Refusals.Backlog,
+			RetryAfterSeconds: service.Refusals.RetryAfter.Seconds(),
 		})
 	}
 	for _, each := range s.core.BackEndStatuses(now) {
+		var roomLeft *float64
+		if each.IsRoomKnown {
+			roomLeft = &each.RoomLeft
+		}
 		status.BackEnds = append(status.BackEnds, BackEndStatus{
 			ID: each.BackEnd.ID, Service: each.BackEnd.Service, Address: each.BackEnd.Address,
 			Zone: each.BackEnd.Zone, Leaving: each.BackEnd.Leaving, Version: each.BackEnd.Version, Health: each.Health.String(),
 			Evacuated: each.Evacuated, WarmsUp: each.WarmsUp, Own: each.Own, Estimate: each.Estimate,
-			Work: workStatus(each.Work),
+			Work: workStatus(each.Work), RoomLeft: roomLeft,
 		})
 	}
 	return status
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -47,3 +47,40 @@
 	_, err := json.Marshal(state.Status())
 	is.NoErr(err)
 }
+
+// The status shows why requests are refused, the backlog and the time to come back, and the room and
+// the unread tokens of engines. Services without engines have no room or unread tokens there.
+func TestStatusShowsRefusals(t *testing.T) {
+	is := is.New(t)
+	log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+	t.Cleanup(log.Close)
+	core := dispatch.New(dispatch.DefaultConfig())
+	state := NewState(core, log)
+	now := state.clock.Now()
+	core.SetServices([]catalog.Service{{Name: "engines", CacheTokens: 400_000}, {Name: "plain"}})
+	core.SetBackEnds(now, []catalog.BackEnd{{ID: "e", Service: "engines", Slots: 4}, {ID: "p", Service: "plain", Slots: 4}})
+	begin := func(id, service string) {
+		core.Begin(now, dispatch.Request{
+			ID: id, Route: &catalog.Route{Targets: []catalog.Target{{Service: service, Weight: 1}}, MaxAttempts: 1},
+			Parts: []dispatch.Part{{ID: "shared", Tokens: 700}, {ID: id, Tokens: 300}}, PromptTokens: 1000, Deadline: now.Add(time.Minute),
+		})
+	}
+	begin("first", "engines")
+	engine, plain := state.Status().BackEnds[0], state.Status().BackEnds[1]
+	is.Equal(*engine.RoomLeft, 3.0)
+	is.Equal(engine.Work.OwnUnreadTokens, 1000)
+	is.Equal(engine.Work.UnreadTokens, 1000)
+	is.Equal(plain.RoomLeft, nil)
+	for i := range 100 {
+		begin(fmt.Sprint(i), "engines")
+	}
+	service := state.Status().Services[0]
+	is.Equal(len(service.Refusals), 1)
+	is.Equal(service.Refusals[0].Reason, string(dispatch.RefusedNoRoom))
+	is.True(service.Refusals[0].PerSecond > 1)
+	is.True(service.BacklogCallers > 50)
+	is.True(service.RetryAfterSeconds >= 0.5)
+	is.Equal(len(state.Status().Services[1].Refusals), 0)
+	gauges := state.Gauges().Services[0]
+	is.True(gauges.Backlog > 50 && gauges.RetryAfter >= 500*time.Millisecond)
+}
