--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -16,7 +16,7 @@
 	// RefusedNoRoom: the back ends that may take the request have no room for it.
 	RefusedNoRoom RefusalReason = "no_room"
 	// RefusedLostDraw: the request didn't get one of the free places of its service, which are drawn
-	// for among all gateways.
+	// for among all gateways. Without a free place, the reason is RefusedNoRoom.
 	RefusedLostDraw RefusalReason = "lost_draw"
 	// RefusedExcess: the request is beyond its tenant's fair share, and lost its draw or found no room
 	// that others leave.
@@ -59,7 +59,7 @@
 		return RefusedWarmUp
 	case x.Excess():
 		return RefusedExcess
-	case x.lostDraw:
+	case x.lostDraw && slices.ContainsFunc(candidates, func(m *member) bool { return c.hasRoom(now, m, x) }):
 		return RefusedLostDraw
 	default:
 		return RefusedNoRoom
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +46,12 @@
 			core.SetGateways(100)
 			return core
 		}, streamRequest},
+		{RefusedNoRoom, func() *Core { // nobody wins a draw for no places
+			core := newWorkCore(1)
+			core.SetGateways(100)
+			core.ApplyTotals(start, nil, Totals{Counted: 100, Expected: 100, Counts: []Count{{Key: CountKey("b00"), Requests: 64}}})
+			return core
+		}, streamRequest},
 		{RefusedNoBackEnd, func() *Core { return newCore(nil) }, plainRequest},
 		{RefusedNoBackEnd, func() *Core { return newCore(leaving) }, plainRequest},
 		{RefusedNoBackEnd, func() *Core {
@@ -155,3 +163,16 @@
 	sorted := slices.Sorted(slices.Values(list))
 	is.Equal(len(slices.Compact(sorted)), len(list))
 }
+
+// Guards against a reason that operators can't look up.
+func TestOperatorsPageHasEveryRefusalReason(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, reason := range RefusalReasons() {
+		if !strings.Contains(string(page), "\n| `"+string(reason)+"` | ") {
+			t.Errorf("docs/OPERATIONS.md has no row for %s", reason)
+		}
+	}
+}
