--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
 // places that become free. Three rules apply, the last two only where work is counted in tokens:
@@ -39,6 +42,9 @@
 	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would
 	// let the first moments of a burst fill several times the free places.
 	serviceDemandTimeConstant = 250 * time.Millisecond
+	// drawMargin is the number of standard deviations by which the expected winners of a draw stay
+	// below the free places.
+	drawMargin = 2
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
 	busyShare = 0.75
@@ -127,11 +133,18 @@
 		places += max(0, left)
 	}
 	requests := c.serviceDemandOf(x.service)
-	chance := requests.chance(now, x.Excess(), lotteryShare*places/float64(c.gateways), interval)
+	chance := requests.chance(now, x.Excess(), drawnPlaces(places)/float64(c.gateways), interval)
 	requests.note(now, x.Excess())
 	return hashFraction("place"+x.request.ID) < chance
 }
 
+// drawnPlaces returns how many of the free places of a service the draws of all gateways together may
+// give away. Each request is drawn on its own, so the number of winners varies by the square root of
+// its mean: the more places there are, the smaller a part of them has to absorb that.
+func drawnPlaces(places float64) float64 {
+	return max(lotteryShare*places, places-drawMargin*math.Sqrt(places))
+}
+
 // serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
 // of their tenant, and of the excess.
 type serviceDemand struct {
