--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -135,7 +135,11 @@
 		places += max(0, left)
 	}
 	requests := c.serviceDemandOf(x.service)
-	chance := requests.chance(now, x.Excess(), drawnPlaces(places)/float64(c.gateways), interval)
+	drawn := drawnPlaces(places)
+	if x.Excess() {
+		drawn = lotteryShare * places // the rest is for the tenants within their share
+	}
+	chance := requests.chance(now, x.Excess(), drawn/float64(c.gateways), interval)
 	requests.note(now, x.Excess())
 	return hashFraction("place"+x.request.ID) < chance
 }
