Admission: an evenly loaded pool that rounds down admits requests

Cause: of the requests that TestNothingIsHeldBackAtTheUsersSizes finds refused after 12 to 16 s, each waits 4 s at three or four agents of a pool in which every engine holds exactly 3 requests and refuses the fourth. With equal loads, the estimate of the mean with the new request is 3.06. The margin lowers it to 3.00 or less, so the rounded-up mean that RoundDown always allows is 3. The margin is left out only for a request that four members have refused, and at 1.5 attempts per request hardly any gets there.

Change: RoundDown rounds up the estimate without the margin. The promised bound (c times the true mean, rounded up) has room for that unless the estimate is above c times the true mean. RoundUp is as before.

--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -54,11 +54,12 @@
 		return Limit{Max: math.MaxInt32}
 	}
 	others = withEvidence(others, evidence)
-	mean := p.mean(now, own, others)
+	estimate := p.mean(now, own, others)
+	mean := estimate
 	if len(evidence) < min(sufficientEvidence, len(others)) {
 		mean -= p.margin(now, others, service)
 	}
-	return Limit{Max: p.round(mean), Mean: mean}
+	return Limit{Max: p.round(mean, estimate), Mean: mean}
 }
 
 // sufficientEvidence is the number of loads in the evidence from which the estimate is
@@ -130,16 +131,20 @@
 // than the given number of standard deviations.
 func upperTail(deviations float64) float64 { return math.Erfc(deviations/math.Sqrt2) / 2 }
 
-// round turns the mean into the highest admissible whole load. There is always a
-// member whose load, including the new request, is at most the rounded-up mean.
-// Both rounding modes allow that much, even where RoundDown then exceeds the exact
-// multiple; otherwise every member of a pool with a small mean would refuse work.
-func (p BoundPolicy) round(mean float64) int {
+// round turns the mean into the highest admissible whole load. estimate is the mean
+// before it was lowered by the margin. There is always a member whose load, including the
+// new request, is at most the rounded-up estimate, and RoundDown allows that much even
+// where it exceeds the exact multiple. If it allowed only the rounded-up lowered mean, all
+// members of an evenly loaded pool would refuse, and the pool would stay in that state:
+// few requests meet the refusals that make up sufficientEvidence. The promised bound,
+// Multiple times the true mean rounded up, still holds unless the estimate is above
+// Multiple times the true mean.
+func (p BoundPolicy) round(mean, estimate float64) int {
 	exact := p.Multiple * mean
 	if !p.RoundDown {
 		return max(1, int(math.Ceil(exact)))
 	}
-	return max(1, int(math.Floor(exact)), int(math.Ceil(mean)))
+	return max(1, int(math.Floor(exact)), int(math.Ceil(estimate)))
 }
 
 // mean estimates the pool's mean load, including the new request. A load that was
--- a/internal/admission/bound_test.go
+++ b/internal/admission/bound_test.go
@@ -66,3 +66,22 @@
 		}
 	})
 }
+
+// The test guards against an evenly loaded pool in which every member refuses: the pool
+// would keep that load however many requests arrive, because hardly any of them has
+// sufficientEvidence.
+func TestEvenlyLoadedPoolAdmitsWhenRoundingDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := BoundPolicy{Multiple: rapid.Float64Range(1.05, 3).Draw(t, "c"), RoundDown: true, Window: 2 * time.Second}
+		load := rapid.IntRange(0, 60).Draw(t, "load")
+		service := time.Duration(rapid.IntRange(100, 20_000).Draw(t, "service ms")) * time.Millisecond
+		var others []ObservedLoad
+		for range rapid.IntRange(0, 40).Draw(t, "others") {
+			age := time.Duration(rapid.IntRange(0, 2000).Draw(t, "age ms")) * time.Millisecond
+			others = append(others, ObservedLoad{Load: load, At: start.Add(-age)})
+		}
+		if limit := policy.LimitFor(start, load, others, nil, service); limit.Max <= load {
+			t.Fatalf("all %d members with a load of %d refuse", len(others)+1, load)
+		}
+	})
+}
