Router: attempts are marked as last ones while the retry budget is low

Cause: an attempt was marked as the last one, and so allowed to wait for room, only if the retry budget was empty when it was sent. Requests in flight at the same time all counted on its last retry; one got it, and the others were refused at once, without any wait, although the pool had room.

Change: the budget counts as low while it has less than a tenth of its capacity beyond one retry, and attempts are marked while it is low. What is left serves the requests in flight. The number of retries stays bounded as before.

The new test fails with the rule as it was.

--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -20,6 +20,23 @@
 	is.Equal(retries, 10+249) // the initial budget, and one retry for every four requests
 }
 
+// The test guards against a budget that counts as low only when it is empty: requests in
+// flight would then count on a retry that another one takes.
+func TestLowRetryBudgetStillAllowsRetries(t *testing.T) {
+	is := is.New(t)
+	budget := NewRetryBudget(0.5, 50)
+	is.True(!budget.IsLow())
+	for !budget.IsLow() {
+		is.True(budget.Spend())
+	}
+	left := 0
+	for budget.Spend() {
+		left++
+	}
+	is.True(left >= 5)
+	is.True(NewRetryBudget(0, 0).IsLow())
+}
+
 func TestRouterEnforcesItsShareOfTenantLimit(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1_800_000_000, 0)
--- a/internal/limits/retry.go
+++ b/internal/limits/retry.go
@@ -24,8 +24,13 @@
 	b.tokens = min(b.tokens+b.ratio, b.capacity)
 }
 
-// CanSpend reports whether the budget allows a retry.
-func (b *RetryBudget) CanSpend() bool { return b.tokens >= 1 }
+// reserveShare is the share of the capacity that IsLow reserves.
+const reserveShare = 0.1
+
+// IsLow reports whether the budget is empty or close to it. The requests that are in
+// flight when it becomes low may still take what is left: when an attempt is sent while
+// the budget isn't low, a retry after its refusal is most probably allowed.
+func (b *RetryBudget) IsLow() bool { return b.tokens < 1+reserveShare*b.capacity }
 
 // Spend takes one retry from the budget. It returns false if none is left.
 func (b *RetryBudget) Spend() bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -268,12 +268,14 @@
 	return head
 }
 
-// isLastAttempt reports whether no further attempt would follow a refusal now, because
-// the route, the attempts or the retry budget are used up. It doesn't consider that a
-// keyed request has only one target, its owner; the wait of a keyed request doesn't
+// isLastAttempt reports whether a further attempt might not follow a refusal, because the
+// route or the attempts are used up, or the retry budget is low. If it reported this only
+// for an empty retry budget, requests in flight at the same time would all count on its
+// last retry, and all but one would be refused without any wait. It doesn't consider that
+// a keyed request has only one target, its owner; the wait of a keyed request doesn't
 // depend on the result.
 func (c *Core) isLastAttempt(exchange *Exchange) bool {
-	return exchange.route.IsExhausted() || exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.CanSpend()
+	return exchange.route.IsExhausted() || exchange.route.Attempts() >= c.config.MaxAttempts || c.budget.IsLow()
 }
 
 // Refused records that the target's agent refused the request, and returns what to do
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -136,3 +136,33 @@
 	_, single := oneAttempt.Begin(start, request("free"))
 	is.True(single.Send.Head.LastAttempt)
 }
+
+// The test guards against requests that are given up without having been allowed to wait
+// at any back end, because another request took the retry that they counted on.
+func TestGivenUpRequestHadALastAttempt(t *testing.T) {
+	core := newRouter(t, nil)
+	for range 200 {
+		const inFlight = 4
+		var exchanges [inFlight]*Exchange
+		var decisions [inFlight]Decision
+		for i := range exchanges {
+			exchanges[i], decisions[i] = core.Begin(start, request("free"))
+		}
+		for open := inFlight; open > 0; {
+			for i, exchange := range exchanges {
+				if decisions[i].Send == nil {
+					continue
+				}
+				wasLast := decisions[i].Send.Head.LastAttempt
+				decisions[i] = core.Refused(start, exchange, refusal(failure.OverBound))
+				if decisions[i].GiveUp == nil {
+					continue
+				}
+				open--
+				if !wasLast {
+					t.Fatalf("given up after %d attempts, none of which was a last one", exchange.Attempts())
+				}
+			}
+		}
+	}
+}
