Router: the retry delay grows with the share of requests refused, and is spread

Cause: a refused caller was given the time in which one back end expected room, however many callers were refused with it, so they all came back after the same 0.5 to 2 s and were refused again.

Change: a router measures, for each pool, which share of its recent requests ended without room. The stated time is divided by the share that was not refused, up to a mean of 10 s, and what is added is spread from half to one and a half times its mean by a hash of the request's ID. A refusal at a passed deadline now says that the request was not run, as the others do.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,6 +123,8 @@
 	tenants *limits.TenantLimiter
 	// routersCountedAt is when the live routers were last counted.
 	routersCountedAt time.Time
+	// refusals holds the refusals by the pool's name.
+	refusals map[string]*poolRefusals
 	// draining is set once Drain has been called.
 	draining bool
 }
@@ -130,10 +132,11 @@
 // New returns the core of a router that starts at now.
 func New(config Config, open coordination.Opener, acceptor *bundle.Acceptor, now time.Time) *Core {
 	return &Core{
-		config:  config,
-		node:    coordination.NewNode(config.Coordination, config.Identity, open, acceptor, now),
-		budget:  limits.NewRetryBudget(config.RetryRatio, config.RetryCapacity),
-		tenants: limits.NewTenantLimiter(),
+		config:   config,
+		node:     coordination.NewNode(config.Coordination, config.Identity, open, acceptor, now),
+		budget:   limits.NewRetryBudget(config.RetryRatio, config.RetryCapacity),
+		tenants:  limits.NewTenantLimiter(),
+		refusals: map[string]*poolRefusals{},
 	}
 }
 
@@ -177,6 +180,11 @@
 		tenantLimits[tenant.Name] = limits.Limit{PerSecond: tenant.RequestsPerSecond, Burst: tenant.Burst}
 	}
 	c.tenants.Configure(now, tenantLimits)
+	for pool := range c.refusals {
+		if adopted.Content.Pool(pool) == nil {
+			delete(c.refusals, pool)
+		}
+	}
 }
 
 // Begin processes a new request and returns its exchange and the first decision.
@@ -191,6 +199,7 @@
 		return exchange, Decision{GiveUp: failure.New(failure.UnknownRoute, "the bundle in force has no pool "+request.Pool)}
 	}
 	c.budget.Earn()
+	c.refusalsOf(request.Pool).addRequest(now)
 	routed := routing.Request{
 		ChatKey: request.ChatKey,
 		Token:   request.Token,
@@ -224,14 +233,14 @@
 // back end is left, or, for a retry, the attempts or the retry budget are used up.
 func (c *Core) next(now time.Time, exchange *Exchange, isRetry bool) Decision {
 	if !now.Before(exchange.request.Deadline) {
-		return Decision{GiveUp: failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request")}
+		return c.giveUp(now, exchange, failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request; it was not run"))
 	}
 	if isRetry && (exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.Spend()) {
-		return Decision{GiveUp: exchange.route.GiveUp()}
+		return c.giveUp(now, exchange, exchange.route.GiveUp())
 	}
 	attempt, ok := exchange.route.Next(now)
 	if !ok {
-		return Decision{GiveUp: exchange.route.GiveUp()}
+		return c.giveUp(now, exchange, exchange.route.GiveUp())
 	}
 	exchange.target = attempt.BackEnd
 	_, backEnd := c.node.Bundle().Content.PoolOf(attempt.BackEnd)
