Routers and agents: a request has one wait budget over all attempts

Cause: a last attempt may wait 4 s for room under the load bound. When it was refused, the router's retry budget had often earned another attempt, which was the last one again and waited 4 s anew at the next agent: refusals after 12 to 16 s.

Change: a request may wait for 6 s from its arrival at the router, over all attempts. The router states in each head what is left (WaitLeftMillis, field 15); an agent holds the request no longer than that and than its limit for the attempt. A head without the field, of an older router, means what it did. When nothing is left, the head marks no last attempt, so an older agent refuses at once too.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -23,9 +23,12 @@
 	// because it caches the chat's context, so the request may wait a little for room
 	// under the bound.
 	Affine bool
-	// LastAttempt means that the router will try no other back end, so the request may
+	// LastAttempt means that the router might try no other back end, so the request may
 	// wait for room under the bound instead of being refused.
 	LastAttempt bool
+	// WaitUntil is when the request's wait budget ends: it doesn't wait longer for room
+	// under the bound. Zero means that it has no budget of its own.
+	WaitUntil time.Time
 	// Evidence holds the loads reported by the back ends that refused the request.
 	Evidence []ObservedLoad
 	// Key is set for a non-repeatable request whose idempotency key this agent owns.
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -21,7 +21,7 @@
 	AffinityWait time.Duration
 	// OwnerWait is how long a request with a key may wait for room under the bound,
 	// because no other back end may run it. LastAttemptWait is the same for a request
-	// whose router will try no other back end. When the pool's mean load rises, the
+	// whose router might try no other back end. When the pool's mean load rises, the
 	// bound rises only as updates of the mean arrive, over several windows; a caller
 	// that is refused before then comes back and waits for the same updates. Higher
 	// values refuse fewer requests while a pool fills up, but delay the refusal of
@@ -140,7 +140,7 @@
 	if g.Load()+1 <= limit.Max {
 		return g.accept(now, request, limit.Max)
 	}
-	if wait := g.boundWait(request); wait > 0 && len(g.waiters) < maxWaiters {
+	if wait := g.boundWait(now, request); wait > 0 && len(g.waiters) < maxWaiters {
 		return g.addWaiter(now, request, wait)
 	}
 	return []Action{g.refuseReleasing(request, failure.OverBound, g.expectedFinish())}
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -187,6 +187,34 @@
 	is.Equal(kindOf(gate.Step(start.Add(config.LastAttemptWait), Tick{})), failure.OverBound)
 }
 
+// The test guards against a request that waits its full time at each back end that it
+// meets: its wait ends with its wait budget, and it is refused at once if none is left.
+func TestWaitForTheBoundEndsWithTheWaitBudget(t *testing.T) {
+	config := testConfig()
+	config.AffinityWait = time.Second
+	kinds := map[string]func(*Request){
+		"last attempt": func(r *Request) { r.LastAttempt = true },
+		"affine":       func(r *Request) { r.Affine = true },
+		"keyed":        func(r *Request) { r.Key = &Key{Value: "k", Issued: start.Add(time.Minute), Digest: 1} },
+	}
+	for name, mark := range kinds {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := start.Add(time.Minute)
+			gate := NewGate(config, testKeyTable())
+			gate.Step(now, PoolObserved{Others: observed(0, 0, 0)})
+			is.Equal(kindOf(arrive(gate, now, Request{ID: 1, Deadline: now.Add(time.Minute)})), "start")
+			limited := Request{ID: 2, Deadline: now.Add(time.Minute), WaitUntil: now.Add(300 * time.Millisecond)}
+			mark(&limited)
+			is.Equal(len(arrive(gate, now, limited)), 0) // waits
+			is.Equal(len(gate.Step(limited.WaitUntil.Add(-1), Tick{})), 0)
+			is.Equal(kindOf(gate.Step(limited.WaitUntil, Tick{})), failure.OverBound)
+			limited.ID = 3
+			is.Equal(kindOf(arrive(gate, limited.WaitUntil, limited)), failure.OverBound)
+		})
+	}
+}
+
 func TestRefusalCarriesRetryAfterAndLoad(t *testing.T) {
 	is := is.New(t)
 	g := NewGate(testConfig(), testKeyTable())
--- a/internal/admission/waiters.go
+++ b/internal/admission/waiters.go
@@ -17,18 +17,29 @@
 // once.
 const maxWaiters = 256
 
-// boundWait returns how long the request may wait for room under the bound.
-func (g *Gate) boundWait(request Request) time.Duration {
-	if request.Key != nil {
-		return g.config.OwnerWait
+// boundWait returns how long the request may wait for room under the bound. A request with
+// a wait budget of its own doesn't wait after the budget's end: a request that met several
+// back ends would otherwise wait its full time at each of them.
+func (g *Gate) boundWait(now time.Time, request Request) time.Duration {
+	wait := g.attemptWait(request)
+	if request.WaitUntil.IsZero() {
+		return wait
 	}
-	if request.LastAttempt {
+	return min(wait, request.WaitUntil.Sub(now))
+}
+
+// attemptWait returns how long an attempt alone may wait for room under the bound.
+func (g *Gate) attemptWait(request Request) time.Duration {
+	switch {
+	case request.Key != nil:
+		return g.config.OwnerWait
+	case request.LastAttempt:
 		return g.config.LastAttemptWait
-	}
-	if request.Affine {
+	case request.Affine:
 		return g.config.AffinityWait
+	default:
+		return 0
 	}
-	return 0
 }
 
 func (g *Gate) addWaiter(now time.Time, request Request, wait time.Duration) []Action {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,7 +33,7 @@
 	// OwnerWait is how long a keyed request may wait for room under the load
 	// bound. Default 2s.
 	OwnerWait time.Duration
-	// LastAttemptWait is how long a request whose router makes no further attempt
+	// LastAttemptWait is how long a request whose router might make no further attempt
 	// may wait for room under the load bound. Default 4s, several default windows of
 	// the mean load: when the load rises, the bound follows only over several windows.
 	LastAttemptWait time.Duration
@@ -271,6 +271,9 @@
 		Affine:      head.Affine,
 		LastAttempt: head.LastAttempt,
 	}
+	if left, limited := head.WaitLeft(); limited {
+		request.WaitUntil = now.Add(left)
+	}
 	for _, reported := range head.ReportedLoads {
 		request.Evidence = append(request.Evidence, admission.ObservedLoad{Member: reported.BackEnd, Load: reported.Load, At: now.Add(-time.Duration(reported.AgeMillis) * time.Millisecond)})
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -173,3 +173,51 @@
 		})
 	}
 }
+
+// tickUntilDecision calls Tick every 150 ms from the time on, with records of an idle
+// member b, until there is a decision on a request. It returns the decision and the time
+// since from.
+func tickUntilDecision(core *Core, from time.Time) (decision any, after time.Duration) {
+	const longest = 20 * time.Second
+	for beat := uint32(2); after < longest && decision == nil; beat++ {
+		after += 150 * time.Millisecond
+		record := membership.Record{ID: "b", Incarnation: 1, Beat: beat}
+		core.Control(from.Add(after), coordination.PiggybackedRecords{Records: []membership.Record{record}})
+		decision = firstDecision(core.Tick(from.Add(after)))
+	}
+	return decision, after
+}
+
+// The test guards against an agent that ignores the router's wait budget, and against one
+// that takes a head of an older build, which states none, for a request that may not wait.
+func TestAgentKeepsTheWaitBudget(t *testing.T) {
+	millis := func(wait time.Duration) *int64 {
+		count := wait.Milliseconds()
+		return &count
+	}
+	for name, c := range map[string]struct {
+		waitLeft *int64
+		want     time.Duration
+	}{
+		"budget":                  {millis(2 * time.Second), 2 * time.Second},
+		"budget over one attempt": {millis(time.Hour), 4 * time.Second},
+		"head of an older build":  {nil, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			core := newAgent(t, start)
+			idle := membership.Record{ID: "b", Incarnation: 1, Beat: 1}
+			core.Control(start, coordination.PiggybackedRecords{Records: []membership.Record{idle}})
+			for id := range admission.RequestID(3) {
+				core.Arrive(start, 1+id, head(start))
+			}
+			is.Equal(core.Gate().Load(), 2) // the bound with an idle second member
+			waiting := head(start)
+			waiting.LastAttempt, waiting.WaitLeftMillis = true, c.waitLeft
+			is.Equal(firstDecision(core.Arrive(start, 4, waiting)), nil) // waits for room
+			decision, after := tickUntilDecision(core, start)
+			is.Equal(decision, failure.OverBound)
+			is.True(after >= c.want && after < c.want+150*time.Millisecond)
+		})
+	}
+}
--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -63,9 +63,15 @@
 	// Affine means that the back end is expected to hold the chat's context, or owns the
 	// request's key.
 	Affine bool `cbor:"6,keyasint"`
-	// LastAttempt means that the router will make no further attempt after a refusal, so
-	// the request may wait for room under the bound instead of being refused at once.
+	// LastAttempt means that the router might make no further attempt after a refusal, so
+	// the request may wait for room under the bound instead of being refused at once. It
+	// isn't set if no wait is left.
 	LastAttempt bool `cbor:"13,keyasint,omitempty"`
+	// WaitLeftMillis is how long the request may still wait for room under the bound, over
+	// all further attempts. It is a duration, as RemainingMillis is. It is nil if the
+	// router states no limit, as routers of older builds; each attempt then waits as long
+	// as the agent allows. Field 14 is reserved: some builds send another figure in it.
+	WaitLeftMillis *int64 `cbor:"15,keyasint,omitempty"`
 	// ReportedLoads holds the loads reported by earlier refusals.
 	ReportedLoads []routing.ReportedLoad `cbor:"7,keyasint,omitempty"`
 	// Unreachable holds the members of the pool to which a connection of the router
@@ -104,6 +110,15 @@
 // Remaining returns the time until the deadline.
 func (h Head) Remaining() time.Duration { return time.Duration(h.RemainingMillis) * time.Millisecond }
 
+// WaitLeft returns how long the request may still wait for room under the bound. The
+// boolean is false if the router stated no limit.
+func (h Head) WaitLeft() (left time.Duration, limited bool) {
+	if h.WaitLeftMillis == nil {
+		return 0, false
+	}
+	return time.Duration(*h.WaitLeftMillis) * time.Millisecond, true
+}
+
 // FailureKind returns the reply's kind. The boolean is false if there is none or it is
 // unknown.
 func (r Reply) FailureKind() (failure.Kind, bool) { return failure.Parse(r.Kind) }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -35,6 +36,34 @@
 	is.Equal(parsedReply, reply)
 }
 
+// The test guards against routers and agents of different builds that misread each other:
+// a head without a wait budget states none, and a build that doesn't know the field reads
+// the rest of the head.
+func TestWaitBudgetIsOptional(t *testing.T) {
+	is := is.New(t)
+	type olderHead struct {
+		RequestID       string `cbor:"1,keyasint"`
+		RemainingMillis int64  `cbor:"5,keyasint"`
+		LastAttempt     bool   `cbor:"13,keyasint,omitempty"`
+	}
+	header := http.Header{}
+	is.NoErr(set(header, HeaderHead, olderHead{RequestID: "r", RemainingMillis: 7, LastAttempt: true}))
+	fromOlder, err := ParseHead(header)
+	is.NoErr(err)
+	_, limited := fromOlder.WaitLeft()
+	is.True(!limited)
+	left := int64(0)
+	is.NoErr(SetHead(header, Head{RequestID: "r", RemainingMillis: 7, LastAttempt: true, WaitLeftMillis: &left}))
+	var older olderHead
+	is.NoErr(parse(header, HeaderHead, &older))
+	is.Equal(older, olderHead{RequestID: "r", RemainingMillis: 7, LastAttempt: true})
+	fromNewer, err := ParseHead(header)
+	is.NoErr(err)
+	wait, limited := fromNewer.WaitLeft()
+	is.True(limited) // a budget that is used up isn't taken for none
+	is.Equal(wait, time.Duration(0))
+}
+
 func TestCredentialRefusesAnotherKey(t *testing.T) {
 	is := is.New(t)
 	header := http.Header{}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,10 @@
 	Policy routing.Policy
 	// MaxAttempts bounds the attempts of one request. Default 8.
 	MaxAttempts int
+	// WaitBudget is how long a request may wait for room under the load bound, counted
+	// from its arrival at the router, over all attempts. Default 6s: one wait of a last
+	// attempt, and the waits before it.
+	WaitBudget time.Duration
 	// RetryRatio is the number of retries that each request adds to the retry
 	// budget; RetryCapacity bounds the budget. Defaults 0.5 and 50.
 	RetryRatio    float64
@@ -50,6 +54,7 @@
 		Identity:      identity,
 		Coordination:  coordination.DefaultConfig(),
 		MaxAttempts:   8,
+		WaitBudget:    6 * time.Second,
 		RetryRatio:    0.5,
 		RetryCapacity: 50,
 	}
@@ -92,6 +97,8 @@
 	request Request
 	route   *routing.Route
 	target  string
+	// waitUntil is when the request's wait budget ends.
+	waitUntil time.Time
 }
 
 // Attempts returns the number of attempts so far.
@@ -189,7 +196,7 @@
 
 // Begin processes a new request and returns its exchange and the first decision.
 func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
-	exchange := &Exchange{request: request, route: &routing.Route{}}
+	exchange := &Exchange{request: request, route: &routing.Route{}, waitUntil: now.Add(c.config.WaitBudget)}
 	if err := c.admit(now, request); err != nil {
 		return exchange, Decision{GiveUp: err}
 	}
@@ -257,6 +264,7 @@
 
 func (c *Core) head(now time.Time, exchange *Exchange, attempt routing.Attempt) hop.Head {
 	request := exchange.request
+	waitLeft := max(0, exchange.waitUntil.Sub(now).Milliseconds())
 	head := hop.Head{
 		RequestID:       request.ID,
 		BackEnd:         attempt.BackEnd,
@@ -264,7 +272,8 @@
 		Priority:        request.Priority,
 		RemainingMillis: request.Deadline.Sub(now).Milliseconds(),
 		Affine:          attempt.Affine,
-		LastAttempt:     c.isLastAttempt(exchange),
+		LastAttempt:     waitLeft > 0 && c.isLastAttempt(exchange),
+		WaitLeftMillis:  &waitLeft,
 		ReportedLoads:   attempt.ReportedLoads,
 		Unreachable:     c.unreachable(now, request.Pool),
 		Piggyback:       c.piggyback(now, request.Pool),
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -166,3 +166,24 @@
 		}
 	}
 }
+
+// The test guards against attempts that each wait anew for room: the head states what is
+// left of the request's wait budget since its arrival, and allows no wait once it is used
+// up, also to an agent of a build that doesn't know the budget.
+func TestWaitBudgetCountsFromArrival(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, func(c *Config) { c.WaitBudget, c.RetryRatio, c.RetryCapacity = 3*time.Second, 0, 2 })
+	exchange, decision := core.Begin(start, request("free"))
+	left, limited := decision.Send.Head.WaitLeft()
+	is.True(limited)
+	is.Equal(left, 3*time.Second)
+	decision = core.Refused(start.Add(time.Second), exchange, refusal(failure.OverBound))
+	left, _ = decision.Send.Head.WaitLeft()
+	is.Equal(left, 2*time.Second)
+	is.True(decision.Send.Head.LastAttempt) // the retry budget is low
+	decision = core.Refused(start.Add(4*time.Second), exchange, refusal(failure.OverBound))
+	left, limited = decision.Send.Head.WaitLeft()
+	is.True(limited)
+	is.Equal(left, time.Duration(0))
+	is.True(!decision.Send.Head.LastAttempt)
+}
