--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -136,3 +136,54 @@
 	_, single := oneAttempt.Begin(start, request("free"))
 	is.True(single.Send.Head.LastAttempt)
 }
+
+// The test guards against requests that are given up without having been allowed to wait
+// at any back end, because another request took the retry that they counted on.
+func TestGivenUpRequestHadALastAttempt(t *testing.T) {
+	core := newRouter(t, nil)
+	for range 200 {
+		const inFlight = 4
+		var exchanges [inFlight]*Exchange
+		var decisions [inFlight]Decision
+		for i := range exchanges {
+			exchanges[i], decisions[i] = core.Begin(start, request("free"))
+		}
+		for open := inFlight; open > 0; {
+			for i, exchange := range exchanges {
+				if decisions[i].Send == nil {
+					continue
+				}
+				wasLast := decisions[i].Send.Head.LastAttempt
+				decisions[i] = core.Refused(start, exchange, refusal(failure.OverBound))
+				if decisions[i].GiveUp == nil {
+					continue
+				}
+				open--
+				if !wasLast {
+					t.Fatalf("given up after %d attempts, none of which was a last one", exchange.Attempts())
+				}
+			}
+		}
+	}
+}
+
+// The test guards against attempts that each wait anew for room: the head states what is
+// left of the request's wait budget since its arrival, and allows no wait once it is used
+// up, also to an agent of a build that doesn't know the budget.
+func TestWaitBudgetCountsFromArrival(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, func(c *Config) { c.WaitBudget, c.RetryRatio, c.RetryCapacity = 3*time.Second, 0, 2 })
+	exchange, decision := core.Begin(start, request("free"))
+	left, limited := decision.Send.Head.WaitLeft()
+	is.True(limited)
+	is.Equal(left, 3*time.Second)
+	decision = core.Refused(start.Add(time.Second), exchange, refusal(failure.OverBound))
+	left, _ = decision.Send.Head.WaitLeft()
+	is.Equal(left, 2*time.Second)
+	is.True(decision.Send.Head.LastAttempt) // the retry budget is low
+	decision = core.Refused(start.Add(4*time.Second), exchange, refusal(failure.OverBound))
+	left, limited = decision.Send.Head.WaitLeft()
+	is.True(limited)
+	is.Equal(left, time.Duration(0))
+	is.True(!decision.Send.Head.LastAttempt)
+}
