--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -15,14 +15,20 @@
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 )
 
+// newTestState returns a state with the default configuration, whose log is discarded, and its core.
+func newTestState(t *testing.T) (*dispatch.Core, *State) {
+	t.Helper()
+	log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+	t.Cleanup(log.Close)
+	core := dispatch.New(dispatch.DefaultConfig())
+	return core, NewState(core, log)
+}
+
 // The status names the largest tenants of a service and can be encoded, also while shares have no
 // limit, which JSON can't express as a number.
 func TestStatusShowsTheLargestTenants(t *testing.T) {
 	is := is.New(t)
-	log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
-	t.Cleanup(log.Close)
-	core := dispatch.New(dispatch.DefaultConfig())
-	state := NewState(core, log)
+	core, state := newTestState(t)
 	core.SetServices([]catalog.Service{{Name: "s", CacheTokens: 400_000}})
 	core.SetBackEnds(state.clock.Now(), []catalog.BackEnd{{ID: "b", Service: "s", Slots: 4}})
 	route := &catalog.Route{Targets: []catalog.Target{{Service: "s", Weight: 1}}, MaxAttempts: 1}
@@ -52,10 +58,7 @@
 // the unread tokens of engines. Services without engines have no room or unread tokens there.
 func TestStatusShowsRefusals(t *testing.T) {
 	is := is.New(t)
-	log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
-	t.Cleanup(log.Close)
-	core := dispatch.New(dispatch.DefaultConfig())
-	state := NewState(core, log)
+	core, state := newTestState(t)
 	now := state.clock.Now()
 	core.SetServices([]catalog.Service{{Name: "engines", CacheTokens: 400_000}, {Name: "plain"}})
 	core.SetBackEnds(now, []catalog.BackEnd{{ID: "e", Service: "engines", Slots: 4}, {ID: "p", Service: "plain", Slots: 4}})
