--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -172,6 +172,7 @@
 	}
 	x.backup = &backup{source: m.backEnd.Address, target: target.backEnd, tokens: cost.tokens}
 	target.copies += cost.tokens
+	c.backedUpRuns[x.service]++
 	send.BackUpTo, send.BackupReason = target.backEnd.Address, reason
 }
 
@@ -184,6 +185,7 @@
 	if m := c.members[x.backup.target.ID]; m != nil && m.backEnd.Incarnation().Matches(x.backup.target.Incarnation()) {
 		m.copies = max(m.copies-x.backup.tokens, 0)
 	}
+	c.backedUpRuns[x.service]--
 	x.backup = nil
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,7 +107,9 @@
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
 	// runMemory is the mean memory of a run, in tokens, by service.
-	runMemory     map[string]float64
+	runMemory map[string]float64
+	// backedUpRuns counts this gateway's runs under way that have a backup, by service.
+	backedUpRuns  map[string]int
 	gateways      int
 	healthChanges []HealthChange
 	lag           time.Duration
@@ -183,6 +185,7 @@
 		serviceDemands:  map[string]*serviceDemand{},
 		backlogs:        map[string]*backlog{},
 		runMemory:       map[string]float64{},
+		backedUpRuns:    map[string]int{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
