--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -109,7 +109,9 @@
 	// refusals records what operators see of refusals, by service.
 	refusals map[string]*refusalRecord
 	// runMemory is the mean memory of a run, in tokens, by service.
-	runMemory     map[string]float64
+	runMemory map[string]float64
+	// backedUpRuns counts this gateway's runs under way that have a backup, by service.
+	backedUpRuns  map[string]int
 	gateways      int
 	healthChanges []HealthChange
 	lag           time.Duration
@@ -186,6 +188,7 @@
 		backlogs:        map[string]*backlog{},
 		refusals:        map[string]*refusalRecord{},
 		runMemory:       map[string]float64{},
+		backedUpRuns:    map[string]int{},
 		gateways:        1,
 		rollouts:        newRollouts(config.Rollout),
 		displaced:       newIncarnationLog(),
