Dispatch: places are drawn with one gateway too, and fill no faster than prompts are prefilled

Two causes made callers worse off at several times capacity.

The draw now takes place with any number of gateways. Without totals it counts this gateway's requests that end, times the gateways, as places. While the demand exceeds the places, of the free ones only as many are given away as the engines can prefill at a quarter of their rate.

TestSharedPartsStayUnderOverload passes with 1 and 22 gateways; with 340, 1,020 tokens a second are prefilled again. All other tests of internal/dispatch and internal/fairshare pass. TestBurstGetsNoMorePlacesThanCanBePrefilled fails without the limit.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -25,7 +25,9 @@
 	residenceSum time.Duration
 	// endedPerSecond is the mean rate at which the requests of all gateways end there.
 	endedPerSecond float64
-	residenceTime  residenceTime
+	// endings is the rate at which this gateway's requests end there.
+	endings       demand
+	residenceTime residenceTime
 	// firstSeen is when this gateway first learned of the back end.
 	firstSeen time.Time
 	// own counts this gateway's requests in flight at the back end.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -26,6 +26,7 @@
 	x.endWork(now)
 	m.own = max(m.own-1, 0)
 	m.ended++
+	m.endings.note(now)
 	if x.request.affinity() == "" {
 		m.residenceSum += now.Sub(x.sentAt)
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
 // places that become free. Three rules apply, the last two only where work is counted in tokens:
@@ -10,7 +13,8 @@
 //   - A back end reserves a part of its places for the prompts that it is a home of. Other prompts
 //     would evict what is cached there.
 //   - The places that are free in the whole service are given away by lottery before a back end is
-//     chosen. Otherwise each gateway would fill all of them before it hears of the others.
+//     chosen. Otherwise each gateway would fill all of them before it hears of the others, and where
+//     there is only one, requests that find room at few back ends would hardly ever get a place.
 
 const (
 	// urgencyStep is the fraction of a caching back end's slots that each less urgent rank
@@ -33,6 +37,11 @@
 	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
 	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
+	// prefillShare is the fraction of the engines' prefill rate that the prompts for free places may
+	// take while capacity is short, by the tokens that no other prompt shares. The rest is left for
+	// shared parts that aren't cached, for the prompts of places that become free, and for engines that
+	// are slower than usual; and prompts differ so much in length that at a high rate they queue.
+	prefillShare = 0.25
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
@@ -111,34 +120,72 @@
 // share of them. The demand of the other gateways is assumed to be as high as this one's: the
 // balancer distributes callers evenly, and what others report is older than the places. A request
 // that has won a place before isn't drawn again: it would be refused late, after an attempt.
+//
+// When a burst begins, many places are free, and their prompts would queue at the engines if all of
+// them were given away at once. So no more are than can be prefilled meanwhile, but only while the
+// demand exceeds the places: otherwise nothing is refused.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
 	hasWon := !x.sentAt.IsZero()
-	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
+	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] {
 		return true
 	}
 	interval := c.peers.interval
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	places := 0.0
+	free, reusable := 0.0, 0.0
 	for _, m := range candidates {
 		left := c.roomFor(now, m, x, true).left
-		if c.totalsAreFresh(now) {
-			left += reusableShare * m.endedPerSecond * interval.Seconds()
-		}
-		places += max(0, left)
+		ends := reusableShare * c.endsPerSecond(now, m) * interval.Seconds()
+		free += max(0, left)
+		reusable += max(0, min(ends, left+ends))
 	}
+	part := lotteryShare / float64(c.gateways)
 	requests := c.serviceDemandOf(x.service)
-	chance := requests.chance(now, x.Excess(), lotteryShare*places/float64(c.gateways), interval)
-	requests.note(now, x.Excess())
+	if requests.perSecond(now)*interval.Seconds() > part*(free+reusable) {
+		prefilled := prefillShare * prefillRate(candidates) * interval.Seconds()
+		free = min(free, prefilled/max(1, requests.ownTokens))
+	}
+	chance := requests.chance(now, x.Excess(), part*(free+reusable), interval)
+	requests.note(now, x)
 	return hashFraction("place"+x.request.ID) < chance
 }
 
+// endsPerSecond returns the rate at which the requests of all gateways end at the member. Without
+// totals, the others are assumed to have as many as this gateway.
+func (c *Core) endsPerSecond(now time.Time, m *member) float64 {
+	if c.totalsAreFresh(now) {
+		return m.endedPerSecond
+	}
+	return m.endings.perSecond(now) * float64(c.gateways)
+}
+
+// prefillRate returns how many tokens per second the engines of the members can prefill; infinite if
+// their rates aren't learned.
+func prefillRate(members []*member) float64 {
+	total := 0.0
+	for _, m := range members {
+		if m.engine == nil {
+			return math.Inf(1)
+		}
+		total += 1 / m.engine.Rates().Prompt.Each
+	}
+	return total
+}
+
 // serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
 // of their tenant, and of the excess.
 type serviceDemand struct {
 	within demand
 	excess demand
+	// ownTokens is the mean length of the part of a prompt that no other request shares, over about
+	// the last 50 requests, and requests counts all of them.
+	ownTokens float64
+	requests  int
+}
+
+func (d *serviceDemand) perSecond(now time.Time) float64 {
+	return d.within.perSecond(now) + d.excess.perSecond(now)
 }
 
 // chance returns the probability with which a request gets one of this gateway's places. Excess
@@ -154,8 +201,11 @@
 
 // note counts a request. It is called after chance: a rate that includes the request would be too
 // high.
-func (d *serviceDemand) note(now time.Time, isExcess bool) {
-	if isExcess {
+func (d *serviceDemand) note(now time.Time, x *Exchange) {
+	d.requests++
+	own := float64(max(0, x.request.PromptTokens-x.request.sharedTokens()))
+	d.ownTokens += max(averageSmoothing, 1/float64(d.requests)) * (own - d.ownTokens)
+	if x.Excess() {
 		d.excess.note(now)
 		return
 	}
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -119,3 +119,27 @@
 	decision = core.NotConnected(start.Add(requests*time.Millisecond), first)
 	is.True(decision.Send != nil)
 }
+
+// Guards against bursts of prompts that together take engines far longer to prefill than their
+// objectives allow, because all free places are given away at once.
+func TestBurstGetsNoMorePlacesThanCanBePrefilled(t *testing.T) {
+	const gateways, engines, ownTokens = 22, 41, 20000
+	// The demand is known after the first part of the burst.
+	const unknownFor, measuredFor, gap = 100 * time.Millisecond, 200 * time.Millisecond, 250 * time.Microsecond
+	is := is.New(t)
+	core := newCore(backEnds(engines, modelSlots))
+	core.SetServices([]catalog.Service{{Name: "s", CachesPrefixes: true, CacheTokens: modelMemory}})
+	core.SetGateways(gateways)
+	won := 0
+	for at := time.Duration(0); at < unknownFor+measuredFor; at += gap {
+		r := request(nonRepeatable(), fmt.Sprint(at), Part{ID: fmt.Sprint("shared", at), Tokens: 700}, Part{ID: fmt.Sprint("own", at), Tokens: ownTokens})
+		r.PromptTokens = 700 + ownTokens
+		x := &Exchange{request: r, service: "s"}
+		if core.winsPlace(start.Add(at), x, core.poolMembers(start, "s")) && at >= unknownFor {
+			won++
+		}
+	}
+	prefilled := prefillPerMilli * engines * int(measuredFor.Milliseconds())
+	t.Logf("%d requests of %d tokens win at each of %d gateways; the engines prefill %d tokens", won, ownTokens, gateways, prefilled)
+	is.True(won*gateways*ownTokens <= prefilled)
+}
