Dispatch: the predicted time to the first token chooses among homes

Rendezvous order doesn't look at unread tokens, so long cold prompts meet at one engine while others are idle. Now the first home is compared with the other homes if its predicted cost is above half of the route's objective, and with two members drawn by a hash of the request if all homes would miss the objective and no refused callers are expected back. Among several gateways a request moves with a probability that equals the gain, since all of them see the same advantage. After a failed connection, members that no gateway uses are passed over.

The decision costs the same at idle engines. The mechanism predicted-time switches it off.

--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -43,6 +43,9 @@
 	ShareHoldings Mechanism = "holders-told"
 	// BalanceMemory places new parts on back ends that hold less, once memory is scarce.
 	BalanceMemory Mechanism = "even-memory"
+	// PredictedTime chooses, among the back ends that may take a request, by the predicted time to its
+	// first token; see cost.go.
+	PredictedTime Mechanism = "predicted-time"
 	// Copying names a back end from which a prompt's parts can be copied.
 	Copying Mechanism = "copying"
 	// PrefixCopies names a holder of a prefix of the prompt if no back end is known to hold more.
@@ -107,7 +110,7 @@
 // Optimizations returns the mechanisms without which callers are served worse.
 func Optimizations() []Mechanism {
 	return []Mechanism{
-		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
+		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, PredictedTime, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
 		ExtrapolatePeers, Spread, UrgencySteps, FairShare, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
 		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections, Workload,
 	}
--- a/internal/dispatch/engine_model_test.go
+++ b/internal/dispatch/engine_model_test.go
@@ -27,6 +27,7 @@
 	cache   map[string]*cachedPart
 	used    int // tokens of memory
 	inStep  bool
+	crashed bool
 	admits  int
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -99,39 +99,65 @@
 	if !c.winsPlace(now, x, candidates) {
 		return nil
 	}
-	bound := c.bound(now, x)
-	overflow := 0.0
-	isFull := false
+	a := admission{bound: c.bound(now, x)}
 	c.orderByPreference(now, x, candidates)
-	for position := 0; ; position++ {
-		isHome := c.nextIsHome(position)
-		m := c.nextPreferred()
+	for {
+		isHome := c.nextIsHome(a.position)
+		m, isAdmitted := c.admitNext(now, x, &a)
 		if m == nil {
 			break
 		}
-		available := c.roomFor(now, m, x, isHome)
-		if !isHome && available.left < 1 && c.countsTokens(x) {
-			// The request isn't counted as demand here: that would lower the chances of the prompts
-			// that the member is a home of.
-			isFull = true
-			continue
-		}
-		var chance float64
-		chance, overflow = c.admissionChance(now, m, min(bound, available.limit), overflow)
-		// Recorded only after admissionChance: a rate that includes this request would be too
-		// high by one per second.
-		m.demand.note(now)
-		if winsLottery(x, m, chance) && available.left >= 1 {
-			return m
+		if isAdmitted {
+			return c.choosePredicted(now, x, option{member: m, isHome: isHome}, &a, candidates)
 		}
-		isFull = isFull || !isHome && available.limit < bound
 	}
-	if isFull && c.countsTokens(x) {
+	if a.isFull && c.countsTokens(x) {
 		return nil
 	}
 	return c.leastLoaded(now, x, candidates)
 }
 
+// admission is the state of a pass along the order of preference.
+type admission struct {
+	// bound is the bound on load, and overflow the expected number of other gateways' requests that
+	// go on to the next member.
+	bound    float64
+	overflow float64
+	// position is the number of members that were considered, and isFull is set once one of them had
+	// no room for a prompt that it isn't a home of.
+	position int
+	isFull   bool
+}
+
+// admitNext considers the next candidate in the order of preference and reports whether the request
+// may go there: whether it has room, stays within the bound, and is won by lottery. The candidate is
+// nil if none is left.
+func (c *Core) admitNext(now time.Time, x *Exchange, a *admission) (m *member, isAdmitted bool) {
+	isHome := c.nextIsHome(a.position)
+	a.position++
+	m = c.nextPreferred()
+	if m == nil {
+		return nil, false
+	}
+	available := c.roomFor(now, m, x, isHome)
+	if !isHome && available.left < 1 && c.countsTokens(x) {
+		// The request isn't counted as demand here: that would lower the chances of the prompts
+		// that the member is a home of.
+		a.isFull = true
+		return m, false
+	}
+	var chance float64
+	chance, a.overflow = c.admissionChance(now, m, min(a.bound, available.limit), a.overflow)
+	// Recorded only after admissionChance: a rate that includes this request would be too
+	// high by one per second.
+	m.demand.note(now)
+	if winsLottery(x, m, chance) && available.left >= 1 {
+		return m, true
+	}
+	a.isFull = a.isFull || !isHome && available.limit < a.bound
+	return m, false
+}
+
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
 // Below it, no part is evicted early, and only the rendezvous order decides: that order is all
 // that gateways agree on after all of them have restarted.
