--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Under overload every back end that caches prompts is full, and what matters is who gets the
 // places that become free. Three rules apply, the last two only where work is counted in tokens:
@@ -30,7 +33,8 @@
 	excessShare = 0.93
 	// nonHomeShare is the fraction of a caching back end's places up to which it takes prompts that
 	// it isn't a home of. Without it, the prompts of full homes go on to all other back ends, where
-	// they evict what is cached.
+	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
+	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
@@ -38,6 +42,9 @@
 	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would
 	// let the first moments of a burst fill several times the free places.
 	serviceDemandTimeConstant = 250 * time.Millisecond
+	// drawMargin is the number of standard deviations by which the expected winners of a draw stay
+	// below the free places.
+	drawMargin = 2
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
 	busyShare = 0.75
@@ -62,7 +69,7 @@
 	if x.Excess() {
 		limit *= excessShare
 	}
-	if !isHome && c.countsTokens(x) && !c.config.Disabled[KeepParts] {
+	if !isHome && c.countsTokens(x) && x.request.sharedTokens() >= minPublishedTokens && !c.config.Disabled[KeepParts] {
 		limit *= nonHomeShare
 	}
 	return room{limit: limit, left: limit - c.knownLoad(now, m)}
@@ -108,9 +115,11 @@
 // winsPlace draws whether the request gets one of the free places of its service, and counts the
 // request towards the demand for them. Every gateway sees the same places, so each gives away its
 // share of them. The demand of the other gateways is assumed to be as high as this one's: the
-// balancer distributes callers evenly, and what others report is older than the places.
+// balancer distributes callers evenly, and what others report is older than the places. A request
+// that has won a place before isn't drawn again: it would be refused late, after an attempt.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
-	if !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
+	hasWon := !x.sentAt.IsZero()
+	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] || c.gateways == 1 {
 		return true
 	}
 	interval := c.peers.interval
@@ -126,11 +135,22 @@
 		places += max(0, left)
 	}
 	requests := c.serviceDemandOf(x.service)
-	chance := requests.chance(now, x.Excess(), lotteryShare*places/float64(c.gateways), interval)
+	drawn := drawnPlaces(places)
+	if x.Excess() {
+		drawn = lotteryShare * places // the rest is for the tenants within their share
+	}
+	chance := requests.chance(now, x.Excess(), drawn/float64(c.gateways), interval)
 	requests.note(now, x.Excess())
 	return hashFraction("place"+x.request.ID) < chance
 }
 
+// drawnPlaces returns how many of the free places of a service the draws of all gateways together may
+// give away. Each request is drawn on its own, so the number of winners varies by the square root of
+// its mean: the more places there are, the smaller a part of them has to absorb that.
+func drawnPlaces(places float64) float64 {
+	return max(lotteryShare*places, places-drawMargin*math.Sqrt(places))
+}
+
 // serviceDemand is the rate of this gateway's requests to a service: of those within the fair share
 // of their tenant, and of the excess.
 type serviceDemand struct {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,10 @@
 	Policy routing.Policy
 	// MaxAttempts bounds the attempts of one request. Default 8.
 	MaxAttempts int
+	// WaitBudget is how long a request may wait for room under the load bound, counted
+	// from its arrival at the router, over all attempts. Default 6s: one wait of a last
+	// attempt, and the waits before it.
+	WaitBudget time.Duration
 	// RetryRatio is the number of retries that each request adds to the retry
 	// budget; RetryCapacity bounds the budget. Defaults 0.5 and 50.
 	RetryRatio    float64
@@ -50,6 +54,7 @@
 		Identity:      identity,
 		Coordination:  coordination.DefaultConfig(),
 		MaxAttempts:   8,
+		WaitBudget:    6 * time.Second,
 		RetryRatio:    0.5,
 		RetryCapacity: 50,
 	}
@@ -92,6 +97,8 @@
 	request Request
 	route   *routing.Route
 	target  string
+	// waitUntil is when the request's wait budget ends.
+	waitUntil time.Time
 }
 
 // Attempts returns the number of attempts so far.
@@ -123,6 +130,8 @@
 	tenants *limits.TenantLimiter
 	// routersCountedAt is when the live routers were last counted.
 	routersCountedAt time.Time
+	// refusals holds the refusals by the pool's name.
+	refusals map[string]*poolRefusals
 	// draining is set once Drain has been called.
 	draining bool
 }
@@ -130,10 +139,11 @@
 // New returns the core of a router that starts at now.
 func New(config Config, open coordination.Opener, acceptor *bundle.Acceptor, now time.Time) *Core {
 	return &Core{
-		config:  config,
-		node:    coordination.NewNode(config.Coordination, config.Identity, open, acceptor, now),
-		budget:  limits.NewRetryBudget(config.RetryRatio, config.RetryCapacity),
-		tenants: limits.NewTenantLimiter(),
+		config:   config,
+		node:     coordination.NewNode(config.Coordination, config.Identity, open, acceptor, now),
+		budget:   limits.NewRetryBudget(config.RetryRatio, config.RetryCapacity),
+		tenants:  limits.NewTenantLimiter(),
+		refusals: map[string]*poolRefusals{},
 	}
 }
 
@@ -177,11 +187,16 @@
 		tenantLimits[tenant.Name] = limits.Limit{PerSecond: tenant.RequestsPerSecond, Burst: tenant.Burst}
 	}
 	c.tenants.Configure(now, tenantLimits)
+	for pool := range c.refusals {
+		if adopted.Content.Pool(pool) == nil {
+			delete(c.refusals, pool)
+		}
+	}
 }
 
 // Begin processes a new request and returns its exchange and the first decision.
 func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
-	exchange := &Exchange{request: request, route: &routing.Route{}}
+	exchange := &Exchange{request: request, route: &routing.Route{}, waitUntil: now.Add(c.config.WaitBudget)}
 	if err := c.admit(now, request); err != nil {
 		return exchange, Decision{GiveUp: err}
 	}
@@ -191,6 +206,7 @@
 		return exchange, Decision{GiveUp: failure.New(failure.UnknownRoute, "the bundle in force has no pool "+request.Pool)}
 	}
 	c.budget.Earn()
+	c.refusalsOf(request.Pool).addRequest(now)
 	routed := routing.Request{
 		ChatKey: request.ChatKey,
 		Token:   request.Token,
@@ -224,14 +240,14 @@
 // back end is left, or, for a retry, the attempts or the retry budget are used up.
 func (c *Core) next(now time.Time, exchange *Exchange, isRetry bool) Decision {
 	if !now.Before(exchange.request.Deadline) {
-		return Decision{GiveUp: failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request")}
+		return c.giveUp(now, exchange, failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request; it was not run"))
 	}
 	if isRetry && (exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.Spend()) {
-		return Decision{GiveUp: exchange.route.GiveUp()}
+		return c.giveUp(now, exchange, exchange.route.GiveUp())
 	}
 	attempt, ok := exchange.route.Next(now)
 	if !ok {
-		return Decision{GiveUp: exchange.route.GiveUp()}
+		return c.giveUp(now, exchange, exchange.route.GiveUp())
 	}
 	exchange.target = attempt.BackEnd
 	_, backEnd := c.node.Bundle().Content.PoolOf(attempt.BackEnd)
@@ -248,6 +264,7 @@
 
 func (c *Core) head(now time.Time, exchange *Exchange, attempt routing.Attempt) hop.Head {
 	request := exchange.request
+	waitLeft := max(0, exchange.waitUntil.Sub(now).Milliseconds())
 	head := hop.Head{
 		RequestID:       request.ID,
 		BackEnd:         attempt.BackEnd,
@@ -255,7 +272,8 @@
 		Priority:        request.Priority,
 		RemainingMillis: request.Deadline.Sub(now).Milliseconds(),
 		Affine:          attempt.Affine,
-		LastAttempt:     c.isLastAttempt(exchange),
+		LastAttempt:     waitLeft > 0 && c.isLastAttempt(exchange),
+		WaitLeftMillis:  &waitLeft,
 		ReportedLoads:   attempt.ReportedLoads,
 		Unreachable:     c.unreachable(now, request.Pool),
 		Piggyback:       c.piggyback(now, request.Pool),
@@ -268,12 +286,14 @@
 	return head
 }
 
-// isLastAttempt reports whether no further attempt would follow a refusal now, because
-// the route, the attempts or the retry budget are used up. It doesn't consider that a
-// keyed request has only one target, its owner; the wait of a keyed request doesn't
+// isLastAttempt reports whether a further attempt might not follow a refusal, because the
+// route or the attempts are used up, or the retry budget is low. If it reported this only
+// for an empty retry budget, requests in flight at the same time would all count on its
+// last retry, and all but one would be refused without any wait. It doesn't consider that
+// a keyed request has only one target, its owner; the wait of a keyed request doesn't
 // depend on the result.
 func (c *Core) isLastAttempt(exchange *Exchange) bool {
-	return exchange.route.IsExhausted() || exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.CanSpend()
+	return exchange.route.IsExhausted() || exchange.route.Attempts() >= c.config.MaxAttempts || c.budget.IsLow()
 }
 
 // Refused records that the target's agent refused the request, and returns what to do
