Dispatch: predicted times move nothing while refused callers are expected

Only members that aren't homes were left out then. Homes were compared, which copies parts from one to the other, and a copy whose source has evicted the part is a prefill.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -56,7 +56,8 @@
 }
 
 // choosePredicted returns the member with the lowest cost, given the first one in the order of
-// preference that may take the request. Members without an engine aren't compared.
+// preference that may take the request. Members without an engine aren't compared. Nothing is compared
+// while refused callers are expected back: then no engine has time to spare for what is cached elsewhere.
 func (c *Core) choosePredicted(now time.Time, x *Exchange, first option, a *admission, candidates []*member) *member {
 	if first.member.engine == nil || !c.countsTokens(x) || c.config.Disabled[PredictedTime] {
 		return first.member
@@ -66,11 +67,12 @@
 		prompt: max(x.request.PromptTokens, x.request.partTokens()), shared: x.request.sharedTokens(),
 	}
 	p.best = c.predict(now, &p, c.firstInUse(now, x, first, a))
-	if p.best.cost <= comfortableShare*p.objective || p.objective <= 0 {
+	isComfortable := p.best.cost <= comfortableShare*p.objective || p.objective <= 0
+	if isComfortable || !c.backlogOf(x.service).isEmpty(now) {
 		return p.best.member
 	}
 	c.compareHomes(now, &p, a)
-	if p.best.firstToken > p.objective && c.backlogOf(x.service).isEmpty(now) {
+	if p.best.firstToken > p.objective {
 		c.compareAlternatives(now, &p, a.bound, candidates)
 	}
 	return p.best.member
@@ -108,8 +110,7 @@
 	}
 }
 
-// compareAlternatives compares the best option with members that aren't homes. It isn't called while
-// refused callers are expected back: then no engine has time to spare for what is cached elsewhere.
+// compareAlternatives compares the best option with members that aren't homes.
 func (c *Core) compareAlternatives(now time.Time, p *placement, bound float64, candidates []*member) {
 	left := alternatives
 	for m := range drawn(p.exchange, candidates) {
