--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -43,7 +43,9 @@
 	objective float64
 	// prompt and shared are the lengths of the prompt and of its shared parts, in tokens.
 	prompt, shared int
-	best           option
+	// copyCost is what copying a token costs, relative to prefilling it.
+	copyCost float64
+	best     option
 }
 
 // option is a member that may take the request. firstToken is the predicted time to the first token,
@@ -64,7 +66,7 @@
 	}
 	p := placement{
 		exchange: x, objective: x.request.Route.Objective.Seconds(),
-		prompt: max(x.request.PromptTokens, x.request.partTokens()), shared: x.request.sharedTokens(),
+		prompt: max(x.request.PromptTokens, x.request.partTokens()), shared: x.request.sharedTokens(), copyCost: c.copyCost(x.service),
 	}
 	p.best = c.predict(now, &p, c.firstInUse(now, x, first, a))
 	isComfortable := p.best.cost <= comfortableShare*p.objective || p.objective <= 0
@@ -203,6 +205,6 @@
 	case o.isHome:
 		return 0
 	default:
-		return copyShare * float64(p.shared)
+		return p.copyCost * float64(p.shared)
 	}
 }
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -20,9 +20,6 @@
 	// averageSmoothing is the weight of the latest request in the average one. Sizes differ a
 	// hundredfold, so the average covers about the last 50 requests.
 	averageSmoothing = 0.02
-	// copyShare is what copying a token costs an engine, relative to prefilling it: 16 ms instead
-	// of 200 ms for 10,000 tokens.
-	copyShare = 0.08
 )
 
 // serviceWork is what the engines of a service have in common.
@@ -131,7 +128,7 @@
 	held, copyable := c.knownTokens(now, x, m)
 	unread := prompt - held
 	if fetchFrom != "" {
-		unread -= int((1 - copyShare) * float64(copyable-held))
+		unread -= int((1 - c.copyCost(x.service)) * float64(copyable-held))
 	}
 	unread += x.received
 	if x.continuing {
@@ -146,6 +143,12 @@
 	}
 }
 
+// copyCost returns what copying a token costs an engine of the service, relative to prefilling it: by
+// the size of its tokens, and at most as much.
+func (c *Core) copyCost(service string) float64 {
+	return min(1, float64(c.services[service].TokenBytes)/copyBytesPerToken)
+}
+
 // knownTokens returns how many of the prompt's shared tokens the member is assumed to hold, and how
 // many it or any other back end is.
 func (c *Core) knownTokens(now time.Time, x *Exchange, m *member) (held, copyable int) {
