--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -152,29 +152,37 @@
 // printRefusals prints how many requests per second the gateway refuses for lack of a back end with
 // room, by reason.
 func printRefusals(table io.Writer, services []gateway.ServiceStatus) {
-	header := "\t\t\t\t\nREFUSED HERE\tSERVICE\tPER SECOND\n"
+	var rows []string
 	for _, service := range services {
 		for _, refusal := range service.Refusals {
-			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.2f\n", header, refusal.Reason, service.Name, refusal.PerSecond)
-			header = ""
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%.2f", refusal.Reason, service.Name, refusal.PerSecond))
 		}
 	}
+	printSection(table, "REFUSED HERE\tSERVICE\tPER SECOND", rows)
 }
 
 // printTenants prints the largest tenants of each service whose tenants have fair shares. Rates are
 // in tokens of work per second.
 func printTenants(table io.Writer, services []gateway.ServiceStatus) {
-	header := "\t\t\t\t\nTENANT\tSERVICE\tDEMAND (HERE)\tSHARE\tADMITTED HERE\n"
+	var rows []string
 	for _, service := range services {
 		for _, tenant := range service.Tenants {
 			name, share := cmp.Or(tenant.Name, "(none)"), "no limit"
 			if tenant.Share != nil {
 				share = fmt.Sprintf("%.0f", *tenant.Share)
 			}
-			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.0f (%.0f)\t%s\t%.0f\n", header, name, service.Name, tenant.Demand, tenant.OwnDemand, share, tenant.OwnAdmitted)
-			header = ""
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%.0f (%.0f)\t%s\t%.0f", name, service.Name, tenant.Demand, tenant.OwnDemand, share, tenant.OwnAdmitted))
 		}
 	}
+	printSection(table, "TENANT\tSERVICE\tDEMAND (HERE)\tSHARE\tADMITTED HERE", rows)
+}
+
+// printSection prints an empty line, the header and the rows, or nothing if there are no rows.
+func printSection(table io.Writer, header string, rows []string) {
+	if len(rows) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(table, "\t\t\t\t\n%s\n%s\n", header, strings.Join(rows, "\n"))
 }
 
 // workColumns returns the columns of a table for the work of an engine, in tokens, its predicted
