--- a/internal/collect/aggregator_test.go
+++ b/internal/collect/aggregator_test.go
@@ -172,12 +172,13 @@
 	is.True(len(raw)-len(withoutTenants) < 6*fairshare.MaxTenants+16*services)
 	for _, unread := range []struct {
 		name string
-		// fraction is the fraction of the back ends with unread tokens, and tokens their mean there.
+		// fraction is the share of the back ends that have unread tokens, and tokens how many each has.
 		fraction float64
 		tokens   int
 	}{
 		{"no engines", 0, 0},
-		// Each back end gets 6.5 requests per second, whose first token comes after about 30 ms.
+		// Each back end gets 6.5 requests per second, whose first token comes after about 30 ms: a request is
+		// unread at 0.2 of them.
 		{"usual load", 0.2, work / 4},
 		{"overload of every second engine", 0.5, 5 * work},
 		{"overload", 1, 5 * work},
--- a/internal/collect/message.go
+++ b/internal/collect/message.go
@@ -24,7 +24,7 @@
 	Group bool `cbor:"3,keyasint,omitempty"`
 	// Tallies are a member's own tallies of rollouts.
 	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
-	// Unread belongs to Counts.
+	// Unread holds the unread tokens of the back ends in Counts.
 	Unread packedUnread `cbor:"5,keyasint,omitempty"`
 	// Tenants are the demands of a member's largest tenants.
 	Tenants fairshare.Packed `cbor:"6,keyasint,omitempty"`
@@ -38,7 +38,7 @@
 	Expected int `cbor:"3,keyasint"`
 	// Tallies are those of dispatch.Totals.
 	Tallies []rollout.Tally `cbor:"4,keyasint,omitempty"`
-	// Unread belongs to Counts.
+	// Unread holds the unread tokens of the back ends in Counts.
 	Unread packedUnread `cbor:"5,keyasint,omitempty"`
 	// Tenants are those of dispatch.Totals.
 	Tenants fairshare.Packed `cbor:"6,keyasint,omitempty"`
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -182,8 +182,8 @@
 	return periodFor(entriesOf(totals))
 }
 
-// entriesOf returns the number of entries in an answer with the totals. Unread tokens at a back end,
-// with about two bytes, count as a quarter of an entry, which has seven.
+// entriesOf returns the number of entries in an answer with the totals. The unread tokens of a back end
+// take about two bytes and an entry about seven, so they count as a quarter of an entry.
 func entriesOf(totals dispatch.Totals) int {
 	unread := 0
 	for _, each := range totals.Counts {
--- a/internal/collect/unread.go
+++ b/internal/collect/unread.go
@@ -18,6 +18,7 @@
 // to what two bytes can hold: two million tokens, half a minute of prefill.
 const maxSentUnread = 1<<13 - 1
 
+// packUnread returns the unread tokens of the counts, nil if there are none.
 func packUnread(counts []dispatch.Count) packedUnread {
 	var bytes packedUnread
 	without := uint64(0)
@@ -35,7 +36,8 @@
 	return bytes
 }
 
-// addTo adds the unread tokens to the counts of the same message.
+// addTo sets the unread tokens of the counts of the same message. It returns errMalformedCounts if they
+// aren't encoded as packUnread does, or if there are more of them than counts.
 func (p packedUnread) addTo(counts []dispatch.Count) error {
 	reader := packed.NewReader(p)
 	for reader.HasMore() {
--- a/internal/collect/unread_test.go
+++ b/internal/collect/unread_test.go
@@ -40,6 +40,8 @@
 	is.Equal(read[0].Unread, uint32(maxSentUnread))
 }
 
+// Guards against a message of a faulty or damaged peer that makes a gateway panic or yields unread tokens
+// out of range.
 func FuzzUnpackUnread(f *testing.F) {
 	counts := []dispatch.Count{{Key: 1, Requests: 2, Unread: 3}, {Key: 2}, {Key: 3, Unread: 70_000}}
 	f.Add([]byte(packUnread(counts)))
