--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -39,8 +39,8 @@
 	Attempts  int       `json:"attempts"`
 	Ran       string    `json:"ran"`
 	Kind      string    `json:"kind"`
-	// Reason is why the gateway refused the request, and RetryAfterMillis the time to come back that
-	// the caller was told. Excess is set if the request was beyond its tenant's fair share.
+	// Reason is why the gateway refused the request, a dispatch.RefusalReason, or why an object of the
+	// store can't be used. RetryAfterMillis is the time to come back that the caller was told. Excess is set if the request was beyond its tenant's fair share.
 	Reason           string `json:"reason"`
 	RetryAfterMillis int64  `json:"retry_after_ms"`
 	Excess           bool   `json:"excess"`
--- a/internal/router/refusals.go
+++ b/internal/router/refusals.go
@@ -22,14 +22,16 @@
 	maxGrownDelay = 10 * time.Second
 )
 
-// poolRefusals measures which share of a pool's recent requests at this router was refused
-// for lack of room. Callers reach any router, so it stands for the share of the pool.
+// poolRefusals measures the share of a pool's recent requests at this router that was refused
+// for lack of room. Callers are spread over the routers, so other routers refuse about the
+// same share. Both counts decay with refusalMemory.
 type poolRefusals struct {
 	requests  float64
 	refused   float64
 	updatedAt time.Time
 }
 
+// decay reduces the weight of what was counted before now.
 func (p *poolRefusals) decay(now time.Time) {
 	if elapsed := now.Sub(p.updatedAt); elapsed > 0 {
 		kept := math.Exp(-elapsed.Seconds() / refusalMemory.Seconds())
@@ -95,7 +97,7 @@
 	return Decision{GiveUp: err}
 }
 
-// refusalsOf returns the refusals of a pool of the bundle.
+// refusalsOf returns the refusals of the pool, which it starts to record if there are none.
 func (c *Core) refusalsOf(pool string) *poolRefusals {
 	known := c.refusals[pool]
 	if known == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -130,7 +130,7 @@
 	tenants *limits.TenantLimiter
 	// routersCountedAt is when the live routers were last counted.
 	routersCountedAt time.Time
-	// refusals holds the refusals by the pool's name.
+	// refusals holds the shares of refused requests by the pool's name.
 	refusals map[string]*poolRefusals
 	// draining is set once Drain has been called.
 	draining bool
