--- a/internal/soak/backups.go
+++ b/internal/soak/backups.go
@@ -68,8 +68,8 @@
 	return nil
 }
 
-// writeCopy records that a piece of the run's memory arrived at the back end, and returns whether it
-// did.
+// writeCopy records a piece of the run's memory at the back end. It returns false if the back end isn't
+// up, so that the piece is lost.
 func (f *fleet) writeCopy(b *backEnd, run string) bool {
 	if b.isStarting() {
 		return false
@@ -107,8 +107,8 @@
 	backEnd string
 	// continued is true if the back end continued the run of another one.
 	continued bool
-	// backUpTo is the name of the back end at which a copy of the run was ordered, or "". copied is
-	// true once a piece of the copy has arrived there. The back end sets it.
+	// backUpTo is the name of the back end that was to get a copy of the run, or "". The back end that
+	// works on the stream sets copied once a piece of the copy has arrived there.
 	backUpTo string
 	copied   bool
 	// events is the number of events sent, and whole is set once all were. The back end sets them.
@@ -169,8 +169,8 @@
 	})
 }
 
-// lostCopy returns whether the copy of a run that a crash interrupted was lost: its back end was down
-// when the run began, or crashed before the end of the run or at the same moment.
+// lostCopy returns whether the copy of a run that a crash interrupted was lost: no piece of it arrived,
+// because its back end wasn't up, or its back end crashed during the run or at the moment of its end.
 func (c *checker) lostCopy(task *streamWork) bool {
 	return !task.copied || slices.ContainsFunc(c.backedUp.crashes[task.backUpTo], func(at time.Time) bool {
 		return !at.Before(task.from) && !at.After(task.to)
--- a/internal/soak/moving.go
+++ b/internal/soak/moving.go
@@ -116,8 +116,9 @@
 	if fault.Kind == MoveService && fault.Target%soundOneIn == 0 {
 		return drawn
 	}
-	// Back ends that fail more often are ejected for it, also by gateways that don't limit a version's
-	// exposure. So an unattended version fails as seldom as possible.
+	// Back ends with a higher share of failures are ejected even by gateways that don't limit a version's exposure,
+	// and a gateway without that mechanism would then go undetected. So unattended versions get the
+	// least share.
 	drawn.defect = versionDefect{share: minFailureShare, from: drawn.from}
 	if fault.Kind == MoveService {
 		drawn.defect.share += failureShareStep * float64(fault.Target%failureShareSteps)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,8 +66,8 @@
 	Unknown  int
 	// Interrupted counts the streams that may not be repeated, had a backup and were interrupted by
 	// a crash of their back end, and Survived those of them that were answered completely.
-	// LostWithCopy counts those that weren't because the back end with the copy was down or crashed
-	// first, too: nothing can continue them.
+	// LostWithCopy counts those of the others whose copy was lost as well, so that no back end could
+	// continue them.
 	Interrupted  int
 	Survived     int
 	LostWithCopy int
