--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -52,7 +52,8 @@
 	"back_ends":[{"id":"i-1","service":"chat","address":"10.0.0.1:1","zone":"a","leaving":false,"health":"healthy","own":3,"estimate":8,
 	"work":{"streams":8,"unread_tokens":5100,"committed_tokens":70000,"wait_seconds":0.12,"pace":1.31}}]}`
 
-// Machines are replaced one after the other, so the command reads the status of nodes of earlier builds.
+// Guards against a command that fails on the status of an earlier build, or shows an empty table of
+// refusals: machines are replaced one after the other.
 func TestStatusOfEarlierBuildIsShown(t *testing.T) {
 	is := is.New(t)
 	var output bytes.Buffer
@@ -81,7 +82,7 @@
 	checkContains(t, "status", now, before)
 }
 
-// checkContains checks that the value has all that the earlier one has.
+// checkContains checks that the value has all fields and elements of the earlier one, with the same values.
 func checkContains(t *testing.T, path string, value, earlier any) {
 	switch earlier := earlier.(type) {
 	case map[string]any:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// An explanation tells why a request was refused, and what the caller was told; each reason that a
-// gateway logs has a description. Lines of earlier builds have no reason.
+// Guards against a reason that gateways log and explanations don't describe, against an explanation
+// without the time to come back, and against one that is empty for the lines of earlier builds, which
+// have no reason.
 func TestRefusalReasonsAreDescribed(t *testing.T) {
 	for _, reason := range dispatch.RefusalReasons() {
 		t.Run(string(reason), func(t *testing.T) {
@@ -129,7 +130,7 @@
 	is.True(strings.Contains(log.Explain("r").Verdict.Why, "no back end of the service had room by the gateway's estimate"))
 }
 
-// An explanation shows whether a stream that was answered whole came late.
+// Guards against an explanation that doesn't show that a stream which was answered whole came late.
 func TestExplanationShowsTimesOfStream(t *testing.T) {
 	is := is.New(t)
 	log := newTestLog(t, nil, `g1 10 request.answered "request":"r","back_end":"b","status":200,"events":9,"first_token_ms":420,"predicted_first_token_ms":90,"longest_pause_ms":610`)
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -54,8 +54,9 @@
 	is.NoErr(err)
 }
 
-// The status shows why requests are refused, the backlog and the time to come back, and the room and
-// the unread tokens of engines. Services without engines have no room or unread tokens there.
+// Guards against a status that leaves out why requests are refused, the backlog, the time to come back,
+// or the room and the unread tokens of engines, and against room that it states for back ends that
+// aren't engines.
 func TestStatusShowsRefusals(t *testing.T) {
 	is := is.New(t)
 	core, state := newTestState(t)
--- a/internal/gateway/streamtimes_test.go
+++ b/internal/gateway/streamtimes_test.go
@@ -32,7 +32,8 @@
 	is.Equal(fields, logrus.Fields{"first_token_ms": int64(150), "predicted_first_token_ms": int64(80), "longest_pause_ms": int64(400)})
 }
 
-// Answers that aren't streams have no such fields, and streams without a prediction none for it.
+// Guards against times of 0 ms in the log line of an answer that isn't a stream, and against a prediction
+// of 0 ms for a stream that has none.
 func TestStreamTimesAreLoggedOnlyOfStreams(t *testing.T) {
 	is := is.New(t)
 	fields := logrus.Fields{}
--- a/internal/soak/moving.go
+++ b/internal/soak/moving.go
@@ -116,9 +116,8 @@
 	if fault.Kind == MoveService && fault.Target%soundOneIn == 0 {
 		return drawn
 	}
-	// Back ends with a higher share of failures are ejected even by gateways that don't limit a version's exposure,
-	// and a gateway without that mechanism would then go undetected. So unattended versions get the
-	// least share.
+	// Back ends with a higher share of failures are ejected, which hides that a gateway doesn't limit a
+	// version's exposure. So unattended versions get the least share.
 	drawn.defect = versionDefect{share: minFailureShare, from: drawn.from}
 	if fault.Kind == MoveService {
 		drawn.defect.share += failureShareStep * float64(fault.Target%failureShareSteps)
