--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -106,6 +106,23 @@
 			return err
 		}
 	}
+	if err := printExceptions(output, status); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET\tBACKLOG\tRETRY AFTER")
+	for _, service := range status.Services {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\t%.0f\t%.1fs\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget, service.BacklogCallers, service.RetryAfterSeconds)
+	}
+	printRefusals(table, status.Services)
+	printTenants(table, status.Services)
+	printBackEnds(table, status.BackEnds)
+	return table.Flush()
+}
+
+// printExceptions prints the withheld requests, the unreadable objects of the store and the evacuated
+// zones.
+func printExceptions(output io.Writer, status gateway.Status) error {
 	if len(status.Withheld) > 0 {
 		if _, err := fmt.Fprintf(output, "withheld requests, which crash back ends: %s\n\n", strings.Join(status.Withheld, ", ")); err != nil {
 			return err
@@ -121,15 +138,13 @@
 			return err
 		}
 	}
-	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET\tBACKLOG\tRETRY AFTER")
-	for _, service := range status.Services {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\t%.0f\t%.1fs\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget, service.BacklogCallers, service.RetryAfterSeconds)
-	}
-	printRefusals(table, status.Services)
-	printTenants(table, status.Services)
+	return nil
+}
+
+// printBackEnds prints the back ends with their health, load and, of engines, room and work.
+func printBackEnds(table io.Writer, backEnds []gateway.BackEndStatus) {
 	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)\tROOM\tUNREAD (HERE)\tMEMORY\tWAIT\tPACE")
-	for _, each := range status.BackEnds {
+	for _, each := range backEnds {
 		health := each.Health
 		if each.Leaving {
 			health += ", leaving"
@@ -146,7 +161,6 @@
 		}
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\t%s\t%s\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own, room, workColumns(each.Work))
 	}
-	return table.Flush()
 }
 
 // printRefusals prints how many requests per second the gateway refuses for lack of a back end with
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -197,25 +197,33 @@
 	for _, each := range s.core.Withheld() {
 		status.Withheld = append(status.Withheld, each.String())
 	}
-	for _, service := range s.core.ServiceStatuses(now) {
-		status.Services = append(status.Services, ServiceStatus{
-			Name: service.Name, RetryBudget: service.RetryBudget, BackEnds: service.BackEnds,
-			Unusable: service.Unusable, InFlight: service.InFlight, Tenants: tenantStatuses(service.Tenants),
-			Refusals: refusalStatuses(service.Refusals.Rates), BacklogCallers: service.Refusals.Backlog,
-			RetryAfterSeconds: service.Refusals.RetryAfter.Seconds(),
-		})
+	for _, each := range s.core.ServiceStatuses(now) {
+		status.Services = append(status.Services, serviceStatus(each))
 	}
 	for _, each := range s.core.BackEndStatuses(now) {
-		var roomLeft *float64
-		if each.IsRoomKnown {
-			roomLeft = &each.RoomLeft
-		}
-		status.BackEnds = append(status.BackEnds, BackEndStatus{
-			ID: each.BackEnd.ID, Service: each.BackEnd.Service, Address: each.BackEnd.Address,
-			Zone: each.BackEnd.Zone, Leaving: each.BackEnd.Leaving, Version: each.BackEnd.Version, Health: each.Health.String(),
-			Evacuated: each.Evacuated, WarmsUp: each.WarmsUp, Own: each.Own, Estimate: each.Estimate,
-			Work: workStatus(each.Work), RoomLeft: roomLeft,
-		})
+		status.BackEnds = append(status.BackEnds, backEndStatus(each))
+	}
+	return status
+}
+
+func serviceStatus(service dispatch.ServiceStatus) ServiceStatus {
+	return ServiceStatus{
+		Name: service.Name, RetryBudget: service.RetryBudget, BackEnds: service.BackEnds,
+		Unusable: service.Unusable, InFlight: service.InFlight, Tenants: tenantStatuses(service.Tenants),
+		Refusals: refusalStatuses(service.Refusals.Rates), BacklogCallers: service.Refusals.Backlog,
+		RetryAfterSeconds: service.Refusals.RetryAfter.Seconds(),
+	}
+}
+
+func backEndStatus(each dispatch.BackEndStatus) BackEndStatus {
+	status := BackEndStatus{
+		ID: each.BackEnd.ID, Service: each.BackEnd.Service, Address: each.BackEnd.Address,
+		Zone: each.BackEnd.Zone, Leaving: each.BackEnd.Leaving, Version: each.BackEnd.Version, Health: each.Health.String(),
+		Evacuated: each.Evacuated, WarmsUp: each.WarmsUp, Own: each.Own, Estimate: each.Estimate,
+		Work: workStatus(each.Work),
+	}
+	if each.IsRoomKnown {
+		status.RoomLeft = &each.RoomLeft
 	}
 	return status
 }
