--- a/internal/hop/head.go
+++ b/internal/hop/head.go
@@ -69,8 +69,8 @@
 	LastAttempt bool `cbor:"13,keyasint,omitempty"`
 	// WaitLeftMillis is how long the request may still wait for room under the bound, over
 	// all further attempts. It is a duration, as RemainingMillis is. It is nil if the
-	// router states no limit, as routers of older builds; each attempt then waits as long
-	// as the agent allows. Field 14 is reserved: some builds send another figure in it.
+	// router states no limit, which is the case with older builds; each attempt then waits
+	// as long as the agent allows. Field 14 is reserved: some builds send another figure in it.
 	WaitLeftMillis *int64 `cbor:"15,keyasint,omitempty"`
 	// ReportedLoads holds the loads reported by earlier refusals.
 	ReportedLoads []routing.ReportedLoad `cbor:"7,keyasint,omitempty"`
