--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -48,8 +48,16 @@
 
 // details formats the fields of a line that the timeline shows.
 func details(line Line) string {
+	parts := slices.Concat(textDetails(line), flagDetails(line), numberDetails(line))
+	if line.Cause != "" {
+		parts = append(parts, fmt.Sprintf("cause=%q", line.Cause))
+	}
+	return strings.Join(parts, " ")
+}
+
+// textDetails formats the fields with text other than the cause, without empty ones.
+func textDetails(line Line) []string {
 	var parts []string
-	add := func(format string, arguments ...any) { parts = append(parts, fmt.Sprintf(format, arguments...)) }
 	for _, field := range []struct{ name, value string }{
 		{"kind", line.Kind}, {"reason", line.Reason}, {"service", line.Service}, {"route", line.Route}, {"tenant", line.Tenant},
 		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
@@ -58,17 +66,30 @@
 		{"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
 	} {
 		if field.value != "" {
-			add("%s=%s", field.name, field.value)
+			parts = append(parts, field.name+"="+field.value)
 		}
 	}
+	return parts
+}
+
+// flagDetails returns the names of the flags that are set.
+func flagDetails(line Line) []string {
+	var parts []string
 	for _, flag := range []struct {
 		name string
 		set  bool
 	}{{"leaving", line.Leaving}, {"gone", line.Gone}, {"excess", line.Excess}, {"not_sent", line.NotSent}, {"expired", line.Expired}, {"deadline_passed", line.DeadlinePassed}} {
 		if flag.set {
-			add("%s", flag.name)
+			parts = append(parts, flag.name)
 		}
 	}
+	return parts
+}
+
+// numberDetails formats the counts and durations. Most of them are left out if they are 0.
+func numberDetails(line Line) []string {
+	var parts []string
+	add := func(format string, arguments ...any) { parts = append(parts, fmt.Sprintf(format, arguments...)) }
 	if line.Version > 0 {
 		add("version=%d", line.Version)
 	}
@@ -101,8 +122,5 @@
 	if line.DroppedLines > 0 {
 		add("lines=%d", line.DroppedLines)
 	}
-	if line.Cause != "" {
-		add("cause=%q", line.Cause)
-	}
-	return strings.Join(parts, " ")
+	return parts
 }
