--- a/internal/gateway/streamtimes.go
+++ b/internal/gateway/streamtimes.go
@@ -7,13 +7,14 @@
 )
 
 // streamTimes are the times of a stream as its back ends caused them: the time in which the caller
-// takes an event doesn't count.
+// takes an event doesn't count. Events that a resumed stream repeats count, although they aren't passed
+// on again.
 type streamTimes struct {
 	// hasEvent is set once the first event has arrived, firstToken after its attempt began. predicted
 	// is the prediction for that attempt, or 0.
 	hasEvent              bool
 	firstToken, predicted time.Duration
-	// passedAt is when the last event had been passed on, and longestPause the longest time from
+	// passedAt is when the last event had been passed on or skipped, and longestPause the longest time from
 	// there to the arrival of the next one, also of one from another back end.
 	passedAt     time.Time
 	longestPause time.Duration
@@ -29,7 +30,7 @@
 	t.longestPause = max(t.longestPause, now.Sub(t.passedAt))
 }
 
-// passed records that the event has been passed on to the caller.
+// passed records that the event has been passed on to the caller, or skipped because the caller has it.
 func (t *streamTimes) passed(now time.Time) { t.passedAt = now }
 
 // addTo adds the times to the fields of a log line. There are none without a stream.
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -48,6 +48,7 @@
 			build := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(file), "message-"), ".cbor")
 			last, known := lastFields[build]
 			is.True(known) // the build's highest field number is listed
+			// Builds that know field 26 (Leaving) were recorded with versions and tenants as well.
 			knowsRollouts, knowsLeaving := last >= 25, last >= 26
 			is.Equal(message.From, "g1")
 			is.Equal(message.Peers, []Peer{{ID: "g2", Address: "10.0.0.2:2", AgeMillis: 5, StoreAgeMillis: 6, Zone: "z", Capacity: 30}})
