--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -106,6 +106,23 @@
 			return err
 		}
 	}
+	if err := printExceptions(output, status); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET\tBACKLOG\tRETRY AFTER")
+	for _, service := range status.Services {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\t%.0f\t%.1fs\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget, service.BacklogCallers, service.RetryAfterSeconds)
+	}
+	printRefusals(table, status.Services)
+	printTenants(table, status.Services)
+	printBackEnds(table, status.BackEnds)
+	return table.Flush()
+}
+
+// printExceptions prints the withheld requests, the unreadable objects of the store and the evacuated
+// zones.
+func printExceptions(output io.Writer, status gateway.Status) error {
 	if len(status.Withheld) > 0 {
 		if _, err := fmt.Fprintf(output, "withheld requests, which crash back ends: %s\n\n", strings.Join(status.Withheld, ", ")); err != nil {
 			return err
@@ -121,15 +138,13 @@
 			return err
 		}
 	}
-	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "SERVICE\tBACK ENDS\tUNUSABLE\tUNDER WAY HERE\tRETRY BUDGET\tBACKLOG\tRETRY AFTER")
-	for _, service := range status.Services {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f\t%.0f\t%.1fs\n", service.Name, service.BackEnds, service.Unusable, service.InFlight, service.RetryBudget, service.BacklogCallers, service.RetryAfterSeconds)
-	}
-	printRefusals(table, status.Services)
-	printTenants(table, status.Services)
+	return nil
+}
+
+// printBackEnds prints the back ends with their health, load and, of engines, room and work.
+func printBackEnds(table io.Writer, backEnds []gateway.BackEndStatus) {
 	_, _ = fmt.Fprintln(table, "\t\t\t\t\nBACK END\tSERVICE\tZONE\tHEALTH\tLOAD (HERE)\tROOM\tUNREAD (HERE)\tMEMORY\tWAIT\tPACE")
-	for _, each := range status.BackEnds {
+	for _, each := range backEnds {
 		health := each.Health
 		if each.Leaving {
 			health += ", leaving"
@@ -146,35 +161,42 @@
 		}
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f (%d)\t%s\t%s\n", each.ID, each.Service, each.Zone, health, each.Estimate, each.Own, room, workColumns(each.Work))
 	}
-	return table.Flush()
 }
 
 // printRefusals prints how many requests per second the gateway refuses for lack of a back end with
 // room, by reason.
 func printRefusals(table io.Writer, services []gateway.ServiceStatus) {
-	header := "\t\t\t\t\nREFUSED HERE\tSERVICE\tPER SECOND\n"
+	var rows []string
 	for _, service := range services {
 		for _, refusal := range service.Refusals {
-			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.2f\n", header, refusal.Reason, service.Name, refusal.PerSecond)
-			header = ""
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%.2f", refusal.Reason, service.Name, refusal.PerSecond))
 		}
 	}
+	printSection(table, "REFUSED HERE\tSERVICE\tPER SECOND", rows)
 }
 
 // printTenants prints the largest tenants of each service whose tenants have fair shares. Rates are
 // in tokens of work per second.
 func printTenants(table io.Writer, services []gateway.ServiceStatus) {
-	header := "\t\t\t\t\nTENANT\tSERVICE\tDEMAND (HERE)\tSHARE\tADMITTED HERE\n"
+	var rows []string
 	for _, service := range services {
 		for _, tenant := range service.Tenants {
 			name, share := cmp.Or(tenant.Name, "(none)"), "no limit"
 			if tenant.Share != nil {
 				share = fmt.Sprintf("%.0f", *tenant.Share)
 			}
-			_, _ = fmt.Fprintf(table, "%s%s\t%s\t%.0f (%.0f)\t%s\t%.0f\n", header, name, service.Name, tenant.Demand, tenant.OwnDemand, share, tenant.OwnAdmitted)
-			header = ""
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%.0f (%.0f)\t%s\t%.0f", name, service.Name, tenant.Demand, tenant.OwnDemand, share, tenant.OwnAdmitted))
 		}
 	}
+	printSection(table, "TENANT\tSERVICE\tDEMAND (HERE)\tSHARE\tADMITTED HERE", rows)
+}
+
+// printSection prints an empty line, the header and the rows, or nothing if there are no rows.
+func printSection(table io.Writer, header string, rows []string) {
+	if len(rows) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(table, "\t\t\t\t\n%s\n%s\n", header, strings.Join(rows, "\n"))
 }
 
 // workColumns returns the columns of a table for the work of an engine, in tokens, its predicted
