Dispatch, gateway: sizes of tokens that aren't stated; the status test fills its engine

A service without the size of a token had copies at no cost, since the last change of their cost: TestHeldAndCopiedTokensAreNotUnread failed. 18 KB are assumed again. TestStatusShowsRefusals expected only no_room, which a draw with one gateway mixes with lost_draw while one place is free; it switches the draw off, and its checks are as before.

--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/workload"
@@ -20,6 +21,9 @@
 	// averageSmoothing is the weight of the latest request in the average one. Sizes differ a
 	// hundredfold, so the average covers about the last 50 requests.
 	averageSmoothing = 0.02
+	// defaultTokenBytes is the size of a token in an engine's cache, in bytes, if the service doesn't
+	// state it.
+	defaultTokenBytes = 18_432
 )
 
 // serviceWork is what the engines of a service have in common.
@@ -146,7 +150,8 @@
 // copyCost returns what copying a token costs an engine of the service, relative to prefilling it: by
 // the size of its tokens, and at most as much.
 func (c *Core) copyCost(service string) float64 {
-	return min(1, float64(c.services[service].TokenBytes)/copyBytesPerToken)
+	size := cmp.Or(c.services[service].TokenBytes, defaultTokenBytes)
+	return min(1, float64(size)/copyBytesPerToken)
 }
 
 // knownTokens returns how many of the prompt's shared tokens the member is assumed to hold, and how
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -15,12 +15,18 @@
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 )
 
-// newTestState returns a state with the default configuration, whose log is discarded, and its core.
-func newTestState(t *testing.T) (*dispatch.Core, *State) {
+// newTestState returns a state with the default configuration but for the disabled mechanisms, whose
+// log is discarded, and its core.
+func newTestState(t *testing.T, disabled ...dispatch.Mechanism) (*dispatch.Core, *State) {
 	t.Helper()
 	log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 	t.Cleanup(log.Close)
-	core := dispatch.New(dispatch.DefaultConfig())
+	config := dispatch.DefaultConfig()
+	config.Disabled = dispatch.Disabled{}
+	for _, each := range disabled {
+		config.Disabled[each] = true
+	}
+	core := dispatch.New(config)
 	return core, NewState(core, log)
 }
 
@@ -59,7 +65,7 @@
 // aren't engines.
 func TestStatusShowsRefusals(t *testing.T) {
 	is := is.New(t)
-	core, state := newTestState(t)
+	core, state := newTestState(t, dispatch.AdmissionLottery) // no request is refused while there is room
 	now := state.clock.Now()
 	core.SetServices([]catalog.Service{{Name: "engines", CacheTokens: 400_000}, {Name: "plain"}})
 	core.SetBackEnds(now, []catalog.BackEnd{{ID: "e", Service: "engines", Slots: 4}, {ID: "p", Service: "plain", Slots: 4}})
