--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -130,13 +131,22 @@
 	p.byPeer[peer] = peerLoad{at: now, loads: byBackEnd(loads), own: byBackEnd(own), unread: unreadByBackEnd(loads)}
 }
 
+// recent yields the reports that are still in use, one for each peer.
+func (p peerLoads) recent(now time.Time) iter.Seq[peerLoad] {
+	return func(yield func(peerLoad) bool) {
+		for _, peer := range p.byPeer {
+			if now.Sub(peer.at) <= maxPeerLoadAge && !yield(peer) {
+				return
+			}
+		}
+	}
+}
+
 // oldestAge returns the age of the oldest loads that are still in use.
 func (p peerLoads) oldestAge(now time.Time) time.Duration {
 	var oldest time.Duration
-	for _, peer := range p.byPeer {
-		if age := now.Sub(peer.at); age <= maxPeerLoadAge {
-			oldest = max(oldest, age)
-		}
+	for peer := range p.recent(now) {
+		oldest = max(oldest, now.Sub(peer.at))
 	}
 	return oldest
 }
@@ -162,10 +172,7 @@
 func (p peerLoads) sum(now time.Time, m *member) (reported int, unreported float64, peers int) {
 	id := m.backEnd.ID
 	demand := burstFactor * m.demand.perSecond(now)
-	for _, peer := range p.byPeer {
-		if now.Sub(peer.at) > maxPeerLoadAge {
-			continue
-		}
+	for peer := range p.recent(now) {
 		peers++
 		reported += peer.loads[id]
 		unreported += min(float64(max(0, m.own-peer.own[id])), demand*now.Sub(peer.at).Seconds())
--- a/internal/dispatch/unread.go
+++ b/internal/dispatch/unread.go
@@ -49,31 +49,29 @@
 // reporting returns the number of peers that reported recently.
 func (p peerLoads) reporting(now time.Time) int {
 	peers := 0
-	for _, peer := range p.byPeer {
-		if now.Sub(peer.at) <= maxPeerLoadAge {
-			peers++
-		}
+	for range p.recent(now) {
+		peers++
 	}
 	return peers
 }
 
 // unread returns the sum of the unread tokens that peers recently reported for the back end, and
-// their mean age, weighted by tokens. Together they are prefilled at the engine's rate, not each
-// peer's.
+// their mean age, weighted by tokens. One mean age is enough: the engine prefills them one after
+// another at one rate, whichever peer sent them.
 func (p peerLoads) unread(now time.Time, backEnd string) (tokens float64, age time.Duration) {
-	var units, unitAges int64
-	for _, peer := range p.byPeer {
-		if now.Sub(peer.at) <= maxPeerLoadAge {
-			units += int64(peer.unread[backEnd])
-			unitAges += int64(peer.unread[backEnd]) * now.Sub(peer.at).Milliseconds()
-		}
+	var units, unitMillis int64 // unitMillis sums units times age
+	for peer := range p.recent(now) {
+		units += int64(peer.unread[backEnd])
+		unitMillis += int64(peer.unread[backEnd]) * now.Sub(peer.at).Milliseconds()
 	}
 	if units == 0 {
 		return 0, 0
 	}
-	return float64(units) * UnreadUnit, time.Duration(unitAges/units) * time.Millisecond
+	return float64(units) * UnreadUnit, time.Duration(unitMillis/units) * time.Millisecond
 }
 
+// unreadByBackEnd returns the unread tokens of the loads by the back end's ID, without zeros. A larger
+// figure than a gateway may report is limited.
 func unreadByBackEnd(loads []Load) map[string]uint32 {
 	var result map[string]uint32
 	for _, load := range loads {
