--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -47,13 +47,14 @@
 // at no cost.
 const continuationReserve = 0.25
 
-// continuationBudgetShare is the fraction of a gateway's share of the extra retries that only
-// continuations use while this gateway has runs that are backed up. A crash causes retries and continuations at the
-// same moment. Without a reserve, the retries that come first use up the budget, and the runs that
-// can't be continued are lost with all the work done for them.
+// continuationBudgetShare is the fraction of the capacity of a gateway's retry budget that is reserved
+// for continuations while the gateway has runs that are backed up. A crash causes retries and
+// continuations at the same moment. Without a reserve, the retries that come first may use up the budget,
+// and runs that could be continued are lost with all the work done for them.
 const continuationBudgetShare = 0.5
 
-// retriesLeft returns the number of retries other than continuations that the service's budget allows.
+// retriesLeft returns the number of retries other than continuations that the service's budget allows. It
+// may be negative.
 func (c *Core) retriesLeft(service string) float64 {
 	if c.backedUpRuns[service] == 0 {
 		return c.budget(service).Tokens()
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -20,7 +20,7 @@
 	is.Equal(retries, 10+249) // the initial budget, and one retry for every four requests
 }
 
-// The test guards against a budget that counts as low only when it is empty: requests in
+// Guards against a budget that counts as low only when it is empty: requests in
 // flight would then count on a retry that another one takes.
 func TestLowRetryBudgetStillAllowsRetries(t *testing.T) {
 	is := is.New(t)
--- a/internal/limits/retry.go
+++ b/internal/limits/retry.go
@@ -24,13 +24,14 @@
 	b.tokens = min(b.tokens+b.ratio, b.capacity)
 }
 
-// reserveShare is the share of the capacity that IsLow reserves.
-const reserveShare = 0.1
+// lowShare is the share of the capacity below which a budget counts as low. It is left for the
+// retries of requests in flight.
+const lowShare = 0.1
 
-// IsLow reports whether the budget is empty or close to it. The requests that are in
-// flight when it becomes low may still take what is left: when an attempt is sent while
-// the budget isn't low, a retry after its refusal is most probably allowed.
-func (b *RetryBudget) IsLow() bool { return b.tokens < 1+reserveShare*b.capacity }
+// IsLow reports whether the budget is empty or close to it. Spend still allows what is left, so a
+// retry after the refusal of an attempt that was sent while the budget wasn't low is most probably
+// allowed.
+func (b *RetryBudget) IsLow() bool { return b.tokens < 1+lowShare*b.capacity }
 
 // Spend takes one retry from the budget. It returns false if none is left.
 func (b *RetryBudget) Spend() bool {
--- a/internal/limits/retryshare.go
+++ b/internal/limits/retryshare.go
@@ -39,8 +39,8 @@
 // Tokens returns the number of retries that may be made now.
 func (b *RetryBudgetShare) Tokens() float64 { return b.tokens }
 
-// TokensAbove returns the number of retries that may be made now if the given fraction of this
-// gateway's share of extra is reserved. It may be negative.
+// TokensAbove returns the number of retries that may be made now if the given fraction of the budget's
+// capacity, this gateway's share of the extra retries, is reserved. It may be negative.
 func (b *RetryBudgetShare) TokensAbove(reserved float64) float64 {
 	return b.tokens - reserved*b.capacity()
 }
