--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -106,7 +106,7 @@
 	serviceDemands map[string]*serviceDemand
 	// backlogs holds the backlogs of refused callers, by service.
 	backlogs map[string]*backlog
-	// refusals records what operators see of refusals, by service.
+	// refusals holds the refusals that operators see, by service. No decision depends on them.
 	refusals map[string]*refusalRecord
 	// runMemory is the mean memory of a run, in tokens, by service.
 	runMemory map[string]float64
@@ -290,7 +290,7 @@
 	BackEnd string `cbor:"1,keyasint"`
 	// Requests counts the requests that were sent and haven't finished.
 	Requests int `cbor:"2,keyasint"`
-	// Unread is that of Count.
+	// Unread is the number of unread tokens in units of UnreadUnit, as in Count.
 	Unread uint32 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -325,8 +325,10 @@
 	// Work is the work there; zero without an engine.
 	Work WorkStatus
 	// RoomLeft is how many more of the most urgent requests the back end takes, by this gateway's
-	// estimate. IsRoomKnown is false where that isn't known: without an engine, or without slots.
-	RoomLeft    float64
+	// estimate.
+	RoomLeft float64
+	// IsRoomKnown is false, and RoomLeft 0, unless the service's work is counted in tokens and the
+	// back end's number of slots is known.
 	IsRoomKnown bool
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -50,10 +50,11 @@
 	waitEnded bool
 	// completed is set once the caller has a complete answer.
 	completed bool
-	// lostDraw is set while the request has lost the draw for the places of its service, and refusal is
-	// the reason of its refusal, or "".
+	// lostDraw is set if the request lost the last draw for the places of its service in which it took
+	// part.
 	lostDraw bool
-	refusal  RefusalReason
+	// refusal is the reason of the request's refusal, or "".
+	refusal RefusalReason
 	// share is the fair share by which the request was counted, or nil, and counted is what was
 	// counted.
 	share   *fairshare.Share
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -72,13 +72,13 @@
 // refusalRecord is what operators see of the refusals of one service.
 type refusalRecord struct {
 	rates map[RefusalReason]*demand
-	// retryAfter is the last Retry-After, given at the time at.
+	// retryAfter is the Retry-After of the last refusal, and refusedAt the time of that refusal.
 	retryAfter time.Duration
-	at         time.Time
+	refusedAt  time.Time
 }
 
-// noteRefusal records the reason of a final error. Errors of other kinds have none, and replace one
-// that an earlier decision recorded.
+// noteRefusal records the reason of a final error of kind failure.PoolExhausted. Errors of other kinds
+// have no reason, so they clear one that an earlier decision recorded.
 func (c *Core) noteRefusal(now time.Time, x *Exchange, refusal *failure.Error) {
 	if refusal.Kind != failure.PoolExhausted {
 		x.refusal = ""
@@ -98,7 +98,7 @@
 		record.rates[x.refusal] = rate
 	}
 	rate.note(now)
-	record.retryAfter, record.at = refusal.RetryDelay(), now
+	record.retryAfter, record.refusedAt = refusal.RetryDelay(), now
 }
 
 // RefusalStatus is what a gateway refuses of the requests to one service.
@@ -134,7 +134,7 @@
 	if record == nil {
 		return status
 	}
-	if now.Sub(record.at) <= maxRetryAfter {
+	if now.Sub(record.refusedAt) <= maxRetryAfter {
 		status.RetryAfter = record.retryAfter
 	}
 	for _, reason := range RefusalReasons() {
--- a/internal/dispatch/unread.go
+++ b/internal/dispatch/unread.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// The unread tokens of all gateways at an engine say how long a prompt waits there. Requests differ a
-// hundredfold in them, so they don't follow from the number of requests. Gateways exchange them with
-// their loads: in Count in a large fleet, in Load in a small one.
+// Unread tokens are the prompt tokens that an engine was sent and hasn't prefilled yet. How long a prompt
+// waits at an engine depends on the unread tokens of all gateways there. Requests differ a hundredfold in
+// them, so they don't follow from the number of requests. Gateways exchange them with their loads: in
+// Count in a large fleet, in Load in a small one.
 
 // UnreadUnit is the resolution of exchanged unread tokens, in tokens. An engine prefills them in
 // about 4 ms, the time of one step, and most sums take one byte.
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -97,7 +97,7 @@
 }
 
 // othersWork returns the estimated work of all other gateways at the member's engine, given the
-// estimated load of the member.
+// estimated load of the member. Unread tokens are those that the others report, if they are known.
 func (c *Core) othersWork(now time.Time, m *member, load float64) workload.Work {
 	work := c.assumedOthersWork(m, load)
 	if c.knowsOthersUnread(now) {
@@ -106,9 +106,8 @@
 	return work
 }
 
-// assumedOthersWork is othersWork as far as the loads show it: each stream of other gateways is
-// assumed to have as many unread and committed tokens as this gateway's streams of the service have
-// on average.
+// assumedOthersWork estimates othersWork from the load alone: each stream of other gateways is assumed
+// to have as many unread and committed tokens as this gateway's streams of the service have on average.
 func (c *Core) assumedOthersWork(m *member, load float64) workload.Work {
 	streams := max(load-float64(m.own), 0)
 	result := workload.Work{Streams: int(streams + 0.5)}
