--- a/internal/dispatch/backup_test.go
+++ b/internal/dispatch/backup_test.go
@@ -222,7 +222,8 @@
 	is.Equal(core.Truncated(start, x).Send.ContinueFrom, first.Send.BackEnd.Address)
 }
 
-// At services that don't back up runs, retries may use the whole budget.
+// Guards against a reserve that services without backups never use: their retries may use the whole
+// budget.
 func TestRetriesWithoutBackupsUseWholeBudget(t *testing.T) {
 	is := is.New(t)
 	core := newBackupCore(4, 1)
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -30,6 +30,8 @@
 	benchmarkBegin(b, []catalog.Service{workService()}, 9500, 40_000/UnreadUnit)
 }
 
+// benchmarkBegin sends requests of the given prompt length, in tokens, or of none that is stated. All
+// engines have the given unread tokens of other gateways, in units of UnreadUnit.
 func benchmarkBegin(b *testing.B, services []catalog.Service, promptTokens int, unread uint32) {
 	for _, members := range []int{6, 180, 660} {
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// Requests within and beyond their tenant's share are refused for different reasons.
+// Guards against operators who add engines because of one tenant: requests within and beyond their tenant's
+// share are refused for different reasons.
 func TestRefusalOfExcess(t *testing.T) {
 	is := is.New(t)
 	core := newFairShareCore()
@@ -97,7 +98,8 @@
 	is.Equal(reasons, map[bool]RefusalReason{true: RefusedExcess, false: RefusedNoRoom})
 }
 
-// What a back end refuses isn't a lack of room by the gateway's estimate.
+// Guards against a refusal by back ends that is shown as a lack of room by the gateway's estimate, and
+// against a reason for an error of another kind.
 func TestRefusalAfterAttempts(t *testing.T) {
 	is := is.New(t)
 	core := newCore(backEnds(2, 6))
@@ -114,7 +116,8 @@
 	is.Equal(x.Refusal(), RefusalReason(""))
 }
 
-// The status shows rates by reason, the backlog and the Retry-After, until they have passed.
+// Guards against a status that omits rates by reason, the backlog or the Retry-After, or that shows them
+// long after the last refusal.
 func TestRefusalStatus(t *testing.T) {
 	is := is.New(t)
 	core := newWorkCoreWithoutDraw(1)
@@ -162,7 +165,8 @@
 	}
 }
 
-// Each reason that a request can get is in the list by which status and metrics go.
+// Guards against a reason that is missing from the list, or in it twice: status and metrics show the
+// reasons in the list.
 func TestRefusalReasonsAreListedOnce(t *testing.T) {
 	is := is.New(t)
 	list := RefusalReasons()
--- a/internal/dispatch/unread_test.go
+++ b/internal/dispatch/unread_test.go
@@ -20,8 +20,8 @@
 	return Totals{Counted: 2, Expected: 2, Counts: []Count{{Key: CountKey("b00"), Requests: 3, Unread: units}}}
 }
 
-// Guards against figures that aren't released with the prompt, and against a resolution of its own at
-// each gateway.
+// Guards against unread tokens that are still reported after the first token, and against figures that
+// aren't in units of UnreadUnit or differ between totals and loads.
 func TestUnreadTokensAreReportedUntilTheFirstToken(t *testing.T) {
 	is := is.New(t)
 	core, _ := newUnreadCore(2)
@@ -34,8 +34,8 @@
 	is.Equal(core.Loads(), []Load{{BackEnd: "b00", Requests: 1}})
 }
 
-// Guards against unread tokens in the messages of fleets whose services name no engine, and of the
-// mechanism that is switched off.
+// Guards against unread tokens in messages about services without engines, and while the mechanism
+// Workload is disabled.
 func TestUnreadTokensAreReportedOnlyForEngines(t *testing.T) {
 	is := is.New(t)
 	core := newCore(backEnds(1, 64))
@@ -53,7 +53,7 @@
 	is.Equal(core.Counts(start)[0].Unread, uint32(0))
 }
 
-// A caller may state a prompt of any length, and that must not make the gateway's counts invalid.
+// Guards against counts that a caller makes invalid by stating a prompt of any length.
 func TestReportedUnreadTokensAreLimited(t *testing.T) {
 	is := is.New(t)
 	core, _ := newUnreadCore(2)
@@ -66,6 +66,7 @@
 	is.Equal(core.Loads()[0].Unread, uint32(maxUnreadUnits))
 }
 
+// Guards against sums, differences and tests for zero that leave out the unread tokens of a count.
 func TestCountsWithUnreadTokensAreSummedUp(t *testing.T) {
 	is := is.New(t)
 	one, two := Count{Key: 1, Unread: 3}, Count{Key: 1, Requests: 2, Unread: 5}
@@ -90,7 +91,8 @@
 	is.Equal(core.othersUnread(start.Add(time.Second), m), 0.0)
 }
 
-// Gateways that the totals don't include are assumed to be like the others, as for the load.
+// Guards against unread tokens that seem fewer the fewer gateways the totals include: the missing ones
+// are assumed to be like the others, as for the load.
 func TestOthersUnreadTokensAreScaledToMissingGateways(t *testing.T) {
 	is := is.New(t)
 	core, m := newUnreadCore(5)
@@ -100,7 +102,8 @@
 	is.Equal(core.othersUnread(start, m), 80.0*UnreadUnit)
 }
 
-// Gateways of an older build report no unread tokens: they count as having none, at any load.
+// Gateways of an older build report no unread tokens. Guards against a figure that is made up for them:
+// they count as having none, at any load.
 func TestGatewaysOfOlderBuildsCountAsHavingNoUnreadTokens(t *testing.T) {
 	is := is.New(t)
 	core, m := newUnreadCore(2)
@@ -111,7 +114,8 @@
 	is.Equal(core.othersUnread(start.Add(time.Minute), m), 0.0)
 }
 
-// Once the totals are outdated, the unread tokens of the others follow from their load again.
+// Guards against an outdated sum of unread tokens that is still used: once the totals are too old, the
+// others' work follows from their load again.
 func TestOutdatedTotalsShowNoUnreadTokens(t *testing.T) {
 	is := is.New(t)
 	core, m := newUnreadCore(2)
