Dispatch: a step along the order of preference returns an option

Three callers asked again whether the candidate is a home. The comment on chooseByAffinity names the choice by predicted time. No change in behaviour.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -94,13 +94,12 @@
 		return first
 	}
 	for a.position < maxSkippedUnused {
-		isHome := c.nextIsHome(a.position)
-		m, isAdmitted := c.admitNext(now, x, a)
-		if m == nil {
+		next, isAdmitted := c.admitNext(now, x, a)
+		if next.member == nil {
 			break
 		}
-		if isAdmitted && m.engine != nil && c.estimate(now, m) >= inUseLoad {
-			return option{member: m, isHome: isHome}
+		if isAdmitted && next.member.engine != nil && c.estimate(now, next.member) >= inUseLoad {
+			return next
 		}
 	}
 	return first
@@ -109,12 +108,12 @@
 // compareHomes compares the best option with the remaining homes.
 func (c *Core) compareHomes(now time.Time, p *placement, a *admission) {
 	for c.nextIsHome(a.position) {
-		m, isAdmitted := c.admitNext(now, p.exchange, a)
-		if m == nil {
+		home, isAdmitted := c.admitNext(now, p.exchange, a)
+		if home.member == nil {
 			return
 		}
 		if isAdmitted {
-			c.compare(now, p, option{member: m, isHome: true})
+			c.compare(now, p, home)
 		}
 	}
 }
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -91,8 +91,8 @@
 }
 
 // chooseByAffinity returns the first member, in the order of preference, that has room, stays within
-// the bound on load, and is won by lottery. If there is none, it returns the least loaded member
-// that has room, or nil. Where work is counted in tokens, it returns nil instead if a member was
+// the bound on load, and is won by lottery, or one of lower predicted cost; see choosePredicted. If there
+// is none, it returns the least loaded member that has room, or nil. Where work is counted in tokens, it returns nil instead if a member was
 // full: any other one would have to prefill the prompt first, and would evict what is cached there.
 // It also returns nil if the request doesn't get one of the free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
@@ -102,13 +102,12 @@
 	a := admission{bound: c.bound(now, x)}
 	c.orderByPreference(now, x, candidates)
 	for {
-		isHome := c.nextIsHome(a.position)
-		m, isAdmitted := c.admitNext(now, x, &a)
-		if m == nil {
+		next, isAdmitted := c.admitNext(now, x, &a)
+		if next.member == nil {
 			break
 		}
 		if isAdmitted {
-			return c.choosePredicted(now, x, option{member: m, isHome: isHome}, &a, candidates)
+			return c.choosePredicted(now, x, next, &a, candidates)
 		}
 	}
 	if a.isFull && c.countsTokens(x) {
@@ -119,32 +118,33 @@
 
 // admission is the state of a pass along the order of preference.
 type admission struct {
-	// bound is the bound on load, and overflow the expected number of other gateways' requests that
-	// go on to the next member.
-	bound    float64
+	// bound is the bound on load, in requests.
+	bound float64
+	// overflow is the expected number of other gateways' requests that go on to the next member.
 	overflow float64
-	// position is the number of members that were considered, and isFull is set once one of them had
-	// no room for a prompt that it isn't a home of.
+	// position is the number of members that were considered.
 	position int
-	isFull   bool
+	// isFull is set once a member that isn't a home had too little room for the request.
+	isFull bool
 }
 
 // admitNext considers the next candidate in the order of preference and reports whether the request
-// may go there: whether it has room, stays within the bound, and is won by lottery. The candidate is
-// nil if none is left.
-func (c *Core) admitNext(now time.Time, x *Exchange, a *admission) (m *member, isAdmitted bool) {
+// may go there: whether it has room, stays within the bound, and is won by lottery. The candidate's
+// member is nil if none is left.
+func (c *Core) admitNext(now time.Time, x *Exchange, a *admission) (next option, isAdmitted bool) {
 	isHome := c.nextIsHome(a.position)
 	a.position++
-	m = c.nextPreferred()
+	m := c.nextPreferred()
 	if m == nil {
-		return nil, false
+		return option{}, false
 	}
+	next = option{member: m, isHome: isHome}
 	available := c.roomFor(now, m, x, isHome)
 	if !isHome && available.left < 1 && c.countsTokens(x) {
 		// The request isn't counted as demand here: that would lower the chances of the prompts
 		// that the member is a home of.
 		a.isFull = true
-		return m, false
+		return next, false
 	}
 	var chance float64
 	chance, a.overflow = c.admissionChance(now, m, min(a.bound, available.limit), a.overflow)
@@ -152,10 +152,10 @@
 	// high by one per second.
 	m.demand.note(now)
 	if winsLottery(x, m, chance) && available.left >= 1 {
-		return m, true
+		return next, true
 	}
 	a.isFull = a.isFull || !isHome && available.limit < a.bound
-	return m, false
+	return next, false
 }
 
 // scarceMemoryShare is the share of a member's memory above which its memory counts as scarce.
--- a/internal/fairshare/share.go
+++ b/internal/fairshare/share.go
@@ -216,7 +216,7 @@
 
 // Statuses returns the status of the largest tenants that this gateway serves.
 func (s *Share) Statuses(now time.Time) []TenantStatus {
-	s.assessmentAt(now) // may forget tenants
+	s.assessmentAt(now) // an assessment may forget tenants, so it comes before the list of names
 	var list []TenantStatus
 	for _, name := range slices.Sorted(maps.Keys(s.tenants)) {
 		demand, share := s.standing(now, name)
