--- a/internal/dispatch/engine_model_test.go
+++ b/internal/dispatch/engine_model_test.go
@@ -27,7 +27,7 @@
 	cache   map[string]*cachedPart
 	used    int // tokens of memory
 	inStep  bool
-	crashed bool
+	crashed bool // connections to it fail, and its load is 0
 	admits  int
 }
 
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -316,6 +316,28 @@
 		f.follow(c, f.cores[c.gateway].NotConnected(f.now, c.x))
 		return
 	}
+	f.noteArrival(engine)
+	core := f.cores[c.gateway]
+	c.run = f.newRun(c, core, engine, send)
+	engine.begin(c.run)
+	f.schedule(c.deadline, func() {
+		if c.attempt == attempt {
+			f.endAttempt(c, core)
+			c.timedOut = true
+		}
+	})
+	if send.HeadTimeout > 0 && f.now.Add(send.HeadTimeout).Before(c.deadline) {
+		f.schedule(f.now.Add(send.HeadTimeout), func() {
+			if c.attempt == attempt && c.run.generated == 0 {
+				f.follow(c, f.endAttempt(c, core))
+			}
+		})
+	}
+}
+
+// noteArrival records whether a request that is about to begin at the engine brings it over the bound on
+// load. The mean load is that of the engines that haven't crashed.
+func (f *overloadFleet) noteArrival(engine *modelEngine) {
 	total, remaining := 1, 0
 	for _, each := range f.engines {
 		total += each.load()
@@ -326,9 +348,13 @@
 	mean := float64(total) / float64(remaining)
 	load := engine.load() + 1
 	f.arrivals = append(f.arrivals, arrival{at: f.now, overBound: float64(load) > allowedMultiple*mean+allowedSlack})
-	core := f.cores[c.gateway]
+}
+
+// newRun returns the run of an attempt that is sent now. It reports its events and its end to the core,
+// and records them for the caller.
+func (f *overloadFleet) newRun(c *caller, core *Core, engine *modelEngine, send *Send) *modelRun {
 	sentAt := f.now
-	c.run = &modelRun{
+	return &modelRun{
 		urgency: c.class.route.Priority, part: c.part, shared: c.class.shared, own: c.own, output: c.output, fetchFrom: f.byAddr[send.FetchFrom],
 		onEvent: func(generated int) {
 			if generated == 1 {
@@ -350,20 +376,6 @@
 			core.Done(f.now, c.x)
 		},
 	}
-	engine.begin(c.run)
-	f.schedule(c.deadline, func() {
-		if c.attempt == attempt {
-			f.endAttempt(c, core)
-			c.timedOut = true
-		}
-	})
-	if send.HeadTimeout > 0 && f.now.Add(send.HeadTimeout).Before(c.deadline) {
-		f.schedule(f.now.Add(send.HeadTimeout), func() {
-			if c.attempt == attempt && c.run.generated == 0 {
-				f.follow(c, f.endAttempt(c, core))
-			}
-		})
-	}
 }
 
 // endAttempt ends the current attempt at the engine and tells the core.
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// Guards against requests that are refused late: one that had won a place and failed there took part
-// in the draw again, and lost it while another back end had room.
+// Guards against requests that are refused late: a request that has won a place and couldn't connect must
+// not take part in the draw again, and lose it while another back end has room.
 func TestFurtherAttemptsAreNotDrawnAgain(t *testing.T) {
 	const gateways, requests = 22, 200
 	is := is.New(t)
