--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -7,8 +7,8 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 )
 
-// RefusalReason is why a gateway refused a request with kind failure.PoolExhausted. It decides
-// nothing; operators get it in status, logs and metrics.
+// RefusalReason is why a gateway refused a request with kind failure.PoolExhausted. Operators see it in
+// status, logs and metrics; no decision depends on it.
 type RefusalReason string
 
 // The closed list of reasons. docs/OPERATIONS.md says what to do about each.
@@ -87,18 +87,29 @@
 	if x.refusal == "" {
 		x.refusal = RefusedAfterAttempt
 	}
-	record := c.refusals[x.service]
-	if record == nil {
-		record = &refusalRecord{rates: map[RefusalReason]*demand{}}
-		c.refusals[x.service] = record
+	record := c.refusalsOf(x.service)
+	record.rateOf(x.refusal).note(now)
+	record.retryAfter, record.refusedAt = refusal.RetryDelay(), now
+}
+
+// refusalsOf returns the record of the service's refusals.
+func (c *Core) refusalsOf(service string) *refusalRecord {
+	known := c.refusals[service]
+	if known == nil {
+		known = &refusalRecord{rates: map[RefusalReason]*demand{}}
+		c.refusals[service] = known
 	}
-	rate := record.rates[x.refusal]
-	if rate == nil {
-		rate = &demand{timeConstant: refusalTimeConstant}
-		record.rates[x.refusal] = rate
+	return known
+}
+
+// rateOf returns the rate of the refusals with the reason.
+func (r *refusalRecord) rateOf(reason RefusalReason) *demand {
+	known := r.rates[reason]
+	if known == nil {
+		known = &demand{timeConstant: refusalTimeConstant}
+		r.rates[reason] = known
 	}
-	rate.note(now)
-	record.retryAfter, record.refusedAt = refusal.RetryDelay(), now
+	return known
 }
 
 // RefusalStatus is what a gateway refuses of the requests to one service.
@@ -145,9 +156,9 @@
 	return status
 }
 
-// roomLeft returns how many more requests the member takes as a home of their prompts, if they are
-// of the most urgent ones and within their tenants' shares. ok is false unless its work is counted in
-// tokens and its slots are known.
+// roomLeft returns how many more requests the member takes, as a home of their prompts, of those that are
+// most urgent and within their tenants' shares. ok is false unless the service's work is counted in tokens
+// and the member's number of slots is known.
 func (c *Core) roomLeft(now time.Time, m *member) (requests float64, ok bool) {
 	x := &Exchange{service: m.backEnd.Service, request: Request{PromptTokens: 1, Parts: []Part{{ID: "any"}}}}
 	if !c.countsTokens(x) || m.backEnd.Slots <= 0 {
--- a/internal/dispatch/refusal_test.go
+++ b/internal/dispatch/refusal_test.go
@@ -71,10 +71,7 @@
 			refuseWithRetryAfter(core, start, "rest", 5*time.Second)
 			return core
 		}, plainRequest},
-		{RefusedWarmUp, func() *Core {
-			core := newWarmUpFleet(1, 1, coldBackEnds(2, 2))[0]
-			return core
-		}, plainRequest},
+		{RefusedWarmUp, func() *Core { return newWarmUpFleet(1, 1, coldBackEnds(2, 2))[0] }, plainRequest},
 	} {
 		t.Run(string(each.reason), func(t *testing.T) {
 			is := is.New(t)
