--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -91,10 +91,11 @@
 }
 
 // chooseByAffinity returns the first member, in the order of preference, that has room, stays within
-// the bound on load, and is won by lottery, or one of lower predicted cost; see choosePredicted. If there
-// is none, it returns the least loaded member that has room, or nil. Where work is counted in tokens, it returns nil instead if a member was
-// full: any other one would have to prefill the prompt first, and would evict what is cached there.
-// It also returns nil if the request doesn't get one of the free places of the service; see room.go.
+// the bound on load, and is won by lottery, or one of lower predicted cost; see choosePredicted. If
+// there is none, it returns the least loaded member that has room, or nil. Where work is counted in
+// tokens, it returns nil instead if a member was full: any other one would have to prefill the prompt
+// first, and would evict what is cached there. It also returns nil if the request doesn't get one of
+// the free places of the service; see room.go.
 func (c *Core) chooseByAffinity(now time.Time, x *Exchange, candidates []*member) *member {
 	if x.lostDraw = !c.winsPlace(now, x, candidates); x.lostDraw {
 		return nil
--- a/internal/dispatch/unread.go
+++ b/internal/dispatch/unread.go
@@ -25,7 +25,7 @@
 }
 
 // knowsOthersUnread reports whether the unread tokens of the other gateways are known: from totals, or
-// because every peer has reported its loads recently.
+// because every peer has reported its loads recently. Otherwise assumedOthersWork applies.
 func (c *Core) knowsOthersUnread(now time.Time) bool {
 	return c.totalsAreFresh(now) || c.peers.reporting(now) >= c.gateways-1
 }
