--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -17,7 +17,7 @@
 
 # The simulated fleets of internal/dispatch take minutes under the race detector on a busy machine,
 # where the default limit of ten minutes isn't enough.
-go test -race -timeout 20m -skip "$skip" $others &
+go test -race -timeout 40m -skip "$skip" $others &
 usual=$!
 
 # run_one DIRECTORY BINARY TEST runs one test and prints its output if it fails.
