Router: deadlines that pass don't count as lack of room

Cause: a request whose deadline passed was counted as refused for lack of room, also if no back end had refused it, for example because none could be connected to. Callers with short deadlines lengthened the retry delay of all callers of the pool. Found by reading.

Change: it counts only if a back end has refused the request for lack of room.

Measured: TestPassedDeadlinesDoNotGrowDelays fails without the change.

--- a/internal/router/refusals_test.go
+++ b/internal/router/refusals_test.go
@@ -83,3 +83,16 @@
 	}
 	is.Equal(refuseRequest(core, start, "r").RetryDelay(), 700*time.Millisecond)
 }
+
+// The test guards against callers with short deadlines who lengthen the delay of others: a deadline that
+// passes while no back end can be connected to says nothing about the pool's room.
+func TestPassedDeadlinesDoNotGrowDelays(t *testing.T) {
+	is := is.New(t)
+	core := newRouter(t, nil)
+	for range 50 {
+		exchange, _ := core.Begin(start, request("free"))
+		late := core.NotConnected(exchange.request.Deadline, exchange)
+		is.Equal(late.GiveUp.Kind, failure.DeadlineUnmeetable)
+	}
+	is.Equal(refuseRequest(core, start, "r").RetryDelay(), 700*time.Millisecond)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -99,6 +99,8 @@
 	target  string
 	// waitUntil is when the request's wait budget ends.
 	waitUntil time.Time
+	// foundNoRoom is set once a back end has refused the request for lack of room.
+	foundNoRoom bool
 }
 
 // Attempts returns the number of attempts so far.
@@ -240,7 +242,11 @@
 // back end is left, or, for a retry, the attempts or the retry budget are used up.
 func (c *Core) next(now time.Time, exchange *Exchange, isRetry bool) Decision {
 	if !now.Before(exchange.request.Deadline) {
-		return c.giveUp(now, exchange, failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request; it was not run"))
+		late := failure.New(failure.DeadlineUnmeetable, "the deadline passed before a back end took the request; it was not run")
+		if !exchange.foundNoRoom {
+			return Decision{GiveUp: late} // says nothing about the pool
+		}
+		return c.giveUp(now, exchange, late)
 	}
 	if isRetry && (exchange.route.Attempts() >= c.config.MaxAttempts || !c.budget.Spend()) {
 		return c.giveUp(now, exchange, exchange.route.GiveUp())
@@ -309,6 +315,7 @@
 			RetryAfter: time.Duration(reply.RetryAfterMillis) * time.Millisecond,
 		}}
 	}
+	exchange.foundNoRoom = exchange.foundNoRoom || meansNoRoom(kind)
 	if kind == failure.Leaving {
 		c.node.Step(now, coordination.NodeLeaving{ID: exchange.target})
 	}
