Dispatch: a holder that isn't a home isn't charged for a copy

Cause: the cost of a member that isn't a home had the copy of the whole shared part, also if that member alone holds it. Found by reading; holders come first in the order, so it is rare.

Change: only what the member lacks is charged.

Measured: TestHolderThatIsNoHomeIsNotCharged fails without the change.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -204,15 +204,16 @@
 
 // movedTokens returns what moving the shared parts to the member costs, in prefilled tokens. If another
 // member holds them, that is the work of prefilling or copying what this one lacks. If none does, some
-// engine has to prefill them anyway, and only a member that isn't a home costs more: a home copies them
-// from there later.
+// engine has to prefill them anyway, and only a member that isn't a home costs more: a home copies from
+// there later what is prefilled now.
 func (p *placement) movedTokens(o option, unread int, isHeld bool) float64 {
+	lacking := max(0, float64(unread-p.exchange.received-(p.prompt-p.shared)))
 	switch {
 	case isHeld:
-		return max(0, float64(unread-p.exchange.received-(p.prompt-p.shared)))
+		return lacking
 	case o.isHome:
 		return 0
 	default:
-		return p.copyCost * float64(p.shared)
+		return p.copyCost * lacking
 	}
 }
--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -51,3 +51,15 @@
 	is.Equal(movedWith(0), 0)
 	is.True(movedWith(3) > 0)
 }
+
+// Guards against a charge for a copy at the only member that holds the prompt already.
+func TestHolderThatIsNoHomeIsNotCharged(t *testing.T) {
+	is := is.New(t)
+	core := newWorkCore(1)
+	x, _ := core.Begin(start, streamRequest("a"))
+	core.Answered(start, x, 1)
+	later, _ := core.Begin(start, streamRequest("b"))
+	m := core.members["b00"]
+	p := &placement{exchange: later, prompt: 9500, shared: 9000, copyCost: 0.5}
+	is.Equal(p.movedTokens(option{member: m}, core.sizeAt(start, later, m, "").Unread, false), 0.0)
+}
