Gateway: repeated events don't end a logged pause

Cause: longest_pause_ms of request.answered began anew with an event that the caller already has. A back end that ignores Last-Event-Id repeats such events while the caller still waits.

Measured: TestRepeatedEventsDoNotEndAPause fails without the change.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -134,8 +134,8 @@
 			if err := s.write(c.writer, event); err != nil {
 				return &callerWriteError{err}
 			}
+			s.times.passed(h.clock().Now())
 		}
-		s.times.passed(h.clock().Now())
 		if watch.ByPace {
 			h.config.State.eventPassed(c.exchange, waited, isNumber(event.ID))
 			silence.reset()
--- a/internal/gateway/streamtimes.go
+++ b/internal/gateway/streamtimes.go
@@ -30,7 +30,8 @@
 	t.longestPause = max(t.longestPause, now.Sub(t.passedAt))
 }
 
-// passed records that the event has been passed on to the caller, or skipped because the caller has it.
+// passed records that the event has been passed on to the caller. Events that a further run repeats don't
+// count: the caller gets nothing.
 func (t *streamTimes) passed(now time.Time) { t.passedAt = now }
 
 // addTo adds the times to the fields of a log line. There are none without a stream.
