--- a/internal/dispatch/backlog.go
+++ b/internal/dispatch/backlog.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A service that refuses requests has a backlog: the callers that will come back. If each was
-// told the same short time, they would come back while the overload lasts, be refused again, and
+// A service that refuses requests has a backlog: the callers that will come back. If all of them
+// got the same short Retry-After, they would come back while the overload lasts, be refused again, and
 // add to it. So the time grows with the backlog ahead of a caller, and is spread.
 
 const (
--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -31,7 +31,7 @@
 // engineCondition is what is known of an engine when a request is sent there.
 type engineCondition struct {
 	health Health
-	// failedRecently is true if an attempt there failed, for whatever reason, within suspicionTime.
+	// failedRecently is true if an attempt there failed, for any reason, within suspicionTime.
 	failedRecently bool
 	// vanished is true if the engine disappeared from the list without having announced that it
 	// leaves.
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -54,7 +54,7 @@
 	LoadBound Mechanism = "load-bound"
 	// KeepParts reserves a part of a back end's places for the prompts that it is a home of.
 	KeepParts Mechanism = "keep-parts"
-	// Backlog tells refused callers to come back when the backlog ahead of them has drained.
+	// Backlog gives refused callers a Retry-After by which the backlog ahead of them has drained.
 	Backlog Mechanism = "backlog"
 	// AdmissionLottery divides the room near the bound, and the free places of a service whose work is
 	// counted in tokens, among gateways at random.
--- a/internal/dispatch/fairshare_test.go
+++ b/internal/dispatch/fairshare_test.go
@@ -94,7 +94,7 @@
 }
 
 // Guards against requests that are counted with too little work because they don't state their tokens,
-// and against chats whose requests are drawn anew each time.
+// and against chats each of whose requests is drawn by itself.
 func TestWorkOfARequest(t *testing.T) {
 	is := is.New(t)
 	parts := []Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 100}}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -80,7 +80,7 @@
 	retryAt time.Time
 	// lastConnectFailed is set if the back end hasn't answered since a connection attempt failed.
 	lastConnectFailed bool
-	// lastFailureAt is when an attempt last failed, for whatever reason.
+	// lastFailureAt is when an attempt last failed, for any reason.
 	lastFailureAt time.Time
 }
 
@@ -151,7 +151,7 @@
 	}
 }
 
-// waitEnded records that a request no longer waits for its answer, for whatever reason.
+// waitEnded records that a request no longer waits for its answer, for any reason.
 func (h *health) waitEnded() {
 	h.awaiting = max(h.awaiting-1, 0)
 	h.trials = max(h.trials-1, 0)
