--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -37,11 +37,11 @@
 	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
 	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
-	// prefillShare is the fraction of the engines' prefill rate that the prompts for free places may
-	// take while capacity is short, by the tokens that no other prompt shares. The rest is left for
-	// shared parts that aren't cached, for the prompts of places that become free, and for engines that
-	// are slower than usual; and prompts differ so much in length that at a high rate they queue.
-	prefillShare = 0.25
+	// prefillShare is the fraction of the engines' prefill rate by which the places in use may grow
+	// while capacity is short, by the tokens that no other prompt shares. The rest is left for shared
+	// parts that aren't cached, for the prompts of places that become free, and for engines that are
+	// slower than usual; and prompts differ so much in length that at a high rate they queue.
+	prefillShare = 0.2
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
 	homesPerPart = 2
@@ -122,8 +122,8 @@
 // that has won a place before isn't drawn again: it would be refused late, after an attempt.
 //
 // When a burst begins, many places are free, and their prompts would queue at the engines if all of
-// them were given away at once. So no more are than can be prefilled meanwhile, but only while the
-// demand exceeds the places: otherwise nothing is refused.
+// them were given away at once. So no more are than become free and can be prefilled meanwhile, but
+// only while the demand exceeds the places: otherwise nothing is refused.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
 	hasWon := !x.sentAt.IsZero()
 	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] {
@@ -133,20 +133,19 @@
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	free, reusable := 0.0, 0.0
+	places, ending := 0.0, 0.0
 	for _, m := range candidates {
-		left := c.roomFor(now, m, x, true).left
-		ends := reusableShare * c.endsPerSecond(now, m) * interval.Seconds()
-		free += max(0, left)
-		reusable += max(0, min(ends, left+ends))
+		ends := c.endsPerSecond(now, m) * interval.Seconds()
+		places += max(0, c.roomFor(now, m, x, true).left+reusableShare*ends)
+		ending += ends
 	}
-	part := lotteryShare / float64(c.gateways)
+	given := lotteryShare * places
 	requests := c.serviceDemandOf(x.service)
-	if requests.perSecond(now)*interval.Seconds() > part*(free+reusable) {
+	if requests.perSecond(now)*interval.Seconds() > given/float64(c.gateways) {
 		prefilled := prefillShare * prefillRate(candidates) * interval.Seconds()
-		free = min(free, prefilled/max(1, requests.ownTokens))
+		given = min(given, ending+prefilled/max(1, requests.ownTokens))
 	}
-	chance := requests.chance(now, x.Excess(), part*(free+reusable), interval)
+	chance := requests.chance(now, x.Excess(), given/float64(c.gateways), interval)
 	requests.note(now, x)
 	return hashFraction("place"+x.request.ID) < chance
 }
