--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -48,9 +48,6 @@
 	// serviceDemandTimeConstant is the time constant of the demand for a service. A longer one would
 	// let the first moments of a burst fill several times the free places.
 	serviceDemandTimeConstant = 250 * time.Millisecond
-	// drawMargin is the number of standard deviations by which the expected winners of a draw stay
-	// below the free places.
-	drawMargin = 2
 	// busyShare is the fraction of an engine's slots from which requests may wait there for longer
 	// than silenceLimit.
 	busyShare = 0.75
@@ -142,7 +139,7 @@
 		places += max(0, c.roomFor(now, m, x, true).left+reusableShare*ends)
 		ending += ends
 	}
-	given := drawnPlaces(x, places)
+	given := lotteryShare * places
 	requests := c.serviceDemandOf(x.service)
 	if requests.perSecond(now)*interval.Seconds() > given/float64(c.gateways) {
 		prefilled := prefillShare * prefillRate(candidates) * interval.Seconds()
@@ -153,17 +150,6 @@
 	return hashFraction("place"+x.request.ID) < chance
 }
 
-// drawnPlaces returns how many of the free places of a service the draws of all gateways together may
-// give away. Each request is drawn on its own, so the number of winners varies by the square root of
-// its mean: the more places there are, the smaller a part of them has to absorb that. Excess requests
-// leave more, for those within their tenant's share.
-func drawnPlaces(x *Exchange, places float64) float64 {
-	if x.Excess() {
-		return lotteryShare * places
-	}
-	return max(lotteryShare*places, places-drawMargin*math.Sqrt(places))
-}
-
 // endsPerSecond returns the rate at which the requests of all gateways end at the member. Without
 // totals, the others are assumed to have as many as this gateway.
 func (c *Core) endsPerSecond(now time.Time, m *member) float64 {
