--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -37,10 +37,11 @@
 	// they evict what is cached. It doesn't apply to shared parts shorter than minPublishedTokens:
 	// they evict little, and are prefilled in the time that setting up a copy takes.
 	nonHomeShare = 0.6
-	// prefillShare is the fraction of the engines' prefill rate by which the places in use may grow
-	// while capacity is short, by the tokens that no other prompt shares. The rest is left for shared
-	// parts that aren't cached, for the prompts of places that become free, and for engines that are
-	// slower than usual; and prompts differ so much in length that at a high rate they queue.
+	// prefillShare limits how fast the number of places in use grows while the demand exceeds the free
+	// places: prefilling the added prompts, without their shared parts, may take this fraction of the
+	// engines' prefill rate. The rest is left for shared parts that aren't cached, for prompts that
+	// replace ended requests, and for engines that are slower than usual; and prompts differ so much
+	// in length that at a high rate they queue.
 	prefillShare = 0.2
 	// homesPerPart is the number of back ends that are homes of a part: with two, the less loaded
 	// one can be used, which balances parts of unequal demand.
@@ -55,7 +56,7 @@
 	defaultCapacity = 64
 )
 
-// room is what a member can take of the requests like one that is being placed.
+// room is how many requests like the one that is being placed a member takes.
 type room struct {
 	// limit is the load up to which the member takes such requests, and left how much more it
 	// takes than its known load. left uses knownLoad: no request is refused because of what other
@@ -121,9 +122,8 @@
 // balancer distributes callers evenly, and what others report is older than the places. A request
 // that has won a place before isn't drawn again: it would be refused late, after an attempt.
 //
-// When a burst begins, many places are free, and their prompts would queue at the engines if all of
-// them were given away at once. So no more are than become free and can be prefilled meanwhile, but
-// only while the demand exceeds the places: otherwise nothing is refused.
+// When a burst begins, many places are free, and the prompts would queue at the engines if all of the
+// places were given away at once. So while the demand exceeds the places, limitGrowth applies.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
 	hasWon := !x.sentAt.IsZero()
 	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] {
@@ -133,23 +133,35 @@
 	if c.totalsAreFresh(now) {
 		interval = c.propagationTime()
 	}
-	places, ending := 0.0, 0.0
-	for _, m := range candidates {
-		ends := c.endsPerSecond(now, m) * interval.Seconds()
-		places += max(0, c.roomFor(now, m, x, true).left+reusableShare*ends)
-		ending += ends
-	}
+	places, ending := c.freePlaces(now, x, candidates, interval)
 	given := lotteryShare * places
 	requests := c.serviceDemandOf(x.service)
 	if requests.perSecond(now)*interval.Seconds() > given/float64(c.gateways) {
-		prefilled := prefillShare * prefillRate(candidates) * interval.Seconds()
-		given = min(given, ending+prefilled/max(1, requests.ownTokens))
+		given = limitGrowth(given, ending, requests.ownTokens, candidates, interval)
 	}
 	chance := requests.chance(now, x.Excess(), given/float64(c.gateways), interval)
 	requests.note(now, x)
 	return hashFraction("place"+x.request.ID) < chance
 }
 
+// freePlaces returns the number of places for requests like this one that are free in the candidates or
+// become free within the interval, and the number of requests that end there within the interval.
+func (c *Core) freePlaces(now time.Time, x *Exchange, candidates []*member, interval time.Duration) (places, ending float64) {
+	for _, m := range candidates {
+		ends := c.endsPerSecond(now, m) * interval.Seconds()
+		places += max(0, c.roomFor(now, m, x, true).left+reusableShare*ends)
+		ending += ends
+	}
+	return places, ending
+}
+
+// limitGrowth limits the places that all gateways give away within the interval to those of the requests
+// that end, and as many more as have prompts that prefillShare of the engines' rate can prefill.
+func limitGrowth(places, ending, ownTokens float64, candidates []*member, interval time.Duration) float64 {
+	prefilled := prefillShare * idlePrefillRate(candidates) * interval.Seconds()
+	return min(places, ending+prefilled/max(1, ownTokens))
+}
+
 // endsPerSecond returns the rate at which the requests of all gateways end at the member. Without
 // totals, the others are assumed to have as many as this gateway.
 func (c *Core) endsPerSecond(now time.Time, m *member) float64 {
@@ -159,9 +171,9 @@
 	return m.endings.perSecond(now) * float64(c.gateways)
 }
 
-// prefillRate returns how many tokens per second the engines of the members can prefill; infinite if
-// their rates aren't learned.
-func prefillRate(members []*member) float64 {
+// idlePrefillRate returns how many tokens per second the engines of the members prefill if they have no
+// streams to decode, unlike Engine.PrefillRate; infinite if a member has no engine.
+func idlePrefillRate(members []*member) float64 {
 	total := 0.0
 	for _, m := range members {
 		if m.engine == nil {
@@ -177,10 +189,11 @@
 type serviceDemand struct {
 	within demand
 	excess demand
-	// ownTokens is the mean length of the part of a prompt that no other request shares, over about
-	// the last 50 requests, and requests counts all of them.
+	// ownTokens is the mean length of the part of a prompt that no other request shares, in tokens,
+	// over about the last 50 requests.
 	ownTokens float64
-	requests  int
+	// requests counts all requests since the start.
+	requests int
 }
 
 func (d *serviceDemand) perSecond(now time.Time) float64 {
