--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -53,6 +53,8 @@
 	// lostDraw is set if the request lost the last draw for the places of its service in which it took
 	// part.
 	lostDraw bool
+	// inDemand is set once the request is counted towards the demand for the places of its service.
+	inDemand bool
 	// refusal is the reason of the request's refusal, or "".
 	refusal RefusalReason
 	// share is the fair share by which the request was counted, or nil, and counted is what was
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -66,7 +66,7 @@
 	left  float64
 }
 
-// roomFor returns the member's room for the request. isHome tells whether the member is a home of
+// roomFor returns the member's room for the request. isHome is true if the member is a home of
 // the request's prompt; it doesn't matter without a prompt.
 func (c *Core) roomFor(now time.Time, m *member, x *Exchange, isHome bool) room {
 	limit := c.capacity(m, x)
@@ -140,7 +140,10 @@
 		given = limitGrowth(given, ending, requests.ownTokens, candidates, interval)
 	}
 	chance := requests.chance(now, x.Excess(), given/float64(c.gateways), interval)
-	requests.note(now, x)
+	if !x.inDemand {
+		x.inDemand = true // it is drawn again if it goes back to the standing version of a rollout
+		requests.note(now, x)
+	}
 	return hashFraction("place"+x.request.ID) < chance
 }
 
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -143,3 +143,18 @@
 	t.Logf("%d requests of %d tokens win at each of %d gateways; the engines prefill %d tokens", won, ownTokens, gateways, prefilled)
 	is.True(won*gateways*ownTokens <= prefilled)
 }
+
+// Guards against a request that counts twice towards the demand, which lowers the chances of all, when it
+// goes back to the standing version of a rollout.
+func TestRequestCountsOnceTowardsDemand(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(2, modelSlots))
+	core.SetServices([]catalog.Service{{Name: "s", CachesPrefixes: true, CacheTokens: modelMemory}})
+	r := request(repeatable(2), "a", Part{ID: "shared", Tokens: 700}, Part{ID: "own", Tokens: 100})
+	r.PromptTokens = 800
+	x := &Exchange{request: r, service: "s"}
+	for range 2 {
+		core.winsPlace(start, x, core.poolMembers(start, "s"))
+	}
+	is.Equal(core.serviceDemandOf("s").requests, 1)
+}
