Gateway: logs show who resumes a stream, and at which version

request.resumed is written for a caller's resumption as well and has "by", "resumes" and the version; request.sent has the version always, not only during a rollout; the counter resumptions has a label "by". No decision changes.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -122,8 +122,6 @@
 	// of members of its pool.
 	Estimate float64
 	PoolSize int
-	// Version is the software version of the target during a rollout of its service, else "".
-	Version string
 	// BackUpTo is the address of the back end to which the memory of the run is backed up, or "", and
 	// BackupReason why.
 	BackUpTo     string
@@ -200,11 +198,7 @@
 
 // newSend returns an attempt at the member without what depends on the kind of attempt.
 func (c *Core) newSend(now time.Time, x *Exchange, chosen *member) *Send {
-	send := &Send{BackEnd: chosen.backEnd, Estimate: c.estimate(now, chosen), PoolSize: len(c.poolMembers(now, x.service))}
-	if c.rollouts.byService[x.service] != nil {
-		send.Version = chosen.backEnd.Version
-	}
-	return send
+	return &Send{BackEnd: chosen.backEnd, Estimate: c.estimate(now, chosen), PoolSize: len(c.poolMembers(now, x.service))}
 }
 
 // start records that the attempt at the member begins.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -61,13 +61,16 @@
 
 	BackEnd string `json:"back_end"`
 	Address string `json:"address"`
-	// BackEndVersion is the version of the back end while a rollout replaces the
-	// version of its service.
+	// BackEndVersion is the software version of the back end.
 	BackEndVersion string  `json:"back_end_version"`
 	LoadEstimate   float64 `json:"load_estimate"`
 	Candidates     int     `json:"candidates"`
 	FetchFrom      string  `json:"fetch_from"`
-	ResumeAfter    string  `json:"resume_after"`
+	// ResumeAfter is the last event that the caller has of a stream that is resumed, By who resumes it,
+	// and Resumes the attempt that the caller names as the one that began it.
+	ResumeAfter string `json:"resume_after"`
+	By          string `json:"by"`
+	Resumes     string `json:"resumes"`
 	// BackUpTo is the address of the back end that gets a backup of the run, and ContinueFrom that
 	// of the back end whose run is continued.
 	BackUpTo     string `json:"back_up_to"`
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -63,7 +63,7 @@
 		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
 		{"what", line.What}, {"source", line.Source}, {"fetch_from", line.FetchFrom},
 		{"back_up_to", line.BackUpTo}, {"backup_reason", line.BackupReason}, {"continue_from", line.ContinueFrom},
-		{"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
+		{"by", line.By}, {"resumes", line.Resumes}, {"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
 	} {
 		if field.value != "" {
 			parts = append(parts, field.name+"="+field.value)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,7 @@
 // attempt sends the request to one back end and evaluates its answer.
 func (h *Handler) attempt(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) outcome {
 	h.logSend(c, send, resumeAfter)
-	h.config.Metrics.sent(c, send)
+	h.config.Metrics.sent(c, send, resumeAfter)
 	sentAt := h.clock().Now()
 	ctx, cancel := context.WithCancel(ctx)
 	var expired atomic.Bool
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -39,8 +39,16 @@
 	PromptTokens    int
 	MaxOutputTokens int
 	OutputEstimate  int
+	// LastEventID is the ID of the last event that the caller has of a stream that it resumes, and
+	// Resumes the ID of the attempt that brought the first event of that stream. Each is "" if it isn't
+	// given.
+	LastEventID string
+	Resumes     string
 }
 
+// resumes reports whether the caller resumes a stream that it has a part of.
+func (f RequestFacts) resumes() bool { return f.LastEventID != "" || f.Resumes != "" }
+
 // expectedOutput returns the caller's estimate of the length of the answer, limited by the largest
 // length, or the largest length without an estimate; 0 if neither is known.
 func (f RequestFacts) expectedOutput() int {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -107,6 +107,11 @@
 	unloggedSends []sendDecision
 }
 
+// isResumption reports whether the caller resumes a stream.
+func (c *call) isResumption() bool {
+	return c.route != nil && c.route.Stream && c.route.Resumable && c.facts.resumes()
+}
+
 // isExcess reports whether the request is beyond its tenant's fair share.
 func (c *call) isExcess() bool { return c.exchange != nil && c.exchange.Excess() }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -108,14 +108,23 @@
 	}
 }
 
-// sent counts the backup that is ordered with an attempt, and an attempt to continue a run from its
-// backup.
-func (m *Metrics) sent(c *call, send dispatch.Send) {
+// sent counts the backup that is ordered with an attempt, an attempt to continue a run from its
+// backup, and an attempt to resume a stream. resumeAfter is the ID of the last event of a stream that
+// the gateway resumes.
+func (m *Metrics) sent(c *call, send dispatch.Send, resumeAfter string) {
 	if send.BackUpTo != "" {
 		m.forCall(c).Tagged(map[string]string{"reason": string(send.BackupReason)}).Counter("backups_ordered").Inc(1)
 	}
 	if send.ContinueFrom != "" {
 		m.forCall(c).Tagged(map[string]string{"result": "tried"}).Counter("continuations").Inc(1)
+		return
+	}
+	by := resumedByCaller
+	if resumeAfter != "" {
+		by = resumedByGateway
+	}
+	if resumeAfter != "" || c.isResumption() {
+		m.forCall(c).Tagged(map[string]string{"by": by}).Counter("resumptions").Inc(1)
 	}
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -23,6 +23,12 @@
 	storeAge time.Duration
 }
 
+// Values of the log field "by" and of a metric's label: who resumed a stream.
+const (
+	resumedByGateway = "gateway"
+	resumedByCaller  = "caller"
+)
+
 // logSend logs the decision to send a request to a back end.
 func (h *Handler) logSend(c *call, send dispatch.Send, resumeAfter string) {
 	decision := sendDecision{at: h.clock().Now(), attempt: c.exchange.Attempts(), send: send, storeAge: h.config.State.StoreAge()}
@@ -34,9 +40,17 @@
 		h.config.Log.Warn(eventlog.RequestContinued, fields)
 		return
 	}
-	if resumeAfter != "" {
+	if resumeAfter != "" || c.isResumption() {
 		fields := h.sendFields(c, decision)
+		fields["by"] = resumedByGateway
 		fields["resume_after"] = resumeAfter
+		if resumeAfter == "" {
+			fields["by"] = resumedByCaller
+			fields["resume_after"] = c.facts.LastEventID
+		}
+		if c.facts.Resumes != "" {
+			fields["resumes"] = c.facts.Resumes
+		}
 		h.config.Log.Warn(eventlog.RequestResumed, fields)
 		return
 	}
@@ -59,8 +73,8 @@
 	if decision.send.Predicted > 0 {
 		fields["predicted_first_token_ms"] = decision.send.Predicted.Milliseconds()
 	}
-	if decision.send.Version != "" {
-		fields["back_end_version"] = decision.send.Version
+	if decision.send.BackEnd.Version != "" {
+		fields["back_end_version"] = decision.send.BackEnd.Version
 	}
 	if decision.send.FetchFrom != "" {
 		fields["fetch_from"] = decision.send.FetchFrom
