Streams go on only at the software version that began them

Cause: a broken stream was placed like a new request. A gateway that resumed one within its answer chose among all back ends of the service, and one that got a caller's resumption didn't know which version had begun the stream; the gateway that knew it had been killed. Class: a request that continues something was decided without the state that it continues.

The core remembers, with the first event that it passes on, the service and version of the stream, and every choice of a back end asks for it (fitsOrigin). While a route leads to more than one version, or did so within the time for which a stream lasts, each gateway keeps these origins at two others of its group by the attempt's ID (package origins); a gateway that gets a caller's resumption asks for them. A uniform route needs no record.

Why this works: the knowledge lives at other gateways before it is needed, and a gateway that can't reach them doesn't rely on its own view.

Not in this commit: the soak doesn't draw versions and resumptions yet.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/keepalive"
+	"github.com/harriernotch/harriernotch/internal/origins"
 	"github.com/harriernotch/harriernotch/internal/relay"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 	"github.com/harriernotch/harriernotch/internal/settings"
@@ -61,6 +62,7 @@
 	follower      *follower.Follower
 	relay         *relay.Relay
 	loadCollector *collect.Service
+	origins       *origins.Service
 
 	// callers is the server for callers, and connections tracks its connections.
 	// otherServers are those for peers, the admin endpoints and metrics.
@@ -166,6 +168,9 @@
 	g.loadCollector = collect.Start(collect.Config{
 		ID: g.settings.ID, Source: collectSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
+	g.origins = origins.Start(origins.Config{
+		ID: g.settings.ID, Source: originSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Metrics: g.metrics.Scope,
+	})
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.tasks.Go(func() { g.reportGauges(metrics) })
 	lag := gateway.NewLagMeter(environment.Clock)
@@ -182,6 +187,7 @@
 		Fresh:        g.newTransport(environment, false),
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
 		Buffers:      gateway.NewBufferLimit(g.settings.Gateway.BufferBytes()),
+		Origins:      g.origins,
 		Lag:          lag,
 		Log:          g.log,
 		Metrics:      metrics,
@@ -195,6 +201,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(relay.Path, g.relay)
 	peers.Handle(collect.Path, g.loadCollector)
+	peers.Handle(origins.Path, g.origins)
 	for field, handler := range map[string]http.Handler{"listen.peers": peers, "listen.admin": g.adminHandler()} {
 		server := g.newServer(handler)
 		g.otherServers = append(g.otherServers, server)
@@ -224,6 +231,27 @@
 	return gateways, relay.IsLarge(len(gateways))
 }
 
+// originSource implements origins.Source with the gateway's state and relay.
+type originSource struct {
+	*gateway.State
+	relay *relay.Relay
+}
+
+// Live implements origins.Source.
+func (s originSource) Live() []origins.Gateway {
+	peers := s.relay.Live()
+	gateways := make([]origins.Gateway, len(peers))
+	for i, each := range peers {
+		gateways[i] = origins.Gateway{ID: each.ID, Address: each.Address}
+	}
+	return gateways
+}
+
+// AnswerOrigin implements origins.Source.
+func (s originSource) AnswerOrigin(question dispatch.OriginQuestion) dispatch.OriginAnswer {
+	return s.State.AnswerOrigin(question, s.relay.StoreAge())
+}
+
 // newTransport returns a transport whose idle connections are closed when the gateway stops.
 func (g *Gateway) newTransport(environment GatewayEnvironment, reuse bool) *http.Transport {
 	transport := hop.NewDirectTransport(environment.Dial, reuse)
@@ -372,6 +400,7 @@
 	}
 	g.follower.Close()
 	g.loadCollector.Close()
+	g.origins.Close()
 	g.relay.Close()
 	for _, server := range g.otherServers {
 		_ = server.Close()
--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -118,7 +118,12 @@
 
 // resume resumes a broken stream at another back end by a further run, if the route allows that.
 func (c *Core) resume(now time.Time, x *Exchange) Decision {
-	if !x.request.Route.Resumable || c.config.Disabled[Resumption] || !c.mayRetry(x) || !c.hasAlternative(now, x) || !c.spendRetry(x.service) {
+	mayResume := x.request.Route.Resumable && !c.config.Disabled[Resumption] && c.mayRetry(x)
+	if mayResume && c.originIsGone(now, x) {
+		x.phase = Ended
+		return Decision{GiveUp: failure.New(failure.StreamVersionGone, "no back end is left of version "+x.origin.Version+", which began the stream")}
+	}
+	if !mayResume || !c.hasAlternative(now, x) || !c.spendRetry(x.service) {
 		x.phase = Ended
 		return Decision{GiveUp: failure.New(failure.StreamBroken, "the back end broke off in its answer")}
 	}
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -18,6 +18,8 @@
 	RespectEvacuations Mechanism = "evacuations"
 	// WarmUpLimit limits the request rate of back ends that are warming up.
 	WarmUpLimit Mechanism = "warm-up-limit"
+	// SameVersion resumes a stream only at the software version that began it.
+	SameVersion Mechanism = "same-version"
 	// VerifyAnswers rejects answers that belong to other requests or lack a back end's stamp.
 	VerifyAnswers Mechanism = "own-answers"
 	// FollowConfiguration adopts new versions of the configuration after the first.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,6 +129,13 @@
 	peerDemands map[string]peerDemands
 	// work is what the engines of a service have in common, by service.
 	work map[string]*serviceWork
+	// origins holds where streams began, and streams are this gateway's resumable streams in flight.
+	origins *originMemory
+	streams map[*Exchange]bool
+	// versionHistories and streamLives are by service, and routeHistories by route; see uniform.go.
+	versionHistories map[string]versionHistory
+	routeHistories   map[string]routeHistory
+	streamLives      map[string]time.Duration
 }
 
 // HealthChange is a change in the assumed health of a back end.
@@ -194,6 +201,11 @@
 		fairShares:      map[string]*fairshare.Share{},
 		peerDemands:     map[string]peerDemands{},
 		work:            map[string]*serviceWork{},
+		origins:         newOriginMemory(),
+		streams:         map[*Exchange]bool{},
+
+		versionHistories: map[string]versionHistory{},
+		streamLives:      map[string]time.Duration{},
 	}
 }
 
@@ -233,6 +245,7 @@
 	c.pools = pools
 	c.updateEngines()
 	c.refreshRollouts(now)
+	c.observeVersions(now)
 }
 
 // SetServices replaces the settings of all services.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -76,6 +76,10 @@
 	// answeredAt is when the current attempt was answered, and lastEventAt the time of the last event.
 	answeredAt  time.Time
 	lastEventAt time.Time
+	// origin is where the stream began, or nil before its first event. originRecorded is set once it
+	// is recorded at other gateways.
+	origin         *StreamOrigin
+	originRecorded bool
 	// engine and run account for the current attempt in tokens; nil if its member has no engine.
 	// hasFirstToken is set once the attempt has its first token, and received is the number of
 	// tokens received in all attempts.
@@ -156,11 +160,10 @@
 // Begin starts the exchange for a request and decides its first attempt.
 func (c *Core) Begin(now time.Time, request Request) (*Exchange, Decision) {
 	x := &Exchange{request: request, ran: failure.RanNo}
-	seed := request.ID
-	if part := request.affinity(); part != "" {
-		seed = part
+	x.service = request.Route.Target(request.Seed())
+	if request.Origin != nil {
+		x.service, x.origin = request.Origin.Service, request.Origin
 	}
-	x.service = request.Route.Target(seed)
 	c.budget(x.service).Earn()
 	c.noteDemand(now, x)
 	return x, c.attempt(now, x)
@@ -171,6 +174,9 @@
 	if !now.Before(x.request.Deadline) {
 		return c.giveUp(now, x, failure.DeadlineUnmeetable, "the deadline passed before a back end answered")
 	}
+	if !leadsTo(x.request.Route, x.service) {
+		return c.giveUp(now, x, failure.StreamVersionGone, "the route no longer leads to "+x.service+", where the stream began; send a new request")
+	}
 	if c.withholds(now, x) {
 		return c.giveUp(now, x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
 	}
@@ -179,6 +185,9 @@
 	if chosen == nil && c.fallBackToStanding(x) {
 		chosen = c.choose(now, x)
 	}
+	if chosen == nil && c.originIsGone(now, x) {
+		return c.giveUp(now, x, failure.StreamVersionGone, "no back end of version "+x.origin.Version+", which began the stream, takes requests; send a new request")
+	}
 	if chosen == nil {
 		x.refusal = c.reasonNoneChosen(now, x)
 		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -217,6 +217,7 @@
 		x.endWait(m)
 	}
 	c.endBackup(x)
+	delete(c.streams, x)
 	x.phase = Ended
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -83,11 +83,12 @@
 }
 
 // acceptsNew reports whether the member is neither leaving nor evacuated, and runs a version
-// that the request may go to.
+// that the request may go to: the one that began its stream, if it has begun, and one that the
+// service's rollout allows.
 func (c *Core) acceptsNew(now time.Time, x *Exchange, m *member) bool {
 	leaves := m.backEnd.Leaving && !c.config.Disabled[RespectLeaving]
 	evacuated := m.evacuated && !c.config.Disabled[RespectEvacuations]
-	return !leaves && !evacuated && c.allowedByRollout(now, x, m)
+	return !leaves && !evacuated && c.fitsOrigin(x, m) && c.allowedByRollout(now, x, m)
 }
 
 // chooseByAffinity returns the first member, in the order of preference, that has room, stays within
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -36,6 +36,10 @@
 	// Fingerprints returns the fingerprints of the request's content. It is nil if the content
 	// isn't fingerprinted, and is called only once back ends may have crashed.
 	Fingerprints func() []Fingerprint
+	// Origin is where the stream began that the caller resumes, or nil for a new request. Resumes is the
+	// ID of the attempt that began it, or "" if the caller didn't name it.
+	Origin  *StreamOrigin
+	Resumes string
 	// Deadline is when the caller's or the route's time limit ends the request.
 	Deadline time.Time
 }
@@ -52,6 +56,15 @@
 	}
 }
 
+// Seed returns what selects among the targets of the route: requests with the same shared prompt parts go
+// to the same service.
+func (r *Request) Seed() string {
+	if part := r.affinity(); part != "" {
+		return part
+	}
+	return r.ID
+}
+
 // sharedTokens returns the length of the prompt up to the end of the last shared part.
 func (r *Request) sharedTokens() int {
 	total := 0
--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -181,12 +181,17 @@
 	return candidates, standing
 }
 
-// pickSide decides which of the two versions the exchange's next attempt may go to.
+// pickSide decides which of the two versions the exchange's next attempt may go to. A stream that has
+// begun goes on at its own side.
 func (c *Core) pickSide(now time.Time, x *Exchange) {
 	judge := c.rollouts.byService[x.service]
 	if judge == nil {
 		return
 	}
+	if x.origin != nil && !c.config.Disabled[SameVersion] {
+		x.side = sideOfVersion(judge, x.origin.Version)
+		return
+	}
 	if x.attempts+x.failedConnects == 0 {
 		x.side = judge.FirstSide(now, x.request.Route.Name, x.request.ID)
 		return
@@ -226,7 +231,11 @@
 }
 
 func sideOf(judge *rollout.Judge, m *member) rollout.Side {
-	if m.backEnd.Version == judge.Order().Target {
+	return sideOfVersion(judge, m.backEnd.Version)
+}
+
+func sideOfVersion(judge *rollout.Judge, version string) rollout.Side {
+	if version == judge.Order().Target {
 		return rollout.Candidate
 	}
 	return rollout.Standing
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -90,7 +90,8 @@
 	// consequence.
 	Limit time.Duration
 	// ByPace is true if Core.StallWait decides whether a silent stream is abandoned, and the events
-	// of the stream are reported with Core.EventPassed. Otherwise Limit alone decides.
+	// of the stream are reported with Core.EventPassed. Otherwise Limit alone decides, and only the
+	// first event is reported.
 	ByPace bool
 }
 
@@ -118,6 +119,9 @@
 // the gateway had waited for it. numbered is true if the event has a number, by which a continued
 // stream is checked.
 func (c *Core) EventPassed(now time.Time, x *Exchange, waited time.Duration, numbered bool) {
+	if x.events == 0 {
+		c.noteOrigin(now, x)
+	}
 	x.events++
 	if numbered {
 		x.numbered++
@@ -159,7 +163,7 @@
 		return wait
 	}
 	continuable := c.continuationTarget(now, x) != nil && c.budget(x.service).Tokens() >= 1
-	if !c.canBeResumed(x) && !continuable {
+	if !(c.canBeResumed(x) && c.hasAlternative(now, x)) && !continuable {
 		return stallRecheck
 	}
 	return 0
--- /dev/null
+++ b/internal/dispatch/uniform.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
+)
+
+// A route is uniform if, for longer than any of its streams lasts, it has led to the same services and
+// each of them has run one software version only. Then every stream that can be resumed began at that
+// version, and its origin needs no record.
+
+// versionHistory is what a gateway has seen of the versions of a service.
+type versionHistory struct {
+	// version is the only version of its back ends, if isOnly.
+	version string
+	isOnly  bool
+	// since is when it became that, and first is set if it has been so since this gateway first knew
+	// of the service.
+	since time.Time
+	first bool
+}
+
+// routeHistory is what a gateway has seen of a route whose streams may be resumed.
+type routeHistory struct {
+	targets []catalog.Target
+	// since is when the route began to lead to the targets, and first is set if it has done so since
+	// this gateway first knew of a configuration.
+	since time.Time
+	first bool
+}
+
+// uniformity is the history of a route and a service to which it leads.
+type uniformity struct {
+	known   bool
+	version string
+	isOnly  bool
+	// since is when the route and the service last changed, and first is set if neither has, as far as
+	// this gateway knows.
+	since time.Time
+	first bool
+	// streamLife is the longest time after its beginning at which a stream may be resumed.
+	streamLife time.Duration
+}
+
+// lasted reports whether the route is uniform.
+func (u uniformity) lasted(now time.Time) bool {
+	return u.known && u.isOnly && now.Sub(u.since) >= u.streamLife
+}
+
+// isMixed reports whether the route is known not to be uniform.
+func (u uniformity) isMixed(now time.Time) bool {
+	return u.known && (!u.isOnly || !u.first && !u.lasted(now))
+}
+
+func (c *Core) uniformity(route, service string) uniformity {
+	ofRoute, knowsRoute := c.routeHistories[route]
+	ofService, knowsService := c.versionHistories[service]
+	if !knowsRoute || !knowsService || !slices.ContainsFunc(ofRoute.targets, func(each catalog.Target) bool { return each.Service == service }) {
+		return uniformity{}
+	}
+	result := uniformity{
+		known: true, version: ofService.version, isOnly: ofService.isOnly, since: ofService.since,
+		first: ofRoute.first && ofService.first, streamLife: c.streamLives[service],
+	}
+	if ofRoute.since.After(result.since) {
+		result.since = ofRoute.since
+	}
+	return result
+}
+
+// needsOrigin reports whether the exchange's stream, which has begun, needs a record of its origin. A back
+// end that isn't listed any more may still begin streams for a while; see lapse.go.
+func (c *Core) needsOrigin(now time.Time, x *Exchange) bool {
+	history := c.uniformity(x.request.Route.Name, x.service)
+	return !history.lasted(now) || history.version != x.origin.Version
+}
+
+// SetRoutes records the routes of a new configuration.
+func (c *Core) SetRoutes(now time.Time, routes []catalog.Route) {
+	isFirst := c.routeHistories == nil
+	histories := map[string]routeHistory{}
+	for _, route := range routes {
+		if !route.Stream || !route.Resumable {
+			continue
+		}
+		history, known := c.routeHistories[route.Name]
+		if !known || !slices.Equal(history.targets, route.Targets) {
+			history = routeHistory{targets: route.Targets, since: now, first: isFirst}
+		}
+		histories[route.Name] = history
+		for _, target := range route.Targets {
+			// A shorter timeout doesn't shorten the streams that have begun.
+			c.streamLives[target.Service] = max(c.streamLives[target.Service], route.Timeout+originMargin)
+		}
+	}
+	c.routeHistories = histories
+	c.recordOpenStreams(now)
+}
+
+// observeVersions updates the histories of all services by the listed back ends.
+func (c *Core) observeVersions(now time.Time) {
+	versions := map[string][]string{}
+	for _, m := range c.members {
+		service, version := m.backEnd.Service, m.backEnd.Version
+		if !slices.Contains(versions[service], version) {
+			versions[service] = append(versions[service], version)
+		}
+	}
+	for service := range c.versionHistories {
+		if len(versions[service]) == 0 {
+			c.versionHistories[service] = versionHistory{}
+		}
+	}
+	for service, running := range versions {
+		current := versionHistory{isOnly: len(running) == 1, since: now}
+		if current.isOnly {
+			current.version = running[0]
+		}
+		known, isKnown := c.versionHistories[service]
+		if isKnown && known.isOnly == current.isOnly && known.version == current.version {
+			continue
+		}
+		current.first = !isKnown
+		c.versionHistories[service] = current
+	}
+	c.recordOpenStreams(now)
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -86,6 +86,12 @@
 	BackendFailed
 	// StreamBroken means that an answer broke off after it had begun.
 	StreamBroken
+	// StreamVersionUnknown is a request to resume a stream of which it isn't known at which software
+	// version it began, while back ends of several may have begun it.
+	StreamVersionUnknown
+	// StreamVersionGone is a request to resume a stream of which no back end of the version that began
+	// it accepts requests.
+	StreamVersionGone
 	// TimedOut means that no answer began before the deadline, or within the time
 	// limit of an attempt that could not be repeated; the request may have run.
 	TimedOut
@@ -147,40 +153,43 @@
 const withheldRetryAfter = 10 * time.Minute
 
 var table = [kindCount]Answer{
-	Internal:            {"internal", http.StatusInternalServerError, RanUnknown, false, 0},
-	InvalidRequest:      {"invalid_request", http.StatusBadRequest, RanNo, false, 0},
-	Unauthenticated:     {"unauthenticated", http.StatusUnauthorized, RanNo, false, 0},
-	UntrustedPeer:       {"untrusted_peer", http.StatusForbidden, RanNo, false, 0},
-	UnknownModel:        {"unknown_model", http.StatusNotFound, RanNo, false, 0},
-	UnknownRoute:        {"unknown_route", http.StatusNotFound, RanNo, false, 0},
-	TooLarge:            {"too_large", http.StatusRequestEntityTooLarge, RanNo, false, 0},
-	RateLimited:         {"rate_limited", http.StatusTooManyRequests, RanNo, true, time.Second},
-	OverBound:           {"over_bound", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	QueueFull:           {"queue_full", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	Overloaded:          {"overloaded", http.StatusServiceUnavailable, RanNo, true, 200 * time.Millisecond},
-	PoolExhausted:       {"pool_exhausted", http.StatusServiceUnavailable, RanNo, true, 2 * time.Second},
-	Withheld:            {"withheld", http.StatusServiceUnavailable, RanNo, true, withheldRetryAfter},
-	DeadlineUnmeetable:  {"deadline_unmeetable", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	Leaving:             {"leaving", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	OwnerAway:           {"owner_away", http.StatusServiceUnavailable, RanNo, true, 5 * time.Second},
-	WrongOwner:          {"wrong_owner", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	LeaseLapsed:         {"lease_lapsed", http.StatusServiceUnavailable, RanNo, true, 5 * time.Second},
-	OutcomeUnknown:      {"outcome_unknown", http.StatusConflict, RanUnknown, false, 0},
-	KeyInProgress:       {"key_in_progress", http.StatusConflict, RanYes, true, time.Second},
-	KeyReused:           {"key_reused", http.StatusUnprocessableEntity, RanNo, false, 0},
-	ReplyNotKept:        {"reply_not_kept", http.StatusConflict, RanYes, false, 0},
-	BackendUnreachable:  {"backend_unreachable", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	BackendFailed:       {"backend_failed", http.StatusBadGateway, RanUnknown, false, 0},
-	StreamBroken:        {"stream_broken", http.StatusBadGateway, RanYes, false, 0},
-	TimedOut:            {"timed_out", http.StatusGatewayTimeout, RanUnknown, false, 0},
-	CallerGone:          {"caller_gone", statusCallerGone, RanUnknown, false, 0},
-	NotReady:            {"not_ready", http.StatusServiceUnavailable, RanNo, true, time.Second},
-	Conflict:            {"conflict", http.StatusConflict, RanNo, false, 0},
-	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, RanUnknown, true, 5 * time.Second},
-	BadSignature:        {"bad_signature", http.StatusForbidden, RanNo, false, 0},
-	StaleBundle:         {"stale_bundle", http.StatusConflict, RanNo, false, 0},
-	InvalidBundle:       {"invalid_bundle", http.StatusBadRequest, RanNo, false, 0},
-	InvalidSettings:     {"invalid_settings", http.StatusBadRequest, RanNo, false, 0},
+	Internal:           {"internal", http.StatusInternalServerError, RanUnknown, false, 0},
+	InvalidRequest:     {"invalid_request", http.StatusBadRequest, RanNo, false, 0},
+	Unauthenticated:    {"unauthenticated", http.StatusUnauthorized, RanNo, false, 0},
+	UntrustedPeer:      {"untrusted_peer", http.StatusForbidden, RanNo, false, 0},
+	UnknownModel:       {"unknown_model", http.StatusNotFound, RanNo, false, 0},
+	UnknownRoute:       {"unknown_route", http.StatusNotFound, RanNo, false, 0},
+	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, RanNo, false, 0},
+	RateLimited:        {"rate_limited", http.StatusTooManyRequests, RanNo, true, time.Second},
+	OverBound:          {"over_bound", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	QueueFull:          {"queue_full", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	Overloaded:         {"overloaded", http.StatusServiceUnavailable, RanNo, true, 200 * time.Millisecond},
+	PoolExhausted:      {"pool_exhausted", http.StatusServiceUnavailable, RanNo, true, 2 * time.Second},
+	Withheld:           {"withheld", http.StatusServiceUnavailable, RanNo, true, withheldRetryAfter},
+	DeadlineUnmeetable: {"deadline_unmeetable", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	Leaving:            {"leaving", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	OwnerAway:          {"owner_away", http.StatusServiceUnavailable, RanNo, true, 5 * time.Second},
+	WrongOwner:         {"wrong_owner", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	LeaseLapsed:        {"lease_lapsed", http.StatusServiceUnavailable, RanNo, true, 5 * time.Second},
+	OutcomeUnknown:     {"outcome_unknown", http.StatusConflict, RanUnknown, false, 0},
+	KeyInProgress:      {"key_in_progress", http.StatusConflict, RanYes, true, time.Second},
+	KeyReused:          {"key_reused", http.StatusUnprocessableEntity, RanNo, false, 0},
+	ReplyNotKept:       {"reply_not_kept", http.StatusConflict, RanYes, false, 0},
+	BackendUnreachable: {"backend_unreachable", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	BackendFailed:      {"backend_failed", http.StatusBadGateway, RanUnknown, false, 0},
+	StreamBroken:       {"stream_broken", http.StatusBadGateway, RanYes, false, 0},
+	// Another gateway may know the version.
+	StreamVersionUnknown: {"stream_version_unknown", http.StatusServiceUnavailable, RanNo, true, 200 * time.Millisecond},
+	StreamVersionGone:    {"stream_version_gone", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	TimedOut:             {"timed_out", http.StatusGatewayTimeout, RanUnknown, false, 0},
+	CallerGone:           {"caller_gone", statusCallerGone, RanUnknown, false, 0},
+	NotReady:             {"not_ready", http.StatusServiceUnavailable, RanNo, true, time.Second},
+	Conflict:             {"conflict", http.StatusConflict, RanNo, false, 0},
+	PlatformUnavailable:  {"platform_unavailable", http.StatusServiceUnavailable, RanUnknown, true, 5 * time.Second},
+	BadSignature:         {"bad_signature", http.StatusForbidden, RanNo, false, 0},
+	StaleBundle:          {"stale_bundle", http.StatusConflict, RanNo, false, 0},
+	InvalidBundle:        {"invalid_bundle", http.StatusBadRequest, RanNo, false, 0},
+	InvalidSettings:      {"invalid_settings", http.StatusBadRequest, RanNo, false, 0},
 }
 
 // Answer returns the kind's row of the table.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -120,7 +120,8 @@
 			silence.reset()
 		}
 		h.config.State.progressed(c.exchange, result.send.EventTokens)
-		if s.events == 0 {
+		isFirst := s.events == 0
+		if isFirst {
 			// The response header is sent with the first event. Until then, the answer of another
 			// back end or an error can still replace this one.
 			hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
@@ -136,8 +137,10 @@
 			}
 			s.times.passed(h.clock().Now())
 		}
-		if watch.ByPace {
+		if watch.ByPace || isFirst {
 			h.config.State.eventPassed(c.exchange, waited, isNumber(event.ID))
+		}
+		if watch.ByPace {
 			silence.reset()
 		}
 	}
@@ -272,6 +275,9 @@
 		return core.Truncated(now, c.exchange)
 	})
 	h.logFailure(c, attemptFailure{send: broken.send, cause: cause.Error(), events: s.events}, decision)
+	if decision.GiveUp != nil {
+		h.config.Metrics.notResumed(c, resumedByGateway, decision.GiveUp.Kind)
+	}
 	for decision.Send != nil {
 		result := h.attempt(ctx, c, *decision.Send, s.lastID)
 		if result.answer == nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -40,6 +40,8 @@
 	Buffers *BufferLimit
 	// Lag detects that this process was paused; how late it runs is State.Lag.
 	Lag *LagMeter
+	// Origins finds out where streams began that callers resume.
+	Origins OriginFinder
 	// Log and Metrics receive what operators should know.
 	Log     *eventlog.Log
 	Metrics *Metrics
@@ -99,6 +101,8 @@
 	deadline time.Time
 	urgency  int
 	exchange *dispatch.Exchange
+	// originSource is how it is known where the stream began that the caller resumes, or "".
+	originSource dispatch.OriginSource
 	// connection is the connection of the last attempt.
 	connection connection
 	// bufferedRequest and bufferedAnswer are the bytes that the call uses of Config.Buffers.
@@ -238,12 +242,17 @@
 // route makes attempts until one of them yields an answer for the caller, or gives up.
 func (h *Handler) route(ctx context.Context, c *call) {
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	request := dispatch.Request{
+		ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
+		PromptTokens: c.facts.PromptTokens, OutputTokens: c.facts.expectedOutput(), Tenant: c.tenant,
+		Urgency: c.urgency, Deadline: c.deadline, Fingerprints: c.fingerprints,
+	}
+	if err := h.originOf(ctx, c, &request); err != nil {
+		h.refuse(c, err)
+		return
+	}
 	decision := h.decideSend(c, func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
-		c.exchange, d = core.Begin(now, dispatch.Request{
-			ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
-			PromptTokens: c.facts.PromptTokens, OutputTokens: c.facts.expectedOutput(), Tenant: c.tenant,
-			Urgency: c.urgency, Deadline: c.deadline, Fingerprints: c.fingerprints,
-		})
+		c.exchange, d = core.Begin(now, request)
 		return d
 	})
 	defer h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -119,15 +119,27 @@
 		m.forCall(c).Tagged(map[string]string{"result": "tried"}).Counter("continuations").Inc(1)
 		return
 	}
-	by := resumedByCaller
-	if resumeAfter != "" {
-		by = resumedByGateway
+	switch {
+	case resumeAfter != "":
+		m.resumption(c, resumedByGateway, "sent")
+	case c.isResumption():
+		m.resumption(c, resumedByCaller, "sent")
 	}
-	if resumeAfter != "" || c.isResumption() {
-		m.forCall(c).Tagged(map[string]string{"by": by}).Counter("resumptions").Inc(1)
+}
+
+// notResumed counts a stream that can't be resumed because of the version that began it. Other kinds of
+// errors are not counted.
+func (m *Metrics) notResumed(c *call, by string, kind failure.Kind) {
+	if kind == failure.StreamVersionUnknown || kind == failure.StreamVersionGone {
+		m.resumption(c, by, kind.String())
 	}
 }
 
+// resumption counts the result of an attempt to resume a stream.
+func (m *Metrics) resumption(c *call, by, result string) {
+	m.forCall(c).Tagged(map[string]string{"by": by, "result": result}).Counter("resumptions").Inc(1)
+}
+
 // continuationSucceeded counts a stream that was passed on completely after its run was continued
 // from a backup.
 func (m *Metrics) continuationSucceeded(c *call) {
@@ -163,6 +175,7 @@
 		labels["excess"] = "yes"
 	}
 	m.forCall(c).Tagged(labels).Counter("refusals").Inc(1)
+	m.notResumed(c, resumedByCaller, kind)
 	if reason := c.refusal(); reason != "" {
 		m.forCall(c).Tagged(map[string]string{"reason": string(reason)}).Counter("refusals_by_reason").Inc(1)
 	}
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// OriginFinder finds out where streams began that callers resume.
+type OriginFinder interface {
+	// Find returns where the stream of the question began, and how that is known.
+	Find(ctx context.Context, question dispatch.OriginQuestion) (dispatch.StreamOrigin, dispatch.OriginSource)
+}
+
+// originOf finds out where the stream of the request began, if the caller resumes one, and sets that in
+// the request.
+func (h *Handler) originOf(ctx context.Context, c *call, request *dispatch.Request) error {
+	if !c.isResumption() || h.config.Disabled[dispatch.SameVersion] {
+		return nil
+	}
+	request.Resumes = c.facts.Resumes
+	question := dispatch.OriginQuestion{Route: c.route.Name, Service: c.route.Target(request.Seed())}
+	if request.Resumes != "" {
+		question.Key = dispatch.OriginKeyOf(c.tenant, request.Resumes)
+	}
+	origin, source := h.config.Origins.Find(ctx, question)
+	c.originSource = source
+	if source == dispatch.OriginUnknown {
+		return failure.New(failure.StreamVersionUnknown, "it isn't known which software version began the stream, and the back ends run several; name the attempt that brought its first event, or send a new request")
+	}
+	request.Origin = &origin
+	return nil
+}
+
+// signalOrigins signals that there are new origins of streams, if there are any. The mutex is held.
+func (s *State) signalOrigins() {
+	if !s.core.HasUnpublishedOrigins() {
+		return
+	}
+	select {
+	case s.originsReady <- struct{}{}:
+	default:
+	}
+}
+
+// OriginsReady returns a channel that is signalled when TakeOrigins returns new records.
+func (s *State) OriginsReady() <-chan struct{} { return s.originsReady }
+
+// TakeOrigins returns the new records of where this gateway's streams began.
+func (s *State) TakeOrigins() []dispatch.OriginRecord {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.TakeOrigins()
+}
+
+// KeepOrigins keeps records of other gateways.
+func (s *State) KeepOrigins(records []dispatch.OriginRecord) {
+	if len(records) == 0 {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.KeepOrigins(s.clock.Now(), records)
+}
+
+// AnswerOrigin returns what this gateway knows of where a stream began. peersStoreAge is the time since the
+// store last answered a gateway that this one hears of.
+func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge time.Duration) dispatch.OriginAnswer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	return s.core.AnswerOrigin(now, question, min(s.storeAge(now), peersStoreAge))
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -23,6 +23,16 @@
 	storeAge time.Duration
 }
 
+// addResumption adds what is known of the stream that the caller resumes, if it resumes one.
+func (c *call) addResumption(fields logrus.Fields) {
+	if c.facts.Resumes != "" {
+		fields["resumes"] = c.facts.Resumes
+	}
+	if c.originSource != "" {
+		fields["version_from"] = c.originSource
+	}
+}
+
 // Values of the log field "by" and of a metric's label: who resumed a stream.
 const (
 	resumedByGateway = "gateway"
@@ -48,9 +58,7 @@
 			fields["by"] = resumedByCaller
 			fields["resume_after"] = c.facts.LastEventID
 		}
-		if c.facts.Resumes != "" {
-			fields["resumes"] = c.facts.Resumes
-		}
+		c.addResumption(fields)
 		h.config.Log.Warn(eventlog.RequestResumed, fields)
 		return
 	}
@@ -179,6 +187,7 @@
 		if reason := c.refusal(); reason != "" {
 			fields["reason"] = reason
 		}
+		c.addResumption(fields)
 		if wait := failure.From(cause).RetryDelay(); wait > 0 {
 			fields["retry_after_ms"] = wait.Milliseconds()
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -63,6 +63,8 @@
 	// in the store yet. unrecordedReady is signalled with each.
 	unrecorded      []dispatch.WithheldChange
 	unrecordedReady chan struct{}
+	// originsReady is signalled when the core has new origins of streams for other gateways.
+	originsReady chan struct{}
 }
 
 // NewState returns an empty state. It counts evacuations, restorations and rollouts as known,
@@ -72,7 +74,7 @@
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reader}, dutyChanged: make(chan struct{}), knowsEvacuations: true, knowsRestorations: true,
 		knowsRollouts: true, eraChanged: make(chan struct{}),
-		unrecordedReady: make(chan struct{}, 1),
+		unrecordedReady: make(chan struct{}, 1), originsReady: make(chan struct{}, 1),
 	}
 }
 
@@ -184,6 +186,8 @@
 		return
 	}
 	s.core.SetServices(configuration.Services)
+	s.core.SetRoutes(s.clock.Now(), configuration.Routes)
+	s.signalOrigins()
 	s.announce()
 	s.log.Warn(eventlog.ConfigurationAdopted, logrus.Fields{
 		"version": configuration.Version, "before": before, "source": source,
@@ -241,6 +245,7 @@
 		return
 	}
 	s.core.SetBackEnds(s.clock.Now(), s.view.BackEnds())
+	s.signalOrigins()
 	s.announce()
 	for _, entry := range changed {
 		s.log.Warn(eventlog.BackEndChanged, logrus.Fields{
@@ -324,6 +329,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.core.EventPassed(s.clock.Now(), x, waited, numbered)
+	s.signalOrigins()
 }
 
 // stallWait returns how much longer a silent stream is waited for; see dispatch.Core.StallWait.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -45,11 +46,22 @@
 	socket *websocket.Conn
 }
 
+// dialTimeout limits a dial. http.Transport doesn't end one with the query that it was begun for.
+const dialTimeout = time.Second
+
 // NewClient returns a client without connections.
 func NewClient(config Config) *Client {
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{}).DialContext
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return config.Dial(ctx, network, address)
+	}
 	return &Client{
 		config: config, links: map[string]*link{},
-		http: &http.Client{Transport: &http.Transport{DialContext: config.Dial, DisableKeepAlives: true}},
+		http: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
 	}
 }
 
--- a/internal/relay/peertable.go
+++ b/internal/relay/peertable.go
@@ -257,6 +257,16 @@
 	return fleet
 }
 
+// StoreAge returns the time since the store last answered any of the other gateways, as far as this one
+// has heard; at most forgetTimeout.
+func (t *PeerTable) StoreAge(now time.Time) time.Duration {
+	age := forgetTimeout
+	for _, peer := range t.peers {
+		age = min(age, now.Sub(peer.storeAnsweredAt))
+	}
+	return age
+}
+
 // LivePeers returns the other live gateways.
 func (t *PeerTable) LivePeers(now time.Time) []Peer {
 	var live []Peer
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,14 @@
 	return append(r.peers.LivePeers(r.config.State.Clock().Now()), self)
 }
 
+// StoreAge returns the time since the store last answered any of the other gateways, as far as this one
+// has heard.
+func (r *Relay) StoreAge() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.peers.StoreAge(r.config.State.Clock().Now())
+}
+
 // SetSeeds replaces the seeds.
 func (r *Relay) SetSeeds(seeds []string) {
 	r.mutex.Lock()
