Soak: back ends of several versions, and callers that take streams up

The seed draws one to three software versions (--versions sets them); a back end that is replaced comes back with the next. Events carry the version that wrote them, and a caller takes a resumable stream up twice at most, at the next gateway, naming the attempt that began it. Two promises are checked from what callers and back ends see: one version a stream, without any exemption, and that at least half of the streams taken up go on where no fault touches the gateway and two back ends of the version serve.

Runs beside an older build keep one version: that build resumes at any.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -55,12 +55,16 @@
 	f.StringSliceVar(&flags.options.Disable, "break", nil, "switch off mechanisms of the gateways; the run is then expected to find a violation")
 	f.BoolVar(&flags.options.Backups, "backups", false, "the back ends are engines that back up streams to each other, and gateways back up every stream that may not be repeated")
 	f.StringVar(&flags.program, "program", "bin/harriernotchd", "the gateways' program")
+	f.IntVar(&flags.options.Versions, "versions", 0, "number of software versions of the back ends (default: drawn from the seed)")
 	f.StringVar(&flags.olderProgram, "older", "", "another build of the program that alternates with it, as in an upgrade and its rollback")
 	f.StringVar(&flags.directory, "folder", "", "the folder for settings and logs (default: a temporary folder, removed if no promise was broken)")
 	return command
 }
 
 func (f soakFlags) check() error {
+	if f.options.Versions < 0 {
+		return failure.New(failure.InvalidRequest, "--versions is below 0; give the number of software versions, or leave it out")
+	}
 	o := f.options
 	if o.Gateways < 1 || o.BackEnds < 2 || o.Callers < 1 || f.seeds < 1 || !(f.minutes > 0) {
 		return failure.New(failure.InvalidRequest, "gateways, callers, seeds and minutes must be above 0, and back ends at least 2")
@@ -83,6 +87,7 @@
 	}
 	if flags.olderProgram != "" {
 		flags.options.Kinds = withoutRollouts(flags.options.Kinds)
+		flags.options.Versions = 1 // an older build resumes streams at any version
 	}
 	broken := 0
 	for range flags.seeds {
@@ -154,6 +159,11 @@
 			return err
 		}
 	}
+	if result.TakenUp > 0 {
+		if _, err := fmt.Fprintf(output, "  of %d streams that callers took up at undisturbed gateways, %d went on\n", result.TakenUp, result.WentOn); err != nil {
+			return err
+		}
+	}
 	if len(result.Violations) == 0 {
 		return nil
 	}
--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -106,7 +106,7 @@
 
 // Promises returns the mechanisms without which a promise to callers is broken.
 func Promises() []Mechanism {
-	return []Mechanism{AtMostOnce, RespectLeaving, RespectNotices, RespectEvacuations, WarmUpLimit, VerifyAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
+	return []Mechanism{AtMostOnce, RespectLeaving, RespectNotices, RespectEvacuations, WarmUpLimit, SameVersion, VerifyAnswers, FollowConfiguration, RetryBudget, Withholding, FollowEras, Exposure}
 }
 
 // Optimizations returns the mechanisms without which callers are served worse.
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -157,7 +158,7 @@
 		return
 	}
 	arrival.ran = true
-	arrival.changed = string(body) != bodyOf(forwarded.Request, r.Method)
+	arrival.changed = string(body) != bodyOf(streamOf(forwarded), r.Method)
 	b.fleet.check.arrived(arrival)
 	if isCrashing(r.URL.Path) {
 		b.crashDuring(r)
@@ -223,11 +224,12 @@
 	if last, err := strconv.Atoi(forwarded.ResumeAfter); err == nil {
 		first = last + 1
 	}
-	last := eventsOf(forwarded.Request)
+	version, _ := b.software()
+	last := eventsOf(streamOf(forwarded))
 	for number := first; number <= last; number++ {
 		sleep(r.Context(), b.fleet.eventPause())
 		b.awaitEndOfStall(r.Context())
-		if _, err := io.WriteString(w, eventOf(forwarded.Request, number)); err != nil {
+		if _, err := io.WriteString(w, eventOf(streamOf(forwarded), number, version)); err != nil {
 			return
 		}
 		if err := controller.Flush(); err != nil {
@@ -241,8 +243,12 @@
 	}
 }
 
+// streamOf returns the ID of the attempt that began the stream of a request, which identifies the stream.
+func streamOf(forwarded wire.Forwarded) string { return cmp.Or(forwarded.Resumes, forwarded.Request) }
+
 // bodyOf returns the body of the request with the ID. answerOf, eventOf and eventsOf return its
-// plain answer, the numbered event of its stream and the stream's number of events.
+// plain answer, the numbered event of its stream as a version writes it, and the stream's number of
+// events.
 func bodyOf(request, method string) string {
 	if method == http.MethodGet {
 		return ""
@@ -252,10 +258,13 @@
 
 func answerOf(request string) string { return "answer to " + request + ", whole\n" }
 
-func eventOf(request string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, request)
+func eventOf(request string, number int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s%s%s\n\n", number, number, request, versionMark, version)
 }
 
+// versionMark precedes the version in the data of an event.
+const versionMark = " by "
+
 func eventsOf(request string) int {
 	hash := fnv.New32a()
 	_, _ = io.WriteString(hash, request)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"log"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -61,14 +64,24 @@
 		request: fmt.Sprintf("c%d-%d", c.number, c.count), gateway: g.id,
 		prefix: c.choosePrefix(), key: keys[c.random.IntN(len(keys))], at: time.Now(),
 	}
+	sent.stream = sent.request
 	prompt := ""
 	if isStream(sent.prefix) {
 		prompt = fmt.Sprintf("%x", 1+c.random.IntN(prompts))
 	}
+	got := c.sendChecked(ctx, g, sent, prompt)
+	if sent.prefix == prefixResumable {
+		c.takeUp(ctx, sent, got, prompt)
+	}
+}
+
+// sendChecked sends a request and reports it and its reply to the checker.
+func (c *caller) sendChecked(ctx context.Context, g *gatewayState, sent sentRequest, prompt string) reply {
 	c.fleet.check.sent(sent)
 	got := c.send(ctx, g, sent, prompt)
 	got.at = time.Now()
 	c.fleet.check.received(sent, got)
+	return got
 }
 
 func (c *caller) choosePrefix() string {
@@ -81,14 +94,14 @@
 	if sent.prefix == prefixRepeat {
 		method = http.MethodGet
 	}
-	return c.sendTo(ctx, g, sent, method, sent.prefix+sent.request, prompt)
+	return c.sendTo(ctx, g, sent, method, sent.prefix+sent.stream, prompt)
 }
 
 // sendTo sends a request with the method and path and reads its answer.
 func (c *caller) sendTo(ctx context.Context, g *gatewayState, sent sentRequest, method, path, prompt string) reply {
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerGrace)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, strings.NewReader(bodyOf(sent.request, method)))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, strings.NewReader(bodyOf(cmp.Or(sent.stream, sent.request), method)))
 	if err != nil {
 		return reply{cause: err.Error()}
 	}
@@ -96,7 +109,10 @@
 		request.Body, request.ContentLength, request.GetBody = nil, 0, nil
 	}
 	request.Host = host
-	stated := wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: routeTimeout, Prompt: prompt}
+	stated := wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: sent.timeout(), Prompt: prompt}
+	if sent.events > 0 {
+		stated.Resumes, stated.LastEvent = sent.stream, strconv.Itoa(sent.events)
+	}
 	if c.fleet.options.Backups && prompt != "" {
 		stated.PromptTokens, stated.OutputTokens = promptTokens, outputTokens
 	}
@@ -111,7 +127,7 @@
 		stamp: c.fleet.environment.Protocol().ReadStamp(response.Header),
 	}
 	if isStream(sent.prefix) && response.StatusCode == http.StatusOK {
-		got.events, got.orderError, err = readEvents(response.Body, sent.request)
+		err = got.readEvents(response.Body, sent)
 	} else {
 		var text []byte
 		text, err = io.ReadAll(response.Body)
@@ -124,21 +140,27 @@
 	return got
 }
 
-// readEvents reads a stream to its end. It returns the number of events, and describes the first
-// event that wasn't the expected next one in orderError.
-func readEvents(body io.Reader, request string) (count int, orderError string, err error) {
+// readEvents reads a stream to its end. It records the number of events that the caller then has, the
+// versions that wrote them, and the first event that wasn't the expected next one.
+func (r *reply) readEvents(body io.Reader, sent sentRequest) error {
+	r.events = sent.events
 	reader := eventstream.NewReader(bufio.NewReader(body))
 	for {
 		event, err := reader.Next()
 		if err == io.EOF {
-			return count, orderError, nil
+			return nil
 		}
 		if err != nil {
-			return count, orderError, err
+			return err
+		}
+		r.events++
+		raw := string(event.Raw)
+		_, version, _ := strings.Cut(strings.TrimSpace(raw), versionMark)
+		if !slices.Contains(r.versions, version) {
+			r.versions = append(r.versions, version)
 		}
-		count++
-		if want := eventOf(request, count); string(event.Raw) != want && orderError == "" {
-			orderError = fmt.Sprintf("event %d is %q", count, event.Raw)
+		if want := eventOf(sent.stream, r.events, version); raw != want && r.orderError == "" {
+			r.orderError = fmt.Sprintf("event %d is %q", r.events, raw)
 		}
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -65,6 +65,12 @@
 	// PromiseExposure requires that a defective version gets few requests, and none once its
 	// failures are known.
 	PromiseExposure Promise = "a bad version gets little"
+	// PromiseVersion requires that all events of a stream, also over several requests of its caller, come
+	// from one software version.
+	PromiseVersion Promise = "one version a stream"
+	// PromiseTakenUp requires that streams that callers take up again go on, at least half as often as new
+	// ones begin.
+	PromiseTakenUp Promise = "streams that are taken up go on"
 	// PromiseVerdict requires that the verdict on a version isn't replaced by a different state.
 	PromiseVerdict Promise = "one verdict on a version"
 )
@@ -83,6 +89,21 @@
 	at                            time.Time
 	// crashes is the path of a crashing request, or "".
 	crashes string
+	// stream is the ID of the attempt that began the stream, which is request for a new one, and events
+	// the number of its events that the caller already has.
+	stream string
+	events int
+	// firstAt is when the attempt that began the stream was sent, if this one takes it up.
+	firstAt time.Time
+}
+
+// timeout is how long the caller says that it waits: for a stream that it takes up, what is left of the
+// first attempt's time.
+func (s sentRequest) timeout() time.Duration {
+	if s.firstAt.IsZero() {
+		return routeTimeout
+	}
+	return routeTimeout - s.at.Sub(s.firstAt)
 }
 
 // reply is the answer that a caller received. status is 0 if there was none.
@@ -92,7 +113,10 @@
 	retryAfter string
 	stamp      string
 	body       string
-	events     int
+	// events is the number of events that the caller has of the stream, and versions are the software
+	// versions that wrote those in this answer.
+	events   int
+	versions []string
 	// orderError describes the first event out of order, or is "".
 	orderError string
 	// whole is false if the answer was cut off. timedOut is true if no answer began before the
@@ -170,6 +194,7 @@
 	evacuations []evacuation
 	notices     notices
 	backedUp    backedUp
+	takenUp     takenUp
 	// moveOrders are all orders to move the service to another version.
 	moveOrders []*moveOrder
 	// recoverAt is the time after which requests must be served again.
@@ -184,6 +209,7 @@
 		arrivals: map[string][]arrival{}, gatewayStarts: map[string]time.Time{}, outages: map[string]*disturbance{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
 		crashes: map[string][]time.Time{}, notices: newNotices(),
+		takenUp:  takenUp{versions: map[string][]string{}, counts: map[string]bool{}},
 		backedUp: backedUp{work: map[string][]*streamWork{}, crashes: map[string][]time.Time{}},
 	}
 }
@@ -281,6 +307,7 @@
 	defer c.mutex.Unlock()
 	c.replies[s.request] = r
 	c.checkAnswer(s, r)
+	c.checkVersions(s, r)
 	c.notePassedOn(s, r)
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -188,7 +188,7 @@
 
 // newBackEnd creates a back end that is reachable but not listed in the store.
 func (f *fleet) newBackEnd(number int) (*backEnd, error) {
-	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), born: time.Now(), zone: zones[number%len(zones)], idleTime: idleTimes[number%len(idleTimes)]}
+	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), version: f.versionOf(number), born: time.Now(), zone: zones[number%len(zones)], idleTime: idleTimes[number%len(idleTimes)]}
 	own, err := f.environment.Listen()
 	if err != nil {
 		return nil, err
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -282,6 +282,7 @@
 	b.incarnation++
 	if !keepsID {
 		b.idNumber++
+		b.rotateVersion()
 	}
 	b.born = time.Now()
 	b.leaving = false
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -16,8 +16,8 @@
 	case r.status != http.StatusOK || !r.whole:
 	case r.stamp == "":
 		c.failLocked(PromiseOwn, "%s through %s got an answer without a back end's mark", s.request, s.gateway)
-	case isStream(s.prefix) && r.events != eventsOf(s.request):
-		c.failLocked(PromiseOrder, "%s through %s ended whole with %d of %d events", s.request, s.gateway, r.events, eventsOf(s.request))
+	case isStream(s.prefix) && r.events != eventsOf(s.stream):
+		c.failLocked(PromiseOrder, "%s through %s ended whole with %d of %d events", s.request, s.gateway, r.events, eventsOf(s.stream))
 	case !isStream(s.prefix) && r.body != answerOf(s.request):
 		c.failLocked(PromiseOwn, "%s through %s got %q", s.request, s.gateway, r.body)
 	}
@@ -76,6 +76,7 @@
 	c.judgeCrashing()
 	c.judgeMoves()
 	c.judgeHandovers()
+	c.judgeTakenUp(&result)
 	c.countSurvivors(&result)
 	if float64(recovered) < minRecovered*float64(expected) || expected == 0 {
 		c.failLocked(PromiseRecovery, "%d of %d requests were served after all faults", recovered, expected)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,9 @@
 	Kinds []Kind
 	// Backups makes the back ends engines that back up running streams to each other.
 	Backups bool
+	// Versions is the number of software versions that the back ends run; 0 draws it from the seed,
+	// except with Backups.
+	Versions int
 	// Disable names mechanisms of the gateways to switch off, to show that the checks detect it;
 	// see dispatch.Disable.
 	Disable []string
@@ -71,6 +74,10 @@
 	Interrupted  int
 	Survived     int
 	LostWithCopy int
+	// TakenUp counts the streams that callers took up at gateways that no fault affected, while back ends of
+	// their version served, and WentOn those of them that went on.
+	TakenUp int
+	WentOn  int
 	// Violations holds the first few violations of each promise.
 	Violations []Violation
 	// Counts is the number of violations by promise.
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -109,6 +109,8 @@
 	// run of which the back end is to have a copy; "" if there is none.
 	BackUpTo     string
 	ContinueFrom string
+	// Resumes is the ID of the attempt that began the stream that the caller resumes, or "".
+	Resumes string
 }
 
 // CallerRequest holds the headers of a caller's request.
@@ -122,4 +124,7 @@
 	Prompt string
 	// PromptTokens and OutputTokens are the sizes that the caller states; 0 if it states none.
 	PromptTokens, OutputTokens int
+	// Resumes is the ID of the attempt that brought the first event of a stream that the caller resumes,
+	// and LastEvent the ID of the last event that it has; "" for a new request.
+	Resumes, LastEvent string
 }
