Explain: a stream is followed over the attempts of its caller

The timeline has the lines of all attempts at the stream, found by the attempt that callers name, and a refusal for the version's sake is a cause of its own, stream_version.

TestExplanationFollowsAStreamOverItsAttempts; tests of internal/explain and internal/cli pass.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -221,3 +221,23 @@
 	is.NoErr(log.Explain("r").Print(&output, nil))
 	is.True(strings.Contains(output.String(), "back_end_version=v2"))
 }
+
+// Guards against an explanation of a resumed stream that leaves out where it began.
+func TestExplanationFollowsAStreamOverItsAttempts(t *testing.T) {
+	is := is.New(t)
+	log := newTestLog(t, nil,
+		`g1 10 request.sent "request":"a","back_end":"b1","back_end_version":"v1","service":"s","attempts":1`,
+		`g2 11 request.resumed "request":"b","by":"caller","resumes":"a","back_end":"b2","back_end_version":"v1","version_from":"peer_record","resume_after":"7","service":"s","attempts":1`,
+		`g3 12 request.refused "request":"c","resumes":"a","version_from":"unknown","kind":"stream_version_unknown","cause":"it isn't known"`,
+		`g3 12.1 request.sent "request":"other","back_end":"b3","service":"s","attempts":1`,
+	)
+	refused := log.Explain("c")
+	is.Equal(refused.Verdict.Cause, StreamVersion)
+	var output strings.Builder
+	is.NoErr(refused.Print(&output, nil))
+	for _, part := range []string{"the stream that a began", "request=a service=s", "request=b service=s", "by=caller resumes=a version_from=peer_record resume_after=7"} {
+		is.True(strings.Contains(output.String(), part))
+	}
+	is.True(!strings.Contains(output.String(), "request=other"))
+	is.Equal(len(log.Explain("a").ChainLines), 2) // from the first attempt, too
+}
--- a/internal/explain/explanation.go
+++ b/internal/explain/explanation.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,6 +43,9 @@
 	// content, decisions to withhold or release all requests with it, and records of
 	// such decisions that weren't written to the store.
 	SameContentLines []Line
+	// ChainLines are the lines of the other attempts at the same stream: the one that began it, and those
+	// that resume it, as their callers name it.
+	ChainLines []Line
 	// Verdict is the likely cause with its evidence.
 	Verdict Verdict
 }
@@ -56,11 +60,31 @@
 	}
 	if len(explanation.RequestLines) > 0 {
 		l.collectContext(&explanation)
+		l.collectChain(&explanation)
 	}
 	explanation.Verdict = findCause(&explanation)
 	return explanation
 }
 
+// collectChain collects the lines of the other attempts at the request's stream.
+func (l *Log) collectChain(explanation *Explanation) {
+	first := explanation.Request
+	for _, line := range explanation.RequestLines {
+		first = cmp.Or(line.Resumes, first)
+	}
+	chain := map[string]bool{first: true}
+	for _, line := range l.Lines {
+		if line.Resumes == first {
+			chain[line.Request] = true
+		}
+	}
+	for _, line := range l.Lines {
+		if line.Request != explanation.Request && chain[line.Request] {
+			explanation.ChainLines = append(explanation.ChainLines, line)
+		}
+	}
+}
+
 // collectContext collects the lines that don't name the request but may explain it.
 func (l *Log) collectContext(explanation *Explanation) {
 	first, last := explanation.RequestLines[0].At, explanation.RequestLines[len(explanation.RequestLines)-1].At
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -71,6 +71,8 @@
 	ResumeAfter string `json:"resume_after"`
 	By          string `json:"by"`
 	Resumes     string `json:"resumes"`
+	// VersionFrom is how it is known at which version the stream began.
+	VersionFrom string `json:"version_from"`
 	// BackUpTo is the address of the back end that gets a backup of the run, and ContinueFrom that
 	// of the back end whose run is continued.
 	BackUpTo     string `json:"back_up_to"`
--- a/internal/explain/print.go
+++ b/internal/explain/print.go
@@ -28,7 +28,11 @@
 		if slices.Contains(e.Verdict.Evidence, line) {
 			mark = "*"
 		}
-		fmt.Fprintf(&text, "%s %s %-18s %-24s %s\n", mark, line.At.UTC().Format("15:04:05.000"), line.Node, line.Event, details(line))
+		described := details(line)
+		if line.Request != "" && line.Request != e.Request {
+			described = "request=" + line.Request + " " + described
+		}
+		fmt.Fprintf(&text, "%s %s %-18s %-24s %s\n", mark, line.At.UTC().Format("15:04:05.000"), line.Node, line.Event, described)
 	}
 	if _, err := io.WriteString(output, text.String()); err != nil {
 		return errors.Wrap(err, "print the explanation")
@@ -39,9 +43,10 @@
 // minPrintedOffset is the clock offset up to which Print doesn't mention it.
 const minPrintedOffset = 100 * time.Millisecond
 
-// timeline returns the request's lines and the context lines in order of time.
+// timeline returns the lines of the request, of the other attempts at its stream and of the context in
+// order of time.
 func (e Explanation) timeline() []Line {
-	lines := slices.Concat(e.RequestLines, e.ContextLines)
+	lines := slices.Concat(e.RequestLines, e.ChainLines, e.ContextLines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	return lines
 }
@@ -63,7 +68,7 @@
 		{"back_end", line.BackEnd}, {"back_end_version", line.BackEndVersion}, {"from", line.From}, {"to", line.To}, {"peer", line.Peer},
 		{"what", line.What}, {"source", line.Source}, {"fetch_from", line.FetchFrom},
 		{"back_up_to", line.BackUpTo}, {"backup_reason", line.BackupReason}, {"continue_from", line.ContinueFrom},
-		{"by", line.By}, {"resumes", line.Resumes}, {"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
+		{"by", line.By}, {"resumes", line.Resumes}, {"version_from", line.VersionFrom}, {"resume_after", line.ResumeAfter}, {"ran", line.Ran}, {"next", line.Next}, {"next_back_end", line.NextBackEnd},
 	} {
 		if field.value != "" {
 			parts = append(parts, field.name+"="+field.value)
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -35,6 +35,7 @@
 	BackEndsVanished Cause = "back_ends_vanished"
 	PoolFull         Cause = "pool_full"
 	Withheld         Cause = "withheld"
+	StreamVersion    Cause = "stream_version"
 	Refused          Cause = "back_end_refused"
 	Unreachable      Cause = "back_end_unreachable"
 	Unclear          Cause = "unclear"
@@ -54,7 +55,7 @@
 
 // rules are applied in order, and the first that matches decides. Lines about the
 // request's end that name their own cause come before conclusions from other lines.
-var rules = []rule{notLogged, served, callerLeft, callersFault, withheld, gatewayUnready, gatewayEnded, streamBroken, failedAttempt, poolFull}
+var rules = []rule{notLogged, served, callerLeft, callersFault, withheld, streamVersion, gatewayUnready, gatewayEnded, streamBroken, failedAttempt, poolFull}
 
 // findCause applies the rules to an explanation.
 func findCause(explanation *Explanation) Verdict {
@@ -145,6 +146,20 @@
 	return Verdict{Cause: Withheld, Why: why, Evidence: append(e.SameContentLines, lines...)}, true
 }
 
+// streamVersion handles a stream that can't be resumed because of the version that began it.
+func streamVersion(e *Explanation) (Verdict, bool) {
+	lines := e.refusal("stream_version_unknown", "stream_version_gone")
+	if len(lines) == 0 {
+		return Verdict{}, false
+	}
+	refused := lines[0]
+	why := "the caller takes a stream up without naming the attempt that began it: " + refused.Cause
+	if refused.Resumes != "" {
+		why = fmt.Sprintf("the caller takes up the stream that %s began: %s", refused.Resumes, refused.Cause)
+	}
+	return Verdict{Cause: StreamVersion, Why: why, Evidence: lines}, true
+}
+
 func gatewayUnready(e *Explanation) (Verdict, bool) {
 	lines := e.refusal("not_ready")
 	evidence := append(e.contextLinesOf(eventlog.Started), e.contextLinesOf(eventlog.StoreLost)...)
