Origins: a gateway that has just started learns from others which routes are uniform

A gateway that restarted couldn't tell for the longest timeout of a route whether all of its streams began at one version. It asked others when a caller took a stream up; but after restarts of all gateways one after the other nobody had known the routes for long enough, and such streams were refused though one version served all the time.

For its first 5 s a gateway asks three others about such routes, twice a second, and adopts "uniform" if its own list shows the same single version and it has seen no change itself. Soundness: the other's word covers the time until now, this gateway's own list all from now on.

TestUniformityIsLearnedFromOthers, TestGatewayThatHasJustStartedAsksAboutItsRoutes.

--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -282,3 +282,25 @@
 	_, decision := core.Begin(start, resumed)
 	is.Equal(decision.GiveUp.Kind, failure.StreamVersionGone)
 }
+
+// Guards against a fleet that forgets what it knew when its gateways restart one after the other.
+func TestUniformityIsLearnedFromOthers(t *testing.T) {
+	is := is.New(t)
+	route := chatRoute("s")
+	core := originCore(versionedBackEnds(4, "v1"), route)
+	now := start.Add(time.Second)
+	questions := core.UnsettledRoutes(now)
+	is.Equal(questions, []OriginQuestion{{Route: "chat", Service: "s"}})
+	core.SettleRoute(now, questions[0], OriginAnswer{})
+	core.SettleRoute(now, questions[0], OriginAnswer{Uniform: true, OnlyVersion: "v2"})
+	is.True(!core.AnswerOrigin(now, questions[0], 0).Uniform)
+	core.SettleRoute(now, questions[0], OriginAnswer{Uniform: true, OnlyVersion: "v1"})
+	is.True(core.AnswerOrigin(now, questions[0], 0).Uniform)
+	is.Equal(len(core.UnsettledRoutes(now)), 0)
+
+	core.SetBackEnds(now, versionedBackEnds(4, "v1", "v2"))
+	core.SetBackEnds(now, versionedBackEnds(4, "v1"))
+	is.Equal(len(core.UnsettledRoutes(now)), 0) // it has seen a change itself
+	core.SettleRoute(now, questions[0], OriginAnswer{Uniform: true, OnlyVersion: "v1"})
+	is.True(core.AnswerOrigin(now, questions[0], 0).Mixed)
+}
--- a/internal/dispatch/uniform.go
+++ b/internal/dispatch/uniform.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -99,6 +100,42 @@
 	c.recordOpenStreams(now)
 }
 
+// UnsettledRoutes returns questions about the routes of which this gateway can't tell whether they are
+// uniform, because it hasn't known them for long enough.
+func (c *Core) UnsettledRoutes(now time.Time) []OriginQuestion {
+	var questions []OriginQuestion
+	for name, route := range c.routeHistories {
+		for _, target := range route.targets {
+			history := c.uniformity(name, target.Service)
+			if history.isOnly && history.first && !history.lasted(now) {
+				questions = append(questions, OriginQuestion{Route: name, Service: target.Service})
+			}
+		}
+	}
+	slices.SortFunc(questions, func(a, b OriginQuestion) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Service, b.Service))
+	})
+	return questions
+}
+
+// SettleRoute adopts what another gateway knows of an unsettled route: that it is uniform, at the version
+// that is the only one here as well.
+func (c *Core) SettleRoute(now time.Time, question OriginQuestion, answer OriginAnswer) {
+	history := c.uniformity(question.Route, question.Service)
+	if !answer.Uniform || !history.isOnly || !history.first || answer.OnlyVersion != history.version {
+		return
+	}
+	settledSince := now.Add(-history.streamLife)
+	route, service := c.routeHistories[question.Route], c.versionHistories[question.Service]
+	if route.since.After(settledSince) {
+		route.since = settledSince
+	}
+	if service.since.After(settledSince) {
+		service.since = settledSince
+	}
+	c.routeHistories[question.Route], c.versionHistories[question.Service] = route, service
+}
+
 // observeVersions updates the histories of all services by the listed back ends.
 func (c *Core) observeVersions(now time.Time) {
 	versions := map[string][]string{}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -65,6 +65,21 @@
 	s.core.KeepOrigins(s.clock.Now(), records)
 }
 
+// UnsettledRoutes returns questions about the routes of which this gateway can't tell yet whether all of
+// their streams began at one version.
+func (s *State) UnsettledRoutes() []dispatch.OriginQuestion {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.core.UnsettledRoutes(s.clock.Now())
+}
+
+// SettleRoute adopts another gateway's answer to such a question.
+func (s *State) SettleRoute(question dispatch.OriginQuestion, answer dispatch.OriginAnswer) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.SettleRoute(s.clock.Now(), question, answer)
+}
+
 // AnswerOrigin returns what this gateway knows of where a stream began. peersStoreAge is the time since the
 // store last answered a gateway that this one hears of.
 func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge time.Duration) dispatch.OriginAnswer {
--- a/internal/origins/service.go
+++ b/internal/origins/service.go
@@ -42,6 +42,9 @@
 	KeepOrigins(records []dispatch.OriginRecord)
 	// AnswerOrigin returns what this gateway knows.
 	AnswerOrigin(question dispatch.OriginQuestion) dispatch.OriginAnswer
+	// UnsettledRoutes returns questions about routes to other gateways, and SettleRoute adopts an answer.
+	UnsettledRoutes() []dispatch.OriginQuestion
+	SettleRoute(question dispatch.OriginQuestion, answer dispatch.OriginAnswer)
 }
 
 // Config configures a Service.
@@ -65,6 +68,11 @@
 	skipTime    = 3 * time.Second
 	// findTimeout is how long the answers to a question are waited for. A caller waits meanwhile.
 	findTimeout = 250 * time.Millisecond
+	// settlePeriod is the time between two rounds of questions about unsettled routes, settlePeers the
+	// number of gateways that each goes to, and settleTime how long after its start a gateway asks.
+	settlePeriod = 500 * time.Millisecond
+	settlePeers  = 3
+	settleTime   = 5 * time.Second
 	// idleTimeout is how long a connection may go without a query.
 	idleTimeout = 10 * time.Second
 	// maxQueued limits the records that wait for one gateway.
@@ -78,6 +86,8 @@
 	cancel context.CancelFunc
 	tasks  conc.WaitGroup
 	links  *peerlink.Client
+	// startedAt is when the service started.
+	startedAt time.Time
 
 	mutex  sync.Mutex
 	closed bool
@@ -92,7 +102,7 @@
 func Start(config Config) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
-		config: config, ctx: ctx, cancel: cancel,
+		config: config, ctx: ctx, cancel: cancel, startedAt: config.Clock.Now(),
 		links:  peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
 		queues: map[string][]dispatch.OriginRecord{}, skippedUntil: map[string]time.Time{},
 	}
@@ -111,10 +121,16 @@
 }
 
 func (s *Service) run() {
+	settling := time.NewTicker(settlePeriod)
+	defer settling.Stop()
 	for {
 		select {
 		case <-s.config.Source.OriginsReady():
 			s.publish(s.config.Source.TakeOrigins())
+		case <-settling.C:
+			if !s.settleRoutes() {
+				settling.Stop()
+			}
 		case <-s.ctx.Done():
 			return
 		}
--- a/internal/origins/service_test.go
+++ b/internal/origins/service_test.go
@@ -29,6 +29,9 @@
 	new     []dispatch.OriginRecord
 	kept    map[dispatch.OriginKey]dispatch.StreamOrigin
 	uniform dispatch.OriginAnswer
+	// unsettled are the routes about which it asks, and settled the answers that it got.
+	unsettled []dispatch.OriginQuestion
+	settled   []dispatch.OriginAnswer
 }
 
 func (n *node) Live() []Gateway               { return n.live }
@@ -60,6 +63,14 @@
 	return answer
 }
 
+func (n *node) UnsettledRoutes() []dispatch.OriginQuestion { return n.unsettled }
+
+func (n *node) SettleRoute(_ dispatch.OriginQuestion, answer dispatch.OriginAnswer) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.settled = append(n.settled, answer)
+}
+
 // record makes the gateway publish the origins of streams with the keys.
 func (n *node) record(keys ...dispatch.OriginKey) {
 	n.mutex.Lock()
@@ -76,6 +87,8 @@
 type network struct {
 	*pipenet.Network
 	cutOff sync.Map
+	// count, unless nil, wraps the connections that gateways open.
+	count func(net.Conn) net.Conn
 }
 
 func (n *network) dialerOf(id string) func(context.Context, string, string) (net.Conn, error) {
@@ -86,7 +99,11 @@
 			<-ctx.Done() // nothing arrives
 			return nil, ctx.Err()
 		}
-		return n.Network.Dial(ctx, kind, address)
+		conn, err := n.Network.Dial(ctx, kind, address)
+		if err == nil && n.count != nil {
+			conn = n.count(conn)
+		}
+		return conn, err
 	}
 }
 
@@ -209,6 +226,24 @@
 	})
 }
 
+// Guards against a fleet that forgets what it knew when its gateways restart one after the other.
+func TestGatewayThatHasJustStartedAsksAboutItsRoutes(t *testing.T) {
+	withNodes(t, 5, func(_ *network, nodes []*node) {
+		is := is.New(t)
+		for _, n := range nodes[1:] {
+			n.uniform = dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"}
+		}
+		nodes[0].unsettled = []dispatch.OriginQuestion{{Route: "chat", Service: "s"}}
+		time.Sleep(2 * settlePeriod)
+		is.True(len(nodes[0].settled) >= settlePeers)
+		is.True(nodes[0].settled[0].Uniform)
+		time.Sleep(settleTime)
+		asked := len(nodes[0].settled)
+		time.Sleep(settleTime)
+		is.Equal(len(nodes[0].settled), asked) // it doesn't ask for ever
+	})
+}
+
 // Guards against a caller that leaves while the question is open.
 func TestQuestionEndsWithItsCaller(t *testing.T) {
 	withNodes(t, 2, func(net *network, nodes []*node) {
