Origins: the store keeps which services are settled, for the loss of all gateways

A service is settled while all routes of resumable streams to it are uniform. The gateways that read the store keep a record of it there, named by a hash of the version and of those routes with their targets; they remove it within 100 ms of a change. A gateway that starts reads the records once and counts a service as settled if what it sees now has the same identity: a change while no gateway ran gives another. At the fleet's first start everything counts as settled, since no stream has begun before. One read for each start, and six writes for each change of versions; none for a request.

TestStreamsAfterTheLossOfAllGateways: go on without a change, refused if the version was replaced while no gateway ran or a moment before.

--- a/internal/catalog/unreadable.go
+++ b/internal/catalog/unreadable.go
@@ -21,6 +21,7 @@
 	KindEvacuation    ObjectKind = "evacuation"
 	KindRollout       ObjectKind = "rollout"
 	KindWithheld      ObjectKind = "withheld"
+	KindSettled       ObjectKind = "settled"
 )
 
 // Fault is the reason why an object can't be used.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -135,6 +135,9 @@
 	if s.Gateway.RolloutsEnabled() {
 		g.state.AwaitRollouts()
 	}
+	if s.Gateway.FirstStart {
+		g.state.AssumeFirstStart()
+	}
 	if err := g.serve(environment); err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,6 +136,8 @@
 	versionHistories map[string]versionHistory
 	routeHistories   map[string]routeHistory
 	streamLives      map[string]time.Duration
+	// isFirstStart is set if the fleet starts for the first time.
+	isFirstStart bool
 }
 
 // HealthChange is a change in the assumed health of a back end.
--- a/internal/dispatch/uniform.go
+++ b/internal/dispatch/uniform.go
@@ -89,6 +89,9 @@
 		history, known := c.routeHistories[route.Name]
 		if !known || !slices.Equal(history.targets, route.Targets) {
 			history = routeHistory{targets: route.Targets, since: now, first: isFirst}
+			if isFirst {
+				history.since = c.firstSince(now)
+			}
 		}
 		histories[route.Name] = history
 		for _, target := range route.Targets {
@@ -159,7 +162,9 @@
 		if isKnown && known.isOnly == current.isOnly && known.version == current.version {
 			continue
 		}
-		current.first = !isKnown
+		if current.first = !isKnown; current.first {
+			current.since = c.firstSince(now)
+		}
 		c.versionHistories[service] = current
 	}
 	c.recordOpenStreams(now)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -100,6 +100,7 @@
 		f.tasks.Go(func() { f.recordRollouts(ctx, orders) })
 	}
 	f.tasks.Go(func() { f.syncWithheld(ctx) })
+	f.tasks.Go(func() { f.syncSettled(ctx) })
 	lists = append(lists, f.backEnds()) // the longest list is last in turn
 	f.tasks.Go(func() { f.followEras(ctx, lists) })
 	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -49,6 +49,11 @@
 	Withheld(ctx context.Context) ([]dispatch.CrashRecord, error)
 	Withhold(ctx context.Context, record dispatch.CrashRecord) error
 	Release(ctx context.Context, fingerprint dispatch.Fingerprint) error
+	// SettledServices returns the records of settled services. RecordSettled adds a record unless it
+	// exists, and RemoveSettled removes one if it exists.
+	SettledServices(ctx context.Context) ([]dispatch.SettledService, error)
+	RecordSettled(ctx context.Context, settled dispatch.SettledService) error
+	RemoveSettled(ctx context.Context, settled dispatch.SettledService) error
 }
 
 // Config configures a Follower.
--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -45,7 +45,7 @@
 			return
 		}
 		if backoff == minBackoff {
-			f.config.Log.Entry().WithError(err).Warn("reading or writing the records of withheld requests in the store failed; trying again")
+			f.config.Log.Entry().WithError(err).Warn("reading or writing the gateways' records in the store failed; trying again")
 		}
 		sleep(ctx, jitter(max(backoff, f.minRetryWait())))
 		backoff = min(2*backoff, maxRecordBackoff)
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -80,6 +80,48 @@
 	s.core.SettleRoute(s.clock.Now(), question, answer)
 }
 
+// AssumeFirstStart records that the fleet starts for the first time. It must be called before anything is
+// learned.
+func (s *State) AssumeFirstStart() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.AssumeFirstStart()
+}
+
+// Settlement is what this gateway knows of the services whose streams all began at one version.
+type Settlement struct {
+	// Settled are those services, and Changed the names of those that aren't because of a change.
+	Settled []dispatch.SettledService
+	Changed []string
+	// IsRecorder is true if this gateway is one of those that keep the store's records.
+	IsRecorder bool
+	// Era is the era of the store.
+	Era uint64
+}
+
+// Settlement returns what this gateway knows now.
+func (s *State) Settlement() Settlement {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock.Now()
+	return Settlement{
+		Settled: s.core.SettledServices(now), Changed: s.core.ChangedServices(now),
+		IsRecorder: s.place.Duty == Reader, Era: s.view.Era(),
+	}
+}
+
+// SettleRecorded applies the store's records of settled services. It returns false while this gateway
+// doesn't know the back ends and the configuration to compare them with.
+func (s *State) SettleRecorded(recorded []dispatch.SettledService) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.view.Index() == nil || !s.listed {
+		return false
+	}
+	s.core.SettleRecorded(s.clock.Now(), recorded)
+	return true
+}
+
 // AnswerOrigin returns what this gateway knows of where a stream began. peersStoreAge is the time since the
 // store last answered a gateway that this one hears of.
 func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge time.Duration) dispatch.OriginAnswer {
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -29,7 +29,8 @@
 	backEnds       objects[catalog.BackEnd]
 	evacuations    objects[catalog.Evacuation]
 	rollouts       objects[catalog.Rollout]
-	gatewayObjects []wire.StoreEntry[[]byte]
+	// gatewayObjects are the objects that the gateways write, by kind.
+	gatewayObjects map[wire.StoreKind][]wire.StoreEntry[[]byte]
 	// replacedVerdicts counts the verdicts on roll-outs that were replaced by a different state.
 	replacedVerdicts int
 	changed          chan struct{}
@@ -49,6 +50,7 @@
 		protocol: protocol, changed: make(chan struct{}), era: 1, times: map[uint64]time.Time{},
 		configurations: newObjects[catalog.Configuration](), backEnds: newObjects[catalog.BackEnd](),
 		evacuations: newObjects[catalog.Evacuation](), rollouts: newObjects[catalog.Rollout](),
+		gatewayObjects: map[wire.StoreKind][]wire.StoreEntry[[]byte]{},
 	}
 }
 
@@ -93,7 +95,9 @@
 	s.backEnds.truncate(copied)
 	s.evacuations.truncate(copied)
 	s.rollouts.truncate(copied)
-	s.gatewayObjects = changesUpTo(s.gatewayObjects, copied)
+	for kind, history := range s.gatewayObjects {
+		s.gatewayObjects[kind] = changesUpTo(history, copied)
+	}
 	s.era++
 	s.revision, s.oldest = copied, min(s.oldest, copied)
 	close(s.changed)
@@ -191,14 +195,14 @@
 func (s *store) write(w http.ResponseWriter, write wire.StoreWrite) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	exists := slices.ContainsFunc(liveEntries(s.gatewayObjects), func(each wire.StoreEntry[[]byte]) bool { return each.Name == write.Name })
+	exists := slices.ContainsFunc(liveEntries(s.gatewayObjects[write.Kind]), func(each wire.StoreEntry[[]byte]) bool { return each.Name == write.Name })
 	switch {
 	case write.Gone && !exists:
 		w.WriteHeader(http.StatusNotFound)
 	case !write.Gone && exists:
 		w.WriteHeader(http.StatusConflict)
 	default:
-		s.gatewayObjects = append(s.gatewayObjects, wire.StoreEntry[[]byte]{Name: write.Name, Revision: s.next(), Gone: write.Gone, Value: write.Spec})
+		s.gatewayObjects[write.Kind] = append(s.gatewayObjects[write.Kind], wire.StoreEntry[[]byte]{Name: write.Name, Revision: s.next(), Gone: write.Gone, Value: write.Spec})
 	}
 }
 
@@ -241,8 +245,8 @@
 		return len(changesAfter(s.evacuations.history, call.After)) > 0
 	case wire.Rollouts:
 		return len(changesAfter(s.rollouts.history, call.After)) > 0
-	case wire.GatewayObjects:
-		return len(changesAfter(s.gatewayObjects, call.After)) > 0
+	case wire.GatewayObjects, wire.SettledServices:
+		return len(changesAfter(s.gatewayObjects[call.Kind], call.After)) > 0
 	default:
 		return len(changesAfter(s.configurations.history, call.After)) > 0
 	}
@@ -258,8 +262,8 @@
 		s.protocol.WriteList(w, newStoreAnswer(s.evacuations.history, call, s.revision, s.era))
 	case wire.Rollouts:
 		s.protocol.WriteList(w, newStoreAnswer(s.rollouts.history, call, s.revision, s.era))
-	case wire.GatewayObjects:
-		s.protocol.WriteList(w, newStoreAnswer(s.gatewayObjects, call, s.revision, s.era))
+	case wire.GatewayObjects, wire.SettledServices:
+		s.protocol.WriteList(w, newStoreAnswer(s.gatewayObjects[call.Kind], call, s.revision, s.era))
 	default:
 		s.protocol.WriteList(w, newStoreAnswer(s.configurations.history, call, s.revision, s.era))
 	}
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -45,8 +45,10 @@
 	Configurations StoreKind = iota
 	BackEnds
 	Evacuations
-	// GatewayObjects are the objects that the gateways write.
+	// GatewayObjects are the records of withheld requests, which the gateways write.
 	GatewayObjects
+	// SettledServices are the records of settled services, which the gateways write.
+	SettledServices
 	// Rollouts are orders to move a service to another version. Gateways write their progress.
 	Rollouts
 )
@@ -55,6 +57,7 @@
 // progress of the named roll-out on the condition that the order is still at the revision given
 // in Rollout.
 type StoreWrite struct {
+	Kind    StoreKind
 	Name    string
 	Gone    bool
 	Spec    []byte
