--- a/internal/follower/settled.go
+++ b/internal/follower/settled.go
@@ -9,7 +9,7 @@
 )
 
 // settledPeriod is the time between two checks of whether a service has become settled, or has changed.
-// Until the store has lost a record, gateways that start may rely on it.
+// Gateways that start rely on a record until it is removed.
 const settledPeriod = 100 * time.Millisecond
 
 // settledRecords are the records of settled services that the store has, as far as this gateway knows, by
--- a/internal/origins/service.go
+++ b/internal/origins/service.go
@@ -5,7 +5,8 @@
 // Gateways are divided into groups by hash, and a record is kept within the group of the gateway that
 // began the stream, at the first two in rendezvous order of the attempt's key. A gateway that has to
 // resume a stream asks the first few of each group. Records are only needed while a route leads to more
-// than one version, and questions are only asked when a caller resumes a stream.
+// than one version, and questions are only asked when a caller resumes a stream and when a gateway has just
+// started.
 //
 // The package decides where records are kept and whom to ask; what follows from the answers is decided
 // by package dispatch.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -97,8 +97,8 @@
 	firstAt time.Time
 }
 
-// timeout is how long the caller says that it waits: for a stream that it takes up, what is left of the
-// first attempt's time.
+// timeout is how long the caller says that it waits. For a stream that it takes up, this is the remaining
+// time of the first attempt.
 func (s sentRequest) timeout() time.Duration {
 	if s.firstAt.IsZero() {
 		return routeTimeout
