Follower: a store that keeps no history isn't read ten times a second

Cause: a watch whose history is gone was begun anew after 100 ms, each time, with a read of its list before: 20 calls a second for each list. There are four lists since roll-outs came. The test didn't see that: its watches waited for 20 s, all the time that it measures, since nothing changed; the record of settled services was the first change.

The pause grows to 200 ms while the history stays gone: 10 calls a second for a list. Tests of internal/follower and of the store's sync, restore and idle calls in platform pass.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -42,6 +42,10 @@
 	// minBackoff and maxBackoff limit the wait after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
+	// maxHistoryBackoff is the same after a watch whose history is gone: its list is read again, and plain
+	// reads alone notice changes meanwhile. A store that keeps no history gets two calls for each list
+	// within this time.
+	maxHistoryBackoff = 2 * minBackoff
 	// triesPerSecond is the rate at which all standby gateways together call a store that doesn't
 	// answer them. A higher rate finds a store that answers only some gateways sooner, but with
 	// one call per second of each of 23 gateways, an outage of 8 s cost a third of the calls of a
@@ -283,13 +287,13 @@
 			continue
 		}
 		f.config.Metrics.Tagged(map[string]string{"what": followed.name}).Counter("watches_ended").Inc(1)
+		limit := maxBackoff
 		if errors.Is(err, ErrHistoryGone) {
 			followed.progress.reset()
+			limit = maxHistoryBackoff
 		}
 		sleep(ctx, jitter(backoff))
-		if !errors.Is(err, ErrHistoryGone) {
-			backoff = min(2*backoff, maxBackoff)
-		}
+		backoff = max(backoff, min(2*backoff, limit))
 	}
 }
 
