Follower: a record call that times out counts as evidence of silent connections

Cause: watches on silent connections are given up once a plain call has timed out and a later one was answered. The calls for records, of which there are more since settled services are recorded, took the kept silent connection, timed out, and left a new one for the reads; then no read timed out, and the watches waited on. Such a time-out counts now like that of a read.

--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -44,6 +44,8 @@
 		if err == nil {
 			return
 		}
+		// The call may have taken the only silent connection that a plain read would have timed out on.
+		f.closeIdleConnections(err)
 		if backoff == minBackoff {
 			f.config.Log.Entry().WithError(err).Warn("reading or writing the gateways' records in the store failed; trying again")
 		}
