Test of origins: fields shared with the service are read and written under the mutex

The test alone is at fault; the code under test gets its routes from a dispatch core behind the gateway's mutex. Before: fails in each run under the race detector. After: ten runs of the package under the race detector pass.

--- a/internal/origins/service_test.go
+++ b/internal/origins/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -63,7 +64,11 @@
 	return answer
 }
 
-func (n *node) UnsettledRoutes() []dispatch.OriginQuestion { return n.unsettled }
+func (n *node) UnsettledRoutes() []dispatch.OriginQuestion {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.unsettled
+}
 
 func (n *node) SettleRoute(_ dispatch.OriginQuestion, answer dispatch.OriginAnswer) {
 	n.mutex.Lock()
@@ -71,6 +76,27 @@
 	n.settled = append(n.settled, answer)
 }
 
+// setUniform sets what the gateway answers to questions about streams without a record.
+func (n *node) setUniform(answer dispatch.OriginAnswer) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.uniform = answer
+}
+
+// setUnsettled sets the routes about which the gateway asks.
+func (n *node) setUnsettled(routes ...dispatch.OriginQuestion) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.unsettled = routes
+}
+
+// settledAnswers returns the answers that the gateway got about its routes.
+func (n *node) settledAnswers() []dispatch.OriginAnswer {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.Clone(n.settled)
+}
+
 // record makes the gateway publish the origins of streams with the keys.
 func (n *node) record(keys ...dispatch.OriginKey) {
 	n.mutex.Lock()
@@ -188,7 +214,7 @@
 func TestCutOffGatewayDoesNotRelyOnItsOwnView(t *testing.T) {
 	withNodes(t, 5, func(net *network, nodes []*node) {
 		is := is.New(t)
-		nodes[0].uniform = dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"}
+		nodes[0].setUniform(dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"})
 		is.Equal(find(nodes[0], 1), dispatch.OriginUniform)
 		net.cutOff.Store(nodes[0].ID, true)
 		net.Silence()
@@ -216,7 +242,7 @@
 func TestGatewaysOfAnOlderBuildDoNotPreventResumption(t *testing.T) {
 	withNodes(t, 3, func(_ *network, nodes []*node) {
 		is := is.New(t)
-		nodes[0].uniform = dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"}
+		nodes[0].setUniform(dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"})
 		for _, n := range nodes[1:] {
 			n.server.Handler = http.NotFoundHandler()
 		}
@@ -231,16 +257,17 @@
 	withNodes(t, 5, func(_ *network, nodes []*node) {
 		is := is.New(t)
 		for _, n := range nodes[1:] {
-			n.uniform = dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"}
+			n.setUniform(dispatch.OriginAnswer{Uniform: true, OnlyVersion: "v1"})
 		}
-		nodes[0].unsettled = []dispatch.OriginQuestion{{Route: "chat", Service: "s"}}
+		nodes[0].setUnsettled(dispatch.OriginQuestion{Route: "chat", Service: "s"})
 		time.Sleep(2 * settlePeriod)
-		is.True(len(nodes[0].settled) >= settlePeers)
-		is.True(nodes[0].settled[0].Uniform)
+		answers := nodes[0].settledAnswers()
+		is.True(len(answers) >= settlePeers)
+		is.True(answers[0].Uniform)
 		time.Sleep(settleTime)
-		asked := len(nodes[0].settled)
+		asked := len(nodes[0].settledAnswers())
 		time.Sleep(settleTime)
-		is.Equal(len(nodes[0].settled), asked) // it doesn't ask for ever
+		is.Equal(len(nodes[0].settledAnswers()), asked) // it doesn't ask for ever
 	})
 }
 
