Follower: a gateway that becomes a recorder reads the records of settled services again

Cause: a gateway that isn't among the three or four that write the records noted a change as done in its own list and left the write to those. If all of them were lost in between, or gave up the duty while the store refused them, their successors took the record for removed. A record that stays counts again once its version serves alone: after the loss of all gateways, streams that the version in between had begun could go on at it (ORDER). The other way round, a record that was never added was never added later either, and streams were refused after such a loss.

Ruled out: that another gateway removes it anyway, since each one's own list says that it is gone.

Change: the loop's state is a type of its own (settledKeeper), and it reads the store's records again when the duty comes to it, as it does for a restored store. One read for each change of the duty.

--- a/internal/follower/settled.go
+++ b/internal/follower/settled.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/gateway"
 )
 
 // settledPeriod is the time between two checks of whether a service has become settled, or has changed.
@@ -17,68 +19,90 @@
 type settledRecords map[string]dispatch.SettledService
 
 // syncSettled reads the records of settled services, and then keeps those in the store as this gateway sees
-// the services. A restored store has those of its backup, so they are read again.
+// the services.
 func (f *Follower) syncSettled(ctx context.Context) {
-	records, era := settledRecords{}, f.config.State.Settlement().Era
+	settlement := f.config.State.Settlement()
+	keeper := settledKeeper{follower: f, records: settledRecords{}, era: settlement.Era, wasRecorder: settlement.IsRecorder}
 	if !f.config.FirstStart {
-		f.retryCall(ctx, func(ctx context.Context) error { return f.readSettled(ctx, records) })
-		f.applySettled(ctx, records)
+		keeper.read(ctx)
+		keeper.apply(ctx)
 	}
 	for ctx.Err() == nil {
 		sleep(ctx, settledPeriod)
-		settlement := f.config.State.Settlement()
-		if settlement.Era != era {
-			era = settlement.Era
-			f.retryCall(ctx, func(ctx context.Context) error { return f.readSettled(ctx, records) })
-		}
-		f.updateSettled(ctx, records, settlement.Settled, settlement.Changed, settlement.IsRecorder)
+		keeper.update(ctx, f.config.State.Settlement())
 	}
 }
 
-// readSettled replaces the records by those in the store.
-func (f *Follower) readSettled(ctx context.Context, records settledRecords) error {
-	list, err := f.config.Source.SettledServices(ctx)
-	if err != nil {
-		return err
-	}
-	clear(records)
-	for _, each := range list {
-		records[each.Identity] = each
-	}
-	return nil
+// settledKeeper keeps the store's records of settled services.
+type settledKeeper struct {
+	follower *Follower
+	records  settledRecords
+	// era is the era of the store when the records were read, and wasRecorder whether this gateway was one
+	// of those that write them at the last update.
+	era         uint64
+	wasRecorder bool
 }
 
-// applySettled applies the records as soon as this gateway knows what to compare them with.
-func (f *Follower) applySettled(ctx context.Context, records settledRecords) {
-	var list []dispatch.SettledService
-	for _, each := range records {
-		list = append(list, each)
+// update reads the records again if they may differ from the known ones, and writes what has changed. A
+// restored store has the records of its backup. A gateway that becomes a recorder doesn't know whether its
+// predecessors have written all that it has left to them.
+func (k *settledKeeper) update(ctx context.Context, settlement gateway.Settlement) {
+	if settlement.Era != k.era || settlement.IsRecorder && !k.wasRecorder {
+		k.read(ctx)
 	}
-	for ctx.Err() == nil && !f.config.State.SettleRecorded(list) {
+	k.era, k.wasRecorder = settlement.Era, settlement.IsRecorder
+	k.removeChanged(ctx, settlement)
+	k.addSettled(ctx, settlement)
+}
+
+// read replaces the records by those in the store.
+func (k *settledKeeper) read(ctx context.Context) {
+	k.follower.retryCall(ctx, func(ctx context.Context) error {
+		list, err := k.follower.config.Source.SettledServices(ctx)
+		if err != nil {
+			return err
+		}
+		clear(k.records)
+		for _, each := range list {
+			k.records[each.Identity] = each
+		}
+		return nil
+	})
+}
+
+// apply applies the records as soon as this gateway knows what to compare them with.
+func (k *settledKeeper) apply(ctx context.Context) {
+	list := slices.Collect(maps.Values(k.records))
+	for ctx.Err() == nil && !k.follower.config.State.SettleRecorded(list) {
 		sleep(ctx, pollInterval)
 	}
 }
 
-// updateSettled removes the records of services that have changed, and adds those of services that have
-// become settled. A few gateways write them, all the same ones; the others only follow.
-func (f *Follower) updateSettled(ctx context.Context, records settledRecords, settled []dispatch.SettledService, changed []string, isRecorder bool) {
-	for identity, each := range records {
+// removeChanged removes the records of services that have changed. A few gateways write them, all the same
+// ones; the others only follow.
+func (k *settledKeeper) removeChanged(ctx context.Context, settlement gateway.Settlement) {
+	for _, identity := range slices.Sorted(maps.Keys(k.records)) {
+		each := k.records[identity]
 		isReplaced := func(other dispatch.SettledService) bool { return other.Service == each.Service && other != each }
-		if !slices.Contains(changed, each.Service) && !slices.ContainsFunc(settled, isReplaced) {
+		if !slices.Contains(settlement.Changed, each.Service) && !slices.ContainsFunc(settlement.Settled, isReplaced) {
 			continue
 		}
-		delete(records, identity)
-		if isRecorder {
-			f.retryCall(ctx, func(ctx context.Context) error { return f.config.Source.RemoveSettled(ctx, each) })
+		delete(k.records, identity)
+		if settlement.IsRecorder {
+			k.follower.retryCall(ctx, func(ctx context.Context) error { return k.follower.config.Source.RemoveSettled(ctx, each) })
 		}
 	}
-	for _, each := range settled {
-		if _, known := records[each.Identity]; known {
+}
+
+// addSettled adds the records of services that have become settled.
+func (k *settledKeeper) addSettled(ctx context.Context, settlement gateway.Settlement) {
+	for _, each := range settlement.Settled {
+		if _, known := k.records[each.Identity]; known {
 			continue
 		}
-		records[each.Identity] = each
-		if isRecorder {
-			f.retryCall(ctx, func(ctx context.Context) error { return f.config.Source.RecordSettled(ctx, each) })
+		k.records[each.Identity] = each
+		if settlement.IsRecorder {
+			k.follower.retryCall(ctx, func(ctx context.Context) error { return k.follower.config.Source.RecordSettled(ctx, each) })
 		}
 	}
 }
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -41,6 +41,8 @@
 	restored       []catalog.Evacuation
 	oldestRevision uint64
 	historyMisses  atomic.Int64
+	// settled is the part of the store that keeps the records of settled services.
+	settled settledSource
 	// rollouts is the part of the store that keeps a rollout order.
 	rollouts rolloutSource
 	// withheld is the part of the store that keeps withheld requests.
--- a/internal/follower/withheld_test.go
+++ b/internal/follower/withheld_test.go
@@ -89,9 +89,3 @@
 		is.Equal(s.withheld.records[7].LastAt, crashRecord(7, bubbleStart).LastAt)
 	})
 }
-
-func (s *source) SettledServices(context.Context) ([]dispatch.SettledService, error) { return nil, nil }
-
-func (s *source) RecordSettled(context.Context, dispatch.SettledService) error { return nil }
-
-func (s *source) RemoveSettled(context.Context, dispatch.SettledService) error { return nil }
