Race tests: subtests of a process run one after the other

A process runs Go code on one thread while a bubble runs, so parallel subtests gain no time there, but all their fleets are in memory at once: alone the test reached 6.3 GB, TestSoakWithLargeFleet 4.2 and TestSoakDetectsDisabledMechanisms 3.4.

--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -23,7 +23,7 @@
 # run_one DIRECTORY BINARY TEST runs one test and prints its output if it fails.
 run_one() {
   cd "$1"
-  if ! "$2" -test.paniconexit0 -test.timeout 20m -test.run "^$3\$" -test.skip "$SKIP" >"$2.$3" 2>&1; then
+  if ! "$2" -test.paniconexit0 -test.parallel 1 -test.timeout 20m -test.run "^$3\$" -test.skip "$SKIP" >"$2.$3" 2>&1; then
     echo "--- FAIL: $3 in $1 under the race detector"
     cat "$2.$3"
     return 1
