--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -115,15 +115,14 @@
 	return slices.DeleteFunc(kinds, func(kind soak.Kind) bool { return kind == soak.MoveService || kind == soak.MoveUnattended })
 }
 
+// soakFolderMode is the mode of a folder that the soak makes: its logs are for its user only.
+const soakFolderMode = 0o700
+
 // runSoakSeed runs the soak for one seed and prints the result.
 func runSoakSeed(ctx context.Context, output io.Writer, protocol wire.Protocol, flags soakFlags) (soak.Result, error) {
-	folder := flags.directory
-	if folder == "" {
-		made, err := os.MkdirTemp("", "harriernotch-soak-")
-		if err != nil {
-			return soak.Result{}, err
-		}
-		folder = made
+	folder, err := makeSoakFolder(flags.directory)
+	if err != nil {
+		return soak.Result{}, err
 	}
 	environment, err := soak.NewProcesses(protocol, flags.program, folder)
 	if err != nil {
@@ -145,6 +144,18 @@
 	return result, printSoak(output, result, folder)
 }
 
+// makeSoakFolder returns the folder for settings and logs, which it makes unless it is there; without a
+// directory it makes a temporary one.
+func makeSoakFolder(directory string) (string, error) {
+	if directory == "" {
+		return os.MkdirTemp("", "harriernotch-soak-")
+	}
+	if err := os.MkdirAll(directory, soakFolderMode); err != nil {
+		return "", failure.Wrap(failure.InvalidRequest, err, "--folder; name a folder, or one that can be made")
+	}
+	return directory, nil
+}
+
 func printSoak(output io.Writer, result soak.Result, folder string) error {
 	verdict := "no promise broken"
 	if len(result.Violations) > 0 {
