Soak: back ends of an evacuated zone don't count as serving when a stream is taken up

Trace: zone y, with three of six back ends, is evacuated from 9.402 to 10.999 s, and the gateways rightly send nothing there; a fourth asks for a rest of 2 s at 9.446; the other two crash at 9.90 and 9.93 with a crashing request. 12 of 14 streams are taken up from 9.955 to 9.978 s, when no back end may take or can take them. The check counted the three evacuated back ends as two or more that serve, so it asked for what PromiseEvacuation forbids.

Change: isServed leaves them out. What has to go on while two back ends that may be used serve is as before, bound and share too.

--- a/internal/soak/takeup.go
+++ b/internal/soak/takeup.go
@@ -79,11 +79,12 @@
 	}
 }
 
-// isServed reports whether at least servingBackEnds back ends of the version are in service.
+// isServed reports whether at least servingBackEnds back ends of the version are in service. Those of an
+// evacuated zone aren't: they must get no requests.
 func (f *fleet) isServed(version string) bool {
 	serving := 0
 	for _, b := range f.everyBackEnd() {
-		if running, _ := b.software(); running == version && b.serves() && !f.check.isDisturbed(b) {
+		if running, _ := b.software(); running == version && b.serves() && !f.isEvacuated(b.zone) && !f.check.isDisturbed(b) {
 			serving++
 		}
 	}
--- a/internal/soak/warmup.go
+++ b/internal/soak/warmup.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// isEvacuated reports whether a zone is evacuated.
+func (f *fleet) isEvacuated(zone string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.evacuated[zone] > 0
+}
+
 // turnCold makes a back end cold; it updates its entry in the store a while later. A back end that is
 // starting is skipped, since it lists itself as cold once it is up.
 func (f *fleet) turnCold(ctx context.Context, b *backEnd) {
