--- a/scripts/race-tests.sh
+++ b/scripts/race-tests.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Runs the tests under the race detector. A process runs on one thread while a test on the
 # virtual clock runs (see internal/bubble). So the tests of packages that import internal/bubble
-# are run in one process per test, several processes in parallel; `go test` runs the other
-# packages as usual.
+# are run in one process per test, several processes in parallel, and so are those of
+# internal/dispatch, which would take longer than all others in one process. `go test` runs the
+# other packages as usual.
 # usage: scripts/race-tests.sh [REGEXP of tests to skip]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,10 +13,11 @@
 
 imports='{{.Dir}} {{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}'
 packages=$(go list -f "$imports" ./...)
-virtual=$(grep ' [^ ]*/internal/bubble\( \|$\)' <<<"$packages" | cut -d' ' -f1,2)
-others=$(grep -v ' [^ ]*/internal/bubble\( \|$\)' <<<"$packages" | cut -d' ' -f2)
+apart='^[^ ]* [^ ]*/internal/dispatch \| [^ ]*/internal/bubble\( \|$\)'
+separate=$(grep "$apart" <<<"$packages" | cut -d' ' -f1,2)
+others=$(grep -v "$apart" <<<"$packages" | cut -d' ' -f2)
 
-# The simulated fleets of internal/dispatch take minutes under the race detector on a busy machine,
+# The simulated fleets of internal/simulation take minutes under the race detector on a busy machine,
 # where the default limit of ten minutes isn't enough.
 go test -race -timeout 40m -skip "$skip" $others &
 usual=$!
@@ -41,8 +43,8 @@
     printf '%s %s %s\n' "$directory" "$binary" "$each" >>"$binaries/list"
     tests=$((tests + 1))
   done
-done <<<"$virtual"
+done <<<"$separate"
 # The package with the longest tests is the last of the list; in reverse order they start first.
 tac "$binaries/list" | xargs -P "$(nproc)" -L 1 bash -c 'run_one "$@"' run_one
 wait "$usual"
-echo "ok: $tests tests on the virtual clock and beside it under the race detector"
+echo "ok: $tests tests, one process each, under the race detector, and those of all other packages"
