Origins: the order of holders uses the rendezvous weight of internal/routing

The package had a hash of its own for what routing.Weight gives already. Tests are unchanged and pass.

--- a/internal/origins/holders.go
+++ b/internal/origins/holders.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/routing"
 )
 
 // Gateway is a live gateway.
@@ -77,12 +77,9 @@
 
 // firstInOrder returns the first count gateways in the rendezvous order of the key. It sorts the list.
 func firstInOrder(key dispatch.OriginKey, count int, list []Gateway) []Gateway {
+	weight := func(g Gateway) uint64 { return routing.Weight(uint64(key), xxhash.Sum64String(g.ID)) }
 	slices.SortFunc(list, func(a, b Gateway) int {
-		return cmp.Or(cmp.Compare(rank(key, a.ID), rank(key, b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
 	})
 	return list[:min(count, len(list))]
 }
-
-func rank(key dispatch.OriginKey, id string) uint64 {
-	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(id), uint64(key)))
-}
