internal/dispatch: the state of one attempt has a type of its own

Cause: Exchange mixed what belongs to the request with what belongs to its current attempt, so that a second attempt couldn't be considered while the first one still runs. Change: the fields of the attempt move to the embedded type attempt; whether a request has won a place before is told by its attempts and no longer by the time of the last one. No change of behaviour. Result: the package's tests pass unchanged.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -25,29 +25,51 @@
 	Ended
 )
 
+// attempt is the state of one attempt of an exchange.
+type attempt struct {
+	// current is the back end of the attempt, or nil once the attempt has ended.
+	current *member
+	// sentAt is when the attempt began.
+	sentAt time.Time
+	// rolloutAttempt is the rollout judge's record of the attempt.
+	rolloutAttempt *rollout.Attempt
+	// slotReleased is set once the attempt no longer counts towards the back end's load.
+	slotReleased bool
+	// waitEnded is set once the attempt no longer waits for the back end.
+	waitEnded bool
+	// backup is the copy of the run's memory that was ordered, or nil. continuing is set while the attempt
+	// continues the run of an earlier one.
+	backup     *backup
+	continuing bool
+	// attemptEvents counts the events of the attempt that the caller has been sent. It is 0 if the stream
+	// isn't watched by its pace.
+	attemptEvents int
+	// answeredAt is when the attempt was answered, and lastEventAt the time of the last event.
+	answeredAt  time.Time
+	lastEventAt time.Time
+	// engine and run account for the attempt in tokens; nil if its member has no engine.
+	// hasFirstToken is set once the attempt has its first token.
+	engine        *workload.Engine
+	run           *workload.Run
+	hasFirstToken bool
+}
+
 // Exchange tracks one request from its arrival to its end. The methods of Core drive it.
 type Exchange struct {
 	request Request
 	service string
 	phase   Phase
+	// attempt is the latest attempt.
+	attempt
 	// attempts counts the back ends that may have received the request.
 	attempts int
 	// failedConnects counts the failed connection attempts.
 	failedConnects int
 	tried          []string
-	current        *member
-	// sentAt is when the current attempt began.
-	sentAt time.Time
 	// ran is whether the request may have run, as far as is known after all attempts so far.
 	ran failure.Ran
-	// side is the version that the next attempt may go to during a rollout, and
-	// rolloutAttempt the rollout judge's record of the current attempt.
-	side           rollout.Side
-	rolloutAttempt *rollout.Attempt
-	// slotReleased is set once the current attempt no longer counts towards the back end's load.
-	slotReleased bool
-	// waitEnded is set once the current attempt no longer waits for the back end.
-	waitEnded bool
+	// side is the version that the next attempt may go to during a rollout.
+	side rollout.Side
 	// completed is set once the caller has a complete answer.
 	completed bool
 	// lostDraw is set if the request lost the last draw for the places of its service in which it took
@@ -63,30 +85,18 @@
 	counted fairshare.Request
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
-	// backup is the copy of the current run's memory that was ordered, or nil. continuing is set
-	// while the current attempt continues the run of an earlier one, and continuations counts these.
-	backup        *backup
-	continuing    bool
+	// continuations counts the attempts that continue the run of an earlier one.
 	continuations int
 	// events and numbered count the events that the caller has been sent and those of them that have
-	// a number; attemptEvents counts those of the current attempt. They are 0 if the stream isn't
-	// watched by its pace. gaps are the times between events.
-	events, numbered, attemptEvents int
-	gaps                            gaps
-	// answeredAt is when the current attempt was answered, and lastEventAt the time of the last event.
-	answeredAt  time.Time
-	lastEventAt time.Time
+	// a number. They are 0 if the stream isn't watched by its pace. gaps are the times between events.
+	events, numbered int
+	gaps             gaps
 	// origin is where the stream began, or nil before its first event. originRecorded is set once it
 	// is recorded at other gateways.
 	origin         *StreamOrigin
 	originRecorded bool
-	// engine and run account for the current attempt in tokens; nil if its member has no engine.
-	// hasFirstToken is set once the attempt has its first token, and received is the number of
-	// tokens received in all attempts.
-	engine        *workload.Engine
-	run           *workload.Run
-	hasFirstToken bool
-	received      int
+	// received is the number of tokens received in all attempts.
+	received int
 }
 
 // Attempts returns how many back ends may have received the request.
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -125,7 +125,7 @@
 // When a burst begins, many places are free, and the prompts would queue at the engines if all of the
 // places were given away at once. So while the demand exceeds the places, limitGrowth applies.
 func (c *Core) winsPlace(now time.Time, x *Exchange, candidates []*member) bool {
-	hasWon := !x.sentAt.IsZero()
+	hasWon := x.attempts+x.failedConnects > 0
 	if hasWon || !c.countsTokens(x) || c.config.Disabled[LoadBound] || c.config.Disabled[AdmissionLottery] {
 		return true
 	}
