A silent stream is taken up elsewhere only by one decision, and listened to until then

What callers saw: streams of a sound back end that fell silent for a second ended without their last event, a request that was read with neither a whole answer nor a refusal. Cause: each stream looked at the room of the pool and at the retry budget, had its attempt cancelled, and asked for both afterwards. All streams of a silent back end pass the look at the same moment; the budget and the room pay for a few, and the others were cut. Class: something shared is looked at, given up for, and only then taken. Change: Core.ExamineSilence takes the attempt, the member with room and the retry in one decision, or leaves the stream as it is. Where the request may be repeated, the silent attempt is kept beside the other until that one is answered (TakeOver), and is current again if the other refuses, can't be reached or fails, or if the silent one speaks first (KeepSilent). A run that may not be repeated is closed before its backup continues it, as before. Silence counts once as a failure of the back end, and not as evidence of a crash. A slow caller of a stream that isn't watched by pace no longer counts as the silence of its back end. TestSilentStreamIsAbandonedOnlyIfItCanBeContinued checks the same conditions on the new call, and that no second attempt is kept where only one may work; the test of the lag covers both timers that the old one stood for.

--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -93,9 +93,15 @@
 	if target == nil || !c.budget(x.service).Spend() {
 		return Decision{}, false
 	}
+	return c.continueAt(now, x, target, x.backup.source), true
+}
+
+// continueAt starts the attempt that continues the run of the engine with the source address at the
+// target, which has the copy.
+func (c *Core) continueAt(now time.Time, x *Exchange, target *member, source string) Decision {
 	send := c.newSend(now, x, target)
 	send.HeadTimeout = c.headTimeout(now, x, target)
-	send.ContinueFrom = x.backup.source
+	send.ContinueFrom = source
 	if c.isWarmingUp(now, target) {
 		target.warmUpSends = append(target.warmUpSends, now)
 	}
@@ -105,7 +111,7 @@
 	x.continuations++
 	x.continuing = true
 	c.orderBackup(now, x, target, send)
-	return c.start(now, x, target, send), true
+	return c.start(now, x, target, send)
 }
 
 // afterContinuation decides how to proceed after a continuation that got no answer to pass on: as if
@@ -116,9 +122,14 @@
 	return c.resume(now, x)
 }
 
+// mayResume reports whether the route and the settings allow to resume the stream by a further run.
+func (c *Core) mayResume(x *Exchange) bool {
+	return x.request.Route.Resumable && !c.config.Disabled[Resumption] && c.mayRetry(x)
+}
+
 // resume resumes a broken stream at another back end by a further run, if the route allows that.
 func (c *Core) resume(now time.Time, x *Exchange) Decision {
-	mayResume := x.request.Route.Resumable && !c.config.Disabled[Resumption] && c.mayRetry(x)
+	mayResume := c.mayResume(x)
 	if mayResume && c.originIsGone(now, x) {
 		x.phase = Ended
 		return Decision{GiveUp: failure.New(failure.StreamVersionGone, "no back end is left of version "+x.origin.Version+", which began the stream")}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -44,6 +44,8 @@
 	// attemptEvents counts the events of the attempt that the caller has been sent. It is 0 if the stream
 	// isn't watched by its pace.
 	attemptEvents int
+	// watch is how the silence of the attempt's stream is watched.
+	watch StreamWatch
 	// answeredAt is when the attempt was answered, and lastEventAt the time of the last event.
 	answeredAt  time.Time
 	lastEventAt time.Time
@@ -59,8 +61,10 @@
 	request Request
 	service string
 	phase   Phase
-	// attempt is the latest attempt.
+	// attempt is the latest attempt. silent is an earlier one that fell silent and is kept until the
+	// latest one is answered, or nil; see relocate.go.
 	attempt
+	silent *attempt
 	// attempts counts the back ends that may have received the request.
 	attempts int
 	// failedConnects counts the failed connection attempts.
@@ -150,10 +154,12 @@
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
-// pass on the answer that was received.
+// pass on the answer that was received. If KeepSilent is set, the attempt that was silent is listened to
+// instead.
 type Decision struct {
-	Send   *Send
-	GiveUp *failure.Error
+	Send       *Send
+	GiveUp     *failure.Error
+	KeepSilent bool
 }
 
 const (
@@ -202,6 +208,11 @@
 		x.refusal = c.reasonNoneChosen(now, x)
 		return c.giveUp(now, x, failure.PoolExhausted, "no back end of "+x.service+" has room")
 	}
+	return c.sendTo(now, x, chosen)
+}
+
+// sendTo starts an attempt at the chosen back end.
+func (c *Core) sendTo(now time.Time, x *Exchange, chosen *member) Decision {
 	send := c.newSend(now, x, chosen)
 	send.FetchFrom = c.copySource(now, x, chosen)
 	send.HeadTimeout = c.headTimeout(now, x, chosen)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -192,6 +192,13 @@
 	}
 }
 
+// stalled records a stream that was taken up elsewhere because of its silence. All streams of a back end
+// that falls silent are taken up at about the same moment, so that counts once, as one failure.
+func (h *health) stalled(now time.Time) {
+	h.lastFailureAt = now
+	h.eject(now, baseEjectionTime)
+}
+
 // connectFailed records a failed connection attempt, or one that reached another back end.
 func (h *health) connectFailed(now time.Time) {
 	h.consecutiveFailures++
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -66,6 +66,11 @@
 		m.health.connectFailed(now)
 		c.noteGone(m)
 	})
+	if x.silent != nil {
+		x.attempts--
+		x.failedConnects++
+		return c.returnToSilent(x)
+	}
 	if x.continuing {
 		if x.request.Route.MayRepeat() {
 			x.attempts--
@@ -164,6 +169,11 @@
 		m.health.failed(now, c.poolErrorRate(x.service, m))
 	}
 	c.recordHealthChange(now, m)
+	if x.silent != nil {
+		x.release(now)
+		x.endWait(m)
+		return c.returnToSilent(x)
+	}
 	if everywhere || !c.mayRetry(x) || !c.hasAlternative(now, x) || !c.spendRetry(x.service) {
 		x.phase = Answering
 		x.endWait(m)
@@ -212,17 +222,29 @@
 
 // Done ends the exchange, after a final answer or because the caller disconnected.
 func (c *Core) Done(now time.Time, x *Exchange) {
+	c.endAttempt(now, x)
+	if x.silent != nil {
+		c.returnToSilent(x)
+		c.endAttempt(now, x)
+	}
+	delete(c.streams, x)
+	x.phase = Ended
+}
+
+// endAttempt ends the current attempt without an outcome.
+func (c *Core) endAttempt(now time.Time, x *Exchange) {
 	waiting := x.phase == Sent
 	if m := x.release(now); m != nil && waiting {
 		x.endWait(m)
 	}
 	c.endBackup(x)
-	delete(c.streams, x)
-	x.phase = Ended
 }
 
 // retryOrGiveUp decides whether to try again after an attempt that got no answer to pass on.
 func (c *Core) retryOrGiveUp(now time.Time, x *Exchange, kind failure.Kind, message string) Decision {
+	if x.silent != nil {
+		return c.returnToSilent(x)
+	}
 	if x.continuing {
 		return c.afterContinuation(now, x)
 	}
--- /dev/null
+++ b/internal/dispatch/relocate.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+// A back end that is silent may go on. So a silent stream is taken up elsewhere only by a decision that
+// takes everything it needs at once: an attempt of the route, room at another member, and a retry of the
+// budget. All streams of a silent back end are examined at the same moment, and what is only looked at
+// is promised to each of them.
+//
+// The room that a gateway knows is out of date, so the other member may still refuse. Where the request
+// may be repeated, the silent attempt is therefore kept until the other one is answered, and is current
+// again if that one fails. A run that may not be repeated is only continued from a backup, after its
+// silent attempt has been closed, so that no two back ends work on it.
+
+// ExamineSilence decides about a stream that has been silent for as long as its StreamWatch says. The
+// decision has an attempt that takes the stream up elsewhere. Without one, the stream is listened to, and
+// is examined again after recheck.
+func (c *Core) ExamineSilence(now time.Time, x *Exchange) (decision Decision, recheck time.Duration) {
+	if x.current == nil || x.silent != nil {
+		return Decision{}, silenceRecheck
+	}
+	if x.watch.ByPace {
+		if left := c.silenceLimit(now, x) - x.silentFor(now); left > 0 {
+			return Decision{}, left
+		}
+	}
+	decision = c.relocate(now, x)
+	return decision, silenceRecheck
+}
+
+// silentFor returns the time since the last sign of the current attempt.
+func (x *Exchange) silentFor(now time.Time) time.Duration {
+	if x.attemptEvents == 0 {
+		return now.Sub(x.answeredAt)
+	}
+	return now.Sub(x.lastEventAt)
+}
+
+// silenceLimit returns how long the current attempt may be silent, by the pace of its engine.
+func (c *Core) silenceLimit(now time.Time, x *Exchange) time.Duration {
+	if x.attemptEvents == 0 {
+		return fixedSilenceLimit(x.request.Route)
+	}
+	return silence{
+		lasting: x.silentFor(now), own: x.gaps, engine: x.current.gaps, engineLasting: now.Sub(x.current.lastEventAt),
+		lag: c.lag, patience: patience(x.request.Route),
+	}.limit()
+}
+
+// relocate takes a silent stream up at another member, if all that this needs is there. Otherwise it
+// changes nothing, and the decision is empty.
+func (c *Core) relocate(now time.Time, x *Exchange) Decision {
+	if !now.Before(x.request.Deadline) || c.withholds(now, x) {
+		return Decision{}
+	}
+	if target := c.continuationTarget(now, x); target != nil && c.budget(x.service).Spend() {
+		source := x.backup.source
+		c.setSilentAside(now, x)
+		return c.continueAt(now, x, target, source)
+	}
+	return c.relocateByResumption(now, x)
+}
+
+// relocateByResumption takes a silent stream up by a further run.
+func (c *Core) relocateByResumption(now time.Time, x *Exchange) Decision {
+	mayResume := c.mayResume(x) && x.failedConnects < maxFailedConnects && leadsTo(x.request.Route, x.service)
+	if !mayResume || c.retriesLeft(x.service) < 1 || c.originIsGone(now, x) {
+		return Decision{}
+	}
+	c.pickSide(now, x)
+	chosen := c.choose(now, x)
+	if chosen == nil || !c.spendRetry(x.service) {
+		return Decision{}
+	}
+	c.setSilentAside(now, x)
+	return c.sendTo(now, x, chosen)
+}
+
+// setSilentAside keeps the silent attempt beside the one that follows, or ends it if the request may not
+// be repeated.
+func (c *Core) setSilentAside(now time.Time, x *Exchange) {
+	if !x.request.Route.MayRepeat() {
+		c.endSilent(now, x)
+		return
+	}
+	silent := x.attempt
+	x.silent = &silent
+	x.attempt = attempt{}
+}
+
+// endSilent ends the current attempt because of its silence. That is no sign of a crash: the gateway
+// closes the connection.
+func (c *Core) endSilent(now time.Time, x *Exchange) {
+	m := x.release(now)
+	c.endBackup(x)
+	m.health.stalled(now)
+	c.recordHealthChange(now, m)
+}
+
+// KeepsSilent reports whether a silent attempt is kept beside the current one.
+func (x *Exchange) KeepsSilent() bool { return x.silent != nil }
+
+// TakeOver ends the silent attempt, because the current one has been answered and takes its place.
+func (c *Core) TakeOver(now time.Time, x *Exchange) {
+	if x.silent == nil {
+		return
+	}
+	successor := x.attempt
+	x.attempt, x.silent = *x.silent, nil
+	c.endSilent(now, x)
+	x.attempt = successor
+}
+
+// KeepSilent ends the current attempt, and the silent one is current again. It has no effect if the silent
+// one is current already.
+func (c *Core) KeepSilent(now time.Time, x *Exchange) {
+	if x.silent != nil {
+		c.endAttempt(now, x)
+		c.returnToSilent(x)
+	}
+}
+
+// returnToSilent makes the silent attempt current again after the one that was to take its place.
+func (c *Core) returnToSilent(x *Exchange) Decision {
+	c.endBackup(x)
+	x.attempt, x.silent = *x.silent, nil
+	x.phase = Answering
+	x.ran = failure.RanYes
+	return Decision{KeepSilent: true}
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -8,7 +8,7 @@
 
 const (
 	// silenceFactor times the route's pause objective, but at least minSilence, is the silence
-	// after which a stream that can be resumed elsewhere is abandoned, if nothing is known of the
+	// after which a stream that can be resumed elsewhere is examined, if nothing is known of the
 	// pace of its engine.
 	silenceFactor = 4
 	minSilence    = time.Second
@@ -22,8 +22,9 @@
 	minPatience        = 2 * time.Second
 	patienceObjectives = 4
 	patiencePauses     = 8
-	// stallRecheck is the time until a silent stream that can't be continued now is examined again.
-	stallRecheck = 200 * time.Millisecond
+	// silenceRecheck is the time until a silent stream that can't be taken up elsewhere now is examined
+	// again.
+	silenceRecheck = 200 * time.Millisecond
 )
 
 // patience returns the gap between two events after which callers leave.
@@ -86,12 +87,12 @@
 
 // StreamWatch says how the silence of a stream is watched.
 type StreamWatch struct {
-	// Limit is the silence after which the stream is examined or abandoned; 0 if silence has no
-	// consequence.
+	// Limit is the silence after which the stream is examined by Core.ExamineSilence; 0 if silence has
+	// no consequence.
 	Limit time.Duration
-	// ByPace is true if Core.StallWait decides whether a silent stream is abandoned, and the events
-	// of the stream are reported with Core.EventPassed. Otherwise Limit alone decides, and only the
-	// first event is reported.
+	// ByPace is true if the pace of the engine decides how long the silence may last, and the events of
+	// the stream are reported with Core.EventPassed. Otherwise Limit alone decides, and only the first
+	// event is reported.
 	ByPace bool
 }
 
@@ -107,6 +108,7 @@
 	if watch.ByPace && x.backup != nil {
 		watch.Limit = minSilence
 	}
+	x.watch = watch
 	return watch
 }
 
@@ -141,30 +143,3 @@
 
 // eventsNumbered reports whether events have been passed on and all of them have a number.
 func (x *Exchange) eventsNumbered() bool { return x.events > 0 && x.numbered == x.events }
-
-// StallWait returns how much longer a silent stream is waited for; 0 or less if it counts as stalled
-// and is to be abandoned, so that it is continued elsewhere. A stream that can't be continued at
-// the moment isn't abandoned: it may still go on.
-func (c *Core) StallWait(now time.Time, x *Exchange) time.Duration {
-	if x.current == nil {
-		return stallRecheck
-	}
-	since := x.lastEventAt
-	limit := fixedSilenceLimit(x.request.Route)
-	if x.attemptEvents == 0 {
-		since = x.answeredAt
-	} else {
-		limit = silence{
-			lasting: now.Sub(since), own: x.gaps, engine: x.current.gaps, engineLasting: now.Sub(x.current.lastEventAt),
-			lag: c.lag, patience: patience(x.request.Route),
-		}.limit()
-	}
-	if wait := limit - now.Sub(since); wait > 0 {
-		return wait
-	}
-	continuable := c.continuationTarget(now, x) != nil && c.budget(x.service).Tokens() >= 1
-	if !(c.canBeResumed(x) && c.hasAlternative(now, x)) && !continuable {
-		return stallRecheck
-	}
-	return 0
-}
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -64,25 +64,35 @@
 func TestSilentStreamIsAbandonedOnlyIfItCanBeContinued(t *testing.T) {
 	is := is.New(t)
 	core := newBackupCore(4, 1)
+	taken := func(now time.Time, x *Exchange) bool {
+		decision, recheck := core.ExamineSilence(now, x)
+		is.True(recheck > 0)
+		return decision.Send != nil
+	}
 	x, decision := core.Begin(start, longRequest(singleStream(), "a"))
 	target := core.memberAt(decision.Send.BackUpTo)
 	core.Answered(start, x, -1)
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: minSilence, ByPace: true})
-	is.True(core.StallWait(start.Add(10*time.Second), x) > 0) // no event yet, so nothing to continue after
+	is.True(!taken(start.Add(10*time.Second), x)) // no event yet, so nothing to continue after
 	passEvents(core, start, x, 30)
-	is.Equal(core.StallWait(start, x), time.Second)
-	is.True(core.StallWait(start.Add(time.Second), x) <= 0)
+	_, recheck := core.ExamineSilence(start, x)
+	is.Equal(recheck, time.Second)
 	target.backEnd.Leaving = true
-	is.True(core.StallWait(start.Add(10*time.Second), x) > 0)
+	is.True(!taken(start.Add(10*time.Second), x))
 	target.backEnd.Leaving = false
+	budget := *core.budget("s")
 	for core.budget("s").Spend() {
 	}
-	is.True(core.StallWait(start.Add(10*time.Second), x) > 0)
+	is.True(!taken(start.Add(10*time.Second), x))
+	*core.budget("s") = budget
+	is.True(taken(start.Add(time.Second), x))
+	is.True(!x.KeepsSilent()) // only one back end may work on the run
 
 	x, _ = core.Begin(start, longRequest(resumableStream(3), "b"))
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second, ByPace: true})
 	passEvents(core, start, x, 30)
-	is.True(core.StallWait(start.Add(time.Second), x) <= 0) // can be resumed without a backup
+	is.True(taken(start.Add(time.Second), x)) // can be resumed without a backup
+	is.True(x.KeepsSilent())
 
 	x, _ = core.Begin(start, request(resumableStream(3), "c"))
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second}) // a request without tokens is served as before
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,16 +60,16 @@
 )
 
 // passStream passes events on as they arrive. If the stream breaks off, its run is continued from a
-// backup, or it is resumed at another back end if the route allows that. An answer that can't be
-// completed is cut in a way that the caller notices.
+// backup, or it is resumed at another back end if the route allows that; so is a silent one, see
+// relocation. An answer that can't be completed is cut in a way that the caller notices.
 //
-// The connection to the back end is closed before the run is continued elsewhere: Close returns once
-// it is. A back end that is only silent may still be working, and the end of the connection ends its
-// work, so that no two back ends work on one run.
+// The connection to a back end that broke off is closed before the run is continued elsewhere: Close
+// returns once it is. The end of the connection ends the back end's work, so that no two back ends work
+// on one run.
 func (h *Handler) passStream(ctx context.Context, c *call, result outcome) {
 	s := &stream{controller: http.NewResponseController(c.writer)}
 	for {
-		err := h.copyEvents(c, s, result)
+		moved, err := h.copyEvents(ctx, c, s, result)
 		_ = result.answer.Body.Close()
 		result.cancel()
 		if err == nil {
@@ -81,15 +80,28 @@
 			h.logDone(c, result, s.events, s.times)
 			return
 		}
-		next, resumed := h.resume(ctx, c, s, result, err)
-		if !resumed {
+		next, goesOn := h.successor(ctx, c, s, result, moved, err)
+		if !goesOn {
 			h.cut(c, result, s, err)
 			return
 		}
+		s.continued = s.continued || next.send.ContinueFrom != ""
 		result = next
 	}
 }
 
+// successor returns the answer that goes on with a stream that broke off with the error, or that was
+// moved for its silence. It returns false if there is none.
+func (h *Handler) successor(ctx context.Context, c *call, s *stream, before outcome, moved *relocation, err error) (outcome, bool) {
+	if moved == nil {
+		return h.resume(ctx, c, s, before, err)
+	}
+	if moved.accepted {
+		return moved.result, true
+	}
+	return h.attemptRest(ctx, c, s, moved.decision)
+}
+
 // callerWriteError is a failure to write to the caller.
 type callerWriteError struct{ cause error }
 
@@ -97,28 +109,27 @@
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
 // copyEvents passes complete events on until the stream ends. A stream that ends before its
-// first event has broken off.
-func (h *Handler) copyEvents(c *call, s *stream, result outcome) error {
-	silence, watch := h.watchSilence(c, result)
-	defer silence.pause()
+// first event has broken off. If the stream was moved to another back end because this one is silent,
+// copyEvents returns the relocation and errSilent.
+func (h *Handler) copyEvents(ctx context.Context, c *call, s *stream, result outcome) (*relocation, error) {
+	silence, byPace := h.watchSilence(ctx, c, s, result)
 	reader := eventstream.NewReader(result.answer.Body)
 	for {
+		silence.resume()
 		began := h.clock().Now()
 		event, err := reader.Next()
+		// A caller that reads slowly isn't a silent back end.
+		if moved := silence.pause(); moved != nil && moved.stands(c, err == nil) {
+			return moved, errSilent
+		}
 		if errors.Is(err, io.EOF) && s.events > 0 {
-			return nil
+			return nil, nil
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 		waited := h.clock().Since(began)
 		s.times.arrived(h.clock().Now(), result)
-		if watch.ByPace {
-			// A caller that reads slowly isn't a silent back end.
-			silence.pause()
-		} else {
-			silence.reset()
-		}
 		h.config.State.progressed(c.exchange, result.send.EventTokens)
 		isFirst := s.events == 0
 		if isFirst {
@@ -129,20 +140,17 @@
 		}
 		isNext, err := s.isNext(event.ID)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if isNext {
 			if err := s.write(c.writer, event); err != nil {
-				return &callerWriteError{err}
+				return nil, &callerWriteError{err}
 			}
 			s.times.passed(h.clock().Now())
 		}
-		if watch.ByPace || isFirst {
+		if byPace || isFirst {
 			h.config.State.eventPassed(c.exchange, waited, isNumber(event.ID))
 		}
-		if watch.ByPace {
-			silence.reset()
-		}
 	}
 }
 
@@ -184,86 +192,6 @@
 	return s.controller.Flush()
 }
 
-// silenceTimer ends an attempt that has been silent for too long. If this process itself runs
-// late, data may have arrived that it hasn't read yet: the limit is then extended by the lag,
-// once per silence.
-type silenceTimer struct {
-	timer *time.Timer
-	limit time.Duration
-	lag   func() time.Duration
-	// extended is set once the limit has been extended in the current silence.
-	extended atomic.Bool
-	// wait, unless nil, decides instead of lag how much longer to wait; 0 or less ends the attempt.
-	wait func() time.Duration
-	// paused is set while a silence has no consequence.
-	paused atomic.Bool
-	cancel func()
-}
-
-func (t *silenceTimer) fire() {
-	if t.paused.Load() {
-		return
-	}
-	if t.wait != nil {
-		if more := t.wait(); more > 0 {
-			t.timer.Reset(more)
-			return
-		}
-		t.cancel()
-		return
-	}
-	if late := t.lag(); late > 0 && !t.extended.Swap(true) {
-		t.timer.Reset(late)
-		return
-	}
-	t.cancel()
-}
-
-// watchSilence returns the silence timer of a stream, and how the stream is watched. The timer is
-// started only if the core says that silence has a consequence.
-func (h *Handler) watchSilence(c *call, result outcome) (*silenceTimer, dispatch.StreamWatch) {
-	var watch dispatch.StreamWatch
-	h.config.State.decide(func(_ time.Time, core *dispatch.Core) dispatch.Decision {
-		watch = core.WatchStream(c.exchange)
-		return dispatch.Decision{}
-	})
-	silence := &silenceTimer{limit: watch.Limit, lag: h.config.State.Lag, cancel: result.cancel}
-	if watch.ByPace {
-		silence.wait = func() time.Duration { return h.config.State.stallWait(c.exchange) }
-	}
-	if watch.Limit > 0 {
-		silence.start()
-	}
-	return silence, watch
-}
-
-// start starts the timer. Its function waits until t.timer is set, because it may reset it.
-func (t *silenceTimer) start() {
-	started := make(chan struct{})
-	t.timer = time.AfterFunc(t.limit, func() { <-started; t.fire() })
-	close(started)
-}
-
-// pause stops the timer until reset. A decision in progress may start it again; that has no effect.
-func (t *silenceTimer) pause() {
-	t.paused.Store(true)
-	t.stop()
-}
-
-func (t *silenceTimer) reset() {
-	if t.timer != nil {
-		t.paused.Store(false)
-		t.extended.Store(false)
-		t.timer.Reset(t.limit)
-	}
-}
-
-func (t *silenceTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // resume sends attempts for the rest of a broken stream, as the core decides: its run is continued
 // from a backup, or the stream is resumed by a new run. It returns false if there is no answer.
 func (h *Handler) resume(ctx context.Context, c *call, s *stream, broken outcome, cause error) (outcome, bool) {
@@ -278,6 +206,11 @@
 	if decision.GiveUp != nil {
 		h.config.Metrics.notResumed(c, resumedByGateway, decision.GiveUp.Kind)
 	}
+	return h.attemptRest(ctx, c, s, decision)
+}
+
+// attemptRest makes attempts for the rest of a stream until one of them is answered.
+func (h *Handler) attemptRest(ctx context.Context, c *call, s *stream, decision dispatch.Decision) (outcome, bool) {
 	for decision.Send != nil {
 		result := h.attempt(ctx, c, *decision.Send, s.lastID)
 		if result.answer == nil {
@@ -285,7 +218,6 @@
 			continue
 		}
 		if result.answer.StatusCode == http.StatusOK {
-			s.continued = s.continued || result.send.ContinueFrom != ""
 			return result, true
 		}
 		result.cancel()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,7 +8,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,16 +42,20 @@
 	h.config.Metrics.sent(c, send, resumeAfter)
 	sentAt := h.clock().Now()
 	ctx, cancel := context.WithCancel(ctx)
-	var expired atomic.Bool
+	hasExpired := func() bool { return false }
 	if send.HeadTimeout > 0 {
-		silence := &silenceTimer{limit: send.HeadTimeout, lag: h.config.State.Lag, cancel: func() { expired.Store(true); cancel() }}
-		silence.start()
-		defer silence.stop()
+		timer := startHeadTimer(send.HeadTimeout, h.config.State.Lag, cancel)
+		defer timer.stop()
+		hasExpired = timer.expired.Load
 	}
 	response, err := h.roundTrip(ctx, c, send, resumeAfter)
+	if errors.Is(context.Cause(ctx), errSilentGoesOn) {
+		cancel()
+		return outcome{}
+	}
 	if err != nil {
 		cancel()
-		return outcome{next: h.noAnswer(c, send, err, expired.Load())}
+		return outcome{next: h.noAnswer(c, send, err, hasExpired())}
 	}
 	result := h.checkAnswer(c, send, response)
 	if result.answer == nil {
@@ -288,7 +291,7 @@
 // its own. If the core neither retries nor gives up, that answer is passed on.
 func (h *Handler) failed(c *call, send dispatch.Send, response *http.Response, result outcome) outcome {
 	tried := h.rejectAnswer(c, send, response, "the back end failed", (*dispatch.Core).Failed)
-	if tried.next.Send == nil && tried.next.GiveUp == nil {
+	if tried.next == (dispatch.Decision{}) {
 		return result
 	}
 	return tried
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -10,7 +10,8 @@
 	"github.com/harriernotch/harriernotch/internal/bubble"
 )
 
-// A process that runs late extends the limit of a stream's silence by its lag, once per silence.
+// A process that runs late extends the limit of a stream's silence, and the time for the head of an answer,
+// once by its lag.
 func TestSilenceLimitIsExtendedOnceByLag(t *testing.T) {
 	cases := map[string]struct {
 		lag, want time.Duration
@@ -18,38 +19,45 @@
 		"on time": {0, time.Second},
 		"late":    {700 * time.Millisecond, 1700 * time.Millisecond},
 	}
+	starts := map[string]func(lag func() time.Duration, ended func()){
+		"stream": func(lag func() time.Duration, ended func()) {
+			silence := &silenceWatch{limit: time.Second, lag: lag, examine: func() (*relocation, time.Duration) { ended(); return &relocation{}, 0 }}
+			silence.resume()
+		},
+		"head": func(lag func() time.Duration, ended func()) { startHeadTimer(time.Second, lag, ended) },
+	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			bubble.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				began := time.Now()
-				ended := make(chan time.Duration, 1)
-				silence := &silenceTimer{
-					limit: time.Second, lag: func() time.Duration { return c.lag },
-					cancel: func() { ended <- time.Since(began) },
-				}
-				silence.start()
-				is.Equal(<-ended, c.want)
+		for kind, start := range starts {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					began := time.Now()
+					ended := make(chan time.Duration, 1)
+					start(func() time.Duration { return c.lag }, func() { ended <- time.Since(began) })
+					is.Equal(<-ended, c.want)
+				})
 			})
-		})
+		}
 	}
 }
 
-func TestEventResetsSilenceTimer(t *testing.T) {
+func TestEventResetsSilenceWatch(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ended := false
-		silence := &silenceTimer{
+		examined := false
+		silence := &silenceWatch{
 			limit: time.Second, lag: func() time.Duration { return 500 * time.Millisecond },
-			cancel: func() { ended = true },
+			examine: func() (*relocation, time.Duration) { examined = true; return &relocation{}, 0 },
 		}
-		silence.start()
+		silence.resume()
 		for range 5 {
 			time.Sleep(1400 * time.Millisecond) // within the extended limit
-			silence.reset()
+			is.True(silence.pause() == nil)
+			silence.resume()
 		}
-		silence.stop()
-		is.True(!ended)
+		silence.pause()
+		time.Sleep(10 * time.Second)
+		is.True(!examined)
 	})
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -146,6 +146,25 @@
 	m.forCall(c).Tagged(map[string]string{"result": "succeeded"}).Counter("continuations").Inc(1)
 }
 
+// Values of a metric's label: how the relocation of a silent stream ended.
+const (
+	relocationTakenOver = "taken_over"
+	relocationWithdrawn = "silent_went_on"
+	relocationFailed    = "failed"
+)
+
+// relocated counts the end of a relocation during which the silent attempt was kept.
+func (m *Metrics) relocated(c *call, moved *relocation) {
+	result := relocationFailed
+	switch {
+	case moved.accepted:
+		result = relocationTakenOver
+	case moved.withdrawn:
+		result = relocationWithdrawn
+	}
+	m.forCall(c).Tagged(map[string]string{"result": result}).Counter("silent_streams").Inc(1)
+}
+
 // connection says what connection to a back end an attempt took.
 type connection string
 
--- /dev/null
+++ b/internal/gateway/relocation.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/harriernotch/harriernotch/internal/dispatch"
+)
+
+// errSilent means that a back end is silent, and errSilentGoesOn ends the attempt that was to take its
+// stream up, because it isn't.
+var (
+	errSilent       = errors.New("the back end is silent")
+	errSilentGoesOn = errors.New("the silent back end goes on")
+)
+
+// relocation takes a silent stream up at another back end. The silent back end is listened to until the
+// other one has answered, unless the core has ended that attempt already: then the goroutine that passes
+// the stream on carries the decision out.
+//
+// While the attempt of a relocation runs, the goroutine that passes the stream on does nothing but wait
+// for the silent back end, and then for the relocation.
+type relocation struct {
+	decision dispatch.Decision
+	// keepsSilent is set if the silent attempt is kept. The following fields are used only then.
+	keepsSilent bool
+	handler     *Handler
+	call        *call
+	silent      outcome
+	cancel      context.CancelCauseFunc
+	// settled is closed once it is certain whether the other back end has answered.
+	settled chan struct{}
+
+	mutex     sync.Mutex
+	withdrawn bool
+	accepted  bool
+	// result is the answer of the other back end, if it is accepted.
+	result outcome
+}
+
+// examineSilence lets the core decide about a stream whose back end is silent, and begins the relocation
+// on which it decides.
+func (h *Handler) examineSilence(ctx context.Context, c *call, s *stream, silent outcome) (*relocation, time.Duration) {
+	if wait := h.config.Lag.SettleWait(h.clock().Now()); wait > 0 {
+		return nil, wait
+	}
+	var recheck time.Duration
+	moved := &relocation{handler: h, call: c, silent: silent, settled: make(chan struct{})}
+	moved.decision = h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
+		d, recheck = core.ExamineSilence(now, c.exchange)
+		moved.keepsSilent = c.exchange.KeepsSilent()
+		return d
+	})
+	if moved.decision.Send == nil {
+		return nil, recheck
+	}
+	h.logFailure(c, attemptFailure{send: silent.send, cause: errSilent.Error(), events: s.events, expired: true}, moved.decision)
+	if !moved.keepsSilent {
+		silent.cancel()
+		return moved, 0
+	}
+	ctx, moved.cancel = context.WithCancelCause(ctx)
+	lastID := s.lastID
+	go moved.run(ctx, lastID)
+	return moved, 0
+}
+
+// run makes the attempt at the other back end, for the events after lastID. Once that has answered, run
+// ends the silent attempt.
+func (m *relocation) run(ctx context.Context, lastID string) {
+	defer close(m.settled)
+	result := m.handler.attempt(ctx, m.call, *m.decision.Send, lastID)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.accepted = result.answer != nil && result.answer.StatusCode == http.StatusOK && !m.withdrawn
+	if !m.accepted {
+		if result.answer != nil {
+			_ = result.answer.Body.Close()
+			result.cancel()
+		}
+		m.cancel(errSilentGoesOn)
+		m.settle((*dispatch.Core).KeepSilent)
+		return
+	}
+	endAttempt := result.cancel
+	result.cancel = func() { endAttempt(); m.cancel(nil) }
+	m.result = result
+	m.settle((*dispatch.Core).TakeOver)
+	m.silent.cancel()
+}
+
+// settle tells the core which of the two attempts remains.
+func (m *relocation) settle(step func(*dispatch.Core, time.Time, *dispatch.Exchange)) {
+	m.handler.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+		step(core, now, m.call.exchange)
+		return dispatch.Decision{}
+	})
+}
+
+// stands returns whether the stream goes on at the other back end, after the silent one has sent an event
+// or has broken off. An event of the silent one ends the other attempt unless that has been answered. The
+// event is left out in that case, because the other back end sends it, too.
+func (m *relocation) stands(c *call, silentGoesOn bool) bool {
+	if !m.keepsSilent {
+		return true
+	}
+	m.mutex.Lock()
+	if !m.accepted && (silentGoesOn || c.request.Context().Err() != nil) {
+		m.withdrawn = true
+		m.cancel(errSilentGoesOn)
+	}
+	m.mutex.Unlock()
+	<-m.settled
+	m.handler.config.Metrics.relocated(c, m)
+	return m.accepted
+}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -133,6 +133,7 @@
 const (
 	nextAttempt = "attempt"
 	nextPassOn  = "pass_on"
+	nextKeep    = "keep_silent"
 	nextGiveUp  = "give_up"
 )
 
@@ -156,6 +157,8 @@
 		fields["next_back_end"] = next.Send.BackEnd.ID
 	case next.GiveUp != nil:
 		fields["next"] = nextGiveUp
+	case next.KeepSilent:
+		fields["next"] = nextKeep
 	default:
 		fields["next"] = nextPassOn
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -332,13 +332,6 @@
 	s.signalOrigins()
 }
 
-// stallWait returns how much longer a silent stream is waited for; see dispatch.Core.StallWait.
-func (s *State) stallWait(x *dispatch.Exchange) time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.core.StallWait(s.clock.Now(), x)
-}
-
 // progressed records an event of a stream with the given number of tokens, or nothing for 0.
 func (s *State) progressed(x *dispatch.Exchange, tokens int) {
 	if tokens == 0 {
