Soak: back ends fall silent for a moment and go on

Cause: the soak knew stalled streams only as a disturbance, which excuses what is lost meanwhile. A sound back end that is silent for a second or so is none, so nothing checked that its requests go on. Change: silent_back_end and silent_back_ends (all but one) answer nothing and send no events for 0.5 to 3 s, with connections that stay open; they are drawn only if they are named, and callers then leave streams after their patience (2.4 s). No disturbance is recorded. A new promise: a request that ran, at gateways and back ends without another fault, isn't cut and gets no 502 or 504 before its time. A request whose time ran out during a silence, or whose caller left, may be cut. A silent back end doesn't count as serving for streams that are taken up.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -69,7 +69,7 @@
 	if o.Gateways < 1 || o.BackEnds < 2 || o.Callers < 1 || f.seeds < 1 || !(f.minutes > 0) {
 		return failure.New(failure.InvalidRequest, "gateways, callers, seeds and minutes must be above 0, and back ends at least 2")
 	}
-	known := append(soak.Kinds(), soak.StallStreams, soak.MoveUnattended)
+	known := append(soak.Kinds(), soak.NamedKinds()...)
 	for _, kind := range f.kinds {
 		if !slices.Contains(known, soak.Kind(kind)) {
 			return failure.New(failure.InvalidRequest, fmt.Sprintf("--kinds: %q is unknown; name some of %v", kind, known))
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -42,8 +42,8 @@
 	// is up.
 	coldUntil time.Time
 	starting  bool
-	// lose, spoil, fail, refuse, rest and stall count the active faults of each kind.
-	lose, spoil, fail, refuse, rest, stall int
+	// lose, spoil, fail, refuse, rest, stall and silent count the active faults of each kind.
+	lose, spoil, fail, refuse, rest, stall, silent int
 	// turn counts the requests and selects the way in which an answer is spoiled.
 	turn int
 }
@@ -136,6 +136,7 @@
 		request: forwarded.Request, backEnd: b.id(), zone: b.zone, version: version, at: time.Now(),
 		tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != "", continued: forwarded.ContinueFrom != "",
 	}
+	b.awaitEndOfSilence(r.Context())
 	if forwarded.BackEnd != b.id() {
 		protocol.WriteNotRun(w.Header(), forwarded.Request)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -186,6 +187,7 @@
 		b.stream(w, r, forwarded)
 	default:
 		sleep(r.Context(), plainWork)
+		b.awaitEndOfSilence(r.Context())
 		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
 		_, _ = io.WriteString(w, answerOf(forwarded.Request))
 	}
--- a/internal/soak/backups.go
+++ b/internal/soak/backups.go
@@ -118,19 +118,10 @@
 	ended    bool
 }
 
-// stallPoll is how often a stalled stream checks whether the stall has ended.
-const stallPoll = 10 * time.Millisecond
-
-// awaitEndOfStall returns once the back end's streams aren't stalled, or the stream's connection ends.
+// awaitEndOfStall returns once the back end's streams are neither stalled nor silent, or the stream's
+// connection ends.
 func (b *backEnd) awaitEndOfStall(ctx context.Context) {
-	stalled := func() bool {
-		b.mutex.Lock()
-		defer b.mutex.Unlock()
-		return b.stall > 0
-	}
-	for ctx.Err() == nil && stalled() {
-		sleep(ctx, stallPoll)
-	}
+	b.await(ctx, func() bool { return b.stall == 0 && b.silent == 0 })
 }
 
 // backedUp holds the observations of streams with backups.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -101,6 +101,8 @@
 func (c *caller) sendTo(ctx context.Context, g *gatewayState, sent sentRequest, method, path, prompt string) reply {
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerGrace)
 	defer cancel()
+	watch := newPatience(c.fleet.options.patience(), isStream(sent.prefix), cancel)
+	defer watch.stop()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, strings.NewReader(bodyOf(cmp.Or(sent.stream, sent.request), method)))
 	if err != nil {
 		return reply{cause: err.Error()}
@@ -119,7 +121,7 @@
 	c.fleet.environment.Protocol().WriteCallerRequest(request.Header, stated)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return reply{cause: err.Error(), timedOut: ctx.Err() != nil}
+		return reply{cause: err.Error(), timedOut: ctx.Err() != nil && !watch.left(), left: watch.left()}
 	}
 	defer response.Body.Close()
 	got := reply{
@@ -127,7 +129,7 @@
 		stamp: c.fleet.environment.Protocol().ReadStamp(response.Header),
 	}
 	if isStream(sent.prefix) && response.StatusCode == http.StatusOK {
-		err = got.readEvents(response.Body, sent)
+		err = got.readEvents(response.Body, sent, watch)
 	} else {
 		var text []byte
 		text, err = io.ReadAll(response.Body)
@@ -135,14 +137,15 @@
 	}
 	got.whole = err == nil
 	if err != nil {
-		got.cause = err.Error()
+		got.cause, got.left = err.Error(), watch.left()
 	}
 	return got
 }
 
 // readEvents reads a stream to its end. It records the number of events that the caller then has, the
-// versions that wrote them, and the first event that wasn't the expected next one.
-func (r *reply) readEvents(body io.Reader, sent sentRequest) error {
+// versions that wrote them, and the first event that wasn't the expected next one. Each event renews the
+// caller's patience.
+func (r *reply) readEvents(body io.Reader, sent sentRequest, watch *patience) error {
 	r.events = sent.events
 	reader := eventstream.NewReader(bufio.NewReader(body))
 	for {
@@ -153,6 +156,7 @@
 		if err != nil {
 			return err
 		}
+		watch.renew()
 		r.events++
 		raw := string(event.Raw)
 		_, version, _ := strings.Cut(strings.TrimSpace(raw), versionMark)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -53,6 +53,9 @@
 	PromiseConfiguration Promise = "configuration"
 	// PromiseNoneLost requires that a request that ran is answered completely.
 	PromiseNoneLost Promise = "no request lost"
+	// PromiseSilence requires that a request that ran isn't ended before its time because its back end is
+	// silent: it gets a back end's whole answer or a refusal.
+	PromiseSilence Promise = "silence ends no answer sooner"
 	// PromiseTimely requires that callers get an answer before they stop waiting, and that an answer
 	// whose status means that the request wasn't run has a Retry-After.
 	PromiseTimely Promise = "given up in time, with a time to come back"
@@ -122,7 +125,9 @@
 	// whole is false if the answer was cut off. timedOut is true if no answer began before the
 	// caller stopped waiting.
 	whole, timedOut bool
-	cause           string
+	// left is true if the caller gave the stream up after a gap.
+	left  bool
+	cause string
 }
 
 // arrival is a request at a back end.
@@ -180,6 +185,8 @@
 	// retries holds the times of all arrivals of requests except each request's first.
 	retries      []time.Time
 	disturbances []*disturbance
+	// silences are the times in which back ends were silent, which is no disturbance.
+	silences []*disturbance
 	// gatewayStarts and outages hold the time of the last start and the last outage of each
 	// gateway.
 	gatewayStarts map[string]time.Time
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -97,8 +97,11 @@
 	// quietTime is how long a gateway must have been undisturbed before a time bound applies to
 	// it.
 	quietTime = 3 * time.Second
-	// routeTimeout bounds each request.
-	routeTimeout = 4 * time.Second
+	// routeTimeout bounds each request. routeObjective and routePauseObjective are the objectives for
+	// the first event of a stream and for the pauses between events.
+	routeTimeout        = 4 * time.Second
+	routeObjective      = 300 * time.Millisecond
+	routePauseObjective = 300 * time.Millisecond
 	// retryRatio, retryExtra and retryWindow bound retries: within a window, at most retryRatio
 	// times the requests plus retryExtra.
 	retryRatio  = 0.2
@@ -306,7 +309,7 @@
 func (f *fleet) configuration() catalog.Configuration {
 	base := catalog.Route{
 		Host: host, Targets: []catalog.Target{{Service: service, Weight: 1}}, MaxAttempts: 1,
-		Timeout: routeTimeout, Objective: 300 * time.Millisecond, PauseObjective: 300 * time.Millisecond,
+		Timeout: routeTimeout, Objective: routeObjective, PauseObjective: routePauseObjective,
 	}
 	route := func(prefix string, change func(*catalog.Route)) catalog.Route {
 		made := base
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -58,6 +58,8 @@
 		f.restoreStore(ctx, fault.For)
 	case SilentConnections:
 		f.silence()
+	case SilentBackEnd, SilentBackEnds:
+		f.fallSilent(ctx, fault, fault.Kind == SilentBackEnds)
 	case EvacuateZone:
 		f.evacuate(ctx, zones[fault.Target%len(zones)], wait)
 	case CrashBackEnd, RestartBackEnd, UnreadableEntries, CutBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll,
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -162,7 +162,8 @@
 }
 
 // judgeLost checks that a request got its final answer: it was not cut off after it had run, and
-// not held beyond its time limit. A request is exempt if any back end, its gateway or all gateways
+// not held beyond its time limit. A stream whose caller left, or whose time ran out while back ends were
+// silent, may be cut. A request is exempt if any back end, its gateway or all gateways
 // were disturbed during it or in the quietTime before it. A planned stop of its gateway is no
 // such disturbance: it must not lose requests.
 func (c *checker) judgeLost(s sentRequest, r reply, runs int) {
@@ -173,6 +174,12 @@
 		c.failLocked(PromiseTimely, "%s got no final answer from %s in its time", s.request, s.gateway)
 		return
 	}
+	if runs > 0 && c.endedSooner(s, r) {
+		c.failLocked(PromiseSilence, "%s%s ran and got status %d, whole %t, from %s after %v: %s", s.prefix, s.request, r.status, r.whole, s.gateway, r.at.Sub(s.at).Round(time.Millisecond), r.cause)
+	}
+	if r.left || r.at.Sub(s.at) >= s.timeout() && c.silentBetween(s.at, r.at) {
+		return
+	}
 	if runs > 0 && (r.status == 0 || !r.whole) {
 		c.failLocked(PromiseNoneLost, "%s ran and was cut by %s after %v: %s", s.request, s.gateway, r.at.Sub(s.at).Round(time.Millisecond), r.cause)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -86,6 +86,11 @@
 	// StallStreams makes a back end send no events of its streams, with connections that stay open.
 	// It is drawn only if it is named, because a seed gives the same schedule only for the same kinds.
 	StallStreams Kind = "stall_streams"
+	// SilentBackEnd makes a back end neither answer nor send events for 0.5 to 3 s, with connections that stay
+	// open, and then go on. SilentBackEnds does so with all back ends but one. They are drawn only if they are
+	// named. Callers then leave streams after their patience.
+	SilentBackEnd  Kind = "silent_back_end"
+	SilentBackEnds Kind = "silent_back_ends"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -98,6 +103,9 @@
 	}
 }
 
+// NamedKinds lists the kinds that are drawn only if they are named.
+func NamedKinds() []Kind { return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds} }
+
 // Fault is one entry of a schedule.
 type Fault struct {
 	// Kind is the kind of fault, At its start from the start of the schedule, and For its
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,9 @@
 // includes returns whether faults of the kind may be drawn.
 func (o Options) includes(kind Kind) bool { return len(o.Kinds) == 0 || slices.Contains(o.Kinds, kind) }
 
+// isNamed returns whether Kinds names the kind.
+func (o Options) isNamed(kind Kind) bool { return slices.Contains(o.Kinds, kind) }
+
 // includesMoves returns whether faults may be drawn that move the service to another version.
 func (o Options) includesMoves() bool { return o.includes(MoveService) || o.includes(MoveUnattended) }
 
--- a/internal/soak/takeup.go
+++ b/internal/soak/takeup.go
@@ -64,7 +64,7 @@
 	for range maxTakeUps {
 		sleep(ctx, takeUpPause)
 		complete := got.events >= eventsOf(first.stream)
-		if got.whole && got.status == http.StatusOK || got.events == 0 || complete || time.Since(first.at) > routeTimeout-shortestTakeUp {
+		if got.left || got.whole && got.status == http.StatusOK || got.events == 0 || complete || time.Since(first.at) > routeTimeout-shortestTakeUp {
 			return
 		}
 		at = (at + 1) % len(c.fleet.gateways)
@@ -91,11 +91,11 @@
 	return serving >= servingBackEnds
 }
 
-// serves reports whether the back end is up and not leaving.
+// serves reports whether the back end is up, not leaving and not silent.
 func (b *backEnd) serves() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return !b.starting && !b.leaving
+	return !b.starting && !b.leaving && b.silent == 0
 }
 
 // isDisturbed reports whether a fault has affected the back end or its link within quietTime.
