An attempt without an answer is given up only for another one

What callers saw: idempotent requests and new streams that waited at a back end which was silent for a moment got 502 or 504 after a second, though it would have answered them and no other back end was asked. Change: Core.ReplaceWaiting takes the member with room and the retry in one decision at the timeout, or the attempt goes on, and is looked at again every 200 ms. An attempt that takes up a silent stream is given up for the silent one. A caller of a back end that is dark for good waits longer where no retry is left: silence alone doesn't tell the two apart.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -133,8 +133,8 @@
 	// FetchFrom is the address of a back end from which the target may copy the prompt's
 	// parts, or "".
 	FetchFrom string
-	// HeadTimeout is how long to wait for the head of the answer before another back end is
-	// tried; 0 means until the deadline.
+	// HeadTimeout is how long to wait for the head of the answer before Core.ReplaceWaiting may choose
+	// another back end; 0 means until the deadline.
 	HeadTimeout time.Duration
 	// Estimate is the estimated load of the target before this attempt, and PoolSize the number
 	// of members of its pool.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -139,10 +139,15 @@
 	return c.retryOrGiveUp(now, x, failure.BackendFailed, "the back end broke off before it answered")
 }
 
-// TimedOut records that no answer to pass on arrived within the attempt's head timeout or the
-// deadline. The request may have run. It counts as a failure of the member, unless the member is busy
-// and has answered other requests since.
+// TimedOut records that no answer to pass on arrived within the deadline. The request may have run.
 func (c *Core) TimedOut(now time.Time, x *Exchange) Decision {
+	c.endTimedOut(now, x)
+	return c.retryOrGiveUp(now, x, failure.TimedOut, "the back end did not answer in time")
+}
+
+// endTimedOut ends an attempt for which no answer has arrived. It counts as a failure of the member,
+// unless the member is busy and has answered other requests since.
+func (c *Core) endTimedOut(now time.Time, x *Exchange) {
 	c.endUnanswered(now, x, func(m *member) {
 		answeredOthers := m.health.quietSince.After(x.sentAt) // this request waits, so only answers change quietSince
 		if !answeredOthers || !c.isBusy(now, m) {
@@ -150,7 +155,6 @@
 		}
 	})
 	x.ran = failure.RanUnknown
-	return c.retryOrGiveUp(now, x, failure.TimedOut, "the back end did not answer in time")
 }
 
 // Failed records an error answer of the back end itself. It is passed on to the caller unless
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -6,8 +6,8 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 )
 
-// A back end that is silent may go on. So a silent stream is taken up elsewhere only by a decision that
-// takes everything it needs at once: an attempt of the route, room at another member, and a retry of the
+// A back end that is silent may go on. So a silent stream is taken up elsewhere, and an attempt without an
+// answer is replaced, only by a decision that takes everything it needs at once: an attempt of the route, room at another member, and a retry of the
 // budget. All streams of a silent back end are examined at the same moment, and what is only looked at
 // is promised to each of them.
 //
@@ -21,7 +21,7 @@
 // is examined again after recheck.
 func (c *Core) ExamineSilence(now time.Time, x *Exchange) (decision Decision, recheck time.Duration) {
 	if x.current == nil || x.silent != nil {
-		return Decision{}, silenceRecheck
+		return Decision{}, SilenceRecheck
 	}
 	if x.watch.ByPace {
 		if left := c.silenceLimit(now, x) - x.silentFor(now); left > 0 {
@@ -29,7 +29,7 @@
 		}
 	}
 	decision = c.relocate(now, x)
-	return decision, silenceRecheck
+	return decision, SilenceRecheck
 }
 
 // silentFor returns the time since the last sign of the current attempt.
@@ -67,19 +67,50 @@
 
 // relocateByResumption takes a silent stream up by a further run.
 func (c *Core) relocateByResumption(now time.Time, x *Exchange) Decision {
-	mayResume := c.mayResume(x) && x.failedConnects < maxFailedConnects && leadsTo(x.request.Route, x.service)
-	if !mayResume || c.retriesLeft(x.service) < 1 || c.originIsGone(now, x) {
+	if !c.mayResume(x) {
 		return Decision{}
 	}
-	c.pickSide(now, x)
-	chosen := c.choose(now, x)
-	if chosen == nil || !c.spendRetry(x.service) {
+	chosen := c.reserveRetry(now, x)
+	if chosen == nil {
 		return Decision{}
 	}
 	c.setSilentAside(now, x)
 	return c.sendTo(now, x, chosen)
 }
 
+// reserveRetry returns the member for another attempt that the route allows, and takes a retry from the
+// budget for it. It returns nil, and takes nothing, if there is no member with room or no retry left.
+func (c *Core) reserveRetry(now time.Time, x *Exchange) *member {
+	if x.failedConnects >= maxFailedConnects || !leadsTo(x.request.Route, x.service) || c.retriesLeft(x.service) < 1 || c.originIsGone(now, x) {
+		return nil
+	}
+	c.pickSide(now, x)
+	chosen := c.choose(now, x)
+	if chosen == nil || !c.spendRetry(x.service) {
+		return nil
+	}
+	return chosen
+}
+
+// ReplaceWaiting decides about an attempt that has had no answer for its HeadTimeout. It returns false if the
+// answer is to be waited for further: an attempt is given up only for another one, or for a silent attempt
+// that is kept beside it.
+func (c *Core) ReplaceWaiting(now time.Time, x *Exchange) (Decision, bool) {
+	if x.silent != nil {
+		c.endTimedOut(now, x)
+		return c.returnToSilent(x), true
+	}
+	if !c.mayRetry(x) || !now.Before(x.request.Deadline) || c.withholds(now, x) {
+		return Decision{}, false
+	}
+	chosen := c.reserveRetry(now, x)
+	if chosen == nil {
+		return Decision{}, false
+	}
+	c.endTimedOut(now, x)
+	return c.sendTo(now, x, chosen), true
+}
+
 // setSilentAside keeps the silent attempt beside the one that follows, or ends it if the request may not
 // be repeated.
 func (c *Core) setSilentAside(now time.Time, x *Exchange) {
--- a/internal/dispatch/relocate_test.go
+++ b/internal/dispatch/relocate_test.go
@@ -219,3 +219,31 @@
 	is.Equal(silent.health.status(silentAt.Add(baseEjectionTime)), OnTrial)
 	is.True(f.cores[0].crashes.isEmpty())
 }
+
+// All requests that wait at a silent back end reach their head timeout at the same moment. Guards against
+// attempts that are given up for a retry that another one takes.
+func TestAttemptIsGivenUpOnlyForAnotherOne(t *testing.T) {
+	is := is.New(t)
+	const waiting, retryExtra = 20, 5
+	config := DefaultConfig()
+	config.Zone, config.RetryExtra, config.RetryRatio = "z", retryExtra, 0
+	core := New(config)
+	core.SetBackEnds(start, backEnds(1, silentSlots))
+	var exchanges []*Exchange
+	for i := range waiting {
+		x, decision := core.Begin(start, request(repeatable(2), fmt.Sprint(i)))
+		is.True(decision.Send != nil)
+		exchanges = append(exchanges, x)
+	}
+	core.SetBackEnds(start, backEnds(4, silentSlots))
+	replaced := 0
+	for _, x := range exchanges {
+		decision, given := core.ReplaceWaiting(start.Add(time.Second), x)
+		is.Equal(given, decision.Send != nil)
+		if given {
+			replaced++
+		}
+	}
+	is.Equal(replaced, 3) // the retries that the settings allow one gateway
+	is.Equal(ownRequests(core), waiting)
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -22,9 +22,9 @@
 	minPatience        = 2 * time.Second
 	patienceObjectives = 4
 	patiencePauses     = 8
-	// silenceRecheck is the time until a silent stream that can't be taken up elsewhere now is examined
+	// SilenceRecheck is the time until a silent stream or attempt that can't be taken up elsewhere now is examined
 	// again.
-	silenceRecheck = 200 * time.Millisecond
+	SilenceRecheck = 200 * time.Millisecond
 )
 
 // patience returns the gap between two events after which callers leave.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,22 +42,22 @@
 	h.config.Metrics.sent(c, send, resumeAfter)
 	sentAt := h.clock().Now()
 	ctx, cancel := context.WithCancel(ctx)
-	hasExpired := func() bool { return false }
-	if send.HeadTimeout > 0 {
-		timer := startHeadTimer(send.HeadTimeout, h.config.State.Lag, cancel)
-		defer timer.stop()
-		hasExpired = timer.expired.Load
-	}
+	timer := h.watchHead(c, send, cancel)
 	response, err := h.roundTrip(ctx, c, send, resumeAfter)
+	if next, replaced := timer.stop(); replaced {
+		cancel()
+		closeBody(response)
+		return h.replacedAttempt(c, send, next)
+	}
 	if errors.Is(context.Cause(ctx), errSilentGoesOn) {
 		cancel()
 		return outcome{}
 	}
 	if err != nil {
 		cancel()
-		return outcome{next: h.noAnswer(c, send, err, hasExpired())}
+		return outcome{next: h.noAnswer(c, send, err)}
 	}
-	result := h.checkAnswer(c, send, response)
+	result := h.checkAnswer(c, send, response, cancel)
 	if result.answer == nil {
 		_ = response.Body.Close()
 		cancel()
@@ -68,6 +68,13 @@
 	return result
 }
 
+// closeBody closes the body of a response, if there is one.
+func closeBody(response *http.Response) {
+	if response != nil {
+		_ = response.Body.Close()
+	}
+}
+
 // roundTrip sends the request at most once, and returns the head of the answer.
 func (h *Handler) roundTrip(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) (*http.Response, error) {
 	transport := h.transport(c, send)
@@ -165,14 +172,14 @@
 }
 
 // noAnswer lets the core decide how to continue after an attempt without an answer.
-func (h *Handler) noAnswer(c *call, send dispatch.Send, cause error, expired bool) dispatch.Decision {
+func (h *Handler) noAnswer(c *call, send dispatch.Send, cause error) dispatch.Decision {
 	if c.request.Context().Err() != nil {
 		return dispatch.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
 	}
 	notSent := hop.NothingSent(cause)
 	deadlinePassed := !h.clock().Now().Before(c.deadline)
 	// The kernel reports ETIMEDOUT if the back end's machine acknowledges nothing.
-	isSilent := expired || deadlinePassed || errors.Is(cause, syscall.ETIMEDOUT)
+	isSilent := deadlinePassed || errors.Is(cause, syscall.ETIMEDOUT)
 	if isSilent && !notSent && (c.route.MayRepeat() || c.connection == connectionReused) {
 		h.closeReused()
 	}
@@ -180,19 +187,19 @@
 		switch {
 		case notSent:
 			return core.NotConnected(now, c.exchange)
-		case expired || deadlinePassed:
+		case deadlinePassed:
 			return core.TimedOut(now, c.exchange)
 		default:
 			return core.ConnectionLost(now, c.exchange)
 		}
 	})
-	h.logFailure(c, attemptFailure{send: send, cause: cause.Error(), notSent: notSent, expired: expired, deadlinePassed: deadlinePassed}, next)
+	h.logFailure(c, attemptFailure{send: send, cause: cause.Error(), notSent: notSent, deadlinePassed: deadlinePassed}, next)
 	return next
 }
 
 // checkAnswer checks that an answer is the back end's own answer to this request, and
-// decides whether it is passed on.
-func (h *Handler) checkAnswer(c *call, send dispatch.Send, response *http.Response) outcome {
+// decides whether it is passed on. cancel ends the attempt.
+func (h *Handler) checkAnswer(c *call, send dispatch.Send, response *http.Response, cancel func()) outcome {
 	facts := h.config.Dialect.ReadAnswer(response.StatusCode, response.Header)
 	// An answer is foreign if it belongs to another request. Only a refusal may lack the request's
 	// ID. Refusals are also exempt from the check for untrusted answers, which comes after them.
@@ -223,9 +230,13 @@
 			core.ReleaseSlot(now, c.exchange)
 			return dispatch.Decision{}
 		})
+		timer := h.watchHead(c, send, cancel)
 		body, err := h.readWhole(c, response)
+		if next, replaced := timer.stop(); replaced {
+			return h.replacedAttempt(c, send, next)
+		}
 		if err != nil {
-			return outcome{next: h.noAnswer(c, send, err, false)}
+			return outcome{next: h.noAnswer(c, send, err)}
 		}
 		result.body = body
 	}
--- a/internal/gateway/lag_test.go
+++ b/internal/gateway/lag_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/harriernotch/harriernotch/internal/bubble"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
 // A process that runs late extends the limit of a stream's silence, and the time for the head of an answer,
@@ -24,7 +25,10 @@
 			silence := &silenceWatch{limit: time.Second, lag: lag, examine: func() (*relocation, time.Duration) { ended(); return &relocation{}, 0 }}
 			silence.resume()
 		},
-		"head": func(lag func() time.Duration, ended func()) { startHeadTimer(time.Second, lag, ended) },
+		"head": func(lag func() time.Duration, ended func()) {
+			timer := &headTimer{lag: lag, replace: func() (dispatch.Decision, bool, time.Duration) { ended(); return dispatch.Decision{}, true, 0 }}
+			timer.start(time.Second)
+		},
 	}
 	for name, c := range cases {
 		for kind, start := range starts {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -3,42 +3,93 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
-// headTimer ends an attempt whose answer hasn't begun within a limit. If this process itself runs late, data
-// may have arrived that it hasn't read yet: the limit is then extended once by the lag.
+// headTimer replaces an attempt without an answer by another one, if the core finds one, once the limit
+// has passed.
 type headTimer struct {
-	timer    *time.Timer
-	lag      func() time.Duration
-	extended bool
-	expired  atomic.Bool
-	cancel   func()
+	// lag is how late this process runs. It extends the limit once, because the process may not have read
+	// what has arrived.
+	lag func() time.Duration
+	// replace asks for the replacement, and cancels the attempt if there is one. Otherwise it returns how
+	// long to wait until it is called again.
+	replace func() (next dispatch.Decision, replaced bool, recheck time.Duration)
+
+	mutex             sync.Mutex
+	timer             *time.Timer
+	extended, stopped bool
+	next              dispatch.Decision
+	replaced          bool
 }
 
-// startHeadTimer starts a timer that calls cancel when it expires.
-func startHeadTimer(limit time.Duration, lag func() time.Duration, cancel func()) *headTimer {
-	t := &headTimer{lag: lag, cancel: cancel}
-	started := make(chan struct{})
-	t.timer = time.AfterFunc(limit, func() { <-started; t.fire() })
-	close(started)
+// start starts the timer; a limit of 0 never ends.
+func (t *headTimer) start(limit time.Duration) *headTimer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if limit > 0 {
+		t.timer = time.AfterFunc(limit, t.fire)
+	}
 	return t
 }
 
 func (t *headTimer) fire() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.stopped {
+		return
+	}
 	if late := t.lag(); late > 0 && !t.extended {
 		t.extended = true
 		t.timer.Reset(late)
 		return
 	}
-	t.expired.Store(true)
-	t.cancel()
+	var recheck time.Duration
+	if t.next, t.replaced, recheck = t.replace(); !t.replaced {
+		t.timer.Reset(recheck)
+	}
 }
 
-func (t *headTimer) stop() { t.timer.Stop() }
+// stop ends the timer, and returns the decision that replaces the attempt if there is one.
+func (t *headTimer) stop() (next dispatch.Decision, replaced bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	return t.next, t.replaced
+}
+
+// watchHead starts the timer of an attempt that waits for its answer. cancel ends the attempt.
+func (h *Handler) watchHead(c *call, send dispatch.Send, cancel func()) *headTimer {
+	t := &headTimer{lag: h.config.State.Lag}
+	t.replace = func() (next dispatch.Decision, replaced bool, recheck time.Duration) {
+		if wait := h.config.Lag.SettleWait(h.clock().Now()); wait > 0 {
+			return dispatch.Decision{}, false, wait
+		}
+		h.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
+			next, replaced = core.ReplaceWaiting(now, c.exchange)
+			return next
+		})
+		if replaced {
+			cancel()
+		}
+		return next, replaced, dispatch.SilenceRecheck
+	}
+	return t.start(send.HeadTimeout)
+}
+
+// replacedAttempt records that an attempt was replaced because its answer didn't come.
+func (h *Handler) replacedAttempt(c *call, send dispatch.Send, next dispatch.Decision) outcome {
+	if c.route.MayRepeat() || c.connection == connectionReused {
+		h.closeReused()
+	}
+	h.logFailure(c, attemptFailure{send: send, cause: errSilent.Error(), expired: true}, next)
+	return outcome{next: next}
+}
 
 // silenceWatch examines a stream whenever its back end has been silent for the limit. It is paused while
 // the gateway doesn't wait for the back end.
