--- a/internal/dispatch/relocate_test.go
+++ b/internal/dispatch/relocate_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
+	"github.com/harriernotch/harriernotch/internal/workload"
 )
 
 const (
@@ -247,3 +249,78 @@
 	is.Equal(replaced, 3) // the retries that the settings allow one gateway
 	is.Equal(ownRequests(core), waiting)
 }
+
+// Whatever happens to a request of which an attempt was silent, the accounts of loads, work, copies and trials
+// are balanced in the end, and the attempts stay within the route's limit.
+func TestSilenceInvariants(t *testing.T) {
+	const maxAttempts = 4
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		core := newBackupCore(rapid.IntRange(2, 6).Draw(t, "engines"), 1)
+		route := resumableStream(maxAttempts)
+		if rapid.Bool().Draw(t, "single") {
+			route = singleStream()
+		}
+		now := start
+		x, decision := core.Begin(now, longRequest(route, "a"))
+		for step := 0; step < 30 && x.phase != Ended; step++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "milliseconds")) * time.Millisecond)
+			if x.phase == Sent {
+				decision = waitingStep(t, core, now, x)
+			} else {
+				decision = streamingStep(t, core, now, x)
+			}
+			is.True(x.Attempts() <= maxAttempts)
+			is.True(decision.GiveUp == nil || !x.KeepsSilent())
+		}
+		core.Done(now, x)
+		is.Equal(core.backedUpRuns["s"], 0)
+		for _, m := range core.members {
+			is.Equal(m.own, 0)
+			is.Equal(m.copies, 0)
+			is.Equal(m.health.awaiting, 0)
+			is.Equal(m.health.trials, 0)
+			is.Equal(m.engine.Own(), workload.Work{})
+		}
+	})
+}
+
+// waitingStep draws what happens to an attempt that waits for its answer.
+func waitingStep(t *rapid.T, core *Core, now time.Time, x *Exchange) Decision {
+	switch rapid.IntRange(0, 7).Draw(t, "outcome") {
+	case 0:
+		return core.NotConnected(now, x)
+	case 1:
+		return core.Refused(now, x)
+	case 2:
+		return core.ConnectionLost(now, x)
+	case 3:
+		decision, _ := core.ReplaceWaiting(now, x)
+		return decision
+	case 4:
+		return core.Failed(now, x)
+	case 5:
+		core.KeepSilent(now, x)
+		return Decision{}
+	default:
+		core.Answered(now, x, -1)
+		core.TakeOver(now, x)
+		core.WatchStream(x)
+		return Decision{}
+	}
+}
+
+// streamingStep draws what happens to a stream that is passed on.
+func streamingStep(t *rapid.T, core *Core, now time.Time, x *Exchange) Decision {
+	switch rapid.IntRange(0, 3).Draw(t, "event") {
+	case 0:
+		return core.Truncated(now, x)
+	case 1:
+		decision, _ := core.ExamineSilence(now, x)
+		return decision
+	default:
+		core.Progressed(now, x, 9)
+		core.EventPassed(now, x, 30*time.Millisecond, true)
+		return Decision{}
+	}
+}
