--- /dev/null
+++ b/internal/dispatch/stalled_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// One stream of an engine is preempted while the others go on. Guards against an engine that works and gets
+// no requests, because one of its streams was taken up elsewhere.
+func TestEngineWhoseOtherStreamsGoOnIsNotEjected(t *testing.T) {
+	is := is.New(t)
+	core := newBackupCore(1, 0)
+	var streams []*Exchange
+	for _, id := range []string{"a", "b"} {
+		x, _ := core.Begin(start, longRequest(resumableStream(3), id))
+		passEvents(core, start, x, 20)
+		core.WatchStream(x)
+		streams = append(streams, x)
+	}
+	core.SetBackEnds(start, backEnds(4, 64))
+	now := start
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		core.EventPassed(now, streams[1], 20*time.Millisecond, true)
+	}
+	decision, _ := core.ExamineSilence(now, streams[0])
+	is.True(decision.Send != nil)
+	core.Answered(now, streams[0], -1)
+	core.TakeOver(now, streams[0])
+	is.Equal(core.members["b00"].health.status(now), Healthy)
+}
