A silent stream whose relocation failed is examined again

What callers saw: a stream of a back end that is silent for good ended at its deadline after one refusal, although others had room; found in review, not reported. Cause: silenceWatch kept the failed relocation until the silent back end spoke, so its timer wasn't set again. The relocation is let go of only if it is still the watch's own, so a later silence isn't touched.

--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -44,7 +44,7 @@
 
 // examineSilence lets the core decide about a stream whose back end is silent, and begins the relocation
 // on which it decides.
-func (h *Handler) examineSilence(ctx context.Context, c *call, s *stream, silent outcome) (*relocation, time.Duration) {
+func (h *Handler) examineSilence(ctx context.Context, c *call, s *stream, silent outcome, watch *silenceWatch) (*relocation, time.Duration) {
 	if wait := h.config.Lag.SettleWait(h.clock().Now()); wait > 0 {
 		return nil, wait
 	}
@@ -65,7 +65,12 @@
 	}
 	ctx, moved.cancel = context.WithCancelCause(ctx)
 	lastID := s.lastID
-	go moved.run(ctx, lastID)
+	go func() {
+		moved.run(ctx, lastID)
+		if !moved.accepted && watch.relocationFailed(moved, recheck) {
+			h.config.Metrics.relocated(c, moved)
+		}
+	}()
 	return moved, 0
 }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -157,6 +157,19 @@
 	w.moved = moved
 }
 
+// relocationFailed examines the stream again after recheck. It returns false if the silence has ended: then
+// pause has returned the relocation.
+func (w *silenceWatch) relocationFailed(failed *relocation, recheck time.Duration) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.moved != failed {
+		return false
+	}
+	w.moved = nil
+	w.timer.Reset(recheck)
+	return true
+}
+
 // lateness returns by how much the limit is extended.
 func (w *silenceWatch) lateness() time.Duration {
 	if w.lag == nil {
@@ -177,6 +190,6 @@
 	if !watch.ByPace {
 		silence.lag = h.config.State.Lag
 	}
-	silence.examine = func() (*relocation, time.Duration) { return h.examineSilence(ctx, c, s, result) }
+	silence.examine = func() (*relocation, time.Duration) { return h.examineSilence(ctx, c, s, result, silence) }
 	return silence, watch.ByPace
 }
