The end of a silent stream ends its relocation, like an event

What callers saw: a whole stream ended late, after the back end that was asked to take it up had answered, timed out or reached the deadline; found in review. Cause: relocation.stands took the clean end of the stream for the silent back end's breaking off. Evidence: TestEndOfSilentStreamDoesNotWaitForAnotherBackEnd failed (2.05 s for a stream that ends after 1.36 s; 10 s where no attempt is left, for then the other's head has no limit) and passes, three runs with -race.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -118,11 +118,12 @@
 		silence.resume()
 		began := h.clock().Now()
 		event, err := reader.Next()
+		isComplete := errors.Is(err, io.EOF) && s.events > 0
 		// A caller that reads slowly isn't a silent back end.
-		if moved := silence.pause(); moved != nil && moved.stands(c, err == nil) {
+		if moved := silence.pause(); moved != nil && moved.stands(c, err == nil || isComplete) {
 			return moved, errSilent
 		}
-		if errors.Is(err, io.EOF) && s.events > 0 {
+		if isComplete {
 			return nil, nil
 		}
 		if err != nil {
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -107,8 +107,8 @@
 }
 
 // stands returns whether the stream goes on at the other back end, after the silent one has sent an event
-// or has broken off. An event of the silent one ends the other attempt unless that has been answered. The
-// event is left out in that case, because the other back end sends it, too.
+// or its end, or has broken off. An event or the end ends the other attempt unless that has been answered.
+// The event is left out in that case, because the other back end sends it, too.
 func (m *relocation) stands(c *call, silentGoesOn bool) bool {
 	if !m.keepsSilent {
 		return true
