A head timer that was stopped while it fires ends nothing

What callers saw: nothing reported; found in review. Cause: fire asked for the lag and extended the timer after stop had run, so an attempt was cancelled up to a second after the head of its answer, in a process that runs late. Evidence: TestStoppedHeadTimerEndsNothing failed and passes, three runs with -race. stop and fire take a mutex, as silenceWatch does.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -36,12 +36,13 @@
 }
 
 func (t *headTimer) fire() {
+	late := t.lag()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.stopped {
 		return
 	}
-	if late := t.lag(); late > 0 && !t.extended {
+	if late > 0 && !t.extended {
 		t.extended = true
 		t.timer.Reset(late)
 		return
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/harriernotch/harriernotch/internal/bubble"
+	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
 // The head of an answer arrives at the moment at which the wait for it ends, in a process that runs late.
@@ -24,7 +25,8 @@
 			<-stopped
 			return 50 * time.Millisecond
 		}
-		timer := startHeadTimer(time.Second, lag, func() { ended = true })
+		timer := &headTimer{lag: lag, replace: func() (dispatch.Decision, bool, time.Duration) { ended = true; return dispatch.Decision{}, true, 0 }}
+		timer.start(time.Second)
 		<-firing
 		timer.stop()
 		close(stopped)
