A timer of an earlier silence examines nothing

What callers saw: nothing reported; found in review. Cause: a timer that fires while an event is read waits for the watch's mutex, and if the next silence has begun by then, the stream was examined at its beginning: a needless further run where pace isn't watched. Evidence: TestLateTimerOfEarlierSilenceExaminesNothing failed and passes, three runs with -race.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -107,6 +107,8 @@
 	timer    *time.Timer
 	extended bool
 	paused   bool
+	// dueAt is when the limit of the current silence ends: a timer of an earlier one may fire late.
+	dueAt time.Time
 	// moved is the relocation that began in the current silence, or nil.
 	moved *relocation
 }
@@ -118,7 +120,7 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.paused, w.extended = false, false
+	w.paused, w.extended, w.dueAt = false, false, time.Now().Add(w.limit)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(w.limit, w.fire)
 		return
@@ -143,7 +145,7 @@
 func (w *silenceWatch) fire() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.paused || w.moved != nil {
+	if w.paused || w.moved != nil || time.Now().Before(w.dueAt) {
 		return
 	}
 	if late := w.lateness(); late > 0 && !w.extended {
