One preempted stream doesn't eject an engine whose others go on

What callers saw: nothing reported; found in review. Cause: health.stalled ejects the back end at once, for whichever stream was taken up, so an engine that preempts one stream got no requests for 0.5 s and then one at a time. Change: where other streams go on, by the same criterion as silence.limit, the silence counts as one failure as before; if all are silent, it ejects once as since. Evidence: TestEngineWhoseOtherStreamsGoOnIsNotEjected failed and passes; TestSilenceCountsOnceForStreamsThatEndedApart guards the other side. go test of internal/dispatch passes but for the known TestSharedPartsStayUnderOverload/340_gateways, which was skipped.

--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -124,11 +124,17 @@
 }
 
 // endSilent ends the current attempt because of its silence. That is no sign of a crash: the gateway
-// closes the connection.
+// closes the connection. If other streams of the back end have gone on, it works, and only this stream
+// has failed.
 func (c *Core) endSilent(now time.Time, x *Exchange) {
+	othersGoOn := x.watch.ByPace && othersGoOn(x.silentFor(now), now.Sub(x.current.lastEventAt))
 	m := x.release(now)
 	c.endBackup(x)
-	m.health.stalled(now)
+	if othersGoOn {
+		m.health.connectionLost(now)
+	} else {
+		m.health.stalled(now)
+	}
 	c.recordHealthChange(now, m)
 }
 
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -78,13 +78,16 @@
 func (s silence) limit() time.Duration {
 	most := s.patience / 2
 	limit := max(minSilence, gapFactor*max(s.own.mean, s.engine.mean), longestGapFactor*max(s.own.longest, s.engine.longest))
-	othersGoOn := s.engineLasting < s.lasting/2
-	if othersGoOn {
+	if othersGoOn(s.lasting, s.engineLasting) {
 		limit = most
 	}
 	return min(min(limit, most)+s.lag, s.patience*3/4)
 }
 
+// othersGoOn reports whether other streams of an engine go on, by how long one stream and all of them have
+// been silent.
+func othersGoOn(lasting, engineLasting time.Duration) bool { return engineLasting < lasting/2 }
+
 // StreamWatch says how the silence of a stream is watched.
 type StreamWatch struct {
 	// Limit is the silence after which the stream is examined by Core.ExamineSilence; 0 if silence has
