The deadline of a stream is no failure of its back end

What callers saw: nothing reported; found in review. Cause: the gateway ends a stream at its request's deadline, and Core.Truncated took that for a lost connection: two such streams in a row eject a sound back end, and their contents count as suspected. Evidence: TestDeadlineOfStreamsIsNoFailureOfTheirBackEnd failed (two back ends ejected) and passes.

--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -212,12 +212,15 @@
 }
 
 // Truncated records that a stream broke off after its head, and decides whether its run is continued
-// from a backup, or the stream is resumed at another back end.
+// from a backup, or the stream is resumed at another back end. A stream that lasts until its request's
+// deadline was ended by the gateway, which says nothing of its back end.
 func (c *Core) Truncated(now time.Time, x *Exchange) Decision {
 	m := x.release(now)
-	m.health.connectionLost(now)
-	c.recordHealthChange(now, m)
-	c.noteConnectionLost(now, x, m)
+	if now.Before(x.request.Deadline) {
+		m.health.connectionLost(now)
+		c.recordHealthChange(now, m)
+		c.noteConnectionLost(now, x, m)
+	}
 	if decision, continued := c.continueRun(now, x); continued {
 		return decision
 	}
