An answer that ends with its connection before its first event is no end of a resumed stream

What callers saw: nothing reported; found in review: a stream ended as complete after 3 of 6 events. Cause: copyEvents asked for events of the whole stream, so the end of a connection counted as the end of the stream for a back end that had sent none of it. Change: an answer without length and chunks must bring an event. One with chunks may still be empty: nothing may be left to send.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -109,16 +109,16 @@
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
 // copyEvents passes complete events on until the stream ends. A stream that ends before its
-// first event has broken off. If the stream was moved to another back end because this one is silent,
+// first event has broken off, and so has an answer that ends with its connection before its first event. If the stream was moved to another back end because this one is silent,
 // copyEvents returns the relocation and errSilent.
 func (h *Handler) copyEvents(ctx context.Context, c *call, s *stream, result outcome) (*relocation, error) {
 	silence, byPace := h.watchSilence(ctx, c, s, result)
 	reader := eventstream.NewReader(result.answer.Body)
-	for {
+	for received := 0; ; received++ {
 		silence.resume()
 		began := h.clock().Now()
 		event, err := reader.Next()
-		isComplete := errors.Is(err, io.EOF) && s.events > 0
+		isComplete := errors.Is(err, io.EOF) && s.events > 0 && (received > 0 || !endsWithConnection(result.answer))
 		// A caller that reads slowly isn't a silent back end.
 		if moved := silence.pause(); moved != nil && moved.stands(c, err == nil || isComplete) {
 			return moved, errSilent
@@ -155,6 +155,11 @@
 	}
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks.
+func endsWithConnection(answer *http.Response) bool {
+	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
+
 // isNumber reports whether the ID of an event is a number, by which gaps are noticed.
 func isNumber(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
