A silent run that may not be repeated is listened to until a quarter of its caller's patience is left

What callers saw: a stream was closed after 1 s of silence, its backup refused, and it was cut although its back end went on (TestSilentSingleStreamIsNotClosedForARefusedBackup, found in review). Cause: the source of such a run has to be closed before its backup is asked, which may refuse; the limit came from the pace of the engine. Change: the limit is three quarters of the caller's patience, which leaves the time for the continuation that was left before at the most.

--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -14,7 +14,8 @@
 // The room that a gateway knows is out of date, so the other member may still refuse. Where the request
 // may be repeated, the silent attempt is therefore kept until the other one is answered, and is current
 // again if that one fails. A run that may not be repeated is only continued from a backup, after its
-// silent attempt has been closed, so that no two back ends work on it.
+// silent attempt has been closed, so that no two back ends work on it. If the other one refuses, the run is
+// lost, so such a run is listened to for as long as its caller's patience allows.
 
 // ExamineSilence decides about a stream that has been silent for as long as its StreamWatch says. The
 // decision has an attempt that takes the stream up elsewhere. Without one, the stream is listened to, and
@@ -45,6 +46,9 @@
 	if x.attemptEvents == 0 {
 		return fixedSilenceLimit(x.request.Route)
 	}
+	if !x.request.Route.MayRepeat() {
+		return longestSilence(patience(x.request.Route))
+	}
 	return silence{
 		lasting: x.silentFor(now), own: x.gaps, engine: x.current.gaps, engineLasting: now.Sub(x.current.lastEventAt),
 		lag: c.lag, patience: patience(x.request.Route),
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -81,9 +81,13 @@
 	if othersGoOn(s.lasting, s.engineLasting) {
 		limit = most
 	}
-	return min(min(limit, most)+s.lag, s.patience*3/4)
+	return min(min(limit, most)+s.lag, longestSilence(s.patience))
 }
 
+// longestSilence returns the silence after which a quarter of the caller's patience is left, which is enough
+// for a stream to be taken up elsewhere.
+func longestSilence(patience time.Duration) time.Duration { return patience * 3 / 4 }
+
 // othersGoOn reports whether other streams of an engine go on, by how long one stream and all of them have
 // been silent.
 func othersGoOn(lasting, engineLasting time.Duration) bool { return engineLasting < lasting/2 }
