request.attempt_failed names the parts of the prompt

Change: fingerprints of the parts but the last, by service and ID, in the same line. The number of events was there already.

--- /dev/null
+++ b/internal/dispatch/parts_test.go
@@ -0,0 +1,20 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against evidence that is kept by the last part, which no two requests share, or that a tenant can direct at
+// another part or service.
+func TestPartFingerprintsIdentifySharedParts(t *testing.T) {
+	is := is.New(t)
+	list := PartFingerprints("s", []Part{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}, {ID: "last", Tokens: 3}})
+	is.Equal(len(list), 2)
+	is.True(list[0] != list[1])
+	is.Equal(PartFingerprints("s", []Part{{ID: "b", Tokens: 9}, {ID: "x"}})[0], list[1]) // wherever the part stands
+	is.True(PartFingerprints("t", []Part{{ID: "b"}, {ID: "x"}})[0] != list[1])
+	is.True(partFingerprint("sa", "b") != partFingerprint("s", "ab"))
+	is.Equal(len(PartFingerprints("s", []Part{{ID: "only"}})), 0)
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -46,9 +46,11 @@
 	Excess           bool   `json:"excess"`
 	// Fingerprint identifies the request's content.
 	Fingerprint string `json:"fingerprint"`
-	Cause       string `json:"cause"`
-	Status      int    `json:"status"`
-	Events      int    `json:"events"`
+	// Parts are the fingerprints of the parts of the prompt that requests share, separated by commas.
+	Parts  string `json:"parts"`
+	Cause  string `json:"cause"`
+	Status int    `json:"status"`
+	Events int    `json:"events"`
 
 	ElapsedMillis  int64 `json:"elapsed_ms"`
 	DeadlineMillis int64 `json:"deadline_ms"`
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -146,6 +146,9 @@
 	fields["cause"] = failed.cause
 	fields["path"] = c.loggedPath()
 	fields["fingerprint"] = c.fingerprints()[0].String()
+	if parts := dispatch.PartFingerprints(c.exchange.Service(), c.facts.Parts); len(parts) > 0 {
+		fields["parts"] = joined(parts)
+	}
 	fields["status"] = failed.status
 	fields["events"] = failed.events
 	fields["not_sent"] = failed.notSent
@@ -165,6 +168,15 @@
 	h.config.Log.Warn(eventlog.AttemptFailed, fields)
 }
 
+// joined returns the fingerprints in the form used in logs, separated by commas.
+func joined(list []dispatch.Fingerprint) string {
+	texts := make([]string, len(list))
+	for i, each := range list {
+		texts[i] = each.String()
+	}
+	return strings.Join(texts, ",")
+}
+
 // isCallersFault reports whether only the caller can correct the refused request. Such refusals
 // are logged as routine events, with eventlog.Log.Info: a caller without a valid key must not use
 // up the rate limit of the lines about failures.
