Failing test: a part of prompts that crashes back ends

Simulated gateways' cores exchange crash records with the delays of the relay, with 1, 5, 22 and 340 gateways; one part crashes each back end that begins to write on it, in requests that are otherwise all different, beside sound ones with the same caller and other parts.

--- /dev/null
+++ b/internal/dispatch/part_crashes_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// crashFleetSizes are fleets of one gateway, of a full mesh, and of two in which records need several hops.
+var crashFleetSizes = []struct{ gateways, backEnds int }{{1, 41}, {5, 41}, {22, 41}, {340, 60}}
+
+const (
+	// usualCrashLoad is the usual load of a crashFleet in requests per second and back end.
+	usualCrashLoad = 3.0
+	// crashSettling is the time before and after a disturbance in which nothing is counted.
+	crashSettling = 2 * time.Second
+	// minBeganShare is the least share of sound requests that must begin at their first attempt, relative to a fleet
+	// without the part.
+	minBeganShare = 0.9
+)
+
+// badRates are rates of requests with badPart, per second.
+var badRates = []float64{2, 10}
+
+// Guards against a part of prompts that crashes one back end after the other in requests that are otherwise all
+// different, and against sound requests with the same other parts that are withheld with it.
+func TestPartThatCrashesBackEndsIsWithheld(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		for seed, bad := range badRates {
+			t.Run(fmt.Sprint(size.gateways, " gateways, ", bad, " a second"), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				load := crashLoad{sound: usualCrashLoad * float64(size.backEnds), parts: 40}
+				simulate := func(bad float64) *crashFleet {
+					f := newCrashFleet(uint64(seed), size.gateways, size.backEnds)
+					f.simulate(crashSettling, load)
+					beside := load
+					beside.bad = bad
+					f.simulate(15*time.Second, beside)
+					return f
+				}
+				calm, disturbed := simulate(0), simulate(bad)
+				is.True(len(disturbed.crashedAt) >= 1)
+				since := disturbed.crashedAt[min(len(disturbed.crashedAt), operatorCrashes)-1].Add(partContact)
+				without, _ := calm.beganAtFirst(since)
+				with, withheld := disturbed.beganAtFirst(since)
+				late := disturbed.lateSends()
+				t.Logf("%d back ends crashed, %d late sends; sound requests begin at the first attempt %.3f without, %.3f with the part, %d withheld",
+					len(disturbed.crashedAt), late, without, with, withheld)
+				is.True(late <= allowedLateSends)
+				is.True(with >= minBeganShare*without)
+			})
+		}
+	}
+}
+
+// Guards against parts that are withheld because many back ends crash at the same moment for another cause.
+func TestCrashOfAZoneWithholdsNoPart(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		t.Run(fmt.Sprint(size.gateways, " gateways"), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newCrashFleet(2, size.gateways, size.backEnds)
+			load := crashLoad{sound: usualCrashLoad * float64(size.backEnds), parts: 40}
+			f.simulate(crashSettling, load)
+			crashed := f.now
+			for _, each := range f.list {
+				if each.Zone == "z1" {
+					f.crash(f.backEnds[each.Address])
+				}
+			}
+			f.simulate(10*time.Second, load)
+			_, withheld := f.beganAtFirst(crashed)
+			share, withheldLater := f.beganAtFirst(crashed.Add(partContact))
+			t.Logf("%d sound requests withheld, %d of them later than %v; %.3f begin at the first attempt later", withheld, withheldLater, partContact, share)
+			is.Equal(withheldLater, 0)
+		})
+	}
+}
