Parts of prompts that crash back ends are withheld

What callers saw: requests to a service fail for as long as requests come that share one part of their prompts; each ends one or two back ends, with all the others that run there. Cause: evidence of crashes was kept by the whole content of a request, so requests that share only a part added to no common record. Evidence belongs to what requests have in common. Change: the memory of crashes holds records of parts beside those of contents, by service and part. Records of parts have a field of their own in messages and in the store's records. The gateway reports the first event of each attempt, not only of the whole stream. TestManySuspectsDoNotEvict... reads the contents' records by their new name; its bound is the same.

--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -63,6 +63,8 @@
 	requests  []*crashRequest
 	crashedAt []time.Time // by the part
 	badSends  []time.Time
+	// mended is set once back ends no longer crash.
+	mended bool
 }
 
 // crashingBackEnd is the process that runs at an address, or none while it is down.
@@ -272,7 +274,7 @@
 // writeFirst begins the answer, or crashes the back end.
 func (f *crashFleet) writeFirst(r *crashRequest, attempt int) {
 	core := f.cores[r.gateway]
-	if r.bad {
+	if r.bad && !f.mended {
 		if f.random.IntN(2) == 0 { // it crashes behind the head
 			core.Answered(f.now, r.x, -1)
 			r.answered = true
@@ -370,3 +372,17 @@
 	}
 	return float64(began) / float64(total), withheld
 }
+
+// badBegan returns the share of the requests with badPart since the time whose answer began.
+func (f *crashFleet) badBegan(since time.Time) float64 {
+	total, began := 0, 0
+	for _, r := range f.requests {
+		if r.bad && !r.at.Before(since) && r.at.Before(f.now.Add(-time.Second)) {
+			total++
+			if r.began {
+				began++
+			}
+		}
+	}
+	return float64(began) / float64(total)
+}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,26 +10,25 @@
 )
 
 // crashMemory remembers which requests were in flight at back ends when these crashed, by the
-// content of the request: a caller sends a request that crashes back ends again under another
-// ID, at any gateway. Each crash also ends all other requests running on that back end, so most
-// of the remembered contents are harmless.
+// content of the request and by the parts of its prompt: a caller sends a request that crashes back ends
+// again under another ID, at any gateway. Each crash also ends all other requests running on that back end, so most
+// of the remembered contents and parts are harmless.
 //
 // The evidence for a published crash only ever rises (see evidence), and records are merged by
 // taking the higher evidence of each crash. So gateways that received the same reports agree,
 // regardless of the order, and a report stops spreading where it is already known.
 type crashMemory struct {
-	// suspected holds contents under which fewer than crashesToWithhold back ends crashed, and
-	// withheld the others. They are kept apart so that the failure of a whole zone can't evict
-	// the few withheld contents.
-	suspected *lru.Cache[Fingerprint, *crashRecord]
-	withheld  *lru.Cache[Fingerprint, *crashRecord]
+	// contents and parts hold the records of contents and of parts of prompts.
+	contents, parts crashRecordSet
+	// begun is when answers last began under the parts that this gateway has sent.
+	begun *lru.Cache[Fingerprint, time.Time]
 	// unpublished holds crashes that may still turn out not to be any, oldest first.
 	unpublished []unpublishedCrash
 	// lostAt is when a connection was last lost at each incarnation that hasn't answered since.
 	lostAt map[incarnationKey]time.Time
 	// changes is the sequence number of the last change that is published to peers.
 	changes uint64
-	// withheldChanges are the contents that became withheld or were released since
+	// withheldChanges are the contents and parts that became withheld or were released since
 	// TakeWithheldChanges was last called.
 	withheldChanges []WithheldChange
 }
@@ -87,14 +87,19 @@
 	isLocal     bool
 }
 
-// crashRecord holds the crashes under one content.
+// crashRecord holds the crashes under one content or part.
 type crashRecord struct {
 	fingerprint Fingerprint
+	isPart      bool
 	crashes     []crash
 	// lastAt is when the last crash was recorded.
 	lastAt time.Time
 	// change is the sequence number of the record's last change.
 	change uint64
+	// begunAt is when an answer last began under the part, as far as it was told to peers, and trials the number of
+	// requests that were sent while it was withheld.
+	begunAt time.Time
+	trials  int
 }
 
 // unpublishedCrash identifies a crash that isn't published yet.
@@ -105,49 +110,66 @@
 }
 
 func newCrashMemory() *crashMemory {
-	suspected, err := lru.New[Fingerprint, *crashRecord](maxSuspected)
-	if err != nil {
-		panic(err) // the size is constant and positive
+	return &crashMemory{
+		contents: newCrashRecordSet(maxSuspected, maxWithheld, crashesToWithhold),
+		parts:    newCrashRecordSet(maxSuspectedParts, maxWithheldParts, partCrashesToWithhold),
+		begun:    newCache[time.Time](maxBegunParts),
+		lostAt:   map[incarnationKey]time.Time{},
 	}
-	withheld, err := lru.New[Fingerprint, *crashRecord](maxWithheld)
-	if err != nil {
-		panic(err) // the size is constant and positive
-	}
-	return &crashMemory{suspected: suspected, withheld: withheld, lostAt: map[incarnationKey]time.Time{}}
 }
 
-// isEmpty reports whether there is no record of any content.
-func (m *crashMemory) isEmpty() bool { return m.suspected.Len() == 0 && m.withheld.Len() == 0 }
+// isEmpty reports whether there is no record of any content or part.
+func (m *crashMemory) isEmpty() bool { return m.contents.isEmpty() && m.parts.isEmpty() }
+
+// recordsOf returns the records of parts or of contents.
+func (m *crashMemory) recordsOf(isPart bool) *crashRecordSet {
+	if isPart {
+		return &m.parts
+	}
+	return &m.contents
+}
 
+// get returns the record of a content or part, or nil.
 func (m *crashMemory) get(fingerprint Fingerprint) *crashRecord {
-	if record, known := m.withheld.Get(fingerprint); known {
+	if record := m.contents.get(fingerprint); record != nil {
 		return record
 	}
-	record, _ := m.suspected.Get(fingerprint)
-	return record
+	return m.parts.get(fingerprint)
 }
 
-// getOrCreate returns the record of a content, which it creates if there is none.
-func (m *crashMemory) getOrCreate(fingerprint Fingerprint) *crashRecord {
-	record := m.get(fingerprint)
+// getOrCreate returns the record of a content or part, which it creates if there is none.
+func (m *crashMemory) getOrCreate(fingerprint Fingerprint, isPart bool) *crashRecord {
+	records := m.recordsOf(isPart)
+	record := records.get(fingerprint)
 	if record == nil {
-		record = &crashRecord{fingerprint: fingerprint}
-		m.suspected.Add(fingerprint, record)
+		record = &crashRecord{fingerprint: fingerprint, isPart: isPart}
+		records.suspected.Add(fingerprint, record)
 	}
 	return record
 }
 
 // connectionLost records that the connection of a request with the content was lost at the
 // incarnation.
-func (m *crashMemory) connectionLost(now time.Time, fingerprint Fingerprint, of incarnationKey) {
-	record := m.getOrCreate(fingerprint)
+func (m *crashMemory) connectionLost(now time.Time, content Fingerprint, of incarnationKey) {
+	m.recordLoss(now, m.getOrCreate(content, false), of)
+}
+
+// partConnectionLost records that the connection of a request with the part was lost at the incarnation before it
+// brought an event. It doesn't count if an answer to a prompt with the part has just begun.
+func (m *crashMemory) partConnectionLost(now time.Time, part Fingerprint, of incarnationKey) {
+	if now.Sub(m.lastBegun(part)) >= acquitWindow {
+		m.recordLoss(now, m.getOrCreate(part, true), of)
+	}
+}
+
+func (m *crashMemory) recordLoss(now time.Time, record *crashRecord, of incarnationKey) {
 	record.lastAt = now
 	if len(m.lostAt) >= maxAwaited {
 		clear(m.lostAt)
 	}
 	m.lostAt[of] = now
 	if record.raise(crash{incarnation: of, evidence: presumed, isLocal: true}) {
-		m.unpublished = append(m.unpublished, unpublishedCrash{fingerprint: fingerprint, incarnation: of, publishAt: now.Add(crashPublishDelay)})
+		m.unpublished = append(m.unpublished, unpublishedCrash{fingerprint: record.fingerprint, incarnation: of, publishAt: now.Add(crashPublishDelay)})
 	}
 	m.classify(record, false)
 }
@@ -209,11 +231,7 @@
 	if record == nil {
 		return
 	}
-	raised := false
-	for _, each := range record.crashes {
-		raised = record.raise(crash{incarnation: each.incarnation, evidence: cleared, isPublished: true}) || raised
-	}
-	if raised {
+	if record.clear() {
 		m.markChanged(record)
 		m.classify(record, false)
 	}
@@ -237,8 +255,8 @@
 
 // merge merges a record of a content from a peer or the store.
 func (m *crashMemory) merge(now time.Time, received CrashRecord) {
-	record := m.getOrCreate(received.Fingerprint)
-	raised := false
+	record := m.getOrCreate(received.Fingerprint, received.Part)
+	raised := record.mergeTrials(now, received)
 	for i, each := range received.Incarnations[:min(len(received.Incarnations), len(received.Evidence))] {
 		found := evidence(received.Evidence[i])
 		if found < presumed || found > cleared {
@@ -253,6 +271,9 @@
 		m.markChanged(record)
 		m.classify(record, true)
 	}
+	if begunAt := m.lastBegun(record.fingerprint); record.isPart && now.Sub(begunAt) < acquitWindow {
+		m.acquit(now, record, begunAt, true)
+	}
 }
 
 // markChanged gives the record the next sequence number.
@@ -264,39 +285,48 @@
 // classify moves the record between the suspected and the withheld ones as needed; isFromPeer
 // is true after a record was merged.
 func (m *crashMemory) classify(record *crashRecord, isFromPeer bool) {
-	fingerprint, crashes := record.fingerprint, record.crashCount()
-	isWithheld, wasWithheld := crashes >= crashesToWithhold, m.withheld.Contains(fingerprint)
+	fingerprint, records := record.fingerprint, m.recordsOf(record.isPart)
+	isWithheld, wasWithheld := record.crashCount() >= records.threshold, records.withheld.Contains(fingerprint)
 	if isWithheld == wasWithheld {
 		return
 	}
 	if isWithheld {
-		m.suspected.Remove(fingerprint)
-		m.withheld.Add(fingerprint, record)
+		records.suspected.Remove(fingerprint)
+		records.withheld.Add(fingerprint, record)
 	} else {
-		m.withheld.Remove(fingerprint)
-		m.suspected.Add(fingerprint, record)
+		records.withheld.Remove(fingerprint)
+		records.suspected.Add(fingerprint, record)
 	}
-	isOwn := isWithheld && record.hasLocal() || !isWithheld && !isFromPeer
+	// Several gateways acquit a part at the same moment; those that may have recorded it remove the record.
+	isOwn := record.hasLocal() && (isWithheld || record.isPart) || !isWithheld && !isFromPeer
 	m.withheldChanges = append(m.withheldChanges, WithheldChange{Record: record.export(), Withheld: isWithheld, Own: isOwn})
 }
 
-// withholds reports whether requests with the content are withheld. It releases a content whose
+// withholds reports whether requests with the content or part are withheld. It releases one whose
 // withholdTime has passed.
 func (m *crashMemory) withholds(now time.Time, fingerprint Fingerprint) bool {
-	record, withheld := m.withheld.Get(fingerprint)
-	if !withheld {
+	record := m.get(fingerprint)
+	if record == nil || !m.recordsOf(record.isPart).withheld.Contains(fingerprint) {
 		return false
 	}
 	if now.Sub(record.lastAt) > withholdTime {
-		m.withheld.Remove(fingerprint)
+		m.recordsOf(record.isPart).withheld.Remove(fingerprint)
 		m.withheldChanges = append(m.withheldChanges, WithheldChange{Record: record.export(), Own: true})
 		return false
 	}
 	return true
 }
 
-func (m *crashMemory) records() []*crashRecord {
-	return append(m.suspected.Values(), m.withheld.Values()...)
+func (m *crashMemory) records() []*crashRecord { return append(m.contents.list(), m.parts.list()...) }
+
+// withheldKeys returns the fingerprints of the withheld contents and parts.
+func (m *crashMemory) withheldKeys() []Fingerprint {
+	return append(m.contents.withheld.Keys(), m.parts.withheld.Keys()...)
+}
+
+// isWithheld reports whether the content or part is withheld.
+func (m *crashMemory) isWithheld(fingerprint Fingerprint) bool {
+	return m.contents.withheld.Contains(fingerprint) || m.parts.withheld.Contains(fingerprint)
 }
 
 // changedSince returns at most limit records that changed after the cursor, in the order of
@@ -352,6 +382,27 @@
 	return true
 }
 
+// clear raises all crashes to cleared, and reports whether anything changed.
+func (r *crashRecord) clear() bool {
+	raised := false
+	for _, each := range r.crashes {
+		raised = r.raise(crash{incarnation: each.incarnation, evidence: cleared, isPublished: true}) || raised
+	}
+	return raised
+}
+
+// mergeTrials takes over a later beginning of an answer and a higher number of trials, and reports whether anything
+// changed. A time that is later than now is the fault of the sender's clock.
+func (r *crashRecord) mergeTrials(now time.Time, received CrashRecord) bool {
+	begunAt := time.UnixMilli(min(received.BegunAt, now.UnixMilli()))
+	changed := received.BegunAt > 0 && begunAt.Sub(r.begunAt) >= time.Millisecond || int(received.Trials) > r.trials
+	if received.BegunAt > 0 {
+		r.begunAt = later(r.begunAt, begunAt)
+	}
+	r.trials = max(r.trials, int(received.Trials))
+	return changed
+}
+
 // hasLocal reports whether this gateway observed any of the crashes itself.
 func (r *crashRecord) hasLocal() bool {
 	return slices.ContainsFunc(r.crashes, func(each crash) bool { return each.isLocal })
@@ -377,7 +428,10 @@
 func (r *crashRecord) export() CrashRecord { return r.filtered(func(crash) bool { return true }) }
 
 func (r *crashRecord) filtered(includes func(crash) bool) CrashRecord {
-	exported := CrashRecord{Fingerprint: r.fingerprint, LastAt: r.lastAt.Unix()}
+	exported := CrashRecord{Fingerprint: r.fingerprint, LastAt: r.lastAt.Unix(), Part: r.isPart, Trials: uint8(min(r.trials, math.MaxUint8))}
+	if !r.begunAt.IsZero() {
+		exported.BegunAt = r.begunAt.UnixMilli()
+	}
 	for _, each := range r.crashes {
 		if includes(each) {
 			exported.Incarnations = append(exported.Incarnations, uint32(each.incarnation))
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -148,7 +148,7 @@
 		crashBackEnds(core, start, 100+content, 1)
 	}
 	is.True(isWithheld(core, start, 7))
-	is.True(core.crashes.suspected.Len() <= maxSuspected)
+	is.True(core.crashes.contents.suspected.Len() <= maxSuspected)
 }
 
 func TestPeersWithholdPublishedCrashes(t *testing.T) {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -54,6 +54,8 @@
 	engine        *workload.Engine
 	run           *workload.Run
 	hasFirstToken bool
+	// began is set once the attempt has brought an event, or a complete answer.
+	began bool
 }
 
 // Exchange tracks one request from its arrival to its end. The methods of Core drive it.
@@ -89,6 +91,8 @@
 	counted fairshare.Request
 	// fingerprints caches the request's fingerprints after their first use.
 	fingerprints []Fingerprint
+	// partFingerprints caches those of the parts that the request shares.
+	partFingerprints []Fingerprint
 	// continuations counts the attempts that continue the run of an earlier one.
 	continuations int
 	// events and numbered count the events that the caller has been sent and those of them that have
@@ -194,7 +198,7 @@
 		return c.giveUp(now, x, failure.StreamVersionGone, "the route no longer leads to "+x.service+", where the stream began; send a new request")
 	}
 	if c.withholds(now, x) {
-		return c.giveUp(now, x, failure.Withheld, "requests of this content crash the back ends that run them; don't send it again unchanged")
+		return c.giveUp(now, x, failure.Withheld, "requests of this content, or with a part of its prompt, crash the back ends that run them; don't send it again unchanged")
 	}
 	c.pickSide(now, x)
 	chosen := c.choose(now, x)
@@ -235,6 +239,8 @@
 func (c *Core) start(now time.Time, x *Exchange, chosen *member, send *Send) Decision {
 	x.phase = Sent
 	x.attemptEvents = 0
+	x.began = false
+	c.noteTrial(now, x)
 	x.tried = append(x.tried, chosen.backEnd.ID)
 	x.current = chosen
 	x.sentAt = now
--- a/internal/dispatch/part_crashes_test.go
+++ b/internal/dispatch/part_crashes_test.go
@@ -79,3 +79,49 @@
 		})
 	}
 }
+
+const (
+	// releaseTime is the time in which a part that no longer crashes back ends must be released without an operator,
+	// while trialRate requests with it come per second.
+	releaseTime = 2 * time.Minute
+	trialRate   = 4.0
+)
+
+// trialLoad is a load at which a fleet can be simulated for minutes.
+var trialLoad = crashLoad{sound: 3, bad: trialRate, parts: 40}
+
+// Guards against a part that stays withheld although back ends no longer crash under it.
+func TestWithheldPartIsReleasedByATrial(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		t.Run(fmt.Sprint(size.gateways, " gateways"), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newCrashFleet(3, size.gateways, size.backEnds)
+			f.simulate(10*time.Second, trialLoad)
+			f.mended = true
+			f.simulate(releaseTime, trialLoad)
+			since := f.now
+			f.simulate(5*time.Second, trialLoad)
+			share := f.badBegan(since)
+			t.Logf("%d back ends crashed; %.3f of the requests begin once it is mended", len(f.crashedAt), share)
+			is.True(share >= minBeganShare)
+		})
+	}
+}
+
+// Guards against trials of a part that reach more back ends than operators allow.
+func TestTrialsOfAPartAreFew(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(size.gateways, " gateways, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newCrashFleet(seed, size.gateways, size.backEnds)
+				f.simulate(4*time.Minute, trialLoad)
+				t.Logf("%d back ends crashed, %d late sends", len(f.crashedAt), f.lateSends())
+				is.True(f.lateSends() >= 1) // it is tried
+				is.True(f.lateSends() <= allowedLateSends)
+			})
+		}
+	}
+}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -131,6 +131,7 @@
 	if x.events == 0 {
 		c.noteOrigin(now, x)
 	}
+	c.AnswerBegan(now, x)
 	x.events++
 	if numbered {
 		x.numbered++
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -16,7 +16,7 @@
 // it. So a lost connection doesn't count if the back end answers a later request, or if the back
 // end was leaving. And a complete answer to a request with the content clears the crashes so far.
 
-// CrashRecord holds what a gateway reports to others of the crashes under one content.
+// CrashRecord holds what a gateway reports to others of the crashes under one content or part of prompts.
 type CrashRecord struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
 	// Incarnations are the back ends that may have crashed under the content, and Evidence the
@@ -25,9 +25,15 @@
 	Evidence     []uint8  `cbor:"3,keyasint"`
 	// LastAt is when the last of them crashed, in seconds since 1970.
 	LastAt int64 `cbor:"4,keyasint"`
+	// Part is true for a part of prompts, and false for a content.
+	Part bool `cbor:"5,keyasint,omitempty"`
+	// BegunAt is when an answer last began under the part, in milliseconds since 1970, or 0. Trials is the number of
+	// requests with the part that were sent while it was withheld.
+	BegunAt int64 `cbor:"6,keyasint,omitempty"`
+	Trials  uint8 `cbor:"7,keyasint,omitempty"`
 }
 
-// WithheldChange records that a content has become withheld or was released.
+// WithheldChange records that a content or part has become withheld or was released.
 type WithheldChange struct {
 	Record   CrashRecord
 	Withheld bool
@@ -54,8 +60,15 @@
 	if m.backEnd.Leaving || c.config.Disabled[Withholding] {
 		return
 	}
+	incarnation := incarnationKeyOf(m.backEnd)
 	for _, fingerprint := range x.contentFingerprints() {
-		c.crashes.connectionLost(now, fingerprint, incarnationKeyOf(m.backEnd))
+		c.crashes.connectionLost(now, fingerprint, incarnation)
+	}
+	if x.began {
+		return
+	}
+	for _, part := range x.sharedParts() {
+		c.crashes.partConnectionLost(now, part, incarnation)
 	}
 }
 
@@ -75,10 +88,18 @@
 	}
 }
 
-// withholds reports whether the request has a content that crashes back ends.
+// withholds reports whether the request has a content or a part that crashes back ends.
 func (c *Core) withholds(now time.Time, x *Exchange) bool {
 	c.crashes.publishDue(now)
-	if c.crashes.withheld.Len() == 0 || c.config.Disabled[Withholding] {
+	if c.config.Disabled[Withholding] {
+		return false
+	}
+	return c.withholdsPart(now, x) || c.withholdsContent(now, x)
+}
+
+// withholdsContent reports whether the request has a content that crashes back ends.
+func (c *Core) withholdsContent(now time.Time, x *Exchange) bool {
+	if c.crashes.contents.withheld.Len() == 0 {
 		return false
 	}
 	return slices.ContainsFunc(x.contentFingerprints(), func(each Fingerprint) bool { return c.crashes.withholds(now, each) })
@@ -88,12 +109,15 @@
 func (c *Core) Completed(x *Exchange) {
 	x.completed = true
 	c.clearContents(x)
+	if !x.request.Route.Stream && !x.answeredAt.Before(x.sentAt) {
+		c.AnswerBegan(x.answeredAt, x)
+	}
 }
 
 // clearContents records that a back end answered the request completely, so the request's content
 // doesn't crash back ends.
 func (c *Core) clearContents(x *Exchange) {
-	if c.crashes.isEmpty() {
+	if c.crashes.contents.isEmpty() {
 		return
 	}
 	for _, fingerprint := range x.contentFingerprints() {
@@ -101,9 +125,9 @@
 	}
 }
 
-// ReleaseWithheld clears a content on an operator's request, and reports whether it was withheld.
+// ReleaseWithheld clears a content or part on an operator's request, and reports whether it was withheld.
 func (c *Core) ReleaseWithheld(fingerprint Fingerprint) bool {
-	isWithheld := c.crashes.withheld.Contains(fingerprint)
+	isWithheld := c.crashes.isWithheld(fingerprint)
 	c.crashes.clearContent(fingerprint)
 	return isWithheld
 }
@@ -128,7 +152,7 @@
 	}
 }
 
-// TakeWithheldChanges returns the contents that became withheld or were released since the last
+// TakeWithheldChanges returns the contents and parts that became withheld or were released since the last
 // call, and clears them.
 func (c *Core) TakeWithheldChanges() []WithheldChange {
 	changed := c.crashes.withheldChanges
@@ -136,20 +160,20 @@
 	return changed
 }
 
-// WithheldRecords returns the records of the withheld contents.
+// WithheldRecords returns the records of the withheld contents and parts.
 func (c *Core) WithheldRecords() []CrashRecord {
 	var records []CrashRecord
 	for _, fingerprint := range c.Withheld() {
-		if record, known := c.crashes.withheld.Peek(fingerprint); known {
+		if record := c.crashes.get(fingerprint); record != nil {
 			records = append(records, record.export())
 		}
 	}
 	return records
 }
 
-// Withheld returns the fingerprints of the withheld contents in ascending order.
+// Withheld returns the fingerprints of the withheld contents and parts in ascending order.
 func (c *Core) Withheld() []Fingerprint {
-	return slices.Sorted(slices.Values(c.crashes.withheld.Keys()))
+	return slices.Sorted(slices.Values(c.crashes.withheldKeys()))
 }
 
 // IsExpired reports whether the last crash is so long ago that the content is no longer withheld.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -109,8 +109,9 @@
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
 // copyEvents passes complete events on until the stream ends. A stream that ends before its
-// first event has broken off, and so has an answer that ends with its connection before its first event. If the stream was moved to another back end because this one is silent,
-// copyEvents returns the relocation and errSilent.
+// first event has broken off, and so has an answer that ends with its connection before its first event. If
+// the stream was moved to another back end because this one is silent, copyEvents returns the relocation and
+// errSilent.
 func (h *Handler) copyEvents(ctx context.Context, c *call, s *stream, result outcome) (*relocation, error) {
 	silence, byPace := h.watchSilence(ctx, c, s, result)
 	reader := eventstream.NewReader(result.answer.Body)
@@ -129,6 +130,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if received == 0 {
+			h.config.State.answerBegan(c.exchange)
+		}
 		waited := h.clock().Since(began)
 		s.times.arrived(h.clock().Now(), result)
 		h.config.State.progressed(c.exchange, result.send.EventTokens)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -324,6 +324,14 @@
 	return decision
 }
 
+// answerBegan records the first event of an attempt; see dispatch.Core.AnswerBegan.
+func (s *State) answerBegan(x *dispatch.Exchange) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.AnswerBegan(s.clock.Now(), x)
+	s.announceCrashes()
+}
+
 // eventPassed records an event of a stream that was passed on; see dispatch.Core.EventPassed.
 func (s *State) eventPassed(x *dispatch.Exchange, waited time.Duration, numbered bool) {
 	s.mutex.Lock()
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -27,11 +27,25 @@
 			s.queueUnrecorded(each)
 		}
 		s.log.Warn(event, logrus.Fields{
-			"fingerprint": each.Record.Fingerprint.String(), "back_ends": len(each.Record.Incarnations), "source": source,
+			"fingerprint": each.Record.Fingerprint.String(), "subject": subjectOf(each.Record),
+			"back_ends": len(each.Record.Incarnations), "source": source,
 		})
 	}
 }
 
+// Values of the log field "subject": what withheld requests have in common.
+const (
+	subjectContent = "content"
+	subjectPart    = "part"
+)
+
+func subjectOf(record dispatch.CrashRecord) string {
+	if record.Part {
+		return subjectPart
+	}
+	return subjectContent
+}
+
 // queueUnrecorded queues a change that must be written to the store. If too many wait, the
 // oldest is dropped; peers still receive it.
 func (s *State) queueUnrecorded(change dispatch.WithheldChange) {
@@ -46,7 +60,7 @@
 	}
 }
 
-// ReleaseWithheld releases withheld requests with this content on an operator's command, here
+// ReleaseWithheld releases withheld requests with this content or part of the prompt on an operator's command, here
 // and at all peers. It reports whether they were withheld.
 func (s *State) ReleaseWithheld(fingerprint dispatch.Fingerprint) bool {
 	s.mutex.Lock()
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -74,6 +74,9 @@
 	// Tenants are the demands of the sender's largest tenants. In a large fleet they are collected
 	// instead; see package collect.
 	Tenants fairshare.Packed `cbor:"28,keyasint,omitempty"`
+	// PartCrashes are crash records of parts of prompts. They aren't among Crashes, because earlier builds would take
+	// them for records of contents.
+	PartCrashes []dispatch.CrashRecord `cbor:"29,keyasint,omitempty"`
 }
 
 const (
@@ -101,7 +104,7 @@
 // receiver than that the sender is live. A new StoreAgeMillis isn't an update.
 func (m *Message) carriesUpdate(previous Message) bool {
 	changed := m.Version != previous.Version || m.KnowsEvacuations != previous.KnowsEvacuations || m.Era != previous.Era || m.KnowsRollouts != previous.KnowsRollouts
-	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes) + len(m.Rollouts) + len(m.Marks) + len(m.Displaced) + len(m.Leaving)
+	lists := len(m.Digest) + len(m.Document) + len(m.Entries) + len(m.Evacuations) + len(m.Holdings) + len(m.Loads) + len(m.Peers) + len(m.Crashes) + len(m.PartCrashes) + len(m.Rollouts) + len(m.Marks) + len(m.Displaced) + len(m.Leaving)
 	requests := m.WantDocument || m.Requested != 0
 	return changed || requests || m.Answered != 0 || lists > 0
 }
@@ -133,7 +136,6 @@
 		Evacuations: update.Evacuations, KnowsEvacuations: update.KnowsEvacuations,
 
 		Holdings:       update.Holdings,
-		Crashes:        update.Crashes,
 		Era:            update.Era,
 		Rollouts:       update.Rollouts,
 		KnowsRollouts:  update.KnowsRollouts,
@@ -142,6 +144,7 @@
 		Leaving:        update.Leaving,
 		StoreAgeMillis: min(update.StoreAge, forgetTimeout).Milliseconds(),
 	}
+	message.Crashes, message.PartCrashes = splitCrashes(update.Crashes)
 	gateways := r.config.State.Place().Gateways
 	if !IsLarge(gateways) {
 		message.Loads = update.Loads
@@ -154,6 +157,18 @@
 	return message
 }
 
+// splitCrashes returns the records of contents and those of parts of prompts.
+func splitCrashes(records []dispatch.CrashRecord) (contents, parts []dispatch.CrashRecord) {
+	for _, each := range records {
+		if each.Part {
+			parts = append(parts, each)
+		} else {
+			contents = append(contents, each)
+		}
+	}
+	return contents, parts
+}
+
 // peersToSend returns the peers for a message on a connection on which some were last sent at
 // peersSentAt, or nil until about peersPeriod has passed since then.
 func peersToSend(table *PeerTable, now, peersSentAt time.Time, gateways int) []Peer {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -124,6 +124,7 @@
 	}
 	r.config.State.MergePeerHoldings(message.Holdings)
 	r.config.State.MergeCrashes(message.Crashes)
+	r.config.State.MergeCrashes(message.PartCrashes)
 }
 
 func (r *Relay) applyDocument(message Message) {
