--- a/internal/dispatch/part_crashes_test.go
+++ b/internal/dispatch/part_crashes_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // crashFleetSizes are fleets of one gateway, of a full mesh, and of two in which records need several hops.
@@ -125,3 +127,76 @@
 		}
 	}
 }
+
+// Reports of crashes under parts, of answers that began and of trials may arrive late, twice, in part and in any order.
+// All gateways must end up with the same parts withheld.
+func TestPartCrashRecordsConvergeInAnyDeliveryOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const gateways = 4
+		cores := make([]*Core, gateways)
+		cursors := [gateways][gateways]uint64{}
+		for i := range cores {
+			cores[i] = newCore(backEnds(10, 6))
+		}
+		now := start
+		gossip := func(from, to, limit int) {
+			records, next := cores[from].CrashesSince(now, cursors[from][to], limit)
+			cores[to].MergeCrashes(now, records)
+			if rapid.Bool().Draw(t, "heard") {
+				cursors[from][to] = next
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			at := rapid.IntRange(0, gateways-1).Draw(t, "gateway")
+			shared := fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "part"))
+			x, decision := cores[at].Begin(now, request(repeatable(1), fmt.Sprint(now), Part{ID: shared}, Part{ID: "last"}))
+			if decision.Send != nil {
+				if rapid.IntRange(0, 4).Draw(t, "outcome") == 0 {
+					cores[at].Answered(now, x, -1)
+					cores[at].Completed(x)
+				} else {
+					cores[at].ConnectionLost(now, x)
+				}
+			}
+			gossip(at, rapid.IntRange(0, gateways-1).Draw(t, "to"), rapid.IntRange(1, 2).Draw(t, "most"))
+		}
+		now = now.Add(acquitWindow)
+		for range gateways * 4 {
+			for from := range gateways {
+				for to := range gateways {
+					records, next := cores[from].CrashesSince(now, cursors[from][to], 2)
+					cores[to].MergeCrashes(now, records)
+					cursors[from][to] = next
+				}
+			}
+		}
+		for _, core := range cores[1:] {
+			if !slices.Equal(core.Withheld(), cores[0].Withheld()) {
+				t.Fatalf("gateways withhold %v and %v", cores[0].Withheld(), core.Withheld())
+			}
+		}
+	})
+}
+
+// Guards against parts of sound requests that are evicted or withheld by a caller who crashes back ends beside them.
+func TestCrashesBesideSoundRequestsDoNotWithholdTheirParts(t *testing.T) {
+	is := is.New(t)
+	core := newCore(backEnds(41, 6))
+	now := start
+	for i := range 20 {
+		now = now.Add(time.Second)
+		sound := request(repeatable(1), fmt.Sprint("sound", i), Part{ID: "theirs"}, Part{ID: "last"})
+		sound.Deadline = now.Add(time.Minute)
+		x, decision := core.Begin(now, sound)
+		is.True(decision.Send != nil)
+		if i%2 == 0 {
+			core.ConnectionLost(now, x) // each second one is interrupted before its first event
+			continue
+		}
+		core.Answered(now, x, -1)
+		core.EventPassed(now, x, 0, true)
+		core.Done(now, x)
+	}
+	is.Equal(len(core.Withheld()), 0)
+}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -142,7 +142,11 @@
 	if len(lines) == 0 {
 		return Verdict{}, false
 	}
-	why := "requests of its content crashed the back ends that ran them, so the gateways send none (fingerprint " + lines[0].Fingerprint + ")"
+	why := "requests of its content"
+	if lines[0].Parts != "" {
+		why += ", or with one of its prompt's parts " + lines[0].Parts + ","
+	}
+	why += " crashed the back ends that ran them, so the gateways send none (fingerprint " + lines[0].Fingerprint + ")"
 	return Verdict{Cause: Withheld, Why: why, Evidence: append(e.SameContentLines, lines...)}, true
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -146,9 +146,7 @@
 	fields["cause"] = failed.cause
 	fields["path"] = c.loggedPath()
 	fields["fingerprint"] = c.fingerprints()[0].String()
-	if parts := dispatch.PartFingerprints(c.exchange.Service(), c.facts.Parts); len(parts) > 0 {
-		fields["parts"] = joined(parts)
-	}
+	c.addParts(fields)
 	fields["status"] = failed.status
 	fields["events"] = failed.events
 	fields["not_sent"] = failed.notSent
@@ -168,6 +166,13 @@
 	h.config.Log.Warn(eventlog.AttemptFailed, fields)
 }
 
+// addParts adds the fingerprints of the parts of the prompt that requests share.
+func (c *call) addParts(fields logrus.Fields) {
+	if parts := dispatch.PartFingerprints(c.exchange.Service(), c.facts.Parts); len(parts) > 0 {
+		fields["parts"] = joined(parts)
+	}
+}
+
 // joined returns the fingerprints in the form used in logs, separated by commas.
 func joined(list []dispatch.Fingerprint) string {
 	texts := make([]string, len(list))
@@ -209,6 +214,7 @@
 		if kind == failure.Withheld {
 			fields["path"] = c.loggedPath()
 			fields["fingerprint"] = c.fingerprints()[0].String()
+			c.addParts(fields)
 		}
 		return fields
 	}
