Withheld parts: sound requests don't wait for the trial of the part that explains theirs

Cause: a trial tested all withheld parts of a request at once, so it said nothing of any of them. Change: a part that was there at all crashes under another one explains these. Within a request, only the parts that no other explains are on trial. A part whose crashes are explained by a withheld part that the request doesn't have is tried two seconds after the last crash.

--- a/internal/dispatch/part_crashes.go
+++ b/internal/dispatch/part_crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/routing"
@@ -28,13 +29,24 @@
 	// trialSlot is the time between two draws of the gateways that may try a withheld part. They send in the first half
 	// of the slot; in the second half, the news of a trial reaches the others.
 	trialSlot = 2 * time.Second
-	// trialGrowth is the factor by which the number of drawn gateways grows with each slot without a trial.
-	trialGrowth = 1.25
 )
 
-// trialDelays are the times from the last crash or trial to the next trial. There are so few because operators allow
-// only three more requests to reach back ends.
-var trialDelays = []time.Duration{15 * time.Second, 2 * time.Minute}
+// trialSchedule says when a withheld part is tried.
+type trialSchedule struct {
+	// delays are the times from the last crash or trial to the next trial. There are so few because operators allow only
+	// three more requests to reach back ends.
+	delays []time.Duration
+	// growth is the factor by which the number of drawn gateways grows with each slot without a trial.
+	growth float64
+}
+
+var (
+	// suspectTrials is the schedule of a part that may be the cause.
+	suspectTrials = trialSchedule{delays: []time.Duration{15 * time.Second, 2 * time.Minute}, growth: 1.25}
+	// companionTrials is the schedule of a part all of whose crashes another withheld part explains, in requests without
+	// that other one. They are probably sound, and wait for the trial.
+	companionTrials = trialSchedule{delays: []time.Duration{2 * time.Second, 15 * time.Second}, growth: 4}
+)
 
 // sharedParts returns the fingerprints of the parts that the request shares with others.
 func (x *Exchange) sharedParts() []Fingerprint {
@@ -85,13 +97,12 @@
 	m.classify(record, isFromPeer)
 }
 
-// noteTrial records that a request with withheld parts is sent.
+// noteTrial records that a request with withheld parts is sent. It is a trial of those of them whose crashes no other part
+// of the request explains.
 func (c *Core) noteTrial(now time.Time, x *Exchange) {
-	if c.crashes.parts.withheld.Len() == 0 {
-		return
-	}
-	for _, part := range x.sharedParts() {
-		if record, isWithheld := c.crashes.parts.withheld.Peek(part); isWithheld {
+	records := c.withheldParts(now, x)
+	for i, record := range records {
+		if !explainedWithin(records, i) {
 			record.trials++
 			record.lastAt = now
 			c.crashes.markChanged(record)
@@ -99,30 +110,73 @@
 	}
 }
 
-// withholdsPart reports whether the request has a withheld part and isn't a trial of it. Only a first attempt is a trial.
-func (c *Core) withholdsPart(now time.Time, x *Exchange) bool {
+// withheldParts returns the records of the request's withheld parts.
+func (c *Core) withheldParts(now time.Time, x *Exchange) []*crashRecord {
 	if c.crashes.parts.withheld.Len() == 0 {
-		return false
+		return nil
 	}
+	var records []*crashRecord
 	for _, part := range x.sharedParts() {
-		if c.crashes.withholds(now, part) && (x.attempts > 0 || !c.mayTry(now, c.crashes.parts.get(part))) {
+		if c.crashes.withholds(now, part) {
+			records = append(records, c.crashes.parts.get(part))
+		}
+	}
+	return records
+}
+
+// withholdsPart reports whether the request has a withheld part and isn't a trial of it. Only a first attempt is a trial.
+func (c *Core) withholdsPart(now time.Time, x *Exchange) bool {
+	records := c.withheldParts(now, x)
+	if len(records) > 0 && x.attempts > 0 {
+		return true
+	}
+	for i, record := range records {
+		if !explainedWithin(records, i) && !c.mayTry(now, x, record) {
+			return true
+		}
+	}
+	return false
+}
+
+// explainedWithin reports whether another part of a request explains the crashes under the part at the index: it was there
+// each time, and at further crashes or further on in the prompt. The parts are in the order of the prompt.
+func explainedWithin(records []*crashRecord, index int) bool {
+	record := records[index]
+	for i, other := range records {
+		if i != index && other.covers(record) && (i > index || !record.covers(other)) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayTry reports whether this gateway may send a request with the withheld part, to learn whether it still crashes back
-// ends.
-func (c *Core) mayTry(now time.Time, record *crashRecord) bool {
-	if record.trials >= len(trialDelays) {
+// isCompanion reports whether a withheld part that the request doesn't have explains the crashes under the part.
+func (c *Core) isCompanion(x *Exchange, record *crashRecord) bool {
+	return slices.ContainsFunc(c.crashes.parts.withheld.Values(), func(other *crashRecord) bool {
+		return !slices.Contains(x.sharedParts(), other.fingerprint) && other.covers(record)
+	})
+}
+
+// covers reports whether the crashes under the other part that count are all known under this one as well.
+func (r *crashRecord) covers(other *crashRecord) bool {
+	return !slices.ContainsFunc(other.crashes, func(each crash) bool { return each.evidence.countsAsCrash() && r.index(each.incarnation) < 0 })
+}
+
+// mayTry reports whether this gateway may send the request with the withheld part, to learn whether the part still crashes
+// back ends.
+func (c *Core) mayTry(now time.Time, x *Exchange, record *crashRecord) bool {
+	schedule := suspectTrials
+	if c.isCompanion(x, record) {
+		schedule = companionTrials
+	}
+	if record.trials >= len(schedule.delays) {
 		return false
 	}
-	waited := now.Sub(record.lastAt) - trialDelays[record.trials]
+	waited := now.Sub(record.lastAt) - schedule.delays[record.trials]
 	if waited < 0 || now.UnixNano()%int64(trialSlot) >= int64(trialSlot/2) {
 		return false
 	}
-	drawn := int(min(math.Pow(trialGrowth, float64(waited/trialSlot)), float64(len(c.selection.others)+1)))
+	drawn := int(min(math.Pow(schedule.growth, float64(waited/trialSlot)), float64(len(c.selection.others)+1)))
 	return c.selection.draws(now, uint64(record.fingerprint)^uint64(now.UnixNano()/int64(trialSlot)), drawn)
 }
 
--- a/internal/dispatch/part_crashes_test.go
+++ b/internal/dispatch/part_crashes_test.go
@@ -200,3 +200,35 @@
 	}
 	is.Equal(len(core.Withheld()), 0)
 }
+
+// rareLoad has sound requests so rarely that hardly any answer begins under their parts between two crashes of the part.
+var rareLoad = crashLoad{sound: 0.6, bad: trialRate, parts: 2}
+
+// Guards against rare sound requests that stay withheld with the part because they share their first part with it: each
+// trial would be one of the many requests with both.
+func TestRareSoundRequestsWithTheSameFirstPartAreServed(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		t.Run(fmt.Sprint(size.gateways, " gateways"), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			total, began := 0, 0
+			for seed := range uint64(5) {
+				f := newCrashFleet(seed, size.gateways, size.backEnds)
+				f.simulate(crashSettling, rareLoad)
+				f.simulate(2*time.Minute, rareLoad)
+				since := f.crashedAt[min(len(f.crashedAt), operatorCrashes)-1].Add(2 * partContact)
+				for _, r := range f.requests {
+					if !r.bad && r.parts[0].ID == "first0" && r.at.After(since) && r.at.Before(f.now.Add(-time.Second)) {
+						total++
+						if r.beganAtFirst {
+							began++
+						}
+					}
+				}
+				is.True(f.lateSends() <= allowedLateSends)
+			}
+			t.Logf("%d of %d sound requests with the same first part begin at the first attempt", began, total)
+			is.True(float64(began) >= minBeganShare*float64(total))
+		})
+	}
+}
