--- a/internal/dispatch/part_crashes_test.go
+++ b/internal/dispatch/part_crashes_test.go
@@ -232,3 +232,35 @@
 		})
 	}
 }
+
+// Guards against parts that are withheld because back ends crash one after the other for another cause, under many
+// requests and under few.
+func TestUnrelatedCrashesWithholdNoParts(t *testing.T) {
+	for _, size := range crashFleetSizes {
+		for name, load := range map[string]crashLoad{
+			"usual load":     {sound: usualCrashLoad * float64(size.backEnds), parts: 40},
+			"many parts":     {sound: usualCrashLoad * float64(size.backEnds), parts: 2000},
+			"few requests":   {sound: 5, parts: 40},
+			"one other part": {sound: 5, parts: 1},
+		} {
+			t.Run(fmt.Sprint(size.gateways, " gateways, ", name), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newCrashFleet(4, size.gateways, size.backEnds)
+				f.simulate(crashSettling, load)
+				begin := f.now
+				for i := range 80 {
+					f.schedule(time.Duration(i)*250*time.Millisecond, func() {
+						if b := f.backEnds[f.list[f.random.IntN(len(f.list))].Address]; !b.down {
+							f.crash(b)
+						}
+					})
+				}
+				f.simulate(25*time.Second, load)
+				share, withheld := f.beganAtFirst(begin)
+				t.Logf("%d sound requests withheld; %.3f begin at the first attempt", withheld, share)
+				is.Equal(withheld, 0)
+			})
+		}
+	}
+}
