Acquitted parts: crashes that aren't published yet are removed rather than told

A crash that this gateway alone knows needs no record at peers once an answer began under its parts. The tests of crashes and parts pass as before.

--- a/internal/dispatch/part_crashes.go
+++ b/internal/dispatch/part_crashes.go
@@ -85,16 +85,20 @@
 	return own
 }
 
-// acquit clears all known crashes under the part, because an answer began at the time.
+// acquit clears all known crashes under the part, because an answer began at the time. Those that aren't published yet are
+// removed instead: others that know them have the time or learn it.
 func (m *crashMemory) acquit(now time.Time, record *crashRecord, begunAt time.Time, isFromPeer bool) {
+	record.crashes = slices.DeleteFunc(record.crashes, func(each crash) bool { return !each.isPublished })
 	raised := record.clear()
-	isDue := now.Sub(record.lastAt) < acquitRefreshTime && begunAt.Sub(record.begunAt) >= acquitWindow/2
-	if !raised && !isDue {
-		return
+	isDue := len(record.crashes) > 0 && now.Sub(record.lastAt) < acquitRefreshTime && begunAt.Sub(record.begunAt) >= acquitWindow/2
+	if raised || isDue {
+		record.begunAt = later(record.begunAt, begunAt)
+		m.markChanged(record)
 	}
-	record.begunAt = later(record.begunAt, begunAt)
-	m.markChanged(record)
 	m.classify(record, isFromPeer)
+	if len(record.crashes) == 0 {
+		m.parts.suspected.Remove(record.fingerprint)
+	}
 }
 
 // noteTrial records that a request with withheld parts is sent. It is a trial of those of them whose crashes no other part
