--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -172,3 +172,24 @@
 		})
 	}
 }
+
+// Guards against records of parts that an earlier build takes for records of contents, and against fields of records of
+// contents that it doesn't know.
+func TestCrashRecordsOfPartsHaveTheirOwnField(t *testing.T) {
+	is := is.New(t)
+	content := dispatch.CrashRecord{Fingerprint: 1, Incarnations: []uint32{1}, Evidence: []uint8{1}, LastAt: 5}
+	part := dispatch.CrashRecord{Fingerprint: 2, Incarnations: []uint32{1}, Evidence: []uint8{1}, LastAt: 5, Part: true, BegunAt: 7, Trials: 1}
+	var message Message
+	message.Crashes, message.PartCrashes = splitCrashes([]dispatch.CrashRecord{part, content})
+	raw, err := cbor.Marshal(message)
+	is.NoErr(err)
+	var earlier struct {
+		Crashes []map[int]any `cbor:"19,keyasint"`
+	}
+	is.NoErr(cbor.Unmarshal(raw, &earlier))
+	is.Equal(len(earlier.Crashes), 1)
+	is.Equal(len(earlier.Crashes[0]), 4)
+	decoded, err := decode(raw)
+	is.NoErr(err)
+	is.Equal(decoded.PartCrashes, []dispatch.CrashRecord{part})
+}
