Soak: a part of a prompt crashes the back ends that begin to answer it

Cause: the soak's crashing requests repeat one content, so the gateways' evidence by content was enough. Requests that share one part and are otherwise all different weren't played. Change: crashing_part (drawn only if it is named) adds a caller whose requests have one part in common, before or after a part of sound requests, with keys of sound callers, through any gateway, on both kinds of streams. Checks: once five back ends have crashed under the part, undisturbed gateways send at most three more later than 3.3 s after; from 6 s after, sound requests of the same route with the same key or first part begin at least half as often as outside disturbances. wire.CallerRequest states the parts of a prompt, wire.Forwarded passes them to back ends, and a request keeps its parts.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -167,7 +167,7 @@
 curl -sX POST http://%[7]s/kill/engine-1
 
 Stop with Ctrl-C.
-`, strings.Join(fleet.Callers, ", "), fleet.Curl(0, demo.RecordsPrefix+"42", ""), fleet.Curl(0, demo.ChatPrefix+"new", "prompt-1"),
+`, strings.Join(fleet.Callers, ", "), fleet.Curl(0, demo.RecordsPrefix+"42"), fleet.Curl(0, demo.ChatPrefix+"new", "prompt-1"),
 		fleet.Curl(1, demo.ChatPrefix+"new", "prompt-1"), fleet.Admins[0], strings.Join(fleet.Parts(), ", "), fleet.Control)
 	return err
 }
--- a/internal/demo/gateways.go
+++ b/internal/demo/gateways.go
@@ -238,10 +238,10 @@
 
 // Curl returns a curl command that sends a request to the gateway with the number, with the headers
 // of the platform's callers. The shell inserts a random ID for each request.
-func (g *Gateways) Curl(gateway int, path, prompt string) string {
+func (g *Gateways) Curl(gateway int, path string, parts ...string) string {
 	const id = "REQUEST-ID"
 	header := http.Header{}
-	g.protocol.WriteCallerRequest(header, wire.CallerRequest{Request: id, Key: GatewayKey, Timeout: callerTimeout, Prompt: prompt})
+	g.protocol.WriteCallerRequest(header, wire.CallerRequest{Request: id, Key: GatewayKey, Timeout: callerTimeout, Parts: parts})
 	command := fmt.Sprintf("curl -sN http://%s%s -H 'Host: %s'", g.Callers[gateway], path, GatewayHost)
 	for _, name := range slices.Sorted(maps.Keys(header)) {
 		command += fmt.Sprintf(" -H \"%s: %s\"", name, strings.ReplaceAll(header.Get(name), id, "$RANDOM$RANDOM"))
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -161,8 +161,8 @@
 	arrival.ran = true
 	arrival.changed = string(body) != bodyOf(streamOf(forwarded), r.Method)
 	b.fleet.check.arrived(arrival)
-	if isCrashing(r.URL.Path) {
-		b.crashDuring(r)
+	if cause := cmp.Or(crashingPartOf(forwarded.Prompt), crashingPathOf(r.URL.Path)); cause != "" {
+		b.crashDuring(r, cause)
 	}
 	if defect.affects(forwarded.Request, arrival.at) {
 		b.fleet.check.versionFailed(version)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -65,20 +65,19 @@
 		prefix: c.choosePrefix(), key: keys[c.random.IntN(len(keys))], at: time.Now(),
 	}
 	sent.stream = sent.request
-	prompt := ""
 	if isStream(sent.prefix) {
-		prompt = fmt.Sprintf("%x", 1+c.random.IntN(prompts))
+		sent.parts = []string{fmt.Sprintf("%x", 1+c.random.IntN(prompts))}
 	}
-	got := c.sendChecked(ctx, g, sent, prompt)
+	got := c.sendChecked(ctx, g, sent)
 	if sent.prefix == prefixResumable {
-		c.takeUp(ctx, sent, got, prompt)
+		c.takeUp(ctx, sent, got)
 	}
 }
 
 // sendChecked sends a request and reports it and its reply to the checker.
-func (c *caller) sendChecked(ctx context.Context, g *gatewayState, sent sentRequest, prompt string) reply {
+func (c *caller) sendChecked(ctx context.Context, g *gatewayState, sent sentRequest) reply {
 	c.fleet.check.sent(sent)
-	got := c.send(ctx, g, sent, prompt)
+	got := c.send(ctx, g, sent)
 	got.at = time.Now()
 	c.fleet.check.received(sent, got)
 	return got
@@ -89,16 +88,16 @@
 	return prefixes[c.random.IntN(len(prefixes))]
 }
 
-func (c *caller) send(ctx context.Context, g *gatewayState, sent sentRequest, prompt string) reply {
+func (c *caller) send(ctx context.Context, g *gatewayState, sent sentRequest) reply {
 	method := http.MethodPost
 	if sent.prefix == prefixRepeat {
 		method = http.MethodGet
 	}
-	return c.sendTo(ctx, g, sent, method, sent.prefix+sent.stream, prompt)
+	return c.sendTo(ctx, g, sent, method, sent.prefix+sent.stream)
 }
 
 // sendTo sends a request with the method and path and reads its answer.
-func (c *caller) sendTo(ctx context.Context, g *gatewayState, sent sentRequest, method, path, prompt string) reply {
+func (c *caller) sendTo(ctx context.Context, g *gatewayState, sent sentRequest, method, path string) reply {
 	ctx, cancel := context.WithTimeout(ctx, routeTimeout+callerGrace)
 	defer cancel()
 	watch := newPatience(c.fleet.options.patience(), isStream(sent.prefix), cancel)
@@ -111,11 +110,11 @@
 		request.Body, request.ContentLength, request.GetBody = nil, 0, nil
 	}
 	request.Host = host
-	stated := wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: sent.timeout(), Prompt: prompt}
+	stated := wire.CallerRequest{Request: sent.request, Key: sent.key, Timeout: sent.timeout(), Parts: sent.parts}
 	if sent.events > 0 {
 		stated.Resumes, stated.LastEvent = sent.stream, strconv.Itoa(sent.events)
 	}
-	if c.fleet.options.Backups && prompt != "" {
+	if c.fleet.options.Backups && len(sent.parts) > 0 {
 		stated.PromptTokens, stated.OutputTokens = promptTokens, outputTokens
 	}
 	c.fleet.environment.Protocol().WriteCallerRequest(request.Header, stated)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -63,6 +63,9 @@
 	PromiseRecovery Promise = "recovery"
 	// PromiseWithheld requires that requests that are known to crash back ends are withheld.
 	PromiseWithheld Promise = "what crashes back ends is withheld"
+	// PromiseSound requires that sound requests which share the key or the first part with requests that crash
+	// back ends go on beginning.
+	PromiseSound Promise = "sound requests begin beside crashing ones"
 	// PromiseStart requires that a gateway that was stopped or killed starts again.
 	PromiseStart Promise = "gateways start"
 	// PromiseExposure requires that a defective version gets few requests, and none once its
@@ -90,8 +93,10 @@
 type sentRequest struct {
 	request, gateway, prefix, key string
 	at                            time.Time
-	// crashes is the path of a crashing request, or "".
+	// crashes is the cause for which the request crashes back ends: its path, a part of its prompt, or "".
 	crashes string
+	// parts are the shared parts of its prompt.
+	parts []string
 	// stream is the ID of the attempt that began the stream, which is request for a new one, and events
 	// the number of its events that the caller already has.
 	stream string
@@ -195,7 +200,7 @@
 	// leavingAt is when a back end announced in the store that it is leaving, by its ID.
 	leavingAt map[string]time.Time
 	warmUps   []warmUpPeriod
-	// crashes holds the times at which back ends crashed on crashing requests, by path.
+	// crashes holds the times at which back ends crashed on crashing requests, by cause.
 	crashes map[string][]time.Time
 	// evacuations are all orders to evacuate a zone so far.
 	evacuations []evacuation
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -21,14 +21,19 @@
 	crashingExtraTime = 5 * time.Second
 	// crashingPath is part of the path of every crashing request.
 	crashingPath = "crash-"
-	// crashesToDetect is the number of crashes on one content after which undisturbed gateways
+	// contentCrashesToDetect is the number of crashes on one content after which undisturbed gateways
 	// may send it only crashingRetries more times.
-	crashesToDetect = 3
-	crashingRetries = 3
+	contentCrashesToDetect = 3
+	crashingRetries        = 3
 )
 
-// isCrashing returns whether a request with the path crashes the back end that runs it.
-func isCrashing(path string) bool { return strings.Contains(path, crashingPath) }
+// crashingPathOf returns the path if a request with it crashes the back end that runs it, and otherwise "".
+func crashingPathOf(path string) string {
+	if strings.Contains(path, crashingPath) {
+		return path
+	}
+	return ""
+}
 
 // repeatCrashing sends a crashing request repeatedly; the fault's target selects its content.
 func (f *fleet) repeatCrashing(ctx context.Context, fault Fault) {
@@ -51,17 +56,18 @@
 		prefix: prefixRepeat, key: keys[0], at: time.Now(), crashes: path,
 	}
 	c.fleet.check.sent(sent)
-	got := c.sendTo(context.WithoutCancel(ctx), g, sent, http.MethodGet, path, "")
+	got := c.sendTo(context.WithoutCancel(ctx), g, sent, http.MethodGet, path)
 	got.at = time.Now()
 	c.fleet.check.received(sent, got)
 }
 
-// crashDuring crashes the back end while it runs a crashing request.
-func (b *backEnd) crashDuring(r *http.Request) {
+// crashDuring crashes the back end while it runs a request for the cause: the request's path or a part of its
+// prompt.
+func (b *backEnd) crashDuring(r *http.Request, cause string) {
 	incarnation := b.currentIncarnation()
 	sleep(r.Context(), plainWork)
 	if b.currentIncarnation() == incarnation && r.Context().Err() == nil {
-		b.fleet.check.crashed(r.URL.Path)
+		b.fleet.check.crashed(cause)
 		b.fleet.check.tasks.Go(func() {
 			b.fleet.injectAtBackEnd(context.Background(), b, Fault{Kind: CrashBackEnd, For: listedAfterCrash})
 		})
@@ -70,11 +76,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// crashed records that a back end crashed while it ran a crashing request.
-func (c *checker) crashed(path string) {
+// crashed records that a back end crashed for the cause.
+func (c *checker) crashed(cause string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.crashes[path] = append(c.crashes[path], time.Now())
+	c.crashes[cause] = append(c.crashes[cause], time.Now())
 }
 
 // judgeCrashing checks that undisturbed gateways withheld crashing requests once they could know
@@ -84,20 +90,20 @@
 	for _, id := range c.order {
 		s := c.sentRequests[id]
 		crashes := c.crashes[s.crashes]
-		if s.crashes == "" || len(crashes) < crashesToDetect {
+		if s.crashes == "" || len(crashes) < crashesToDetect(s.crashes) {
 			continue
 		}
 		slices.SortFunc(crashes, time.Time.Compare)
-		known := crashes[crashesToDetect-1].Add(quietTime + slack)
+		known := crashes[crashesToDetect(s.crashes)-1].Add(quietTime + slack)
 		for _, each := range c.arrivals[id] {
 			if each.at.After(known) && c.undisturbed(s.gateway, each.at, each.at) {
 				late[s.crashes]++
 			}
 		}
 	}
-	for path, count := range late {
+	for cause, count := range late {
 		if count > crashingRetries {
-			c.failLocked(PromiseWithheld, "%s came to back ends %d times when it was known to crash them, %d are allowed", path, count, crashingRetries)
+			c.failLocked(PromiseWithheld, "%s came to back ends %d times when it was known to crash them, %d are allowed", cause, count, crashingRetries)
 		}
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -69,6 +69,8 @@
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
 	case CrashingRequest:
 		f.repeatCrashing(ctx, fault)
+	case CrashingPart:
+		f.sendCrashingParts(ctx, fault)
 	case MoveService, MoveUnattended:
 		f.moveService(ctx, fault)
 	case RevokeKey:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -74,6 +74,7 @@
 	c.judgeBudget()
 	c.judgeWarmUps()
 	c.judgeCrashing()
+	c.judgeSound()
 	c.judgeMoves()
 	c.judgeHandovers()
 	c.judgeTakenUp(&result)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -91,6 +91,9 @@
 	// named. Callers then leave streams after their patience.
 	SilentBackEnd  Kind = "silent_back_end"
 	SilentBackEnds Kind = "silent_back_ends"
+	// CrashingPart adds a caller whose requests share one part of their prompts, which crashes every back end
+	// that begins to answer them, and are otherwise all different. It is drawn only if it is named.
+	CrashingPart Kind = "crashing_part"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -104,7 +107,9 @@
 }
 
 // NamedKinds lists the kinds that are drawn only if they are named.
-func NamedKinds() []Kind { return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds} }
+func NamedKinds() []Kind {
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart}
+}
 
 // Fault is one entry of a schedule.
 type Fault struct {
--- a/internal/soak/takeup.go
+++ b/internal/soak/takeup.go
@@ -59,7 +59,7 @@
 }
 
 // takeUp sends requests for the rest of a stream that broke off, each at the next gateway.
-func (c *caller) takeUp(ctx context.Context, first sentRequest, got reply, prompt string) {
+func (c *caller) takeUp(ctx context.Context, first sentRequest, got reply) {
 	at := slices.IndexFunc(c.fleet.gateways, func(g *gatewayState) bool { return g.id == first.gateway })
 	for range maxTakeUps {
 		sleep(ctx, takeUpPause)
@@ -73,7 +73,7 @@
 		again.request, again.gateway = fmt.Sprintf("c%d-%d", c.number, c.count), c.fleet.gateways[at].id
 		again.at, again.firstAt, again.events = time.Now(), first.at, got.events
 		c.fleet.check.noteTakeUp(again.request, c.fleet.isServed(c.fleet.check.versionOf(first.stream)))
-		next := c.sendChecked(ctx, c.fleet.gateways[at], again, prompt)
+		next := c.sendChecked(ctx, c.fleet.gateways[at], again)
 		next.events = max(next.events, again.events)
 		got = next
 	}
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -106,6 +106,8 @@
 	BackEnd string
 	// Tenant is the authenticated tenant.
 	Tenant string
+	// Prompt are the parts of the prompt as the caller states them.
+	Prompt string
 	// ResumeAfter is the ID of the last event that the caller has received, or "".
 	ResumeAfter string
 	// BackUpTo is the address to which the memory of the run is to be copied, and ContinueFrom the
@@ -123,8 +125,8 @@
 	Key     string
 	// Timeout is how long the caller waits.
 	Timeout time.Duration
-	// Prompt identifies the shared prefix of the prompt, or is "".
-	Prompt string
+	// Parts identify the shared parts of the prompt in order.
+	Parts []string
 	// PromptTokens and OutputTokens are the sizes that the caller states; 0 if it states none.
 	PromptTokens, OutputTokens int
 	// Resumes is the ID of the attempt that brought the first event of a stream that the caller resumes,
