Soak: answers with neither length nor chunks end with their connection

Cause: every answer of the soak's back ends had a length or chunks, so whether an answer is whole never depended on how its connection ends. Change: unframed_answers (drawn only if it is named) makes a back end write plain answers and streams without length, chunks or Connection header: whole, ended within an event (streams alone: nobody can tell a plain one from a whole one), or reset within the answer. Links pass resets on in such runs, and connections in memory can be reset like those of TCP (SetLinger). A new promise: what a back end ended whole arrives whole, without another fault; that a broken one isn't taken for whole is checked by "streams in order" and "whole and own answers". A broken answer isn't counted as lost.

--- a/internal/pipenet/silence.go
+++ b/internal/pipenet/silence.go
@@ -1,10 +1,15 @@
 package pipenet
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Silence makes all open connections silent permanently, without a reset: written data is
@@ -20,10 +25,12 @@
 // pipe returns the two ends of a connection.
 func (n *Network) pipe() (client, server net.Conn) {
 	near, far := net.Pipe()
-	return n.track(near), n.track(far)
+	first, second := n.track(near), n.track(far)
+	first.peer, second.peer = second, first
+	return first, second
 }
 
-func (n *Network) track(conn net.Conn) net.Conn {
+func (n *Network) track(conn net.Conn) *pipeConn {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	tracked := &pipeConn{Conn: conn, network: n, silent: make(chan struct{}), closed: make(chan struct{}), deadlineChanged: make(chan struct{})}
@@ -31,13 +38,16 @@
 	return tracked
 }
 
-// pipeConn is one end of a connection that can become silent; see Silence.
+// pipeConn is one end of a connection that can become silent, see Silence, or be reset, see SetLinger.
 type pipeConn struct {
 	net.Conn
 	network *Network
-	silent  chan struct{}
-	closed  chan struct{}
-	once    sync.Once
+	peer    *pipeConn
+	// resets is true if Close resets the connection.
+	resets atomic.Bool
+	silent chan struct{}
+	closed chan struct{}
+	once   sync.Once
 
 	mutex    sync.Mutex
 	deadline time.Time
@@ -67,6 +77,9 @@
 func (c *pipeConn) Read(bytes []byte) (int, error) {
 	if !c.isSilent() {
 		count, err := c.Conn.Read(bytes)
+		if errors.Is(err, io.EOF) && c.peer.resets.Load() {
+			return count, syscall.ECONNRESET
+		}
 		if err == nil || !c.isSilent() {
 			return count, err
 		}
@@ -141,6 +154,13 @@
 	return c.Conn.SetWriteDeadline(deadline)
 }
 
+// SetLinger makes Close reset the connection if seconds is 0, as net.TCPConn does: the other end reads an error
+// and no end of the data.
+func (c *pipeConn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
 // Close implements net.Conn. The other end of a silent connection doesn't notice it.
 func (c *pipeConn) Close() error {
 	c.once.Do(func() {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,6 +56,9 @@
 	// PromiseSilence requires that a request that ran isn't ended before its time because its back end is
 	// silent: it gets a back end's whole answer or a refusal.
 	PromiseSilence Promise = "silence ends no answer sooner"
+	// PromiseUnframed requires that an answer which ends with its connection is passed on whole if it is whole.
+	// The other promises require that a broken one isn't taken for whole.
+	PromiseUnframed Promise = "answers that end with their connection"
 	// PromiseTimely requires that callers get an answer before they stop waiting, and that an answer
 	// whose status means that the request wasn't run has a Retry-After.
 	PromiseTimely Promise = "given up in time, with a time to come back"
@@ -197,6 +200,8 @@
 	gatewayStarts map[string]time.Time
 	outages       map[string]*disturbance
 	versions      []version
+	// unframed holds the answers that ended with their connection, by request.
+	unframed map[string][]unframedEnd
 	// leavingAt is when a back end announced in the store that it is leaving, by its ID.
 	leavingAt map[string]time.Time
 	warmUps   []warmUpPeriod
@@ -220,7 +225,7 @@
 		fleet: f, started: time.Now(), sentRequests: map[string]sentRequest{}, replies: map[string]reply{},
 		arrivals: map[string][]arrival{}, gatewayStarts: map[string]time.Time{}, outages: map[string]*disturbance{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
-		crashes: map[string][]time.Time{}, notices: newNotices(),
+		crashes: map[string][]time.Time{}, unframed: map[string][]unframedEnd{}, notices: newNotices(),
 		takenUp:  takenUp{versions: map[string][]string{}, counts: map[string]bool{}},
 		backedUp: backedUp{work: map[string][]*streamWork{}, crashes: map[string][]time.Time{}},
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -202,7 +202,7 @@
 	}
 	f.serveWith(&http.Server{Handler: b, ErrorLog: discardLog(), IdleTimeout: b.idleTime}, own)
 	b.address = front.Addr().String()
-	b.link = newLink(f.environment, front, own.Addr().String())
+	b.link = newLink(f.environment, front, own.Addr().String(), f.options.isNamed(UnframedAnswers))
 	return b, nil
 }
 
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g.storeLink = newLink(f.environment, front, storeAddress)
+	g.storeLink = newLink(f.environment, front, storeAddress, false)
 	var addresses [3]string
 	for i := range addresses {
 		if addresses[i], err = f.environment.Address(); err != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -69,6 +69,10 @@
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
 	case CrashingRequest:
 		f.repeatCrashing(ctx, fault)
+	case UnframedAnswers:
+		b.changeFaults(func(b *backEnd) *int { return &b.unframed }, 1)
+		wait()
+		b.changeFaults(func(b *backEnd) *int { return &b.unframed }, -1)
 	case CrashingPart:
 		f.sendCrashingParts(ctx, fault)
 	case MoveService, MoveUnattended:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -181,6 +181,9 @@
 	if r.left || r.at.Sub(s.at) >= s.timeout() && c.silentBetween(s.at, r.at) {
 		return
 	}
+	if c.judgeUnframed(s, r) {
+		return
+	}
 	if runs > 0 && (r.status == 0 || !r.whole) {
 		c.failLocked(PromiseNoneLost, "%s ran and was cut by %s after %v: %s", s.request, s.gateway, r.at.Sub(s.at).Round(time.Millisecond), r.cause)
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 
+	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 )
 
@@ -13,6 +15,9 @@
 type link struct {
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	target string
+	// passesResets is true if a reset of one side resets the other one, and faults that close connections
+	// reset them. Otherwise either side only sees the end of the data.
+	passesResets bool
 
 	listener net.Listener
 	tasks    conc.WaitGroup
@@ -29,10 +34,10 @@
 	open             map[net.Conn]bool
 }
 
-func newLink(environment Environment, listener net.Listener, target string) *link {
+func newLink(environment Environment, listener net.Listener, target string, passesResets bool) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{
-		dial: environment.Dial, target: target, listener: listener, ctx: ctx, cancel: cancel,
+		dial: environment.Dial, target: target, passesResets: passesResets, listener: listener, ctx: ctx, cancel: cancel,
 		changed: make(chan struct{}), open: map[net.Conn]bool{},
 	}
 	l.tasks.Go(l.accept)
@@ -71,10 +76,27 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for conn := range l.open {
-		_ = conn.Close()
+		l.closeConn(conn, false)
 	}
 }
 
+// closeConn closes a connection. Unless the data before had an end, it resets it if the link passes resets.
+func (l *link) closeConn(conn net.Conn, atEnd bool) {
+	if !atEnd && l.passesResets {
+		resetConn(conn)
+		return
+	}
+	_ = conn.Close()
+}
+
+// resetConn closes a connection so that the other end reads an error and no end of the data.
+func resetConn(conn net.Conn) {
+	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
+
 func (l *link) accept() {
 	for {
 		conn, err := l.listener.Accept()
@@ -101,11 +123,11 @@
 	defer l.register(outbound, false)
 	var back conc.WaitGroup
 	back.Go(func() {
-		l.copy(inbound, outbound, func() bool { return l.blocked == 0 && l.targetBlocked == 0 && number > l.silent })
-		_ = inbound.Close()
+		atEnd := l.copy(inbound, outbound, func() bool { return l.blocked == 0 && l.targetBlocked == 0 && number > l.silent })
+		l.closeConn(inbound, atEnd)
 	})
-	l.copy(outbound, inbound, func() bool { return l.blocked == 0 && number > l.silent })
-	_ = outbound.Close()
+	atEnd := l.copy(outbound, inbound, func() bool { return l.blocked == 0 && number > l.silent })
+	l.closeConn(outbound, atEnd)
 	back.Wait()
 }
 
@@ -135,21 +157,22 @@
 // copyBytes is the maximum size of one read.
 const copyBytes = 32 << 10
 
-// copy copies bytes while flows returns true, and waits otherwise.
-func (l *link) copy(to, from net.Conn, flows func() bool) {
+// copy copies bytes while flows returns true, and waits otherwise. It returns whether the data ended, and not
+// by an error.
+func (l *link) copy(to, from net.Conn, flows func() bool) (atEnd bool) {
 	buffer := make([]byte, copyBytes)
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 {
 			if !l.awaitUnblocked(flows) {
-				return
+				return false
 			}
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			return
+			return errors.Is(err, io.EOF)
 		}
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -94,6 +94,10 @@
 	// CrashingPart adds a caller whose requests share one part of their prompts, which crashes every back end
 	// that begins to answer them, and are otherwise all different. It is drawn only if it is named.
 	CrashingPart Kind = "crashing_part"
+	// UnframedAnswers makes a back end send answers with neither a length nor chunks, which end with their
+	// connection: whole, or broken off by a reset, or by an end within an event. It is drawn only if it is
+	// named. Links then pass resets on.
+	UnframedAnswers Kind = "unframed_answers"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -108,7 +112,7 @@
 
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
-	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart}
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers}
 }
 
 // Fault is one entry of a schedule.
