Soak: for some seconds most new connections go to one gateway

Cause: the soak's callers spread evenly over the gateways, so nothing checked what a gateway that counts its own share refuses when most connections come to it. Change: focus_connections (drawn only if it is named) sends nine in ten of the new connections to one gateway for 4.5 to 10 s, and to the next one two seconds after that one was stopped; callers open a new one for six in ten requests and try elsewhere if their request wasn't written. A new promise: from the contact time on, requests are served at the first attempt that was read at least three quarters as often as in the five seconds before. Times with an unplanned disturbance aren't judged. On TCP a request that was written counts as read. Not shown: on the virtual clock the processor bounds nothing, so what it costs to read and refuse isn't played.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -58,10 +58,9 @@
 
 // call sends a random request and reports the reply to the checker.
 func (c *caller) call(ctx context.Context) {
-	g := c.fleet.gateways[c.random.IntN(len(c.fleet.gateways))]
-	c.count++
+	g := c.chooseGateway()
 	sent := sentRequest{
-		request: fmt.Sprintf("c%d-%d", c.number, c.count), gateway: g.id,
+		request: c.nextRequest(), gateway: g.id,
 		prefix: c.choosePrefix(), key: keys[c.random.IntN(len(keys))], at: time.Now(),
 	}
 	sent.stream = sent.request
@@ -69,11 +68,20 @@
 		sent.parts = []string{fmt.Sprintf("%x", 1+c.random.IntN(prompts))}
 	}
 	got := c.sendChecked(ctx, g, sent)
+	if got.unread {
+		got = c.tryElsewhere(ctx, sent, got)
+	}
 	if sent.prefix == prefixResumable {
 		c.takeUp(ctx, sent, got)
 	}
 }
 
+// nextRequest returns the ID of the next request.
+func (c *caller) nextRequest() string {
+	c.count++
+	return fmt.Sprintf("c%d-%d", c.number, c.count)
+}
+
 // sendChecked sends a request and reports it and its reply to the checker.
 func (c *caller) sendChecked(ctx context.Context, g *gatewayState, sent sentRequest) reply {
 	c.fleet.check.sent(sent)
@@ -102,7 +110,8 @@
 	defer cancel()
 	watch := newPatience(c.fleet.options.patience(), isStream(sent.prefix), cancel)
 	defer watch.stop()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, strings.NewReader(bodyOf(cmp.Or(sent.stream, sent.request), method)))
+	var read readWatch
+	request, err := http.NewRequestWithContext(read.trace(ctx), method, "http://"+g.callers+path, strings.NewReader(bodyOf(cmp.Or(sent.stream, sent.request), method)))
 	if err != nil {
 		return reply{cause: err.Error()}
 	}
@@ -120,7 +129,7 @@
 	c.fleet.environment.Protocol().WriteCallerRequest(request.Header, stated)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return reply{cause: err.Error(), timedOut: ctx.Err() != nil && !watch.left(), left: watch.left()}
+		return reply{cause: err.Error(), timedOut: ctx.Err() != nil && !watch.left(), left: watch.left(), unread: !read.written.Load()}
 	}
 	defer response.Body.Close()
 	got := reply{
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -59,6 +59,9 @@
 	// PromiseUnframed requires that an answer which ends with its connection is passed on whole if it is whole.
 	// The other promises require that a broken one isn't taken for whole.
 	PromiseUnframed Promise = "answers that end with their connection"
+	// PromiseFocus requires that requests are served at the first attempt that a gateway has read, while most new
+	// connections go to one gateway, at least three quarters as often as before.
+	PromiseFocus Promise = "served while connections go to one gateway"
 	// PromiseTimely requires that callers get an answer before they stop waiting, and that an answer
 	// whose status means that the request wasn't run has a Retry-After.
 	PromiseTimely Promise = "given up in time, with a time to come back"
@@ -134,8 +137,10 @@
 	// caller stopped waiting.
 	whole, timedOut bool
 	// left is true if the caller gave the stream up after a gap.
-	left  bool
-	cause string
+	left bool
+	// unread is true if the request wasn't written, so that no gateway has read it.
+	unread bool
+	cause  string
 }
 
 // arrival is a request at a back end.
@@ -202,6 +207,10 @@
 	versions      []version
 	// unframed holds the answers that ended with their connection, by request.
 	unframed map[string][]unframedEnd
+	// focuses are the times in which most new connections went to one gateway, and sentAgain the requests that
+	// no gateway had read and that were sent again.
+	focuses   []focusPeriod
+	sentAgain map[string]bool
 	// leavingAt is when a back end announced in the store that it is leaving, by its ID.
 	leavingAt map[string]time.Time
 	warmUps   []warmUpPeriod
@@ -225,7 +234,7 @@
 		fleet: f, started: time.Now(), sentRequests: map[string]sentRequest{}, replies: map[string]reply{},
 		arrivals: map[string][]arrival{}, gatewayStarts: map[string]time.Time{}, outages: map[string]*disturbance{},
 		leavingAt: map[string]time.Time{}, counts: map[Promise]int{},
-		crashes: map[string][]time.Time{}, unframed: map[string][]unframedEnd{}, notices: newNotices(),
+		crashes: map[string][]time.Time{}, unframed: map[string][]unframedEnd{}, sentAgain: map[string]bool{}, notices: newNotices(),
 		takenUp:  takenUp{versions: map[string][]string{}, counts: map[string]bool{}},
 		backedUp: backedUp{work: map[string][]*streamWork{}, crashes: map[string][]time.Time{}},
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -144,6 +144,8 @@
 	version uint64
 	// noSpareRoute and noSpareKey count the active faults that remove the spare route and key.
 	noSpareRoute, noSpareKey int
+	// focus is the time in which most new connections go to one gateway, or nil.
+	focus *focusPeriod
 	// evacuated counts the active faults that evacuate a zone, by zone.
 	evacuated map[string]int
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -73,6 +73,8 @@
 		b.changeFaults(func(b *backEnd) *int { return &b.unframed }, 1)
 		wait()
 		b.changeFaults(func(b *backEnd) *int { return &b.unframed }, -1)
+	case FocusConnections:
+		f.focusConnections(ctx, fault)
 	case CrashingPart:
 		f.sendCrashingParts(ctx, fault)
 	case MoveService, MoveUnattended:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -78,6 +78,7 @@
 	c.judgeMoves()
 	c.judgeHandovers()
 	c.judgeTakenUp(&result)
+	c.judgeFocus(&result)
 	c.countSurvivors(&result)
 	if float64(recovered) < minRecovered*float64(expected) || expected == 0 {
 		c.failLocked(PromiseRecovery, "%d of %d requests were served after all faults", recovered, expected)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -98,6 +98,9 @@
 	// connection: whole, or broken off by a reset, or by an end within an event. It is drawn only if it is
 	// named. Links then pass resets on.
 	UnframedAnswers Kind = "unframed_answers"
+	// FocusConnections makes most new connections go to one gateway, and to another once that one is out, while
+	// callers open new ones more often. It is drawn only if it is named.
+	FocusConnections Kind = "focus_connections"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -112,7 +115,7 @@
 
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
-	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers}
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections}
 }
 
 // Fault is one entry of a schedule.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -81,6 +81,8 @@
 	// their version served, and WentOn those of them that went on.
 	TakenUp int
 	WentOn  int
+	// Focused counts the times in which most new connections went to one gateway and that were judged.
+	Focused int
 	// Violations holds the first few violations of each promise.
 	Violations []Violation
 	// Counts is the number of violations by promise.
--- a/internal/soak/takeup.go
+++ b/internal/soak/takeup.go
@@ -68,9 +68,8 @@
 			return
 		}
 		at = (at + 1) % len(c.fleet.gateways)
-		c.count++
 		again := first
-		again.request, again.gateway = fmt.Sprintf("c%d-%d", c.number, c.count), c.fleet.gateways[at].id
+		again.request, again.gateway = c.nextRequest(), c.fleet.gateways[at].id
 		again.at, again.firstAt, again.events = time.Now(), first.at, got.events
 		c.fleet.check.noteTakeUp(again.request, c.fleet.isServed(c.fleet.check.versionOf(first.stream)))
 		next := c.sendChecked(ctx, c.fleet.gateways[at], again)
