Test: callers that nearly all come to one gateway are served at the first attempt

The platform may hand most new connections of a region to one gateway for some seconds. From the contact time on, at least three quarters as many requests as before must be served at their first attempt. The overload fleet of the core's tests gets callers of whom a share asks one gateway first; returning callers are spread as ever.

Cause of the failures: Core.winsPlace divides the free places of a service by the number of gateways, so a gateway with 95% of the callers gives away one part in 5, 22 or 340.

--- a/internal/dispatch/overload_callers_test.go
+++ b/internal/dispatch/overload_callers_test.go
@@ -93,6 +93,9 @@
 	if c.impatient = f.random.Float64() < f.load.impatient; c.impatient {
 		c.returnsLeft = 3
 	}
+	if f.load.atOneGateway > 0 && f.random.Float64() < f.load.atOneGateway {
+		c.gateway = 0
+	}
 	f.callers = append(f.callers, c)
 	return c
 }
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -30,6 +30,9 @@
 	// of the callers that return at once when they are refused, and three times rather than once.
 	largeTenant float64
 	impatient   float64
+	// atOneGateway is the share of the callers that first ask the first gateway; the others are spread
+	// over all gateways, as are callers that return.
+	atOneGateway float64
 }
 
 // overloadFleet simulates gateways with their cores, engines and callers on a virtual clock.
