Gateway: answer a request whose time is over when it has been read

Callers saw a connection closed without an answer, and the log said caller_left, where nothing had run and an error was owed: for example after the gateway's machine was suspended, or short of processor time, while a request waited.

Cause: readBody bounds the time of the body by a read deadline on the connection. For a request without a body, net/http already reads ahead in the background, and takes any error of that read for a caller that left: it cancels the request's context. A deadline in the past ended the read, so refuse closed the connection.

Change: requests without a body set no read deadline. A request whose time is over is refused with deadline_unmeetable (503, not run) before its body is read.

Left: for a request with a body, the read ahead begins with its last byte, and the deadline is reset right after. If the request's time ends in between, the caller still gets no answer.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -171,6 +171,9 @@
 	}
 	c.deadline = c.began.Add(shortestTimeout(c.facts.Timeout, c.route.Timeout))
 	h.setWriteDeadline(c, h.clock().Until(c.deadline))
+	if h.clock().Until(c.deadline) <= 0 {
+		return failure.New(failure.DeadlineUnmeetable, "the deadline passed before the request was read")
+	}
 	return h.readBody(c, index.Configuration().Limits.MaxBodyBytes)
 }
 
@@ -212,6 +215,11 @@
 }
 
 func (h *Handler) readBody(c *call, limit int64) error {
+	if c.request.Body == http.NoBody {
+		// The server already reads ahead on the connection. A deadline that ended that read would
+		// end the request's context, as a caller that leaves does.
+		return nil
+	}
 	if limit <= 0 {
 		limit = h.config.MaxBodyBytes
 	}
