Test: gateways of a simulated small fleet send each other their loads

In the overload fleet of the core's tests, five gateways got totals as a large fleet's do. Gateways of a fleet of up to ten send each other loads, demands and holdings each 200 ms, and decide by these. No test but the one for uneven callers has a fleet of 2 to 10 gateways, so no other changes.

--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/bits"
 	"math/rand/v2"
 	"time"
@@ -21,6 +22,10 @@
 	// exchangeInterval is the time between two reports of a gateway, and between two sums of all
 	// reports. So totals are up to twice as old.
 	exchangeInterval = 250 * time.Millisecond
+	// directFleetSize is the number of gateways up to which they send their loads to each other, every
+	// directInterval, instead of to a collector; see internal/relay.
+	directFleetSize = 10
+	directInterval  = 200 * time.Millisecond
 )
 
 // loadShape is the load in a phase of a simulation.
@@ -120,16 +125,36 @@
 		core.SetServices([]catalog.Service{service})
 		core.SetGateways(gateways)
 		f.cores = append(f.cores, core)
-		if gateways > 1 {
+		switch {
+		case gateways > directFleetSize:
 			f.schedule(start.Add(exchangeInterval*time.Duration(i)/time.Duration(gateways)), func() { f.exchange(i) })
+		case gateways > 1:
+			f.schedule(start.Add(directInterval*time.Duration(i)/time.Duration(gateways)), func() { f.sendToPeers(i) })
 		}
 	}
-	if gateways > 1 {
+	if gateways > directFleetSize {
 		f.schedule(start, f.sumReports)
 	}
 	return f
 }
 
+// sendToPeers sends the gateway's loads, demands and new holdings to all others.
+func (f *overloadFleet) sendToPeers(gateway int) {
+	core, name := f.cores[gateway], fmt.Sprint(gateway)
+	for peer, other := range f.cores {
+		if peer == gateway {
+			continue
+		}
+		other.SetPeerLoads(f.now, name, core.Loads())
+		other.SetPeerDemands(f.now, name, core.Demands(f.now))
+		link := [2]int{gateway, peer}
+		holdings, cursor := core.HoldingsSince(f.cursors[link], int(500*directInterval.Seconds())/len(f.cores))
+		f.cursors[link] = cursor
+		other.MergePeerHoldings(f.now, holdings)
+	}
+	f.schedule(f.now.Add(directInterval), func() { f.sendToPeers(gateway) })
+}
+
 // exchange reports the gateway's counts, applies the last sums, and sends new holdings to the
 // gateways at doubling distances.
 func (f *overloadFleet) exchange(gateway int) {
