--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -102,6 +102,26 @@
 	if environment.Listen == nil {
 		environment.Listen = net.Listen
 	}
+	g := &Gateway{
+		settings: s,
+		log:      environment.Log,
+		metrics:  telemetry.NewMetrics(),
+		state:    newGatewayState(s, environment),
+
+		done: make(chan struct{}),
+	}
+	if err := g.serve(environment); err != nil {
+		return nil, err
+	}
+	g.startFollower(environment)
+	g.log.Warn(eventlog.Started, logrus.Fields{
+		"callers": s.Listen.Callers, "peers": s.Listen.Peers, "admin": s.Listen.Admin, "zone": s.Zone,
+	})
+	return g, nil
+}
+
+// dispatchConfig returns the configuration of the dispatch core according to the settings.
+func dispatchConfig(s *settings.Settings) dispatch.Config {
 	config := dispatch.DefaultConfig()
 	config.Zone = s.Zone
 	config.RetryRatio = *s.Gateway.RetryRatio
@@ -114,38 +134,31 @@
 	config.Rollout = rollout.Limits{Share: s.Gateway.ExposureShare, Extra: s.Gateway.ExposureExtra}
 	config.LapseTime = min(s.Gateway.LeavingBound.Std()*lapseTimeTenths/10, maxLapseTime)
 	config.Disabled = s.Gateway.Disabled()
-	g := &Gateway{
-		settings: s,
-		log:      environment.Log,
-		metrics:  telemetry.NewMetrics(),
-		state:    gateway.NewState(dispatch.New(config), environment.Log),
+	return config
+}
 
-		done: make(chan struct{}),
-	}
-	g.state.UseClock(environment.Clock)
+// newGatewayState returns the state of a gateway that has read nothing yet. It awaits the kinds of orders
+// that the settings name before it is ready.
+func newGatewayState(s *settings.Settings, environment GatewayEnvironment) *gateway.State {
+	config := dispatchConfig(s)
+	state := gateway.NewState(dispatch.New(config), environment.Log)
+	state.UseClock(environment.Clock)
 	if config.Disabled[dispatch.FollowConfiguration] {
-		g.state.FreezeConfiguration()
+		state.FreezeConfiguration()
 	}
 	if config.Disabled[dispatch.FollowEras] {
-		g.state.IgnoreEras()
+		state.IgnoreEras()
 	}
 	if s.Gateway.EvacuationBound > 0 {
-		g.state.AwaitEvacuations()
+		state.AwaitEvacuations()
 	}
 	if s.Gateway.RolloutsEnabled() {
-		g.state.AwaitRollouts()
+		state.AwaitRollouts()
 	}
 	if s.Gateway.FirstStart {
-		g.state.AssumeFirstStart()
+		state.AssumeFirstStart()
 	}
-	if err := g.serve(environment); err != nil {
-		return nil, err
-	}
-	g.startFollower(environment)
-	g.log.Warn(eventlog.Started, logrus.Fields{
-		"callers": s.Listen.Callers, "peers": s.Listen.Peers, "admin": s.Listen.Admin, "zone": s.Zone,
-	})
-	return g, nil
+	return state
 }
 
 // serve opens the listeners and starts the gateway's servers and its exchange with other
