Dispatch: the lottery at a member follows the gateway's part of the demand

In fleets of up to ten gateways, which have no totals, a gateway assumes at a nearly full member that each other gateway has as many requests for it as itself. One that gets nearly all callers so took one part in five or ten of the room there, and refused the rest. The number of others is now 1/part - 1, which is the same with equal parts.

--- a/internal/dispatch/bound.go
+++ b/internal/dispatch/bound.go
@@ -68,7 +68,8 @@
 
 // contenders returns the number of requests that compete for the places of a member, given this
 // gateway's and the others' expected demand. Without totals, the others' demand is the number of
-// gateways that have a request for the member, each as many as this gateway.
+// gateways that have a request for the member, each as many as this gateway. If this gateway gets more
+// than its part of the demand, that counts as fewer gateways; see partOfDemand.
 func (c *Core) contenders(now time.Time, ownDemand, others float64) float64 {
 	own := max(1, ownDemand)
 	if c.totalsAreFresh(now) {
@@ -99,7 +100,7 @@
 		return m.demand.perSecond(now) * interval, m.others.demand * interval
 	}
 	own = m.demand.perSecond(now) * c.peers.interval.Seconds()
-	return own, float64(c.gateways-1) * min(1, own)
+	return own, (1/c.partOfDemand(now, m.backEnd.Service) - 1) * min(1, own)
 }
 
 // propagationTime is the time until all gateways count a request.
--- a/internal/dispatch/uneven_callers_test.go
+++ b/internal/dispatch/uneven_callers_test.go
@@ -11,7 +11,7 @@
 )
 
 // unevenSizes are fleets with few and many gateways before the same engines, and a large one.
-var unevenSizes = []fleetSize{{1, 41}, {5, 41}, {22, 41}, {340, 60}}
+var unevenSizes = []fleetSize{{1, 41}, {5, 41}, {10, 41}, {22, 41}, {340, 60}}
 
 // firstAttemptShare returns the share of the callers that asked from the first to the second time since
 // the start and were served at their first attempt, late or in time.
