--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -111,6 +111,12 @@
 	unloggedSends []sendDecision
 }
 
+// path returns the request's path as the caller wrote it, without the query.
+func (c *call) path() string {
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	return path
+}
+
 // isResumption reports whether the caller resumes a stream.
 func (c *call) isResumption() bool {
 	return c.route != nil && c.route.Stream && c.route.Resumable && c.facts.resumes()
@@ -155,8 +161,7 @@
 		return failure.New(failure.NotReady, "this gateway has no configuration yet; ask another")
 	}
 	c.version = index.Version()
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
-	c.route = index.Route(c.request.Host, path)
+	c.route = index.Route(c.request.Host, c.path())
 	if c.route == nil {
 		return failure.New(failure.UnknownRoute, "no route has the host and path")
 	}
@@ -249,9 +254,8 @@
 
 // route makes attempts until one of them yields an answer for the caller, or gives up.
 func (h *Handler) route(ctx context.Context, c *call) {
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	request := dispatch.Request{
-		ID: c.facts.ID, Route: c.route, Path: path, Parts: c.facts.Parts,
+		ID: c.facts.ID, Route: c.route, Path: c.path(), Parts: c.facts.Parts,
 		PromptTokens: c.facts.PromptTokens, OutputTokens: c.facts.expectedOutput(), Tenant: c.tenant,
 		Urgency: c.urgency, Deadline: c.deadline, Fingerprints: c.fingerprints,
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -125,7 +124,7 @@
 // loggedPath returns the request's path without its query, as it appears in log lines. It
 // identifies failures that affect only one path.
 func (c *call) loggedPath() string {
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	path := c.path()
 	return path[:min(len(path), maxLoggedPath)]
 }
 
