--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
