Soak: an answer that its back end broke off isn't ended by a silence

Change: a request whose unframed answer was broken off is exempt from that promise as from "no request lost"; whether a whole unframed answer arrived whole is judged first, also if an earlier one was broken off, and not after the caller left or the time ran out in a silence.

--- a/internal/soak/unframed.go
+++ b/internal/soak/unframed.go
@@ -133,13 +133,16 @@
 	c.unframed[request] = append(c.unframed[request], end)
 }
 
-// judgeUnframed checks that a whole answer that ended with its connection was passed on whole. It returns
-// whether an answer was broken off, which the caller may notice. Gateways and back ends are undisturbed.
-func (c *checker) judgeUnframed(s sentRequest, r reply) (broken bool) {
-	ends := c.unframed[s.request]
+// brokenOff returns whether a back end broke off an answer to the request, which the caller may notice.
+func (c *checker) brokenOff(s sentRequest) bool {
+	return slices.ContainsFunc(c.unframed[s.request], func(end unframedEnd) bool { return end == endsWithinEvent || end == endsByReset })
+}
+
+// judgeUnframed checks that a whole answer that ended with its connection was passed on whole. Gateways and back
+// ends are undisturbed.
+func (c *checker) judgeUnframed(s sentRequest, r reply) {
 	served := r.status == http.StatusOK && r.whole
-	if slices.Contains(ends, endsWhole) && !served {
+	if slices.Contains(c.unframed[s.request], endsWhole) && !served {
 		c.failLocked(PromiseUnframed, "%s%s was answered whole and got status %d, whole %t, from %s: %s", s.prefix, s.request, r.status, r.whole, s.gateway, r.cause)
 	}
-	return slices.ContainsFunc(ends, func(end unframedEnd) bool { return end == endsWithinEvent || end == endsByReset })
 }
