Names of silent attempts: HasSilentAttempt, EndSuccessor and ReturnToSilent; the ends of a relocation are listed

Cause: a field, a method and a query differed by a letter (review). Change: names and comments alone; relocation.finish and end for stands and settle.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -158,12 +158,12 @@
 }
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
-// pass on the answer that was received. If KeepSilent is set, the attempt that was silent is listened to
+// pass on the answer that was received. If ReturnToSilent is set, the attempt that was silent is listened to
 // instead.
 type Decision struct {
-	Send       *Send
-	GiveUp     *failure.Error
-	KeepSilent bool
+	Send           *Send
+	GiveUp         *failure.Error
+	ReturnToSilent bool
 }
 
 const (
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -141,8 +141,8 @@
 	c.recordHealthChange(now, m)
 }
 
-// KeepsSilent reports whether a silent attempt is kept beside the current one.
-func (x *Exchange) KeepsSilent() bool { return x.silent != nil }
+// HasSilentAttempt reports whether a silent attempt is kept beside the current one.
+func (x *Exchange) HasSilentAttempt() bool { return x.silent != nil }
 
 // TakeOver ends the silent attempt, because the current one has been answered and takes its place.
 func (c *Core) TakeOver(now time.Time, x *Exchange) {
@@ -155,9 +155,9 @@
 	x.attempt = successor
 }
 
-// KeepSilent ends the current attempt, and the silent one is current again. It has no effect if the silent
+// EndSuccessor ends the current attempt, and the silent one is current again. It has no effect if the silent
 // one is current already.
-func (c *Core) KeepSilent(now time.Time, x *Exchange) {
+func (c *Core) EndSuccessor(now time.Time, x *Exchange) {
 	if x.silent != nil {
 		c.endAttempt(now, x)
 		c.returnToSilent(x)
@@ -170,5 +170,5 @@
 	x.attempt, x.silent = *x.silent, nil
 	x.phase = Answering
 	x.ran = failure.RanYes
-	return Decision{KeepSilent: true}
+	return Decision{ReturnToSilent: true}
 }
--- a/internal/dispatch/relocate_test.go
+++ b/internal/dispatch/relocate_test.go
@@ -154,7 +154,7 @@
 		switch {
 		case s.lost:
 			lost++
-		case s.exchange.KeepsSilent(), s.exchange.current.backEnd.ID == "b00":
+		case s.exchange.HasSilentAttempt(), s.exchange.current.backEnd.ID == "b00":
 			silent++
 		}
 	}
@@ -166,7 +166,7 @@
 func TestAccountsOfBothAttemptsAreSettled(t *testing.T) {
 	ends := map[string]func(core *Core, x *Exchange){
 		"taken over":     func(core *Core, x *Exchange) { core.Answered(start, x, -1); core.TakeOver(start, x) },
-		"silent goes on": func(core *Core, x *Exchange) { core.KeepSilent(start, x) },
+		"silent goes on": func(core *Core, x *Exchange) { core.EndSuccessor(start, x) },
 		"refused":        func(core *Core, x *Exchange) { core.Refused(start, x) },
 		"not connected":  func(core *Core, x *Exchange) { core.NotConnected(start, x) },
 		"failed":         func(core *Core, x *Exchange) { core.Failed(start, x) },
@@ -186,7 +186,7 @@
 			end(core, x)
 			if name != "caller leaves" {
 				is.Equal(ownRequests(core), 1)
-				is.True(!x.KeepsSilent())
+				is.True(!x.HasSilentAttempt())
 			}
 			core.Done(start, x)
 			is.Equal(ownRequests(core), 0)
@@ -272,7 +272,7 @@
 				decision = streamingStep(t, core, now, x)
 			}
 			is.True(x.Attempts() <= maxAttempts)
-			is.True(decision.GiveUp == nil || !x.KeepsSilent())
+			is.True(decision.GiveUp == nil || !x.HasSilentAttempt())
 		}
 		core.Done(now, x)
 		is.Equal(core.backedUpRuns["s"], 0)
@@ -301,7 +301,7 @@
 	case 4:
 		return core.Failed(now, x)
 	case 5:
-		core.KeepSilent(now, x)
+		core.EndSuccessor(now, x)
 		return Decision{}
 	default:
 		core.Answered(now, x, -1)
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -87,13 +87,13 @@
 	*core.budget("s") = budget
 	is.True(!taken(start.Add(longestSilence(minPatience)-time.Millisecond), x)) // it may still go on
 	is.True(taken(start.Add(longestSilence(minPatience)), x))
-	is.True(!x.KeepsSilent()) // only one back end may work on the run
+	is.True(!x.HasSilentAttempt()) // only one back end may work on the run
 
 	x, _ = core.Begin(start, longRequest(resumableStream(3), "b"))
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second, ByPace: true})
 	passEvents(core, start, x, 30)
 	is.True(taken(start.Add(time.Second), x)) // can be resumed without a backup
-	is.True(x.KeepsSilent())
+	is.True(x.HasSilentAttempt())
 
 	x, _ = core.Begin(start, request(resumableStream(3), "c"))
 	is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second}) // a request without tokens is served as before
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -121,7 +121,7 @@
 		event, err := reader.Next()
 		isComplete := errors.Is(err, io.EOF) && s.events > 0 && (received > 0 || !endsWithConnection(result.answer))
 		// A caller that reads slowly isn't a silent back end.
-		if moved := silence.pause(); moved != nil && moved.stands(c, err == nil || isComplete) {
+		if moved := silence.pause(); moved != nil && moved.finish(c, err == nil || isComplete) {
 			return moved, errSilent
 		}
 		if isComplete {
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -23,15 +23,18 @@
 // the stream on carries the decision out.
 //
 // While the attempt of a relocation runs, the goroutine that passes the stream on does nothing but wait
-// for the silent back end, and then for the relocation.
+// for the silent back end, and then for the relocation. It ends in one of three ways:
+//   - accepted: the other back end has answered, and the silent attempt is ended.
+//   - withdrawn: the silent back end went on or the caller left first, and the other attempt is ended.
+//   - neither: the other back end refused, failed or couldn't be reached, and the silent attempt remains.
 type relocation struct {
 	decision dispatch.Decision
-	// keepsSilent is set if the silent attempt is kept. The following fields are used only then.
-	keepsSilent bool
-	handler     *Handler
-	call        *call
-	silent      outcome
-	cancel      context.CancelCauseFunc
+	// keepsSilentAttempt is set if the silent attempt is kept. The following fields are used only then.
+	keepsSilentAttempt bool
+	handler            *Handler
+	call               *call
+	silent             outcome
+	cancel             context.CancelCauseFunc
 	// settled is closed once it is certain whether the other back end has answered.
 	settled chan struct{}
 
@@ -52,14 +55,14 @@
 	moved := &relocation{handler: h, call: c, silent: silent, settled: make(chan struct{})}
 	moved.decision = h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
 		d, recheck = core.ExamineSilence(now, c.exchange)
-		moved.keepsSilent = c.exchange.KeepsSilent()
+		moved.keepsSilentAttempt = c.exchange.HasSilentAttempt()
 		return d
 	})
 	if moved.decision.Send == nil {
 		return nil, recheck
 	}
 	h.logFailure(c, attemptFailure{send: silent.send, cause: errSilent.Error(), events: s.events, expired: true}, moved.decision)
-	if !moved.keepsSilent {
+	if !moved.keepsSilentAttempt {
 		silent.cancel()
 		return moved, 0
 	}
@@ -88,29 +91,29 @@
 			result.cancel()
 		}
 		m.cancel(errSilentGoesOn)
-		m.settle((*dispatch.Core).KeepSilent)
+		m.end((*dispatch.Core).EndSuccessor)
 		return
 	}
 	endAttempt := result.cancel
 	result.cancel = func() { endAttempt(); m.cancel(nil) }
 	m.result = result
-	m.settle((*dispatch.Core).TakeOver)
+	m.end((*dispatch.Core).TakeOver)
 	m.silent.cancel()
 }
 
-// settle tells the core which of the two attempts remains.
-func (m *relocation) settle(step func(*dispatch.Core, time.Time, *dispatch.Exchange)) {
+// end tells the core which of the two attempts remains.
+func (m *relocation) end(step func(*dispatch.Core, time.Time, *dispatch.Exchange)) {
 	m.handler.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		step(core, now, m.call.exchange)
 		return dispatch.Decision{}
 	})
 }
 
-// stands returns whether the stream goes on at the other back end, after the silent one has sent an event
+// finish ends the relocation and returns whether the stream goes on at the other back end, after the silent one has sent an event
 // or its end, or has broken off. An event or the end ends the other attempt unless that has been answered.
 // The event is left out in that case, because the other back end sends it, too.
-func (m *relocation) stands(c *call, silentGoesOn bool) bool {
-	if !m.keepsSilent {
+func (m *relocation) finish(c *call, silentGoesOn bool) bool {
+	if !m.keepsSilentAttempt {
 		return true
 	}
 	m.mutex.Lock()
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -158,7 +158,7 @@
 		fields["next_back_end"] = next.Send.BackEnd.ID
 	case next.GiveUp != nil:
 		fields["next"] = nextGiveUp
-	case next.KeepSilent:
+	case next.ReturnToSilent:
 		fields["next"] = nextKeep
 	default:
 		fields["next"] = nextPassOn
