--- a/internal/dispatch/part_crashes_test.go
+++ b/internal/dispatch/part_crashes_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
 // crashFleetSizes are fleets of one gateway, of a full mesh, and of two in which records need several hops.
