--- a/internal/dispatch/crash_record.go
+++ b/internal/dispatch/crash_record.go
@@ -25,7 +25,7 @@
 	lastAt time.Time
 	// change is the sequence number of the record's last change.
 	change uint64
-	// begunAt is when an answer last began under the part, as far as it was told to peers, and trials the number of
+	// begunAt is when an answer last began under the part, as it was last sent to peers, and trials the number of
 	// requests that were sent while it was withheld.
 	begunAt time.Time
 	trials  int
--- a/internal/dispatch/part_crashes.go
+++ b/internal/dispatch/part_crashes.go
@@ -23,11 +23,11 @@
 	// acquitWindow is how long after the beginning of an answer a crash doesn't count against the answer's parts. It
 	// exceeds the time that a crash, and the acquittal from it, take to reach all gateways of a large fleet.
 	acquitWindow = 2 * time.Second
-	// acquitRefreshTime is how long after the last crash under a part peers are told of further answers, at most once in
-	// half of acquitWindow.
+	// acquitRefreshTime is how long after the last crash under a part the times of further answers are sent to peers, at
+	// most once in half of acquitWindow.
 	acquitRefreshTime = 5 * time.Second
 	// trialSlot is the time between two draws of the gateways that may try a withheld part. They send in the first half
-	// of the slot; in the second half, the news of a trial reaches the others.
+	// of the slot; in the second half, the record of a trial reaches the others.
 	trialSlot = 2 * time.Second
 )
 
--- a/internal/dispatch/relocate_test.go
+++ b/internal/dispatch/relocate_test.go
@@ -251,7 +251,7 @@
 	is.Equal(ownRequests(core), waiting)
 }
 
-// Whatever happens to a request of which an attempt was silent, the accounts of loads, work, copies and trials
+// After any history of a request of which an attempt was silent, the accounts of loads, work, copies and trials
 // are balanced in the end, and the attempts stay within the route's limit.
 func TestSilenceInvariants(t *testing.T) {
 	const maxAttempts = 4
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -101,7 +101,7 @@
 	m.silent.cancel()
 }
 
-// end tells the core which of the two attempts remains.
+// end records in the core which of the two attempts remains.
 func (m *relocation) end(step func(*dispatch.Core, time.Time, *dispatch.Exchange)) {
 	m.handler.config.State.decide(func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		step(core, now, m.call.exchange)
--- a/internal/soak/focus.go
+++ b/internal/soak/focus.go
@@ -112,7 +112,7 @@
 	return got
 }
 
-// readWatch tells whether a request was written, so that its gateway may have read it. On a network without
+// readWatch records whether a request was written, so that its gateway may have read it. On a network without
 // buffers the gateway has read it then.
 type readWatch struct{ written atomic.Bool }
 
