--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -7,9 +7,9 @@
 )
 
 // A back end that is silent may go on. So a silent stream is taken up elsewhere, and an attempt without an
-// answer is replaced, only by a decision that takes everything it needs at once: an attempt of the route, room at another member, and a retry of the
-// budget. All streams of a silent back end are examined at the same moment, and what is only looked at
-// is promised to each of them.
+// answer is replaced, only by a decision that takes everything it needs at once: an attempt of the route,
+// room at another member, and a retry of the budget. All requests at a silent back end are examined at the
+// same moment, and what is only looked at is promised to each of them.
 //
 // The room that a gateway knows is out of date, so the other member may still refuse. Where the request
 // may be repeated, the silent attempt is therefore kept until the other one is answered, and is current
