--- a/internal/dispatch/disable.go
+++ b/internal/dispatch/disable.go
@@ -71,6 +71,8 @@
 	// FairShare marks requests beyond their tenant's fair share, which get only the room that no
 	// other request needs.
 	FairShare Mechanism = "fair-share"
+	// UnevenCallers divides the free places of a service by the gateways' parts of the demand.
+	UnevenCallers Mechanism = "uneven-callers"
 	// EnginePriority sends the urgency of a request to the back end.
 	EnginePriority Mechanism = "engine-rank"
 	// Ejection stops sending to failing back ends for a while.
@@ -113,7 +115,7 @@
 func Optimizations() []Mechanism {
 	return []Mechanism{
 		Affinity, HoldersFirst, ShareHoldings, BalanceMemory, PredictedTime, Copying, PrefixCopies, LoadBound, KeepParts, Backlog, AdmissionLottery,
-		ExtrapolatePeers, Spread, UrgencySteps, FairShare, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
+		ExtrapolatePeers, Spread, UrgencySteps, FairShare, UnevenCallers, EnginePriority, Ejection, SilenceDetection, Trials, WholePool, Lapse,
 		FailingPaths, OwnZone, LoadShedding, Retries, Resumption, Backups, PersistentConnections, Workload,
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,6 +127,8 @@
 	// tenants by peer, in a small fleet.
 	fairShares  map[string]*fairshare.Share
 	peerDemands map[string]peerDemands
+	// demandsCounted is the number of gateways whose demands the last sums include.
+	demandsCounted int
 	// work is what the engines of a service have in common, by service.
 	work map[string]*serviceWork
 	// origins holds where streams began, and streams are this gateway's resumable streams in flight.
--- a/internal/dispatch/fairshare.go
+++ b/internal/dispatch/fairshare.go
@@ -80,13 +80,24 @@
 	return fairshare.Largest(list)
 }
 
-// setTenantTotals sets the demands of tenants, summed up over all gateways.
-func (c *Core) setTenantTotals(now time.Time, totals []fairshare.Demand) {
+// setTenantTotals sets the demands of tenants, summed up over the given number of gateways.
+func (c *Core) setTenantTotals(now time.Time, totals []fairshare.Demand, counted int) {
+	c.demandsCounted = counted
 	for _, share := range c.fairShares {
 		share.SetTotals(now, totals)
 	}
 }
 
+// partOfDemand returns the part of the requests to the service that reaches this gateway: an equal one,
+// unless the gateways' demands show that callers prefer this gateway; see fairshare.Share.Part.
+func (c *Core) partOfDemand(now time.Time, service string) float64 {
+	share := c.fairShares[service]
+	if share == nil || c.config.Disabled[UnevenCallers] {
+		return 1 / float64(c.gateways)
+	}
+	return share.Part(now, c.gateways, c.demandsCounted)
+}
+
 // peerDemands are the demands of tenants that a peer reported.
 type peerDemands struct {
 	at      time.Time
@@ -106,5 +117,5 @@
 	for _, each := range c.peerDemands {
 		lists = append(lists, each.demands)
 	}
-	c.setTenantTotals(now, fairshare.Sum(lists...))
+	c.setTenantTotals(now, fairshare.Sum(lists...), len(lists))
 }
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -118,9 +118,8 @@
 
 // winsPlace draws whether the request gets one of the free places of its service, and counts the
 // request towards the demand for them. Every gateway sees the same places, so each gives away its
-// share of them. The demand of the other gateways is assumed to be as high as this one's: the
-// balancer distributes callers evenly, and what others report is older than the places. A request
-// that has won a place before isn't drawn again: it would be refused late, after an attempt.
+// part of them: that of the demand that reaches it. A request that has won a place before isn't drawn
+// again: it would be refused late, after an attempt.
 //
 // When a burst begins, many places are free, and the prompts would queue at the engines if all of the
 // places were given away at once. So while the demand exceeds the places, limitGrowth applies.
@@ -134,12 +133,12 @@
 		interval = c.propagationTime()
 	}
 	places, ending := c.freePlaces(now, x, candidates, interval)
-	given := lotteryShare * places
+	given, part := lotteryShare*places, c.partOfDemand(now, x.service)
 	requests := c.serviceDemandOf(x.service)
-	if requests.perSecond(now)*interval.Seconds() > given/float64(c.gateways) {
+	if requests.perSecond(now)*interval.Seconds() > part*given {
 		given = limitGrowth(given, ending, requests.ownTokens, candidates, interval)
 	}
-	chance := requests.chance(now, x.Excess(), given/float64(c.gateways), interval)
+	chance := requests.chance(now, x.Excess(), part*given, interval)
 	if !x.inDemand {
 		x.inDemand = true // it is drawn again if it goes back to the standing version of a rollout
 		requests.note(now, x)
@@ -166,12 +165,12 @@
 }
 
 // endsPerSecond returns the rate at which the requests of all gateways end at the member. Without
-// totals, the others are assumed to have as many as this gateway.
+// totals, those of this gateway are assumed to be its part of all, as of the demand.
 func (c *Core) endsPerSecond(now time.Time, m *member) float64 {
 	if c.totalsAreFresh(now) {
 		return m.endedPerSecond
 	}
-	return m.endings.perSecond(now) * float64(c.gateways)
+	return m.endings.perSecond(now) / c.partOfDemand(now, m.backEnd.Service)
 }
 
 // idlePrefillRate returns how many tokens per second the engines of the members prefill if they have no
--- a/internal/dispatch/totals.go
+++ b/internal/dispatch/totals.go
@@ -126,7 +126,7 @@
 	}
 	c.noteLocalResidences(elapsed)
 	c.totalsAt = now
-	c.setTenantTotals(now, totals.Tenants)
+	c.setTenantTotals(now, totals.Tenants, totals.Counted)
 	// Gateways that weren't counted are assumed to have the mean load of the others.
 	scale := 1.0
 	if totals.Counted > 1 && totals.Expected > totals.Counted {
--- a/internal/dispatch/uneven_callers_test.go
+++ b/internal/dispatch/uneven_callers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/catalog"
 )
 
 // unevenSizes are fleets with few and many gateways before the same engines, and a large one.
@@ -54,3 +56,45 @@
 		}
 	}
 }
+
+// Guards against a small fleet, whose gateways send each other their demands directly, that divides the
+// places evenly while nearly all callers come to one gateway.
+func TestPartOfDemandInASmallFleet(t *testing.T) {
+	const gateways, period, perPeriod = 5, 200 * time.Millisecond, 60
+	is := is.New(t)
+	cores := make([]*Core, gateways)
+	for i := range cores {
+		cores[i] = newCore(backEnds(41, modelSlots))
+		cores[i].SetServices([]catalog.Service{{Name: "s", CacheTokens: modelMemory}})
+		cores[i].SetGateways(gateways)
+	}
+	now := start
+	run := func(span time.Duration, busiest int) {
+		for i := range int(span / period) {
+			now = now.Add(period)
+			for j := range perPeriod {
+				core := cores[busiest]
+				if j%20 == 0 { // 5% of the callers are spread
+					core = cores[(i+j/20)%gateways]
+				}
+				x, _ := core.Begin(now, chatRequest(fmt.Sprint(busiest, i, j), "part"))
+				core.Done(now, x)
+			}
+			for from, core := range cores {
+				for to, peer := range cores {
+					if to != from {
+						peer.SetPeerDemands(now, fmt.Sprint(from), core.Demands(now))
+					}
+				}
+			}
+		}
+	}
+	run(3*time.Second, 0)
+	is.True(cores[0].partOfDemand(now, "s") >= 0.75)
+	is.True(cores[1].partOfDemand(now, "s") < 1./gateways)
+	run(3*time.Second, 1)
+	is.True(cores[1].partOfDemand(now, "s") >= 0.75)
+	is.True(cores[0].partOfDemand(now, "s") <= 1./gateways)
+	cores[0].config.Disabled = Disabled{UnevenCallers: true}
+	is.Equal(cores[0].partOfDemand(now, "s"), 1./gateways)
+}
--- a/internal/fairshare/share.go
+++ b/internal/fairshare/share.go
@@ -35,6 +35,10 @@
 	// refused recently, in total and without excess requests.
 	demand, admitted  rate
 	refused, unserved rate
+	// squares is the rate of the squares of the requests' work.
+	squares rate
+	// total is the demand at all gateways, for Part.
+	total totalDemand
 	// assessment is the last one. assessedAt is when it was made, and isOwn is set if it is based
 	// on this gateway's own figures only.
 	assessment assessment
@@ -52,7 +56,7 @@
 func New(service string) *Share {
 	return &Share{
 		service: Key(service), tenants: map[string]*tenant{}, isOwn: true,
-		demand: newRate(timeConstant), admitted: newRate(timeConstant),
+		demand: newRate(timeConstant), admitted: newRate(timeConstant), squares: newRate(timeConstant),
 		refused: newRate(recentTimeConstant), unserved: newRate(recentTimeConstant),
 	}
 }
@@ -81,6 +85,7 @@
 	request := Request{Excess: s.Excess(now, name, key), tenant: name, work: work, arrivedAt: now}
 	s.tenant(name).demand.note(now, work)
 	s.demand.note(now, work)
+	s.squares.note(now, work*work)
 	s.refused.note(now, work)
 	if !request.Excess {
 		s.unserved.note(now, work)
@@ -153,6 +158,7 @@
 // what the included ones admit.
 func (s *Share) SetTotals(now time.Time, totals []Demand) {
 	s.assessment, s.assessedAt, s.isOwn = s.assess(totals), now, false
+	s.setTotal(now, totals)
 }
 
 // assessmentAt returns the assessment of the last sums, or of this gateway's own figures if those
