--- /dev/null
+++ b/review/standin/runner.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// runner is a stand-in of a runner of a plain service.
+type runner struct {
+	id, service, zone, address string
+	record                     *record
+	// work is how long a request takes.
+	work time.Duration
+
+	mutex sync.Mutex
+	runs  []run
+}
+
+// run is a request that a runner began to work on.
+type run struct {
+	id, method, target, host, tenant, body string
+	at                                     time.Time
+}
+
+// startRunner serves a runner of a plain service and records it in the store.
+func (w *world) startRunner(id, service string, host int, zone string) (*runner, error) {
+	listener, err := w.listen(host)
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{id: id, service: service, zone: zone, address: listener.Addr().String(), record: w.record, work: 20 * time.Millisecond}
+	server := &http.Server{Handler: r, IdleTimeout: 10 * time.Second}
+	go func(listener net.Listener) { _ = server.Serve(listener) }(listener)
+	w.runners = append(w.runners, r)
+	w.store.put("servers", id, r.entry("ready"))
+	w.record.notef("runner %s of %s serves on %s", id, service, r.address)
+	return r, nil
+}
+
+// entry is what the runner records in the store.
+func (r *runner) entry(state string) map[string]any {
+	return map[string]any{
+		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "sequence": 1,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	w.Header().Set("Keep-Alive", "timeout=10")
+	if request.RequestURI == "/healthz" {
+		w.Header().Set("Harriernotch-Instance-Id", r.id)
+		return
+	}
+	id := request.Header.Get("Harriernotch-Attempt-Id")
+	w.Header().Set("Harriernotch-Attempt-Id", id)
+	if expected := request.Header.Get("Harriernotch-Expect-Instance"); expected != "" && expected != r.id {
+		w.Header().Set("Harriernotch-Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	each := run{
+		id: id, method: request.Method, target: request.RequestURI, host: request.Host, tenant: request.Header.Get("Harriernotch-Tenant"),
+		body: string(body), at: time.Now(),
+	}
+	r.mutex.Lock()
+	r.runs = append(r.runs, each)
+	r.mutex.Unlock()
+	r.record.notef("ran      %s at %s: %s %s, host %s, path %s, tenant %q, body %q", id, r.id, each.method, each.target, each.host, request.URL.Path, each.tenant, each.body)
+	time.Sleep(r.work)
+	w.Header().Set("Harriernotch-Server-Stamp", fmt.Sprintf("%s.%s", r.id, id))
+	_, _ = fmt.Fprintf(w, "done %s at %s\n", id, r.id)
+}
+
+// runsOf returns the runs of all runners by the request's id.
+func (w *world) runsOf() map[string][]run {
+	all := map[string][]run{}
+	for _, r := range w.runners {
+		r.mutex.Lock()
+		for _, each := range r.runs {
+			all[each.id] = append(all[each.id], each)
+		}
+		r.mutex.Unlock()
+	}
+	return all
+}
