--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	id, method, target, key string
 	at                      time.Time
 	status                  int
+	retryAfter              time.Duration
 	body                    string
 	err                     error
 }
@@ -33,26 +35,30 @@
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	w.record.notef("sent     %s to %s: %s %s, key %q, body %q", s.id, g.name, method, target, key, body)
-	s.status, s.body, s.err = roundTrip(g.frontend, method, text+"\r\n"+body)
+	var header http.Header
+	s.status, header, s.body, s.err = roundTrip(g.frontend, method, text+"\r\n"+body)
+	if seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64); err == nil {
+		s.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	w.record.notef("answered %s: status %d, body %q, error %v", s.id, s.status, s.body, s.err)
 	return s
 }
 
-func roundTrip(address, method, text string) (status int, body string, err error) {
+func roundTrip(address, method, text string) (status int, header http.Header, body string, err error) {
 	connection, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	defer connection.Close()
 	_ = connection.SetDeadline(time.Now().Add(4 * time.Second))
 	if _, err := io.WriteString(connection, text); err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: method})
 	if err != nil {
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(raw), err
+	return response.StatusCode, response.Header, string(raw), err
 }
--- /dev/null
+++ b/review/standin/continued.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+func init() { cases["continued"] = continued }
+
+// stillAt is how long after a request continues at another runner the previous one may still work on it.
+const stillAt = 400 * time.Millisecond
+
+// continued lets one engine of eight hang for two seconds in the middle of one of its five
+// requests, on a route whose requests may run only once. A run that continues at another engine must not be
+// worked on by the first one 400 ms later.
+func continued(w *world) (broken bool, err error) {
+	zones, bounds["retryExtra"] = []string{"taoyuan-a", "taoyuan-b", "neihu-dc", "xinzhuang-pk"}, 54
+	storeAddress, err := w.startStore()
+	if err != nil {
+		return false, err
+	}
+	for i := range 8 {
+		if _, err := w.startEngine(fmt.Sprintf("i-3c%02x", i), 100+i, zones[i%len(zones)]); err != nil {
+			return false, err
+		}
+	}
+	tenant := map[string]any{"name": "roast-floor", "apiKeys": []any{tenantKey}, "priority": 1}
+	w.store.put("config", "main", map[string]any{
+		"version": 7, "tenants": []any{tenant},
+		"routes": []any{map[string]any{
+			"name": "batch-notes", "hostname": "beans.example", "pathPrefix": "/notes/", "routeType": "streaming", "timeoutMs": 12000, "sloMs": 600,
+			"gapAimMs": 300, "priority": 1, "service": "notes-llm", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
+		}},
+		"services": []any{map[string]any{"name": "notes-llm", "healthPath": "/healthz", "maxConns": 300, "protocol": "h1", "tls": false, "engine": map[string]any{
+			"slots": 48, "kvCapacity": 713635, "kvBytes": 35136, "linkMbps": 1100000.0, "migrations": true, "replicas": true, "interval": 7, "most": 2,
+			"pinMs": 4000.0, "holdMs": 2000.0, "sessionTtlS": 5.0, "modelList": []any{map[string]any{"name": "m"}},
+		}}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	if err := w.startGateways(3, storeAddress); err != nil {
+		return false, err
+	}
+	time.Sleep(contact)
+	// The first request is answered with a 500 of the engine's own. Of the streams after it the last one hangs.
+	for range 1 + shortChats + 1 {
+		w.draft(w.gateways[0], "5c1e07a2")
+	}
+	time.Sleep(3 * time.Second)
+	return w.judgeContinued(), nil
+}
+
+// draft asks for a draft and reads its stream. The client gives up after a gap of 2.4 s: four times the
+// objective, and eight times the longest pause.
+func (w *world) draft(g *gatewayProcess, part string) {
+	connection, err := net.DialTimeout("tcp4", g.frontend, time.Second)
+	if err != nil {
+		w.record.notef("no connection to %s: %v", g.name, err)
+		return
+	}
+	defer connection.Close()
+	id := newID()
+	body := "draft the notes of " + id
+	w.record.notef("sent     %s to %s: POST /notes/new, part %s", id, g.name, part)
+	_, _ = fmt.Fprintf(connection, "POST /notes/new HTTP/1.1\r\nHost: beans.example\r\nHarriernotch-Attempt-Id: %s\r\nHarriernotch-Deadline-Ms: 12000\r\nX-Api-Key: %s\r\n"+
+		"Harriernotch-Model: m\r\nHarriernotch-Token-Count: 2000,1000\r\nHarriernotch-Prompt-Prefix: %s:1500,%s:500\r\nContent-Length: %d\r\n\r\n%s", id, tenantKey, part, id, len(body), body)
+	_ = connection.SetReadDeadline(time.Now().Add(2400 * time.Millisecond))
+	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: http.MethodPost})
+	if err != nil {
+		w.record.notef("answered %s: nothing, %v", id, err)
+		return
+	}
+	var text strings.Builder
+	buffer := make([]byte, 4096)
+	for err == nil {
+		var count int
+		_ = connection.SetReadDeadline(time.Now().Add(2400 * time.Millisecond))
+		count, err = response.Body.Read(buffer)
+		text.Write(buffer[:count])
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	w.record.notef("answered %s: status %d, %d events, error %v", id, response.StatusCode, strings.Count(text.String(), "data:"), err)
+}
+
+// judgeContinued compares the times in which engines worked on the same request.
+func (w *world) judgeContinued() (broken bool) {
+	for _, e := range w.engines {
+		for id, next := range e.work {
+			if !next.continues {
+				continue
+			}
+			for _, source := range w.engines {
+				before := source.work[id]
+				if source == e || before == nil {
+					continue
+				}
+				after := before.last.Sub(next.began)
+				w.record.notef("%s continued at %s; %s still worked on it %.3f s after that", id, e.id, source.id, after.Seconds())
+				if after > stillAt {
+					w.record.notef("broken: %s runs at %s and %s at once (TWICE)", id, source.id, e.id)
+					broken = true
+				}
+			}
+		}
+	}
+	return broken
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -9,6 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,7 +25,12 @@
 
 	network  string
 	gateways []*gatewayProcess
-	runners  []*runner
+	// mutex guards runners and network.
+	mutex   sync.Mutex
+	runners []*runner
+	engines []*engine
+	// streams counts the streams that began at the engines.
+	streams atomic.Int32
 }
 
 // gatewayProcess is a process with the command of the role in the deploy file.
@@ -52,7 +60,7 @@
 	return listener.Addr().String(), nil
 }
 
-// bounds are those of SYSTEM.md for the site swancoast-loans.
+// bounds are those of SYSTEM.md for the site swancoast-loans, unless a case sets others.
 var bounds = map[string]any{
 	"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200,
 	"configApplyMs": 2000, "revertSlackMs": 250, "maxStretchMs": 5000, "failClosed": false, "revokeMs": 5000, "retryRatio": 0.2,
@@ -64,7 +72,7 @@
 	contact     = 3 * time.Second
 )
 
-// zones are those of the site swancoast-loans.
+// zones are those of the site swancoast-loans, unless a case sets others.
 var zones = []string{"perth-a", "perth-b", "perth-c", "perth-d"}
 
 // startStore serves the store and returns its address.
@@ -99,7 +107,7 @@
 	for i, g := range w.gateways {
 		fields := map[string]any{
 			"nodeName": g.name, "role": "gateway", "machineClass": "edge", "serves": []any{"edge", "control"},
-			"ip": fmt.Sprintf("%s.%d", w.network, 20+i), "zone": zones[i], "region": "perth", "seeds": seeds, "bootstrap": true,
+			"ip": fmt.Sprintf("%s.%d", w.network, 20+i), "zone": zones[i], "region": strings.Split(zones[i], "-")[0], "seeds": seeds, "bootstrap": true,
 			"listen": map[string]any{"frontend": g.frontend, "readiness": g.readiness, "controlPlane": g.peers},
 			"limits": map[string]any{"cpuShare": 0.304, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 			"bounds": bounds, "platform": map[string]any{"address": storeAddress, "form": "objects"},
