Review, case 3: streams are closed for a backup that doesn't exist

A script case for the KNOWN-RED entry TestSilentSingleStreamIsNotClosedForARefusedBackup: engines preempt streams for 2 s, the gateways close them after 1.75 s and are then refused by the engines with the backups.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -11,21 +11,33 @@
 	"time"
 )
 
-// engine is a stand-in of a model runner that backs up the memory of its runs. It is one of those that
-// go on with a request when its connection closes.
+// engine is a stand-in of a model runner that backs up the memory of its runs.
 type engine struct {
 	id, zone, address string
 	world             *world
+	behaviour
 
 	mutex sync.Mutex
 	// failed holds the shared parts of which one request was answered with a 500 here.
 	failed map[string]bool
 	// copies holds, by ADDRESS/ID of the run, the number of events that its copy here covers.
 	copies map[string]int
+	// preempted is how many requests that came from elsewhere have taken the memory of its runs.
+	preempted int
 	// work holds, by the request's id, when this engine worked on it.
 	work map[string]*workTime
 }
 
+// behaviour is what all engines of a case have in common.
+type behaviour struct {
+	// drops is set if they drop a request when its connection closes, as most runners do, and takesCopies if
+	// they have room for the copies of others' runs.
+	drops, takesCopies bool
+	// script says how long the numbered stream is that begins at any engine, and after how many events it
+	// hangs; 0 for never.
+	script func(stream int) (length, hangAfter int)
+}
+
 // workTime is the time in which an engine worked on a request.
 type workTime struct {
 	continues   bool
@@ -35,23 +47,21 @@
 }
 
 const (
-	// The first shortChats streams are short.
-	shortChats      = 3
-	shortChatEvents = 5
-	chatEvents      = 70
-	chatEventGap    = 60 * time.Millisecond
-	// hangAfter is the number of events after which the engine hangs, for hangTime.
-	hangAfter = 10
-	hangTime  = 2 * time.Second
+	chatEvents   = 70
+	chatEventGap = 60 * time.Millisecond
+	hangTime     = 2 * time.Second
 )
 
 // startEngine serves an engine and records it in the store.
-func (w *world) startEngine(id string, host int, zone string) (*engine, error) {
+func (w *world) startEngine(id string, host int, zone string, common behaviour) (*engine, error) {
 	listener, err := w.listen(host)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, zone: zone, address: listener.Addr().String(), world: w, failed: map[string]bool{}, copies: map[string]int{}, work: map[string]*workTime{}}
+	e := &engine{
+		id: id, zone: zone, address: listener.Addr().String(), world: w, failed: map[string]bool{}, copies: map[string]int{}, work: map[string]*workTime{},
+		behaviour: common,
+	}
 	server := &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
 	go func(listener net.Listener) { _ = server.Serve(listener) }(listener)
 	w.mutex.Lock()
@@ -95,6 +105,7 @@
 	backUpTo, from := request.Header.Get("Harriernotch-Kv-Backup"), request.Header.Get("Kv-From")
 	e.world.record.notef("arrived  %s at %s: Harriernotch-Kv-Backup %q, Kv-From %q, Last-Event-Id %q", id, e.id, backUpTo, from, request.Header.Get("Last-Event-Id"))
 	if from != "" && !e.takeCopy(from) {
+		e.world.record.notef("refused  %s at %s: it has no copy; not run", id, e.id)
 		w.Header().Set("Harriernotch-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -107,7 +118,27 @@
 		return
 	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	e.run(w, id, last, from != "", e.world.engineAt(backUpTo))
+	e.run(w, request, id, last, from != "", e.world.engineAt(backUpTo))
+}
+
+// setPreempted lets a request from elsewhere take the memory of the engine's runs, or give it back.
+func (e *engine) setPreempted(by int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.preempted += by
+}
+
+// awaitMemory returns once the engine's runs have their memory, or the request has been dropped.
+func (e *engine) awaitMemory(request *http.Request) {
+	for {
+		e.mutex.Lock()
+		has := e.preempted == 0
+		e.mutex.Unlock()
+		if has || e.drops && request.Context().Err() != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // takeCopy takes the copy of a run's memory; each serves only once.
@@ -135,35 +166,36 @@
 	return true
 }
 
-// run works on a request to its end, also when its connection closes.
-func (e *engine) run(w http.ResponseWriter, id string, last int, continues bool, target *engine) {
+// run works on a request to its end. When its connection closes, the engine drops it or not.
+func (e *engine) run(w http.ResponseWriter, request *http.Request, id string, last int, continues bool, target *engine) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	work := &workTime{continues: continues, began: time.Now(), last: time.Now()}
 	e.mutex.Lock()
 	e.work[id] = work
 	e.mutex.Unlock()
-	length, hangs := chatEvents, false
+	length, hangAfter := chatEvents, 0
 	if !continues {
-		turn := e.world.streams.Add(1)
-		if turn <= shortChats {
-			length = shortChatEvents
-		}
-		hangs = e.world.trouble && turn == shortChats+1
+		length, hangAfter = e.script(int(e.world.streams.Add(1)))
 	}
 	isConnected := true
 	for number := last + 1; number <= length; number++ {
 		time.Sleep(chatEventGap)
-		if hangs && number == hangAfter+1 {
+		if hangAfter > 0 && number == hangAfter+1 {
 			e.world.record.notef("hangs    %s at %s, for %v", id, e.id, hangTime)
 			time.Sleep(hangTime)
 			e.world.record.notef("goes on  %s at %s", id, e.id)
 		}
+		e.awaitMemory(request)
+		if e.drops && request.Context().Err() != nil {
+			e.world.record.notef("dropped  %s at %s after %d of %d events: its connection was closed", id, e.id, number-1, length)
+			return
+		}
 		e.mutex.Lock()
 		work.last = time.Now()
 		work.events++
 		e.mutex.Unlock()
-		if target != nil && target != e {
+		if target != nil && target != e && target.takesCopies {
 			target.mutex.Lock()
 			target.copies[e.address+"/"+id] = number
 			target.mutex.Unlock()
