--- a/review/standin/continued.go
+++ b/review/standin/continued.go
@@ -17,7 +17,7 @@
 // stillAt is how long after a request continues at another runner the previous one may still work on it.
 const stillAt = 400 * time.Millisecond
 
-// continued lets one engine of eight hang for two seconds in the middle of one of its five
+// continued lets one engine of eight hang for 2.2 s in the middle of one of its five
 // requests, on a route whose requests may run only once. A run that continues at another engine must not be
 // worked on by the first one 400 ms later.
 func continued(w *world) (broken bool, err error) {
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -49,7 +49,7 @@
 const (
 	chatEvents   = 70
 	chatEventGap = 60 * time.Millisecond
-	hangTime     = 2 * time.Second
+	hangTime     = 2200 * time.Millisecond
 )
 
 // startEngine serves an engine and records it in the store.
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -11,12 +11,12 @@
 
 const (
 	// preemption is how long requests from elsewhere hold the memory of an engine.
-	preemption = 2 * time.Second
+	preemption = 2200 * time.Millisecond
 	// maxLost is how many requests from kept connections may be lost.
 	maxLost = 3
 )
 
-// refusedBackup lets an engine preempt its streams for two seconds, while the other engines have no room for
+// refusedBackup lets an engine preempt its streams for 2.2 s, while the other engines have no room for
 // copies. The engine is sound: it goes on with each stream. Their clients wait for that.
 func refusedBackup(w *world) (broken bool, err error) {
 	common := behaviour{drops: true, script: func(stream int) (length, hangAfter int) {
--- a/review/standin/streams.go
+++ b/review/standin/streams.go
@@ -30,15 +30,15 @@
 	}
 }
 
-// risingIDs replaces the runners of a service by those of a new software version, which number the
+// risingIDs replaces two of the six runners of a service by those of a new software version, which number the
 // events of a stream by their tokens: 9, 18, 27 and so on. The streams must go on to reach their clients.
 func risingIDs(w *world) (broken bool, err error) {
 	storeAddress, err := w.startStore()
 	if err != nil {
 		return false, err
 	}
-	for i, zone := range zones[:3] {
-		r, err := w.startRunner(fmt.Sprintf("i-1a%02x", i), "model-pool", 100+i, zone)
+	for i := range 6 {
+		r, err := w.startRunner(fmt.Sprintf("i-1a%02x", i), "model-pool", 100+i, zones[i%len(zones)])
 		if err != nil {
 			return false, err
 		}
@@ -75,12 +75,12 @@
 	return cut > 3, nil
 }
 
-// release replaces the runners one after the other: the new one starts first, and the old one drains.
+// released is the number of runners that are replaced: a share of 0.33.
+const released = 2
+
+// release replaces runners one after the other: the new one starts first, and the old one drains.
 func (w *world) release() error {
-	for i, old := range w.allRunners() {
-		if old.service != "model-pool" {
-			continue
-		}
+	for i, old := range w.allRunners()[:released] {
 		next, err := w.startRunner(fmt.Sprintf("i-2b%02x", i), old.service, 120+i, old.zone)
 		if err != nil {
 			return err
@@ -105,14 +105,14 @@
 	err         error
 }
 
-// readStreams opens four connections to each gateway, and on each of them gets a balance and then reads
+// readStreams opens eight connections to each gateway, and on each of them gets a balance and then reads
 // a stream: the stream's request comes from a kept connection.
 func (w *world) readStreams(when string) []streamed {
 	var all []streamed
 	var mutex sync.Mutex
 	var clients sync.WaitGroup
 	for _, g := range w.gateways {
-		for range 4 {
+		for range 8 {
 			clients.Go(func() {
 				result := w.readStream(g, when)
 				mutex.Lock()
@@ -149,7 +149,7 @@
 	body := "review the application " + id
 	w.record.notef("sent     %s to %s (%s the release), on a kept connection: POST /reviews/new", id, g.name, when)
 	_, err = fmt.Fprintf(connection, "POST /reviews/new HTTP/1.1\r\nHost: loans.example\r\nHarriernotch-Attempt-Id: %s\r\nHarriernotch-Deadline-Ms: 10000\r\nX-Api-Key: %s\r\n"+
-		"Harriernotch-Model: m\r\nHarriernotch-Token-Count: 60,108\r\nHarriernotch-Prompt-Prefix: 5c1e07a2:40,%s:20\r\nContent-Length: %d\r\n\r\n%s", id, tenantKey, id, len(body), body)
+		"Harriernotch-Model: m\r\nHarriernotch-Token-Count: 60,108\r\nHarriernotch-Prompt-Prefix: %s:40,%s:20\r\nContent-Length: %d\r\n\r\n%s", id, tenantKey, newID(), id, len(body), body)
 	if err != nil {
 		return streamed{err: err}
 	}
