--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -29,7 +29,7 @@
 	s := sent{id: newID(), method: method, target: target, key: key, at: time.Now()}
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nHarriernotch-Attempt-Id: %s\r\nHarriernotch-Deadline-Ms: 3000\r\nConnection: close\r\n", method, target, host, s.id)
 	if key != "" {
-		text += "X-Api-Key: " + key + "\r\n"
+		text += wire.APIKey + ": " + key + "\r\n"
 	}
 	if method == http.MethodPost {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
--- a/review/standin/continued.go
+++ b/review/standin/continued.go
@@ -65,12 +65,12 @@
 			return err
 		}
 	}
-	tenant := map[string]any{"name": "roast-floor", "apiKeys": []any{tenantKey}, "priority": 1}
+	tenant := map[string]any{"name": "roast-floor", wire.APIKeys: []any{tenantKey}, "priority": 1}
 	w.store.put("config", "main", map[string]any{
 		"version": 7, "tenants": []any{tenant},
 		"routes": []any{map[string]any{
-			"name": "batch-notes", "hostname": "beans.example", "pathPrefix": "/notes/", "routeType": "streaming", "timeoutMs": 12000, "sloMs": 600,
-			"gapAimMs": 300, "priority": 1, "service": "notes-llm", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
+			"name": "batch-notes", "hostname": "beans.example", wire.PathPrefix: "/notes/", wire.RouteType: "streaming", "timeoutMs": 12000, wire.Objective: 600,
+			wire.PauseObjective: 300, "priority": 1, "service": "notes-llm", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
 		}},
 		"services": []any{map[string]any{"name": "notes-llm", "healthPath": "/healthz", "maxConns": 300, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": 48, "kvCapacity": 713635, "kvBytes": 35136, "linkMbps": 1100000.0, "migrations": true, "replicas": true, "interval": 7, "most": 2,
--- a/review/standin/doubleslash.go
+++ b/review/standin/doubleslash.go
@@ -18,7 +18,7 @@
 // no route matched before, then lead to the service, and must reach it unchanged.
 func emptySegment(w *world) (broken bool, err error) {
 	routes := []any{route("plan-lookup", "/plans/", "non_idempotent", 1)}
-	tenant := map[string]any{"name": "swan-coast", "apiKeys": []any{tenantKey}, "priority": 1}
+	tenant := map[string]any{"name": "swan-coast", wire.APIKeys: []any{tenantKey}, "priority": 1}
 	if err := w.startSmall(configuration(7, routes, []any{tenant})); err != nil {
 		return false, err
 	}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -89,29 +89,29 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if request.URL.Path == "/healthz" {
-		w.Header().Set("Harriernotch-Instance-Id", e.id)
+		w.Header().Set(wire.InstanceID, e.id)
 		return
 	}
-	id := request.Header.Get("Harriernotch-Attempt-Id")
-	w.Header().Set("Harriernotch-Attempt-Id", id)
-	if expected := request.Header.Get("Harriernotch-Expect-Instance"); expected != "" && expected != e.id {
-		w.Header().Set("Harriernotch-Instance-Id", e.id)
+	id := request.Header.Get(wire.AttemptID)
+	w.Header().Set(wire.AttemptID, id)
+	if expected := request.Header.Get(wire.ExpectInstance); expected != "" && expected != e.id {
+		w.Header().Set(wire.InstanceID, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.ReadAll(request.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	backUpTo, from := request.Header.Get("Harriernotch-Kv-Backup"), request.Header.Get("Kv-From")
+	backUpTo, from := request.Header.Get(wire.KVBackup), request.Header.Get(wire.KVFrom)
 	e.world.record.notef("arrived  %s at %s: Harriernotch-Kv-Backup %q, Kv-From %q, Last-Event-Id %q", id, e.id, backUpTo, from, request.Header.Get("Last-Event-Id"))
 	if from != "" && !e.takeCopy(from) {
 		e.world.record.notef("refused  %s at %s: it has no copy; not run", id, e.id)
-		w.Header().Set("Harriernotch-Not-Executed", "1")
+		w.Header().Set(wire.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Harriernotch-Server-Stamp", e.id+"."+id)
-	part, _, _ := strings.Cut(request.Header.Get("Harriernotch-Prompt-Prefix"), ":")
+	w.Header().Set(wire.Stamp, e.id+"."+id)
+	part, _, _ := strings.Cut(request.Header.Get(wire.PromptPrefix), ":")
 	if from == "" && e.failsFirst(part) {
 		e.world.record.notef("failed   %s at %s with a 500 of its own", id, e.id)
 		w.WriteHeader(http.StatusInternalServerError)
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -90,13 +90,13 @@
 func (r *runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if request.RequestURI == "/healthz" {
-		w.Header().Set("Harriernotch-Instance-Id", r.id)
+		w.Header().Set(wire.InstanceID, r.id)
 		return
 	}
-	id := request.Header.Get("Harriernotch-Attempt-Id")
-	w.Header().Set("Harriernotch-Attempt-Id", id)
-	if expected := request.Header.Get("Harriernotch-Expect-Instance"); expected != "" && expected != r.id {
-		w.Header().Set("Harriernotch-Instance-Id", r.id)
+	id := request.Header.Get(wire.AttemptID)
+	w.Header().Set(wire.AttemptID, id)
+	if expected := request.Header.Get(wire.ExpectInstance); expected != "" && expected != r.id {
+		w.Header().Set(wire.InstanceID, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -105,14 +105,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	each := run{
-		id: id, method: request.Method, target: request.RequestURI, host: request.Host, tenant: request.Header.Get("Harriernotch-Tenant"),
+		id: id, method: request.Method, target: request.RequestURI, host: request.Host, tenant: request.Header.Get(wire.Tenant),
 		body: string(body), at: time.Now(),
 	}
 	r.mutex.Lock()
 	r.runs = append(r.runs, each)
 	r.mutex.Unlock()
 	r.record.notef("ran      %s at %s: %s %s, host %s, path %s, tenant %q, body %q", id, r.id, each.method, each.target, each.host, request.URL.Path, each.tenant, each.body)
-	w.Header().Set("Harriernotch-Server-Stamp", fmt.Sprintf("%s.%s", r.id, id))
+	w.Header().Set(wire.Stamp, fmt.Sprintf("%s.%s", r.id, id))
 	if r.step > 0 {
 		r.serveStream(w, request, id)
 		return
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -106,7 +106,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, wire.Objects), "/")
 	switch {
 	case r.Method == http.MethodGet && name != "":
 		s.get(w, kind, name)
@@ -143,7 +143,7 @@
 	defer s.mutex.Unlock()
 	var names []string
 	for name := range s.objects[kind] {
-		if name > r.URL.Query().Get("sinceRevision") {
+		if name > r.URL.Query().Get(wire.After) {
 			names = append(names, name)
 		}
 	}
@@ -158,7 +158,7 @@
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	waitMs, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	waitMs, _ := strconv.Atoi(r.URL.Query().Get(wire.Wait))
 	timer := time.NewTimer(time.Duration(min(waitMs, 30_000)) * time.Millisecond)
 	defer timer.Stop()
 	type event struct {
--- a/review/standin/streams.go
+++ b/review/standin/streams.go
@@ -25,8 +25,8 @@
 // streamRoute returns a streaming route to the model service that may not be resumed.
 func streamRoute() map[string]any {
 	return map[string]any{
-		"name": "hardship-review", "hostname": "loans.example", "pathPrefix": "/reviews/", "routeType": "streaming", "timeoutMs": 10000, "sloMs": 600,
-		"gapAimMs": 300, "priority": 1, "service": "model-pool", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
+		"name": "hardship-review", "hostname": "loans.example", wire.PathPrefix: "/reviews/", wire.RouteType: "streaming", "timeoutMs": 10000, wire.Objective: 600,
+		wire.PauseObjective: 300, "priority": 1, "service": "model-pool", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
 	}
 }
 
@@ -47,7 +47,7 @@
 	if _, err := w.startRunner("i-7f3a91c2", "loans-app", 10, zones[3]); err != nil {
 		return false, err
 	}
-	tenant := map[string]any{"name": "swan-coast", "apiKeys": []any{tenantKey}, "priority": 1}
+	tenant := map[string]any{"name": "swan-coast", wire.APIKeys: []any{tenantKey}, "priority": 1}
 	routes := []any{streamRoute(), route("balance-lookup", "/balances/", "idempotent", 2)}
 	w.store.put("config", "main", configuration(7, routes, []any{tenant}))
 	if err := w.startGateways(3, storeAddress); err != nil {
--- a/review/standin/tenants.go
+++ b/review/standin/tenants.go
@@ -20,7 +20,7 @@
 // route returns a route to the plain service.
 func route(name, prefix, routeType string, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "hostname": "loans.example", "pathPrefix": prefix, "routeType": routeType, "timeoutMs": 1500, "sloMs": 300, "priority": 2,
+		"name": name, "hostname": "loans.example", wire.PathPrefix: prefix, wire.RouteType: routeType, "timeoutMs": 1500, wire.Objective: 300, "priority": 2,
 		"service": "loans-app", "maxAttempts": attempts, "public": false, "sticky": false, "resumable": false,
 	}
 }
@@ -50,7 +50,7 @@
 // key must not run.
 func lastTenant(w *world) (broken bool, err error) {
 	routes := []any{route("plan-lookup", "/plans/", "non_idempotent", 1), route("balance-lookup", "/balances/", "idempotent", 2)}
-	tenant := map[string]any{"name": "swan-coast", "apiKeys": []any{tenantKey}, "priority": 1}
+	tenant := map[string]any{"name": "swan-coast", wire.APIKeys: []any{tenantKey}, "priority": 1}
 	if err := w.startSmall(configuration(7, routes, []any{tenant})); err != nil {
 		return false, err
 	}
--- a/review/standin/withheld.go
+++ b/review/standin/withheld.go
@@ -39,7 +39,7 @@
 	}
 	var tenants []any
 	for _, name := range tenantNames {
-		tenants = append(tenants, map[string]any{"name": name, "apiKeys": []any{"key-of-" + name}, "priority": 1})
+		tenants = append(tenants, map[string]any{"name": name, wire.APIKeys: []any{"key-of-" + name}, "priority": 1})
 	}
 	w.store.put("config", "main", configuration(7, []any{route("plan-lookup", "/plans/", "non_idempotent", 1)}, tenants))
 	if err := w.startGateways(len(zones), storeAddress); err != nil {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -131,7 +131,7 @@
 	}
 	defer log.Close()
 	g.process = exec.Command("target/harriernotchd")
-	g.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.folder, "HARRIERNOTCH_CONFIG=" + g.settings}
+	g.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.folder, wire.Settings + "=" + g.settings}
 	g.process.Stdout, g.process.Stderr = log, log
 	g.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.process.Start(); err != nil {
