Keys: an empty list of tenants closes the deployment, only a missing one needs no keys

Cause: "no tenants" is three things: the field is missing, it is empty, or its tenants hold no keys. The adapter's document, the configuration in memory and the document between gateways held one list, and Handler.authenticate looked at its length. Ruled out: a version that isn't adopted (the log names it), and keys that stay valid somewhere (unknown keys ran too).

Change: catalog.KeyPolicy says whether requests need keys. Gateways tell each other in field 6 of the document. A document of an earlier build without tenants tells nothing: the gateway isn't ready, refuses what might need a key as not run, and reads the store at once. Status, configuration.adopted and the gauge keys_not_required show it. The soak has a fault that takes all keys away (TestSoakWithoutKeys).

Why it works: what decides is stated where it is known, the adapter, and can't be lost on the way without being noticed.

The tests of follower and gateway that meant a configuration without keys now say so.

--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// Guards against a fleet that opens when its last tenant is removed: such an edit can be neither signed nor adopted.
+func TestBundleWithoutTenantsIsRefused(t *testing.T) {
+	is := is.New(t)
+	tenant := "[[tenants]]\nname = \"t\"\nkey_sha256 = [\"" + keyHash + "\"]\n"
+	for _, tenants := range []string{"", "[[tenants]]\nname = \"t\"\nkey_sha256 = []\n", "[[tenants]]\nname = \"t\"\n"} {
+		text := strings.Replace(document("a"), tenant, tenants, 1)
+		is.True(text != document("a"))
+		_, err := Parse("bundle.toml", []byte(text))
+		is.True(err != nil)
+		_, err = Sign(Header{Number: 6, Identifier: "id-6"}, []byte(text), testKey('k'))
+		is.Equal(failure.KindOf(err), failure.InvalidBundle)
+	}
+}
+
 func TestAcceptorKeepsCurrentBundleOnRefusedOffer(t *testing.T) {
 	is := is.New(t)
 	key, untrusted := testKey('k'), testKey('s')
--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -100,6 +100,33 @@
 	Priority int `cbor:"3,keyasint,omitempty"`
 }
 
+// KeyPolicy is whether requests on routes that aren't public need a tenant's key. An empty list of
+// tenants doesn't answer that: it is also what is left when the last tenant is removed.
+type KeyPolicy uint8
+
+// The key policies. The values are part of the messages between gateways.
+const (
+	// KeyPolicyUnknown is the policy of a document that states none: gateways of earlier builds send
+	// such documents.
+	KeyPolicyUnknown KeyPolicy = 0
+	// KeysRequired is the policy of a deployment with tenants, also while no tenant or key is left.
+	KeysRequired KeyPolicy = 1
+	// KeysNotRequired is the policy of a deployment that has no tenants.
+	KeysNotRequired KeyPolicy = 2
+)
+
+// String returns the policy's name in logs and status.
+func (p KeyPolicy) String() string {
+	switch p {
+	case KeysRequired:
+		return "required"
+	case KeysNotRequired:
+		return "not_required"
+	default:
+		return "unknown"
+	}
+}
+
 // Limits restricts the requests of callers.
 type Limits struct {
 	// MaxBodyBytes is the largest size of a request body; 0 if the configuration sets no limit, and
@@ -117,6 +144,21 @@
 	Tenants  []Tenant  `cbor:"4,keyasint"`
 	// Limits are the limits on requests of callers.
 	Limits Limits `cbor:"5,keyasint"`
+	// StatedKeyPolicy is the policy that the document states; see KeyPolicy.
+	StatedKeyPolicy KeyPolicy `cbor:"6,keyasint,omitempty"`
+}
+
+// KeyPolicy returns whether requests need a key. A configuration with tenants requires keys
+// regardless of what it states, and a policy that this build doesn't know counts as unknown.
+func (c *Configuration) KeyPolicy() KeyPolicy {
+	switch {
+	case len(c.Tenants) > 0:
+		return KeysRequired
+	case c.StatedKeyPolicy == KeysRequired, c.StatedKeyPolicy == KeysNotRequired:
+		return c.StatedKeyPolicy
+	default:
+		return KeyPolicyUnknown
+	}
 }
 
 // Check returns an error that names the first invalid field and its remedy, or nil.
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -52,6 +52,9 @@
 // Version returns the version of the configuration.
 func (x *Index) Version() uint64 { return x.configuration.Version }
 
+// KeyPolicy returns whether requests need a tenant's key.
+func (x *Index) KeyPolicy() KeyPolicy { return x.configuration.KeyPolicy() }
+
 // Route returns the route with the longest matching prefix for the host and path, or nil. It
 // looks up the prefixes of the path, longest first, so its cost doesn't depend on the number of
 // routes.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -163,16 +163,29 @@
 	return v.index.Version()
 }
 
-// OfferConfiguration adopts a checked configuration if its version is newer, and reports whether
-// it did.
+// OfferConfiguration adopts a checked configuration if its version is newer, or if it is the current
+// version and states the key policy, which the current document doesn't. It reports whether it did.
 func (v *View) OfferConfiguration(configuration *Configuration) bool {
-	if configuration.Version <= v.Version() {
+	isNewer := configuration.Version > v.Version()
+	if !isNewer && !v.completes(configuration) {
 		return false
 	}
 	v.index = NewIndex(configuration)
 	return true
 }
 
+// completes reports whether the configuration is of the current version, and has a key policy while
+// that of the current document is unknown.
+func (v *View) completes(configuration *Configuration) bool {
+	return v.index != nil && configuration.Version == v.Version() &&
+		!v.KnowsKeyPolicy() && configuration.KeyPolicy() != KeyPolicyUnknown
+}
+
+// KnowsKeyPolicy reports whether there is a configuration and it says whether requests need a key.
+func (v *View) KnowsKeyPolicy() bool {
+	return v.index != nil && v.index.KeyPolicy() != KeyPolicyUnknown
+}
+
 // OfferEntries merges changes from a watch or a peer, and returns those that were new.
 func (v *View) OfferEntries(entries []Entry) []Entry {
 	return v.entries.offer(withWarmUpPositions(entries))
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -32,6 +32,43 @@
 	is.Equal(view.Version(), uint64(7))
 }
 
+// Guards against a document that doesn't state the key policy: it gives way to one of the same version that does, and
+// never replaces one.
+func TestConfigurationWithoutKeyPolicyIsCompleted(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	is.True(!view.KnowsKeyPolicy())
+	is.True(view.OfferConfiguration(&Configuration{Version: 7}))
+	is.True(!view.KnowsKeyPolicy())
+	is.True(!view.OfferConfiguration(&Configuration{Version: 5, StatedKeyPolicy: KeysNotRequired}))
+	is.True(view.OfferConfiguration(&Configuration{Version: 7, StatedKeyPolicy: KeysRequired}))
+	is.True(view.KnowsKeyPolicy())
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7, StatedKeyPolicy: KeysNotRequired}))
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7}))
+	is.Equal(view.Index().KeyPolicy(), KeysRequired)
+}
+
+// Guards against a configuration that counts as open because of what it states: tenants, and a policy of a later
+// build, close it.
+func TestKeyPolicy(t *testing.T) {
+	is := is.New(t)
+	for stated, want := range map[KeyPolicy]KeyPolicy{
+		KeyPolicyUnknown: KeyPolicyUnknown, KeysRequired: KeysRequired, KeysNotRequired: KeysNotRequired, 3: KeyPolicyUnknown, 255: KeyPolicyUnknown,
+	} {
+		is.Equal((&Configuration{StatedKeyPolicy: stated}).KeyPolicy(), want)
+		is.Equal((&Configuration{StatedKeyPolicy: stated, Tenants: []Tenant{{Name: "t"}}}).KeyPolicy(), KeysRequired)
+	}
+}
+
+// Guards against gateways that attribute the requests of a key to different tenants, and against an empty key that
+// requests without one would have.
+func TestKeysOfTenants(t *testing.T) {
+	is := is.New(t)
+	index := NewIndex(&Configuration{Version: 1, Tenants: []Tenant{{Name: "a", Keys: []string{"k", ""}}, {Name: "b", Keys: []string{"k"}}}})
+	is.Equal(index.Tenant("k").Name, "b")
+	is.Equal(index.Tenant(""), nil)
+}
+
 func TestStaleListNeitherRemovesNorRevives(t *testing.T) {
 	is := is.New(t)
 	view := NewView()
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/gateway"
@@ -96,8 +97,8 @@
 }
 
 func printGateway(output io.Writer, status gateway.Status) error {
-	_, err := fmt.Fprintf(output, "gateway: ready %v, draining %v, configuration %d, %d gateways, reads the store %v, store answered %.1fs ago (era %d), loads %.1fs old\n\n",
-		status.Ready, status.Draining, status.Version, status.Gateways, status.Reader, status.StoreAgeSeconds, status.Era, status.LoadAgeSeconds)
+	_, err := fmt.Fprintf(output, "gateway: ready %v, draining %v, configuration %d (keys %s), %d gateways, reads the store %v, store answered %.1fs ago (era %d), loads %.1fs old\n\n",
+		status.Ready, status.Draining, status.Version, cmp.Or(status.Keys, catalog.KeyPolicyUnknown.String()), status.Gateways, status.Reader, status.StoreAgeSeconds, status.Era, status.LoadAgeSeconds)
 	if err != nil {
 		return err
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -88,7 +88,9 @@
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
-	lists := []list{f.configurations()}
+	configurations := f.configurations()
+	lists := []list{configurations}
+	f.tasks.Go(func() { f.completeConfigurations(ctx, configurations) })
 	if config.Evacuations {
 		orders := f.evacuations()
 		lists = append(lists, orders)
--- a/internal/follower/restorations_test.go
+++ b/internal/follower/restorations_test.go
@@ -17,7 +17,7 @@
 	return &source{
 		backEnds: 3, evacuations: true, changePeriod: time.Hour, firstRevision: 200, oldestRevision: 180,
 		restored:      []catalog.Evacuation{{Withdrawn: true, Revision: 195}},
-		configuration: &catalog.Configuration{Version: 1, Services: []catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}}},
+		configuration: &catalog.Configuration{Version: 1, StatedKeyPolicy: catalog.KeysNotRequired, Services: []catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}}},
 	}
 }
 
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -98,7 +98,7 @@
 	if s.configuration != nil {
 		return []*catalog.Configuration{s.configuration}, s.position(), nil
 	}
-	return []*catalog.Configuration{{Version: 1}}, s.firstPosition(), nil
+	return []*catalog.Configuration{{Version: 1, StatedKeyPolicy: catalog.KeysNotRequired}}, s.firstPosition(), nil
 }
 
 func (s *source) watchConfiguration(ctx context.Context, after catalog.Position, wait time.Duration) ([]*catalog.Configuration, catalog.Position, error) {
--- a/internal/follower/start_test.go
+++ b/internal/follower/start_test.go
@@ -30,7 +30,7 @@
 			state.SetFleet(placeOf(23, false), dispatch.Fleet{})
 			time.Sleep(300 * time.Millisecond)
 			if updated {
-				state.OfferConfiguration(&catalog.Configuration{Version: 1}, gateway.SourcePeer)
+				state.OfferConfiguration(&catalog.Configuration{Version: 1, StatedKeyPolicy: catalog.KeysNotRequired}, gateway.SourcePeer)
 				state.OfferBuckets(catalog.AllBuckets, nil)
 			}
 			time.Sleep(3 * time.Second)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -182,18 +182,24 @@
 	return h.readBody(c, index.Configuration().Limits.MaxBodyBytes)
 }
 
+// authenticate finds the tenant that owns the request's key, and the request's urgency. A request
+// without a known key passes on a public route, or if the configuration needs no keys.
 func (h *Handler) authenticate(c *call, index *catalog.Index) error {
-	tenant := index.Tenant(c.facts.Key)
-	if tenant == nil {
-		if c.route.Public || len(index.Configuration().Tenants) == 0 {
-			c.urgency = urgency(0, c.route.Priority)
-			return nil
-		}
+	if tenant := index.Tenant(c.facts.Key); tenant != nil {
+		c.tenant = tenant.Name
+		c.urgency = urgency(tenant.Priority, c.route.Priority)
+		return nil
+	}
+	policy := index.KeyPolicy()
+	switch {
+	case c.route.Public, policy == catalog.KeysNotRequired:
+		c.urgency = urgency(0, c.route.Priority)
+		return nil
+	case policy == catalog.KeyPolicyUnknown:
+		return failure.New(failure.NotReady, "this gateway doesn't know yet whether the configuration requires keys; ask another")
+	default:
 		return failure.New(failure.Unauthenticated, "the key is missing or unknown")
 	}
-	c.tenant = tenant.Name
-	c.urgency = urgency(tenant.Priority, c.route.Priority)
-	return nil
 }
 
 // routeRanks is the number of ranks for routes within each tenant priority. lowestUrgency is
--- a/internal/gateway/handler_test.go
+++ b/internal/gateway/handler_test.go
@@ -48,7 +48,7 @@
 		state := NewState(dispatch.New(dispatch.DefaultConfig()), log)
 		state.UseClock(clock)
 		state.OfferConfiguration(&catalog.Configuration{
-			Version: 1, Services: []catalog.Service{{Name: "s"}},
+			Version: 1, StatedKeyPolicy: catalog.KeysNotRequired, Services: []catalog.Service{{Name: "s"}},
 			Routes: []catalog.Route{{Name: "r", Host: "chat.example", Prefix: "/", Targets: []catalog.Target{{Service: "s", Weight: 1}}, Timeout: timeout, MaxAttempts: 1, Public: true}},
 		}, SourceStore)
 		state.OfferList(nil, catalog.Position{}, SourceStore)
@@ -95,3 +95,31 @@
 		})
 	}
 }
+
+// Guards against requests that run, or get a final refusal, while it isn't known whether they need a key: nothing was run,
+// and another gateway may know.
+func TestKeyPolicyDecidesWithoutAKnownKey(t *testing.T) {
+	is := is.New(t)
+	route := catalog.Route{Name: "r", Host: "chat.example", Prefix: "/"}
+	public := route
+	public.Public = true
+	for _, each := range []struct {
+		policy catalog.KeyPolicy
+		route  catalog.Route
+		want   failure.Kind // Internal: the request passes
+	}{
+		{catalog.KeyPolicyUnknown, route, failure.NotReady}, {catalog.KeysRequired, route, failure.Unauthenticated},
+		{catalog.KeyPolicyUnknown, public, failure.Internal}, {catalog.KeysRequired, public, failure.Internal}, {catalog.KeysNotRequired, route, failure.Internal},
+	} {
+		index := catalog.NewIndex(&catalog.Configuration{Version: 1, StatedKeyPolicy: each.policy})
+		for _, key := range []string{"", "unknown"} {
+			err := (&Handler{}).authenticate(&call{route: &each.route, facts: RequestFacts{Key: key}}, index)
+			if each.want == failure.Internal {
+				is.NoErr(err)
+				continue
+			}
+			is.Equal(failure.KindOf(err), each.want)
+			is.Equal(each.want.Answer().Ran, failure.RanNo)
+		}
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/rollout"
@@ -221,6 +222,7 @@
 	m.scope.Gauge("lag_seconds").Update(gauges.Lag.Seconds())
 	m.scope.Gauge("gateways").Update(float64(gauges.Gateways))
 	m.scope.Gauge("evacuated_zones").Update(float64(gauges.Evacuated))
+	m.scope.Gauge("keys_not_required").Update(boolGauge(gauges.KeyPolicy == catalog.KeysNotRequired))
 	m.scope.Gauge("store_era").Update(float64(gauges.Era))
 	for _, progress := range gauges.Rollouts {
 		scope := m.scope.Tagged(map[string]string{"service": m.service(progress.Service)})
@@ -244,10 +246,20 @@
 	}
 }
 
+// boolGauge returns the value of a gauge that shows whether something holds.
+func boolGauge(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // Gauges holds the values of a gateway's gauges at one time.
 type Gauges struct {
 	// Version is the version of the current configuration.
 	Version uint64
+	// KeyPolicy is whether requests on routes that aren't public need a tenant's key.
+	KeyPolicy catalog.KeyPolicy
 	// StoreAge is the time since the store last answered. PeerAge is the age of the oldest loads
 	// of a live peer.
 	StoreAge time.Duration
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -39,10 +39,7 @@
 	if !s.core.HasUnpublishedOrigins() {
 		return
 	}
-	select {
-	case s.originsReady <- struct{}{}:
-	default:
-	}
+	signal(s.originsReady)
 }
 
 // OriginsReady returns a channel that is signalled when TakeOrigins returns new records.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -63,6 +63,8 @@
 	// in the store yet. unrecordedReady is signalled with each.
 	unrecorded      []dispatch.WithheldChange
 	unrecordedReady chan struct{}
+	// keyPolicyMissing is signalled when the configuration doesn't say whether requests need a key.
+	keyPolicyMissing chan struct{}
 	// originsReady is signalled when the core has new origins of streams for other gateways.
 	originsReady chan struct{}
 }
@@ -74,7 +76,15 @@
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reader}, dutyChanged: make(chan struct{}), knowsEvacuations: true, knowsRestorations: true,
 		knowsRollouts: true, eraChanged: make(chan struct{}),
-		unrecordedReady: make(chan struct{}, 1), originsReady: make(chan struct{}, 1),
+		unrecordedReady: make(chan struct{}, 1), originsReady: make(chan struct{}, 1), keyPolicyMissing: make(chan struct{}, 1),
+	}
+}
+
+// signal sends a value on a channel with room for one, unless one waits there already.
+func signal(ready chan<- struct{}) {
+	select {
+	case ready <- struct{}{}:
+	default:
 	}
 }
 
@@ -154,7 +164,7 @@
 }
 
 // canServe reports whether the gateway knows enough to serve.
-func (s *State) canServe() bool { return s.view.Index() != nil && s.listed && s.knowsOrders() }
+func (s *State) canServe() bool { return s.view.KnowsKeyPolicy() && s.listed && s.knowsOrders() }
 
 // Draining reports whether the gateway is about to stop.
 func (s *State) Draining() bool {
@@ -185,16 +195,31 @@
 	if !s.view.OfferConfiguration(configuration) {
 		return
 	}
+	s.documentVersion = 0 // also a document of the same version is encoded anew
+	if !s.view.KnowsKeyPolicy() {
+		signal(s.keyPolicyMissing)
+	}
 	s.core.SetServices(configuration.Services)
 	s.core.SetRoutes(s.clock.Now(), configuration.Routes)
 	s.signalOrigins()
 	s.announce()
 	s.log.Warn(eventlog.ConfigurationAdopted, logrus.Fields{
 		"version": configuration.Version, "before": before, "source": source,
-		"routes": len(configuration.Routes), "tenants": len(configuration.Tenants),
+		"routes": len(configuration.Routes), "tenants": len(configuration.Tenants), "keys": configuration.KeyPolicy().String(),
 	})
 }
 
+// KeyPolicyMissing returns a channel that receives a value when a configuration has been adopted that
+// doesn't say whether requests need a key. The platform's store knows.
+func (s *State) KeyPolicyMissing() <-chan struct{} { return s.keyPolicyMissing }
+
+// KnowsKeyPolicy reports whether there is a configuration that says whether requests need a key.
+func (s *State) KnowsKeyPolicy() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view.KnowsKeyPolicy()
+}
+
 // OfferList merges a complete list of back ends.
 func (s *State) OfferList(entries []catalog.Entry, at catalog.Position, source string) {
 	s.mutex.Lock()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/fairshare"
 )
@@ -15,7 +16,7 @@
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.PeerLoadAge(now),
 		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesDropped: s.log.Dropped(),
-		Era: s.view.Era(),
+		Era: s.view.Era(), KeyPolicy: s.keyPolicy(),
 	}
 	for _, each := range s.core.Rollouts(now) {
 		gauges.Rollouts = append(gauges.Rollouts, RolloutGauges{Service: each.Order.Service, State: each.State, Sent: each.Sent, Exposed: each.Exposed})
@@ -30,6 +31,14 @@
 	return gauges
 }
 
+// keyPolicy returns whether requests need a key.
+func (s *State) keyPolicy() catalog.KeyPolicy {
+	if index := s.view.Index(); index != nil {
+		return index.KeyPolicy()
+	}
+	return catalog.KeyPolicyUnknown
+}
+
 // RoleName is the role of a gateway in its status.
 const RoleName = "gateway"
 
@@ -50,6 +59,8 @@
 	Draining bool `json:"draining"`
 	// Version is the version of the current configuration, or 0 without one.
 	Version uint64 `json:"version"`
+	// Keys is a catalog.KeyPolicy: whether requests on routes that aren't public need a tenant's key.
+	Keys string `json:"keys,omitempty"`
 	// Evacuated are the zones whose back ends get no new requests.
 	Evacuated []string `json:"evacuated_zones,omitempty"`
 	// Era is the era of the store, or 0 if it reports none. Rollouts are the services that are
@@ -189,7 +200,7 @@
 	status := Status{
 		Role: RoleName, Gateways: s.place.Gateways, Reader: s.place.Duty == Reader,
 		StoreAgeSeconds: s.storeAge(now).Seconds(), LoadAgeSeconds: s.core.PeerLoadAge(now).Seconds(),
-		Ready: ready, Draining: s.draining, Version: s.view.Version(), Evacuated: s.view.EvacuatedZones(),
+		Ready: ready, Draining: s.draining, Version: s.view.Version(), Keys: s.keyPolicy().String(), Evacuated: s.view.EvacuatedZones(),
 		Services: []ServiceStatus{}, BackEnds: []BackEndStatus{},
 	}
 	status.Era, status.Rollouts = s.view.Era(), s.rolloutStatus(now)
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -54,10 +54,7 @@
 		s.unrecorded = s.unrecorded[1:]
 	}
 	s.unrecorded = append(s.unrecorded, change)
-	select {
-	case s.unrecordedReady <- struct{}{}:
-	default:
-	}
+	signal(s.unrecordedReady)
 }
 
 // ReleaseWithheld releases withheld requests with this content or part of the prompt on an operator's command, here
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -193,3 +193,43 @@
 	is.NoErr(err)
 	is.Equal(decoded.PartCrashes, []dispatch.CrashRecord{part})
 }
+
+// earlierConfiguration is the document as builds up to 7ad4b2a write and read it.
+type earlierConfiguration struct {
+	Version  uint64            `cbor:"1,keyasint"`
+	Routes   []catalog.Route   `cbor:"2,keyasint"`
+	Services []catalog.Service `cbor:"3,keyasint"`
+	Tenants  []catalog.Tenant  `cbor:"4,keyasint"`
+	Limits   catalog.Limits    `cbor:"5,keyasint"`
+}
+
+// Guards against a deployment that opens during an upgrade: a document of an earlier build without tenants
+// doesn't say whether requests need keys, also if its list is empty. Whatever the list, ours tells it, and an
+// earlier build reads the rest.
+func TestKeyPolicyBesideEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	tenants := []catalog.Tenant{{Name: "t", Keys: []string{"k"}}}
+	for _, each := range []struct {
+		tenants []catalog.Tenant
+		want    catalog.KeyPolicy
+	}{{nil, catalog.KeyPolicyUnknown}, {[]catalog.Tenant{}, catalog.KeyPolicyUnknown}, {tenants, catalog.KeysRequired}} {
+		raw, err := cbor.Marshal(earlierConfiguration{Version: 7, Tenants: each.tenants})
+		is.NoErr(err)
+		var document catalog.Configuration
+		is.NoErr(cbor.Unmarshal(raw, &document))
+		is.Equal(document.KeyPolicy(), each.want)
+	}
+	for _, stated := range []catalog.KeyPolicy{catalog.KeysRequired, catalog.KeysNotRequired} {
+		raw, err := cbor.Marshal(catalog.Configuration{Version: 7, StatedKeyPolicy: stated})
+		is.NoErr(err)
+		var document catalog.Configuration
+		is.NoErr(cbor.Unmarshal(raw, &document))
+		is.Equal(document.KeyPolicy(), stated)
+		var earlier earlierConfiguration
+		is.NoErr(cbor.Unmarshal(raw, &earlier))
+		is.Equal(earlier.Version, uint64(7))
+		var fields map[int]cbor.RawMessage
+		is.NoErr(cbor.Unmarshal(raw, &fields))
+		is.Equal(fields[6], cbor.RawMessage{byte(stated)}) // the number and the values never change in meaning
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -298,8 +298,10 @@
 	for _, route := range configuration.Routes {
 		made.routes[route.Prefix] = true
 	}
-	for _, key := range configuration.Tenants[0].Keys {
-		made.keys[key] = true
+	for _, tenant := range configuration.Tenants {
+		for _, key := range tenant.Keys {
+			made.keys[key] = true
+		}
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -144,6 +144,8 @@
 	version uint64
 	// noSpareRoute and noSpareKey count the active faults that remove the spare route and key.
 	noSpareRoute, noSpareKey int
+	// noKeys counts the active faults that remove all keys.
+	noKeys int
 	// focus is the time in which most new connections go to one gateway, or nil.
 	focus *focusPeriod
 	// evacuated counts the active faults that evacuate a zone, by zone.
@@ -339,7 +341,22 @@
 	return catalog.Configuration{
 		Version: f.version, Routes: routes,
 		Services: []catalog.Service{served},
-		Tenants:  []catalog.Tenant{{Name: tenant, Keys: allowed}},
+		Tenants:  f.tenants(allowed),
 		Limits:   catalog.Limits{MaxBodyBytes: 1 << 20},
+
+		StatedKeyPolicy: catalog.KeysRequired,
+	}
+}
+
+// tenants returns the tenants of a configuration with the allowed keys. While all keys are removed, the
+// tenant is missing in some versions and has no keys in others.
+func (f *fleet) tenants(allowed []string) []catalog.Tenant {
+	switch {
+	case f.noKeys == 0:
+		return []catalog.Tenant{{Name: tenant, Keys: allowed}}
+	case f.version%2 == 0:
+		return []catalog.Tenant{{Name: tenant}}
+	default:
+		return nil
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -81,6 +81,8 @@
 		f.moveService(ctx, fault)
 	case RevokeKey:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareKey }, wait)
+	case RevokeAllKeys:
+		f.withdraw(func(f *fleet) *int { return &f.noKeys }, wait)
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -101,6 +101,9 @@
 	// FocusConnections makes most new connections go to one gateway, and to another once that one is out, while
 	// callers open new ones more often. It is drawn only if it is named.
 	FocusConnections Kind = "focus_connections"
+	// RevokeAllKeys removes all API keys from the configuration, with or without their tenant, and adds them
+	// again at the fault's end. It is drawn only if it is named.
+	RevokeAllKeys Kind = "revoke_all_keys"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -115,7 +118,7 @@
 
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
-	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections}
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys}
 }
 
 // Fault is one entry of a schedule.
