Streams: records of settled services that no longer describe the fleet are removed

Cause: the store's record of a settled service was removed only if its service was seen to change, or settled at another version. Two ways left it standing while other streams began: (1) the only route of the service moved to another one, so that no route was left by which a change could be seen; (2) the version changed while no gateway ran, so that the new gateways saw one version and no change. Once the route or the version was moved back while no gateway ran, the record counted again. Ruled out as the cause: what gateways tell each other (all were lost), and the identity, which matched rightly.

ChangedServices is gone.

The keeper's tests say the same as before in the new terms. Why it works: a record now stands only while every gateway that could remove it agrees with it.

--- a/internal/dispatch/settled.go
+++ b/internal/dispatch/settled.go
@@ -26,31 +26,28 @@
 
 // SettledServices returns the settled services, ordered by name.
 func (c *Core) SettledServices(now time.Time) []SettledService {
-	var settled []SettledService
-	for _, service := range slices.Sorted(maps.Keys(c.streamLives)) {
-		isSettled := true
-		routes := c.resumableRoutesTo(service)
-		for _, route := range routes {
-			isSettled = isSettled && c.uniformity(route, service).lasted(now)
-		}
-		if isSettled && len(routes) > 0 {
-			settled = append(settled, c.settledService(service, routes))
-		}
-	}
-	return settled
+	return c.servicesOf(func(u uniformity) bool { return u.lasted(now) })
+}
+
+// UnchangedServices returns the services, ordered by name, that run one version and of which this gateway has
+// seen no change that their streams may have outlasted. Each is as its record has to describe it: the settled
+// ones, and those that this gateway hasn't known for long enough to tell. Any other record in the store is
+// outdated, also one of a service to which no route leads any more: its streams began elsewhere since.
+func (c *Core) UnchangedServices(now time.Time) []SettledService {
+	return c.servicesOf(func(u uniformity) bool { return !u.isMixed(now) })
 }
 
-// ChangedServices returns the services that aren't settled because of a change that this gateway has seen,
-// or because they run several versions.
-func (c *Core) ChangedServices(now time.Time) []string {
-	var changed []string
+// servicesOf returns the services, ordered by name, to which resumable routes lead that all fulfil the condition.
+func (c *Core) servicesOf(fulfils func(u uniformity) bool) []SettledService {
+	var services []SettledService
 	for _, service := range slices.Sorted(maps.Keys(c.streamLives)) {
-		isMixed := func(route string) bool { return c.uniformity(route, service).isMixed(now) }
-		if slices.ContainsFunc(c.resumableRoutesTo(service), isMixed) {
-			changed = append(changed, service)
+		routes := c.resumableRoutesTo(service)
+		isExcluded := func(route string) bool { return !fulfils(c.uniformity(route, service)) }
+		if len(routes) > 0 && !slices.ContainsFunc(routes, isExcluded) {
+			services = append(services, c.settledService(service, routes))
 		}
 	}
-	return changed
+	return services
 }
 
 // resumableRoutesTo returns the names of the routes whose streams may be resumed at the service, in order.
--- a/internal/follower/settled.go
+++ b/internal/follower/settled.go
@@ -51,7 +51,10 @@
 		k.read(ctx)
 	}
 	k.era, k.wasRecorder = settlement.Era, settlement.IsRecorder
-	k.removeChanged(ctx, settlement)
+	if !settlement.IsKnown {
+		return
+	}
+	k.removeOutdated(ctx, settlement)
 	k.addSettled(ctx, settlement)
 }
 
@@ -78,13 +81,12 @@
 	}
 }
 
-// removeChanged removes the records of services that have changed. A few gateways write them, all the same
-// ones; the others only follow.
-func (k *settledKeeper) removeChanged(ctx context.Context, settlement gateway.Settlement) {
+// removeOutdated removes the records of services that aren't any more as recorded. A few gateways write them, all
+// the same ones; the others only follow.
+func (k *settledKeeper) removeOutdated(ctx context.Context, settlement gateway.Settlement) {
 	for _, identity := range slices.Sorted(maps.Keys(k.records)) {
 		each := k.records[identity]
-		isReplaced := func(other dispatch.SettledService) bool { return other.Service == each.Service && other != each }
-		if !slices.Contains(settlement.Changed, each.Service) && !slices.ContainsFunc(settlement.Settled, isReplaced) {
+		if slices.Contains(settlement.Unchanged, each) {
 			continue
 		}
 		delete(k.records, identity)
--- a/internal/follower/settled_test.go
+++ b/internal/follower/settled_test.go
@@ -63,6 +63,12 @@
 	return dispatch.SettledService{Service: "chat", Version: version, Identity: version}
 }
 
+// settlementOf returns what a gateway knows while the only service is settled at a version.
+func settlementOf(version string) gateway.Settlement {
+	settled := []dispatch.SettledService{settledAt(version)}
+	return gateway.Settlement{IsKnown: true, Settled: settled, Unchanged: settled}
+}
+
 // withKeeper runs a test on the virtual clock against a gateway that keeps the records of a store.
 func withKeeper(t *testing.T, test func(s *source, keeper *settledKeeper)) {
 	bubble.Test(t, func(t *testing.T) {
@@ -82,10 +88,10 @@
 	withKeeper(t, func(s *source, keeper *settledKeeper) {
 		is, ctx := is.New(t), context.Background()
 		is.NoErr(s.RecordSettled(ctx, settledAt("v1")))
-		keeper.update(ctx, gateway.Settlement{Settled: []dispatch.SettledService{settledAt("v1")}})
-		keeper.update(ctx, gateway.Settlement{Changed: []string{"chat"}})
+		keeper.update(ctx, settlementOf("v1"))
+		keeper.update(ctx, gateway.Settlement{IsKnown: true})
 		is.Equal(s.settled.identities(), []string{"v1"}) // it has left this to the recorders
-		keeper.update(ctx, gateway.Settlement{Changed: []string{"chat"}, IsRecorder: true})
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true})
 		is.Equal(len(s.settled.identities()), 0)
 	})
 }
@@ -94,10 +100,11 @@
 func TestRecordIsAddedByTheRecordersSuccessor(t *testing.T) {
 	withKeeper(t, func(s *source, keeper *settledKeeper) {
 		is, ctx := is.New(t), context.Background()
-		settled := []dispatch.SettledService{settledAt("v1")}
-		keeper.update(ctx, gateway.Settlement{Settled: settled})
+		settlement := settlementOf("v1")
+		keeper.update(ctx, settlement)
 		is.Equal(len(s.settled.identities()), 0)
-		keeper.update(ctx, gateway.Settlement{Settled: settled, IsRecorder: true})
+		settlement.IsRecorder = true
+		keeper.update(ctx, settlement)
 		is.Equal(s.settled.identities(), []string{"v1"})
 	})
 }
@@ -105,10 +112,25 @@
 func TestRecorderKeepsTheRecordsOfARestoredStore(t *testing.T) {
 	withKeeper(t, func(s *source, keeper *settledKeeper) {
 		is, ctx := is.New(t), context.Background()
-		keeper.update(ctx, gateway.Settlement{Settled: []dispatch.SettledService{settledAt("v2")}, IsRecorder: true})
+		settlement := settlementOf("v2")
+		settlement.IsRecorder = true
+		keeper.update(ctx, settlement)
 		s.settled.records = map[string]dispatch.SettledService{"v1": settledAt("v1")}
-		keeper.update(ctx, gateway.Settlement{Settled: []dispatch.SettledService{settledAt("v2")}, IsRecorder: true, Era: 1})
+		settlement.Era = 1
+		keeper.update(ctx, settlement)
 		is.Equal(s.settled.identities(), []string{"v2"})
 		is.Equal(s.settled.written, []string{"add v2", "remove v1", "add v2"})
 	})
 }
+
+// Guards against a gateway that removes records before it knows what they describe.
+func TestRecordsStayUntilTheServicesAreKnown(t *testing.T) {
+	withKeeper(t, func(s *source, keeper *settledKeeper) {
+		is, ctx := is.New(t), context.Background()
+		is.NoErr(s.RecordSettled(ctx, settledAt("v1")))
+		keeper.update(ctx, gateway.Settlement{IsRecorder: true})
+		is.Equal(s.settled.identities(), []string{"v1"})
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true, Unchanged: []dispatch.SettledService{settledAt("v1")}})
+		is.Equal(s.settled.identities(), []string{"v1"}) // not known for long enough to tell, and nothing contradicts it
+	})
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -87,9 +87,12 @@
 
 // Settlement is what this gateway knows of the services whose streams all began at one version.
 type Settlement struct {
-	// Settled are those services, and Changed the names of those that aren't because of a change.
-	Settled []dispatch.SettledService
-	Changed []string
+	// IsKnown is false while this gateway doesn't know the back ends and the configuration.
+	IsKnown bool
+	// Settled are those services, and Unchanged these and the others of which no change is known. A record
+	// that isn't among Unchanged is outdated.
+	Settled   []dispatch.SettledService
+	Unchanged []dispatch.SettledService
 	// IsRecorder is true if this gateway is one of those that keep the store's records.
 	IsRecorder bool
 	// Era is the era of the store.
@@ -102,7 +105,7 @@
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
 	return Settlement{
-		Settled: s.core.SettledServices(now), Changed: s.core.ChangedServices(now),
+		IsKnown: s.knowsServices(), Settled: s.core.SettledServices(now), Unchanged: s.core.UnchangedServices(now),
 		IsRecorder: s.place.Duty == Reader, Era: s.view.Era(),
 	}
 }
@@ -112,13 +115,16 @@
 func (s *State) SettleRecorded(recorded []dispatch.SettledService) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.view.Index() == nil || !s.listed {
+	if !s.knowsServices() {
 		return false
 	}
 	s.core.SettleRecorded(s.clock.Now(), recorded)
 	return true
 }
 
+// knowsServices reports whether this gateway knows the back ends and the configuration. The mutex is held.
+func (s *State) knowsServices() bool { return s.view.Index() != nil && s.listed }
+
 // AnswerOrigin returns what this gateway knows of where a stream began. peersStoreAge is the time since the
 // store last answered a gateway that this one hears of.
 func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge time.Duration) dispatch.OriginAnswer {
