Streams: a record of a settled service that is written late is found and removed

What callers would see: as before, streams joined from two versions after all gateways were killed.

Cause: a write of a record that got no answer may take effect seconds later, also one of a gateway that was killed meanwhile. If the service changed in between, the record was removed first, or wasn't there to be removed, and appeared afterwards. Nobody read the records again until the recorders changed, so that it counted at the next loss of all gateways with that version serving alone.

Change: a gateway that has started or become a recorder reads the records once more 10 s later, and so does one after each write that failed. Weighed: an object that is replaced on condition of its revision. A late write still passes there while nothing else has been written, unless every change is written down too, and builds side by side would need both forms.

Cost: one more read by each gateway that starts, and by each recorder that takes over. Left: all gateways lost within the 10 s.

--- a/internal/follower/settled.go
+++ b/internal/follower/settled.go
@@ -14,6 +14,10 @@
 // Gateways that start rely on a record until it is removed.
 const settledPeriod = 100 * time.Millisecond
 
+// lateWriteTime is the time after which a write without an answer has taken effect, or never will. Stores may
+// carry a write out seconds after its writer was killed.
+const lateWriteTime = 10 * time.Second
+
 // settledRecords are the records of settled services that the store has, as far as this gateway knows, by
 // their identity.
 type settledRecords map[string]dispatch.SettledService
@@ -25,6 +29,7 @@
 	keeper := settledKeeper{follower: f, records: settledRecords{}, era: settlement.Era, wasRecorder: settlement.IsRecorder}
 	if !f.config.FirstStart {
 		keeper.read(ctx)
+		keeper.scheduleReread()
 		keeper.apply(ctx)
 	}
 	for ctx.Err() == nil {
@@ -41,15 +46,21 @@
 	// of those that write them at the last update.
 	era         uint64
 	wasRecorder bool
+	// rereadAt is when the records are read again because a write may have taken effect late; zero if none may.
+	rereadAt time.Time
 }
 
 // update reads the records again if they may differ from the known ones, and writes what has changed. A
 // restored store has the records of its backup. A gateway that becomes a recorder doesn't know whether its
-// predecessors have written all that it has left to them.
+// predecessors have written all that it has left to them, or a write of theirs is still to take effect.
 func (k *settledKeeper) update(ctx context.Context, settlement gateway.Settlement) {
-	if settlement.Era != k.era || settlement.IsRecorder && !k.wasRecorder {
+	becomesRecorder := settlement.IsRecorder && !k.wasRecorder
+	if settlement.Era != k.era || becomesRecorder || k.isRereadDue() {
 		k.read(ctx)
 	}
+	if becomesRecorder {
+		k.scheduleReread()
+	}
 	k.era, k.wasRecorder = settlement.Era, settlement.IsRecorder
 	if !settlement.IsKnown {
 		return
@@ -58,6 +69,31 @@
 	k.addSettled(ctx, settlement)
 }
 
+// scheduleReread makes the records be read again once no earlier write can take effect any more.
+func (k *settledKeeper) scheduleReread() {
+	k.rereadAt = k.follower.config.State.Clock().Now().Add(lateWriteTime)
+}
+
+// isRereadDue reports once that the time of scheduleReread has come.
+func (k *settledKeeper) isRereadDue() bool {
+	if k.rereadAt.IsZero() || k.follower.config.State.Clock().Until(k.rereadAt) > 0 {
+		return false
+	}
+	k.rereadAt = time.Time{}
+	return true
+}
+
+// write repeats a write until it succeeds. One that fails may still take effect later.
+func (k *settledKeeper) write(ctx context.Context, call func(ctx context.Context) error) {
+	k.follower.retryCall(ctx, func(ctx context.Context) error {
+		err := call(ctx)
+		if err != nil {
+			k.scheduleReread()
+		}
+		return err
+	})
+}
+
 // read replaces the records by those in the store.
 func (k *settledKeeper) read(ctx context.Context) {
 	k.follower.retryCall(ctx, func(ctx context.Context) error {
@@ -91,7 +127,7 @@
 		}
 		delete(k.records, identity)
 		if settlement.IsRecorder {
-			k.follower.retryCall(ctx, func(ctx context.Context) error { return k.follower.config.Source.RemoveSettled(ctx, each) })
+			k.write(ctx, func(ctx context.Context) error { return k.follower.config.Source.RemoveSettled(ctx, each) })
 		}
 	}
 }
@@ -104,7 +140,7 @@
 		}
 		k.records[each.Identity] = each
 		if settlement.IsRecorder {
-			k.follower.retryCall(ctx, func(ctx context.Context) error { return k.follower.config.Source.RecordSettled(ctx, each) })
+			k.write(ctx, func(ctx context.Context) error { return k.follower.config.Source.RecordSettled(ctx, each) })
 		}
 	}
 }
--- a/internal/follower/settled_test.go
+++ b/internal/follower/settled_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
@@ -22,10 +23,14 @@
 type settledSource struct {
 	mutex   sync.Mutex
 	records map[string]dispatch.SettledService
+	// failures is the number of writes that fail next, without having an effect yet.
+	failures int
 	// written are the calls that add or remove a record, in order.
 	written []string
 }
 
+var errAnswerLost = errors.New("the answer is lost")
+
 func (s *source) SettledServices(context.Context) ([]dispatch.SettledService, error) {
 	s.settled.mutex.Lock()
 	defer s.settled.mutex.Unlock()
@@ -35,6 +40,10 @@
 func (s *source) RecordSettled(_ context.Context, settled dispatch.SettledService) error {
 	s.settled.mutex.Lock()
 	defer s.settled.mutex.Unlock()
+	if s.settled.failures > 0 {
+		s.settled.failures--
+		return errAnswerLost
+	}
 	if s.settled.records == nil {
 		s.settled.records = map[string]dispatch.SettledService{}
 	}
@@ -134,3 +143,24 @@
 		is.Equal(s.settled.identities(), []string{"v1"}) // not known for long enough to tell, and nothing contradicts it
 	})
 }
+
+// Guards against a write without an answer that takes effect after the record was removed again: the gateway that sent
+// it reads the records again, once.
+func TestRecordsAreReadAgainAfterAFailedWrite(t *testing.T) {
+	withKeeper(t, func(s *source, keeper *settledKeeper) {
+		is, ctx := is.New(t), context.Background()
+		settlement := settlementOf("v1")
+		settlement.IsRecorder = true
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true})
+		time.Sleep(2 * lateWriteTime)
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true})
+		s.settled.failures = 1
+		keeper.update(ctx, settlement)
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true})
+		is.Equal(len(s.settled.identities()), 0)
+		is.NoErr(s.RecordSettled(ctx, settledAt("v1"))) // the first write takes effect
+		time.Sleep(lateWriteTime)
+		keeper.update(ctx, gateway.Settlement{IsKnown: true, IsRecorder: true})
+		is.Equal(len(s.settled.identities()), 0)
+	})
+}
