Streams: records of settled services in a restored store don't count

What callers would see: streams joined from two versions, if all gateways are lost about when the platform's store is restored from a copy.

Cause: a record of the copy says what was settled when the copy was made. Gateways that live read the records again in a new era and remove it, but gateways that have just started took it, together with the copy's list of back ends, for the present state.

Change: a record has the store's era in which it was written, and counts in that era only. Recorders write theirs again after a restore. A record of an earlier build has none: in a store that tells eras it doesn't count until recorders of this build have replaced it. A store that tells no eras can't be told from its copy; nothing changes there.

TestRecorderKeepsTheRecordsOfARestoredStore also checks the era.

--- a/internal/dispatch/settled.go
+++ b/internal/dispatch/settled.go
@@ -22,6 +22,9 @@
 	// Identity identifies the version together with all routes whose streams may be resumed there. What
 	// changes while no gateway runs gives another identity.
 	Identity string
+	// Era is the era of the store in which it was recorded. A record of an earlier era is one of the copy from
+	// which the store was restored, and what has changed since then is unknown.
+	Era uint64
 }
 
 // SettledServices returns the settled services, ordered by name.
--- a/internal/follower/settled_test.go
+++ b/internal/follower/settled_test.go
@@ -125,10 +125,11 @@
 		settlement.IsRecorder = true
 		keeper.update(ctx, settlement)
 		s.settled.records = map[string]dispatch.SettledService{"v1": settledAt("v1")}
-		settlement.Era = 1
+		settlement.Era, settlement.Settled[0].Era = 1, 1 // Unchanged has the same entries
 		keeper.update(ctx, settlement)
 		is.Equal(s.settled.identities(), []string{"v2"})
 		is.Equal(s.settled.written, []string{"add v2", "remove v1", "add v2"})
+		is.Equal(s.settled.records["v2"].Era, uint64(1)) // it counts in the restored store
 	})
 }
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/dispatch"
@@ -103,14 +104,22 @@
 func (s *State) Settlement() Settlement {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.clock.Now()
+	now, era := s.clock.Now(), s.view.Era()
 	return Settlement{
-		IsKnown: s.knowsServices(), Settled: s.core.SettledServices(now), Unchanged: s.core.UnchangedServices(now),
-		IsRecorder: s.place.Duty == Reader, Era: s.view.Era(),
+		IsKnown: s.knowsServices(), Settled: inEra(era, s.core.SettledServices(now)), Unchanged: inEra(era, s.core.UnchangedServices(now)),
+		IsRecorder: s.place.Duty == Reader, Era: era,
+	}
+}
+
+// inEra sets the era of the services.
+func inEra(era uint64, services []dispatch.SettledService) []dispatch.SettledService {
+	for i := range services {
+		services[i].Era = era
 	}
+	return services
 }
 
-// SettleRecorded applies the store's records of settled services. It returns false while this gateway
+// SettleRecorded applies the store's records of settled services, except those of earlier eras. It returns false while this gateway
 // doesn't know the back ends and the configuration to compare them with.
 func (s *State) SettleRecorded(recorded []dispatch.SettledService) bool {
 	s.mutex.Lock()
@@ -118,7 +127,9 @@
 	if !s.knowsServices() {
 		return false
 	}
-	s.core.SettleRecorded(s.clock.Now(), recorded)
+	era := s.view.Era()
+	isOutdated := func(each dispatch.SettledService) bool { return each.Era != era }
+	s.core.SettleRecorded(s.clock.Now(), slices.DeleteFunc(slices.Clone(recorded), isOutdated))
 	return true
 }
 
