Streams: a gateway that has just started doesn't trust the present timeouts for earlier streams

What callers would see: streams joined from two versions after all gateways were killed, if a configuration with a shorter timeout and the last back ends of the new version came while none ran.

Cause: a route counts as uniform once it has been unchanged for longer than its streams last, which was told by the present configuration. A gateway that has just started doesn't know what earlier ones allowed; a stream that began under a longer timeout may be taken up after the new one.

Change: for its first 61 s a gateway that wasn't started with the whole fleet counts with the longest time of any request (dispatch.MaxRequestTime, which the handler's limit is now, too) and a second. Between the configured life and that it can't tell, which isn't the same as having seen a change: what other gateways or the store's records know still decides.

The waits of the tests of take-ups are longer by that; a new case of TestUniformityIsReliedOnOnlyWhenItIsCertain has the difference between "can't tell" and "changed". Cost: records of streams for 61 s instead of 9 to 11 s after the loss of all gateways without a record of the service.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 	versionHistories map[string]versionHistory
 	routeHistories   map[string]routeHistory
 	streamLives      map[string]time.Duration
+	// configuredSince is since when this gateway knows the timeouts of all configurations.
+	configuredSince time.Time
 	// isFirstStart is set if the fleet starts for the first time.
 	isFirstStart bool
 }
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -56,7 +56,7 @@
 	beginStream(t, core, start, route, "early")
 	is.Equal(len(core.TakeOrigins()), 1) // another version may have served until now
 
-	settled := start.Add(testStreamLife)
+	settled := start.Add(longestStreamLife)
 	beginStream(t, core, settled, route, "a")
 	beginStream(t, core, settled, route, "b")
 	is.Equal(len(core.TakeOrigins()), 0)
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	route, changed := chatRoute("s"), chatRoute("other")
 	core := originCore(versionedBackEnds(4, "v1"), route)
-	settled := start.Add(testStreamLife)
+	settled := start.Add(longestStreamLife)
 	beginStream(t, core, settled, route, "a")
 	core.SetRoutes(settled, []catalog.Route{*changed})
 	records := core.TakeOrigins()
@@ -93,6 +93,7 @@
 	is.Equal(records[0].Origin.Service, "s")
 
 	resumed := request(changed, "b")
+	resumed.Deadline = settled.Add(8 * time.Second)
 	resumed.Origin = &records[0].Origin
 	_, decision := core.Begin(settled, resumed)
 	is.Equal(decision.GiveUp.Kind, failure.StreamVersionGone) // at once; the route leads elsewhere now
@@ -141,7 +142,7 @@
 
 func TestUniformityIsReliedOnOnlyWhenItIsCertain(t *testing.T) {
 	route := chatRoute("s")
-	settled := start.Add(testStreamLife)
+	settled := start.Add(longestStreamLife)
 	fresh := time.Second
 	t.Run("settled", func(t *testing.T) {
 		is := is.New(t)
@@ -149,6 +150,15 @@
 		is.True(answer.Uniform && !answer.Mixed)
 		is.Equal(answer.OnlyVersion, "v1")
 	})
+	t.Run("earlier timeouts unknown", func(t *testing.T) {
+		is := is.New(t)
+		core := originCore(versionedBackEnds(4, "v1"), route)
+		answer := core.AnswerOrigin(start.Add(testStreamLife), questionOf("a"), fresh)
+		is.True(!answer.Uniform && !answer.Mixed) // it can't tell how long streams lasted before its start
+		core.SetBackEnds(start.Add(time.Second), versionedBackEnds(4, "v2"))
+		answer = core.AnswerOrigin(settled, questionOf("a"), fresh)
+		is.True(answer.Uniform && answer.OnlyVersion == "v2") // by the timeout that it has known all the time
+	})
 	t.Run("just started", func(t *testing.T) {
 		is := is.New(t)
 		answer := originCore(versionedBackEnds(4, "v1"), route).AnswerOrigin(start.Add(time.Second), questionOf("a"), fresh)
--- a/internal/dispatch/uniform.go
+++ b/internal/dispatch/uniform.go
@@ -12,6 +12,13 @@
 // each of them has run one software version only. Then every stream that can be resumed began at that
 // version, and its origin needs no record.
 
+// MaxRequestTime is the longest time that a request may take, whatever its route and its caller allow.
+const MaxRequestTime = time.Minute
+
+// longestStreamLife is the longest time after its beginning at which any stream may be resumed. A gateway that has
+// just started doesn't know what earlier configurations allowed.
+const longestStreamLife = MaxRequestTime + originMargin
+
 // versionHistory is what a gateway has seen of the versions of a service.
 type versionHistory struct {
 	// version is the only version of its back ends, if isOnly.
@@ -41,18 +48,24 @@
 	// this gateway knows.
 	since time.Time
 	first bool
-	// streamLife is the longest time after its beginning at which a stream may be resumed.
-	streamLife time.Duration
+	// streamLife is the longest time after its beginning at which a stream may be resumed, by the
+	// configurations that this gateway has seen since configuredSince.
+	streamLife      time.Duration
+	configuredSince time.Time
 }
 
 // lasted reports whether the route is uniform.
 func (u uniformity) lasted(now time.Time) bool {
-	return u.known && u.isOnly && now.Sub(u.since) >= u.streamLife
+	return u.isUnchangedFor(now, u.streamLife) && (now.Sub(u.configuredSince) >= longestStreamLife || u.isUnchangedFor(now, longestStreamLife))
 }
 
 // isMixed reports whether the route is known not to be uniform.
 func (u uniformity) isMixed(now time.Time) bool {
-	return u.known && (!u.isOnly || !u.first && !u.lasted(now))
+	return u.known && (!u.isOnly || !u.first && !u.isUnchangedFor(now, u.streamLife))
+}
+
+func (u uniformity) isUnchangedFor(now time.Time, span time.Duration) bool {
+	return u.known && u.isOnly && now.Sub(u.since) >= span
 }
 
 func (c *Core) uniformity(route, service string) uniformity {
@@ -63,7 +76,7 @@
 	}
 	result := uniformity{
 		known: true, version: ofService.version, isOnly: ofService.isOnly, since: ofService.since,
-		first: ofRoute.first && ofService.first, streamLife: c.streamLives[service],
+		first: ofRoute.first && ofService.first, streamLife: c.streamLives[service], configuredSince: c.configuredSince,
 	}
 	if ofRoute.since.After(result.since) {
 		result.since = ofRoute.since
@@ -81,6 +94,9 @@
 // SetRoutes records the routes of a new configuration.
 func (c *Core) SetRoutes(now time.Time, routes []catalog.Route) {
 	isFirst := c.routeHistories == nil
+	if isFirst {
+		c.configuredSince = c.firstSince(now)
+	}
 	histories := map[string]routeHistory{}
 	for _, route := range routes {
 		if !route.Stream || !route.Resumable {
@@ -128,7 +144,7 @@
 	if !answer.Uniform || !history.isOnly || !history.first || answer.OnlyVersion != history.version {
 		return
 	}
-	settledSince := now.Add(-history.streamLife)
+	settledSince := now.Add(-max(history.streamLife, longestStreamLife))
 	route, service := c.routeHistories[question.Route], c.versionHistories[question.Service]
 	if route.since.After(settledSince) {
 		route.since = settledSince
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -133,14 +133,11 @@
 	return c.exchange.Refusal()
 }
 
-// defaultTimeout applies if neither the caller nor the route sets a shorter timeout.
-const defaultTimeout = time.Minute
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{request: r, writer: w, began: h.clock().Now(), facts: h.config.Dialect.ReadRequest(r.Header)}
 	defer h.releaseBuffers(c)
-	h.setWriteDeadline(c, defaultTimeout)
+	h.setWriteDeadline(c, dispatch.MaxRequestTime)
 	if h.config.State.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -215,8 +212,9 @@
 	return max(0, min(rank, lowestUrgency))
 }
 
+// shortestTimeout returns the shortest of the times that are set, or the longest time of any request.
 func shortestTimeout(times ...time.Duration) time.Duration {
-	shortest := defaultTimeout
+	shortest := dispatch.MaxRequestTime
 	for _, each := range times {
 		if each > 0 && each < shortest {
 			shortest = each
