Streams: settings that name a first start count only once

What callers would see: streams joined from two versions after all gateways were killed, in a deployment whose settings still say first_start = true.

Cause: a gateway that is told of a first start counts all that it sees as unchanged for long. Nothing kept it from believing the same settings at a later start. The users' pages write the settings anew before each start; an operator's file may stay as it is. For the same reason, withheld requests and zones that were restored were not read then.

Change: the first start leaves a mark beside the records of settled services. A gateway whose settings name a first start reads these records first; any of them shows that gateways have run before, and it then starts like any other, with a line in the log.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -155,9 +155,6 @@
 	if s.Gateway.RolloutsEnabled() {
 		state.AwaitRollouts()
 	}
-	if s.Gateway.FirstStart {
-		state.AssumeFirstStart()
-	}
 	return state
 }
 
--- a/internal/dispatch/settled.go
+++ b/internal/dispatch/settled.go
@@ -93,9 +93,26 @@
 	}
 }
 
-// AssumeFirstStart makes the core count everything that it learns of first as unchanged for long: the fleet
-// starts for the first time, so no stream has begun before.
-func (c *Core) AssumeFirstStart() { c.isFirstStart = true }
+// AssumeFirstStart makes the core count everything that it learns of first, and has learned so far, as unchanged
+// for long: the fleet starts for the first time, so no stream has begun before.
+func (c *Core) AssumeFirstStart(now time.Time) {
+	c.isFirstStart = true
+	if c.routeHistories != nil {
+		c.configuredSince = c.firstSince(now)
+	}
+	for name, history := range c.routeHistories {
+		if history.first {
+			history.since = c.firstSince(now)
+			c.routeHistories[name] = history
+		}
+	}
+	for service, history := range c.versionHistories {
+		if history.first {
+			history.since = c.firstSince(now)
+			c.versionHistories[service] = history
+		}
+	}
+}
 
 // firstSince returns since when what is learned of first counts as unchanged.
 func (c *Core) firstSince(now time.Time) time.Time {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -80,6 +80,8 @@
 	cancel    context.CancelFunc
 	watches   *watches
 	storeLost atomic.Bool
+	// firstStart is decided by decideFirstStart.
+	firstStart firstStart
 	// entryCount is the length of the list of back ends at its last read.
 	entryCount atomic.Int64
 }
@@ -87,18 +89,15 @@
 // Start starts a follower.
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx)}
+	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx), firstStart: firstStart{decided: make(chan struct{})}}
+	f.tasks.Go(func() { f.decideFirstStart(ctx) })
 	configurations := f.configurations()
 	lists := []list{configurations}
 	f.tasks.Go(func() { f.completeConfigurations(ctx, configurations) })
 	if config.Evacuations {
 		orders := f.evacuations()
 		lists = append(lists, orders)
-		if !config.FirstStart {
-			f.tasks.Go(func() { f.readRestorations(ctx, orders) })
-		} else {
-			config.State.SetRestorationsKnown()
-		}
+		f.tasks.Go(func() { f.readRestorations(ctx, orders) })
 	}
 	if config.Rollouts {
 		orders := f.rollouts()
--- a/internal/follower/restorations.go
+++ b/internal/follower/restorations.go
@@ -38,8 +38,13 @@
 var historySteps = []uint64{100, 30, 10, 3}
 
 // readRestorations reads the recently restored zones from the store's history if this gateway is
-// the one that does so: the one of rank 0, if back ends need a warm-up.
+// the one that does so: the one of rank 0, if back ends need a warm-up. When the fleet starts for the first time,
+// there are none.
 func (f *Follower) readRestorations(ctx context.Context, orders list) {
+	if f.isFirstStart(ctx) {
+		f.config.State.SetRestorationsKnown()
+		return
+	}
 	began := f.config.State.Clock().Now()
 	sleep(ctx, restorationsDelay)
 	for ctx.Err() == nil && f.config.State.Clock().Since(began) < restorationsTimeout {
--- a/internal/follower/settled.go
+++ b/internal/follower/settled.go
@@ -27,7 +27,8 @@
 func (f *Follower) syncSettled(ctx context.Context) {
 	settlement := f.config.State.Settlement()
 	keeper := settledKeeper{follower: f, records: settledRecords{}, era: settlement.Era, wasRecorder: settlement.IsRecorder}
-	if !f.config.FirstStart {
+	keeper.mustMark = f.isFirstStart(ctx)
+	if !keeper.mustMark {
 		keeper.read(ctx)
 		keeper.scheduleReread()
 		keeper.apply(ctx)
@@ -48,6 +49,8 @@
 	wasRecorder bool
 	// rereadAt is when the records are read again because a write may have taken effect late; zero if none may.
 	rereadAt time.Time
+	// mustMark is set until this gateway has written startMark.
+	mustMark bool
 }
 
 // update reads the records again if they may differ from the known ones, and writes what has changed. A
@@ -62,6 +65,10 @@
 		k.scheduleReread()
 	}
 	k.era, k.wasRecorder = settlement.Era, settlement.IsRecorder
+	if k.mustMark && settlement.IsRecorder {
+		k.write(ctx, func(ctx context.Context) error { return k.follower.config.Source.RecordSettled(ctx, startMark) })
+		k.mustMark = false
+	}
 	if !settlement.IsKnown {
 		return
 	}
@@ -97,7 +104,7 @@
 // read replaces the records by those in the store.
 func (k *settledKeeper) read(ctx context.Context) {
 	k.follower.retryCall(ctx, func(ctx context.Context) error {
-		list, err := k.follower.config.Source.SettledServices(ctx)
+		list, err := k.follower.config.Source.SettledServices(ctx, false)
 		if err != nil {
 			return err
 		}
@@ -122,7 +129,7 @@
 func (k *settledKeeper) removeOutdated(ctx context.Context, settlement gateway.Settlement) {
 	for _, identity := range slices.Sorted(maps.Keys(k.records)) {
 		each := k.records[identity]
-		if slices.Contains(settlement.Unchanged, each) {
+		if each.Identity == startMark.Identity || slices.Contains(settlement.Unchanged, each) {
 			continue
 		}
 		delete(k.records, identity)
--- a/internal/follower/settled_test.go
+++ b/internal/follower/settled_test.go
@@ -31,7 +31,7 @@
 
 var errAnswerLost = errors.New("the answer is lost")
 
-func (s *source) SettledServices(context.Context) ([]dispatch.SettledService, error) {
+func (s *source) SettledServices(context.Context, bool) ([]dispatch.SettledService, error) {
 	s.settled.mutex.Lock()
 	defer s.settled.mutex.Unlock()
 	return slices.Collect(maps.Values(s.settled.records)), nil
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -49,9 +49,10 @@
 	Withheld(ctx context.Context) ([]dispatch.CrashRecord, error)
 	Withhold(ctx context.Context, record dispatch.CrashRecord) error
 	Release(ctx context.Context, fingerprint dispatch.Fingerprint) error
-	// SettledServices returns the records of settled services. RecordSettled adds a record unless it
+	// SettledServices returns the records of settled services. If stale is true, they may be seconds old, which
+	// costs the store less. RecordSettled adds a record unless it
 	// exists, and RemoveSettled removes one if it exists.
-	SettledServices(ctx context.Context) ([]dispatch.SettledService, error)
+	SettledServices(ctx context.Context, stale bool) ([]dispatch.SettledService, error)
 	RecordSettled(ctx context.Context, settled dispatch.SettledService) error
 	RemoveSettled(ctx context.Context, settled dispatch.SettledService) error
 }
@@ -72,7 +73,8 @@
 	// Rollouts is true if operators may move services to other versions.
 	Rollouts bool
 	// FirstStart is true if the fleet starts for the first time, so that there are no withheld
-	// requests and no recent restorations to read.
+	// requests and no recent restorations to read. It is believed only while the store has no record of an
+	// earlier start.
 	FirstStart bool
 	// PeersFirst is true if other gateways that start at the same time read the store at once and
 	// send updates. This gateway then reads the store only if the updates don't arrive in time.
--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -16,7 +16,7 @@
 // syncWithheld reads the list of withheld requests, and then writes the changes that this gateway
 // observes.
 func (f *Follower) syncWithheld(ctx context.Context) {
-	if !f.config.FirstStart {
+	if !f.isFirstStart(ctx) {
 		f.retryCall(ctx, f.readWithheld)
 	}
 	for {
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -78,12 +78,11 @@
 	s.core.SettleRoute(s.clock.Now(), question, answer)
 }
 
-// AssumeFirstStart records that the fleet starts for the first time. It must be called before anything is
-// learned.
+// AssumeFirstStart records that the fleet starts for the first time.
 func (s *State) AssumeFirstStart() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.core.AssumeFirstStart()
+	s.core.AssumeFirstStart(s.clock.Now())
 }
 
 // Settlement is what this gateway knows of the services whose streams all began at one version.
