Answers without end: heads and events are bounded by what a small machine can hold

What callers would see: a back end, or whatever has its address, sends bytes that are no answer without end. With 200 such connections a gateway takes 2 to 4 GB and dies, with all requests that it carries; with fewer, its processor is busy with them.

Cause: the head of an answer, with the informational answers before it, was bounded by net/http's default of 10 MB, and an event of a stream by 1 MB that no limit on buffers counts. Ruled out: bodies with and without a length and in chunks (27 MB at 200 connections, by the limit on buffers), chunk extensions and trailers (4 KB each, by net/http), messages between gateways and the store's bodies (limits of their own).

Change: 64 KB for a head, also of the answers of other gateways and the store, and of callers' requests (net/http's 1 MB before); 128 KB for an event.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 		environment.Listen = net.Listen
 	}
 	if environment.Platform == nil && s.Platform.URL != "" {
-		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial})
+		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial, MaxResponseHeaderBytes: hop.MaxHeadBytes})
 	}
 	n := &Node{
 		settings:   s,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -303,7 +303,7 @@
 }
 
 func (g *Gateway) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, ErrorLog: newServerLog(g.log.Entry())}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, MaxHeaderBytes: hop.MaxHeadBytes, ErrorLog: newServerLog(g.log.Entry())}
 }
 
 func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -10,8 +10,9 @@
 	"github.com/go-faster/errors"
 )
 
-// MaxEventBytes is the maximum size of an event.
-const MaxEventBytes = 1 << 20
+// MaxEventBytes is the maximum size of an event. Hundreds of events that never end must fit into the memory of a
+// small machine.
+const MaxEventBytes = 128 << 10
 
 // ErrTooLarge means that an event is larger than MaxEventBytes.
 var ErrTooLarge = errors.New("an event is larger than 1 MiB")
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -37,6 +37,10 @@
 	return errors.As(err, &failed)
 }
 
+// MaxHeadBytes is the maximum size of the head of a request or an answer, and of all informational answers
+// before it. Hundreds of heads that never end must fit into the memory of a small machine.
+const MaxHeadBytes = 64 << 10
+
 const (
 	dialTimeout = time.Second
 	idleTimeout = 90 * time.Second
@@ -84,6 +88,9 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
+
 		HTTP2:               &http.HTTP2Config{SendPingTimeout: http2PingAfter, PingTimeout: http2PingWithin},
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -76,7 +76,7 @@
 // New returns a Peering without connections.
 func New(config Config) *Peering {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{DialContext: config.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: config.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: hop.MaxHeadBytes}
 	return &Peering{
 		config: config,
 		client: &http.Client{Transport: transport},
