Planned stop: requests that come late are answered, and none outlasts the stop

What callers saw: in a planned stop, requests on connections that had been opened but not used, and requests beside the closing of kept connections, were read and their connections closed without an answer. A caller of a request that may run once learned nothing.

Cause: net/http drops each request that it reads after its Shutdown has begun. internal/draining keeps connections open whose request hasn't been read, but the server then read it and dropped it: the promise of its package comment wasn't kept with the Go version in use. And nothing told a request how long the stop still lasts.

Change: draining closes the listeners and idle connections itself, and leaves net/http's Shutdown for the end, so that requests are served until then, with Connection: close. Connections without a first request stay open until they are 5 s old, as before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -308,7 +308,7 @@
 
 func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
 	g.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.log.Entry().WithError(err).Error("listener failed")
 		}
 	})
@@ -360,10 +360,15 @@
 // When ctx ends, the remaining requests are cut off; see DrainTimeout.
 func (g *Gateway) Stop(ctx context.Context) {
 	g.log.Warn(eventlog.Stopping, logrus.Fields{"drain_delay": g.settings.DrainDelay.Std().String()})
-	g.state.Drain()
+	left := g.DrainTimeout()
+	if stopsAt, hasEnd := ctx.Deadline(); hasEnd {
+		left = time.Until(stopsAt)
+	}
+	g.state.Drain(left)
 	delay, cancel := context.WithTimeout(ctx, g.settings.DrainDelay.Std())
 	<-delay.Done()
 	cancel()
+	g.state.BeginClosing()
 	if err := g.connections.Shutdown(ctx, g.callers); err != nil {
 		g.log.Entry().WithError(err).Warn("drain_timeout expired; requests in flight were cut off")
 		_ = g.callers.Close()
--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -1,7 +1,10 @@
 // Package draining shuts an HTTP server down without losing requests that have
 // arrived but have not been read. http.Server.Shutdown closes idle connections, and
 // closing the listener drops connections that were not yet accepted. In a process
-// that is short of CPU time, both may already hold requests.
+// that is short of CPU time, both may already hold requests. http.Server also drops,
+// without an answer, every request that it reads after its Shutdown has begun, so
+// Shutdown here leaves that for the end: until then requests are served, and their
+// connections close with their answers.
 package draining
 
 import (
@@ -21,19 +24,29 @@
 	// the next request were read.
 	idle map[net.Conn]bool
 	// deferred holds connections that were kept open on Close because they hold a
-	// request. Shutdown sets drained, which is closed with the last of them.
+	// request.
 	deferred map[*trackedConn]bool
-	drained  chan struct{}
+	// unused holds the connections that have not carried a request, with the time at which
+	// they were accepted.
+	unused map[net.Conn]time.Time
+	// open counts the connections that have been accepted and not closed.
+	open int
+	// listeners are the open listeners.
+	listeners []*trackedListener
 }
 
 // New returns a tracker without connections.
 func New() *Connections {
-	return &Connections{idle: map[net.Conn]bool{}, deferred: map[*trackedConn]bool{}}
+	return &Connections{idle: map[net.Conn]bool{}, deferred: map[*trackedConn]bool{}, unused: map[net.Conn]time.Time{}}
 }
 
 // Listener returns a listener that tracks the connections it accepts.
 func (c *Connections) Listener(listener net.Listener) net.Listener {
-	return &trackedListener{Listener: listener, connections: c, closing: make(chan struct{})}
+	tracked := &trackedListener{Listener: listener, connections: c, closing: make(chan struct{})}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.listeners = append(c.listeners, tracked)
+	return tracked
 }
 
 // ConnState is the hook for http.Server.ConnState.
@@ -41,36 +54,75 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch state {
+	case http.StateNew:
+		c.idle[connection] = false
+		c.unused[connection] = time.Now()
 	case http.StateIdle:
 		c.idle[connection] = false
 	default:
 		delete(c.idle, connection)
+		delete(c.unused, connection)
 	}
 }
 
-// Shutdown stops the server as http.Server.Shutdown does, and then waits for the
-// requests that were found on connections being closed. If ctx ends first, Shutdown
-// returns its error.
+const (
+	// closePeriod is the time between two looks for connections that have become idle.
+	closePeriod = 20 * time.Millisecond
+	// firstRequestTime is how long after it was accepted a connection may wait for its first
+	// request once the shutdown has begun. Its caller hasn't been told yet that connections
+	// close.
+	firstRequestTime = 5 * time.Second
+)
+
+// Shutdown closes the listeners and the idle connections, and waits until all others have
+// ended, each with the answer to its request. If ctx ends first, Shutdown returns its error.
+// A request that arrives until then on a connection that is open is served.
 func (c *Connections) Shutdown(ctx context.Context, server *http.Server) error {
-	if err := server.Shutdown(ctx); err != nil {
-		return err
+	c.mutex.Lock()
+	listeners := c.listeners
+	c.listeners = nil
+	c.mutex.Unlock()
+	for _, each := range listeners {
+		_ = each.Close() // also closed by the server, which reports its error
+	}
+	ticker := time.NewTicker(closePeriod)
+	defer ticker.Stop()
+	for {
+		server.SetKeepAlivesEnabled(false) // closes idle connections, each time
+		c.closeUnused()
+		if c.openCount() == 0 {
+			return server.Shutdown(ctx)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+}
+
+// closeUnused closes the connections whose first request hasn't come within firstRequestTime.
+func (c *Connections) closeUnused() {
 	c.mutex.Lock()
-	if len(c.deferred) == 0 {
-		c.mutex.Unlock()
-		return nil
+	var due []net.Conn
+	for connection, acceptedAt := range c.unused {
+		if time.Since(acceptedAt) >= firstRequestTime {
+			due = append(due, connection)
+			delete(c.unused, connection) // one that holds a request stays open, see deferClose
+		}
 	}
-	drained := make(chan struct{})
-	c.drained = drained
 	c.mutex.Unlock()
-	select {
-	case <-drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for _, connection := range due {
+		_ = connection.Close()
 	}
 }
 
+func (c *Connections) openCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.open
+}
+
 // Close closes the connections that Shutdown still waits for.
 func (c *Connections) Close() {
 	c.mutex.Lock()
@@ -84,6 +136,13 @@
 	}
 }
 
+// noteAccepted records that a connection was accepted.
+func (c *Connections) noteAccepted() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.open++
+}
+
 // noteRead records that bytes were read from a connection.
 func (c *Connections) noteRead(connection *trackedConn) {
 	c.mutex.Lock()
@@ -114,13 +173,11 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.idle, connection)
-	if !c.deferred[connection] {
-		return
-	}
+	delete(c.unused, connection)
 	delete(c.deferred, connection)
-	if len(c.deferred) == 0 && c.drained != nil {
-		close(c.drained)
-		c.drained = nil
+	if !connection.isClosed {
+		connection.isClosed = true
+		c.open--
 	}
 }
 
@@ -152,6 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.connections.noteAccepted()
 	return &trackedConn{Conn: accepted, connections: l.connections}, nil
 }
 
@@ -181,7 +239,7 @@
 	maxEmptyAccepts = 2
 )
 
-// drainBacklogAndClose accepts all pending connections and closes the listener.
+// drainBacklogAndClose accepts the pending connections and closes the listener.
 func (l *trackedListener) drainBacklogAndClose() {
 	deadliner, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
 	for emptyAccepts := 0; ok && emptyAccepts < maxEmptyAccepts; {
@@ -205,6 +263,8 @@
 type trackedConn struct {
 	net.Conn
 	connections *Connections
+	// isClosed is guarded by the mutex of connections.
+	isClosed bool
 }
 
 // Read implements net.Conn.
--- a/internal/draining/draining_test.go
+++ b/internal/draining/draining_test.go
@@ -1,6 +1,7 @@
 package draining
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -172,3 +173,97 @@
 	is.Equal(<-served, net.ErrClosed)
 	is.NoErr(connections.Shutdown(context.Background(), server))
 }
+
+// startServer returns a server with a tracked listener on loopback.
+func startServer(t *testing.T, handler http.Handler) (*Connections, *http.Server, string) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	connections := New()
+	server := &http.Server{Handler: handler, ConnState: connections.ConnState}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(connections.Listener(inner))
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		connections.Close()
+		<-served
+	})
+	return connections, server, inner.Addr().String()
+}
+
+const shortRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+
+// expectAnswerAndEnd reads a whole answer and the end of its connection.
+func expectAnswerAndEnd(t *testing.T, client net.Conn) (text string) {
+	t.Helper()
+	raw, err := io.ReadAll(client)
+	if err != nil || !strings.HasPrefix(string(raw), "HTTP/1.1 200") || !strings.HasSuffix(string(raw), "answer") {
+		t.Errorf("a request that was read got %q and %v", raw, err)
+	}
+	return string(raw)
+}
+
+func sayAnswer(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(w, "answer")
+}
+
+// Guards against a server that reads the first request of a connection after the shutdown has begun, and closes the
+// connection without an answer.
+func TestLateRequestOnANewConnectionIsAnswered(t *testing.T) {
+	is := is.New(t)
+	connections, server, address := startServer(t, http.HandlerFunc(sayAnswer))
+	client, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer client.Close()
+	accepted := func() bool {
+		connections.mutex.Lock()
+		defer connections.mutex.Unlock()
+		return len(connections.idle) > 0
+	}
+	for !accepted() {
+		runtime.Gosched()
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- connections.Shutdown(context.Background(), server) }()
+	for connected := true; connected; runtime.Gosched() { // until the listener is closed
+		further, err := net.Dial("tcp", address)
+		if connected = err == nil; connected {
+			_ = further.Close()
+		}
+	}
+	_, err = io.WriteString(client, shortRequest)
+	is.NoErr(err)
+	is.True(strings.Contains(expectAnswerAndEnd(t, client), "Connection: close"))
+	is.NoErr(<-ended)
+}
+
+// Guards against requests on kept connections that the server has read, or that are in its sockets, as the shutdown
+// begins, and that get no answer.
+func TestRequestsBesideTheShutdownAreAnswered(t *testing.T) {
+	is := is.New(t)
+	connections, server, address := startServer(t, http.HandlerFunc(sayAnswer))
+	var clients []net.Conn
+	for range 50 {
+		client, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer client.Close()
+		_, err = io.WriteString(client, shortRequest)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		clients = append(clients, client)
+	}
+	for _, client := range clients {
+		_, err := io.WriteString(client, shortRequest)
+		is.NoErr(err)
+	}
+	is.NoErr(connections.Shutdown(context.Background(), server))
+	for _, client := range clients {
+		expectAnswerAndEnd(t, client)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,7 @@
 	h.config.Metrics.sent(c, send, resumeAfter)
 	sentAt := h.clock().Now()
 	ctx, cancel := context.WithCancel(ctx)
+	defer context.AfterFunc(h.config.State.stopping, cancel)() // a stream that has begun goes on
 	timer := h.watchHead(c, send, cancel)
 	response, err := h.roundTrip(ctx, c, send, resumeAfter)
 	if next, replaced := timer.stop(); replaced {
@@ -177,7 +178,7 @@
 		return dispatch.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
 	}
 	notSent := hop.NothingSent(cause)
-	deadlinePassed := !h.clock().Now().Before(c.deadline)
+	deadlinePassed := h.isOver(c)
 	// The kernel reports ETIMEDOUT if the back end's machine acknowledges nothing.
 	isSilent := deadlinePassed || errors.Is(cause, syscall.ETIMEDOUT)
 	if isSilent && !notSent && (c.route.MayRepeat() || c.connection == connectionReused) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -172,6 +172,9 @@
 		return failure.New(failure.Overloaded, "this gateway has too little time for one more request; ask another")
 	}
 	c.deadline = c.began.Add(shortestTimeout(c.facts.Timeout, c.route.Timeout))
+	if err := h.limitToStop(c); err != nil {
+		return err
+	}
 	h.setWriteDeadline(c, h.clock().Until(c.deadline))
 	if h.clock().Until(c.deadline) <= 0 {
 		return failure.New(failure.DeadlineUnmeetable, "the deadline passed before the request was read")
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -27,6 +27,12 @@
 	listed        bool
 	syncedBuckets catalog.Buckets
 	draining      bool
+	// stopsAt is when a draining gateway cuts off what it still does; zero if it isn't draining. isClosing is
+	// set once load balancers have had the time to notice that it drains. stopping ends shortly before stopsAt.
+	stopsAt   time.Time
+	isClosing bool
+	stopping  context.Context
+	endStop   context.CancelFunc
 	// knowsEvacuations is set once it is known which zones are evacuated.
 	knowsEvacuations bool
 	// knowsRestorations is set once it is known which zones were recently restored.
@@ -72,7 +78,9 @@
 // NewState returns an empty state. It counts evacuations, restorations and rollouts as known,
 // namely none, unless AwaitEvacuations or AwaitRollouts is called.
 func NewState(core *dispatch.Core, log *eventlog.Log) *State {
+	stopping, endStop := context.WithCancel(context.Background())
 	return &State{
+		stopping: stopping, endStop: endStop,
 		log: log, view: catalog.NewView(), core: core, changed: make(chan struct{}), startedAt: time.Now(),
 		place: Place{Gateways: 1, Duty: Reader}, dutyChanged: make(chan struct{}), knowsEvacuations: true, knowsRestorations: true,
 		knowsRollouts: true, eraChanged: make(chan struct{}),
@@ -173,12 +181,6 @@
 	return s.draining
 }
 
-// Drain marks the gateway as draining, so that it is no longer ready.
-func (s *State) Drain() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.draining = true
-}
 
 // OfferConfiguration adopts a configuration from the store or a peer if it is valid and newer.
 func (s *State) OfferConfiguration(configuration *catalog.Configuration, source string) {
