Planned stop: the backlog of a listener is accepted for a bounded time

Change: for 250 ms at most.

Evidence: TestBacklogThatNeverEndsDoesNotHoldTheShutdown doesn't end on the code before (on the virtual clock).

--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -237,12 +237,16 @@
 	// maxEmptyAccepts is the number of consecutive attempts that must find no
 	// connection. The first one may have spent its time waiting for a concurrent Accept.
 	maxEmptyAccepts = 2
+	// maxBacklogTime bounds the time for which pending connections are accepted. Where more arrive
+	// all the time, there would be no end.
+	maxBacklogTime = 250 * time.Millisecond
 )
 
 // drainBacklogAndClose accepts the pending connections and closes the listener.
 func (l *trackedListener) drainBacklogAndClose() {
 	deadliner, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	for emptyAccepts := 0; ok && emptyAccepts < maxEmptyAccepts; {
+	began := time.Now()
+	for emptyAccepts := 0; ok && emptyAccepts < maxEmptyAccepts && time.Since(began) < maxBacklogTime; {
 		if err := deadliner.SetDeadline(time.Now().Add(acceptTimeout)); err != nil {
 			break
 		}
--- a/internal/draining/draining_test.go
+++ b/internal/draining/draining_test.go
@@ -9,8 +9,11 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bubble"
 )
 
 // connect returns both ends of a loopback connection; the server's end is tracked.
@@ -267,3 +270,25 @@
 		expectAnswerAndEnd(t, client)
 	}
 }
+
+// endlessListener always has a further connection, as one to which callers connect faster than it accepts.
+type endlessListener struct{ closed bool }
+
+func (l *endlessListener) Accept() (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	ours, theirs := net.Pipe()
+	return ours, theirs.Close()
+}
+func (l *endlessListener) Close() error                { l.closed = true; return nil }
+func (l *endlessListener) Addr() net.Addr              { return &net.TCPAddr{} }
+func (l *endlessListener) SetDeadline(time.Time) error { return nil }
+
+// Guards against a stop that accepts new connections until it is killed.
+func TestBacklogThatNeverEndsDoesNotHoldTheShutdown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		inner := &endlessListener{}
+		began := time.Now()
+		is.New(t).NoErr(New().Listener(inner).Close())
+		is.New(t).True(inner.closed && time.Since(began) < time.Second)
+	})
+}
