Requests: a path that begins with an empty segment, and an empty query, reach the back end unchanged

Cause: net/url writes the scheme before an opaque part that begins with "//", and no "?" before an empty query. Change: such a path is given as a path, and the query's mark is kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,8 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	path, query, _ := strings.Cut(c.request.RequestURI, "?")
-	request.URL = &url.URL{Scheme: "http", Host: send.BackEnd.Address, Opaque: path, RawQuery: query}
+	request.URL = targetURL(send.BackEnd.Address, c.request)
 	request.Host = c.request.Host
 	hop.CopyEndToEnd(request.Header, c.request.Header)
 	if request.Header.Get("User-Agent") == "" {
@@ -161,6 +160,17 @@
 	return request, nil
 }
 
+// targetURL returns the URL by which a back end gets the path and query just as the caller wrote them.
+func targetURL(address string, original *http.Request) *url.URL {
+	path, query, hasQuery := strings.Cut(original.RequestURI, "?")
+	target := &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery}
+	if strings.HasPrefix(path, "//") {
+		// net/url writes the scheme before an opaque part that begins like this, which makes another host of it.
+		target.Opaque, target.Path, target.RawPath = "", original.URL.Path, path
+	}
+	return target
+}
+
 // defaultUrgency is the urgency that back ends assume for requests without one.
 const defaultUrgency = 5
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -181,7 +181,6 @@
 	return s.draining
 }
 
-
 // OfferConfiguration adopts a configuration from the store or a peer if it is valid and newer.
 func (s *State) OfferConfiguration(configuration *catalog.Configuration, source string) {
 	if err := configuration.Check(); err != nil {
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -91,7 +91,7 @@
 
 		MaxResponseHeaderBytes: MaxHeadBytes,
 
-		HTTP2:               &http.HTTP2Config{SendPingTimeout: http2PingAfter, PingTimeout: http2PingWithin},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: http2PingAfter, PingTimeout: http2PingWithin},
 	}
 }
 
