Streams: a back end may number the events of its answer by more than one

Cause: each step above 1 counted as a gap, also within one back end's answer. Change: a gap is looked for where an answer joins what was sent before, until an event of it has been passed on. A stream whose numbers rise by more than one still isn't joined to another answer: the gap can't be told from the step.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -115,6 +115,7 @@
 func (h *Handler) copyEvents(ctx context.Context, c *call, s *stream, result outcome) (*relocation, error) {
 	silence, byPace := h.watchSilence(ctx, c, s, result)
 	reader := eventstream.NewReader(result.answer.Body)
+	joins := s.events > 0 // until an event of this answer has been passed on
 	for received := 0; ; received++ {
 		silence.resume()
 		began := h.clock().Now()
@@ -143,11 +144,12 @@
 			hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
 			c.writer.WriteHeader(result.answer.StatusCode)
 		}
-		isNext, err := s.isNext(event.ID)
+		isNext, err := s.isNext(event.ID, joins)
 		if err != nil {
 			return nil, err
 		}
 		if isNext {
+			joins = false
 			if err := s.write(c.writer, event); err != nil {
 				return nil, &callerWriteError{err}
 			}
@@ -171,9 +173,9 @@
 }
 
 // isNext reports whether the event follows the last one sent. Events that the caller already
-// has are to be skipped; a gap is an error, and so is an event without a number in a continued
-// stream.
-func (s *stream) isNext(id string) (isNext bool, err error) {
+// has are to be skipped. Where it joins another answer to what was sent, a gap is an error: within an
+// answer, the back end chooses its numbers. So is an event without a number in a continued stream.
+func (s *stream) isNext(id string, joins bool) (isNext bool, err error) {
 	if s.continued && (!isNumber(id) || !isNumber(s.lastID)) {
 		return false, errNoEventNumber
 	}
@@ -185,7 +187,7 @@
 	if lastErr != nil || nextErr != nil {
 		return true, nil
 	}
-	if next > last+1 {
+	if joins && next > last+1 {
 		return false, errEventGap
 	}
 	return next > last, nil
