--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -98,6 +98,9 @@
 	// connection: whole, or broken off by a reset, or by an end within an event. It is drawn only if it is
 	// named. Links then pass resets on.
 	UnframedAnswers Kind = "unframed_answers"
+	// EndlessAnswers makes a back end run requests and send answers that never end: a head, a body or an event. It
+	// is drawn only if it is named.
+	EndlessAnswers Kind = "endless_answers"
 	// FocusConnections makes most new connections go to one gateway, and to another once that one is out, while
 	// callers open new ones more often. It is drawn only if it is named.
 	FocusConnections Kind = "focus_connections"
@@ -118,7 +121,7 @@
 
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
-	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys}
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys, EndlessAnswers}
 }
 
 // Fault is one entry of a schedule.
