--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -38,7 +38,8 @@
 	EvacuationBound tomlfile.Duration `toml:"evacuation_bound"`
 	// FirstStart is true if the fleet starts for the first time. Otherwise one of the
 	// gateways that start reads the store's history, in one call or a few, to find zones
-	// that were restored recently. Default false.
+	// that were restored recently. It is believed only while the store has no record of
+	// an earlier start, so it may stay set. Default false.
 	FirstStart bool `toml:"first_start"`
 	// WarmUpOverage and WarmUpExtra bound the requests that a back end gets from all
 	// gateways together while it warms up: in any second, WarmUpOverage times its
