Test of the key policy: the store's configuration is replaced under a lock

The product isn't concerned. The check is the same. Evidence: go test -race ./internal/follower -run 'KeyPolicy|Policy|Record|Settl|Records' -count=3 passes.

--- a/internal/follower/keypolicy_test.go
+++ b/internal/follower/keypolicy_test.go
@@ -27,7 +27,7 @@
 		s.failing.Store(false)
 		time.Sleep(5 * time.Second)
 		is.True(!state.Ready()) // the store has an older version
-		s.configuration = &catalog.Configuration{Version: 2, StatedKeyPolicy: catalog.KeysRequired}
+		s.setConfiguration(&catalog.Configuration{Version: 2, StatedKeyPolicy: catalog.KeysRequired})
 		time.Sleep(5 * time.Second)
 		is.True(state.Ready())
 		is.Equal(state.Index().KeyPolicy(), catalog.KeysRequired)
--- a/internal/follower/source_test.go
+++ b/internal/follower/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 	unanswered atomic.Int64
 	// configuration is the operators' configuration; nil stands for an empty one.
 	configuration *catalog.Configuration
+	// configurationMutex guards configuration.
+	configurationMutex sync.Mutex
 	// restored are the withdrawn evacuations in the history of the store, which begins at
 	// oldestRevision. historyMisses counts the watches from earlier revisions.
 	restored       []catalog.Evacuation
@@ -87,6 +90,19 @@
 	return Objects[catalog.Rollout]{List: s.listRollouts, Watch: s.watchRollouts}
 }
 
+// currentConfiguration returns the configuration, and setConfiguration replaces it while the store is read.
+func (s *source) currentConfiguration() *catalog.Configuration {
+	s.configurationMutex.Lock()
+	defer s.configurationMutex.Unlock()
+	return s.configuration
+}
+
+func (s *source) setConfiguration(configuration *catalog.Configuration) {
+	s.configurationMutex.Lock()
+	defer s.configurationMutex.Unlock()
+	s.configuration = configuration
+}
+
 func (s *source) listConfiguration(_ context.Context, stale bool) ([]*catalog.Configuration, catalog.Position, error) {
 	s.configurationReads.Add(1)
 	if stale {
@@ -95,8 +111,8 @@
 	if s.failing.Load() || s.unanswered.Add(-1) >= 0 {
 		return nil, catalog.Position{}, errUnavailable
 	}
-	if s.configuration != nil {
-		return []*catalog.Configuration{s.configuration}, s.position(), nil
+	if current := s.currentConfiguration(); current != nil {
+		return []*catalog.Configuration{current}, s.position(), nil
 	}
 	return []*catalog.Configuration{{Version: 1, StatedKeyPolicy: catalog.KeysNotRequired}}, s.firstPosition(), nil
 }
