--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -100,8 +100,8 @@
 	Priority int `cbor:"3,keyasint,omitempty"`
 }
 
-// KeyPolicy is whether requests on routes that aren't public need a tenant's key. An empty list of
-// tenants doesn't answer that: it is also what is left when the last tenant is removed.
+// KeyPolicy is whether requests on routes that aren't public need a tenant's key. It is stated
+// separately from the list of tenants, which is also empty after the last tenant was removed.
 type KeyPolicy uint8
 
 // The key policies. The values are part of the messages between gateways.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -308,7 +308,9 @@
 
 func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
 	g.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		err := server.Serve(listener)
+		isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
+		if !isStopped {
 			g.log.Entry().WithError(err).Error("listener failed")
 		}
 	})
--- a/internal/dispatch/uniform.go
+++ b/internal/dispatch/uniform.go
@@ -12,7 +12,8 @@
 // each of them has run one software version only. Then every stream that can be resumed began at that
 // version, and its origin needs no record.
 
-// MaxRequestTime is the longest time that a request may take, whatever its route and its caller allow.
+// MaxRequestTime is the upper bound on the time of a request. It also applies if the timeouts of the route and of
+// the caller are longer.
 const MaxRequestTime = time.Minute
 
 // longestStreamLife is the longest time after its beginning at which any stream may be resumed. A gateway that has
--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -68,9 +68,9 @@
 const (
 	// closePeriod is the time between two looks for connections that have become idle.
 	closePeriod = 20 * time.Millisecond
-	// firstRequestTime is how long after it was accepted a connection may wait for its first
-	// request once the shutdown has begun. Its caller hasn't been told yet that connections
-	// close.
+	// firstRequestTime is the age at which a connection that hasn't carried a request is closed
+	// during the shutdown. It is longer than 0 because no answer has announced the close to its
+	// caller.
 	firstRequestTime = 5 * time.Second
 )
 
--- a/internal/follower/firststart.go
+++ b/internal/follower/firststart.go
@@ -18,8 +18,8 @@
 }
 
 // decideFirstStart reads the store's records if the settings say that the fleet starts for the first time. Any record
-// shows that gateways have run before. Where others read the store first, a record that is seconds old tells enough: the
-// first start leaves its mark before there are callers.
+// shows that gateways have run before. With PeersFirst the read may be stale: the mark of an earlier start is older than
+// a stale read.
 func (f *Follower) decideFirstStart(ctx context.Context) {
 	defer close(f.firstStart.decided)
 	if !f.config.FirstStart {
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -28,6 +28,13 @@
 	time.AfterFunc(left-answerTime, s.endStop)
 }
 
+// Draining reports whether the gateway is about to stop.
+func (s *State) Draining() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.draining
+}
+
 // BeginClosing marks a draining gateway as closing: load balancers have had the time to notice.
 func (s *State) BeginClosing() {
 	s.mutex.Lock()
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -208,9 +208,9 @@
 	Limits   catalog.Limits    `cbor:"5,keyasint"`
 }
 
-// Guards against a deployment that opens during an upgrade: a document of an earlier build without tenants
-// doesn't say whether requests need keys, also if its list is empty. Whatever the list, ours tells it, and an
-// earlier build reads the rest.
+// Guards against a deployment that serves requests without keys during an upgrade. A document of an earlier build
+// without tenants, or with an empty list, doesn't state whether requests need keys. A document of this build always
+// does, and an earlier build decodes its other fields.
 func TestKeyPolicyBesideEarlierBuilds(t *testing.T) {
 	is := is.New(t)
 	tenants := []catalog.Tenant{{Name: "t", Keys: []string{"k"}}}
