Draining: requests after an answer that began before the stop are answered

Cause: keep-alives were switched off after the listeners had closed, so an answer in between didn't announce the close.

Change: keep-alives stay on. A wrapped handler announces the close from the start of Shutdown on. Idle connections end by a read deadline, so their own goroutine decides, and a request that arrives meanwhile is read. Connections of the backlog count as open before the server accepts them.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -168,9 +168,9 @@
 	g.startExchange(environment)
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.tasks.Go(func() { g.reportGauges(metrics) })
-	g.callers = g.newServer(g.newCallersHandler(environment, metrics))
-	g.callers.IdleTimeout = callerIdleTimeout
 	g.connections = draining.New()
+	g.callers = g.newServer(g.connections.Handler(g.newCallersHandler(environment, metrics)))
+	g.callers.IdleTimeout = callerIdleTimeout
 	g.callers.ConnState = g.connections.ConnState
 	g.runServer(g.callers, g.connections.Listener(listeners["listen.callers"]))
 	for field, handler := range map[string]http.Handler{"listen.peers": g.peersHandler(), "listen.admin": g.adminHandler()} {
@@ -374,7 +374,6 @@
 	if err := g.connections.Shutdown(ctx, g.callers); err != nil {
 		g.log.Entry().WithError(err).Warn("drain_timeout expired; requests in flight were cut off")
 		_ = g.callers.Close()
-		g.connections.Close()
 	}
 	g.follower.Close()
 	g.loadCollector.Close()
--- a/internal/draining/draining.go
+++ b/internal/draining/draining.go
@@ -2,9 +2,9 @@
 // arrived but have not been read. http.Server.Shutdown closes idle connections, and
 // closing the listener drops connections that were not yet accepted. In a process
 // that is short of CPU time, both may already hold requests. http.Server also drops,
-// without an answer, every request that it reads after its Shutdown has begun, so
-// Shutdown here leaves that for the end: until then requests are served, and their
-// connections close with their answers.
+// without an answer, every request that it reads after its Shutdown has begun, and what is
+// in a connection's socket when its keep-alives are switched off. So both are left for the end here: until
+// then requests are served, and their connections close with their answers.
 package draining
 
 import (
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/socket"
@@ -19,26 +20,18 @@
 
 // Connections tracks the connections of one server. It is safe for concurrent use.
 type Connections struct {
+	// isClosing is true once Shutdown has begun.
+	isClosing atomic.Bool
+
 	mutex sync.Mutex
-	// idle holds the connections between two requests. The value is true once bytes of
-	// the next request were read.
-	idle map[net.Conn]bool
-	// deferred holds connections that were kept open on Close because they hold a
-	// request.
-	deferred map[*trackedConn]bool
-	// unused holds the connections that have not carried a request, with the time at which
-	// they were accepted.
-	unused map[net.Conn]time.Time
-	// open counts the connections that have been accepted and not closed.
-	open int
+	// open holds the connections that have been accepted and not closed.
+	open map[*trackedConn]struct{}
 	// listeners are the open listeners.
 	listeners []*trackedListener
 }
 
 // New returns a tracker without connections.
-func New() *Connections {
-	return &Connections{idle: map[net.Conn]bool{}, deferred: map[*trackedConn]bool{}, unused: map[net.Conn]time.Time{}}
-}
+func New() *Connections { return &Connections{open: map[*trackedConn]struct{}{}} }
 
 // Listener returns a listener that tracks the connections it accepts.
 func (c *Connections) Listener(listener net.Listener) net.Listener {
@@ -49,20 +42,22 @@
 	return tracked
 }
 
+// Handler returns the server's handler: next, with answers that announce the close of their connections once Shutdown
+// has begun.
+func (c *Connections) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&announcingWriter{w, &c.isClosing}, r)
+	})
+}
+
 // ConnState is the hook for http.Server.ConnState.
 func (c *Connections) ConnState(connection net.Conn, state http.ConnState) {
+	tracked := connection.(*trackedConn)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	switch state {
-	case http.StateNew:
-		c.idle[connection] = false
-		c.unused[connection] = time.Now()
-	case http.StateIdle:
-		c.idle[connection] = false
-	default:
-		delete(c.idle, connection)
-		delete(c.unused, connection)
-	}
+	tracked.isIdle = state == http.StateNew || state == http.StateIdle
+	tracked.isUnused = state == http.StateNew
+	tracked.hasBytes = false
 }
 
 const (
@@ -75,9 +70,10 @@
 )
 
 // Shutdown closes the listeners and the idle connections, and waits until all others have
-// ended, each with the answer to its request. If ctx ends first, Shutdown returns its error.
-// A request that arrives until then on a connection that is open is served.
+// ended, each with the answer to its request. If ctx ends first, Shutdown returns its error, and
+// server.Close ends the others. A request that arrives until then on a connection that is open is served.
 func (c *Connections) Shutdown(ctx context.Context, server *http.Server) error {
+	c.isClosing.Store(true)
 	c.mutex.Lock()
 	listeners := c.listeners
 	c.listeners = nil
@@ -88,9 +84,7 @@
 	ticker := time.NewTicker(closePeriod)
 	defer ticker.Stop()
 	for {
-		server.SetKeepAlivesEnabled(false) // closes idle connections, each time
-		c.closeUnused()
-		if c.openCount() == 0 {
+		if isLast := c.endIdle(); isLast {
 			return server.Shutdown(ctx)
 		}
 		select {
@@ -101,83 +95,60 @@
 	}
 }
 
-// closeUnused closes the connections whose first request hasn't come within firstRequestTime.
-func (c *Connections) closeUnused() {
+// endIdle ends the connections that are idle and hold no request, and reports whether none is open.
+func (c *Connections) endIdle() (isLast bool) {
 	c.mutex.Lock()
-	var due []net.Conn
-	for connection, acceptedAt := range c.unused {
-		if time.Since(acceptedAt) >= firstRequestTime {
-			due = append(due, connection)
-			delete(c.unused, connection) // one that holds a request stays open, see deferClose
+	defer c.mutex.Unlock()
+	for connection := range c.open {
+		isWaiting := connection.isUnused && time.Since(connection.acceptedAt) < firstRequestTime
+		if connection.isIdle && !isWaiting && !connection.hasBytes && !hasUnread(connection.Conn) {
+			connection.end()
 		}
 	}
-	c.mutex.Unlock()
-	for _, connection := range due {
-		_ = connection.Close()
-	}
+	return len(c.open) == 0
 }
 
-func (c *Connections) openCount() int {
+// add returns the tracked connection for one that was accepted.
+func (c *Connections) add(accepted net.Conn) *trackedConn {
+	connection := &trackedConn{Conn: accepted, connections: c, acceptedAt: time.Now()}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.open
+	c.open[connection] = struct{}{}
+	return connection
 }
 
-// Close closes the connections that Shutdown still waits for.
-func (c *Connections) Close() {
-	c.mutex.Lock()
-	var deferred []*trackedConn
-	for connection := range c.deferred {
-		deferred = append(deferred, connection)
-	}
-	c.mutex.Unlock()
-	for _, connection := range deferred {
-		_ = connection.Conn.Close()
-	}
+// announcingWriter adds the announcement of the connection's close to the head of an answer.
+type announcingWriter struct {
+	http.ResponseWriter
+	isClosing *atomic.Bool
 }
 
-// noteAccepted records that a connection was accepted.
-func (c *Connections) noteAccepted() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.open++
+// WriteHeader implements http.ResponseWriter.
+func (w *announcingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.announce()
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
-// noteRead records that bytes were read from a connection.
-func (c *Connections) noteRead(connection *trackedConn) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if _, isIdle := c.idle[connection]; isIdle {
-		c.idle[connection] = true
-	}
+// Write implements http.ResponseWriter.
+func (w *announcingWriter) Write(part []byte) (int, error) {
+	w.announce() // without effect once the head was written
+	return w.ResponseWriter.Write(part)
 }
 
-// deferClose reports whether a connection that is being closed must stay open: it
-// is idle for the server, but an unread request is in its socket, or the server has
-// begun to read one. (The server counts a connection as idle until it has read the
-// whole request header.) Closing is deferred only once per connection: it is closed
-// after the request's answer, or when reading the request fails.
-func (c *Connections) deferClose(connection *trackedConn) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	readStarted, isIdle := c.idle[connection]
-	if !isIdle || c.deferred[connection] || !readStarted && !hasUnread(connection.Conn) {
-		return false
-	}
-	c.deferred[connection] = true
-	return true
+// FlushError is called by http.ResponseController.
+func (w *announcingWriter) FlushError() error {
+	w.announce()
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
-// noteClosed removes a closed connection.
-func (c *Connections) noteClosed(connection *trackedConn) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.idle, connection)
-	delete(c.unused, connection)
-	delete(c.deferred, connection)
-	if !connection.isClosed {
-		connection.isClosed = true
-		c.open--
+// Unwrap returns the writer for the other methods of http.ResponseController.
+func (w *announcingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *announcingWriter) announce() {
+	if w.isClosing.Load() {
+		w.Header().Set("Connection", "close")
 	}
 }
 
@@ -191,26 +162,23 @@
 	drainOnce sync.Once
 	// mutex guards backlog, the connections that were not accepted before Close.
 	mutex   sync.Mutex
-	backlog []net.Conn
+	backlog []*trackedConn
 }
 
 // Accept implements net.Listener. After Close it still returns the connections of
 // the backlog.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
-	if err != nil {
-		select {
-		case <-l.closing:
-			l.drainOnce.Do(l.drainBacklogAndClose)
-			accepted, err = l.popBacklog()
-		default:
-		}
+	if err == nil {
+		return l.connections.add(accepted), nil
 	}
-	if err != nil {
+	select {
+	case <-l.closing:
+		l.drainOnce.Do(l.drainBacklogAndClose)
+		return l.popBacklog()
+	default:
 		return nil, err
 	}
-	l.connections.noteAccepted()
-	return &trackedConn{Conn: accepted, connections: l.connections}, nil
 }
 
 func (l *trackedListener) popBacklog() (net.Conn, error) {
@@ -257,37 +225,85 @@
 		}
 		emptyAccepts = 0
 		l.mutex.Lock()
-		l.backlog = append(l.backlog, accepted)
+		l.backlog = append(l.backlog, l.connections.add(accepted))
 		l.mutex.Unlock()
 	}
 	// The listener may already be closed.
 	_ = l.Listener.Close()
 }
 
+// trackedConn is a connection that its own goroutine of the server closes, between two requests, after end.
 type trackedConn struct {
 	net.Conn
 	connections *Connections
-	// isClosed is guarded by the mutex of connections.
-	isClosed bool
+	acceptedAt  time.Time
+
+	// The fields below are guarded by the mutex of connections.
+
+	// isIdle is true between two requests and before the first. The server counts a connection as idle until it has
+	// read the whole request header.
+	isIdle bool
+	// isUnused is true before the first request.
+	isUnused bool
+	// hasBytes is true once bytes of the next request were read.
+	hasBytes bool
+	// isEnding is true after end, until bytes are read nevertheless.
+	isEnding bool
+}
+
+// end makes the server's read fail, so that it closes the connection. The mutex must be held.
+func (c *trackedConn) end() {
+	c.isEnding = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails for a closed connection only
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(into []byte) (int, error) {
-	count, err := c.Conn.Read(into)
-	if count > 0 {
-		c.connections.noteRead(c)
+	for {
+		count, err := c.Conn.Read(into)
+		if count > 0 {
+			c.noteRead()
+		}
+		if count > 0 || !c.keepForUnread() {
+			return count, err
+		}
 	}
-	return count, err
 }
 
-// Close implements net.Conn. It does nothing if a request is waiting on the connection;
-// see deferClose.
-func (c *trackedConn) Close() error {
-	if c.connections.deferClose(c) {
-		return nil
+// noteRead records that bytes were read. If the connection was to end, it stays open for their request.
+func (c *trackedConn) noteRead() {
+	c.connections.mutex.Lock()
+	defer c.connections.mutex.Unlock()
+	c.hasBytes = c.isIdle
+	c.stay()
+}
+
+// keepForUnread reports whether an ending connection stays open, because bytes have arrived since end.
+func (c *trackedConn) keepForUnread() bool {
+	c.connections.mutex.Lock()
+	defer c.connections.mutex.Unlock()
+	if !c.isEnding || !hasUnread(c.Conn) {
+		return false
+	}
+	c.stay()
+	return true
+}
+
+// stay takes end back. The mutex must be held. The server sets a deadline of its own for the rest of the header of a
+// kept connection, and that of another one is past then, so the end of the shutdown bounds it.
+func (c *trackedConn) stay() {
+	if c.isEnding {
+		c.isEnding = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
-	c.connections.noteClosed(c)
+	c.connections.mutex.Lock()
+	defer c.connections.mutex.Unlock()
+	delete(c.connections.open, c)
 	return err
 }
 
