A run that may not be repeated stays with a silent back end that can be reached

Cause: at three quarters of the caller's patience a silent run was closed and continued from its backup. That took silence for the loss of the back end, and the end of the connection for the end of the work. Neither holds.

Change: such a run is continued elsewhere only once no connection to its back end can be opened (probe of 0.4 s, begun after a second of silence, shared by all streams of the back end, at most one each 0.2 s; metric reach_probes). A probe that fails late, in a process that stood still, says nothing. The core's decision is unchanged.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -231,6 +231,7 @@
 		Reused:       g.newTransport(environment, true),
 		Persistent:   persistent,
 		Fresh:        g.newTransport(environment, false),
+		Dial:         environment.Dial,
 		MaxBodyBytes: g.settings.Router.MaxBodyBytes,
 		Buffers:      gateway.NewBufferLimit(g.settings.Gateway.BufferBytes()),
 		Origins:      g.origins,
--- a/internal/dispatch/relocate.go
+++ b/internal/dispatch/relocate.go
@@ -14,8 +14,9 @@
 // The room that a gateway knows is out of date, so the other member may still refuse. Where the request
 // may be repeated, the silent attempt is therefore kept until the other one is answered, and is current
 // again if that one fails. A run that may not be repeated is only continued from a backup, after its
-// silent attempt has been closed, so that no two back ends work on it. If the other one refuses, the run is
-// lost, so such a run is listened to for as long as its caller's patience allows.
+// silent attempt has been closed, so that no two back ends work on it. Not every back end stops with its connection,
+// and if the other one refuses, the run is lost. So the gateway asks here only once the silent back end can't
+// be reached, and such a run is listened to for as long as its caller's patience allows.
 
 // ExamineSilence decides about a stream that has been silent for as long as its StreamWatch says. The
 // decision has an attempt that takes the stream up elsewhere. Without one, the stream is listened to, and
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/keepalive"
 )
 
@@ -34,6 +35,8 @@
 	Reused     Transport
 	Persistent *keepalive.Transport
 	Fresh      http.RoundTripper
+	// Dial opens connections that only find out whether a back end can be reached; nil means TCP.
+	Dial hop.DialFunc
 	// MaxBodyBytes limits a request body if the configuration sets no limit.
 	MaxBodyBytes int64
 	// Buffers limits the bytes buffered for callers and back ends together.
@@ -59,12 +62,15 @@
 // Handler serves the callers' HTTP requests.
 type Handler struct {
 	config Config
+	reach  *reachProbes
 	// idleClosedAt is when the pooled connections were last closed, in nanoseconds since 1970.
 	idleClosedAt atomic.Int64
 }
 
 // NewHandler returns a Handler.
-func NewHandler(config Config) *Handler { return &Handler{config: config} }
+func NewHandler(config Config) *Handler {
+	return &Handler{config: config, reach: newReachProbes(config.Dial, config.Metrics.probed)}
+}
 
 // clock returns the clock by which ages are measured.
 func (h *Handler) clock() *clock.Clock { return h.config.State.Clock() }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,11 @@
 	return name
 }
 
+// probed records whether a silent back end could be reached.
+func (m *Metrics) probed(result reachability) {
+	m.scope.Tagged(map[string]string{"result": result.String()}).Counter("reach_probes").Inc(1)
+}
+
 // forCall returns the scope tagged with the request's service and kind of answer.
 func (m *Metrics) forCall(c *call) tally.Scope {
 	labels := map[string]string{"service": noService, "stream": "no"}
--- /dev/null
+++ b/internal/gateway/reachability.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/harriernotch/harriernotch/internal/hop"
+)
+
+// A run that may not be repeated may go on elsewhere only if its back end has stopped working on it. Silence doesn't
+// tell: a back end that has preempted the run, or stands still for a moment, goes on with it later, and not
+// every back end drops a request with its connection. A back end to which no connection can be opened is lost
+// to this gateway.
+
+// reachability is what is known of whether a back end can be reached.
+type reachability uint8
+
+const (
+	reachabilityUnknown reachability = iota
+	reachable
+	unreachable
+)
+
+// String returns the value of the metric's label.
+func (r reachability) String() string { return [...]string{"unknown", "reachable", "unreachable"}[r] }
+
+const (
+	// reachProbeTimeout is how long a probe waits for its connection.
+	reachProbeTimeout = 400 * time.Millisecond
+	// reachProbeLateness is how much later than that a probe may fail for its result to count.
+	reachProbeLateness = 100 * time.Millisecond
+	// reachProbePeriod is the least time between the beginnings of two probes of a back end.
+	reachProbePeriod = 200 * time.Millisecond
+	// reachValidity is for how long the result of a probe counts.
+	reachValidity = time.Second
+	// reachRecheck is the time until a stream is examined again whose back end is being probed.
+	reachRecheck = 50 * time.Millisecond
+)
+
+// reachProbes probes silent back ends by opening connections to them. All silent streams of a back end share its
+// probes. It is safe for concurrent use.
+type reachProbes struct {
+	dial hop.DialFunc
+	// report is called with each result.
+	report func(reachability)
+
+	mutex sync.Mutex
+	// byAddress holds the probes of the back ends, as long as their results count.
+	byAddress map[string]*reachProbe
+}
+
+// reachProbe is the state of a back end's probes.
+type reachProbe struct {
+	running   bool
+	beganAt   time.Time
+	endedAt   time.Time
+	lastKnown reachability
+}
+
+// newReachProbes returns probes that connect with dial; nil means TCP.
+func newReachProbes(dial hop.DialFunc, report func(reachability)) *reachProbes {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &reachProbes{dial: dial, report: report, byAddress: map[string]*reachProbe{}}
+}
+
+// examine returns the result of the last probe of a back end, if that still counts, and begins a further one if one is due.
+// It doesn't block.
+func (p *reachProbes) examine(address string) reachability {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	probe := p.byAddress[address]
+	if probe == nil {
+		p.removeOld(now)
+		probe = &reachProbe{}
+		p.byAddress[address] = probe
+	}
+	if !probe.running && now.Sub(probe.beganAt) >= reachProbePeriod {
+		probe.running, probe.beganAt = true, now
+		go p.run(address, probe)
+	}
+	if now.Sub(probe.endedAt) > reachValidity {
+		return reachabilityUnknown
+	}
+	return probe.lastKnown
+}
+
+// run probes a back end.
+func (p *reachProbes) run(address string, probe *reachProbe) {
+	result := p.connect(address)
+	p.report(result)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	probe.running, probe.endedAt, probe.lastKnown = false, time.Now(), result
+}
+
+// connect opens a connection and closes it. A failure that comes late says nothing: a process that has stood still may
+// have missed the connection.
+func (p *reachProbes) connect(address string) reachability {
+	ctx, cancel := context.WithTimeout(context.Background(), reachProbeTimeout)
+	defer cancel()
+	began := time.Now()
+	connection, err := p.dial(ctx, "tcp", address)
+	if err == nil {
+		_ = connection.Close()
+		return reachable
+	}
+	if time.Since(began) > reachProbeTimeout+reachProbeLateness {
+		return reachabilityUnknown
+	}
+	return unreachable
+}
+
+// removeOld removes the probes whose results don't count any more. The mutex must be held.
+func (p *reachProbes) removeOld(now time.Time) {
+	for address, probe := range p.byAddress {
+		if !probe.running && now.Sub(probe.endedAt) > reachValidity {
+			delete(p.byAddress, address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/reachability_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/harriernotch/harriernotch/internal/bubble"
+)
+
+const probedAddress = "10.8.0.1:1"
+
+// ignoreResult is the report of probes whose results nobody counts.
+func ignoreResult(reachability) {}
+
+func connectAtOnce(context.Context) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	return ours, theirs.Close()
+}
+
+func dialUntilTimeout(ctx context.Context) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func TestReachabilityIsKnownAfterAProbe(t *testing.T) {
+	for name, each := range map[string]struct {
+		dial func(ctx context.Context) (net.Conn, error)
+		want reachability
+	}{
+		"connected": {connectAtOnce, reachable},
+		"refused":   {func(context.Context) (net.Conn, error) { return nil, errors.New("refused") }, unreachable},
+		"timed out": {dialUntilTimeout, unreachable},
+		// Guards against a process that stood still, and takes that for a lost back end.
+		"late": {func(ctx context.Context) (net.Conn, error) {
+			time.Sleep(2 * reachProbeTimeout)
+			return nil, ctx.Err()
+		}, reachabilityUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				results := make(chan reachability, 2)
+				dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return each.dial(ctx) }
+				probes := newReachProbes(dial, func(result reachability) { results <- result })
+				is.Equal(probes.examine(probedAddress), reachabilityUnknown)
+				is.Equal(<-results, each.want)
+				time.Sleep(time.Millisecond)
+				is.Equal(probes.examine(probedAddress), each.want)
+				time.Sleep(2 * reachProbeTimeout) // until a further probe has ended
+			})
+		})
+	}
+}
+
+// All silent streams of a back end share its probes, and a result doesn't count for long.
+func TestProbesAreSharedAndForgotten(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var dials atomic.Int64
+		probes := newReachProbes(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dials.Add(1)
+			return connectAtOnce(ctx)
+		}, ignoreResult)
+		const streams = 20
+		for range streams {
+			is.Equal(probes.examine(probedAddress), reachabilityUnknown)
+		}
+		time.Sleep(time.Millisecond)
+		for range streams {
+			is.Equal(probes.examine(probedAddress), reachable)
+		}
+		is.Equal(dials.Load(), int64(1))
+		time.Sleep(reachValidity + time.Millisecond)
+		is.Equal(probes.examine(probedAddress), reachabilityUnknown)
+		time.Sleep(reachValidity + time.Millisecond)
+		probes.examine("10.8.0.2:1")
+		is.Equal(len(probes.byAddress), 1)
+	})
+}
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -51,6 +51,9 @@
 	if wait := h.config.Lag.SettleWait(h.clock().Now()); wait > 0 {
 		return nil, wait
 	}
+	if wait := h.awaitStoppedRun(c, silent.send.BackEnd.Address); wait > 0 {
+		return nil, wait
+	}
 	var recheck time.Duration
 	moved := &relocation{handler: h, call: c, silent: silent, settled: make(chan struct{})}
 	moved.decision = h.config.State.decide(func(now time.Time, core *dispatch.Core) (d dispatch.Decision) {
@@ -77,6 +80,22 @@
 	return moved, 0
 }
 
+// awaitStoppedRun returns how long to wait until a silent run may be continued elsewhere, or 0 if it may be now. One that
+// may not be repeated is left to its back end while that can be reached, and may go on.
+func (h *Handler) awaitStoppedRun(c *call, address string) (wait time.Duration) {
+	if c.route.MayRepeat() {
+		return 0
+	}
+	switch h.reach.examine(address) {
+	case unreachable:
+		return 0
+	case reachable:
+		return dispatch.SilenceRecheck
+	default:
+		return reachRecheck
+	}
+}
+
 // run makes the attempt at the other back end, for the events after lastID. Once that has answered, run
 // ends the silent attempt.
 func (m *relocation) run(ctx context.Context, lastID string) {
