A withheld content is tried twice, like a withheld part

Cause: a whole answer acquits a content, and a withheld one gets none. Parts of prompts have trials; contents had none.

Change: contents are tried on the same schedule, by the gateways drawn for them, at most twice, as first attempts only. The rule allows three more sends.

--- a/internal/dispatch/part_crashes.go
+++ b/internal/dispatch/part_crashes.go
@@ -26,12 +26,12 @@
 	// acquitRefreshTime is how long after the last crash under a part the times of further answers are sent to peers, at
 	// most once in half of acquitWindow.
 	acquitRefreshTime = 5 * time.Second
-	// trialSlot is the time between two draws of the gateways that may try a withheld part. They send in the first half
+	// trialSlot is the time between two draws of the gateways that may try a withheld content or part. They send in the first half
 	// of the slot; in the second half, the record of a trial reaches the others.
 	trialSlot = 2 * time.Second
 )
 
-// trialSchedule says when a withheld part is tried.
+// trialSchedule says when a withheld content or part is tried.
 type trialSchedule struct {
 	// delays are the times from the last crash or trial to the next trial. There are so few because operators allow only
 	// three more requests to reach back ends.
@@ -41,9 +41,9 @@
 }
 
 var (
-	// suspectTrials is the schedule of a part that may be the cause.
+	// suspectTrials is the schedule of a content or part that may be the cause.
 	suspectTrials = trialSchedule{delays: []time.Duration{15 * time.Second, 2 * time.Minute}, growth: 1.25}
-	// companionTrials is the schedule of a part all of whose crashes another withheld part explains, in requests without
+	// companionTrials is the schedule of one all of whose crashes another withheld part explains, in requests without
 	// that other one. They are probably sound, and wait for the trial.
 	companionTrials = trialSchedule{delays: []time.Duration{2 * time.Second, 15 * time.Second}, growth: 4}
 )
@@ -101,19 +101,27 @@
 	}
 }
 
-// noteTrial records that a request with withheld parts is sent. It is a trial of those of them whose crashes no other part
-// of the request explains.
+// noteTrial records that a request with withheld contents or parts is sent. It is a trial of the contents, and of those
+// parts whose crashes no other part of the request explains.
 func (c *Core) noteTrial(now time.Time, x *Exchange) {
+	for _, record := range c.withheldContents(now, x) {
+		c.crashes.tried(now, record)
+	}
 	records := c.withheldParts(now, x)
 	for i, record := range records {
 		if !explainedWithin(records, i) {
-			record.trials++
-			record.lastAt = now
-			c.crashes.markChanged(record)
+			c.crashes.tried(now, record)
 		}
 	}
 }
 
+// tried records a trial of a content or part.
+func (m *crashMemory) tried(now time.Time, record *crashRecord) {
+	record.trials++
+	record.lastAt = now
+	m.markChanged(record)
+}
+
 // withheldParts returns the records of the request's withheld parts.
 func (c *Core) withheldParts(now time.Time, x *Exchange) []*crashRecord {
 	if c.crashes.parts.withheld.Len() == 0 {
@@ -154,7 +162,7 @@
 	return false
 }
 
-// isCompanion reports whether a withheld part that the request doesn't have explains the crashes under the part.
+// isCompanion reports whether a withheld part that the request doesn't have explains the crashes under the content or part.
 func (c *Core) isCompanion(x *Exchange, record *crashRecord) bool {
 	return slices.ContainsFunc(c.crashes.parts.withheld.Values(), func(other *crashRecord) bool {
 		return !slices.Contains(x.sharedParts(), other.fingerprint) && other.covers(record)
@@ -166,8 +174,8 @@
 	return !slices.ContainsFunc(other.crashes, func(each crash) bool { return each.evidence.countsAsCrash() && r.index(each.incarnation) < 0 })
 }
 
-// mayTry reports whether this gateway may send the request with the withheld part, to learn whether the part still crashes
-// back ends.
+// mayTry reports whether this gateway may send the request with the withheld content or part, to learn whether that still
+// crashes back ends.
 func (c *Core) mayTry(now time.Time, x *Exchange, record *crashRecord) bool {
 	schedule := suspectTrials
 	if c.isCompanion(x, record) {
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -97,12 +97,28 @@
 	return c.withholdsPart(now, x) || c.withholdsContent(now, x)
 }
 
-// withholdsContent reports whether the request has a content that crashes back ends.
+// withholdsContent reports whether the request has a withheld content and isn't a trial of it. Only a first attempt is
+// a trial. Of several contents the first decides which gateways may send it: they would seldom be drawn for all.
 func (c *Core) withholdsContent(now time.Time, x *Exchange) bool {
-	if c.crashes.contents.withheld.Len() == 0 {
+	records := c.withheldContents(now, x)
+	if len(records) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(x.contentFingerprints(), func(each Fingerprint) bool { return c.crashes.withholds(now, each) })
+	return x.attempts > 0 || !c.mayTry(now, x, records[0])
+}
+
+// withheldContents returns the records of the request's withheld contents.
+func (c *Core) withheldContents(now time.Time, x *Exchange) []*crashRecord {
+	if c.crashes.contents.withheld.Len() == 0 {
+		return nil
+	}
+	var records []*crashRecord
+	for _, content := range x.contentFingerprints() {
+		if c.crashes.withholds(now, content) {
+			records = append(records, c.crashes.contents.get(content))
+		}
+	}
+	return records
 }
 
 // Completed records that the caller has the back end's complete answer.
