--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -291,6 +291,21 @@
 	return true
 }
 
+// withheldAmong returns the records of the set that withhold one of the fingerprints. The fingerprints are computed
+// only if the set withholds any.
+func (m *crashMemory) withheldAmong(now time.Time, set *crashRecordSet, fingerprints func() []Fingerprint) []*crashRecord {
+	if set.withheld.Len() == 0 {
+		return nil
+	}
+	var records []*crashRecord
+	for _, fingerprint := range fingerprints() {
+		if m.withholds(now, fingerprint) {
+			records = append(records, set.get(fingerprint))
+		}
+	}
+	return records
+}
+
 func (m *crashMemory) records() []*crashRecord { return append(m.contents.list(), m.parts.list()...) }
 
 // withheldKeys returns the fingerprints of the withheld contents and parts.
--- a/internal/dispatch/part_crashes.go
+++ b/internal/dispatch/part_crashes.go
@@ -80,16 +80,7 @@
 
 // withheldParts returns the records of the request's withheld parts.
 func (c *Core) withheldParts(now time.Time, x *Exchange) []*crashRecord {
-	if c.crashes.parts.withheld.Len() == 0 {
-		return nil
-	}
-	var records []*crashRecord
-	for _, part := range x.sharedParts() {
-		if c.crashes.withholds(now, part) {
-			records = append(records, c.crashes.parts.get(part))
-		}
-	}
-	return records
+	return c.crashes.withheldAmong(now, &c.crashes.parts, x.sharedParts)
 }
 
 // withholdsPart reports whether the request has a withheld part and isn't a trial of it. Only a first attempt is a trial.
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -109,16 +109,7 @@
 
 // withheldContents returns the records of the request's withheld contents.
 func (c *Core) withheldContents(now time.Time, x *Exchange) []*crashRecord {
-	if c.crashes.contents.withheld.Len() == 0 {
-		return nil
-	}
-	var records []*crashRecord
-	for _, content := range x.contentFingerprints() {
-		if c.crashes.withholds(now, content) {
-			records = append(records, c.crashes.contents.get(content))
-		}
-	}
-	return records
+	return c.crashes.withheldAmong(now, &c.crashes.contents, x.contentFingerprints)
 }
 
 // Completed records that the caller has the back end's complete answer.
