Logs and metrics tell how a process ended, and why its start waits

Cause: of the ways in which a process can end, signals and memory leave no line, and an error leaves one of plain text.

Change: events node.start_delayed, node.failed and node.task_panicked; the gauges log_lines_unwritten (lines that the output didn't take) and memory_bytes (what the Go runtime has mapped and not returned).

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -36,6 +36,7 @@
 	daemon.SetMemoryLimit(s.Gateway.MemoryMegabytes)
 	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Clock: clock.New(), Log: log})
 	if err != nil {
+		log.Warn(eventlog.Failed, logrus.Fields{"cause": err.Error()})
 		return err
 	}
 	waitForStop(ctx, path, node, signals, log)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -292,7 +292,9 @@
 	for {
 		select {
 		case <-ticker.C:
-			metrics.Report(g.state.Gauges())
+			gauges := g.state.Gauges()
+			gauges.MemoryBytes = memoryInUse()
+			metrics.Report(gauges)
 			if now := g.state.Clock().Suspended(); now != suspended {
 				g.log.Warn(eventlog.Resumed, logrus.Fields{"suspended_ms": (now - suspended).Milliseconds()})
 				suspended = now
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -21,13 +21,19 @@
 
 // The closed list of events.
 const (
-	Started              Event = "node.started"
-	Stopping             Event = "node.stopping"
-	Stopped              Event = "node.stopped"
-	Reloaded             Event = "node.reloaded"
-	Resumed              Event = "node.resumed"
-	ReloadFailed         Event = "node.reload_failed"
-	Ready                Event = "node.ready"
+	Started      Event = "node.started"
+	Stopping     Event = "node.stopping"
+	Stopped      Event = "node.stopped"
+	Reloaded     Event = "node.reloaded"
+	Resumed      Event = "node.resumed"
+	ReloadFailed Event = "node.reload_failed"
+	Ready        Event = "node.ready"
+	// StartDelayed is about a start that waits, because something that it needs can't be had yet.
+	StartDelayed Event = "node.start_delayed"
+	// Failed is the last line of a process that ends because of an error.
+	Failed Event = "node.failed"
+	// TaskPanicked is about a background task that panicked.
+	TaskPanicked         Event = "node.task_panicked"
 	StoreLost            Event = "store.lost"
 	StoreRegained        Event = "store.regained"
 	ObjectUnreadable     Event = "store.object_unreadable"
@@ -67,7 +73,7 @@
 func Events() []Event {
 	return []Event{
 		Started, Stopping, Stopped, Reloaded, Resumed, ReloadFailed, Ready,
-		StoreLost, StoreRegained, StoreRestored, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
+		StartDelayed, Failed, TaskPanicked, StoreLost, StoreRegained, StoreRestored, ObjectUnreadable, PeerLost, PeerRegained, CollectorSilent,
 		ConfigurationAdopted, ConfigurationRefused, ZoneEvacuated, ZoneRestored,
 		RolloutChanged, RolloutStarted, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth, BackEndNotice,
 		RequestSent, RequestAnswered, AttemptFailed, RequestResumed, RequestContinued,
@@ -96,8 +102,10 @@
 	// start.
 	dropped      atomic.Int64
 	droppedTotal atomic.Int64
-	done         chan struct{}
-	writer       conc.WaitGroup
+	// unwritten counts the lines that the output didn't take.
+	unwritten atomic.Int64
+	done      chan struct{}
+	writer    conc.WaitGroup
 }
 
 // New returns a log that writes to the output, with the given fields in every line,
@@ -161,6 +169,9 @@
 // Dropped returns the number of lines dropped since the start.
 func (l *Log) Dropped() int64 { return l.droppedTotal.Load() }
 
+// Unwritten returns the number of lines that the output didn't take since the start.
+func (l *Log) Unwritten() int64 { return l.unwritten.Load() }
+
 // Close stops the writer after it has written the queued lines. It waits for as long
 // as the output blocks.
 func (l *Log) Close() {
@@ -188,8 +199,7 @@
 	for {
 		select {
 		case line := <-l.queue:
-			// A failing output is ignored: its error can't be logged anywhere else.
-			_, _ = output.Write(line)
+			l.writeLine(output, line)
 		case <-report.C:
 			l.reportDropped()
 		case <-l.done:
@@ -215,9 +225,16 @@
 	for {
 		select {
 		case line := <-l.queue:
-			_, _ = output.Write(line)
+			l.writeLine(output, line)
 		default:
 			return
 		}
 	}
 }
+
+// writeLine writes a line. The error of an output that fails is counted, because it can't be logged anywhere else.
+func (l *Log) writeLine(output io.Writer, line []byte) {
+	if _, err := output.Write(line); err != nil {
+		l.unwritten.Add(1)
+	}
+}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -103,3 +103,17 @@
 		})
 	}
 }
+
+// failingOutput takes no line.
+type failingOutput struct{}
+
+func (failingOutput) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+func TestLinesThatTheOutputDoesNotTakeAreCounted(t *testing.T) {
+	is := is.New(t)
+	log := New(failingOutput{}, logrus.InfoLevel, nil)
+	log.Warn(RequestFailed, nil)
+	log.Warn(RequestFailed, nil)
+	log.Close()
+	is.Equal(log.Unwritten(), int64(2))
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -236,6 +236,8 @@
 		scope.Gauge("rollout_candidate_attempts").Update(float64(progress.Exposed))
 	}
 	m.scope.Gauge("log_lines_left_out").Update(float64(gauges.LinesDropped))
+	m.scope.Gauge("log_lines_unwritten").Update(float64(gauges.LinesUnwritten))
+	m.scope.Gauge("memory_bytes").Update(float64(gauges.MemoryBytes))
 	for _, service := range gauges.Services {
 		scope := m.scope.Tagged(map[string]string{"service": m.service(service.Name)})
 		scope.Gauge("retry_budget").Update(service.RetryBudget)
@@ -280,6 +282,11 @@
 	Rollouts []RolloutGauges
 	// LinesDropped is the number of log lines dropped since the start.
 	LinesDropped int64
+	// LinesUnwritten is the number of log lines since the start that the output didn't take, as when their
+	// reader has gone.
+	LinesUnwritten int64
+	// MemoryBytes is the memory that the Go runtime has mapped and not returned to the system.
+	MemoryBytes uint64
 	// Services are the services with back ends.
 	Services []ServiceGauges
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -15,7 +15,7 @@
 	now := s.clock.Now()
 	gauges := Gauges{
 		Version: s.view.Version(), StoreAge: s.storeAge(now), PeerAge: s.core.PeerLoadAge(now),
-		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesDropped: s.log.Dropped(),
+		Lag: s.lag, Gateways: s.place.Gateways, Evacuated: len(s.view.EvacuatedZones()), LinesDropped: s.log.Dropped(), LinesUnwritten: s.log.Unwritten(),
 		Era: s.view.Era(), KeyPolicy: s.keyPolicy(),
 	}
 	for _, each := range s.core.Rollouts(now) {
