Start and stop: signals are caught from the initialization of the program until its end

What callers saw: a process that ended with "signal: hangup", with every request that it carried, or didn't start.

Cause: signal.Notify stood after the settings were read, and signal.Stop before the process had exited. SIGHUP outside of that span has its default effect. Class: a handler that lives shorter than what it protects.

Change: internal/earlysignal catches SIGHUP, SIGTERM and interrupts when the program is initialized, and they are received until the process ends. Reloads have a goroutine of their own, so that a settings file that can't be read at once doesn't hold up SIGTERM. Routers and agents use the same. Other commands of the program keep the usual effects.

--- a/cmd/harriernotchd/main.go
+++ b/cmd/harriernotchd/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/harriernotch/harriernotch/internal/cli"
+	"github.com/harriernotch/harriernotch/internal/earlysignal"
 	"github.com/harriernotch/harriernotch/platform"
 	"github.com/harriernotch/harriernotch/platform/standin"
 )
@@ -15,6 +16,9 @@
 		Adapter:      platform.Adapter{},
 		Protocol:     standin.Protocol{},
 		SettingsPath: platform.SettingsPath(),
+
+		Signals:        earlysignal.Received(),
+		ReleaseSignals: earlysignal.Release,
 	})
 	if err := command.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "harriernotchd:", err)
--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -52,7 +52,7 @@
 	"soak": laboratory, "simulation": laboratory, "standin": laboratory, "loadgen": laboratory, "demo": laboratory,
 	"explain": laboratory, "pipenet": laboratory, "fixedseed": laboratory, "bubble": laboratory,
 
-	"daemon": programs, "cli": programs, "architecture": programs,
+	"daemon": programs, "cli": programs, "earlysignal": programs, "architecture": programs,
 }
 
 // exceptions are the known imports that break the rules, each with what is imported.
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -30,6 +30,10 @@
 	Protocol wire.Protocol
 	// SettingsPath is the path of the settings file that the platform provides, or "".
 	SettingsPath string
+	// Signals are the signals that the process has received since its start. ReleaseSignals restores their usual
+	// effects, for the commands that aren't daemons.
+	Signals        <-chan os.Signal
+	ReleaseSignals func()
 }
 
 // NewDaemonCommand returns the commands of harriernotchd.
@@ -45,38 +49,42 @@
 			if path == "" {
 				return failure.New(failure.InvalidSettings, "no settings file; name one with --config")
 			}
-			return run(cmd.Context(), path, platform)
+			return run(watchSignals(cmd.Context(), platform.Signals), path, platform)
 		},
 	}
+	command.PersistentPreRun = func(cmd *cobra.Command, _ []string) {
+		if cmd != command {
+			platform.ReleaseSignals()
+		}
+	}
 	command.Flags().StringVar(&path, "config", platform.SettingsPath, "the settings file")
 	command.AddCommand(newCheckConfigCommand(), newDemoCommand(platform), newStandInCommand())
 	return command
 }
 
-func run(ctx context.Context, path string, platform Platform) error {
+func run(signals daemonSignals, path string, platform Platform) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
 	if s.Role == settings.RoleGateway {
-		return runGateway(ctx, path, s, platform.Adapter)
+		return runGateway(signals, path, s, platform.Adapter)
 	}
-	return runNode(ctx, s)
+	return runNode(signals, s)
 }
 
-func runNode(ctx context.Context, s *settings.Settings) error {
+// runNode runs a router or an agent until it is told to stop. It has no settings that a reload changes.
+func runNode(signals daemonSignals, s *settings.Settings) error {
 	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
 	}
 	daemon.TuneGC()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	node, err := daemon.Start(s, daemon.Environment{Log: log})
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	<-signals.stopping.Done()
 	drain, cancel := context.WithTimeout(context.Background(), s.DrainTimeout.Std())
 	defer cancel()
 	node.Stop(drain)
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,8 +4,6 @@
 	"context"
 	stdlog "log"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -16,14 +14,8 @@
 	"github.com/harriernotch/harriernotch/internal/settings"
 )
 
-// runGateway runs a gateway until SIGTERM, an interrupt or the end of ctx. SIGHUP reloads the
-// settings.
-func runGateway(ctx context.Context, path string, s *settings.Settings, adapter daemon.Adapter) error {
-	// The signals are caught before the gateway starts: a SIGHUP that arrives while it
-	// starts must not terminate the process.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	defer signal.Stop(signals)
+// runGateway runs a gateway until it is told to stop. SIGHUP reloads the settings.
+func runGateway(signals daemonSignals, path string, s *settings.Settings, adapter daemon.Adapter) error {
 	level, err := logrus.ParseLevel(s.Log.Level)
 	if err != nil {
 		return failure.Wrap(failure.InvalidSettings, err, "log.level")
@@ -39,24 +31,21 @@
 		log.Warn(eventlog.Failed, logrus.Fields{"cause": err.Error()})
 		return err
 	}
-	waitForStop(ctx, path, node, signals, log)
+	go reloadOnSignal(signals, path, node, log)
+	<-signals.stopping.Done()
 	drain, cancel := context.WithTimeout(context.Background(), node.DrainTimeout())
 	defer cancel()
 	node.Stop(drain)
 	return nil
 }
 
-// waitForStop returns when the gateway must stop. Until then it reloads the settings on each
-// SIGHUP.
-func waitForStop(ctx context.Context, path string, node *daemon.Gateway, signals <-chan os.Signal, log *eventlog.Log) {
+// reloadOnSignal reloads the settings on each signal until the gateway stops.
+func reloadOnSignal(signals daemonSignals, path string, node *daemon.Gateway, log *eventlog.Log) {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-signals.stopping.Done():
 			return
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-signals.reload:
 			reload(path, node, log)
 		}
 	}
