Logs: a reader that goes doesn't end the process

What callers saw: a process that ended with "signal: broken pipe".

Cause: a Go program ends when a write to descriptor 1 or 2 gets EPIPE, unless SIGPIPE is caught or ignored. The event log ignored errors of its output, but never saw this one. Class: an effect of the surroundings that ends a process by default.

Change: SIGPIPE is ignored from the initialization on. Commands that aren't daemons keep the usual effect, so that they end in a shell's pipe.

--- a/internal/earlysignal/earlysignal.go
+++ b/internal/earlysignal/earlysignal.go
@@ -18,10 +18,15 @@
 
 func init() {
 	signal.Notify(received, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	// A write to a standard output or error whose reader has gone then returns an error, and doesn't end the program.
+	signal.Ignore(syscall.SIGPIPE)
 }
 
 // Received returns the channel of the signals SIGHUP, SIGTERM and interrupt.
 func Received() <-chan os.Signal { return received }
 
 // Release restores the usual effects of the signals, for commands that aren't daemons.
-func Release() { signal.Stop(received) }
+func Release() {
+	signal.Stop(received)
+	signal.Reset(syscall.SIGPIPE)
+}
