Logs: a stop doesn't wait for a reader of the logs that has stalled

What operators saw: a process that doesn't end after SIGTERM until it is killed.

Cause: Log.Close waited for as long as the output blocked; a full pipe that nobody reads blocks for good. Class: a wait without a bound.

Change: Close waits 250 ms at most, of the 400 ms that a gateway keeps for its last lines, and leaves the writer behind.

Test: TestProcessStopsAlthoughItsLogsAreNotRead failed (not ended 30 s after SIGTERM) and passes.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 )
 
@@ -105,7 +104,8 @@
 	// unwritten counts the lines that the output didn't take.
 	unwritten atomic.Int64
 	done      chan struct{}
-	writer    conc.WaitGroup
+	// written is closed when the writer has ended.
+	written chan struct{}
 }
 
 // New returns a log that writes to the output, with the given fields in every line,
@@ -116,13 +116,14 @@
 		infoLimit: rate.NewLimiter(infoPerSecond, infoPerSecond),
 		warnLimit: rate.NewLimiter(warnPerSecond, warnPerSecond),
 		done:      make(chan struct{}),
+		written:   make(chan struct{}),
 	}
 	logger := logrus.New()
 	logger.SetOutput(queueWriter{l})
 	logger.SetLevel(level)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	l.logger = logger.WithFields(fields)
-	l.writer.Go(func() { l.write(output) })
+	go l.write(output)
 	return l
 }
 
@@ -172,11 +173,20 @@
 // Unwritten returns the number of lines that the output didn't take since the start.
 func (l *Log) Unwritten() int64 { return l.unwritten.Load() }
 
-// Close stops the writer after it has written the queued lines. It waits for as long
-// as the output blocks.
+// closeTimeout is how long Close waits for the output. A gateway that stops has 400 ms for its last lines; see
+// settings.DrainTimeout.
+const closeTimeout = 250 * time.Millisecond
+
+// Close stops the writer after it has written the queued lines. If the output blocks for closeTimeout, the lines that
+// it hasn't taken are lost.
 func (l *Log) Close() {
 	close(l.done)
-	l.writer.Wait()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-l.written:
+	case <-timer.C:
+	}
 }
 
 // queueWriter puts lines into the queue, or counts them as dropped if it is full.
@@ -194,6 +204,7 @@
 
 // write copies lines from the queue to the output until Close.
 func (l *Log) write(output io.Writer) {
+	defer close(l.written)
 	report := time.NewTicker(dropReportPeriod)
 	defer report.Stop()
 	for {
