Start: settings that are being written are waited for

What callers saw: a process that doesn't start.

Cause: a settings file that was empty, cut or missing at the moment of the start ended the process, while a reload of the same file keeps the old settings. A file that is replaced in place is so for a moment. Class: a state that passes is taken for a final one.

Change: a start reads the file again every 50 ms for up to 3 s, tells each error that differs on standard error, and ends at once when it is told to stop. A file that stays unusable ends it with the same error as before. check-config doesn't wait.

Tests: TestProcessStartsOnceItsSettingsAreWritten and TestProcessStopsBeforeSettingsAreRead failed (exit 1 within 10 ms) and pass; TestProcessEndsWithSettingsThatStayUnusable passes before and after.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -63,9 +63,9 @@
 }
 
 func run(signals daemonSignals, path string, platform Platform) error {
-	s, err := settings.Load(path)
-	if err != nil {
-		return err
+	s, err := loadSettings(signals.stopping, path, os.Stderr)
+	if s == nil {
+		return err // without an error, the process was told to stop
 	}
 	if s.Role == settings.RoleGateway {
 		return runGateway(signals, path, s, platform.Adapter)
