Start: a port that is still held is waited for

What callers saw: a process that doesn't start.

Cause: net.Listen failed with EADDRINUSE and the process ended with 1. On a real machine the port of a listener is held for seconds by a predecessor that is being stopped, or by an outgoing connection that was given it; an address may come up later than the process.

Change: opening a listener is tried every 50 ms for up to 15 s while its address is in use or not there; node.start_delayed tells the first cause. Other errors end the start at once, and so does SIGTERM. Listeners that were opened are closed when another one can't be. The metrics listener is opened in the background in the same way, where one failed attempt left a gateway without it for good.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -26,7 +26,10 @@
 	// to the event log, because the gateway's log must contain only JSON.
 	stdlog.SetOutput(log.Entry().WriterLevel(logrus.DebugLevel))
 	daemon.SetMemoryLimit(s.Gateway.MemoryMegabytes)
-	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Clock: clock.New(), Log: log})
+	node, err := daemon.StartGateway(s, daemon.GatewayEnvironment{Adapter: adapter, Clock: clock.New(), Log: log, Starting: signals.stopping})
+	if signals.stopping.Err() != nil && err != nil {
+		return nil // told to stop before it had started
+	}
 	if err != nil {
 		log.Warn(eventlog.Failed, logrus.Fields{"cause": err.Error()})
 		return err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -17,7 +17,6 @@
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 	"github.com/harriernotch/harriernotch/internal/draining"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
-	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/follower"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
@@ -51,6 +50,8 @@
 	Clock *clock.Clock
 	// Log receives the gateway's events.
 	Log *eventlog.Log
+	// Starting ends when the start is to be given up; nil means never.
+	Starting context.Context
 }
 
 // Gateway is a running gateway.
@@ -72,6 +73,9 @@
 	tasks        conc.WaitGroup
 	// done is closed to stop the goroutines that report gauges and measure lag.
 	done chan struct{}
+	// running ends, by endRunning, when the gateway stops.
+	running    context.Context
+	endRunning context.CancelFunc
 	// transports are the transports whose idle connections are closed when the gateway
 	// stops.
 	transports []*http.Transport
@@ -102,6 +106,9 @@
 	if environment.Listen == nil {
 		environment.Listen = net.Listen
 	}
+	if environment.Starting == nil {
+		environment.Starting = context.Background()
+	}
 	g := &Gateway{
 		settings: s,
 		log:      environment.Log,
@@ -110,6 +117,7 @@
 
 		done: make(chan struct{}),
 	}
+	g.running, g.endRunning = context.WithCancel(environment.Starting)
 	if err := g.serve(environment); err != nil {
 		return nil, err
 	}
@@ -182,24 +190,6 @@
 	return nil
 }
 
-// openListeners opens the listeners that the gateway can't do without, and returns them by the name of
-// their setting.
-func (g *Gateway) openListeners(environment GatewayEnvironment) (map[string]net.Listener, error) {
-	listeners := map[string]net.Listener{}
-	for field, address := range map[string]string{
-		"listen.callers": g.settings.Listen.Callers,
-		"listen.peers":   g.settings.Listen.Peers,
-		"listen.admin":   g.settings.Listen.Admin,
-	} {
-		listener, err := environment.Listen("tcp", address)
-		if err != nil {
-			return nil, failure.Wrap(failure.InvalidSettings, err, field+" can't be opened; free the port or choose another")
-		}
-		listeners[field] = listener
-	}
-	return listeners, nil
-}
-
 // startExchange starts the exchange of updates, loads and origins of streams with other gateways.
 func (g *Gateway) startExchange(environment GatewayEnvironment) {
 	g.relay = relay.Start(relay.Config{
@@ -263,21 +253,24 @@
 }
 
 // serveMetrics opens the listener that serves only metrics, if the settings have one. Serving
-// requests matters more than metrics, so if it can't be opened, the gateway starts without it.
+// requests matters more than metrics, so the gateway doesn't wait for it.
 func (g *Gateway) serveMetrics(environment GatewayEnvironment) {
 	if g.settings.Listen.Metrics == "" {
 		return
 	}
-	listener, err := environment.Listen("tcp", g.settings.Listen.Metrics)
-	if err != nil {
-		g.log.Entry().WithError(err).Error("listen.metrics can't be opened; free the port or choose another")
-		return
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler)
 	server := g.newServer(mux)
 	g.otherServers = append(g.otherServers, server)
-	g.runServer(server, listener)
+	environment.Starting = g.running
+	g.tasks.Go(func() {
+		listener, err := openPatiently(environment, "listen.metrics", g.settings.Listen.Metrics)
+		if err != nil {
+			g.log.Entry().WithError(err).Error("the gateway goes on without listen.metrics")
+			return
+		}
+		g.serveOn(server, listener)
+	})
 }
 
 // gaugePeriod is the time between two updates of the gauges.
@@ -310,13 +303,16 @@
 }
 
 func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
-	g.tasks.Go(func() {
-		err := server.Serve(listener)
-		isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
-		if !isStopped {
-			g.log.Entry().WithError(err).Error("listener failed")
-		}
-	})
+	g.tasks.Go(func() { g.serveOn(server, listener) })
+}
+
+// serveOn serves requests until the server is closed.
+func (g *Gateway) serveOn(server *http.Server, listener net.Listener) {
+	err := server.Serve(listener)
+	isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
+	if !isStopped {
+		g.log.Entry().WithError(err).Error("listener failed")
+	}
 }
 
 func (g *Gateway) startFollower(environment GatewayEnvironment) {
@@ -389,6 +385,7 @@
 		transport.CloseIdleConnections()
 	}
 	close(g.done)
+	g.endRunning()
 	g.tasks.Wait()
 	_ = g.metrics.Close()
 	g.log.Warn(eventlog.Stopped, nil)
--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/harriernotch/harriernotch/internal/failure"
+)
+
+const (
+	// addressPatience is how long a start waits for an address that is in use or not there yet. A predecessor that is
+	// being stopped, or an outgoing connection that was given the port, holds it for seconds.
+	addressPatience = 15 * time.Second
+	// addressRetryPause is the time between two attempts to open a listener.
+	addressRetryPause = 50 * time.Millisecond
+)
+
+// openListeners opens the listeners that the gateway can't do without, and returns them by the name of
+// their setting.
+func (g *Gateway) openListeners(environment GatewayEnvironment) (map[string]net.Listener, error) {
+	listeners := map[string]net.Listener{}
+	for field, address := range map[string]string{
+		"listen.callers": g.settings.Listen.Callers,
+		"listen.peers":   g.settings.Listen.Peers,
+		"listen.admin":   g.settings.Listen.Admin,
+	} {
+		listener, err := openPatiently(environment, field, address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, err
+		}
+		listeners[field] = listener
+	}
+	return listeners, nil
+}
+
+// openPatiently opens a listener. While the address is in use or not there, it tries again for up to addressPatience.
+func openPatiently(environment GatewayEnvironment, field, address string) (net.Listener, error) {
+	patience, cancel := context.WithTimeout(environment.Starting, addressPatience)
+	defer cancel()
+	pause := time.NewTicker(addressRetryPause)
+	defer pause.Stop()
+	isLogged := false
+	for {
+		listener, err := environment.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		err = failure.Wrap(failure.InvalidSettings, err, field+" can't be opened; free the port or choose another")
+		if !mayBecomeFree(err) {
+			return nil, err
+		}
+		if !isLogged {
+			environment.Log.Warn(eventlog.StartDelayed, logrus.Fields{"cause": err.Error()})
+			isLogged = true
+		}
+		select {
+		case <-pause.C:
+		case <-patience.Done():
+			return nil, err
+		}
+	}
+}
+
+// mayBecomeFree reports whether an address that couldn't be opened may be usable later without a change of the settings.
+func mayBecomeFree(err error) bool {
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
