Listeners outlive errors of Accept that pass

What callers would see: a gateway that lives, says that it is ready, and accepts no connection for good.

Cause, read in net/http: Server.Serve returns with the first error of Accept that isn't EINTR, EMFILE, ENFILE, ECONNRESET, ECONNABORTED or a timeout. ENOBUFS, ENOMEM, EPROTO and ENETDOWN, which accept(2) names as passing, end it. The task logged "listener failed" and the process went on without the listener.

Change: all listeners go on accepting with a growing pause until they are closed; the first of consecutive errors is logged.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -308,7 +308,7 @@
 
 // serveOn serves requests until the server is closed.
 func (g *Gateway) serveOn(server *http.Server, listener net.Listener) {
-	err := server.Serve(listener)
+	err := server.Serve(&acceptingListener{Listener: listener, log: g.log})
 	isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
 	if !isStopped {
 		g.log.Entry().WithError(err).Error("listener failed")
