Background tasks: a panic ends neither the process nor its stop, and the task goes on

What callers would see: a gateway that no longer follows the store or its peers and says that it is ready; and a stop that ends with exit 2 in the middle.

Cause, read: tasks of the follower, the relay, the collector, the origins and the daemon ran in groups of conc, which keep a panic and raise it again in Wait, that is, in the stop. Until then the task was missing without a line. Class: work that nobody guards, whose loss nobody sees.

Change: internal/task runs them. A panic is logged with its stack (node.task_panicked) and counted (tasks_panicked); a task that has to run for good is started again after a second. What such a task held is released: mutexes and entries for what is under way by defer, the collector's connections by their owner.

--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/clock"
@@ -18,6 +17,7 @@
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/peerlink"
 	"github.com/harriernotch/harriernotch/internal/rollout"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // Path is where a gateway accepts queries of other gateways.
@@ -82,7 +82,7 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	tasks  *task.Group
 	links  *peerlink.Client
 
 	mutex      sync.Mutex
@@ -101,8 +101,9 @@
 		config: config, ctx: ctx, cancel: cancel, aggregator: NewAggregator(),
 		links:        peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
 		skippedUntil: map[string]time.Time{}, inFlight: map[string]bool{},
+		tasks: task.NewGroup(config.Log, config.Metrics),
 	}
-	s.tasks.Go(s.run)
+	s.tasks.Keep(ctx, "collect_loads", s.run)
 	return s
 }
 
@@ -110,14 +111,12 @@
 func (s *Service) Close() {
 	s.cancel()
 	s.tasks.Wait()
+	s.links.Close()
 }
 
 // run reports to the group's collector and queries the other groups, at the intervals that report
 // returns. In a small fleet all gateways exchange their loads directly, and nothing is collected.
 func (s *Service) run() {
-	var queries conc.WaitGroup
-	defer queries.Wait()
-	defer s.links.Close()
 	timer := time.NewTimer(period)
 	defer timer.Stop()
 	for {
@@ -130,7 +129,7 @@
 		s.updatePlan()
 		if s.isLarge() {
 			wait = s.report()
-			s.queryGroups(&queries)
+			s.queryGroups()
 		}
 		timer.Reset(wait)
 	}
@@ -230,7 +229,7 @@
 
 // queryGroups queries the collectors of the other groups for their totals, while members report to
 // this gateway.
-func (s *Service) queryGroups(tasks *conc.WaitGroup) {
+func (s *Service) queryGroups() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.aggregator.HasMembers(s.config.Clock.Now()) {
@@ -241,11 +240,12 @@
 			continue
 		}
 		s.inFlight[group.key()] = true
-		tasks.Go(func() { s.queryGroup(group) })
+		s.tasks.Go("query_group", func() { s.queryGroup(group) })
 	}
 }
 
 func (s *Service) queryGroup(group Group) {
+	defer s.noteQueryEnded(group)
 	collector := s.collectorOf(group)
 	totals, err := s.query(collector, queryMessage{From: s.config.ID, Group: true})
 	if err == nil && totals.Counted == 0 {
@@ -253,11 +253,15 @@
 	}
 	if err != nil {
 		s.skipCollector(collector, err)
+		return
 	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.aggregator.SetGroup(s.config.Clock.Now(), group.key(), totals)
+}
+
+func (s *Service) noteQueryEnded(group Group) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.inFlight, group.key())
-	if err == nil {
-		s.aggregator.SetGroup(s.config.Clock.Now(), group.key(), totals)
-	}
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/clock"
@@ -25,6 +24,7 @@
 	"github.com/harriernotch/harriernotch/internal/relay"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 	"github.com/harriernotch/harriernotch/internal/settings"
+	"github.com/harriernotch/harriernotch/internal/task"
 	"github.com/harriernotch/harriernotch/internal/telemetry"
 )
 
@@ -70,7 +70,7 @@
 	callers      *http.Server
 	connections  *draining.Connections
 	otherServers []*http.Server
-	tasks        conc.WaitGroup
+	tasks        *task.Group
 	// done is closed to stop the goroutines that report gauges and measure lag.
 	done chan struct{}
 	// running ends, by endRunning, when the gateway stops.
@@ -117,6 +117,7 @@
 
 		done: make(chan struct{}),
 	}
+	g.tasks = task.NewGroup(g.log, g.metrics.Scope)
 	g.running, g.endRunning = context.WithCancel(environment.Starting)
 	if err := g.serve(environment); err != nil {
 		return nil, err
@@ -175,7 +176,7 @@
 	}
 	g.startExchange(environment)
 	metrics := gateway.NewMetrics(g.metrics.Scope)
-	g.tasks.Go(func() { g.reportGauges(metrics) })
+	g.tasks.Keep(g.running, "report_gauges", func() { g.reportGauges(metrics) })
 	g.connections = draining.New()
 	g.callers = g.newServer(g.connections.Handler(g.newCallersHandler(environment, metrics)))
 	g.callers.IdleTimeout = callerIdleTimeout
@@ -201,7 +202,7 @@
 		ID: g.settings.ID, Source: collectSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
 	g.origins = origins.Start(origins.Config{
-		ID: g.settings.ID, Source: originSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Metrics: g.metrics.Scope,
+		ID: g.settings.ID, Source: originSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
 }
 
@@ -209,7 +210,7 @@
 // runs.
 func (g *Gateway) newCallersHandler(environment GatewayEnvironment, metrics *gateway.Metrics) http.Handler {
 	lag := gateway.NewLagMeter(environment.Clock)
-	g.tasks.Go(func() { lag.Run(g.done, g.state.SetLag) })
+	g.tasks.Keep(g.running, "measure_lag", func() { lag.Run(g.done, g.state.SetLag) })
 	disabled := g.settings.Gateway.Disabled()
 	var persistent *keepalive.Transport
 	if !disabled[dispatch.PersistentConnections] {
@@ -263,7 +264,7 @@
 	server := g.newServer(mux)
 	g.otherServers = append(g.otherServers, server)
 	environment.Starting = g.running
-	g.tasks.Go(func() {
+	g.tasks.Go("serve_metrics", func() {
 		listener, err := openPatiently(environment, "listen.metrics", g.settings.Listen.Metrics)
 		if err != nil {
 			g.log.Entry().WithError(err).Error("the gateway goes on without listen.metrics")
@@ -303,7 +304,7 @@
 }
 
 func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
-	g.tasks.Go(func() { g.serveOn(server, listener) })
+	g.tasks.Go("serve", func() { g.serveOn(server, listener) })
 }
 
 // serveOn serves requests until the server is closed.
--- a/internal/follower/eras.go
+++ b/internal/follower/eras.go
@@ -39,7 +39,7 @@
 		if isRestored {
 			// The watch loops read the lists again, which now show what has been removed.
 			f.resync(lists)
-			f.tasks.Go(func() { f.rewriteAsReader(ctx) })
+			f.tasks.Go("rewrite_withheld", func() { f.rewriteAsReader(ctx) })
 		}
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,6 +16,7 @@
 	"github.com/harriernotch/harriernotch/internal/catalog"
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 const (
@@ -76,7 +77,7 @@
 // Follower follows the platform's store.
 type Follower struct {
 	config    Config
-	tasks     conc.WaitGroup
+	tasks     *task.Group
 	cancel    context.CancelFunc
 	watches   *watches
 	storeLost atomic.Bool
@@ -89,28 +90,28 @@
 // Start starts a follower.
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: config, cancel: cancel, watches: newWatches(ctx), firstStart: firstStart{decided: make(chan struct{})}}
-	f.tasks.Go(func() { f.decideFirstStart(ctx) })
+	f := &Follower{config: config, tasks: task.NewGroup(config.Log, config.Metrics), cancel: cancel, watches: newWatches(ctx), firstStart: firstStart{decided: make(chan struct{})}}
+	f.tasks.Go("decide_first_start", func() { f.decideFirstStart(ctx) })
 	configurations := f.configurations()
 	lists := []list{configurations}
-	f.tasks.Go(func() { f.completeConfigurations(ctx, configurations) })
+	f.tasks.Keep(ctx, "complete_configurations", func() { f.completeConfigurations(ctx, configurations) })
 	if config.Evacuations {
 		orders := f.evacuations()
 		lists = append(lists, orders)
-		f.tasks.Go(func() { f.readRestorations(ctx, orders) })
+		f.tasks.Keep(ctx, "read_restorations", func() { f.readRestorations(ctx, orders) })
 	}
 	if config.Rollouts {
 		orders := f.rollouts()
 		lists = append(lists, orders)
-		f.tasks.Go(func() { f.recordRollouts(ctx, orders) })
+		f.tasks.Keep(ctx, "record_rollouts", func() { f.recordRollouts(ctx, orders) })
 	}
-	f.tasks.Go(func() { f.syncWithheld(ctx) })
-	f.tasks.Go(func() { f.syncSettled(ctx) })
+	f.tasks.Keep(ctx, "sync_withheld", func() { f.syncWithheld(ctx) })
+	f.tasks.Keep(ctx, "sync_settled", func() { f.syncSettled(ctx) })
 	lists = append(lists, f.backEnds()) // the longest list is last in turn
-	f.tasks.Go(func() { f.followEras(ctx, lists) })
-	f.tasks.Go(func() { f.readLoop(ctx, lists...) })
+	f.tasks.Keep(ctx, "follow_eras", func() { f.followEras(ctx, lists) })
+	f.tasks.Keep(ctx, "read_lists", func() { f.readLoop(ctx, lists...) })
 	for _, each := range lists {
-		f.tasks.Go(func() { f.watchLoop(ctx, each) })
+		f.tasks.Keep(ctx, "watch_list", func() { f.watchLoop(ctx, each) })
 	}
 	return f
 }
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -19,7 +19,11 @@
 	peers := candidates(question.Key, s.config.ID, s.config.Source.Live())
 	answers := make(chan *dispatch.OriginAnswer, len(peers))
 	for _, peer := range peers {
-		if !s.spawn(func() { answers <- s.ask(peer, question) }) {
+		if !s.spawn("ask_about_stream", func() {
+			var answer *dispatch.OriginAnswer
+			defer func() { answers <- answer }()
+			answer = s.ask(peer, question)
+		}) {
 			answers <- nil
 		}
 	}
@@ -55,12 +59,12 @@
 }
 
 // spawn runs a task, unless the service is closing.
-func (s *Service) spawn(task func()) bool {
+func (s *Service) spawn(name string, run func()) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.closed {
 		return false
 	}
-	s.tasks.Go(task)
+	s.tasks.Go(name, run)
 	return true
 }
--- a/internal/origins/service.go
+++ b/internal/origins/service.go
@@ -20,13 +20,14 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
+	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/peerlink"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // Path is where a gateway accepts queries of other gateways.
@@ -58,7 +59,8 @@
 	Dial hop.DialFunc
 	// Clock measures ages; nil is the monotonic one.
 	Clock *clock.Clock
-	// Metrics receives metrics for operators.
+	// Log and Metrics receive events and metrics for operators.
+	Log     *eventlog.Log
 	Metrics tally.Scope
 }
 
@@ -85,7 +87,7 @@
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	tasks  *task.Group
 	links  *peerlink.Client
 	// startedAt is when the service started.
 	startedAt time.Time
@@ -106,8 +108,9 @@
 		config: config, ctx: ctx, cancel: cancel, startedAt: config.Clock.Now(),
 		links:  peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
 		queues: map[string][]dispatch.OriginRecord{}, skippedUntil: map[string]time.Time{},
+		tasks: task.NewGroup(config.Log, config.Metrics),
 	}
-	s.tasks.Go(s.run)
+	s.tasks.Keep(ctx, "publish_origins", s.run)
 	return s
 }
 
@@ -155,7 +158,7 @@
 			}
 			s.queues[holder.ID] = append(waiting, record)
 			if !isSending {
-				s.tasks.Go(func() { s.send(holder) })
+				s.tasks.Go("send_origins", func() { s.send(holder) })
 			}
 		}
 	}
--- a/internal/origins/settle.go
+++ b/internal/origins/settle.go
@@ -13,7 +13,7 @@
 	for _, question := range s.config.Source.UnsettledRoutes() {
 		peers := firstInOrder(dispatch.OriginKeyOf("", s.config.ID), settlePeers, members(0, 1, s.config.ID, s.config.Source.Live()))
 		for _, peer := range peers {
-			s.spawn(func() {
+			s.spawn("ask_about_route", func() {
 				if answer := s.ask(peer, question); answer != nil {
 					s.config.Source.SettleRoute(question, *answer)
 				}
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 const (
@@ -33,15 +34,8 @@
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
-		r.mutex.Lock()
-		due := r.peers.DialTargets(r.config.State.Clock().Now())
-		place := r.peers.Place(r.config.State.Clock().Now(), r.config.State.StoreAge())
-		r.closeSurplus(r.config.State.Clock().Now())
-		fleet := r.peers.Fleet()
-		r.mutex.Unlock()
-		r.config.State.SetFleet(place, fleet)
-		for _, address := range due {
-			r.spawn(func() { r.dial(address) })
+		for _, address := range r.updateFleet() {
+			r.spawn("dial_peer", func() { r.dial(address) })
 		}
 		select {
 		case <-ticker.C:
@@ -51,6 +45,19 @@
 	}
 }
 
+// updateFleet updates this gateway's place and the known fleet in the state, closes connections that aren't needed any
+// more, and returns the addresses to connect to.
+func (r *Relay) updateFleet() (due []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.config.State.Clock().Now()
+	due = r.peers.DialTargets(now)
+	place := r.peers.Place(now, r.config.State.StoreAge())
+	r.closeSurplus(now)
+	r.config.State.SetFleet(place, r.peers.Fleet())
+	return due
+}
+
 // openedLink is a connection that this gateway opened.
 type openedLink struct {
 	openedAt time.Time
@@ -92,10 +99,15 @@
 	r.mutex.Lock()
 	r.opened[peer] = openedLink{openedAt: r.config.State.Clock().Now(), cancel: cancelLink}
 	r.mutex.Unlock()
+	defer r.forgetOpened(peer)
 	r.serve(linkCtx, socket, peer)
+}
+
+// forgetOpened forgets the connection to a peer that this gateway opened.
+func (r *Relay) forgetOpened(peer string) {
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	delete(r.opened, peer)
-	r.mutex.Unlock()
 }
 
 // ServeHTTP accepts a connection from a peer.
@@ -127,15 +139,21 @@
 	r.peers.LinkUp(peer)
 	r.mutex.Unlock()
 	r.config.Log.Warn(eventlog.PeerRegained, logrus.Fields{"peer": peer})
+	cause := errors.New("the connection's task panicked")
+	defer func() { r.noteLinkDown(peer, cause) }()
 	opened := newLink(socket)
-	var writer conc.WaitGroup
-	writer.Go(func() { defer cancel(); r.writeLoop(ctx, opened) })
-	err := r.readLoop(ctx, opened)
-	cancel()
-	_ = socket.CloseNow()
-	writer.Wait()
+	writer := task.NewGroup(r.config.Log, r.config.Metrics)
+	defer writer.Wait()
+	defer socket.CloseNow()
+	defer cancel()
+	writer.Go("write_to_peer", func() { defer cancel(); r.writeLoop(ctx, opened) })
+	cause = r.readLoop(ctx, opened)
+}
+
+// noteLinkDown records that a connection to a peer has ended.
+func (r *Relay) noteLinkDown(peer string, cause error) {
 	r.mutex.Lock()
 	r.peers.LinkDown(peer)
 	r.mutex.Unlock()
-	r.config.Log.Warn(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": err.Error()})
+	r.config.Log.Warn(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": cause.Error()})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // Path is where a gateway accepts connections from its peers.
@@ -43,7 +43,7 @@
 	client *http.Client
 	ctx    context.Context
 	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	tasks  *task.Group
 
 	mutex  sync.Mutex
 	closed bool
@@ -68,8 +68,9 @@
 		cancel: cancel,
 		peers:  NewPeerTable(config.ID, config.Address, config.Seeds),
 		opened: map[string]openedLink{},
+		tasks:  task.NewGroup(config.Log, config.Metrics),
 	}
-	r.spawn(r.maintainLinks)
+	r.tasks.Keep(ctx, "maintain_links", r.maintainLinks)
 	return r
 }
 
@@ -105,10 +106,11 @@
 	r.peers.SetSeeds(seeds)
 }
 
-func (r *Relay) spawn(task func()) {
+// spawn runs a task once, unless the relay is closed.
+func (r *Relay) spawn(name string, run func()) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.closed {
-		r.tasks.Go(task)
+		r.tasks.Go(name, run)
 	}
 }
