Attempts and probes beside a request's handler run as guarded tasks

The attempt at another back end for a silent stream, and the probe of a silent back end, ran in goroutines that net/http doesn't guard: a panic there ended the process. They run in the gateway's group of tasks.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -227,6 +227,7 @@
 		Buffers:      gateway.NewBufferLimit(g.settings.Gateway.BufferBytes()),
 		Origins:      g.origins,
 		Lag:          lag,
+		Tasks:        g.tasks,
 		Log:          g.log,
 		Metrics:      metrics,
 		Disabled:     disabled,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -18,6 +18,7 @@
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/keepalive"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // Config configures a Handler.
@@ -45,6 +46,8 @@
 	Lag *LagMeter
 	// Origins finds out where streams began that callers resume.
 	Origins OriginFinder
+	// Tasks runs what goes on beside the handler of a request.
+	Tasks *task.Group
 	// Log and Metrics receive what operators should know.
 	Log     *eventlog.Log
 	Metrics *Metrics
@@ -69,7 +72,7 @@
 
 // NewHandler returns a Handler.
 func NewHandler(config Config) *Handler {
-	return &Handler{config: config, reach: newReachProbes(config.Dial, config.Metrics.probed)}
+	return &Handler{config: config, reach: newReachProbes(config.Dial, config.Tasks, config.Metrics.probed)}
 }
 
 // clock returns the clock by which ages are measured.
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // A run that may not be repeated may go on elsewhere only if its back end has stopped working on it. Silence doesn't
@@ -42,7 +43,8 @@
 // reachProbes probes silent back ends by opening connections to them. All silent streams of a back end share its
 // probes. It is safe for concurrent use.
 type reachProbes struct {
-	dial hop.DialFunc
+	dial  hop.DialFunc
+	tasks *task.Group
 	// report is called with each result.
 	report func(reachability)
 
@@ -60,11 +62,11 @@
 }
 
 // newReachProbes returns probes that connect with dial; nil means TCP.
-func newReachProbes(dial hop.DialFunc, report func(reachability)) *reachProbes {
+func newReachProbes(dial hop.DialFunc, tasks *task.Group, report func(reachability)) *reachProbes {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &reachProbes{dial: dial, report: report, byAddress: map[string]*reachProbe{}}
+	return &reachProbes{dial: dial, tasks: tasks, report: report, byAddress: map[string]*reachProbe{}}
 }
 
 // examine returns the result of the last probe of a back end, if that still counts, and begins a further one if one is due.
@@ -81,7 +83,7 @@
 	}
 	if !probe.running && now.Sub(probe.beganAt) >= reachProbePeriod {
 		probe.running, probe.beganAt = true, now
-		go p.run(address, probe)
+		p.tasks.Go("probe_back_end", func() { p.run(address, probe) })
 	}
 	if now.Sub(probe.endedAt) > reachValidity {
 		return reachabilityUnknown
--- a/internal/gateway/reachability_test.go
+++ b/internal/gateway/reachability_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/bubble"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 const probedAddress = "10.8.0.1:1"
@@ -47,7 +49,7 @@
 				is := is.New(t)
 				results := make(chan reachability, 2)
 				dial := func(ctx context.Context, _, _ string) (net.Conn, error) { return each.dial(ctx) }
-				probes := newReachProbes(dial, func(result reachability) { results <- result })
+				probes := newReachProbes(dial, task.NewGroup(nil, tally.NoopScope), func(result reachability) { results <- result })
 				is.Equal(probes.examine(probedAddress), reachabilityUnknown)
 				is.Equal(<-results, each.want)
 				time.Sleep(time.Millisecond)
@@ -66,7 +68,7 @@
 		probes := newReachProbes(func(ctx context.Context, _, _ string) (net.Conn, error) {
 			dials.Add(1)
 			return connectAtOnce(ctx)
-		}, ignoreResult)
+		}, task.NewGroup(nil, tally.NoopScope), ignoreResult)
 		const streams = 20
 		for range streams {
 			is.Equal(probes.examine(probedAddress), reachabilityUnknown)
--- a/internal/gateway/relocation.go
+++ b/internal/gateway/relocation.go
@@ -71,12 +71,12 @@
 	}
 	ctx, moved.cancel = context.WithCancelCause(ctx)
 	lastID := s.lastID
-	go func() {
+	h.config.Tasks.Go("relocate_stream", func() {
 		moved.run(ctx, lastID)
 		if !moved.accepted && watch.relocationFailed(moved, recheck) {
 			h.config.Metrics.relocated(c, moved)
 		}
-	}()
+	})
 	return moved, 0
 }
 
