Soak: reloads at starts and stops, readers of logs that go, crowds; processes that end by themselves are noticed

Cause: the soak sent no signal in the first 200 ms of a process, gave it a file for its logs, killed a stop that didn't end without a word, and didn't look how a process ended that nobody had told to end. So it couldn't see what the users saw.

A new promise: gateways end only when told to, and a planned stop in time and with 0.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -74,6 +74,8 @@
 	PromiseSound Promise = "sound requests begin beside crashing ones"
 	// PromiseStart requires that a gateway that was stopped or killed starts again.
 	PromiseStart Promise = "gateways start"
+	// PromiseAlive requires that a gateway ends only when it is told to, and a planned stop in time and without an error.
+	PromiseAlive Promise = "gateways end only when told to"
 	// PromiseExposure requires that a defective version gets few requests, and none once its
 	// failures are known.
 	PromiseExposure Promise = "a bad version gets little"
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -40,6 +40,14 @@
 	// Pause suspends the gateway and Resume lets it continue.
 	Pause()
 	Resume()
+	// ReloadOften makes the gateway reload its settings all the time until end is called, also while it starts and
+	// stops. LoseLogReader closes the reading end of its log until its next start. With gateways in one process
+	// both have no effect.
+	ReloadOften() (end func())
+	LoseLogReader()
+	// UnplannedEnds tells of each time how the gateway ended without having been told to, or otherwise than it was
+	// told to.
+	UnplannedEnds() []string
 }
 
 // Names in the configuration of the stand-ins.
@@ -285,6 +293,15 @@
 	return nil
 }
 
+// checkEnds checks how the gateways' processes have ended.
+func (f *fleet) checkEnds() {
+	for _, g := range f.gateways {
+		for _, how := range g.gateway.UnplannedEnds() {
+			f.check.fail(PromiseAlive, "%s: %s", g.id, how)
+		}
+	}
+}
+
 func (f *fleet) close() {
 	for _, g := range f.gateways {
 		g.gateway.Kill()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -77,6 +77,14 @@
 		f.focusConnections(ctx, fault)
 	case CrashingPart:
 		f.sendCrashingParts(ctx, fault)
+	case ReloadRestart:
+		end := g.gateway.ReloadOften()
+		f.restartGateway(ctx, g, fault.Target%2 == 0)
+		end()
+	case LoseLogReader:
+		g.gateway.LoseLogReader()
+	case Crowd:
+		f.sendCrowd(ctx, g, fault)
 	case MoveService, MoveUnattended:
 		f.moveService(ctx, fault)
 	case RevokeKey:
--- a/internal/soak/inprocess.go
+++ b/internal/soak/inprocess.go
@@ -114,6 +114,10 @@
 func (g *inProcessGateway) Pause()  {}
 func (g *inProcessGateway) Resume() {}
 
+func (g *inProcessGateway) ReloadOften() (end func()) { return func() {} }
+func (g *inProcessGateway) LoseLogReader()            {}
+func (g *inProcessGateway) UnplannedEnds() []string   { return nil }
+
 // discard discards log lines.
 type discard struct{}
 
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -5,10 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"syscall"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -111,73 +108,3 @@
 	e.gateways++
 	return &process{programs: programs, starts: e.gateways, settings: path, log: log}, nil
 }
-
-// process is a gateway in a separate process.
-type process struct {
-	// programs are used in rotation, one for each start.
-	programs []string
-	starts   int
-	settings string
-	log      *os.File
-	command  *exec.Cmd
-	ended    chan struct{}
-}
-
-// startGrace is how long Start waits after it has started the process; until then no fault
-// stops, reloads or pauses the gateway. A process that ends in this time has failed to start.
-const startGrace = 200 * time.Millisecond
-
-func (p *process) Start() error {
-	p.command = exec.Command(p.programs[p.starts%len(p.programs)], "--config", p.settings)
-	p.starts++
-	p.command.Stdout, p.command.Stderr = p.log, p.log
-	if err := p.command.Start(); err != nil {
-		return errors.Wrap(err, "start a gateway")
-	}
-	command, ended := p.command, make(chan struct{})
-	p.ended = ended
-	go func() {
-		_ = command.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return errors.Errorf("the gateway ended at once; its log is %s", p.log.Name())
-	case <-time.After(startGrace):
-		return nil
-	}
-}
-
-// signal sends a signal if the process is still running.
-func (p *process) signal(signal syscall.Signal) {
-	if p.command == nil {
-		return
-	}
-	select {
-	case <-p.ended:
-	default:
-		// The signal fails only if the process has just ended, and is then not needed.
-		_ = p.command.Process.Signal(signal)
-	}
-}
-
-func (p *process) Kill() {
-	if p.command == nil {
-		return
-	}
-	p.signal(syscall.SIGKILL)
-	<-p.ended
-}
-
-func (p *process) Stop() {
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-	case <-time.After(drainTimeout):
-		p.Kill()
-	}
-}
-
-func (p *process) Reload() { p.signal(syscall.SIGHUP) }
-func (p *process) Pause()  { p.signal(syscall.SIGSTOP) }
-func (p *process) Resume() { p.signal(syscall.SIGCONT) }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -107,6 +107,13 @@
 	// RevokeAllKeys removes all API keys from the configuration, with or without their tenant, and adds them
 	// again at the fault's end. It is drawn only if it is named.
 	RevokeAllKeys Kind = "revoke_all_keys"
+	// ReloadRestart kills or stops a gateway and starts it again, while it is told to reload its settings every
+	// millisecond. LoseLogReader closes the reading end of a gateway's log. They are drawn only if they are named.
+	ReloadRestart Kind = "reload_restart"
+	LoseLogReader Kind = "lose_log_reader"
+	// Crowd makes many clients that don't behave open connections to a gateway and stop half-way: without a
+	// request, in a head, in a body, or without reading answers. It is drawn only if it is named.
+	Crowd Kind = "crowd"
 )
 
 // Kinds lists every kind that is drawn if none is named.
@@ -121,7 +128,8 @@
 
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
-	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys, EndlessAnswers}
+	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys, EndlessAnswers,
+		ReloadRestart, LoseLogReader, Crowd}
 }
 
 // Fault is one entry of a schedule.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -114,6 +114,7 @@
 	sleep(ctx, recoveryTime)
 	stopCallers()
 	callers.Wait()
+	f.checkEnds()
 	result := f.check.finish()
 	result.Seed, result.Faults, result.FaultLog = options.Seed, len(faults), f.faultLog.lines
 	return result, ctx.Err()
