Configuration: limits on heads and rests are read

Cause: the configuration's limits hold maxHeaderBytes, headerTimeoutMs and idleTimeoutMs beside maxBodyBytes, and only the last was read. Heads and idle connections were bounded by constants, whatever the operators wrote.

Change: the adapter reads the three limits, catalog.Limits carries them, and gateways pass them on in fields 2 to 4 of the limits, left out where none is set. A document that an older build passed on lacks them: it gives way to the complete one of the same version. They are not applied yet.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -127,13 +127,6 @@
 	}
 }
 
-// Limits restricts the requests of callers.
-type Limits struct {
-	// MaxBodyBytes is the largest size of a request body; 0 if the configuration sets no limit, and
-	// each gateway applies its own.
-	MaxBodyBytes int64 `cbor:"1,keyasint,omitempty"`
-}
-
 // Configuration is one version of the operators' configuration document.
 type Configuration struct {
 	// Version increases with every change, not always by one.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -164,7 +164,7 @@
 }
 
 // OfferConfiguration adopts a checked configuration if its version is newer, or if it is the current
-// version and states the key policy, which the current document doesn't. It reports whether it did.
+// version and completes the current document. It reports whether it did.
 func (v *View) OfferConfiguration(configuration *Configuration) bool {
 	isNewer := configuration.Version > v.Version()
 	if !isNewer && !v.completes(configuration) {
@@ -174,11 +174,18 @@
 	return true
 }
 
-// completes reports whether the configuration is of the current version, and has a key policy while
-// that of the current document is unknown.
+// completes reports whether the configuration is of the current version and states what the current document
+// doesn't: the key policy, or limits on heads and idle connections. A document that a gateway of an earlier build
+// passed on has neither.
 func (v *View) completes(configuration *Configuration) bool {
-	return v.index != nil && configuration.Version == v.Version() &&
-		!v.KnowsKeyPolicy() && configuration.KeyPolicy() != KeyPolicyUnknown
+	if v.index == nil || configuration.Version != v.Version() {
+		return false
+	}
+	statesPolicy := configuration.KeyPolicy() != KeyPolicyUnknown
+	if !v.KnowsKeyPolicy() {
+		return statesPolicy
+	}
+	return statesPolicy && configuration.Limits.setsConnectionLimits() && !v.index.Configuration().Limits.setsConnectionLimits()
 }
 
 // KnowsKeyPolicy reports whether there is a configuration and it says whether requests need a key.
--- a/internal/catalog/view_test.go
+++ b/internal/catalog/view_test.go
@@ -48,6 +48,20 @@
 	is.Equal(view.Index().KeyPolicy(), KeysRequired)
 }
 
+// Guards against the defaults staying in force after the operators' limits were read: a document without the limits on
+// heads gives way to one of the same version that has them, and never replaces one.
+func TestConfigurationWithoutLimitsIsCompleted(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	complete := Limits{MaxBodyBytes: 10, MaxHeaderBytes: 20, HeaderTimeout: 3, IdleTimeout: 4}
+	is.True(view.OfferConfiguration(&Configuration{Version: 7, StatedKeyPolicy: KeysRequired, Limits: Limits{MaxBodyBytes: 10}}))
+	is.True(!view.OfferConfiguration(&Configuration{Version: 5, StatedKeyPolicy: KeysRequired, Limits: complete}))
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7, Limits: complete})) // has no key policy
+	is.True(view.OfferConfiguration(&Configuration{Version: 7, StatedKeyPolicy: KeysRequired, Limits: complete}))
+	is.True(!view.OfferConfiguration(&Configuration{Version: 7, StatedKeyPolicy: KeysRequired}))
+	is.Equal(view.Index().Configuration().Limits, complete)
+}
+
 // Guards against a configuration that counts as open because of what it states: tenants, and a policy of a later
 // build, close it.
 func TestKeyPolicy(t *testing.T) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -159,10 +160,14 @@
 	s.core.SetRoutes(s.clock.Now(), configuration.Routes)
 	s.signalOrigins()
 	s.announce()
-	s.log.Warn(eventlog.ConfigurationAdopted, logrus.Fields{
+	fields := logrus.Fields{
 		"version": configuration.Version, "before": before, "source": source,
 		"routes": len(configuration.Routes), "tenants": len(configuration.Tenants), "keys": configuration.KeyPolicy().String(),
-	})
+	}
+	if unusable := configuration.Limits.Unusable; len(unusable) > 0 {
+		fields["unusable_limits"] = strings.Join(unusable, " ")
+	}
+	s.log.Warn(eventlog.ConfigurationAdopted, fields)
 }
 
 // KeyPolicyMissing returns a channel that receives a value when a configuration has been adopted that
--- a/internal/relay/compatibility_test.go
+++ b/internal/relay/compatibility_test.go
@@ -205,7 +205,37 @@
 	Routes   []catalog.Route   `cbor:"2,keyasint"`
 	Services []catalog.Service `cbor:"3,keyasint"`
 	Tenants  []catalog.Tenant  `cbor:"4,keyasint"`
-	Limits   catalog.Limits    `cbor:"5,keyasint"`
+	Limits   earlierLimits     `cbor:"5,keyasint"`
+}
+
+// earlierLimits are the limits as builds up to c0e6191 write and read them.
+type earlierLimits struct {
+	MaxBodyBytes int64 `cbor:"1,keyasint,omitempty"`
+}
+
+// Guards against limits that an earlier build takes for another, or that it can't pass over.
+func TestLimitsBesideEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	limits := catalog.Limits{MaxBodyBytes: 10, MaxHeaderBytes: 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 4 * time.Second}
+	raw, err := cbor.Marshal(catalog.Configuration{Version: 7, Limits: limits})
+	is.NoErr(err)
+	var earlier earlierConfiguration
+	is.NoErr(cbor.Unmarshal(raw, &earlier))
+	is.Equal(earlier.Limits, earlierLimits{MaxBodyBytes: 10})
+	var document catalog.Configuration
+	is.NoErr(cbor.Unmarshal(raw, &document))
+	is.Equal(document.Limits, limits)
+
+	raw, err = cbor.Marshal(earlier)
+	is.NoErr(err)
+	document = catalog.Configuration{}
+	is.NoErr(cbor.Unmarshal(raw, &document))
+	is.Equal(document.Limits, catalog.Limits{MaxBodyBytes: 10})
+	unset, err := cbor.Marshal(catalog.Limits{MaxBodyBytes: 10})
+	is.NoErr(err)
+	same, err := cbor.Marshal(earlierLimits{MaxBodyBytes: 10})
+	is.NoErr(err)
+	is.Equal(unset, same)
 }
 
 // Guards against a deployment that serves requests without keys during an upgrade. A document of an earlier build
