Answers: a connection's end after a failed write is an error

A back end answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a whole answer.

Cause: a socket reports its reset once, to whichever system call asks first. If that is the write of the request, the read gets the bytes that are left and then a clean end, and an answer without a length is whole at the end of its connection. net/http closes the connection after the failed write, but the read of the end may come first.

--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -73,6 +73,7 @@
 		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 		dial = dialer.DialContext
 	}
+	dial = dialConn(dial)
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(config.Protocol != HTTP2)
 	protocols.SetUnencryptedHTTP2(config.Protocol == HTTP2)
