Answers: the fields of a head are checked by their grammar

Back ends in trouble sent answers with a blank in the name of a field. With 'Transfer-Encoding : chunked' callers got the chunks' framing as the body, with 'Content-Length : 5' another body than the one told; with any other name they got the answer without that line.

Cause: net/textproto reads names with blanks and keeps them as they are, so that the name isn't the one that frames the body, and net/http doesn't write them. The framing is then already wrong, so the answer is invalid as a whole.

hop.Transport checks names and values of each answer by httpguts. An invalid answer is an error, its connection is closed, also if net/http has kept it for further requests, and the gateway decides as for other invalid answers.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -78,7 +78,7 @@
 	endRunning context.CancelFunc
 	// transports are the transports whose idle connections are closed when the gateway
 	// stops.
-	transports []*http.Transport
+	transports []*hop.Transport
 }
 
 const (
@@ -248,7 +248,7 @@
 const capacityPerCore = 100
 
 // newTransport returns a transport whose idle connections are closed when the gateway stops.
-func (g *Gateway) newTransport(environment GatewayEnvironment, reuse bool) *http.Transport {
+func (g *Gateway) newTransport(environment GatewayEnvironment, reuse bool) *hop.Transport {
 	transport := hop.NewDirectTransport(environment.Dial, reuse)
 	g.transports = append(g.transports, transport)
 	return transport
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -120,7 +120,7 @@
 		silence.resume()
 		began := h.clock().Now()
 		event, err := reader.Next()
-		isComplete := errors.Is(err, io.EOF) && s.events > 0 && (received > 0 || !endsWithConnection(result.answer))
+		isComplete := errors.Is(err, io.EOF) && s.events > 0 && (received > 0 || !hop.EndsWithConnection(result.answer))
 		// A caller that reads slowly isn't a silent back end.
 		if moved := silence.pause(); moved != nil && moved.finish(c, err == nil || isComplete) {
 			return moved, errSilent
@@ -161,11 +161,6 @@
 	}
 }
 
-// endsWithConnection reports whether the answer has neither a length nor chunks.
-func endsWithConnection(answer *http.Response) bool {
-	return answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-}
-
 // isNumber reports whether the ID of an event is a number, by which gaps are noticed.
 func isNumber(id string) bool {
 	_, err := strconv.ParseInt(id, 10, 64)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -187,8 +187,8 @@
 	if c.request.Context().Err() != nil {
 		return dispatch.Decision{GiveUp: failure.Wrap(failure.CallerGone, cause, "the caller left")}
 	}
-	notSent := hop.NothingSent(cause)
-	deadlinePassed := h.isOver(c)
+	notSent, invalid := hop.NothingSent(cause), hop.IsInvalidAnswer(cause)
+	deadlinePassed := h.isOver(c) && !invalid
 	// The kernel reports ETIMEDOUT if the back end's machine acknowledges nothing.
 	isSilent := deadlinePassed || errors.Is(cause, syscall.ETIMEDOUT)
 	if isSilent && !notSent && (c.route.MayRepeat() || c.connection == connectionReused) {
@@ -198,6 +198,8 @@
 		switch {
 		case notSent:
 			return core.NotConnected(now, c.exchange)
+		case invalid:
+			return core.InvalidAnswer(now, c.exchange)
 		case deadlinePassed:
 			return core.TimedOut(now, c.exchange)
 		default:
--- /dev/null
+++ b/internal/hop/answer.go
@@ -0,0 +1,42 @@
+package hop
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// InvalidAnswerError means that bytes were received that are no valid answer. The request may have run.
+type InvalidAnswerError struct {
+	// Reason says what is wrong, without the bytes.
+	Reason string
+}
+
+func (e *InvalidAnswerError) Error() string { return "the answer is invalid: " + e.Reason }
+
+// IsInvalidAnswer reports whether an error of a Transport means that an answer was received that isn't valid.
+func IsInvalidAnswer(err error) bool {
+	var invalid *InvalidAnswerError
+	return errors.As(err, &invalid)
+}
+
+// headFault returns what is wrong with the head of the answer to a request, or "".
+func headFault(request *http.Request, answer *http.Response) string {
+	return fieldFault(answer.Header)
+}
+
+// fieldFault returns what is wrong with the names and values of fields, or "".
+func fieldFault(fields http.Header) string {
+	for name, values := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return "the name of a field has a character that names can't have"
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return "the value of a field has a character that values can't have"
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/hop/checked.go
@@ -0,0 +1,63 @@
+package hop
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is an http.Transport that passes on only answers that are valid HTTP. http.Transport accepts more: it
+// reads fields whose names hold blanks, also where the name without them would say how long the body is.
+//
+// An answer that isn't valid is an InvalidAnswerError. Its connection isn't used again.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	reading := &answerReading{}
+	response, err := t.Transport.RoundTrip(request.WithContext(reading.trace(request.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if reason := headFault(request, response); reason != "" {
+		reading.closeConnection(response)
+		_ = response.Body.Close()
+		return nil, &InvalidAnswerError{Reason: reason}
+	}
+	return response, nil
+}
+
+// answerReading is the reading of the answer to one request.
+type answerReading struct {
+	mutex sync.Mutex
+	// connection is the one that net/http chose last.
+	connection net.Conn
+}
+
+// trace returns a context by which net/http tells what it does.
+func (a *answerReading) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			a.mutex.Lock()
+			defer a.mutex.Unlock()
+			a.connection = info.Conn
+		},
+	})
+}
+
+// closeConnection closes the connection of an HTTP/1 answer. net/http may have put it among those for further requests
+// already.
+func (a *answerReading) closeConnection(response *http.Response) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if response.ProtoMajor == 1 && a.connection != nil {
+		_ = a.connection.Close()
+	}
+}
+
+// EndsWithConnection reports whether the answer has neither a length nor chunks.
+func EndsWithConnection(answer *http.Response) bool {
+	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+}
--- a/internal/hop/transport.go
+++ b/internal/hop/transport.go
@@ -67,7 +67,7 @@
 // send a request twice: if a reused connection turns out to be dead, http.Transport
 // replays a request on its own, but only one that has no body or a body that it can
 // rewind; see oneShotBody.
-func NewTransport(config TransportConfig) *http.Transport {
+func NewTransport(config TransportConfig) *Transport {
 	dial := config.Dial
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
@@ -77,7 +77,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(config.Protocol != HTTP2)
 	protocols.SetUnencryptedHTTP2(config.Protocol == HTTP2)
-	return &http.Transport{
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -93,7 +93,7 @@
 		MaxResponseHeaderBytes: MaxHeadBytes,
 
 		HTTP2: &http.HTTP2Config{SendPingTimeout: http2PingAfter, PingTimeout: http2PingWithin},
-	}
+	}}
 }
 
 // oneShotBody is a request body that can't be sent again. http.Transport replays a
@@ -135,7 +135,7 @@
 
 // NewDirectTransport returns a transport to back ends without an agent. If reuse is set,
 // connections are kept for further requests. A nil dial uses TCP.
-func NewDirectTransport(dial DialFunc, reuse bool) *http.Transport {
+func NewDirectTransport(dial DialFunc, reuse bool) *Transport {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: directDialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
 		dial = dialer.DialContext
--- a/internal/hop/transport_test.go
+++ b/internal/hop/transport_test.go
@@ -58,7 +58,7 @@
 	}
 }
 
-func roundTrip(transport *http.Transport, request *http.Request) error {
+func roundTrip(transport http.RoundTripper, request *http.Request) error {
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return err
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -45,6 +45,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/harriernotch/harriernotch/internal/clock"
+	"github.com/harriernotch/harriernotch/internal/hop"
 )
 
 const (
@@ -72,7 +73,7 @@
 // Transport sends each request at most once, on persistent connections while they are safe and on
 // new ones otherwise.
 type Transport struct {
-	inner *http.Transport
+	inner *hop.Transport
 	clock *clock.Clock
 	lag   func() time.Duration
 
@@ -84,7 +85,7 @@
 
 // New returns a Transport that sends by inner, whose DialContext it replaces by one that calls the
 // previous one; nothing else may use inner for requests. lag returns how late this process runs.
-func New(inner *http.Transport, clock *clock.Clock, lag func() time.Duration) *Transport {
+func New(inner *hop.Transport, clock *clock.Clock, lag func() time.Duration) *Transport {
 	t := &Transport{inner: inner, clock: clock, lag: lag, conns: map[string]map[*conn]bool{}}
 	inner.DialContext = t.trackDial(inner.DialContext)
 	inner.IdleConnTimeout = maxIdle
