Answers: trailers are checked before the end of the body is reported

A back end whose answer ended with a trailer 'Odd Name: x' was answered for with a 200, and a stream with such a trailer was whole.

Cause: the fields after the last chunk are read by the same function as those of the head, at the end of the body, where nothing looked at them.

hop.Transport checks them when the body has ended, and reports an invalid answer in place of the end.

--- a/internal/hop/checked.go
+++ b/internal/hop/checked.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,7 +12,8 @@
 // Transport is an http.Transport that passes on only answers that are valid HTTP. http.Transport accepts more: it
 // reads fields whose names hold blanks, also where the name without them would say how long the body is.
 //
-// An answer that isn't valid is an InvalidAnswerError. Its connection isn't used again.
+// An answer that isn't valid is an InvalidAnswerError: of RoundTrip, or of a read of the body if that shows only at its
+// end. Its connection isn't used again.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -26,6 +28,9 @@
 		_ = response.Body.Close()
 		return nil, &InvalidAnswerError{Reason: reason}
 	}
+	if response.ContentLength < 0 && response.StatusCode != http.StatusSwitchingProtocols {
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response, reading: reading}
+	}
 	return response, nil
 }
 
@@ -57,6 +62,39 @@
 	}
 }
 
+// checkedBody is the body of an answer of unknown length. What its end shows is checked before the end is reported.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+	reading  *answerReading
+	// ended is the checked end, once it has been reached.
+	ended error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(into []byte) (int, error) {
+	if b.ended != nil {
+		return 0, b.ended
+	}
+	count, err := b.ReadCloser.Read(into)
+	if err == io.EOF {
+		err = b.checkEnd()
+	}
+	if err != nil {
+		b.ended = err
+	}
+	return count, err
+}
+
+// checkEnd returns io.EOF if the answer is whole and valid.
+func (b *checkedBody) checkEnd() error {
+	if reason := fieldFault(b.response.Trailer); reason != "" {
+		b.reading.closeConnection(b.response)
+		return &InvalidAnswerError{Reason: "a trailer: " + reason}
+	}
+	return io.EOF
+}
+
 // EndsWithConnection reports whether the answer has neither a length nor chunks.
 func EndsWithConnection(answer *http.Response) bool {
 	return answer.ProtoMajor == 1 && answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
