Answers: informational answers are checked like others

An informational answer (103) with the field 'Odd Name: x' came before a 200, and the caller got that 200. Where such a line stands, what follows may as well be no answer of the back end.

hop.Transport checks their fields by net/http's trace. net/http bounds the heads of all of them together only if nobody looks at them, so that bound (MaxHeadBytes) is kept here: TestEndlessAnswersAreGivenUp/informational answers passes as before.

TestOddAnswersAreRejected/blank in a name of an informational answer: 200 before, 502 now.

--- a/internal/hop/checked.go
+++ b/internal/hop/checked.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 )
 
@@ -39,6 +40,8 @@
 	mutex sync.Mutex
 	// connection is the one that net/http chose last.
 	connection net.Conn
+	// informational is the size of the informational heads so far.
+	informational int
 }
 
 // trace returns a context by which net/http tells what it does.
@@ -49,9 +52,31 @@
 			defer a.mutex.Unlock()
 			a.connection = info.Conn
 		},
+		Got1xxResponse: a.checkInformational,
 	})
 }
 
+// checkInformational checks the head of an informational answer. net/http bounds the heads of all of them together only
+// if nobody looks at them.
+func (a *answerReading) checkInformational(_ int, header textproto.MIMEHeader) error {
+	a.informational += informationalHeadBytes
+	for name, values := range header {
+		for _, value := range values {
+			a.informational += len(name) + len(value)
+		}
+	}
+	if a.informational > MaxHeadBytes {
+		return &InvalidAnswerError{Reason: "the informational answers are too long"}
+	}
+	if reason := fieldFault(http.Header(header)); reason != "" {
+		return &InvalidAnswerError{Reason: reason}
+	}
+	return nil
+}
+
+// informationalHeadBytes is what an informational answer counts beside its fields.
+const informationalHeadBytes = 32
+
 // closeConnection closes the connection of an HTTP/1 answer. net/http may have put it among those for further requests
 // already.
 func (a *answerReading) closeConnection(response *http.Response) {
