Back ends: an address that no machine can have is out of range

Port 0, 0.0.0.0 and multicast addresses were taken for addresses of back ends: the entry counted as one (4 instead of 3 in the metrics) and requests were sent to it; 0.0.0.0 reaches the gateway's own machine. Such an entry is left out and reported as out_of_range.

Before: TestInvalidEntriesAreSkipped failed for port 0, any address and many addresses; ports 65536, -1 and as text, a missing port and a doubled field were left out already.

--- a/internal/catalog/check.go
+++ b/internal/catalog/check.go
@@ -22,9 +22,8 @@
 			return Entry{}, MissingField
 		}
 	}
-	_, err := netip.ParseAddrPort(e.BackEnd.Address)
 	isCount := slots >= 0 && slots <= maxSlots && slots == math.Trunc(slots)
-	if err != nil || !isCount || warmUpMillis < 0 || warmUpMillis > float64(maxWarmUp.Milliseconds()) || e.BackEnd.Born < 0 {
+	if !isDialable(e.BackEnd.Address) || !isCount || warmUpMillis < 0 || warmUpMillis > float64(maxWarmUp.Milliseconds()) || e.BackEnd.Born < 0 {
 		return Entry{}, OutOfRange
 	}
 	e.BackEnd.Slots = int(slots)
@@ -32,6 +31,12 @@
 	return e, ""
 }
 
+// isDialable reports whether the text is the address and port of one machine.
+func isDialable(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
+}
+
 // Check returns the order's fault, or "".
 func (r Rollout) Check() Fault {
 	switch {
