Store: names and versions that fit into no header, line or request are left out

A name of 200 KB in the list of back ends made the read of the next page fail (it went into the request's query: 414), so a starting gateway never became ready. A service, zone or version of 200 KB, or a line feed or zero byte in a name, was taken over: into headers to back ends, messages between gateways, metrics, log lines and the status.

Names of objects of all kinds, services, zones and versions have at most 1 KiB and no control characters; others are reported as out_of_range.

--- a/internal/catalog/check.go
+++ b/internal/catalog/check.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 	"net/netip"
+	"strings"
 	"time"
+	"unicode"
 )
 
 const (
@@ -12,8 +14,17 @@
 	maxSlots           = 1 << 20
 	maxWarmUp          = 24 * time.Hour
 	MaxRolloutDuration = 7 * 24 * time.Hour
+	// MaxNameBytes limits the names and versions that objects have: they go into headers, log lines, metrics and messages
+	// between gateways.
+	MaxNameBytes = 1024
 )
 
+// IsName reports whether the text may be the name of an object, a service or a zone, or a version: it isn't too long, and
+// fits into a header.
+func IsName(text string) bool {
+	return len(text) <= MaxNameBytes && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
 // WithCapacity validates the entry and returns it with the slots and the warm-up in milliseconds
 // that its writer gave. It returns the fault if there is one, or "".
 func (e Entry) WithCapacity(slots, warmUpMillis float64) (Entry, Fault) {
@@ -22,6 +33,11 @@
 			return Entry{}, MissingField
 		}
 	}
+	for _, name := range []string{e.BackEnd.ID, e.BackEnd.Service, e.BackEnd.Zone, e.BackEnd.Version} {
+		if !IsName(name) {
+			return Entry{}, OutOfRange
+		}
+	}
 	isCount := slots >= 0 && slots <= maxSlots && slots == math.Trunc(slots)
 	if !isDialable(e.BackEnd.Address) || !isCount || warmUpMillis < 0 || warmUpMillis > float64(maxWarmUp.Milliseconds()) || e.BackEnd.Born < 0 {
 		return Entry{}, OutOfRange
--- a/internal/gateway/unreadable.go
+++ b/internal/gateway/unreadable.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,6 +15,9 @@
 // limit, all are forgotten, so a revision may then be reported again.
 const maxUnreadable = 256
 
+// maxNameShown limits, in bytes, the beginning of an object's name that is remembered and logged.
+const maxNameShown = 256
+
 // unreadable remembers the store's objects that can't be used, by kind and name, so that each
 // revision is reported once.
 type unreadable struct {
@@ -64,6 +68,9 @@
 func (s *State) NoteUnreadable(object catalog.Unreadable) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if len(object.Name) > maxNameShown {
+		object.Name = strings.ToValidUTF8(object.Name[:maxNameShown], "") + "..."
+	}
 	if !s.unreadable.note(object) {
 		return false
 	}
