Documents with unreadable values are salvaged by a package of the product

What leaves out a value that encoding/json refuses is internal/salvage now, which is told the names of the members to search; the number that may be unusable goes there, and the text after which a list goes on to the follower.

--- a/internal/catalog/limits.go
+++ b/internal/catalog/limits.go
@@ -21,6 +21,13 @@
 	Unusable []string `cbor:"-"`
 }
 
+// NoteUnusable adds the name of a limit of the operators' document to Unusable, if it is unusable.
+func (l *Limits) NoteUnusable(name string, isUnusable bool) {
+	if isUnusable {
+		l.Unusable = append(l.Unusable, name)
+	}
+}
+
 // maxLimitBytes and maxLimitTime are the highest limits; higher ones are taken as these.
 const (
 	maxLimitBytes = 1 << 40
--- a/internal/follower/page.go
+++ b/internal/follower/page.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strings"
+	"unicode"
 
 	"github.com/go-faster/errors"
 
@@ -72,3 +74,12 @@
 	}
 	return Page[T]{}, err
 }
+
+// ContinueAfter returns the text after which a list goes on that has been read up to the name. A name that fits into no
+// request is replaced by one that follows all names with the same beginning: none of them can be used.
+func ContinueAfter(name string) string {
+	if len(name) <= catalog.MaxNameBytes {
+		return name
+	}
+	return strings.ToValidUTF8(name[:catalog.MaxNameBytes], "") + string(unicode.MaxRune)
+}
