Routers and agents outlive their surroundings as gateways do

What callers would see of a router or an agent: it ends while a port is held, and serves nothing any more once the reader of its logs has stalled, because each line was written to standard error by the goroutine of its request.

Cause: the fixes of gateways stood in gateways.

Change: the bounded queue of the event log is a package, internal/logqueue, and the logs of routers and agents go through one; log_lines_dropped counts what found it full. Their listeners are opened patiently and outlive errors of Accept, their tasks and those of their peering run in a task.Group.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/demo"
 	"github.com/harriernotch/harriernotch/internal/failure"
+	"github.com/harriernotch/harriernotch/internal/logqueue"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/soak/wire"
 	"github.com/harriernotch/harriernotch/internal/telemetry"
@@ -75,12 +76,18 @@
 
 // runNode runs a router or an agent until it is told to stop. It has no settings that a reload changes.
 func runNode(signals daemonSignals, s *settings.Settings) error {
-	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	metrics := telemetry.NewMetrics()
+	output := logqueue.New(os.Stderr, func() { metrics.Scope.Counter("log_lines_dropped").Inc(1) })
+	defer output.Close()
+	log, err := telemetry.NewLogger(output, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
 	}
 	daemon.TuneGC()
-	node, err := daemon.Start(s, daemon.Environment{Log: log})
+	node, err := daemon.Start(s, daemon.Environment{Log: log, Metrics: metrics, Starting: signals.stopping})
+	if signals.stopping.Err() != nil && err != nil {
+		return nil // told to stop before it had started
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -101,7 +101,7 @@
 		config: config, ctx: ctx, cancel: cancel, aggregator: NewAggregator(),
 		links:        peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
 		skippedUntil: map[string]time.Time{}, inFlight: map[string]bool{},
-		tasks: task.NewGroup(config.Log, config.Metrics),
+		tasks: task.NewGroup(config.Log.Entry(), config.Metrics),
 	}
 	s.tasks.Keep(ctx, "collect_loads", s.run)
 	return s
--- a/internal/daemon/accept.go
+++ b/internal/daemon/accept.go
@@ -6,8 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/harriernotch/harriernotch/internal/eventlog"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -21,7 +20,7 @@
 // would live on without its listener.
 type acceptingListener struct {
 	net.Listener
-	log *eventlog.Log
+	log logrus.FieldLogger
 	// isLogged is true while consecutive calls of Accept fail.
 	isLogged atomic.Bool
 }
@@ -39,7 +38,7 @@
 			return nil, err
 		}
 		if !l.isLogged.Swap(true) {
-			l.log.Entry().WithError(err).WithField("listener", l.Addr().String()).Error("connections can't be accepted; trying again")
+			l.log.WithError(err).WithField("listener", l.Addr().String()).Error("connections can't be accepted; trying again")
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, maxAcceptPause)
--- a/internal/daemon/accept_test.go
+++ b/internal/daemon/accept_test.go
@@ -51,7 +51,7 @@
 			inner.errors = append(inner.errors, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EMFILE)
 		}
 		began := time.Now()
-		listener := &acceptingListener{Listener: inner, log: log}
+		listener := &acceptingListener{Listener: inner, log: log.Entry()}
 		accepted, err := listener.Accept()
 		is.NoErr(err)
 		is.Equal(accepted, server)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 
 	"github.com/harriernotch/harriernotch/internal/agent"
 	"github.com/harriernotch/harriernotch/internal/agent/agenthttp"
@@ -27,6 +26,7 @@
 	"github.com/harriernotch/harriernotch/internal/routing"
 	"github.com/harriernotch/harriernotch/internal/settings"
 	"github.com/harriernotch/harriernotch/internal/slo"
+	"github.com/harriernotch/harriernotch/internal/task"
 	"github.com/harriernotch/harriernotch/internal/telemetry"
 )
 
@@ -42,6 +42,10 @@
 	Platform objectstore.Client
 	// Log is the node's logger.
 	Log logrus.FieldLogger
+	// Metrics are the node's metrics, which it closes; nil makes them.
+	Metrics *telemetry.Metrics
+	// Starting ends when the start is to be given up; nil means never.
+	Starting context.Context
 }
 
 // roleServer is the common interface of the router's and the agent's HTTP server.
@@ -69,7 +73,7 @@
 	peers     net.Listener
 	admin     net.Listener
 	servers   []*http.Server
-	tasks     conc.WaitGroup
+	tasks     *task.Group
 	stopTicks context.CancelFunc
 }
 
@@ -78,15 +82,22 @@
 	if environment.Listen == nil {
 		environment.Listen = net.Listen
 	}
+	if environment.Starting == nil {
+		environment.Starting = context.Background()
+	}
+	if environment.Metrics == nil {
+		environment.Metrics = telemetry.NewMetrics()
+	}
 	if environment.Platform == nil && s.Platform.URL != "" {
 		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial, MaxResponseHeaderBytes: hop.MaxHeadBytes})
 	}
 	n := &Node{
 		settings:   s,
 		log:        environment.Log.WithFields(logrus.Fields{"node": s.ID, "role": s.Role}),
-		metrics:    telemetry.NewMetrics(),
+		metrics:    environment.Metrics,
 		objectives: slo.NewRecorder(),
 	}
+	n.tasks = task.NewGroup(n.log, n.metrics.Scope)
 	if err := n.listen(environment); err != nil {
 		return nil, err
 	}
@@ -96,21 +107,18 @@
 	return n, nil
 }
 
-func (n *Node) listen(environment Environment) error {
-	var err error
-	if n.peers, err = environment.Listen("tcp", n.settings.Listen.Peers); err != nil {
-		return failure.Wrap(failure.InvalidSettings, err, "listen.peers can't be opened; free the port or choose another")
+func (n *Node) listen(environment Environment) (err error) {
+	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, log: n.log}
+	if n.peers, err = opener.open("listen.peers", n.settings.Listen.Peers); err != nil {
+		return err
 	}
-	if n.admin, err = environment.Listen("tcp", n.settings.Listen.Admin); err != nil {
-		return failure.Wrap(failure.InvalidSettings, err, "listen.admin can't be opened; free the port or choose another")
+	if n.admin, err = opener.open("listen.admin", n.settings.Listen.Admin); err != nil {
+		return err
 	}
-	if n.settings.Role != settings.RoleRouter {
-		return nil
-	}
-	if n.callers, err = environment.Listen("tcp", n.settings.Listen.Callers); err != nil {
-		return failure.Wrap(failure.InvalidSettings, err, "listen.callers can't be opened; free the port or choose another")
+	if n.settings.Role == settings.RoleRouter {
+		n.callers, err = opener.open("listen.callers", n.settings.Listen.Callers)
 	}
-	return nil
+	return err
 }
 
 // assemble builds the state machine and the HTTP server of the node's role and
@@ -197,7 +205,7 @@
 	n.serveOn(n.admin, n.adminHandler())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopTicks = cancel
-	n.tasks.Go(func() { n.tick(ctx) })
+	n.tasks.Keep(ctx, "tick", func() { n.tick(ctx) })
 }
 
 // readHeaderTimeout is the time within which a client must send its request headers.
@@ -214,8 +222,8 @@
 		ErrorLog:          newServerLog(n.log),
 	}
 	n.servers = append(n.servers, server)
-	n.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	n.tasks.Go("serve", func() {
+		if err := server.Serve(&acceptingListener{Listener: listener, log: n.log}); !errors.Is(err, http.ErrServerClosed) {
 			n.log.WithError(err).Error("listener failed")
 		}
 	})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -117,7 +117,7 @@
 
 		done: make(chan struct{}),
 	}
-	g.tasks = task.NewGroup(g.log, g.metrics.Scope)
+	g.tasks = task.NewGroup(g.log.Entry(), g.metrics.Scope)
 	g.running, g.endRunning = context.WithCancel(environment.Starting)
 	if err := g.serve(environment); err != nil {
 		return nil, err
@@ -170,7 +170,8 @@
 // serve opens the listeners and starts the gateway's servers and its exchange with other
 // gateways.
 func (g *Gateway) serve(environment GatewayEnvironment) error {
-	listeners, err := g.openListeners(environment)
+	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, log: g.log.Entry()}
+	listeners, err := g.openListeners(opener)
 	if err != nil {
 		return err
 	}
@@ -202,7 +203,7 @@
 		ID: g.settings.ID, Source: collectSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
 	})
 	g.origins = origins.Start(origins.Config{
-		ID: g.settings.ID, Source: originSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log, Metrics: g.metrics.Scope,
+		ID: g.settings.ID, Source: originSource{g.state, g.relay}, Clock: environment.Clock, Dial: environment.Dial, Log: g.log.Entry(), Metrics: g.metrics.Scope,
 	})
 }
 
@@ -264,9 +265,9 @@
 	mux.Handle("GET /metrics", g.metrics.Handler)
 	server := g.newServer(mux)
 	g.otherServers = append(g.otherServers, server)
-	environment.Starting = g.running
+	opener := addressOpener{listen: environment.Listen, starting: g.running, log: g.log.Entry()}
 	g.tasks.Go("serve_metrics", func() {
-		listener, err := openPatiently(environment, "listen.metrics", g.settings.Listen.Metrics)
+		listener, err := opener.open("listen.metrics", g.settings.Listen.Metrics)
 		if err != nil {
 			g.log.Entry().WithError(err).Error("the gateway goes on without listen.metrics")
 			return
@@ -310,7 +311,7 @@
 
 // serveOn serves requests until the server is closed.
 func (g *Gateway) serveOn(server *http.Server, listener net.Listener) {
-	err := server.Serve(&acceptingListener{Listener: listener, log: g.log})
+	err := server.Serve(&acceptingListener{Listener: listener, log: g.log.Entry()})
 	isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
 	if !isStopped {
 		g.log.Entry().WithError(err).Error("listener failed")
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -23,14 +23,14 @@
 
 // openListeners opens the listeners that the gateway can't do without, and returns them by the name of
 // their setting.
-func (g *Gateway) openListeners(environment GatewayEnvironment) (map[string]net.Listener, error) {
+func (g *Gateway) openListeners(opener addressOpener) (map[string]net.Listener, error) {
 	listeners := map[string]net.Listener{}
 	for field, address := range map[string]string{
 		"listen.callers": g.settings.Listen.Callers,
 		"listen.peers":   g.settings.Listen.Peers,
 		"listen.admin":   g.settings.Listen.Admin,
 	} {
-		listener, err := openPatiently(environment, field, address)
+		listener, err := opener.open(field, address)
 		if err != nil {
 			for _, opened := range listeners {
 				_ = opened.Close()
@@ -42,15 +42,24 @@
 	return listeners, nil
 }
 
-// openPatiently opens a listener. While the address is in use or not there, it tries again for up to addressPatience.
-func openPatiently(environment GatewayEnvironment, field, address string) (net.Listener, error) {
-	patience, cancel := context.WithTimeout(environment.Starting, addressPatience)
+// addressOpener opens listeners.
+type addressOpener struct {
+	listen func(network, address string) (net.Listener, error)
+	// starting ends when the start is to be given up.
+	starting context.Context
+	log      logrus.FieldLogger
+}
+
+// open opens the listener of a setting. While the address is in use or not there, it tries again for up to
+// addressPatience.
+func (o addressOpener) open(field, address string) (net.Listener, error) {
+	patience, cancel := context.WithTimeout(o.starting, addressPatience)
 	defer cancel()
 	pause := time.NewTicker(addressRetryPause)
 	defer pause.Stop()
 	isLogged := false
 	for {
-		listener, err := environment.Listen("tcp", address)
+		listener, err := o.listen("tcp", address)
 		if err == nil {
 			return listener, nil
 		}
@@ -59,7 +68,7 @@
 			return nil, err
 		}
 		if !isLogged {
-			environment.Log.Warn(eventlog.StartDelayed, logrus.Fields{"cause": err.Error()})
+			o.log.WithField("cause", err.Error()).Warn(string(eventlog.StartDelayed))
 			isLogged = true
 		}
 		select {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -13,6 +13,8 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
+
+	"github.com/harriernotch/harriernotch/internal/logqueue"
 )
 
 // Event names a kind of line. docs/OPERATIONS.md explains each.
@@ -81,8 +83,6 @@
 }
 
 const (
-	// queueLines is the number of lines that can wait for the output.
-	queueLines = 512
 	// infoPerSecond and warnPerSecond limit the rates of lines at the two levels.
 	// The burst sizes are the same numbers.
 	infoPerSecond = 20
@@ -94,36 +94,33 @@
 // Log writes lines. It is safe for concurrent use.
 type Log struct {
 	logger    *logrus.Entry
-	queue     chan []byte
+	queue     *logqueue.Queue
 	infoLimit *rate.Limiter
 	warnLimit *rate.Limiter
 	// dropped counts the lines dropped since the last report, droppedTotal since the
 	// start.
 	dropped      atomic.Int64
 	droppedTotal atomic.Int64
-	// unwritten counts the lines that the output didn't take.
-	unwritten atomic.Int64
-	done      chan struct{}
-	// written is closed when the writer has ended.
-	written chan struct{}
+	// done is closed to end the reports on dropped lines, and reported once they have ended.
+	done, reported chan struct{}
 }
 
 // New returns a log that writes to the output, with the given fields in every line,
 // and starts its writer. Close stops it.
 func New(output io.Writer, level logrus.Level, fields logrus.Fields) *Log {
 	l := &Log{
-		queue:     make(chan []byte, queueLines),
 		infoLimit: rate.NewLimiter(infoPerSecond, infoPerSecond),
 		warnLimit: rate.NewLimiter(warnPerSecond, warnPerSecond),
 		done:      make(chan struct{}),
-		written:   make(chan struct{}),
+		reported:  make(chan struct{}),
 	}
+	l.queue = logqueue.New(output, l.countDropped)
 	logger := logrus.New()
-	logger.SetOutput(queueWriter{l})
+	logger.SetOutput(l.queue)
 	logger.SetLevel(level)
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	l.logger = logger.WithFields(fields)
-	go l.write(output)
+	go l.reportPeriodically()
 	return l
 }
 
@@ -171,50 +168,27 @@
 func (l *Log) Dropped() int64 { return l.droppedTotal.Load() }
 
 // Unwritten returns the number of lines that the output didn't take since the start.
-func (l *Log) Unwritten() int64 { return l.unwritten.Load() }
-
-// closeTimeout is how long Close waits for the output. A gateway that stops has 400 ms for its last lines; see
-// settings.DrainTimeout.
-const closeTimeout = 250 * time.Millisecond
+func (l *Log) Unwritten() int64 { return l.queue.Unwritten() }
 
-// Close stops the writer after it has written the queued lines. If the output blocks for closeTimeout, the lines that
-// it hasn't taken are lost.
+// Close writes a last report on dropped lines, if the queue has room for it, and the queued lines. It doesn't wait for
+// long if the output blocks.
 func (l *Log) Close() {
 	close(l.done)
-	timer := time.NewTimer(closeTimeout)
-	defer timer.Stop()
-	select {
-	case <-l.written:
-	case <-timer.C:
-	}
+	<-l.reported
+	l.queue.Close()
 }
 
-// queueWriter puts lines into the queue, or counts them as dropped if it is full.
-type queueWriter struct{ log *Log }
-
-// Write implements io.Writer. It never blocks.
-func (q queueWriter) Write(line []byte) (int, error) {
-	select {
-	case q.log.queue <- append([]byte(nil), line...):
-	default:
-		q.log.countDropped()
-	}
-	return len(line), nil
-}
-
-// write copies lines from the queue to the output until Close.
-func (l *Log) write(output io.Writer) {
-	defer close(l.written)
+// reportPeriodically reports on dropped lines until Close.
+func (l *Log) reportPeriodically() {
+	defer close(l.reported)
 	report := time.NewTicker(dropReportPeriod)
 	defer report.Stop()
 	for {
 		select {
-		case line := <-l.queue:
-			l.writeLine(output, line)
 		case <-report.C:
 			l.reportDropped()
 		case <-l.done:
-			l.drain(output)
+			l.reportDropped()
 			return
 		}
 	}
@@ -228,24 +202,3 @@
 		l.logger.WithField("lines", count).Info(string(LinesDropped))
 	}
 }
-
-// drain writes the queued lines, and a last report on dropped ones if the queue has
-// room for it.
-func (l *Log) drain(output io.Writer) {
-	l.reportDropped()
-	for {
-		select {
-		case line := <-l.queue:
-			l.writeLine(output, line)
-		default:
-			return
-		}
-	}
-}
-
-// writeLine writes a line. The error of an output that fails is counted, because it can't be logged anywhere else.
-func (l *Log) writeLine(output io.Writer, line []byte) {
-	if _, err := output.Write(line); err != nil {
-		l.unwritten.Add(1)
-	}
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -90,7 +90,7 @@
 // Start starts a follower.
 func Start(config Config) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Follower{config: config, tasks: task.NewGroup(config.Log, config.Metrics), cancel: cancel, watches: newWatches(ctx), firstStart: firstStart{decided: make(chan struct{})}}
+	f := &Follower{config: config, tasks: task.NewGroup(config.Log.Entry(), config.Metrics), cancel: cancel, watches: newWatches(ctx), firstStart: firstStart{decided: make(chan struct{})}}
 	f.tasks.Go("decide_first_start", func() { f.decideFirstStart(ctx) })
 	configurations := f.configurations()
 	lists := []list{configurations}
--- a/internal/origins/service.go
+++ b/internal/origins/service.go
@@ -20,11 +20,11 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/clock"
 	"github.com/harriernotch/harriernotch/internal/dispatch"
-	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/peerlink"
 	"github.com/harriernotch/harriernotch/internal/task"
@@ -60,7 +60,7 @@
 	// Clock measures ages; nil is the monotonic one.
 	Clock *clock.Clock
 	// Log and Metrics receive events and metrics for operators.
-	Log     *eventlog.Log
+	Log     logrus.FieldLogger
 	Metrics tally.Scope
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -12,12 +12,12 @@
 
 	"github.com/coder/websocket"
 	"github.com/sirupsen/logrus"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/harriernotch/harriernotch/internal/coordination"
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/objectstore"
+	"github.com/harriernotch/harriernotch/internal/task"
 )
 
 // Path is the path for control connections on a node's peer listener.
@@ -57,7 +57,7 @@
 	client *http.Client
 	ctx    context.Context
 	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	tasks  *task.Group
 	lastID atomic.Uint64
 
 	mutex  sync.Mutex
@@ -83,6 +83,7 @@
 		ctx:    ctx,
 		cancel: cancel,
 		links:  map[coordination.LinkID]*connection{},
+		tasks:  task.NewGroup(config.Log, config.Metrics),
 	}
 }
 
@@ -97,11 +98,11 @@
 }
 
 // spawn starts a task for which Close waits. It does nothing if Close has been called.
-func (p *Peering) spawn(task func()) {
+func (p *Peering) spawn(name string, run func()) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if !p.closed {
-		p.tasks.Go(task)
+		p.tasks.Go(name, run)
 	}
 }
 
@@ -112,13 +113,13 @@
 		case coordination.Send:
 			p.send(a)
 		case coordination.Connect:
-			p.spawn(func() { p.dial(a) })
+			p.spawn("dial_peer", func() { p.dial(a) })
 		case coordination.Disconnect:
 			p.disconnect(a.Link)
 		case coordination.ReadPlatform:
-			p.spawn(func() { p.readPlatform(a) })
+			p.spawn("read_platform", func() { p.readPlatform(a) })
 		case coordination.ReadMachines:
-			p.spawn(p.readMachines)
+			p.spawn("read_machines", p.readMachines)
 		case coordination.BundleAdopted:
 			p.config.Log.WithFields(logrus.Fields{"number": a.Bundle.Number, "note": a.Bundle.Note}).Info("bundle in force")
 			p.config.Metrics.Gauge("bundle_number").Update(float64(a.Bundle.Number))
@@ -210,13 +211,18 @@
 	p.mutex.Lock()
 	p.links[link.id] = link
 	p.mutex.Unlock()
-	var writer conc.WaitGroup
-	writer.Go(func() { p.write(ctx, link) })
 	p.config.Deliver(coordination.LinkUp{Link: link.id, Peer: peer, Dialed: dialed})
+	defer p.noteLinkDown(link, peer)
+	writer := task.NewGroup(p.config.Log, p.config.Metrics)
+	defer writer.Wait()
+	defer socket.CloseNow()
+	defer cancel()
+	writer.Go("write_to_peer", func() { p.write(ctx, link) })
 	p.read(ctx, link)
-	cancel()
-	_ = socket.CloseNow()
-	writer.Wait()
+}
+
+// noteLinkDown records that a connection has ended.
+func (p *Peering) noteLinkDown(link *connection, peer string) {
 	p.mutex.Lock()
 	delete(p.links, link.id)
 	p.mutex.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,7 +68,7 @@
 		cancel: cancel,
 		peers:  NewPeerTable(config.ID, config.Address, config.Seeds),
 		opened: map[string]openedLink{},
-		tasks:  task.NewGroup(config.Log, config.Metrics),
+		tasks:  task.NewGroup(config.Log.Entry(), config.Metrics),
 	}
 	r.tasks.Keep(ctx, "maintain_links", r.maintainLinks)
 	return r
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -20,13 +20,13 @@
 
 // Group is a group of tasks that one owner starts and waits for. It is safe for concurrent use.
 type Group struct {
-	log     *eventlog.Log
+	log     logrus.FieldLogger
 	metrics tally.Scope
 	tasks   conc.WaitGroup
 }
 
 // NewGroup returns a group whose panics are logged and counted in tasks_panicked.
-func NewGroup(log *eventlog.Log, metrics tally.Scope) *Group {
+func NewGroup(log logrus.FieldLogger, metrics tally.Scope) *Group {
 	return &Group{log: log, metrics: metrics}
 }
 
@@ -62,6 +62,7 @@
 		return false
 	}
 	g.metrics.Tagged(map[string]string{"task": name}).Counter("tasks_panicked").Inc(1)
-	g.log.Warn(eventlog.TaskPanicked, logrus.Fields{"task": name, "cause": fmt.Sprint(recovered.Value), "stack": string(recovered.Stack)})
+	fields := logrus.Fields{"task": name, "cause": fmt.Sprint(recovered.Value), "stack": string(recovered.Stack)}
+	g.log.WithFields(fields).Warn(string(eventlog.TaskPanicked))
 	return true
 }
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -21,7 +21,7 @@
 		var output bytes.Buffer
 		log := eventlog.New(&output, logrus.InfoLevel, nil)
 		scope := tally.NewTestScope("", nil)
-		group := NewGroup(log, scope)
+		group := NewGroup(log.Entry(), scope)
 		ctx, cancel := context.WithCancel(context.Background())
 		runs := 0
 		group.Keep(ctx, "loop", func() {
@@ -48,7 +48,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log := eventlog.New(&bytes.Buffer{}, logrus.InfoLevel, nil)
-		group := NewGroup(log, tally.NoopScope)
+		group := NewGroup(log.Entry(), tally.NoopScope)
 		ctx, cancel := context.WithCancel(context.Background())
 		runs := 0
 		group.Keep(ctx, "loop", func() {
