Streams: gateways that are cut off together don't take what they know for all there is

A gateway that has to resume a stream without a record relied on the only version that it knew while its list was at most 5 s old and at least one other gateway answered. A new version gets requests 2 s after it is listed (with orders to move services). So two or three gateways that were cut off together from the store and from the others told each other that one version serves, and continued streams at it that had begun at the new one elsewhere (ORDER).

A list counts for 1.5 s now: the 2 s less the way of a change through the fleet. While the store answers nobody, it counts for 5 s as before if the gateway has heard of every live gateway within the 1.5 s.

One gateway alone, and gateways that come back, refused before already.

--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -42,5 +42,5 @@
 
 // AnswerOrigin implements origins.Source.
 func (s originSource) AnswerOrigin(question dispatch.OriginQuestion) dispatch.OriginAnswer {
-	return s.State.AnswerOrigin(question, s.relay.StoreAge())
+	return s.State.AnswerOrigin(question, s.relay.StoreAge(), s.relay.ContactAge())
 }
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -174,12 +174,29 @@
 	Mixed       bool   `cbor:"4,keyasint,omitempty"`
 }
 
-// maxListAge is the age of the store's last answer, to any gateway in contact, up to which the known
-// back ends count as all that there are. A gateway that is cut off may not know of a new version.
-const maxListAge = 5 * time.Second
+const (
+	// maxListAge is the age of what this gateway knows up to which the known back ends count as all that there are.
+	// Gateways that are cut off, alone or together, may not know of a new version. Others send its back ends requests
+	// after newVersionHold, by which time an older list no longer counts; listSpread is how much earlier, since a
+	// change takes its time from the store to a gateway.
+	maxListAge = newVersionHold - listSpread
+	listSpread = 500 * time.Millisecond
+	// maxOutage is how long the store may answer nobody until a list no longer counts. It is shorter than the time for
+	// which a gateway that isn't heard of any more counts as live.
+	maxOutage = 5 * time.Second
+)
+
+// ListAge returns the age of what a gateway knows: storeAge is the time since the store last answered a gateway that this
+// one is in contact with, and contactAge the time since it last heard of the live gateway of which it has heard longest ago.
+// While the store answers nobody and all gateways hear of each other, none knows of more than the others.
+func ListAge(storeAge, contactAge time.Duration) time.Duration {
+	if storeAge > maxOutage {
+		return storeAge
+	}
+	return min(storeAge, contactAge)
+}
 
-// AnswerOrigin returns what this gateway knows. listAge is the time since the store last answered a
-// gateway that this one is in contact with.
+// AnswerOrigin returns what this gateway knows, whose age is listAge; see ListAge.
 func (c *Core) AnswerOrigin(now time.Time, question OriginQuestion, listAge time.Duration) OriginAnswer {
 	var answer OriginAnswer
 	if origin, known := c.origins.get(now, question.Key); known && question.Key != 0 {
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -314,3 +314,18 @@
 	core.SettleRoute(now, questions[0], OriginAnswer{Uniform: true, OnlyVersion: "v1"})
 	is.True(core.AnswerOrigin(now, questions[0], 0).Mixed)
 }
+
+// Guards against gateways that are cut off together and take what they know for all there is.
+func TestListAgeOfGatewaysThatAreCutOff(t *testing.T) {
+	tests := map[string]struct{ storeAge, contactAge, age time.Duration }{
+		"in touch":                          {400 * time.Millisecond, 900 * time.Millisecond, 400 * time.Millisecond},
+		"cut off from others and the store": {3 * time.Second, 3 * time.Second, 3 * time.Second},
+		"the store answers nobody":          {3 * time.Second, 200 * time.Millisecond, 200 * time.Millisecond},
+		"the store answers nobody for long": {6 * time.Second, 200 * time.Millisecond, 6 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(ListAge(test.storeAge, test.contactAge), test.age)
+		})
+	}
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -136,10 +136,10 @@
 func (s *State) knowsServices() bool { return s.view.Index() != nil && s.listed }
 
 // AnswerOrigin returns what this gateway knows of where a stream began. peersStoreAge is the time since the
-// store last answered a gateway that this one hears of.
-func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge time.Duration) dispatch.OriginAnswer {
+// store last answered a gateway that this one hears of; contactAge is that of dispatch.ListAge.
+func (s *State) AnswerOrigin(question dispatch.OriginQuestion, peersStoreAge, contactAge time.Duration) dispatch.OriginAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock.Now()
-	return s.core.AnswerOrigin(now, question, min(s.storeAge(now), peersStoreAge))
+	return s.core.AnswerOrigin(now, question, dispatch.ListAge(min(s.storeAge(now), peersStoreAge), contactAge))
 }
--- a/internal/relay/peertable.go
+++ b/internal/relay/peertable.go
@@ -267,6 +267,18 @@
 	return age
 }
 
+// ContactAge returns the time since this gateway last heard of the live one of which it has heard longest ago; 0 if
+// there are no others.
+func (t *PeerTable) ContactAge(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, peer := range t.peers {
+		if t.isLive(now, peer) {
+			age = max(age, now.Sub(peer.lastSeenAt))
+		}
+	}
+	return age
+}
+
 // LivePeers returns the other live gateways.
 func (t *PeerTable) LivePeers(now time.Time) []Peer {
 	var live []Peer
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,6 +99,13 @@
 	return r.peers.StoreAge(r.config.State.Clock().Now())
 }
 
+// ContactAge returns the time since this gateway last heard of the live gateway of which it has heard longest ago.
+func (r *Relay) ContactAge() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.peers.ContactAge(r.config.State.Clock().Now())
+}
+
 // SetSeeds replaces the seeds.
 func (r *Relay) SetSeeds(seeds []string) {
 	r.mutex.Lock()
