Streams: a stream isn't resumed on the word of a few gateways

Where a new version gets requests as soon as it is listed (no orders to move services), streams can begin at it within a moment of a cut, while the list of gateways that are cut off together is still fresh. One answer of the four gateways that are asked was enough for them.

The case 'peers of an older build' of TestResolveOrigin had one answer of four; it has two, and cases with one of four and two of five were added.

--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -227,8 +227,8 @@
 // asked is the number of other gateways that were asked.
 //
 // A record is decisive. Without one, the stream began while the route led to one version only, if it
-// still does and nobody has seen another. A gateway that gets no answer from any other may be cut off
-// from those that have; so it doesn't rely on what it knows.
+// still does and nobody has seen another. A gateway that gets an answer from less than half of those that it
+// asked may be cut off, with some others, from those that have; so it doesn't rely on what they know.
 func ResolveOrigin(question OriginQuestion, own OriginAnswer, others []OriginAnswer, asked int) (StreamOrigin, OriginSource) {
 	if own.Recorded != nil {
 		return *own.Recorded, OriginOwnRecord
@@ -238,7 +238,7 @@
 			return *each.Recorded, OriginPeerRecord
 		}
 	}
-	if asked > 0 && len(others) == 0 {
+	if 2*len(others) < asked {
 		return StreamOrigin{}, OriginUnknown
 	}
 	origin, source := StreamOrigin{}, OriginUnknown
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -249,7 +249,10 @@
 		"a peer has seen another":        {uniform("v1"), []OriginAnswer{uniform("v1"), mixed}, 4, StreamOrigin{}, OriginUnknown},
 		"views differ":                   {uniform("v1"), []OriginAnswer{uniform("v2")}, 4, StreamOrigin{}, OriginUnknown},
 		"cut off from all":               {uniform("v1"), nil, 4, StreamOrigin{}, OriginUnknown},
-		"peers of an older build":        {uniform("v1"), []OriginAnswer{unsure}, 4, v1, OriginUniform},
+		"views of all differ":            {uniform("v1"), []OriginAnswer{uniform("v2")}, 1, StreamOrigin{}, OriginUnknown},
+		"peers of an older build":        {uniform("v1"), []OriginAnswer{unsure, unsure}, 4, v1, OriginUniform},
+		"cut off with one of four":       {uniform("v1"), []OriginAnswer{uniform("v1")}, 4, StreamOrigin{}, OriginUnknown},
+		"cut off with two of five":       {uniform("v1"), []OriginAnswer{uniform("v1"), unsure}, 5, StreamOrigin{}, OriginUnknown},
 		"the only gateway":               {uniform("v1"), nil, 0, v1, OriginUniform},
 		"the only gateway, just started": {unsure, nil, 0, StreamOrigin{}, OriginUnknown},
 	}
--- a/internal/origins/settle.go
+++ b/internal/origins/settle.go
@@ -14,7 +14,7 @@
 		peers := firstInOrder(dispatch.OriginKeyOf("", s.config.ID), settlePeers, members(0, 1, s.config.ID, s.config.Source.Live()))
 		for _, peer := range peers {
 			s.spawn("ask_about_route", func() {
-				if answer := s.ask(peer, question); answer != nil {
+				if answer, _ := s.ask(peer, question); answer != nil {
 					s.config.Source.SettleRoute(question, *answer)
 				}
 			})
