Store: a list that can't go on doesn't count as complete

A page without any readable name, with more to follow, ended the list, and all that it didn't hold counted as removed. Its read fails now: what is known holds, and the watch goes on.

Before: TestListThatCannotGoOnIsNotComplete got the first page as the whole list.

--- a/internal/follower/page.go
+++ b/internal/follower/page.go
@@ -50,9 +50,12 @@
 			at = page.At
 		}
 		list = append(list, page.Items...)
-		if !page.More || page.Last == "" {
+		if !page.More {
 			return list, at, nil
 		}
+		if page.Last == "" {
+			return nil, catalog.Position{}, errors.New("no object of a page has a name from which the list goes on")
+		}
 		after = page.Last
 	}
 	return nil, catalog.Position{}, errors.Errorf("the list has more than %d pages", maxPages)
