Answers: a status that no answer to the request has is invalid

A back end in trouble answered with status 000 or 099: net/http panics in WriteHeader, and the caller's connection was closed without an answer. A 101 that nobody asked for was passed on as a last answer, or held its request for good; 600 and 999 were passed on.

Cause: net/http reads any three digits (also '+99' and '-00') as a status; whoever passes an answer on has to check it.

hop.Transport accepts 200 to 599, and 101 if the request asked for an upgrade. Others are invalid answers: another attempt where the request may be repeated, else 502.

TestOddAnswersAreRejected before: no answer for 000, 099, +99 and -00; status 600, 999 and 101 passed on; the 101 with an Upgrade field ran into the test's time limit. Now 502 for all.

--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -23,9 +23,32 @@
 
 // headFault returns what is wrong with the head of the answer to a request, or "".
 func headFault(request *http.Request, answer *http.Response) string {
+	if reason := statusFault(request, answer); reason != "" {
+		return reason
+	}
 	return fieldFault(answer.Header)
 }
 
+const (
+	// lowestStatus is the lowest status of an answer that isn't informational, and highestStatus the highest that has a
+	// meaning.
+	lowestStatus  = 200
+	highestStatus = 599
+)
+
+// statusFault returns what is wrong with the status of the answer to a request, or "". net/http passes informational
+// answers on only if they are the last that is sent on their connection.
+func statusFault(request *http.Request, answer *http.Response) string {
+	switch {
+	case answer.StatusCode == http.StatusSwitchingProtocols && request.Header.Get("Upgrade") != "":
+		return ""
+	case answer.StatusCode < lowestStatus || answer.StatusCode > highestStatus:
+		return "its status isn't that of an answer to this request"
+	default:
+		return ""
+	}
+}
+
 // fieldFault returns what is wrong with the names and values of fields, or "".
 func fieldFault(fields http.Header) string {
 	for name, values := range fields {
