Answers: heads that frame a body in no valid way are invalid

Chunks in an answer of HTTP/1.0 came to callers with their framing as the body: net/http ignores Transfer-Encoding there, and removes the field, so that nobody can tell it from a plain body. Such an answer needs a length. A 204 with a length or chunks, a version of HTTP that doesn't exist and a control byte in the status line were passed on or followed as well.

TestOddAnswersAreRejected before: 200 with the framing as the body, 204, 200 and 200; now 502 for all.

--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -26,9 +26,32 @@
 	if reason := statusFault(request, answer); reason != "" {
 		return reason
 	}
+	if reason := framingFault(answer); reason != "" {
+		return reason
+	}
+	if !httpguts.ValidHeaderFieldValue(answer.Status) {
+		return "its status line has a character that it can't have"
+	}
 	return fieldFault(answer.Header)
 }
 
+// framingFault returns what is wrong with how the answer says where its body ends, or "".
+func framingFault(answer *http.Response) string {
+	switch {
+	case answer.ProtoMajor != 1 && answer.ProtoMajor != 2:
+		return "its version of HTTP isn't one that was asked for"
+	case !answer.ProtoAtLeast(1, 1) && answer.ContentLength < 0:
+		return "it has no length, and chunks aren't read in its version of HTTP" // net/http would pass their framing on
+	case answer.StatusCode == http.StatusNoContent && (len(answer.TransferEncoding) > 0 || !isNone(answer.Header.Get("Content-Length"))):
+		return "it says that it has a body, which its status can't have"
+	default:
+		return ""
+	}
+}
+
+// isNone reports whether the value of a Content-Length field announces no body.
+func isNone(length string) bool { return length == "" || length == "0" }
+
 const (
 	// lowestStatus is the lowest status of an answer that isn't informational, and highestStatus the highest that has a
 	// meaning.
