Answers: without a length, only whole requests have whole answers

A back end that ended while it was still being sent a request, with an ordinary end of its connection after a part of an answer without a length, gave its caller that part as a whole answer: the sibling of the reset.

TestAnswerWithoutLengthNeedsWholeRequest before: whole with nothing of the body sent; now an error, and answers after whole requests are whole.

--- a/internal/hop/checked.go
+++ b/internal/hop/checked.go
@@ -8,6 +8,9 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Transport is an http.Transport that passes on only answers that are valid HTTP. http.Transport accepts more: it
@@ -40,6 +43,8 @@
 	mutex sync.Mutex
 	// connection is the one that net/http chose last.
 	connection net.Conn
+	// requestWritten receives the outcome of writing the request to it.
+	requestWritten chan error
 	// informational is the size of the informational heads so far.
 	informational int
 }
@@ -50,7 +55,18 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			a.mutex.Lock()
 			defer a.mutex.Unlock()
-			a.connection = info.Conn
+			a.connection, a.requestWritten = info.Conn, make(chan error, 1)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			a.mutex.Lock()
+			defer a.mutex.Unlock()
+			if a.requestWritten == nil {
+				return
+			}
+			select {
+			case a.requestWritten <- info.Err:
+			default: // of an earlier connection
+			}
 		},
 		Got1xxResponse: a.checkInformational,
 	})
@@ -87,6 +103,25 @@
 	}
 }
 
+// errRequestUnfinished means that an answer ended with its connection before its request was written.
+var errRequestUnfinished = errors.New("the request was not written whole")
+
+// awaitRequest waits until the request is written, for unfinishedWriteLimit at most: the answer may have overtaken the
+// return of the last write.
+func (a *answerReading) awaitRequest() error {
+	a.mutex.Lock()
+	written := a.requestWritten
+	a.mutex.Unlock()
+	timeout := time.NewTimer(unfinishedWriteLimit)
+	defer timeout.Stop()
+	select {
+	case err := <-written:
+		return err
+	case <-timeout.C:
+		return errRequestUnfinished
+	}
+}
+
 // checkedBody is the body of an answer of unknown length. What its end shows is checked before the end is reported.
 type checkedBody struct {
 	io.ReadCloser
@@ -117,6 +152,11 @@
 		b.reading.closeConnection(b.response)
 		return &InvalidAnswerError{Reason: "a trailer: " + reason}
 	}
+	if EndsWithConnection(b.response) {
+		if err := b.reading.awaitRequest(); err != nil {
+			return errors.Wrap(err, "the answer ended with its connection")
+		}
+	}
 	return io.EOF
 }
 
--- a/internal/hop/conn_test.go
+++ b/internal/hop/conn_test.go
@@ -1,9 +1,11 @@
 package hop
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -79,3 +81,37 @@
 		is.NoErr(conn.Close())
 	}
 }
+
+// Guards against a part of an answer that looks whole because its back end ended in order, but while it was still being
+// sent the request. An answer that is sent after the whole request is whole.
+func TestAnswerWithoutLengthNeedsWholeRequest(t *testing.T) {
+	for _, readsAll := range []bool{false, true} {
+		is := is.New(t)
+		near, far := net.Pipe()
+		transport := NewDirectTransport(func(context.Context, string, string) (net.Conn, error) {
+			return near, nil
+		}, false)
+		go func() {
+			defer far.Close()
+			if request, err := http.ReadRequest(bufio.NewReader(far)); err == nil && readsAll {
+				_, _ = io.Copy(io.Discard, request.Body)
+			}
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
+		}()
+		body, writer := io.Pipe()
+		request, err := NewRequest(t.Context(), http.MethodPost, "http://10.0.0.1:1", body, 2)
+		is.NoErr(err)
+		go func() {
+			if readsAll {
+				_, _ = io.WriteString(writer, "xy")
+				_ = writer.Close()
+			}
+		}()
+		response, err := transport.RoundTrip(request)
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.Equal(err == nil, readsAll)
+		is.NoErr(response.Body.Close())
+		_ = writer.Close()
+	}
+}
