--- a/internal/daemon/backend_headers_test.go
+++ b/internal/daemon/backend_headers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -101,3 +102,30 @@
 		is.True(statuses[http.StatusOK] > 0)
 	})
 }
+
+// Guards against bytes of a back end that an agent takes for an answer: neither it nor the router passes them on.
+func TestAgentPassesNoInvalidAnswerOn(t *testing.T) {
+	for name, raw := range map[string]string{
+		"blank in a name":      "HTTP/1.1 201 Created\r\nOdd Name: x\r\nContent-Length: 4\r\n\r\nbody",
+		"blank before a colon": "HTTP/1.1 201 Created\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"status 099":           "HTTP/1.1 099 Odd\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, hop.HTTP1, func(f *fleet) {
+				is := is.NewRelaxed(f.t)
+				odd := f.replaceService("service-1", func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						panic(err)
+					}
+					_, _ = io.WriteString(conn, raw)
+					_ = conn.Close()
+				})
+				statuses := f.callServiceFor(500 * time.Millisecond)
+				is.True(odd.received.Load() > 0)
+				is.True(statuses[http.StatusOK] > 0) // the other back end serves
+				is.Equal(statuses[0]+statuses[http.StatusCreated], 0)
+			})
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 		environment.Metrics = telemetry.NewMetrics()
 	}
 	if environment.Platform == nil && s.Platform.URL != "" {
-		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, &http.Transport{DialContext: environment.Dial, MaxResponseHeaderBytes: hop.MaxHeadBytes})
+		environment.Platform = objectstore.NewHTTPClient(s.Platform.URL, hop.NewControlTransport(environment.Dial, true))
 	}
 	n := &Node{
 		settings:   s,
--- a/internal/hop/checked.go
+++ b/internal/hop/checked.go
@@ -20,6 +20,15 @@
 // end. Its connection isn't used again.
 type Transport struct{ *http.Transport }
 
+// NewControlTransport returns a transport for the control plane. If reuse is set, connections are kept for further
+// requests. A nil dial uses TCP.
+func NewControlTransport(dial DialFunc, reuse bool) *Transport {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Transport{&http.Transport{DialContext: dialConn(dial), DisableKeepAlives: !reuse, MaxResponseHeaderBytes: MaxHeadBytes}}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	reading := &answerReading{}
--- a/internal/hop/conn_test.go
+++ b/internal/hop/conn_test.go
@@ -115,3 +115,32 @@
 		_ = writer.Close()
 	}
 }
+
+// Guards against a handshake or an answer of the store that isn't valid and is taken for one.
+func TestControlTransportRejectsInvalidAnswers(t *testing.T) {
+	for raw, valid := range map[string]bool{
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n":                true,
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nOdd Name: x\r\n\r\n": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                                                         true,
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n":                                                        false,
+	} {
+		is := is.New(t)
+		near, far := net.Pipe()
+		transport := NewControlTransport(func(context.Context, string, string) (net.Conn, error) { return near, nil }, true)
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+				_, _ = io.WriteString(far, raw)
+			}
+		}()
+		request, err := NewRequest(t.Context(), http.MethodGet, "http://10.0.0.1:1", nil, 0)
+		is.NoErr(err)
+		request.Header.Set("Upgrade", "websocket")
+		response, err := transport.RoundTrip(request)
+		is.Equal(err == nil, valid)
+		is.Equal(IsInvalidAnswer(err), !valid)
+		if valid {
+			is.NoErr(response.Body.Close())
+		}
+		is.NoErr(far.Close())
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -76,10 +76,9 @@
 // New returns a Peering without connections.
 func New(config Config) *Peering {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{DialContext: config.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: hop.MaxHeadBytes}
 	return &Peering{
 		config: config,
-		client: &http.Client{Transport: transport},
+		client: &http.Client{Transport: hop.NewControlTransport(config.Dial, false)},
 		ctx:    ctx,
 		cancel: cancel,
 		links:  map[coordination.LinkID]*connection{},
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -61,7 +61,7 @@
 	}
 	return &Client{
 		config: config, links: map[string]*link{},
-		http: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: hop.MaxHeadBytes}},
+		http: &http.Client{Transport: hop.NewControlTransport(dial, false)},
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,7 +63,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
 		config: config,
-		client: &http.Client{Transport: &http.Transport{DialContext: config.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: hop.MaxHeadBytes}},
+		client: &http.Client{Transport: hop.NewControlTransport(config.Dial, false)},
 		ctx:    ctx,
 		cancel: cancel,
 		peers:  NewPeerTable(config.ID, config.Address, config.Seeds),
