Answers: causes in the log don't quote a back end's bytes

net/http quotes the line that it can't read in its error, and that error is the cause of request.attempt_failed: bytes of a back end, perhaps a part of an answer, came into the log. Such errors are InvalidAnswerErrors now, which name the kind of fault alone; so they count as invalid answers and not as lost connections, which are evidence of a crash.

--- a/internal/hop/answer.go
+++ b/internal/hop/answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"regexp"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/net/http/httpguts"
@@ -21,6 +23,18 @@
 	return errors.As(err, &invalid)
 }
 
+// unreadableHead matches the errors of net/http for heads that it can't read, which quote them.
+var unreadableHead = regexp.MustCompile(`(malformed [A-Za-z ]+|(?:bad|invalid|multiple) Content-Length[A-Za-z ]*|un[a-z]+ transfer encoding|transfer encodings)[:;]? .*"`)
+
+// withoutBytes returns the error of reading an answer, or an InvalidAnswerError in place of one that quotes what was
+// read: bytes of a back end belong into no log.
+func withoutBytes(err error) error {
+	if found := unreadableHead.FindStringSubmatch(err.Error()); found != nil {
+		return &InvalidAnswerError{Reason: strings.TrimSpace(found[1])}
+	}
+	return err
+}
+
 // headFault returns what is wrong with the head of the answer to a request, or "".
 func headFault(request *http.Request, answer *http.Response) string {
 	if reason := statusFault(request, answer); reason != "" {
--- a/internal/hop/checked.go
+++ b/internal/hop/checked.go
@@ -34,7 +34,7 @@
 	reading := &answerReading{}
 	response, err := t.Transport.RoundTrip(request.WithContext(reading.trace(request.Context())))
 	if err != nil {
-		return nil, err
+		return nil, withoutBytes(err)
 	}
 	if reason := headFault(request, response); reason != "" {
 		reading.closeConnection(response)
@@ -146,13 +146,13 @@
 		return 0, b.ended
 	}
 	count, err := b.ReadCloser.Read(into)
-	if err == io.EOF {
-		err = b.checkEnd()
+	switch {
+	case err == io.EOF:
+		b.ended = b.checkEnd()
+	case err != nil:
+		b.ended = withoutBytes(err)
 	}
-	if err != nil {
-		b.ended = err
-	}
-	return count, err
+	return count, b.ended
 }
 
 // checkEnd returns io.EOF if the answer is whole and valid.
