--- a/internal/dispatch/settled.go
+++ b/internal/dispatch/settled.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,12 @@
 	Era uint64
 }
 
+// settledNames are the names of records of settled services, of which each is an identity.
+var settledNames = regexp.MustCompile(`^[0-9a-z-]+$`)
+
+// IsSettledName reports whether a record of a settled service may have the name.
+func IsSettledName(name string) bool { return settledNames.MatchString(name) }
+
 // SettledServices returns the settled services, ordered by name.
 func (c *Core) SettledServices(now time.Time) []SettledService {
 	return c.servicesOf(func(u uniformity) bool { return u.lasted(now) })
--- a/internal/follower/page.go
+++ b/internal/follower/page.go
@@ -30,6 +30,17 @@
 	More bool
 }
 
+// MapPage returns the page with the items that parse returns, without those for which ok is false.
+func MapPage[From, To any](page Page[From], parse func(From) (parsed To, ok bool)) Page[To] {
+	mapped := Page[To]{At: page.At, Last: page.Last, More: page.More}
+	for _, each := range page.Items {
+		if parsed, ok := parse(each); ok {
+			mapped.Items = append(mapped.Items, parsed)
+		}
+	}
+	return mapped
+}
+
 // ReadList reads a list page by page. The position of the list is that of its oldest page, because
 // the other pages may include later changes. If the pages belong to different eras, it returns an
 // error.
