Bodies that stop, are too large or arrive slowly are bounded

Cause: net/http reads the rest of a body before it sends the answer, without a deadline, so a request that is refused before its body was read held its connection for good. Bodies were read by io.ReadAll, which copies as it grows and holds more than the buffer limit counted. A crowd that stopped just short of its end kept all room for bodies for the time that it said it waits, and a single body larger than its rank's part of the room was refused in calm.

Change: endBody is the one place that ends what is left of a body: 64 KB or 500 ms before the answer, 500 ms after it, then the connection closes. Bodies are read in pieces that are acquired first and never copied. Where there is no room, bodies of which less than 4 KB arrived for 500 ms give way, then those slower than 64 KB/s after a second: 503, not run, and the connection closes. A body may take four times the room while others hold an eighth of it at most. A body whose time passes gets 503 (not run) instead of a closed connection. A declared length over the limit is refused without reading. The answer to a refusal has a write deadline of 2 s.

Ruled out: a least rate for all bodies, which would refuse callers on slow lines in calm.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -128,10 +127,10 @@
 // newForward returns the request to send to the back end.
 func (h *Handler) newForward(ctx context.Context, c *call, send dispatch.Send, resumeAfter string) (*http.Request, error) {
 	var body io.ReadCloser
-	if len(c.body) > 0 {
-		body = io.NopCloser(bytes.NewReader(c.body))
+	if c.body.size > 0 {
+		body = io.NopCloser(c.body.reader())
 	}
-	request, err := hop.NewRequest(ctx, c.request.Method, "http://"+send.BackEnd.Address, body, int64(len(c.body)))
+	request, err := hop.NewRequest(ctx, c.request.Method, "http://"+send.BackEnd.Address, body, c.body.size)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/buffering.go
+++ b/internal/gateway/buffering.go
@@ -9,25 +9,6 @@
 	"github.com/go-faster/errors"
 )
 
-// errNoRoom means that a request body doesn't fit within the buffer limit.
-var errNoRoom = errors.New("no room in the buffers")
-
-// requestBodyReader reads a caller's body as long as there is room in the buffers.
-type requestBodyReader struct {
-	reader  io.Reader
-	handler *Handler
-	call    *call
-}
-
-func (r *requestBodyReader) Read(into []byte) (int, error) {
-	n, err := r.reader.Read(into)
-	if n > 0 && !r.handler.config.Buffers.AcquireRequest(int64(n), r.call.urgency) {
-		return 0, errNoRoom
-	}
-	r.call.bufferedRequest += int64(n)
-	return n, err
-}
-
 // answerBodyReader reads a back end's answer. While the buffers have no room for what it has
 // read, it waits and reads no more from the back end.
 type answerBodyReader struct {
@@ -54,8 +35,8 @@
 
 // releaseBuffers returns the bytes that the call used of the buffer limit.
 func (h *Handler) releaseBuffers(c *call) {
-	h.config.Buffers.Release(c.bufferedRequest, c.bufferedAnswer)
-	c.bufferedRequest, c.bufferedAnswer = 0, 0
+	h.config.Buffers.Release(c.incoming.held, c.bufferedAnswer)
+	c.incoming.held, c.bufferedAnswer = 0, 0
 }
 
 // writeGrace is how long after its request's deadline a caller may still read what was sent to
--- a/internal/gateway/bufferlimit.go
+++ b/internal/gateway/bufferlimit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"container/list"
 	"context"
 	"sync"
 )
@@ -24,6 +25,8 @@
 	// freed is closed and replaced when bytes of answers are released and hasWaiters is set.
 	freed      chan struct{}
 	hasWaiters bool
+	// incoming holds the *incomingBody of all bodies that are being read, that without progress for longest first.
+	incoming list.List
 }
 
 const (
@@ -43,19 +46,6 @@
 	return &BufferLimit{limitPerKind: limit / 2, freed: make(chan struct{})}
 }
 
-// AcquireRequest acquires bytes for a request of the given urgency, 0 being the most urgent. It
-// returns false, without waiting, if there is no room.
-func (b *BufferLimit) AcquireRequest(bytes int64, urgency int) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	part := 1 - urgencyStep*float64(min(urgency, maxUrgencySteps))
-	if b.limitPerKind > 0 && float64(b.requests+bytes) > part*float64(b.limitPerKind) {
-		return false
-	}
-	b.requests += bytes
-	return true
-}
-
 // AcquireAnswer acquires further bytes for an answer that already holds acquired bytes. It waits
 // for room until the context ends. size is the size of the whole answer, or negative if unknown.
 // An answer that is larger than the limit gets its bytes once no other answer holds any.
--- a/internal/gateway/bufferlimit_test.go
+++ b/internal/gateway/bufferlimit_test.go
@@ -12,15 +12,20 @@
 	_ "github.com/harriernotch/harriernotch/internal/fixedseed"
 )
 
+// acquire acquires bytes for a request's body of its own.
+func acquire(buffers *BufferLimit, bytes int64, urgency int) bool {
+	return buffers.AcquireIncoming(&incomingBody{urgency: urgency, stop: func() {}}, bytes)
+}
+
 func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
 	is := is.New(t)
 	buffers := NewBufferLimit(1000)
-	is.True(buffers.AcquireRequest(380, 0))
-	is.True(!buffers.AcquireRequest(50, 3))
-	is.True(buffers.AcquireRequest(120, 0))
-	is.True(!buffers.AcquireRequest(1, 0))
+	is.True(acquire(buffers, 380, 0))
+	is.True(!acquire(buffers, 50, 3))
+	is.True(acquire(buffers, 120, 0))
+	is.True(!acquire(buffers, 1, 0))
 	buffers.Release(300, 0)
-	is.True(buffers.AcquireRequest(50, 3))
+	is.True(acquire(buffers, 50, 3))
 }
 
 // Answers that callers don't read take no room from new requests.
@@ -28,7 +33,7 @@
 	is := is.New(t)
 	buffers := NewBufferLimit(100 << 10)
 	is.NoErr(buffers.AcquireAnswer(t.Context(), 37<<10, 0, -1))
-	is.True(buffers.AcquireRequest(40<<10, 0))
+	is.True(acquire(buffers, 40<<10, 0))
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	is.True(buffers.AcquireAnswer(ended, 1<<10, 0, 10<<10) != nil) // a large answer waits, and so does its beginning
@@ -79,7 +84,7 @@
 				acquired = acquired[1:]
 				continue
 			}
-			if buffers.AcquireRequest(bytes, rapid.IntRange(0, 9).Draw(t, "urgency")) {
+			if acquire(buffers, bytes, rapid.IntRange(0, 9).Draw(t, "urgency")) {
 				acquired, total = append(acquired, bytes), total+bytes
 			}
 			if requests, _ := buffers.InUse(); requests != total || requests > 500 {
--- a/internal/gateway/fingerprint.go
+++ b/internal/gateway/fingerprint.go
@@ -20,7 +20,10 @@
 	for _, field := range []string{c.request.Host, c.request.Method, path, c.tenant} {
 		writeField(digest, []byte(field))
 	}
-	writeField(digest, c.body)
+	writeLength(digest, c.body.size)
+	for _, piece := range c.body.pieces {
+		_, _ = digest.Write(piece) // never returns an error
+	}
 	list := []dispatch.Fingerprint{fingerprintOf(digest)}
 	if hasQuery {
 		writeField(digest, []byte(query))
@@ -31,11 +34,12 @@
 
 // writeField adds a field with its length, so that different lists of fields never collide.
 func writeField(digest hash.Hash, field []byte) {
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
-	// hash.Hash never returns an error from Write.
-	_, _ = digest.Write(length[:])
-	_, _ = digest.Write(field)
+	writeLength(digest, int64(len(field)))
+	_, _ = digest.Write(field) // never returns an error
+}
+
+func writeLength(digest hash.Hash, length int64) {
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(length)))
 }
 
 func fingerprintOf(digest hash.Hash) dispatch.Fingerprint {
--- a/internal/gateway/fingerprint_test.go
+++ b/internal/gateway/fingerprint_test.go
@@ -8,7 +8,7 @@
 )
 
 func callOf(host, method, target, tenant, body string) *call {
-	return &call{request: &http.Request{Host: host, Method: method, RequestURI: target}, tenant: tenant, body: []byte(body)}
+	return &call{request: &http.Request{Host: host, Method: method, RequestURI: target}, tenant: tenant, body: requestBody{pieces: [][]byte{[]byte(body)}, size: int64(len(body))}}
 }
 
 func TestFingerprintCoversRequestContent(t *testing.T) {
@@ -16,6 +16,9 @@
 	base := callOf("h", "POST", "/a/b", "t", "body").fingerprints()
 	is.Equal(len(base), 1)
 	is.Equal(callOf("h", "POST", "/a/b", "t", "body").fingerprints(), base)
+	inPieces := callOf("h", "POST", "/a/b", "t", "body")
+	inPieces.body.pieces = [][]byte{[]byte("bo"), nil, []byte("dy")}
+	is.Equal(inPieces.fingerprints(), base)
 	for _, other := range []*call{
 		callOf("i", "POST", "/a/b", "t", "body"), callOf("h", "PUT", "/a/b", "t", "body"), callOf("h", "POST", "/a/c", "t", "body"),
 		callOf("h", "POST", "/a/b", "u", "body"), callOf("h", "POST", "/a/b", "t", "bodz"), callOf("h", "POST", "/a/bt", "", "body"),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -105,7 +103,7 @@
 	tenant   string
 	route    *catalog.Route
 	version  uint64
-	body     []byte
+	body     requestBody
 	began    time.Time
 	deadline time.Time
 	urgency  int
@@ -114,8 +112,11 @@
 	originSource dispatch.OriginSource
 	// connection is the connection of the last attempt.
 	connection connection
-	// bufferedRequest and bufferedAnswer are the bytes that the call uses of Config.Buffers.
-	bufferedRequest, bufferedAnswer int64
+	// incoming is what the body uses of Config.Buffers, and bufferedAnswer the bytes that the answer uses.
+	incoming       incomingBody
+	bufferedAnswer int64
+	// isBodyRead is true once the body was read to its end, and isBodyCut once this gateway has ended its read.
+	isBodyRead, isBodyCut bool
 	// unloggedSends are the decisions to send that haven't been logged; see sendDecision.
 	unloggedSends []sendDecision
 }
@@ -235,39 +236,6 @@
 	return shortest
 }
 
-func (h *Handler) readBody(c *call, limit int64) error {
-	if c.request.Body == http.NoBody {
-		// The server already reads ahead on the connection. A deadline that ended that read would
-		// end the request's context, as a caller that leaves does.
-		return nil
-	}
-	if limit <= 0 {
-		limit = h.config.MaxBodyBytes
-	}
-	// A caller that stalls while sending its body must not hold a connection for longer
-	// than it may wait for its answer.
-	controller := http.NewResponseController(c.writer)
-	if err := controller.SetReadDeadline(time.Now().Add(h.clock().Until(c.deadline))); err != nil {
-		return failure.Wrap(failure.Internal, err, "bound the time of the body")
-	}
-	body, err := io.ReadAll(&requestBodyReader{reader: http.MaxBytesReader(c.writer, c.request.Body, limit), handler: h, call: c})
-	if errors.Is(err, errNoRoom) {
-		return failure.New(failure.Overloaded, "this gateway holds too much for callers that read slowly; ask another")
-	}
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return failure.Wrap(failure.TooLarge, err, "the body is too large; send less")
-		}
-		return failure.Wrap(failure.CallerGone, err, "the caller broke off in its body")
-	}
-	c.body = body
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		return failure.Wrap(failure.CallerGone, err, "the caller's connection ended")
-	}
-	return nil
-}
-
 // route makes attempts until one of them yields an answer for the caller, or gives up.
 func (h *Handler) route(ctx context.Context, c *call) {
 	request := dispatch.Request{
@@ -313,14 +281,24 @@
 	return h.config.State.decide(step)
 }
 
+// hasLeft reports whether a request ends with the given kind of failure because its caller has left. The end of a read of the
+// body ends the request's context too.
+func (c *call) hasLeft(kind failure.Kind) bool {
+	return kind == failure.CallerGone || c.request.Context().Err() != nil && !c.isBodyCut
+}
+
 // refuse replies to the caller with a final error.
 func (h *Handler) refuse(c *call, err error) {
 	kind := failure.KindOf(err)
 	h.config.Metrics.refused(c, kind)
 	h.logRefusal(c, kind, err)
-	if c.request.Context().Err() != nil || kind == failure.CallerGone {
+	if c.hasLeft(kind) {
 		panic(http.ErrAbortHandler)
 	}
+	h.setWriteDeadline(c, 0)
+	if c.request.Body != http.NoBody && !c.isBodyRead {
+		endBody(c.writer, c.request, c.body.size, c.isBodyCut)
+	}
 	failure.WriteHTTPWith(c.writer, err, h.config.Dialect.FormatWait)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -206,6 +206,11 @@
 	}
 }
 
+// bodyEnded counts a request whose body wasn't read to its end: too_large, no_room, too_slow or deadline.
+func (m *Metrics) bodyEnded(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("bodies_ended").Inc(1)
+}
+
 // noticed counts a notice: what a back end's answer says about the back end itself.
 func (m *Metrics) noticed(c *call, notice dispatch.Notice) {
 	if notice.Leaving {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -219,7 +219,7 @@
 		return fields
 	}
 	switch {
-	case kind == failure.CallerGone || c.request.Context().Err() != nil:
+	case c.hasLeft(kind):
 		h.config.Log.Info(eventlog.CallerLeft, fields)
 	case isCallersFault(kind):
 		h.config.Log.Info(eventlog.RequestRefused, fields)
