Bodies, answers and pages at the listeners for operators, metrics and peers are bounded

Cause: their handlers need no body, but net/http reads it before the answer, without a deadline; answers had no write deadline; each call of /status and /metrics held a page, and a compressor, until its client had read it.

What callers saw: 0 of 240 connections with an unfinished body closed after 30 s at readiness, status, metrics and peers; 92 and 96 MB resident of 96 MB while 240 clients didn't read metrics.

Change: bounded() ends bodies as at the callers' listener and gives each answer 5 s; eight pages are made at a time, further calls get 503.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -18,10 +18,10 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
-	mux.Handle("GET /metrics", g.metrics.Handler)
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.state.Status()) })
+	mux.Handle("GET /metrics", g.pages.handler(g.metrics.Handler))
+	mux.Handle("GET /status", g.pages.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.state.Status()) })))
 	mux.HandleFunc("DELETE /withheld/{fingerprint}", g.releaseWithheld)
-	return mux
+	return bounded(mux)
 }
 
 // releaseWithheld serves an operator's command to release the withheld requests with a
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -59,6 +59,7 @@
 	settings      *settings.Settings
 	log           *eventlog.Log
 	metrics       *telemetry.Metrics
+	pages         *pages
 	state         *gateway.State
 	follower      *follower.Follower
 	relay         *relay.Relay
@@ -117,6 +118,7 @@
 
 		done: make(chan struct{}),
 	}
+	g.pages = newPages(g.metrics.Scope)
 	g.tasks = task.NewGroup(g.log.Entry(), g.metrics.Scope)
 	g.running, g.endRunning = context.WithCancel(environment.Starting)
 	if err := g.serve(environment); err != nil {
@@ -241,7 +243,7 @@
 	mux.Handle(relay.Path, g.relay)
 	mux.Handle(collect.Path, g.loadCollector)
 	mux.Handle(origins.Path, g.origins)
-	return mux
+	return bounded(mux)
 }
 
 // capacityPerCore converts processor shares to the capacities that gateways announce to each
@@ -262,8 +264,8 @@
 		return
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", g.metrics.Handler)
-	server := g.newServer(mux)
+	mux.Handle("GET /metrics", g.pages.handler(g.metrics.Handler))
+	server := g.newServer(bounded(mux))
 	g.otherServers = append(g.otherServers, server)
 	opener := addressOpener{listen: environment.Listen, starting: g.running, log: g.log.Entry()}
 	g.tasks.Go("serve_metrics", func() {
