Connections to the peers' address that nobody knows are bounded

Cause: /relay read messages of up to 16 MB on every connection at once. A connection counted as a peer, was logged and was sent the state before anything was read from it, and the table of gateways grew with each ID.

What was seen: 3,496 MB resident of 96 MB with 240 unfinished messages of 15 MB, and 100 to 419 log lines about gateways that don't exist.

A message is at most 4 MB. A connection that was accepted becomes a peer's with its first valid message. 4,096 gateways are remembered.

--- a/internal/collect/serve.go
+++ b/internal/collect/serve.go
@@ -17,7 +17,9 @@
 
 // ServeHTTP accepts a connection from a member or from another collector.
 func (s *Service) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	peerlink.Serve(s.ctx, w, request, maxMessageBytes, idleTimeout, s.answerQuery)
+	peerlink.Serve(s.ctx, w, request, peerlink.ServeConfig{
+		MaxMessageBytes: maxMessageBytes, IdleTimeout: idleTimeout, Messages: s.messages, Answer: s.answerQuery,
+	})
 }
 
 // answerQuery returns the answer to a query.
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -84,6 +84,8 @@
 	cancel context.CancelFunc
 	tasks  *task.Group
 	links  *peerlink.Client
+	// messages reads the queries of other gateways.
+	messages *peerlink.Messages
 
 	mutex      sync.Mutex
 	aggregator *Aggregator
@@ -99,6 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		config: config, ctx: ctx, cancel: cancel, aggregator: NewAggregator(),
+		messages:     peerlink.NewMessages(),
 		links:        peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
 		skippedUntil: map[string]time.Time{}, inFlight: map[string]bool{},
 		tasks: task.NewGroup(config.Log.Entry(), config.Metrics),
--- a/internal/origins/service.go
+++ b/internal/origins/service.go
@@ -89,6 +89,8 @@
 	cancel context.CancelFunc
 	tasks  *task.Group
 	links  *peerlink.Client
+	// messages reads the queries of other gateways.
+	messages *peerlink.Messages
 	// startedAt is when the service started.
 	startedAt time.Time
 
@@ -106,8 +108,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		config: config, ctx: ctx, cancel: cancel, startedAt: config.Clock.Now(),
-		links:  peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
-		queues: map[string][]dispatch.OriginRecord{}, skippedUntil: map[string]time.Time{},
+		messages: peerlink.NewMessages(),
+		links:    peerlink.NewClient(peerlink.Config{ID: config.ID, Path: Path, Dial: config.Dial, MaxMessageBytes: maxMessageBytes}),
+		queues:   map[string][]dispatch.OriginRecord{}, skippedUntil: map[string]time.Time{},
 		tasks: task.NewGroup(config.Log, config.Metrics),
 	}
 	s.tasks.Keep(ctx, "publish_origins", s.run)
@@ -242,7 +245,9 @@
 
 // ServeHTTP accepts a connection from another gateway.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	peerlink.Serve(s.ctx, w, r, maxMessageBytes, idleTimeout, s.answerQuery)
+	peerlink.Serve(s.ctx, w, r, peerlink.ServeConfig{
+		MaxMessageBytes: maxMessageBytes, IdleTimeout: idleTimeout, Messages: s.messages, Answer: s.answerQuery,
+	})
 }
 
 func (s *Service) answerQuery(raw []byte) ([]byte, error) {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -145,27 +145,38 @@
 	}
 }
 
+// ServeConfig configures Serve.
+type ServeConfig struct {
+	// MaxMessageBytes limits the size of a query, and IdleTimeout how long a connection may go without one.
+	MaxMessageBytes int64
+	IdleTimeout     time.Duration
+	// Messages reads the queries of all connections.
+	Messages *Messages
+	// Answer returns the answer to a query, which it must not keep.
+	Answer func(query []byte) ([]byte, error)
+}
+
 // Serve answers the queries on a connection from another gateway until ctx is done, the connection
-// breaks off or goes without a query for idleTimeout, or answer fails.
-func Serve(ctx context.Context, w http.ResponseWriter, r *http.Request, maxMessageBytes int64, idleTimeout time.Duration, answer func(query []byte) ([]byte, error)) {
+// breaks off or goes without a query for too long, or a query can't be answered.
+func Serve(ctx context.Context, w http.ResponseWriter, r *http.Request, config ServeConfig) {
 	socket, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return
 	}
 	defer socket.CloseNow()
-	socket.SetReadLimit(maxMessageBytes)
-	for answerQuery(ctx, socket, idleTimeout, answer) == nil {
+	socket.SetReadLimit(config.MaxMessageBytes)
+	for answerQuery(ctx, socket, config) == nil {
 	}
 }
 
-func answerQuery(ctx context.Context, socket *websocket.Conn, idleTimeout time.Duration, answer func([]byte) ([]byte, error)) error {
-	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
+func answerQuery(ctx context.Context, socket *websocket.Conn, config ServeConfig) error {
+	ctx, cancel := context.WithTimeout(ctx, config.IdleTimeout)
 	defer cancel()
-	_, query, err := socket.Read(ctx)
-	if err != nil {
+	var reply []byte
+	err := config.Messages.Read(ctx, socket, func(query []byte) (err error) {
+		reply, err = config.Answer(query)
 		return err
-	}
-	reply, err := answer(query)
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 
 // peer is a gateway that repeats queries as its answers, after a delay, and counts connections.
 type peer struct {
+	messages    *Messages
 	delay       atomic.Int64
 	connections atomic.Int64
 }
@@ -33,16 +35,16 @@
 		return
 	}
 	p.connections.Add(1)
-	Serve(context.Background(), w, r, 1000, idleTimeout, func(query []byte) ([]byte, error) {
+	Serve(context.Background(), w, r, ServeConfig{MaxMessageBytes: 1000, IdleTimeout: idleTimeout, Messages: p.messages, Answer: func(query []byte) ([]byte, error) {
 		time.Sleep(time.Duration(p.delay.Load()))
-		return query, nil
-	})
+		return bytes.Clone(query), nil
+	}})
 }
 
 // withPeer runs a test on the virtual clock with a peer and a function that queries it.
 func withPeer(t *testing.T, path string, test func(p *peer, query func(timeout time.Duration) error)) {
 	bubble.Test(t, func(t *testing.T) {
-		network, p := pipenet.New(), &peer{}
+		network, p := pipenet.New(), &peer{messages: NewMessages()}
 		listener, err := network.Listen("pipe", testAddress)
 		is.New(t).NoErr(err)
 		server := &http.Server{Handler: p}
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -100,7 +100,7 @@
 	r.opened[peer] = openedLink{openedAt: r.config.State.Clock().Now(), cancel: cancelLink}
 	r.mutex.Unlock()
 	defer r.forgetOpened(peer)
-	r.serve(linkCtx, socket, peer)
+	r.serve(linkCtx, socket, peer, nil)
 }
 
 // forgetOpened forgets the connection to a peer that this gateway opened.
@@ -123,11 +123,19 @@
 	if err != nil {
 		return
 	}
-	r.serve(r.ctx, socket, request.Header.Get(hop.HeaderNode))
+	defer socket.CloseNow()
+	// A peer sends a message at once. Until then, the connection may be anyone's.
+	socket.SetReadLimit(maxMessageBytes)
+	first, err := r.readMessage(r.ctx, socket)
+	if err != nil {
+		r.config.Metrics.Counter("relay_strangers").Inc(1)
+		return
+	}
+	r.serve(r.ctx, socket, request.Header.Get(hop.HeaderNode), &first)
 }
 
-// serve runs a connection until it ends or ctx is done.
-func (r *Relay) serve(ctx context.Context, socket *websocket.Conn, peer string) {
+// serve runs a connection until it ends or ctx is done. first is the peer's first message, or nil if it wasn't read yet.
+func (r *Relay) serve(ctx context.Context, socket *websocket.Conn, peer string, first *Message) {
 	defer socket.CloseNow()
 	if peer == "" || peer == r.config.ID {
 		return
@@ -142,6 +150,9 @@
 	cause := errors.New("the connection's task panicked")
 	defer func() { r.noteLinkDown(peer, cause) }()
 	opened := newLink(socket)
+	if first != nil {
+		r.processMessage(opened, *first)
+	}
 	writer := task.NewGroup(r.config.Log.Entry(), r.config.Metrics)
 	defer writer.Wait()
 	defer socket.CloseNow()
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -94,8 +94,9 @@
 	// they must read the store themselves. With messages every 200 ms, 23 idle gateways spend two
 	// fifths of their processor time on them (BenchmarkIdleFleet, profile).
 	idlePeriod = 400 * time.Millisecond
-	// maxMessageBytes limits a message, which may contain a configuration and all back ends.
-	maxMessageBytes = 16 << 20
+	// maxMessageBytes limits a message, which may contain a configuration, at most 1 MB in the store, and all back ends: 3,000
+	// take 225 KB.
+	maxMessageBytes = 4 << 20
 	// peersPeriod is the minimum time between two messages that contain peers.
 	peersPeriod = time.Second
 )
--- a/internal/relay/peertable.go
+++ b/internal/relay/peertable.go
@@ -38,6 +38,8 @@
 	// reported less often.
 	liveTimeout        = 6 * time.Second
 	liveTimeoutPerPeer = 50 * time.Millisecond
+	// maxPeers limits the gateways that are remembered. Further ones are ignored.
+	maxPeers = 4096
 	// maxPeersPerMessage limits the peers in one message; the next message continues from there.
 	maxPeersPerMessage = 16
 	// forgetTimeout is how long a gateway is remembered after it was last seen. Reported store ages
@@ -118,6 +120,9 @@
 		return
 	}
 	peer := t.peers[report.ID]
+	if peer == nil && len(t.peers) >= maxPeers {
+		return
+	}
 	if peer == nil {
 		peer = &peerState{}
 		t.peers[report.ID] = peer
@@ -218,6 +223,9 @@
 
 // LinkUp records a new connection to a peer.
 func (t *PeerTable) LinkUp(id string) {
+	if t.peers[id] == nil && len(t.peers) >= maxPeers {
+		return
+	}
 	if t.peers[id] == nil {
 		t.peers[id] = &peerState{}
 	}
@@ -226,7 +234,7 @@
 
 // LinkDown records the end of a connection to a peer.
 func (t *PeerTable) LinkDown(id string) {
-	if peer := t.peers[id]; peer != nil {
+	if peer := t.peers[id]; peer != nil && peer.links > 0 {
 		peer.links--
 	}
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -26,22 +26,27 @@
 		if err != nil {
 			return err
 		}
-		from.recordEntries(message.Entries)
-		from.recordHoldings(message.Holdings)
-		r.applyMessage(message)
-		r.requestMissing(from, message)
-		if message.Requested != 0 {
-			from.addPeerRequest(message)
-			from.wakeWriter()
-		}
-		if message.WantDocument {
-			from.sendDocument.Store(true)
-			from.wakeWriter()
-		}
-		if r.shouldRequestDocument(message.Version) {
-			from.requestDocument.Store(true)
-			from.wakeWriter()
-		}
+		r.processMessage(from, message)
+	}
+}
+
+// processMessage applies a message, and has what it asks for sent.
+func (r *Relay) processMessage(from *link, message Message) {
+	from.recordEntries(message.Entries)
+	from.recordHoldings(message.Holdings)
+	r.applyMessage(message)
+	r.requestMissing(from, message)
+	if message.Requested != 0 {
+		from.addPeerRequest(message)
+		from.wakeWriter()
+	}
+	if message.WantDocument {
+		from.sendDocument.Store(true)
+		from.wakeWriter()
+	}
+	if r.shouldRequestDocument(message.Version) {
+		from.requestDocument.Store(true)
+		from.wakeWriter()
 	}
 }
 
@@ -80,15 +85,15 @@
 	return true
 }
 
-func (r *Relay) readMessage(ctx context.Context, socket *websocket.Conn) (Message, error) {
+func (r *Relay) readMessage(ctx context.Context, socket *websocket.Conn) (message Message, err error) {
 	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
-	_, raw, err := socket.Read(ctx)
-	if err != nil {
-		return Message{}, err
-	}
-	r.config.Metrics.Counter("relay_bytes_received").Inc(int64(len(raw)))
-	return decode(raw)
+	err = r.messages.Read(ctx, socket, func(raw []byte) (err error) {
+		r.config.Metrics.Counter("relay_bytes_received").Inc(int64(len(raw)))
+		message, err = decode(raw)
+		return err
+	})
+	return message, err
 }
 
 func (r *Relay) applyMessage(message Message) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/harriernotch/harriernotch/internal/eventlog"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/peerlink"
 	"github.com/harriernotch/harriernotch/internal/task"
 )
 
@@ -44,6 +45,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  *task.Group
+	// messages reads the messages of all connections.
+	messages *peerlink.Messages
 
 	mutex  sync.Mutex
 	closed bool
@@ -62,13 +65,14 @@
 func Start(config Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{
-		config: config,
-		client: &http.Client{Transport: hop.NewControlTransport(config.Dial, false)},
-		ctx:    ctx,
-		cancel: cancel,
-		peers:  NewPeerTable(config.ID, config.Address, config.Seeds),
-		opened: map[string]openedLink{},
-		tasks:  task.NewGroup(config.Log.Entry(), config.Metrics),
+		config:   config,
+		client:   &http.Client{Transport: hop.NewControlTransport(config.Dial, false)},
+		ctx:      ctx,
+		cancel:   cancel,
+		peers:    NewPeerTable(config.ID, config.Address, config.Seeds),
+		opened:   map[string]openedLink{},
+		messages: peerlink.NewMessages(),
+		tasks:    task.NewGroup(config.Log.Entry(), config.Metrics),
 	}
 	r.tasks.Keep(ctx, "maintain_links", r.maintainLinks)
 	return r
