Crashes have their suspects among the requests under way, not among later ones

Each such break was held against the content and the parts of the request, as if that had crashed the back end. Of the four crashes under the part, two had been seen by the gateways 1.0 and 1.1 s before the first request with the part broke off there, and three were also known under one of two withheld contents.

Change: an incarnation under which a connection was lost, at this gateway or by a peer's record, is presumed to have ended for 5 s after the last known loss, until it answers a request that was sent later. Requests that are sent there meanwhile are no suspects. Whether the next answer is awaited is noted as before.

--- a/internal/dispatch/crash_fleet_test.go
+++ b/internal/dispatch/crash_fleet_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -65,6 +64,8 @@
 	badSends  []time.Time
 	// mended is set once back ends no longer crash.
 	mended bool
+	// acceptsWhileDown is set if the address of a back end that is down accepts connections and breaks them off.
+	acceptsWhileDown bool
 	// repeated is the content of all bad requests, which then have no part in common; 0 if they are all different.
 	repeated Fingerprint
 }
@@ -259,6 +260,9 @@
 	r.answered = false
 	core, backEnd := f.cores[r.gateway], f.backEnds[decision.Send.BackEnd.Address]
 	switch {
+	case backEnd.down && f.acceptsWhileDown:
+		f.schedule(time.Millisecond, func() { f.follow(r, core.ConnectionLost(f.now, r.x)) })
+		return
 	case backEnd.down:
 		f.schedule(time.Millisecond, func() { f.follow(r, core.NotConnected(f.now, r.x)) })
 		return
@@ -318,37 +322,6 @@
 	f.announce(r.gateway)
 }
 
-// crash ends a back end with all its requests. It is back after crashDowntime under a new ID.
-func (f *crashFleet) crash(b *crashingBackEnd) {
-	b.down = true
-	broken := b.requests
-	b.requests = nil
-	for _, r := range broken {
-		r.backEnd = nil
-		core := f.cores[r.gateway]
-		f.schedule(time.Millisecond, func() {
-			if r.answered {
-				f.follow(r, core.Truncated(f.now, r.x))
-			} else {
-				f.follow(r, core.ConnectionLost(f.now, r.x))
-			}
-		})
-	}
-	f.schedule(crashDowntime, func() { f.restart(b) })
-}
-
-func (f *crashFleet) restart(b *crashingBackEnd) {
-	f.restarts++
-	at := slices.IndexFunc(f.list, func(each catalog.BackEnd) bool { return f.backEnds[each.Address] == b })
-	b.id, b.down = fmt.Sprintf("n%03d", f.restarts), false
-	f.list = slices.Clone(f.list)
-	f.list[at].ID, f.list[at].Born = b.id, f.now.UnixMilli()
-	byID := slices.SortedFunc(slices.Values(f.list), func(a, b catalog.BackEnd) int { return cmp.Compare(a.ID, b.ID) })
-	for _, core := range f.cores {
-		core.SetBackEnds(f.now, byID)
-	}
-}
-
 // lateSends returns how often bad requests reached back ends later than partContact after the crash from which on
 // operators allow only few: the fifth under a part, the third under a content.
 func (f *crashFleet) lateSends() int {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -25,6 +25,8 @@
 	unpublished []unpublishedCrash
 	// lostAt is when a connection was last lost at each incarnation that hasn't answered since.
 	lostAt map[incarnationKey]time.Time
+	// ends holds the incarnations that have presumably ended: requests sent there later are no suspects.
+	ends presumedEnds
 	// changes is the sequence number of the last change that is published to peers.
 	changes uint64
 	// withheldChanges are the contents and parts that became withheld or were released since
@@ -89,6 +91,7 @@
 		parts:    newCrashRecordSet(maxSuspectedParts, maxWithheldParts, partCrashesToWithhold),
 		begun:    newCache[time.Time](maxBegunParts),
 		lostAt:   map[incarnationKey]time.Time{},
+		ends:     newPresumedEnds(),
 	}
 }
 
@@ -122,6 +125,15 @@
 	return record
 }
 
+// lost records that a connection was lost at the incarnation, and reports whether its request, sent at sentAt, may have
+// crashed it: not if the incarnation had presumably ended before.
+func (m *crashMemory) lost(now time.Time, of incarnationKey, sentAt time.Time) (mayHaveCrashed bool) {
+	m.await(now, of)
+	mayHaveCrashed = !m.ends.precedes(now, of, sentAt)
+	m.ends.note(now, of)
+	return mayHaveCrashed
+}
+
 // connectionLost records that the connection of a request with the content was lost at the
 // incarnation.
 func (m *crashMemory) connectionLost(now time.Time, content Fingerprint, of incarnationKey) {
@@ -138,16 +150,24 @@
 
 func (m *crashMemory) recordLoss(now time.Time, record *crashRecord, of incarnationKey) {
 	record.lastAt = now
-	if len(m.lostAt) >= maxAwaited {
-		clear(m.lostAt)
-	}
-	m.lostAt[of] = now
+	m.await(now, of)
 	if record.raise(crash{incarnation: of, evidence: presumed, isLocal: true}) {
 		m.unpublished = append(m.unpublished, unpublishedCrash{fingerprint: record.fingerprint, incarnation: of, publishAt: now.Add(crashPublishDelay)})
 	}
 	m.classify(record, false)
 }
 
+// await records that the incarnation's next answer is awaited, because a connection was lost there.
+func (m *crashMemory) await(now time.Time, of incarnationKey) {
+	if len(m.lostAt) >= maxAwaited {
+		clear(m.lostAt)
+	}
+	m.lostAt[of] = now
+}
+
+// awaitsAnswers reports whether an answer of any incarnation tells something about a lost connection.
+func (m *crashMemory) awaitsAnswers() bool { return len(m.lostAt) > 0 || !m.ends.isEmpty() }
+
 // isAwaited reports whether connections were lost at the incarnation and it hasn't answered since.
 func (m *crashMemory) isAwaited(of incarnationKey) bool {
 	_, awaited := m.lostAt[of]
@@ -157,6 +177,7 @@
 // answered records that the incarnation answered a request sent at sentAt. It reports whether
 // connections had been lost there and no answer had come for at least crashPublishDelay.
 func (m *crashMemory) answered(now time.Time, of incarnationKey, sentAt time.Time) (wasAway bool) {
+	m.ends.answered(of, sentAt)
 	lostAt, awaited := m.lostAt[of]
 	if !awaited || !sentAt.After(lostAt) {
 		return false
@@ -236,7 +257,10 @@
 		if found < presumed || found > cleared {
 			continue
 		}
-		raised = record.raise(crash{incarnation: incarnationKey(each), evidence: found, isPublished: true}) || raised
+		if record.raise(crash{incarnation: incarnationKey(each), evidence: found, isPublished: true}) {
+			raised = true
+			m.noteEvidence(now, incarnationKey(each), found)
+		}
 	}
 	if at := time.Unix(min(received.LastAt, now.Unix()), 0); at.After(record.lastAt) {
 		record.lastAt = at
@@ -250,6 +274,16 @@
 	}
 }
 
+// noteEvidence records what a peer knows of the end of the incarnation.
+func (m *crashMemory) noteEvidence(now time.Time, of incarnationKey, found evidence) {
+	switch {
+	case found.countsAsCrash():
+		m.ends.note(now, of)
+	case found == survived:
+		m.ends.answered(of, now)
+	}
+}
+
 // markChanged gives the record the next sequence number.
 func (m *crashMemory) markChanged(record *crashRecord) {
 	m.changes++
--- a/internal/dispatch/withhold.go
+++ b/internal/dispatch/withhold.go
@@ -61,6 +61,9 @@
 		return
 	}
 	incarnation := incarnationKeyOf(m.backEnd)
+	if !c.crashes.lost(now, incarnation, x.sentAt) {
+		return
+	}
 	for _, fingerprint := range x.contentFingerprints() {
 		c.crashes.connectionLost(now, fingerprint, incarnation)
 	}
@@ -74,7 +77,7 @@
 
 // noteAnswered records that the member answered the current attempt.
 func (c *Core) noteAnswered(now time.Time, x *Exchange, m *member) {
-	if len(c.crashes.lostAt) > 0 && c.crashes.answered(now, incarnationKeyOf(m.backEnd), x.sentAt) {
+	if c.crashes.awaitsAnswers() && c.crashes.answered(now, incarnationKeyOf(m.backEnd), x.sentAt) {
 		c.presumeRestart(m)
 	}
 	c.noteRestarted(now, m)
