Connections and heads of clients are bounded

Cause: nothing bounded how many connections clients may keep open, the servers for admin, peers and metrics had no idle timeout, and net/http needs many times the bytes of a head for its fields, which no budget counted.

What callers saw: 600 connections that rested at one listener used all 400 descriptors of a process; with the crowd at the admin, peers or metrics listener no ordinary request was served within 30 s. 300 heads of 58 KB of short fields took up to 312 MB of 96, and 1,200 heads without an end 1,152 MB: the platform kills such a process.

Change: internal/intake sits between listeners and net/http. Each listener has a maximum of connections, by memory and descriptors (new setting gateway.max_descriptors, from limits.maxFds). When it is nearly full, resting connections and those without a whole head make room, first those of the client address that has most; a connection whose request has been read is left alone. Heads are metered before they are parsed: beyond 8 KB each they share an eighth of the memory; over it they get a 503, since no back end got them. Head and idle timeouts are looked after here for every listener, by one task instead of a timer for each connection. Status, metrics and an event (connections.refused) show it.

A single head of 58 KB is served.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,7 +19,7 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.Handle("GET /metrics", g.pages.handler(g.metrics.Handler))
-	mux.Handle("GET /status", g.pages.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.state.Status()) })))
+	mux.Handle("GET /status", g.pages.handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.status()) })))
 	mux.HandleFunc("DELETE /withheld/{fingerprint}", g.releaseWithheld)
 	return bounded(mux)
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/harriernotch/harriernotch/internal/catalog"
@@ -19,6 +18,7 @@
 	"github.com/harriernotch/harriernotch/internal/follower"
 	"github.com/harriernotch/harriernotch/internal/gateway"
 	"github.com/harriernotch/harriernotch/internal/hop"
+	"github.com/harriernotch/harriernotch/internal/intake"
 	"github.com/harriernotch/harriernotch/internal/keepalive"
 	"github.com/harriernotch/harriernotch/internal/origins"
 	"github.com/harriernotch/harriernotch/internal/relay"
@@ -71,7 +71,9 @@
 	callers      *http.Server
 	connections  *draining.Connections
 	otherServers []*http.Server
-	tasks        *task.Group
+	// intake bounds the connections of all servers.
+	intake *intake.Intake
+	tasks  *task.Group
 	// done is closed to stop the goroutines that report gauges and measure lag.
 	done chan struct{}
 	// running ends, by endRunning, when the gateway stops.
@@ -90,11 +92,6 @@
 	// a back end that is alive again with one of its next heartbeats, and this is the time
 	// allowed for them: a back end that is still missing after it is considered gone.
 	maxLapseTime = 2 * time.Second
-	// callerIdleTimeout is how long a caller's connection may stay idle.
-	callerIdleTimeout = 60 * time.Second
-	// gatewayHeaderTimeout is the time within which a client of any of the gateway's
-	// listeners must send its request headers.
-	gatewayHeaderTimeout = 5 * time.Second
 	// killMargin is how much earlier than drain_timeout a stopping gateway cuts off the requests
 	// that remain. The platform is expected to kill a process that still runs drain_timeout after
 	// it was told to stop, and the gateway needs the margin to close its connections and to write
@@ -121,6 +118,7 @@
 	g.pages = newPages(g.metrics.Scope)
 	g.tasks = task.NewGroup(g.log.Entry(), g.metrics.Scope)
 	g.running, g.endRunning = context.WithCancel(environment.Starting)
+	g.intake = intake.New(intake.Config{HeadMemory: g.capacity().HeadMemory(), Ended: newIntakeReport(g.log, g.metrics.Scope).ended})
 	if err := g.serve(environment); err != nil {
 		return nil, err
 	}
@@ -180,16 +178,16 @@
 	g.startExchange(environment)
 	metrics := gateway.NewMetrics(g.metrics.Scope)
 	g.tasks.Keep(g.running, "report_gauges", func() { g.reportGauges(metrics) })
+	g.tasks.Keep(g.running, "bound_connections", func() { g.intake.Run(g.done) })
 	g.connections = draining.New()
 	g.callers = g.newServer(g.connections.Handler(g.newCallersHandler(environment, metrics)))
-	g.callers.IdleTimeout = callerIdleTimeout
-	g.callers.ConnState = g.connections.ConnState
-	g.runServer(g.callers, g.connections.Listener(listeners["listen.callers"]))
-	for field, handler := range map[string]http.Handler{"listen.peers": g.peersHandler(), "listen.admin": g.adminHandler()} {
-		server := g.newServer(handler)
-		g.otherServers = append(g.otherServers, server)
-		g.runServer(server, listeners[field])
+	g.callers.ConnState = func(connection net.Conn, state http.ConnState) {
+		g.connections.ConnState(connection, state)
+		g.intake.ConnState(connection, state)
 	}
+	g.runServer(g.callers, g.connections.Listener(g.bound(listeners["listen.callers"], intake.Callers)))
+	g.serveOther(g.peersHandler(), g.bound(listeners["listen.peers"], intake.Peers))
+	g.serveOther(g.adminHandler(), g.bound(listeners["listen.admin"], intake.Operators))
 	g.serveMetrics(environment)
 	return nil
 }
@@ -257,27 +255,6 @@
 	return transport
 }
 
-// serveMetrics opens the listener that serves only metrics, if the settings have one. Serving
-// requests matters more than metrics, so the gateway doesn't wait for it.
-func (g *Gateway) serveMetrics(environment GatewayEnvironment) {
-	if g.settings.Listen.Metrics == "" {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", g.pages.handler(g.metrics.Handler))
-	server := g.newServer(bounded(mux))
-	g.otherServers = append(g.otherServers, server)
-	opener := addressOpener{listen: environment.Listen, starting: g.running, log: g.log.Entry()}
-	g.tasks.Go("serve_metrics", func() {
-		listener, err := opener.open("listen.metrics", g.settings.Listen.Metrics)
-		if err != nil {
-			g.log.Entry().WithError(err).Error("the gateway goes on without listen.metrics")
-			return
-		}
-		g.serveOn(server, listener)
-	})
-}
-
 // gaugePeriod is the time between two updates of the gauges.
 const gaugePeriod = time.Second
 
@@ -293,6 +270,7 @@
 			gauges := g.state.Gauges()
 			gauges.MemoryBytes = memoryInUse()
 			metrics.Report(gauges)
+			reportIntake(g.metrics.Scope, g.intake.Status())
 			if now := g.state.Clock().Suspended(); now != suspended {
 				g.log.Warn(eventlog.Resumed, logrus.Fields{"suspended_ms": (now - suspended).Milliseconds()})
 				suspended = now
@@ -303,23 +281,6 @@
 	}
 }
 
-func (g *Gateway) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: gatewayHeaderTimeout, MaxHeaderBytes: hop.MaxHeadBytes, ErrorLog: newServerLog(g.log.Entry())}
-}
-
-func (g *Gateway) runServer(server *http.Server, listener net.Listener) {
-	g.tasks.Go("serve", func() { g.serveOn(server, listener) })
-}
-
-// serveOn serves requests until the server is closed.
-func (g *Gateway) serveOn(server *http.Server, listener net.Listener) {
-	err := server.Serve(&acceptingListener{Listener: listener, log: g.log.Entry()})
-	isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
-	if !isStopped {
-		g.log.Entry().WithError(err).Error("listener failed")
-	}
-}
-
 func (g *Gateway) startFollower(environment GatewayEnvironment) {
 	storeTransports := follower.Transports{Plain: g.newTransport(environment, true), Watches: g.newTransport(environment, true)}
 	g.follower = follower.Start(follower.Config{
--- a/internal/draining/connection.go
+++ b/internal/draining/connection.go
@@ -32,6 +32,9 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails for a closed connection only
 }
 
+// NetConn returns the connection that was accepted.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(into []byte) (int, error) {
 	for {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -61,7 +61,9 @@
 	RequestFailed        Event = "request.failed"
 	RequestRefused       Event = "request.refused"
 	CallerLeft           Event = "request.caller_left"
-	LinesDropped         Event = "log.left_out"
+	// ConnectionsRefused is about connections that were closed, or heads that were refused, for lack of room.
+	ConnectionsRefused Event = "connections.refused"
+	LinesDropped       Event = "log.left_out"
 	// RequestsWithheld and RequestsReleased are about all requests with the same content.
 	RequestsWithheld Event = "requests.withheld"
 	RequestsReleased Event = "requests.released"
@@ -78,7 +80,7 @@
 		ConfigurationAdopted, ConfigurationRefused, ZoneEvacuated, ZoneRestored,
 		RolloutChanged, RolloutStarted, RolloutAbandoned, RolloutEnded, BackEndChanged, BackEndHealth, BackEndNotice,
 		RequestSent, RequestAnswered, AttemptFailed, RequestResumed, RequestContinued,
-		RequestFailed, RequestRefused, CallerLeft, LinesDropped, RequestsWithheld, RequestsReleased, RecordAbandoned,
+		RequestFailed, RequestRefused, CallerLeft, ConnectionsRefused, LinesDropped, RequestsWithheld, RequestsReleased, RecordAbandoned,
 	}
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -76,8 +76,12 @@
 	// MemoryMegabytes is the memory that the process may use. The garbage collector aims to
 	// keep what the Go runtime uses below 7/10 of it. The data buffered for callers and back
 	// ends that read slowly is limited to 1/8 of it; beyond that limit back ends wait and new
-	// requests are refused. 0, the default, sets no limit. Otherwise from 32 to 1048576.
+	// requests are refused. Clients' connections and heads are bounded by it too, see MaxDescriptors. 0, the default, sets no limit. Otherwise from 32 to 1048576.
 	MemoryMegabytes int `toml:"memory_megabytes"`
+	// MaxDescriptors is the number of descriptors that the process may open, for files and connections. Clients'
+	// connections may use a part of them; docs/OPERATIONS.md has the shares. 0, the default, means the process's
+	// limit, which applies in any case. Otherwise from 64 to 16777216.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// Disable lists mechanisms to switch off; see dispatch.Mechanisms. Switching one off
 	// breaks a promise to callers or makes the service worse. It is for runs that show
 	// that a check detects this, or what a mechanism contributes. Default none.
@@ -119,6 +123,8 @@
 	maxExposureExtra     = 1e6
 	minMemoryMegabytes   = 32
 	maxMemoryMegabytes   = 1 << 20
+	minDescriptors       = 64
+	maxDescriptors       = 1 << 24
 	// The processor shares are in cores.
 	defaultProcessorShare = 1
 	minProcessorShare     = 0.01
@@ -193,6 +199,9 @@
 	if g.MemoryMegabytes != 0 {
 		c.number("gateway.memory_megabytes", float64(g.MemoryMegabytes), minMemoryMegabytes, maxMemoryMegabytes)
 	}
+	if g.MaxDescriptors != 0 {
+		c.number("gateway.max_descriptors", float64(g.MaxDescriptors), minDescriptors, maxDescriptors)
+	}
 	if g.EvacuationBound != 0 {
 		c.duration("gateway.evacuation_bound", g.EvacuationBound, minReadPeriod, maxLeavingBound)
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -51,7 +51,7 @@
 	is.NoErr(err)
 	is.Equal(*s.Gateway.WarmUpOverage, 1.5)
 	is.Equal(s.Gateway.WarmUpExtra, 5.0)
-	for _, line := range []string{"warm_up_overage = -1\n", "warm_up_extra = nan\n", "evacuation_bound = \"20m\"\n", "backup_share = 1.5\n"} {
+	for _, line := range []string{"warm_up_overage = -1\n", "warm_up_extra = nan\n", "evacuation_bound = \"20m\"\n", "backup_share = 1.5\n", "max_descriptors = 5\n"} {
 		_, err = Parse("s.toml", []byte(gatewaySettings+line))
 		is.True(err != nil)
 	}
