The configuration's limits on heads and rests apply to callers' connections

Cause: heads were bounded by 64 KB and 5 s and rests by 60 s, whatever the operators wrote. Callers within maxHeaderBytes and headerTimeoutMs were refused where these are higher, and connections that a caller may reuse after four fifths of a longer idleTimeoutMs had been closed.

Change: the limits of the configuration in force apply to callers' connections, also to those that are open when it changes; the former constants remain for what it doesn't set and while no configuration is known.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// defaultIdleTimeout is how long a client's connection may rest.
+	// defaultIdleTimeout is how long a client's connection may rest unless the configuration says otherwise.
 	defaultIdleTimeout = 60 * time.Second
-	// defaultHeaderTimeout is the time within which a client must send the head of a request.
+	// defaultHeaderTimeout is the time within which a client must send the head of a request unless the configuration
+	// says otherwise.
 	defaultHeaderTimeout = 5 * time.Second
 )
 
@@ -27,13 +28,37 @@
 
 // bound returns a listener whose connections the intake bounds.
 func (g *Gateway) bound(listener net.Listener, role intake.Role) *intake.Listener {
-	return g.intake.Listener(listener, intake.ListenerConfig{Name: listenerNames[role], MaxConnections: g.capacity().MaxConnections(role), Limits: defaultLimits})
+	limits := defaultLimits
+	if role == intake.Callers {
+		limits = g.callersLimits
+	}
+	return g.intake.Listener(listener, intake.ListenerConfig{Name: listenerNames[role], MaxConnections: g.capacity().MaxConnections(role), Limits: limits})
 }
 
 func defaultLimits() intake.Limits {
 	return intake.Limits{HeadBytes: hop.MaxHeadBytes, HeadTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 }
 
+// callersLimits returns the limits of the configuration in force, and defaults for those that it doesn't set.
+func (g *Gateway) callersLimits() intake.Limits {
+	limits := defaultLimits()
+	index := g.state.Index()
+	if index == nil {
+		return limits
+	}
+	configured := index.Configuration().Limits
+	if configured.MaxHeaderBytes > 0 {
+		limits.HeadBytes = configured.MaxHeaderBytes
+	}
+	if configured.HeaderTimeout > 0 {
+		limits.HeadTimeout = configured.HeaderTimeout
+	}
+	if configured.IdleTimeout > 0 {
+		limits.IdleTimeout = configured.IdleTimeout
+	}
+	return limits
+}
+
 // maxDescriptorLimit stands for a process without a limit on descriptors.
 const maxDescriptorLimit = 1 << 24
 
