Restorations heard before the configuration make back ends cold once it is known

A peer tells it of the withdrawal before it has read the configuration. The warm-up time of the service is then unknown and counts as 0, so the restoration makes no back end cold, and nothing applied it later: this gateway took them for warm and sent 5 to 8 of the requests. Ruled out: continuations and resumptions (none among the arrivals) and the other gateways (2 to 6 requests).

Change: new services are applied to the known restorations, except for back ends whose entries are newer and state their warm-up.

Tested: TestRestorationHeardBeforeTheConfigurationWarmsUp fails on the parent.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -260,6 +260,7 @@
 	for _, each := range list {
 		c.services[each.Name] = each
 	}
+	c.applyRestorations()
 	c.updateFairShares()
 	c.updateEngines()
 }
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -28,6 +28,16 @@
 	})
 }
 
+// applyRestorations applies the warm-up times of the services to the back ends of restored zones. A gateway that starts may
+// hear of a restoration from a peer before it has read the services.
+func (c *Core) applyRestorations() {
+	c.forEachMember(func(m *member) {
+		if !c.coversRestoration(m.backEnd) {
+			m.coldUntil = later(m.coldUntil, c.coldByRestoration(m.backEnd))
+		}
+	})
+}
+
 // coldByRestoration returns until when a back end counts as cold because its zone was
 // restored, regardless of its entry.
 func (c *Core) coldByRestoration(backEnd catalog.BackEnd) time.Time {
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -94,3 +94,25 @@
 	is.True(core.BackEndStatuses(start.Add(2 * time.Second))[1].WarmsUp)
 	is.True(!core.BackEndStatuses(start.Add(3 * time.Second))[1].WarmsUp)
 }
+
+// Guards against a gateway that starts, hears of the withdrawal from a peer before it has read the configuration, and then
+// takes the back ends of the zone for warm.
+func TestRestorationHeardBeforeTheConfigurationWarmsUp(t *testing.T) {
+	is := is.New(t)
+	services := []catalog.Service{{Name: "s", WarmUpRate: 2, WarmUpTime: 3 * time.Second}}
+	withdrawn := []catalog.Evacuation{{Zone: "a", Withdrawn: true, Revision: 9}}
+	core := newCore(backEndsInZones(2, 64, "a"))
+	core.SetEvacuated(start, nil, withdrawn)
+	core.SetServices(services)
+	is.True(core.BackEndStatuses(start.Add(time.Second))[0].WarmsUp)
+	is.True(!core.BackEndStatuses(start.Add(3 * time.Second))[0].WarmsUp)
+
+	reported := backEndsInZones(2, 64, "a") // their entries are newer than the withdrawal
+	reported[0].WarmUp, reported[0].WarmUpAt = 500*time.Millisecond, catalog.Position{Revision: 10}
+	core = New(DefaultConfig())
+	core.SetEvacuated(start, nil, withdrawn)
+	core.SetBackEnds(start, reported)
+	core.SetServices(services)
+	is.True(core.BackEndStatuses(start)[0].WarmsUp)
+	is.True(!core.BackEndStatuses(start.Add(time.Second))[0].WarmsUp)
+}
