Soak: odd answers among the other faults

A new kind, drawn only if it is named: a back end sends heads with odd names and odd statuses, chunks that aren't taken for chunks, and odd trailers, on all routes. A caller that gets any of them as an answer breaks 'whole and own answers'; the body is checked as before.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -42,8 +42,8 @@
 	// is up.
 	coldUntil time.Time
 	starting  bool
-	// lose, spoil, fail, refuse, rest, stall, silent, unframed and endless count the active faults of each kind.
-	lose, spoil, fail, refuse, rest, stall, silent, unframed, endless int
+	// lose, spoil, fail, refuse, rest, stall, silent, unframed, endless and odd count the active faults of each kind.
+	lose, spoil, fail, refuse, rest, stall, silent, unframed, endless, odd int
 	// turn counts the requests and selects the way in which an answer is spoiled.
 	turn int
 }
@@ -107,8 +107,8 @@
 
 // behaviour is the set of faults that apply to one request.
 type behaviour struct {
-	lose, spoil, fail, refuse, rest, unframed, endless bool
-	turn                                               int
+	lose, spoil, fail, refuse, rest, unframed, endless, odd bool
+	turn                                                    int
 }
 
 // behaviour counts a request and returns the faults that apply to it.
@@ -116,7 +116,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.turn++
-	return behaviour{lose: b.lose > 0, spoil: b.spoil > 0, fail: b.fail > 0, refuse: b.refuse > 0, rest: b.rest > 0, unframed: b.unframed > 0, endless: b.endless > 0, turn: b.turn}
+	return behaviour{lose: b.lose > 0, spoil: b.spoil > 0, fail: b.fail > 0, refuse: b.refuse > 0, rest: b.rest > 0, unframed: b.unframed > 0, endless: b.endless > 0, odd: b.odd > 0, turn: b.turn}
 }
 
 // ServeHTTP implements http.Handler.
@@ -184,6 +184,8 @@
 		b.spoilAnswer(w, r, forwarded, acts.turn)
 	case acts.endless:
 		b.answerEndlessly(w, forwarded, acts.turn)
+	case acts.odd:
+		b.answerOddly(w, r, forwarded, acts.turn)
 	case acts.unframed:
 		b.answerUnframed(w, r, forwarded, acts.turn)
 	default:
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -63,7 +63,7 @@
 	case EvacuateZone:
 		f.evacuate(ctx, zones[fault.Target%len(zones)], wait)
 	case CrashBackEnd, RestartBackEnd, UnreadableEntries, CutBackEnd, LeaveBackEnd, LoseAnswers, SpoilAnswers, FailAnswers, RefuseAll,
-		LeaveUnannounced, RefuseWithRetryAfter, StallStreams, EndlessAnswers:
+		LeaveUnannounced, RefuseWithRetryAfter, StallStreams, EndlessAnswers, OddAnswers:
 		f.injectAtBackEnd(ctx, b, fault)
 	case ChangeRoute:
 		f.withdraw(func(f *fleet) *int { return &f.noSpareRoute }, wait)
@@ -244,6 +244,8 @@
 		applyFault(func(b *backEnd) *int { return &b.rest })
 	case EndlessAnswers:
 		applyFault(func(b *backEnd) *int { return &b.endless })
+	case OddAnswers:
+		applyFault(func(b *backEnd) *int { return &b.odd })
 	case StallStreams:
 		applyFault(func(b *backEnd) *int { return &b.stall })
 	case CutBackEnd:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -10,6 +10,7 @@
 
 // checkAnswer checks a single answer, independently of all other observations. The mutex is held.
 func (c *checker) checkAnswer(s sentRequest, r reply) {
+	c.checkOdd(s, r)
 	switch {
 	case r.orderError != "":
 		c.failLocked(PromiseOrder, "%s through %s: %s", s.request, s.gateway, r.orderError)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -101,6 +101,8 @@
 	// EndlessAnswers makes a back end run requests and send answers that never end: a head, a body or an event. It
 	// is drawn only if it is named.
 	EndlessAnswers Kind = "endless_answers"
+	// OddAnswers makes a back end run requests and send bytes that are no valid answer. It is drawn only if it is named.
+	OddAnswers Kind = "odd_answers"
 	// FocusConnections makes most new connections go to one gateway, and to another once that one is out, while
 	// callers open new ones more often. It is drawn only if it is named.
 	FocusConnections Kind = "focus_connections"
@@ -129,7 +131,7 @@
 // NamedKinds lists the kinds that are drawn only if they are named.
 func NamedKinds() []Kind {
 	return []Kind{StallStreams, MoveUnattended, SilentBackEnd, SilentBackEnds, CrashingPart, UnframedAnswers, FocusConnections, RevokeAllKeys, EndlessAnswers,
-		ReloadRestart, LoseLogReader, Crowd}
+		ReloadRestart, LoseLogReader, Crowd, OddAnswers}
 }
 
 // Fault is one entry of a schedule.
