Gateway: an answer to HEAD keeps the length that its back end stated

Callers got 'Content-Length: 0' for an answer to HEAD that states a length: the gateway stated the length of the body that it had read. TestAnswerToHeadKeepsItsLength: 0 in place of 4 before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -21,7 +21,9 @@
 	h.config.Metrics.headReceived(c, h.clock().Since(c.began))
 	if result.body != nil {
 		hop.CopyEndToEnd(c.writer.Header(), result.answer.Header)
-		c.writer.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
+		if length := answerLength(c, result); length >= 0 {
+			c.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+		}
 		c.writer.WriteHeader(result.answer.StatusCode)
 		// A write error means that the caller has left, so there is nobody to send an error to.
 		_, _ = c.writer.Write(result.body)
@@ -32,6 +34,15 @@
 	h.passStream(ctx, c, result)
 }
 
+// answerLength returns the length that the answer states to the caller, or a negative number if it states none. An answer
+// to HEAD states the length of a body that it doesn't have.
+func answerLength(c *call, result outcome) int64 {
+	if c.request.Method == http.MethodHead {
+		return result.answer.ContentLength
+	}
+	return int64(len(result.body))
+}
+
 // completed records that a back end's answer was passed on completely.
 func (h *Handler) completed(c *call) {
 	h.config.State.decide(func(_ time.Time, core *dispatch.Core) dispatch.Decision {
