Start: the port for callers is opened last, and ports in a fixed order

The ports were opened in the random order of a map. While a start waited for the port of the admin endpoints, the system accepted callers' connections that nobody served, and reset them when the start gave up. Of two processes with the same settings, each could hold a port for which the other waited, until both ended.

Seen with 12 processes whose admin port was held: 11 accepted a caller's connection and reset it after 14 s, one refused it at once. Now all are refused until everything else is open, and of two starts the second waits with empty hands.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -22,22 +22,23 @@
 )
 
 // openListeners opens the listeners that the gateway can't do without, and returns them by the name of
-// their setting.
+// their setting. It opens that for callers last, because the system accepts their connections from then on. The order
+// is fixed, so that of two processes with the same settings one waits for the other, and not each for the other.
 func (g *Gateway) openListeners(opener addressOpener) (map[string]net.Listener, error) {
 	listeners := map[string]net.Listener{}
-	for field, address := range map[string]string{
-		"listen.callers": g.settings.Listen.Callers,
-		"listen.peers":   g.settings.Listen.Peers,
-		"listen.admin":   g.settings.Listen.Admin,
+	for _, each := range []struct{ field, address string }{
+		{"listen.admin", g.settings.Listen.Admin},
+		{"listen.peers", g.settings.Listen.Peers},
+		{"listen.callers", g.settings.Listen.Callers},
 	} {
-		listener, err := opener.open(field, address)
+		listener, err := opener.open(each.field, each.address)
 		if err != nil {
 			for _, opened := range listeners {
 				_ = opened.Close()
 			}
 			return nil, err
 		}
-		listeners[field] = listener
+		listeners[each.field] = listener
 	}
 	return listeners, nil
 }
