--- a/internal/daemon/listeners_test.go
+++ b/internal/daemon/listeners_test.go
@@ -92,7 +92,8 @@
 				time.Sleep(time.Second + addressRetryPause/4)
 				addresses.release(released)
 			}
-			is.True((<-results == nil) != (<-results == nil))
+			first, second := <-results, <-results
+			is.True((first == nil) != (second == nil))
 		})
 	}
 }
