harriernotch status shows the connections of a gateway's clients

The command printed nothing of what a gateway holds for its clients; /status has it. Now a line tells, for each listener, the open connections, their maximum and those that rest, and the memory of heads. Tested: TestGatewayStatusShowsConnectionsOfClients, and TestStatusOfEarlierBuildIsShown as before.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,6 +17,7 @@
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/failure"
 	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/intake"
 )
 
 // adminTimeout is the timeout of a request to a node's admin listener.
@@ -83,7 +84,7 @@
 		return errors.Wrap(err, "read the status")
 	}
 	if head.Role == gateway.RoleName {
-		var status gateway.Status
+		var status daemon.GatewayStatus
 		if err := json.Unmarshal(raw, &status); err != nil {
 			return errors.Wrap(err, "read the gateway's status")
 		}
@@ -96,7 +97,7 @@
 	return printStatus(output, status)
 }
 
-func printGateway(output io.Writer, status gateway.Status) error {
+func printGateway(output io.Writer, status daemon.GatewayStatus) error {
 	_, err := fmt.Fprintf(output, "gateway: ready %v, draining %v, configuration %d (keys %s), %d gateways, reads the store %v, store answered %.1fs ago (era %d), loads %.1fs old\n\n",
 		status.Ready, status.Draining, status.Version, cmp.Or(status.Keys, catalog.KeyPolicyUnknown.String()), status.Gateways, status.Reader, status.StoreAgeSeconds, status.Era, status.LoadAgeSeconds)
 	if err != nil {
@@ -107,7 +108,10 @@
 			return err
 		}
 	}
-	if err := printExceptions(output, status); err != nil {
+	if err := printConnections(output, status.Connections); err != nil {
+		return err
+	}
+	if err := printExceptions(output, status.Status); err != nil {
 		return err
 	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
@@ -121,6 +125,19 @@
 	return table.Flush()
 }
 
+// printConnections prints what a gateway holds for its clients. A gateway of an earlier build doesn't tell it.
+func printConnections(output io.Writer, status intake.Status) error {
+	if len(status.Listeners) == 0 {
+		return nil
+	}
+	var parts []string
+	for _, each := range status.Listeners {
+		parts = append(parts, fmt.Sprintf("%s %d of %d (%d resting)", each.Name, each.Open, each.Max, each.Resting))
+	}
+	_, err := fmt.Fprintf(output, "clients' connections: %s; their heads take %d KB\n\n", strings.Join(parts, ", "), status.HeadBytes>>10)
+	return err
+}
+
 // printExceptions prints the withheld requests, the unreadable objects of the store and the evacuated
 // zones.
 func printExceptions(output io.Writer, status gateway.Status) error {
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/daemon"
 	"github.com/harriernotch/harriernotch/internal/gateway"
+	"github.com/harriernotch/harriernotch/internal/intake"
 	"github.com/harriernotch/harriernotch/internal/rollout"
 )
 
@@ -145,3 +146,15 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), `write "table" or "json"`))
 }
+
+func TestGatewayStatusShowsConnectionsOfClients(t *testing.T) {
+	is := is.New(t)
+	listeners := []intake.ListenerStatus{{Name: "callers", Open: 12, Resting: 5, Max: 1950}, {Name: "admin", Max: 105}}
+	raw, err := json.Marshal(daemon.GatewayStatus{
+		Status: gateway.Status{Role: gateway.RoleName}, Connections: intake.Status{HeadBytes: 3 << 10, Listeners: listeners},
+	})
+	is.NoErr(err)
+	var output bytes.Buffer
+	is.NoErr(showStatus(&output, raw, outputTable))
+	is.True(strings.Contains(output.String(), "clients' connections: callers 12 of 1950 (5 resting), admin 0 of 105 (0 resting); their heads take 3 KB"))
+}
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -75,15 +75,15 @@
 	return intake.Capacity{MemoryBytes: int64(g.settings.Gateway.MemoryMegabytes) << 20, Descriptors: descriptors}
 }
 
-// gatewayStatus is what a gateway serves at /status.
-type gatewayStatus struct {
+// GatewayStatus is what a gateway serves at /status.
+type GatewayStatus struct {
 	gateway.Status
 	// Connections is what the gateway holds for its clients.
 	Connections intake.Status `json:"connections"`
 }
 
-func (g *Gateway) status() gatewayStatus {
-	return gatewayStatus{Status: g.state.Status(), Connections: g.intake.Status()}
+func (g *Gateway) status() GatewayStatus {
+	return GatewayStatus{Status: g.state.Status(), Connections: g.intake.Status()}
 }
 
 // reportIntake updates the gauges of connections.
