Test of settings that are written later: files are replaced at once

os.WriteFile empties a file before it writes it, and a read at the same moment of the virtual clock saw a third state: 2 of 4 runs failed beside load with 3 complaints in place of 2.

--- a/internal/cli/loadsettings_test.go
+++ b/internal/cli/loadsettings_test.go
@@ -26,15 +26,21 @@
 url = "http://127.0.0.1:4"
 `
 
+// replaceFile writes a file so that a reader sees all of it or nothing.
+func replaceFile(path, text string) {
+	_ = os.WriteFile(path+".new", []byte(text), 0o600)
+	_ = os.Rename(path+".new", path)
+}
+
 func TestSettingsThatAreWrittenLaterAreLoaded(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		path := filepath.Join(t.TempDir(), "missing.toml")
 		go func() {
 			time.Sleep(settingsPatience / 2)
-			_ = os.WriteFile(path, []byte(validSettings[:20]), 0o600) // cut
+			replaceFile(path, validSettings[:20]) // cut
 			time.Sleep(settingsPatience / 4)
-			_ = os.WriteFile(path, []byte(validSettings), 0o600)
+			replaceFile(path, validSettings)
 		}()
 		var complaints bytes.Buffer
 		s, err := loadSettings(context.Background(), path, &complaints)
