Start: errors on a standard error that isn't read hold up neither start nor end

The complaints about settings that can't be used yet, and the error with which the program ends, were written to the standard error directly. If that is a pipe which is full and not read, the write blocks: the process didn't start when its settings were written, ignored SIGTERM, and didn't end when its settings stayed unusable or a port stayed held.

--- a/cmd/harriernotchd/main.go
+++ b/cmd/harriernotchd/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/harriernotch/harriernotch/internal/cli"
 	"github.com/harriernotch/harriernotch/internal/earlysignal"
+	"github.com/harriernotch/harriernotch/internal/logqueue"
 	"github.com/harriernotch/harriernotch/platform"
 	"github.com/harriernotch/harriernotch/platform/standin"
 )
@@ -21,7 +22,14 @@
 		ReleaseSignals: earlysignal.Release,
 	})
 	if err := command.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "harriernotchd:", err)
+		report(err)
 		os.Exit(1)
 	}
 }
+
+// report writes an error to the standard error. It doesn't wait for long if that blocks.
+func report(err error) {
+	output := logqueue.New(os.Stderr, func() {})
+	_, _ = fmt.Fprintln(output, "harriernotchd:", err) // the queue takes every line
+	output.Close()
+}
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -64,7 +64,9 @@
 }
 
 func run(signals daemonSignals, path string, platform Platform) error {
-	s, err := loadSettings(signals.stopping, path, os.Stderr)
+	complaints := logqueue.New(os.Stderr, func() {}) // the final error is reported again
+	s, err := loadSettings(signals.stopping, path, complaints)
+	complaints.Close()
 	if s == nil {
 		return err // without an error, the process was told to stop
 	}
