Signals: a request to stop is kept beside many reloads

SIGHUP, SIGTERM and interrupt shared one queue of 16 from the initialization of the program until the daemon received them. signal.Notify drops what finds its channel full, so that a SIGTERM after 16 reloads in that time was lost, and the process ran on.

--- a/cmd/harriernotchd/main.go
+++ b/cmd/harriernotchd/main.go
@@ -18,7 +18,8 @@
 		Protocol:     standin.Protocol{},
 		SettingsPath: platform.SettingsPath(),
 
-		Signals:        earlysignal.Received(),
+		Stops:          earlysignal.Stops(),
+		Reloads:        earlysignal.Reloads(),
 		ReleaseSignals: earlysignal.Release,
 	})
 	if err := command.Execute(); err != nil {
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -31,9 +31,9 @@
 	Protocol wire.Protocol
 	// SettingsPath is the path of the settings file that the platform provides, or "".
 	SettingsPath string
-	// Signals are the signals that the process has received since its start. ReleaseSignals restores their usual
-	// effects, for the commands that aren't daemons.
-	Signals        <-chan os.Signal
+	// Stops and Reloads are the signals that the process has received since its start, by what they ask for.
+	// ReleaseSignals restores their usual effects, for the commands that aren't daemons.
+	Stops, Reloads <-chan os.Signal
 	ReleaseSignals func()
 }
 
@@ -50,7 +50,7 @@
 			if path == "" {
 				return failure.New(failure.InvalidSettings, "no settings file; name one with --config")
 			}
-			return run(watchSignals(cmd.Context(), platform.Signals), path, platform)
+			return run(watchSignals(cmd.Context(), platform.Stops, platform.Reloads), path, platform)
 		},
 	}
 	command.PersistentPreRun = func(cmd *cobra.Command, _ []string) {
--- a/internal/earlysignal/earlysignal.go
+++ b/internal/earlysignal/earlysignal.go
@@ -11,22 +11,29 @@
 	"syscall"
 )
 
-// queueLength is the number of signals that can wait for their receiver. More than one of a kind are as good as one.
-const queueLength = 16
-
-var received = make(chan os.Signal, queueLength)
+// Each channel has room for one signal, because further ones ask for the same. Signals of one kind can't use up the room
+// of the other.
+var (
+	stops   = make(chan os.Signal, 1)
+	reloads = make(chan os.Signal, 1)
+)
 
 func init() {
-	signal.Notify(received, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
 	// A write to a standard output or error whose reader has gone then returns an error, and doesn't end the program.
 	signal.Ignore(syscall.SIGPIPE)
 }
 
-// Received returns the channel of the signals SIGHUP, SIGTERM and interrupt.
-func Received() <-chan os.Signal { return received }
+// Stops returns the channel of the signals SIGTERM and interrupt.
+func Stops() <-chan os.Signal { return stops }
+
+// Reloads returns the channel of the signal SIGHUP.
+func Reloads() <-chan os.Signal { return reloads }
 
 // Release restores the usual effects of the signals, for commands that aren't daemons.
 func Release() {
-	signal.Stop(received)
+	signal.Stop(stops)
+	signal.Stop(reloads)
 	signal.Reset(syscall.SIGPIPE)
 }
