Stop: the pause after a failed Accept ends with the listener

A listener that can't accept, as with all descriptors in use, pauses for up to 1 s between attempts, and a stop waited for the end of this pause. A stop that used its drain to the end then exceeded drain_timeout, after which a platform kills the process.

--- a/internal/daemon/accept.go
+++ b/internal/daemon/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,19 @@
 	log logrus.FieldLogger
 	// isLogged is true while consecutive calls of Accept fail.
 	isLogged atomic.Bool
+	// closed is closed by Close, so that a stop doesn't wait for a pause.
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newAcceptingListener(listener net.Listener, log logrus.FieldLogger) *acceptingListener {
+	return &acceptingListener{Listener: listener, log: log, closed: make(chan struct{})}
+}
+
+// Close implements net.Listener.
+func (l *acceptingListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 // Accept implements net.Listener. It returns an error only once the listener is closed.
@@ -40,7 +54,10 @@
 		if !l.isLogged.Swap(true) {
 			l.log.WithError(err).WithField("listener", l.Addr().String()).Error("connections can't be accepted; trying again")
 		}
-		time.Sleep(pause)
+		select {
+		case <-time.After(pause):
+		case <-l.closed: // Accept fails for good now
+		}
 		pause = min(2*pause, maxAcceptPause)
 	}
 }
--- a/internal/daemon/accept_test.go
+++ b/internal/daemon/accept_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,7 +53,7 @@
 			inner.errors = append(inner.errors, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.ENETDOWN, syscall.EMFILE)
 		}
 		began := time.Now()
-		listener := &acceptingListener{Listener: inner, log: log.Entry()}
+		listener := newAcceptingListener(inner, log.Entry())
 		accepted, err := listener.Accept()
 		is.NoErr(err)
 		is.Equal(accepted, server)
@@ -60,3 +62,38 @@
 		is.True(errors.Is(err, net.ErrClosed))
 	})
 }
+
+// exhaustedListener fails for lack of descriptors until it is closed.
+type exhaustedListener struct {
+	net.Listener
+	isClosed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.isClosed.Load() {
+		return nil, net.ErrClosed
+	}
+	return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+}
+
+func (l *exhaustedListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *exhaustedListener) Close() error { l.isClosed.Store(true); return nil }
+
+// Guards against a stop that exceeds drain_timeout, because it waits for the pause after a failed Accept.
+func TestStopDoesNotWaitForPauseOfAccept(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		defer log.Close()
+		listener := newAcceptingListener(&exhaustedListener{}, log.Entry())
+		var server http.Server
+		ended := make(chan error)
+		go func() { ended <- server.Serve(listener) }()
+		time.Sleep(10*maxAcceptPause + minAcceptPause)
+		began := time.Now()
+		is.NoErr(server.Close())
+		is.True(errors.Is(<-ended, http.ErrServerClosed))
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -223,7 +223,7 @@
 	}
 	n.servers = append(n.servers, server)
 	n.tasks.Go("serve", func() {
-		if err := server.Serve(&acceptingListener{Listener: listener, log: n.log}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(newAcceptingListener(listener, n.log)); !errors.Is(err, http.ErrServerClosed) {
 			n.log.WithError(err).Error("listener failed")
 		}
 	})
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -41,7 +41,7 @@
 
 // serveOn serves requests until the server is closed.
 func (g *Gateway) serveOn(server *http.Server, listener net.Listener) {
-	err := server.Serve(&acceptingListener{Listener: listener, log: g.log.Entry()})
+	err := server.Serve(newAcceptingListener(listener, g.log.Entry()))
 	isStopped := errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && g.state.Draining()
 	if !isStopped {
 		g.log.Entry().WithError(err).Error("listener failed")
