A panic under a lock releases the lock

What callers would see: a process that lives, accepts connections and answers nothing; its stop hangs too.

Cause: State.decide unlocked without defer. The panic of a step of the core is recovered by net/http or a task group, and the state's mutex stayed locked for good. Class: work that nobody guards; the guard of its goroutine doesn't guard what it holds. The same stood where the relay, the collector, the router and the agent call their cores.

Change: steps of a core run in functions that unlock by defer.

--- a/internal/agent/agenthttp/server.go
+++ b/internal/agent/agenthttp/server.go
@@ -179,10 +179,7 @@
 
 // abandon cancels a request whose caller disconnected before it was started.
 func (s *Server) abandon(id admission.RequestID, decided chan decision) {
-	s.mutex.Lock()
-	delete(s.pending, id)
-	s.perform(s.core.Cancelled(time.Now(), id))
-	s.mutex.Unlock()
+	s.cancelPending(id)
 	select {
 	case d := <-decided:
 		// The core started it before the cancellation: release its slot.
@@ -193,6 +190,13 @@
 	}
 }
 
+func (s *Server) cancelPending(id admission.RequestID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.pending, id)
+	s.perform(s.core.Cancelled(time.Now(), id))
+}
+
 func (s *Server) finish(event admission.Finished) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -230,11 +234,14 @@
 	})
 }
 
-func (s *Server) setReply(header http.Header, refused *admission.Refuse) {
+func (s *Server) reply(refused *admission.Refuse) hop.Reply {
 	s.mutex.Lock()
-	reply := s.core.Reply(time.Now(), refused)
-	s.mutex.Unlock()
-	if err := hop.SetReply(header, reply); err != nil {
+	defer s.mutex.Unlock()
+	return s.core.Reply(time.Now(), refused)
+}
+
+func (s *Server) setReply(header http.Header, refused *admission.Refuse) {
+	if err := hop.SetReply(header, s.reply(refused)); err != nil {
 		s.config.Log.WithError(err).Error("encoding the reply header failed")
 	}
 }
--- a/internal/collect/service.go
+++ b/internal/collect/service.go
@@ -165,10 +165,7 @@
 	collector := s.collectorOf(s.plan.Own)
 	var totals dispatch.Totals
 	if collector.ID == s.config.ID {
-		s.mutex.Lock()
-		s.aggregator.SetMember(s.config.Clock.Now(), s.config.ID, counts, tallies, tenants)
-		totals = s.aggregator.Totals(s.config.Clock.Now(), s.plan.Others)
-		s.mutex.Unlock()
+		totals = s.addOwn(counts, tallies, tenants)
 	} else {
 		var err error
 		totals, err = s.query(collector, queryMessage{From: s.config.ID, Counts: pack(counts), Tallies: tallies, Unread: packUnread(counts), Tenants: fairshare.Pack(tenants)})
@@ -182,6 +179,14 @@
 	return periodFor(entriesOf(totals))
 }
 
+// addOwn records this gateway's own counts, as the collector of its group, and returns the totals.
+func (s *Service) addOwn(counts []dispatch.Count, tallies []rollout.Tally, tenants []fairshare.Demand) dispatch.Totals {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.aggregator.SetMember(s.config.Clock.Now(), s.config.ID, counts, tallies, tenants)
+	return s.aggregator.Totals(s.config.Clock.Now(), s.plan.Others)
+}
+
 // entriesOf returns the number of entries in an answer with the totals. The unread tokens of a back end
 // take about two bytes and an entry about seven, so they count as a quarter of an entry.
 func entriesOf(totals dispatch.Totals) int {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -295,12 +295,7 @@
 
 // decide runs a step of the core under the lock, and then logs and announces its effects.
 func (s *State) decide(step func(now time.Time, core *dispatch.Core) dispatch.Decision) dispatch.Decision {
-	s.mutex.Lock()
-	decision := step(s.clock.Now(), s.core)
-	changes := s.core.TakeHealthChanges()
-	s.announceCrashes()
-	s.announceIncarnations()
-	s.mutex.Unlock()
+	decision, changes := s.decideLocked(step)
 	for _, change := range changes {
 		s.log.Warn(eventlog.BackEndHealth, logrus.Fields{
 			"back_end": change.BackEnd, "from": change.From.String(), "to": change.To.String(),
@@ -310,6 +305,17 @@
 	return decision
 }
 
+// decideLocked runs a step of the core under the lock, which a panic of the core releases too.
+func (s *State) decideLocked(step func(now time.Time, core *dispatch.Core) dispatch.Decision) (dispatch.Decision, []dispatch.HealthChange) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	decision := step(s.clock.Now(), s.core)
+	changes := s.core.TakeHealthChanges()
+	s.announceCrashes()
+	s.announceIncarnations()
+	return decision, changes
+}
+
 // answerBegan records the first event of an attempt; see dispatch.Core.AnswerBegan.
 func (s *State) answerBegan(x *dispatch.Exchange) {
 	s.mutex.Lock()
--- a/internal/relay/connect.go
+++ b/internal/relay/connect.go
@@ -143,9 +143,7 @@
 	socket.SetReadLimit(maxMessageBytes)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.mutex.Lock()
-	r.peers.LinkUp(peer)
-	r.mutex.Unlock()
+	r.locked(func() { r.peers.LinkUp(peer) })
 	r.config.Log.Warn(eventlog.PeerRegained, logrus.Fields{"peer": peer})
 	cause := errors.New("the connection's task panicked")
 	defer func() { r.noteLinkDown(peer, cause) }()
@@ -163,8 +161,6 @@
 
 // noteLinkDown records that a connection to a peer has ended.
 func (r *Relay) noteLinkDown(peer string, cause error) {
-	r.mutex.Lock()
-	r.peers.LinkDown(peer)
-	r.mutex.Unlock()
+	r.locked(func() { r.peers.LinkDown(peer) })
 	r.config.Log.Warn(eventlog.PeerLost, logrus.Fields{"peer": peer, "cause": cause.Error()})
 }
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -52,16 +52,13 @@
 
 // requestMissing requests back ends that the peer knows and this gateway doesn't.
 func (r *Relay) requestMissing(from *link, message Message) {
-	r.mutex.Lock()
-	from.repair.receive(&r.pending, message)
-	r.mutex.Unlock()
+	r.locked(func() { from.repair.receive(&r.pending, message) })
 	if from.repair.unrequested == 0 {
 		return
 	}
 	differing := r.config.State.CompareDigest(from.repair.digest)
-	r.mutex.Lock()
-	requested := from.repair.nextRequest(r.config.State.Clock().Now(), &r.pending, differing)
-	r.mutex.Unlock()
+	var requested catalog.Buckets
+	r.locked(func() { requested = from.repair.nextRequest(r.config.State.Clock().Now(), &r.pending, differing) })
 	if requested != 0 {
 		from.requested.Or(uint64(requested))
 		from.wakeWriter()
@@ -98,9 +95,8 @@
 
 func (r *Relay) applyMessage(message Message) {
 	now := r.config.State.Clock().Now()
-	r.mutex.Lock()
-	r.peers.ObserveMessage(now, Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis, Zone: message.Zone, Capacity: message.Capacity}, message.Peers)
-	r.mutex.Unlock()
+	sender := Peer{ID: message.From, Address: message.Address, StoreAgeMillis: message.StoreAgeMillis, Zone: message.Zone, Capacity: message.Capacity}
+	r.locked(func() { r.peers.ObserveMessage(now, sender, message.Peers) })
 	r.config.State.ObserveEra(message.Era)
 	if message.Document != nil && message.Version > r.config.State.Version() {
 		r.applyDocument(message)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,6 +117,13 @@
 	r.peers.SetSeeds(seeds)
 }
 
+// locked runs a step under the lock, which a panic of the step releases too.
+func (r *Relay) locked(step func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	step()
+}
+
 // spawn runs a task once, unless the relay is closed.
 func (r *Relay) spawn(name string, run func()) {
 	r.mutex.Lock()
--- a/internal/router/routerhttp/route.go
+++ b/internal/router/routerhttp/route.go
@@ -129,18 +129,23 @@
 	_ = response.Body.Close()
 }
 
+// applyReply passes the agent's metadata to the core, and returns the token of a chat, or "".
+func (s *Server) applyReply(p *callerRequest, exchange *router.Exchange, reply hop.Reply) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.ApplyPiggyback(time.Now(), reply)
+	if !p.isChat {
+		return ""
+	}
+	return s.config.Sealer.Seal(p.Tenant, s.core.Token(time.Now(), exchange, p.ChatKey, reply.Incarnation))
+}
+
 // passOn copies the back end's answer to the caller. If the answer turns out to be
 // incomplete, the connection is aborted so that the caller notices; before that, a
 // stream gets an error event.
 func (s *Server) passOn(w http.ResponseWriter, r *http.Request, p *callerRequest, exchange *router.Exchange, target *router.Send, response *http.Response, reply hop.Reply, tracker *slo.Tracker) {
 	defer response.Body.Close()
-	token := ""
-	s.mutex.Lock()
-	s.core.ApplyPiggyback(time.Now(), reply)
-	if p.isChat {
-		token = s.config.Sealer.Seal(p.Tenant, s.core.Token(time.Now(), exchange, p.ChatKey, reply.Incarnation))
-	}
-	s.mutex.Unlock()
+	token := s.applyReply(p, exchange, reply)
 	header := w.Header()
 	hop.CopyAnswerHeaders(header, response)
 	setAnswerHeaders(header, exchange, target.BackEnd)
