--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,17 +24,16 @@
 		scope := tally.NewTestScope("", nil)
 		group := NewGroup(log.Entry(), scope)
 		ctx, cancel := context.WithCancel(context.Background())
-		runs := 0
+		var runs atomic.Int64
 		group.Keep(ctx, "loop", func() {
-			runs++
-			if runs < 3 {
+			if runs.Add(1) < 3 {
 				panic("odd entry")
 			}
 			<-ctx.Done()
 		})
 		group.Go("once", func() { panic("odd message") })
 		time.Sleep(3 * restartPause)
-		is.Equal(runs, 3)
+		is.Equal(runs.Load(), int64(3))
 		cancel()
 		group.Wait() // doesn't panic
 		log.Close()
