--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -108,7 +108,7 @@
 }
 
 func (n *Node) listen(environment Environment) (err error) {
-	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, log: n.log}
+	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, patience: addressPatience, log: n.log}
 	if n.peers, err = opener.open("listen.peers", n.settings.Listen.Peers); err != nil {
 		return err
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -170,7 +170,7 @@
 // serve opens the listeners and starts the gateway's servers and its exchange with other
 // gateways.
 func (g *Gateway) serve(environment GatewayEnvironment) error {
-	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, log: g.log.Entry()}
+	opener := addressOpener{listen: environment.Listen, starting: environment.Starting, patience: addressPatience, log: g.log.Entry()}
 	listeners, err := g.openListeners(opener)
 	if err != nil {
 		return err
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -48,13 +48,17 @@
 	listen func(network, address string) (net.Listener, error)
 	// starting ends when the start is to be given up.
 	starting context.Context
+	// patience is how long one listener is waited for; 0 means until starting ends.
+	patience time.Duration
 	log      logrus.FieldLogger
 }
 
-// open opens the listener of a setting. While the address is in use or not there, it tries again for up to
-// addressPatience.
+// open opens the listener of a setting. While the address is in use or not there, it tries again for up to its patience.
 func (o addressOpener) open(field, address string) (net.Listener, error) {
-	patience, cancel := context.WithTimeout(o.starting, addressPatience)
+	patience, cancel := context.WithCancel(o.starting)
+	if o.patience > 0 {
+		patience, cancel = context.WithTimeout(o.starting, o.patience)
+	}
 	defer cancel()
 	pause := time.NewTicker(addressRetryPause)
 	defer pause.Stop()
@@ -82,5 +86,10 @@
 
 // mayBecomeFree reports whether an address that couldn't be opened may be usable later without a change of the settings.
 func mayBecomeFree(err error) bool {
-	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	for _, passing := range []error{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/daemon/listeners_test.go
+++ b/internal/daemon/listeners_test.go
@@ -62,7 +62,7 @@
 				log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 				defer log.Close()
 				addresses := &heldAddresses{held: map[string]bool{held: true}}
-				opener := addressOpener{listen: addresses.listen, starting: context.Background(), log: log.Entry()}
+				opener := addressOpener{listen: addresses.listen, starting: context.Background(), patience: addressPatience, log: log.Entry()}
 				_, err := newStartingGateway().openListeners(opener)
 				is.True(err != nil)
 				is.True(!slices.Contains(addresses.opened, "callers"))
@@ -79,7 +79,7 @@
 			log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
 			defer log.Close()
 			addresses := &heldAddresses{held: map[string]bool{"callers": true, "peers": true, "admin": true}}
-			opener := addressOpener{listen: addresses.listen, starting: context.Background(), log: log.Entry()}
+			opener := addressOpener{listen: addresses.listen, starting: context.Background(), patience: addressPatience, log: log.Entry()}
 			results := make(chan error, 2)
 			for i := range 2 {
 				go func() {
@@ -97,3 +97,20 @@
 		})
 	}
 }
+
+// Guards against a gateway that gives up its metrics for good because their port was held for longer than a start waits.
+func TestListenerWithoutPatienceBoundIsOpenedHoweverLate(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		defer log.Close()
+		addresses := &heldAddresses{held: map[string]bool{"metrics": true}}
+		opener := addressOpener{listen: addresses.listen, starting: t.Context(), log: log.Entry()}
+		go func() {
+			time.Sleep(100 * addressPatience)
+			addresses.release("metrics")
+		}()
+		_, err := opener.open("listen.metrics", "metrics")
+		is.NoErr(err)
+	})
+}
