Commands that aren't daemons end with SIGHUP

The constructor that ignores SIGHUP before the program is initialized holds for all commands of harriernotchd, and a signal that was ignored at the start stays ignored by default: the demo outlived its terminal. Seen: demo, SIGHUP after 1 s, exit 129.

--- a/internal/earlysignal/earlysignal.go
+++ b/internal/earlysignal/earlysignal.go
@@ -31,9 +31,16 @@
 // Reloads returns the channel of the signal SIGHUP.
 func Reloads() <-chan os.Signal { return reloads }
 
-// Release restores the usual effects of the signals, for commands that aren't daemons.
+// exitHangup is the exit code of a command that SIGHUP ends, by the convention of shells.
+const exitHangup = 128 + int(syscall.SIGHUP)
+
+// Release restores the usual effects of the signals, for commands that aren't daemons. SIGHUP, which the program ignored
+// before it was initialized, stays ignored by default, so its usual effect is imitated.
 func Release() {
 	signal.Stop(stops)
-	signal.Stop(reloads)
 	signal.Reset(syscall.SIGPIPE)
+	go func() {
+		<-reloads
+		os.Exit(exitHangup)
+	}()
 }
