Configurations without a key policy are completed as often as lists are read after a failure

Callers could be refused for 10 s and more: a gateway that got a configuration from a peer of an earlier build isn't ready until it has read the store, and it waited as between two tries to write a record, up to 10 s and jitter, also while callers waited.

--- a/internal/follower/keypolicy.go
+++ b/internal/follower/keypolicy.go
@@ -19,7 +19,8 @@
 		case <-ctx.Done():
 			return
 		}
-		f.retryCall(ctx, func(ctx context.Context) error {
+		// Callers wait for it, so it is tried as often as the lists are read after a failure.
+		f.retryCallWithin(ctx, maxBackoff, func(ctx context.Context) error {
 			if f.config.State.KnowsKeyPolicy() {
 				return nil
 			}
--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -38,6 +38,11 @@
 // retryCall repeats a call until it succeeds. Its failures don't count as losing contact with the
 // store, which the reads of the lists detect.
 func (f *Follower) retryCall(ctx context.Context, call func(ctx context.Context) error) {
+	f.retryCallWithin(ctx, maxRecordBackoff, call)
+}
+
+// retryCallWithin does the same with at most the given backoff between two attempts.
+func (f *Follower) retryCallWithin(ctx context.Context, longest time.Duration, call func(ctx context.Context) error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		_, err := callWithTimeout(ctx, func(ctx context.Context) (struct{}, error) { return struct{}{}, call(ctx) })
@@ -50,7 +55,7 @@
 			f.config.Log.Entry().WithError(err).Warn("reading or writing the gateways' records in the store failed; trying again")
 		}
 		sleep(ctx, jitter(max(backoff, f.minRetryWait())))
-		backoff = min(2*backoff, maxRecordBackoff)
+		backoff = min(2*backoff, longest)
 	}
 }
 
