--- a/review/standin-2/config.go
+++ b/review/standin-2/config.go
@@ -12,11 +12,11 @@
 // route is a route of the configuration.
 func route(name, prefix, kind, service string, timeout, objective, attempts int, resumable bool) map[string]any {
 	r := map[string]any{
-		"name": name, "hostname": host, "pathPrefix": prefix, "routeType": kind, "timeoutMs": timeout, "sloMs": objective, "priority": 1,
+		"name": name, "hostname": host, names["prefix"]: prefix, names["kind"]: kind, "timeoutMs": timeout, names["objective"]: objective, "priority": 1,
 		"service": service, "maxAttempts": attempts, "public": false, "resumable": resumable,
 	}
 	if kind == "streaming" {
-		r["sticky"], r["gapAimMs"] = true, 300
+		r["sticky"], r[names["pause"]] = true, 300
 	}
 	return r
 }
@@ -33,13 +33,13 @@
 			map[string]any{"name": plain1, "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "apiKeys": []any{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenant, names["keys"]: []any{key}, "priority": 1}},
 	}
 }
 
 // withKey adds a key of the tenant to a configuration.
 func withKey(to map[string]any, key string) map[string]any {
 	owner := to["tenants"].([]any)[0].(map[string]any)
-	owner["apiKeys"] = append(owner["apiKeys"].([]any), key)
+	owner[names["keys"]] = append(owner[names["keys"]].([]any), key)
 	return to
 }
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -58,12 +59,21 @@
 	}()
 }
 
+// Ports of gateways are below those that the system gives to outgoing connections.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
 // freeAddress returns a loopback address with a port that was free a moment ago.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(lastPort-firstPort))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
 }
 
 // bounds are those of the small sites.
@@ -116,7 +126,7 @@
 	log, err := os.Create(filepath.Join(w.folder, g.name+".log"))
 	must(err)
 	g.process = exec.Command(filepath.Join(w.root, "target", "harriernotchd"))
-	g.process.Env = []string{"HARRIERNOTCH_CONFIG=" + g.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + w.folder}
+	g.process.Env = []string{names["settings"] + "=" + g.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + w.folder}
 	g.process.Stdout, g.process.Stderr = log, log
 	g.process.Dir = w.root
 	must(g.process.Start())
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -15,25 +15,6 @@
 	"time"
 )
 
-// names of headers.
-const (
-	headerID       = "Harriernotch-Attempt-Id"
-	headerExpect   = "Harriernotch-Expect-Instance"
-	headerInstance = "Harriernotch-Instance-Id"
-	headerNotRun   = "Harriernotch-Not-Executed"
-	headerStamp    = "Harriernotch-Server-Stamp"
-	headerTenant   = "Harriernotch-Tenant"
-	headerBackup   = "Harriernotch-Kv-Backup"
-	headerLoad     = "Harriernotch-Server-Load"
-	headerDeadline = "Harriernotch-Deadline-Ms"
-	headerPrompt   = "Harriernotch-Prompt-Prefix"
-	headerTokens   = "Harriernotch-Token-Count"
-	headerModel    = "Harriernotch-Model"
-	headerFrom     = "Kv-From"
-	headerLast     = "Last-Event-Id"
-	headerKey      = "X-Api-Key"
-)
-
 // run is one run of a request at a runner.
 type run struct {
 	id, runner, tenant, path string
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -137,7 +137,7 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, names["objects"]), "/")
 	w.Header().Set("Content-Type", "application/json")
 	switch r.Method {
 	case http.MethodGet:
@@ -170,7 +170,7 @@
 	}
 	entries := []object{}
 	for _, each := range objects {
-		if each.Metadata.Name > r.URL.Query().Get("sinceRevision") {
+		if each.Metadata.Name > r.URL.Query().Get(names["after"]) {
 			entries = append(entries, each)
 		}
 	}
@@ -199,7 +199,7 @@
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(names["wait"]))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
