A broken stream's run is continued only once it has ended

Cause: Core.Truncated continued every broken stream. Ruled out: a connection that isn't closed in time (each had ended before).

Change: Truncated says what has to be found out (Confirmation), the gateway asks at the back end's address (runEndInquiry), and Core.TakeUp decides. The run has ended if connections are refused, if another back end has the address, or if the back end says so. One that lives is told to stop the run where the service has that call, and the run goes on from the memory that it moves. What isn't known to have ended counts as going on: a route that may be resumed gets a further run, any other stream ends. A failure of this process says nothing of the back end.

The soak's back ends lose answers of streams and work on, one in three can't be told to stop, and the port of one that has crashed refuses connections, as the port of a process that has ended does; before, connections were accepted and closed.

--- a/internal/dispatch/backup_test.go
+++ b/internal/dispatch/backup_test.go
@@ -171,11 +171,11 @@
 			is.Equal(decision.Send.BackUpTo, "")
 			core.Answered(start, x, -1)
 			is.Equal(core.WatchStream(x), StreamWatch{})
-			is.Equal(core.Truncated(start, x).GiveUp.Kind, failure.StreamBroken)
+			is.Equal(breakOff(core, start, x).GiveUp.Kind, failure.StreamBroken)
 			x, _ = core.Begin(start, longRequest(resumableStream(2), "b"))
 			core.Answered(start, x, -1)
 			is.Equal(core.WatchStream(x), StreamWatch{Limit: time.Second})
-			next := core.Truncated(start, x)
+			next := breakOff(core, start, x)
 			is.True(next.Send != nil && next.Send.ContinueFrom == "")
 		})
 	}
@@ -189,7 +189,7 @@
 	x, first := core.Begin(start, longRequest(singleStream(), "a"))
 	passEvents(core, start, x, 5)
 	before := core.budget("s").Tokens()
-	next := core.Truncated(start, x)
+	next := breakOff(core, start, x)
 	is.Equal(next.Send.BackEnd.Address, first.Send.BackUpTo)
 	is.Equal(next.Send.ContinueFrom, first.Send.BackEnd.Address)
 	is.Equal(core.budget("s").Tokens(), before-1)
@@ -200,7 +200,7 @@
 	passEvents(core, start, x, 5)
 	for core.budget("s").Spend() {
 	}
-	is.Equal(core.Truncated(start, x).GiveUp.Kind, failure.StreamBroken)
+	is.Equal(breakOff(core, start, x).GiveUp.Kind, failure.StreamBroken)
 }
 
 // Retries at a service that backs up runs leave a part of the budget to continuations. Otherwise the
@@ -219,7 +219,7 @@
 	other, sent := core.Begin(start, request(repeatable(2), "b"))
 	is.Equal(sent.Send.HeadTimeout, time.Duration(0)) // no attempt is abandoned for one that isn't allowed
 	is.Equal(core.ConnectionLost(start, other).GiveUp.Kind, failure.BackendFailed)
-	is.Equal(core.Truncated(start, x).Send.ContinueFrom, first.Send.BackEnd.Address)
+	is.Equal(breakOff(core, start, x).Send.ContinueFrom, first.Send.BackEnd.Address)
 }
 
 // Guards against a reserve that services without backups never use: their retries may use the whole
@@ -248,7 +248,7 @@
 			core := newBackupCore(6, 1)
 			x, _ := core.Begin(start, longRequest(singleStream(), "a"))
 			passEvents(core, start, x, 5)
-			is.True(core.Truncated(start, x).Send != nil)
+			is.True(breakOff(core, start, x).Send != nil)
 			is.True(outcome(core, start, x).Send == nil)
 			core.Done(start, x)
 			for _, m := range core.members {
@@ -268,7 +268,7 @@
 		passEvents(core, start, x, 5)
 		core.members[x.current.backEnd.ID].health = health{} // only refusals matter here
 		source := x.current
-		next := core.Truncated(start, x)
+		next := breakOff(core, start, x)
 		source.health = health{}
 		if next.Send == nil {
 			break
@@ -322,7 +322,7 @@
 			passEvents(core, start, x, 5)
 			at := slices.IndexFunc(list, func(b catalog.BackEnd) bool { return b.Address == first.Send.BackUpTo })
 			core.SetBackEnds(start, change(core, slices.Clone(list), at))
-			is.True(core.Truncated(start, x).Send == nil)
+			is.True(breakOff(core, start, x).Send == nil)
 		})
 	}
 }
@@ -340,7 +340,7 @@
 			x, _ := core.Begin(start, longRequest(resumableStream(attempts), "a"))
 			x.backup = &backup{source: x.current.backEnd.Address, target: otherThan(core, x.current).backEnd}
 			passEvents(core, start, x, 5)
-			next := core.Truncated(start, x)
+			next := breakOff(core, start, x)
 			is.Equal(next.Send.ContinueFrom != "", continues)
 			is.Equal(x.Attempts(), 2)
 			if continues {
@@ -373,7 +373,7 @@
 	for key := range crashesToWithhold {
 		core.crashes.connectionLost(start, 7, incarnationKey(key+1))
 	}
-	is.True(core.Truncated(start, x).Send == nil)
+	is.True(breakOff(core, start, x).Send == nil)
 }
 
 // Whatever happens, a run that may run once starts once, continuations are bounded, and the accounts
@@ -403,7 +403,7 @@
 				decision, sent = core.TimedOut(start, x), true
 			default:
 				passEvents(core, start, x, rapid.IntRange(0, 3).Draw(t, "events"))
-				decision, sent = core.Truncated(start, x), true
+				decision, sent = breakOff(core, start, x), true
 			}
 		}
 		core.Done(start, x)
--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -77,27 +77,52 @@
 	return c.knownLoad(now, m)+1 <= slots*(engineFactor+continuationReserve)
 }
 
-// continueRun continues a run whose stream broke off from its backup, and reports whether it can be
-// continued.
+// Confirmation is what has to be found out before the run of a broken stream is continued: whether its back
+// end has stopped working on it. The end of a connection doesn't tell: not every back end drops a request
+// with its connection.
+type Confirmation struct {
+	// Target is the address of the back end that has the copy.
+	Target string
+	// MayStop is true if the back ends of the service can be told to stop a run.
+	MayStop bool
+	// Until is when the caller's patience, or the pause that a further run would make needless, is used up.
+	Until time.Time
+}
+
+// RunEnd is what was found out about a run whose stream broke off.
+type RunEnd struct {
+	// Ended is true if the back end has stopped working on the run.
+	Ended bool
+	// Copy is the ID of a copy at the target that replaces the one ordered with the request, or "".
+	Copy string
+}
+
+// resumableConfirmTime is how long a broken stream rests for its confirmation if a further run could resume it.
+// A process that has ended refuses connections within a round trip.
+const resumableConfirmTime = 100 * time.Millisecond
+
+// confirmation returns what has to be found out before the broken run is continued.
+func (c *Core) confirmation(now time.Time, x *Exchange) *Confirmation {
+	until := now.Add(resumableConfirmTime)
+	if !c.mayResume(x) {
+		until = now.Add(longestSilence(patience(x.request.Route)) - x.silentFor(now))
+	}
+	return &Confirmation{Target: x.backup.target.Address, MayStop: c.services[x.service].Moves, Until: until}
+}
+
+// mayContinue reports whether a run whose stream broke off can be continued from its backup, if it has ended.
+func (c *Core) mayContinue(now time.Time, x *Exchange) bool {
+	return x.backup != nil && !c.withholds(now, x) && c.continuationTarget(now, x) != nil && c.budget(x.service).Tokens() >= 1
+}
+
+// continueAt starts the attempt that continues the run of the engine with the source address at the
+// target, which has the copy.
 //
 // A continuation uses the retry budget, since it adds load when back ends fail. It is not an attempt
 // to run the request: the target goes on with the memory of the first engine, which has stopped, so
 // there is still one run. Therefore it is allowed on routes whose requests may run only once, and
 // doesn't count towards the attempts there. On other routes it counts, because the limit there
 // bounds the work that one request may cause.
-func (c *Core) continueRun(now time.Time, x *Exchange) (Decision, bool) {
-	if x.backup == nil || c.withholds(now, x) {
-		return Decision{}, false
-	}
-	target := c.continuationTarget(now, x)
-	if target == nil || !c.budget(x.service).Spend() {
-		return Decision{}, false
-	}
-	return c.continueAt(now, x, target, x.backup.source), true
-}
-
-// continueAt starts the attempt that continues the run of the engine with the source address at the
-// target, which has the copy.
 func (c *Core) continueAt(now time.Time, x *Exchange, target *member, source string) Decision {
 	send := c.newSend(now, x, target)
 	send.HeadTimeout = c.headTimeout(now, x, target)
--- a/internal/dispatch/crash_back_ends_test.go
+++ b/internal/dispatch/crash_back_ends_test.go
@@ -25,7 +25,7 @@
 		core := f.cores[r.gateway]
 		f.schedule(time.Millisecond, func() {
 			if r.answered {
-				f.follow(r, core.Truncated(f.now, r.x))
+				f.follow(r, breakOff(core, f.now, r.x))
 			} else {
 				f.follow(r, core.ConnectionLost(f.now, r.x))
 			}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -109,11 +109,11 @@
 	route.Stream = true
 	x, _ := core.Begin(start, request(route, "a"))
 	core.Answered(start, x, -1)
-	is.Equal(core.Truncated(start, x).GiveUp.Kind, failure.StreamBroken)
+	is.Equal(breakOff(core, start, x).GiveUp.Kind, failure.StreamBroken)
 	route.Resumable = true
 	x, first := core.Begin(start, request(route, "b"))
 	core.Answered(start, x, -1)
-	next := core.Truncated(start, x)
+	next := breakOff(core, start, x)
 	is.True(next.Send != nil)
 	is.True(next.Send.BackEnd.ID != first.Send.BackEnd.ID)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -149,8 +149,8 @@
 	BackUpTo     string
 	BackupReason BackupReason
 	// ContinueFrom is the address of the back end that ran the request until now, of whose memory the
-	// target has a copy; "" for a new run.
-	ContinueFrom string
+	// target has a copy; "" for a new run. ContinueCopy is the ID of that copy; "" means that of the request.
+	ContinueFrom, ContinueCopy string
 	// EventTokens is the number of tokens in an event of a stream; see Core.Progressed. Predicted
 	// is the predicted time to the first token. Both are 0 if work isn't counted in tokens there.
 	EventTokens int
@@ -159,11 +159,13 @@
 
 // Decision is the next step: send an attempt, give up with an error, or, if both are nil,
 // pass on the answer that was received. If ReturnToSilent is set, the attempt that was silent is listened to
-// instead.
+// instead. If Confirm is set, the run of a broken stream may be continued once it has ended; Core.TakeUp decides
+// after that was found out.
 type Decision struct {
 	Send           *Send
 	GiveUp         *failure.Error
 	ReturnToSilent bool
+	Confirm        *Confirmation
 }
 
 const (
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -90,7 +90,7 @@
 		func(x *Exchange) { core.TimedOut(start, x) },
 		func(x *Exchange) { core.Failed(start, x) },
 		func(x *Exchange) { core.Answered(start, x, 3) },
-		func(x *Exchange) { core.Answered(start, x, 3); core.Truncated(start, x) },
+		func(x *Exchange) { core.Answered(start, x, 3); breakOff(core, start, x) },
 		func(*Exchange) {},
 	}
 	for i, outcome := range outcomes {
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -131,7 +131,7 @@
 				}
 			}
 			core.SetBackEnds(start, changed)
-			is.Equal(core.Truncated(start, x).GiveUp.Kind, failure.StreamVersionGone)
+			is.Equal(breakOff(core, start, x).GiveUp.Kind, failure.StreamVersionGone)
 			resumed := request(route, "b")
 			resumed.Origin = &StreamOrigin{Service: "s", Version: sent.BackEnd.Version}
 			_, decision := core.Begin(start, resumed)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -211,9 +211,9 @@
 	}
 }
 
-// Truncated records that a stream broke off after its head, and decides whether its run is continued
-// from a backup, or the stream is resumed at another back end. A stream that lasts until its request's
-// deadline was ended by the gateway, which says nothing of its back end.
+// Truncated records that a stream broke off after its head, and decides whether the stream is resumed at
+// another back end. If its run could be continued from a backup, the decision is left to TakeUp. A stream
+// that lasts until its request's deadline was ended by the gateway, which says nothing of its back end.
 func (c *Core) Truncated(now time.Time, x *Exchange) Decision {
 	m := x.release(now)
 	if now.Before(x.request.Deadline) {
@@ -221,9 +221,21 @@
 		c.recordHealthChange(now, m)
 		c.noteConnectionLost(now, x, m)
 	}
-	if decision, continued := c.continueRun(now, x); continued {
+	if c.mayContinue(now, x) {
+		return Decision{Confirm: c.confirmation(now, x)}
+	}
+	return c.resume(now, x)
+}
+
+// TakeUp decides how a broken stream goes on, after it was found out whether its run has ended: its run is
+// continued from a backup, or the stream is resumed by a further run at another back end.
+func (c *Core) TakeUp(now time.Time, x *Exchange, end RunEnd) Decision {
+	if end.Ended && c.mayContinue(now, x) && c.budget(x.service).Spend() {
+		decision := c.continueAt(now, x, c.continuationTarget(now, x), x.backup.source)
+		decision.Send.ContinueCopy = end.Copy
 		return decision
 	}
+	c.endBackup(x)
 	return c.resume(now, x)
 }
 
--- a/internal/dispatch/relocate_test.go
+++ b/internal/dispatch/relocate_test.go
@@ -315,7 +315,7 @@
 func streamingStep(t *rapid.T, core *Core, now time.Time, x *Exchange) Decision {
 	switch rapid.IntRange(0, 3).Draw(t, "event") {
 	case 0:
-		return core.Truncated(now, x)
+		return breakOff(core, now, x)
 	case 1:
 		decision, _ := core.ExamineSilence(now, x)
 		return decision
--- a/internal/dispatch/resumption_test.go
+++ b/internal/dispatch/resumption_test.go
@@ -25,11 +25,11 @@
 	outcomes := map[string]func(*Core, time.Time, *Exchange) Decision{
 		"truncated": func(c *Core, now time.Time, x *Exchange) Decision {
 			passEvents(c, now, x, 1)
-			return c.Truncated(now, x)
+			return breakOff(c, now, x)
 		},
 		"truncated without an event": func(c *Core, now time.Time, x *Exchange) Decision {
 			c.Answered(now, x, -1)
-			return c.Truncated(now, x)
+			return breakOff(c, now, x)
 		},
 		"refused":         (*Core).Refused,
 		"not connected":   (*Core).NotConnected,
@@ -47,7 +47,7 @@
 				resumed := 0
 				x, first := core.Begin(start, request(resumableStream(5), fmt.Sprint("stream-", i), Part{ID: fmt.Sprint("shared-", i), Tokens: 100}))
 				passEvents(core, start, x, 3)
-				next := core.Truncated(start, x)
+				next := breakOff(core, start, x)
 				for next.Send != nil {
 					resumed++
 					is.Equal(next.Send.BackEnd.Version, first.Send.BackEnd.Version)
@@ -66,7 +66,7 @@
 	core := newCore(versionedBackEnds(2, "v1", "v2"))
 	x, first := core.Begin(start, request(resumableStream(2), "stream"))
 	core.Answered(start, x, -1)
-	next := core.Truncated(start, x)
+	next := breakOff(core, start, x)
 	is.True(next.Send != nil)
 	is.True(next.Send.BackEnd.Version != first.Send.BackEnd.Version)
 }
--- a/internal/dispatch/work_test.go
+++ b/internal/dispatch/work_test.go
@@ -72,7 +72,7 @@
 		func(x *Exchange) {
 			core.Answered(start, x, 3)
 			core.Progressed(start, x, testEventTokens)
-			core.Truncated(start, x)
+			breakOff(core, start, x)
 		},
 		// The configuration changes while the request is in flight.
 		func(*Exchange) {
@@ -123,7 +123,7 @@
 	core.Progressed(start, x, testEventTokens)
 	core.Progressed(start, x, testEventTokens)
 	broken := x.current
-	decision := core.Truncated(start, x)
+	decision := breakOff(core, start, x)
 	is.True(decision.Send != nil)
 	is.Equal(broken.engine.Own(), workload.Work{})
 	own := x.current.engine.Own()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -75,8 +75,7 @@
 // relocation. An answer that can't be completed is cut in a way that the caller notices.
 //
 // The connection to a back end that broke off is closed before the run is continued elsewhere: Close
-// returns once it is. The end of the connection ends the back end's work, so that no two back ends work
-// on one run.
+// returns once it is. The back end may work on all the same; see runEndInquiry.
 func (h *Handler) passStream(ctx context.Context, c *call, result outcome) {
 	s := &stream{controller: http.NewResponseController(c.writer)}
 	for {
@@ -211,7 +210,7 @@
 }
 
 // resume sends attempts for the rest of a broken stream, as the core decides: its run is continued
-// from a backup, or the stream is resumed by a new run. It returns false if there is no answer.
+// from a backup if it has ended, or the stream is resumed by a new run. It returns false if there is no answer.
 func (h *Handler) resume(ctx context.Context, c *call, s *stream, broken outcome, cause error) (outcome, bool) {
 	var caller *callerWriteError
 	if c.request.Context().Err() != nil || errors.As(cause, &caller) {
@@ -220,7 +219,14 @@
 	decision := h.decideSend(c, func(now time.Time, core *dispatch.Core) dispatch.Decision {
 		return core.Truncated(now, c.exchange)
 	})
-	h.logFailure(c, attemptFailure{send: broken.send, cause: cause.Error(), events: s.events}, decision)
+	end := runEndUnasked
+	if decision.Confirm != nil {
+		decision, end = h.confirmEnd(ctx, c, broken, cause, *decision.Confirm)
+	}
+	if c.request.Context().Err() != nil {
+		return outcome{}, false
+	}
+	h.logFailure(c, attemptFailure{send: broken.send, cause: cause.Error(), events: s.events, runEnd: end}, decision)
 	if decision.GiveUp != nil {
 		h.config.Metrics.notResumed(c, resumedByGateway, decision.GiveUp.Kind)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -143,7 +144,7 @@
 	}
 	continueFrom := ""
 	if send.ContinueFrom != "" {
-		continueFrom = send.ContinueFrom + "/" + c.facts.ID
+		continueFrom = send.ContinueFrom + "/" + cmp.Or(send.ContinueCopy, c.facts.ID)
 	}
 	h.config.Dialect.WriteForward(request.Header, Forward{
 		Remaining: h.clock().Until(c.deadline),
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -21,6 +22,28 @@
 	ReadAnswer(status int, header http.Header) AnswerFacts
 	// FormatWait formats a time to wait for the Retry-After header.
 	FormatWait(wait time.Duration) string
+	// WriteIdentityQuestion makes a request for an address one that no back end runs, and that every one answers
+	// with its ID if it can; see AnswerFacts.ActualBackEnd.
+	WriteIdentityQuestion(request *http.Request)
+	// NewStopCall returns the call that makes a back end stop a run and move its memory.
+	NewStopCall(ctx context.Context, call StopCall) (*http.Request, error)
+	// ReadStopAnswer parses the answer to that call.
+	ReadStopAnswer(status int, body []byte) StopAnswer
+}
+
+// StopCall is the call that makes a back end stop a run and move its memory to another back end.
+type StopCall struct {
+	// Address is the address of the back end, Request the ID of the request that it runs, and Target the address
+	// of the other back end.
+	Address, Request, Target string
+}
+
+// StopAnswer is the answer to a StopCall.
+type StopAnswer struct {
+	// Stopped is true if the back end doesn't work on the run, and Busy if another such call is under way.
+	Stopped, Busy bool
+	// Copy is the ID of the memory that was moved to the target, or "" if none was.
+	Copy string
 }
 
 // RequestFacts is the content of a caller's headers.
@@ -89,8 +112,8 @@
 	NotRun bool
 	// Misdirected is true if the address now belongs to another back end.
 	Misdirected bool
-	// ActualBackEnd is the ID of the back end that has the address, if Misdirected; "" if the
-	// answer doesn't name it.
+	// ActualBackEnd is the ID of the back end that has the address, "" if the answer doesn't name it. An answer that is
+	// Misdirected, or one to an identity question, should.
 	ActualBackEnd string
 	// Encoded is true if the body is encoded (compressed), not the back end's own bytes.
 	Encoded bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -55,6 +55,11 @@
 	m.scope.Tagged(map[string]string{"result": result.String()}).Counter("reach_probes").Inc(1)
 }
 
+// runEndFound records what was found out about the run of a stream that broke off.
+func (m *Metrics) runEndFound(c *call, end runEnd) {
+	m.forCall(c).Tagged(map[string]string{"result": end.String()}).Counter("run_ends").Inc(1)
+}
+
 // forCall returns the scope tagged with the request's service and kind of answer.
 func (m *Metrics) forCall(c *call) tally.Scope {
 	labels := map[string]string{"service": noService, "stream": "no"}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -117,6 +117,8 @@
 	notSent        bool
 	expired        bool
 	deadlinePassed bool
+	// runEnd is what was found out about the run of a stream that broke off.
+	runEnd runEnd
 }
 
 // maxLoggedPath limits a path in a log line, in bytes.
@@ -152,6 +154,9 @@
 	fields["not_sent"] = failed.notSent
 	fields["expired"] = failed.expired
 	fields["deadline_passed"] = failed.deadlinePassed
+	if failed.runEnd != runEndUnasked {
+		fields["run_end"] = failed.runEnd.String()
+	}
 	switch {
 	case next.Send != nil:
 		fields["next"] = nextAttempt
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
@@ -41,14 +42,14 @@
 	listener := n.listeners[address]
 	n.mutex.Unlock()
 	if listener == nil {
-		return nil, errors.Errorf("no listener at %s", address)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "no listener at %s", address)
 	}
 	client, server := n.pipe()
 	select {
 	case listener.conns <- server:
 		return client, nil
 	case <-listener.closed:
-		return nil, errors.Errorf("the listener at %s has been closed", address)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "the listener at %s has been closed", address)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -46,6 +46,9 @@
 	lose, spoil, fail, refuse, rest, stall, silent, unframed, endless, odd int
 	// turn counts the requests and selects the way in which an answer is spoiled.
 	turn int
+	// number is the position in the list of all back ends, and runs are the streams on which it works, by request.
+	number int
+	runs   map[string]*streamRun
 }
 
 const (
@@ -137,7 +140,11 @@
 		tenant: forwarded.Tenant, resumed: forwarded.ResumeAfter != "", continued: forwarded.ContinueFrom != "",
 	}
 	b.awaitEndOfSilence(r.Context())
+	if b.answerStopCall(w, r, body) {
+		return
+	}
 	if forwarded.BackEnd != b.id() {
+		protocol.WriteIdentity(w.Header(), b.id())
 		protocol.WriteNotRun(w.Header(), forwarded.Request)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -174,6 +181,8 @@
 func (b *backEnd) run(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded, acts behaviour) {
 	protocol := b.fleet.environment.Protocol()
 	switch {
+	case acts.lose && isStream(r.URL.Path) && b.fleet.options.Backups:
+		b.answer(w, r, forwarded, eventsBeforeLoss)
 	case acts.lose:
 		sleep(r.Context(), plainWork)
 		panic(http.ErrAbortHandler)
@@ -189,16 +198,16 @@
 	case acts.unframed:
 		b.answerUnframed(w, r, forwarded, acts.turn)
 	default:
-		b.answer(w, r, forwarded)
+		b.answer(w, r, forwarded, 0)
 	}
 }
 
-// answer sends the whole answer.
-func (b *backEnd) answer(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded) {
+// answer sends the whole answer. That of a stream is lost after the given number of events, unless it is 0.
+func (b *backEnd) answer(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded, lostAfter int) {
 	protocol := b.fleet.environment.Protocol()
 	if isStream(r.URL.Path) {
 		protocol.WriteStamp(w.Header(), forwarded.Request, b.id())
-		b.stream(w, r, forwarded)
+		b.stream(w, r, forwarded, lostAfter)
 		return
 	}
 	sleep(r.Context(), plainWork)
@@ -225,8 +234,12 @@
 	}
 }
 
-// stream writes the events after the last one that the caller has received.
-func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded) {
+// stream writes the events after the last one that the caller has received. After lostAfter events it loses the answer and
+// works on, unless lostAfter is 0.
+func (b *backEnd) stream(w http.ResponseWriter, r *http.Request, forwarded wire.Forwarded, lostAfter int) {
+	ctx, end := b.beginRun(r.Context(), forwarded.Request)
+	defer end()
+	incarnation := b.currentIncarnation()
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	task := &streamWork{backEnd: b.id(), continued: forwarded.ContinueFrom != ""}
@@ -243,8 +256,16 @@
 	version, _ := b.software()
 	last := eventsOf(streamOf(forwarded))
 	for number := first; number <= last; number++ {
-		sleep(r.Context(), b.fleet.eventPause())
-		b.awaitEndOfStall(r.Context())
+		sleep(ctx, b.fleet.eventPause())
+		b.awaitEndOfStall(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if lostAfter > 0 && task.events == lostAfter {
+			loseAnswer(w)
+			b.workOn(ctx, incarnation, task, last-number)
+			return
+		}
 		if _, err := io.WriteString(w, eventOf(streamOf(forwarded), number, version)); err != nil {
 			return
 		}
--- a/internal/soak/backups.go
+++ b/internal/soak/backups.go
@@ -40,7 +40,7 @@
 // engineService returns the service with the facts of engines.
 func engineService(base catalog.Service) catalog.Service {
 	base.CachesPrefixes, base.CacheTokens, base.TokenBytes, base.EventTokens = true, 400_000, 18_432, 7
-	base.Backups, base.CopyLifetime = true, copyLifetime
+	base.Backups, base.Moves, base.CopyLifetime = true, true, copyLifetime
 	return base
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -20,6 +20,8 @@
 	Protocol() wire.Protocol
 	// Listen opens a listener at a free address.
 	Listen() (net.Listener, error)
+	// ListenAt opens a listener again at the address of one that was closed.
+	ListenAt(address string) (net.Listener, error)
 	// Address returns a free address for a gateway to listen on.
 	Address() (string, error)
 	// Dial connects to an address.
@@ -203,7 +205,7 @@
 
 // newBackEnd creates a back end that is reachable but not listed in the store.
 func (f *fleet) newBackEnd(number int) (*backEnd, error) {
-	b := &backEnd{fleet: f, name: fmt.Sprintf("b%02d", number), version: f.versionOf(number), born: time.Now(), zone: zones[number%len(zones)], idleTime: idleTimes[number%len(idleTimes)]}
+	b := &backEnd{fleet: f, number: number, runs: map[string]*streamRun{}, name: fmt.Sprintf("b%02d", number), version: f.versionOf(number), born: time.Now(), zone: zones[number%len(zones)], idleTime: idleTimes[number%len(idleTimes)]}
 	own, err := f.environment.Listen()
 	if err != nil {
 		return nil, err
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -272,8 +272,7 @@
 func (f *fleet) crash(ctx context.Context, b *backEnd, wait time.Duration) {
 	id := b.id()
 	f.check.backEndCrashing(b.name)
-	b.link.changeFaults(func(l *link) *int { return &l.refused }, 1)
-	incarnation := b.restart(false)
+	incarnation := b.end(false)
 	sleep(ctx, max(wait, listedAfterCrash))
 	f.store.removeBackEnd(id)
 	f.bringBack(ctx, b, incarnation, afterStart)
@@ -283,8 +282,7 @@
 // throughout.
 func (f *fleet) restartWithSameID(ctx context.Context, b *backEnd, wait time.Duration) {
 	f.check.backEndCrashing(b.name)
-	b.link.changeFaults(func(l *link) *int { return &l.refused }, 1)
-	incarnation := b.restart(true)
+	incarnation := b.end(true)
 	f.check.backEndRestarted(b.id())
 	sleep(ctx, wait)
 	f.bringBack(ctx, b, incarnation, afterRestart)
@@ -293,12 +291,18 @@
 // bringBack makes a back end reachable again and lists it. If the back end has restarted since
 // then, it isn't listed: the current incarnation hasn't finished its own start.
 func (f *fleet) bringBack(ctx context.Context, b *backEnd, incarnation int, cause warmUpCause) {
-	b.link.changeFaults(func(l *link) *int { return &l.refused }, -1)
+	b.link.openPort()
 	if b.currentIncarnation() == incarnation {
 		f.listCold(ctx, b, cause)
 	}
 }
 
+// end ends the back end's process with its connections, and returns the number of the next incarnation.
+func (b *backEnd) end(keepsID bool) int {
+	b.link.closePort()
+	return b.restart(keepsID)
+}
+
 // restart begins a new incarnation, under the same ID or a new one, and returns its number.
 func (b *backEnd) restart(keepsID bool) int {
 	b.mutex.Lock()
--- a/internal/soak/inprocess.go
+++ b/internal/soak/inprocess.go
@@ -54,6 +54,11 @@
 	return e.network.Listen("pipe", address)
 }
 
+// ListenAt implements Environment.
+func (e *InProcess) ListenAt(address string) (net.Listener, error) {
+	return e.network.Listen("pipe", address)
+}
+
 // Dial implements Environment.
 func (e *InProcess) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	return e.network.Dial(ctx, network, address)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -13,8 +13,8 @@
 // link is a proxy for connections to one target that simulates network faults: it can block the
 // connections' bytes or close the connections.
 type link struct {
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	target string
+	environment Environment
+	target      string
 	// passesResets is true if a reset of one side resets the other one, and faults that close connections
 	// reset them. Otherwise either side only sees the end of the data.
 	passesResets bool
@@ -28,6 +28,8 @@
 	// blocked counts the active faults that block all bytes, targetBlocked those that block the
 	// bytes from the target, and refused those that close every connection.
 	blocked, targetBlocked, refused int
+	// closed counts the faults that close the port, so that connections to it are refused.
+	closed int
 	// accepted counts the connections so far. The first silent of them pass no more bytes.
 	accepted, silent int
 	changed          chan struct{}
@@ -37,16 +39,43 @@
 func newLink(environment Environment, listener net.Listener, target string, passesResets bool) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{
-		dial: environment.Dial, target: target, passesResets: passesResets, listener: listener, ctx: ctx, cancel: cancel,
+		environment: environment, target: target, passesResets: passesResets, listener: listener, ctx: ctx, cancel: cancel,
 		changed: make(chan struct{}), open: map[net.Conn]bool{},
 	}
-	l.tasks.Go(l.accept)
+	l.tasks.Go(func() { l.accept(listener) })
 	return l
 }
 
+// closePort makes the link end its connections and refuse new ones, as the address of a process that has ended.
+func (l *link) closePort() {
+	l.mutex.Lock()
+	l.closed++
+	_ = l.listener.Close()
+	l.mutex.Unlock()
+	l.reset()
+}
+
+// openPort undoes one closePort.
+func (l *link) openPort() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed--
+	if l.closed > 0 || l.ctx.Err() != nil {
+		return
+	}
+	listener, err := l.environment.ListenAt(l.listener.Addr().String())
+	if err != nil {
+		panic(err) // the address is this link's, and nobody else listens there
+	}
+	l.listener = listener
+	l.tasks.Go(func() { l.accept(listener) })
+}
+
 func (l *link) close() {
 	l.cancel()
+	l.mutex.Lock()
 	_ = l.listener.Close()
+	l.mutex.Unlock()
 	l.reset()
 	l.tasks.Wait()
 }
@@ -97,9 +126,9 @@
 	_ = conn.Close()
 }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		conn, err := l.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -114,7 +143,7 @@
 	}
 	number := l.nextNumber()
 	defer l.register(inbound, false)
-	outbound, err := l.dial(l.ctx, "tcp", l.target)
+	outbound, err := l.environment.Dial(l.ctx, "tcp", l.target)
 	if err != nil {
 		return
 	}
@@ -147,7 +176,7 @@
 		delete(l.open, conn)
 		return true
 	}
-	if l.refused > 0 || l.ctx.Err() != nil {
+	if l.refused > 0 || l.closed > 0 || l.ctx.Err() != nil {
 		return false
 	}
 	l.open[conn] = true
--- a/internal/soak/processes.go
+++ b/internal/soak/processes.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -64,6 +65,23 @@
 // Listen implements Environment.
 func (e *Processes) Listen() (net.Listener, error) { return net.Listen("tcp", loopback) }
 
+// listenPause and listenTries bound the wait for a port that a connection of another process has for a moment.
+const (
+	listenPause = 10 * time.Millisecond
+	listenTries = 500
+)
+
+// ListenAt implements Environment.
+func (e *Processes) ListenAt(address string) (listener net.Listener, err error) {
+	for range listenTries {
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return listener, nil
+		}
+		time.Sleep(listenPause)
+	}
+	return nil, err
+}
+
 // The gateways' ports lie below the system's range of ephemeral ports, so that the port of a
 // gateway that restarts isn't taken by a connection in between.
 const (
--- a/internal/soak/unframed.go
+++ b/internal/soak/unframed.go
@@ -57,7 +57,7 @@
 	if isStream(r.URL.Path) {
 		unframed.breakAt += turn / int(unframedEnds) % minEvents
 	}
-	b.answer(unframed, r.WithContext(ctx), forwarded)
+	b.answer(unframed, r.WithContext(ctx), forwarded, 0)
 	b.fleet.check.endedUnframed(forwarded.Request, unframed.finish(ctx))
 }
 
--- a/internal/soak/wire/wire.go
+++ b/internal/soak/wire/wire.go
@@ -29,6 +29,13 @@
 	// WriteNotRun marks it as the back end's declaration that it did not run the request.
 	WriteStamp(header http.Header, request, stamp string)
 	WriteNotRun(header http.Header, request string)
+	// WriteIdentity adds the ID of the back end, in answer to a request that is meant for another one.
+	WriteIdentity(header http.Header, backEnd string)
+	// ReadStopCall parses the call that stops a run; ok is false for another request.
+	ReadStopCall(request *http.Request, body []byte) (call StopCall, ok bool)
+	// WriteStopAnswer answers it. copyID is the ID of the memory that was moved to the target; "" means that no such run
+	// exists.
+	WriteStopAnswer(w http.ResponseWriter, copyID string)
 	// WriteLeaving adds the notice that the back end is leaving.
 	WriteLeaving(header http.Header)
 	// WriteCallerRequest adds the headers of a caller's request.
@@ -118,6 +125,11 @@
 	Resumes string
 }
 
+// StopCall is the call that makes a back end stop a run and move its memory to the back end with the address Target.
+type StopCall struct {
+	Request, Target string
+}
+
 // CallerRequest holds the headers of a caller's request.
 type CallerRequest struct {
 	// Request is the request's ID and Key the tenant's API key.
