A list or a peer brings no object back that a later list lacks

Cause: a gateway that isn't a reader reads stale lists, each from some copy of the store. A record of an object that the view didn't know was added, however old the list; only a record of the removal stopped that, which a gateway that has just started doesn't have. Ruled out: a first read that is too old (peers tell removals of what a gateway names), a peer that lags (the same).

Change: a record set knows the latest position of a list that it has merged. Whatever that list lacks and has no later revision is gone, for back ends, orders on zones and roll-outs alike. A newer stale list that shows objects which are new to the gateway is confirmed: by peers within 1 s, or by a fresh read. The first list after a start is taken as it is. A fresh list of a lower position shows that a store without eras was restored.

TestStaleReadNeitherRemovesNorRevivesAnEvacuation had an order of revision 3 that a list of revision 4 lacked and one of revision 5 had, which no store can answer. It has revision 6 now, in a list of revision 6; what the test asks is the same.

TestGatewayThatWasCutOffTakesNoBackEndThatCameAndWent held before as well.

--- a/internal/catalog/recordset.go
+++ b/internal/catalog/recordset.go
@@ -57,6 +57,8 @@
 	unannounced     uint64
 	// removalOrder holds the keys of removed objects in the order of their removal.
 	removalOrder []string
+	// listedAt is the latest position of a complete list that was merged.
+	listedAt Position
 }
 
 func newRecordSet[R record[R]](eras *eraState, alwaysAnnounced int) recordSet[R] {
@@ -102,9 +104,49 @@
 		}
 	}
 	s.pruneTombstones()
+	if at.Compare(s.listedAt) > 0 {
+		s.listedAt = at
+	}
 	return changed
 }
 
+// revertList records that the store's revisions went back to the position without a new era.
+func (s *recordSet[R]) revertList(to Position) {
+	if to.Era == s.listedAt.Era && to.Compare(s.listedAt) < 0 {
+		s.listedAt = to
+	}
+}
+
+// predatesList reports whether a list that was merged is of the record's position or a later one. If it doesn't have
+// the object, the object had been removed by then.
+func (s *recordSet[R]) predatesList(position Position) bool {
+	hasList := s.listedAt != Position{}
+	return hasList && !s.eras.ignored && position.Era == s.listedAt.Era && position.Revision <= s.listedAt.Revision
+}
+
+// adds reports whether the records have an object that isn't known to exist and would be added.
+func (s *recordSet[R]) adds(records []R) bool {
+	return slices.ContainsFunc(records, func(each R) bool {
+		known, exists := s.records[each.key()]
+		return (!exists || known.removed()) && !each.removed() && s.accepts(each)
+	})
+}
+
+// accepts reports whether the record is new: it is of an unknown object that may be added, or supersedes the known record.
+// An object that a later list doesn't have no longer exists: a stale read, or a peer that was cut off, brings its record
+// back. A removal of an earlier era doesn't show that: the list may have had the object, see supersedes.
+func (s *recordSet[R]) accepts(offered R) bool {
+	known, exists := s.records[offered.key()]
+	isAbsent := !exists || known.removed() && known.position().Era == offered.position().Era
+	if isAbsent && !offered.removed() && s.predatesList(offered.position()) {
+		return false
+	}
+	if exists {
+		return s.supersedes(offered, known)
+	}
+	return s.mayAdd(offered)
+}
+
 // impliesRemoval reports whether a known object has been removed if a list at the position
 // doesn't contain it.
 func (s *recordSet[R]) impliesRemoval(known R, at Position) bool {
@@ -137,7 +179,7 @@
 func (s *recordSet[R]) offerOne(offered R, announced bool) bool {
 	key := offered.key()
 	known, exists := s.records[key]
-	if exists && !s.supersedes(offered, known) || !exists && !s.mayAdd(offered) {
+	if !s.accepts(offered) {
 		return false
 	}
 	if exists && offered.position().Era > known.position().Era {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -205,6 +206,26 @@
 	return v.entries.offerList(withWarmUpPositions(entries), at)
 }
 
+// AddsBackEnds reports whether a list has back ends that the view doesn't know and would add, of the buckets.
+func (v *View) AddsBackEnds(entries []Entry, of Buckets) bool {
+	return v.entries.adds(slices.DeleteFunc(slices.Clone(entries), func(each Entry) bool { return !of.Has(bucketOf(each.BackEnd.ID)) }))
+}
+
+// AddsEvacuations and AddsRollouts report whether a list has orders that the view doesn't know and would add.
+func (v *View) AddsEvacuations(evacuations []Evacuation) bool { return v.evacuations.adds(evacuations) }
+func (v *View) AddsRollouts(rollouts []Rollout) bool          { return v.rollouts.adds(rollouts) }
+
+// ObserveFreshList processes the position of a list that wasn't stale. If it is older than a list that was merged, the
+// store has lost changes, and its revisions are assigned again. Only a store without eras doesn't say so itself.
+func (v *View) ObserveFreshList(at Position) {
+	if at.Era > 0 {
+		return
+	}
+	v.entries.revertList(at)
+	v.evacuations.revertList(at)
+	v.rollouts.revertList(at)
+}
+
 // BackEnds returns the back ends in service, including leaving ones, sorted by ID.
 func (v *View) BackEnds() []BackEnd {
 	var list []BackEnd
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -74,29 +74,44 @@
 			}
 		}
 	}
-	return listOf("configuration", f.newProgress(), f.config.Source.Configurations(),
-		func(all []*catalog.Configuration, _ catalog.Position) { adopt(all) }, adopt)
+	return listOf("configuration", f.newProgress(), f.config.Source.Configurations(), merging[*catalog.Configuration]{
+		list:    func(all []*catalog.Configuration, _ catalog.Position) { adopt(all) },
+		changes: adopt,
+		adds:    func([]*catalog.Configuration) bool { return false }, // an older version is never adopted
+	})
 }
 
-// listOf returns a list of the objects. takeList merges a complete list into the state, and
-// takeChanges merges changes.
-func listOf[T any](
-	name string,
-	progress *listProgress,
-	objects Objects[T],
-	takeList func(all []T, at catalog.Position),
-	takeChanges func(changes []T),
-) list {
+// merging is how objects of one kind are merged into the state.
+type merging[T any] struct {
+	// list merges a complete list, and changes merges changes.
+	list    func(all []T, at catalog.Position)
+	changes func(changes []T)
+	// adds reports whether a list has objects that are new although all were known.
+	adds func(all []T) bool
+}
+
+// newsTime is the time within which peers tell of a new object.
+const newsTime = time.Second
+
+// listOf returns a list of the objects.
+func listOf[T any](name string, progress *listProgress, objects Objects[T], into merging[T]) list {
 	return list{
 		name:     name,
 		progress: progress,
 		read: func(ctx context.Context, stale bool) (catalog.Position, error) {
 			all, at, err := objects.List(ctx, stale)
-			if err == nil {
-				progress.state.ObserveEra(at.Era)
-				takeList(all, at)
+			if err == nil && stale && into.adds(all) {
+				all, at, stale, err = confirmList(ctx, objects, into, all, at)
 			}
-			return at, err
+			if err != nil {
+				return at, err
+			}
+			progress.state.ObserveEra(at.Era)
+			if !stale {
+				progress.state.ObserveFreshList(at)
+			}
+			into.list(all, at)
+			return at, nil
 		},
 		watch: func(ctx context.Context, after catalog.Position) (catalog.Position, error) {
 			ctx, cancel := context.WithTimeout(asWatch(ctx), watchWait+watchGrace)
@@ -104,49 +119,67 @@
 			changes, at, err := objects.Watch(ctx, after, watchWait)
 			if err == nil {
 				progress.state.ObserveEra(at.Era)
-				takeChanges(changes)
+				into.changes(changes)
 			}
 			return at, err
 		},
 	}
 }
 
+// confirmList replaces a stale list that has objects which are new to this gateway. It doesn't show whether they still
+// exist: they may have been added and removed since, without this gateway having heard of it. Peers tell of an object
+// that exists; if they don't, the list is read fresh.
+func confirmList[T any](ctx context.Context, objects Objects[T], into merging[T], all []T, at catalog.Position) ([]T, catalog.Position, bool, error) {
+	sleep(ctx, newsTime)
+	if !into.adds(all) {
+		return all, at, true, nil
+	}
+	all, at, err := objects.List(ctx, false)
+	return all, at, false, err
+}
+
 // backEnds returns the list of back ends. Reading it takes many calls, and all gateways of a fleet
-// that restarts read it at the same time, so the first read may be stale. An entry that is seconds
-// old is safe: every request that is sent names the ID of the back end that it is meant for, any
-// other back end at the address refuses it, and peers and the next read deliver newer entries. The
+// that restarts read it at the same time, so the first read may be stale. As to who has an address, an entry that is
+// seconds old is safe: every request names the ID of the back end that it is meant for, and any other one refuses it. A back end
+// that has been removed since is told by peers, which compare their lists with this gateway's. The
 // configuration and the evacuated zones are read fresh.
 func (f *Follower) backEnds() list {
+	followed := listOf("back_ends", f.newProgress(), f.config.Source.BackEnds(), f.mergingBackEnds())
+	followed.firstMayBeStale, followed.isLong = true, true
+	return followed
+}
+
+// mergingBackEnds returns how back ends are merged.
+func (f *Follower) mergingBackEnds() merging[catalog.Entry] {
 	state := f.config.State
-	followed := listOf("back_ends", f.newProgress(), f.config.Source.BackEnds(),
-		func(all []catalog.Entry, at catalog.Position) {
+	return merging[catalog.Entry]{
+		list: func(all []catalog.Entry, at catalog.Position) {
 			f.entryCount.Store(int64(len(all)))
 			state.OfferList(all, at, gateway.SourceStore)
 		},
-		func(changes []catalog.Entry) { state.OfferEntries(changes, gateway.SourceStore) },
-	)
-	followed.firstMayBeStale, followed.isLong = true, true
-	return followed
+		changes: func(changes []catalog.Entry) { state.OfferEntries(changes, gateway.SourceStore) },
+		adds:    state.AddsBackEnds,
+	}
 }
 
 // evacuations returns the list of evacuation orders.
 func (f *Follower) evacuations() list {
 	state := f.config.State
-	return listOf("evacuations", f.newProgress(), f.config.Source.Evacuations(),
-		func(all []catalog.Evacuation, at catalog.Position) {
+	return listOf("evacuations", f.newProgress(), f.config.Source.Evacuations(), merging[catalog.Evacuation]{
+		list: func(all []catalog.Evacuation, at catalog.Position) {
 			state.OfferEvacuationList(all, at, gateway.SourceStore)
 		},
-		func(changes []catalog.Evacuation) { state.OfferEvacuations(changes, gateway.SourceStore) },
-	)
+		changes: func(changes []catalog.Evacuation) { state.OfferEvacuations(changes, gateway.SourceStore) },
+		adds:    state.AddsEvacuations,
+	})
 }
 
 // rollouts returns the list of orders to move services to other versions.
 func (f *Follower) rollouts() list {
 	state := f.config.State
-	return listOf("rollouts", f.newProgress(), f.config.Source.Rollouts(),
-		func(all []catalog.Rollout, at catalog.Position) {
-			state.OfferRolloutList(all, at, gateway.SourceStore)
-		},
-		func(changes []catalog.Rollout) { state.OfferRollouts(changes, gateway.SourceStore) },
-	)
+	return listOf("rollouts", f.newProgress(), f.config.Source.Rollouts(), merging[catalog.Rollout]{
+		list:    func(all []catalog.Rollout, at catalog.Position) { state.OfferRolloutList(all, at, gateway.SourceStore) },
+		changes: func(changes []catalog.Rollout) { state.OfferRollouts(changes, gateway.SourceStore) },
+		adds:    state.AddsRollouts,
+	})
 }
--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -49,6 +49,13 @@
 	s.applyEvacuations(s.view.OfferEvacuationList(evacuations, at), first, source)
 }
 
+// AddsEvacuations reports whether a list has orders that are new to this gateway, although it has known all.
+func (s *State) AddsEvacuations(evacuations []catalog.Evacuation) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.knowsEvacuations && s.view.AddsEvacuations(evacuations)
+}
+
 // OfferEvacuations merges changes of the evacuated zones. Those of a peer make the list
 // complete, because a peer first sends all that it knows.
 func (s *State) OfferEvacuations(evacuations []catalog.Evacuation, source string) {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -28,6 +28,13 @@
 	s.applyRollouts(s.view.OfferRolloutList(rollouts, at), first, source)
 }
 
+// AddsRollouts reports whether a list has orders that are new to this gateway, although it has known all.
+func (s *State) AddsRollouts(rollouts []catalog.Rollout) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.knowsRollouts && s.view.AddsRollouts(rollouts)
+}
+
 // OfferRollouts merges changed rollout orders. Those of a peer make the list complete, because
 // a peer first sends all that it knows.
 func (s *State) OfferRollouts(rollouts []catalog.Rollout, source string) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -189,6 +189,25 @@
 	s.applyEntries(s.view.OfferList(entries, at), source)
 }
 
+// ObserveFreshList processes the position of a list that wasn't stale.
+func (s *State) ObserveFreshList(at catalog.Position) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.view.ObserveFreshList(at)
+}
+
+// AddsBackEnds reports whether a list has back ends that are new to this gateway, although it knows all that a peer or
+// an earlier list had of their buckets.
+func (s *State) AddsBackEnds(entries []catalog.Entry) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.syncedBuckets
+	if s.listed {
+		known = catalog.AllBuckets
+	}
+	return s.view.AddsBackEnds(entries, known)
+}
+
 // OfferEntries merges changes of back ends.
 func (s *State) OfferEntries(entries []catalog.Entry, source string) {
 	if len(entries) == 0 {
