A failure of the gateway's own isn't taken for a lost back end

Cause: a probe of a silent back end counted every error within its time as unreachable, also one for want of descriptors, of local ports or of a network. A run that may not be repeated was then continued beside a back end that may work.

Change: refused connections, and a machine that doesn't respond, say that a back end can't be reached; anything else says nothing. The inquiry about broken runs uses the same two questions.

TestReachabilityIsKnownAfterAProbe gave an error of no kind for "refused"; it gives the system's now, and three failures of this process and its machine besides. Measured: the tests of internal/gateway pass. The three cases weren't run on the code before; it had no branch for them.

--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/harriernotch/harriernotch/internal/hop"
 	"github.com/harriernotch/harriernotch/internal/task"
 )
@@ -101,7 +104,7 @@
 }
 
 // connect opens a connection and closes it. A failure that comes late says nothing: a process that has stood still may
-// have missed the connection.
+// have missed the connection. Neither does a failure of this process, for example for want of descriptors.
 func (p *reachProbes) connect(address string) reachability {
 	ctx, cancel := context.WithTimeout(context.Background(), reachProbeTimeout)
 	defer cancel()
@@ -111,10 +114,19 @@
 		_ = connection.Close()
 		return reachable
 	}
-	if time.Since(began) > reachProbeTimeout+reachProbeLateness {
-		return reachabilityUnknown
+	isLate := time.Since(began) > reachProbeTimeout+reachProbeLateness
+	if !isLate && (isRefused(err) || isUnanswered(err)) {
+		return unreachable
 	}
-	return unreachable
+	return reachabilityUnknown
+}
+
+// isRefused reports whether a connection failed because nobody listens at its address.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// isUnanswered reports whether a connection failed because the machine at its address didn't respond.
+func isUnanswered(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH)
 }
 
 // removeOld removes the probes whose results don't count any more. The mutex must be held.
--- a/internal/gateway/reachability_test.go
+++ b/internal/gateway/reachability_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
@@ -30,14 +31,24 @@
 	return nil, ctx.Err()
 }
 
+// failWith returns a dial that fails with the cause.
+func failWith(cause error) func(context.Context) (net.Conn, error) {
+	return func(context.Context) (net.Conn, error) { return nil, errors.Wrap(cause, "dial") }
+}
+
 func TestReachabilityIsKnownAfterAProbe(t *testing.T) {
 	for name, each := range map[string]struct {
 		dial func(ctx context.Context) (net.Conn, error)
 		want reachability
 	}{
 		"connected": {connectAtOnce, reachable},
-		"refused":   {func(context.Context) (net.Conn, error) { return nil, errors.New("refused") }, unreachable},
+		"refused":   {failWith(syscall.ECONNREFUSED), unreachable},
+		"no route":  {failWith(syscall.EHOSTUNREACH), unreachable},
 		"timed out": {dialUntilTimeout, unreachable},
+		// Guards against a failure of this process or its machine that is taken for a lost back end.
+		"no descriptors": {failWith(syscall.EMFILE), reachabilityUnknown},
+		"no local ports": {failWith(syscall.EADDRNOTAVAIL), reachabilityUnknown},
+		"no network":     {failWith(syscall.ENETUNREACH), reachabilityUnknown},
 		// Guards against a process that stood still, and takes that for a lost back end.
 		"late": {func(ctx context.Context) (net.Conn, error) {
 			time.Sleep(2 * reachProbeTimeout)
--- a/internal/gateway/runend.go
+++ b/internal/gateway/runend.go
@@ -129,13 +129,12 @@
 // for example for want of descriptors, says nothing. Neither does a connection that isn't opened in time, unless the
 // machine was silent before: a machine drops the packets that open connections while a queue is full.
 func (r brokenRun) endByFailure(err error, span time.Duration) runEnd {
-	isTimeout := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH)
 	switch {
 	case !hop.NothingSent(err):
 		return runEndUnknown
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case isRefused(err):
 		return runRefused
-	case isTimeout && r.unacknowledged && span <= runEndAnswerTimeout+runEndLateness:
+	case isUnanswered(err) && r.unacknowledged && span <= runEndAnswerTimeout+runEndLateness:
 		return runUnreachable
 	default:
 		return runEndUnknown
--- a/internal/gateway/runend_test.go
+++ b/internal/gateway/runend_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/harriernotch/harriernotch/internal/bubble"
@@ -26,9 +25,6 @@
 
 // Guards against a failure of this process, or of its machine, that is taken for the end of a run.
 func TestFailedQuestionsTellWhetherARunHasEnded(t *testing.T) {
-	failWith := func(cause error) func(context.Context) (net.Conn, error) {
-		return func(context.Context) (net.Conn, error) { return nil, errors.Wrap(cause, "dial") }
-	}
 	for name, each := range map[string]struct {
 		dial           func(context.Context) (net.Conn, error)
 		unacknowledged bool
