Explain: a broken stream whose backup could not help says why

An operator couldn't tell a back end that lost an answer and may work on from one that has ended: both read "could not be continued". The verdict says now that the back end could be reached, or that it couldn't be found out in time.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -241,3 +241,20 @@
 	is.True(!strings.Contains(output.String(), "request=other"))
 	is.Equal(len(log.Explain("a").ChainLines), 2) // from the first attempt, too
 }
+
+// An operator can tell a back end that lost an answer from one that has ended.
+func TestBrokenStreamTellsWhyItsBackupDidNotHelp(t *testing.T) {
+	for end, want := range map[string]string{"goes_on": "may have worked on", "unknown": "couldn't be found out in time", "refused": ""} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			log := newTestLog(t, nil, `g1 10 request.sent "request":"r","back_end":"b1"`,
+				`g1 10.5 request.attempt_failed "request":"r","back_end":"b1","events":7,"cause":"EOF","run_end":"`+end+`"`,
+				`g1 11 request.failed "request":"r","back_end":"b1","events":7,"cause":"EOF"`)
+			log.Align()
+			verdict := log.Explain("r").Verdict
+			is.Equal(verdict.Cause, StreamBroken)
+			is.True(strings.Contains(verdict.Why, want))
+			is.Equal(strings.Contains(verdict.Why, "there was a backup"), want != "")
+		})
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -84,6 +84,7 @@
 	NotSent        bool   `json:"not_sent"`
 	Expired        bool   `json:"expired"`
 	DeadlinePassed bool   `json:"deadline_passed"`
+	RunEnd         string `json:"run_end"`
 	Next           string `json:"next"`
 	NextBackEnd    string `json:"next_back_end"`
 
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -194,9 +194,24 @@
 	if len(continued) > 0 {
 		why += "; before, " + continuation(continued)
 	}
+	why += runEndNote(e.requestLinesOf(eventlog.AttemptFailed))
 	return Verdict{Cause: StreamBroken, Why: why, Evidence: slices.Concat(lines, attempt.Evidence, continued)}, true
 }
 
+// runEndNotes say why a backup couldn't help a broken stream, by what was found out about its run.
+var runEndNotes = map[string]string{
+	"goes_on": "; there was a backup, but its back end could be reached and may have worked on",
+	"unknown": "; there was a backup, but it couldn't be found out in time whether its back end had stopped",
+}
+
+// runEndNote returns the note for the last failed attempt, or "".
+func runEndNote(failed []Line) string {
+	if len(failed) == 0 {
+		return ""
+	}
+	return runEndNotes[failed[len(failed)-1].RunEnd]
+}
+
 // failedAttempt handles requests with failed attempts. If the request got a server
 // error, and several back ends answered requests for its path with server errors, the
 // request itself is the cause. Otherwise the last failed attempt decides.
