A back end that is reached again isn't taken for lost

Cause: the result of a probe that didn't reach a silent back end counted for a second. A back end that was cut off for a moment and can be reached again within that second lost its runs that may not be repeated to a second back end.

Change: such a result counts for 0.25 s, the period of probes and one recheck. A stream whose back end is lost looks each 50 ms while nothing is known, so it sees each result.

TestBackEndThatIsReachedAgainIsNotTakenForLost failed before. The tests of silent streams, relocations and backups pass.

--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -37,8 +37,10 @@
 	reachProbeLateness = 100 * time.Millisecond
 	// reachProbePeriod is the least time between the beginnings of two probes of a back end.
 	reachProbePeriod = 200 * time.Millisecond
-	// reachValidity is for how long the result of a probe counts.
-	reachValidity = time.Second
+	// reachValidity is for how long the result of a probe counts, and unreachableValidity for how long that of one that
+	// didn't reach the back end does: it may be reached again, and go on with its runs.
+	reachValidity       = time.Second
+	unreachableValidity = reachProbePeriod + reachRecheck
 	// reachRecheck is the time until a stream is examined again whose back end is being probed.
 	reachRecheck = 50 * time.Millisecond
 )
@@ -88,10 +90,19 @@
 		probe.running, probe.beganAt = true, now
 		p.tasks.Go("probe_back_end", func() { p.run(address, probe) })
 	}
-	if now.Sub(probe.endedAt) > reachValidity {
+	return probe.resultAt(now)
+}
+
+// resultAt returns the last result if it still counts.
+func (p *reachProbe) resultAt(now time.Time) reachability {
+	validity := reachValidity
+	if p.lastKnown == unreachable {
+		validity = unreachableValidity
+	}
+	if now.Sub(p.endedAt) > validity {
 		return reachabilityUnknown
 	}
-	return probe.lastKnown
+	return p.lastKnown
 }
 
 // run probes a back end.
--- a/internal/gateway/reachability_test.go
+++ b/internal/gateway/reachability_test.go
@@ -96,3 +96,29 @@
 		is.Equal(len(probes.byAddress), 1)
 	})
 }
+
+// Guards against a run that is continued beside its back end, which couldn't be reached a moment ago and can be reached now.
+func TestBackEndThatIsReachedAgainIsNotTakenForLost(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lost := true
+		probes := newReachProbes(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if lost {
+				return dialUntilTimeout(ctx)
+			}
+			return connectAtOnce(ctx)
+		}, task.NewGroup(nil, tally.NoopScope), ignoreResult)
+		probes.examine(probedAddress)
+		time.Sleep(reachProbeTimeout + time.Millisecond)
+		lost = false
+		is.Equal(probes.examine(probedAddress), unreachable) // the result is new; a further probe begins
+		time.Sleep(time.Millisecond)
+		is.Equal(probes.examine(probedAddress), reachable)
+		lost = true
+		time.Sleep(reachValidity)
+		probes.examine(probedAddress)
+		time.Sleep(reachProbeTimeout + unreachableValidity + 10*time.Millisecond)
+		is.Equal(probes.examine(probedAddress), reachabilityUnknown) // it may have been reached again since
+		time.Sleep(2 * reachProbeTimeout)
+	})
+}
