--- a/internal/gateway/reachability_test.go
+++ b/internal/gateway/reachability_test.go
@@ -101,20 +101,21 @@
 func TestBackEndThatIsReachedAgainIsNotTakenForLost(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		lost := true
+		var lost atomic.Bool
+		lost.Store(true)
 		probes := newReachProbes(func(ctx context.Context, _, _ string) (net.Conn, error) {
-			if lost {
+			if lost.Load() {
 				return dialUntilTimeout(ctx)
 			}
 			return connectAtOnce(ctx)
 		}, task.NewGroup(nil, tally.NoopScope), ignoreResult)
 		probes.examine(probedAddress)
 		time.Sleep(reachProbeTimeout + time.Millisecond)
-		lost = false
+		lost.Store(false)
 		is.Equal(probes.examine(probedAddress), unreachable) // the result is new; a further probe begins
 		time.Sleep(time.Millisecond)
 		is.Equal(probes.examine(probedAddress), reachable)
-		lost = true
+		lost.Store(true)
 		time.Sleep(reachValidity)
 		probes.examine(probedAddress)
 		time.Sleep(reachProbeTimeout + unreachableValidity + 10*time.Millisecond)
