--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -46,7 +46,7 @@
 	"router": routers, "agent": routers, "coordination": routers, "admission": routers, "bundle": routers,
 	"membership": routers, "peering": routers, "objectstore": routers,
 
-	"failure": shared, "clock": shared, "hop": shared, "limits": shared, "routing": shared, "eventlog": shared, "eventstream": shared,
+	"failure": shared, "fieldvalue": shared, "clock": shared, "hop": shared, "limits": shared, "routing": shared, "eventlog": shared, "eventstream": shared,
 	"draining": shared, "intake": shared, "task": shared, "logqueue": shared, "salvage": shared, "keepalive": shared, "peerlink": shared, "socket": shared, "packed": shared, "settings": shared, "slo": shared, "telemetry": shared, "tomlfile": shared,
 
 	"soak": laboratory, "simulation": laboratory, "standin": laboratory, "loadgen": laboratory, "demo": laboratory,
--- a/internal/dispatch/parts.go
+++ b/internal/dispatch/parts.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"strconv"
+	"strings"
 )
 
 // partFingerprintLabel keeps fingerprints of parts apart from those of contents.
@@ -34,3 +36,21 @@
 	}
 	return Fingerprint(binary.BigEndian.Uint64(digest.Sum(nil)))
 }
+
+// ParseParts parses a comma-separated list of ID:TOKENS. An invalid list counts as empty:
+// prompt parts only improve the choice of a back end.
+func ParseParts(text string) []Part {
+	if text == "" {
+		return nil
+	}
+	var list []Part
+	for _, item := range strings.Split(text, ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(item), ":")
+		tokens, err := strconv.Atoi(count)
+		if !found || id == "" || err != nil || tokens < 0 {
+			return nil
+		}
+		list = append(list, Part{ID: id, Tokens: tokens})
+	}
+	return list
+}
--- a/internal/dispatch/parts_test.go
+++ b/internal/dispatch/parts_test.go
@@ -18,3 +18,11 @@
 	is.True(partFingerprint("sa", "b") != partFingerprint("s", "ab"))
 	is.Equal(len(PartFingerprints("s", []Part{{ID: "only"}})), 0)
 }
+
+func TestParseParts(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ParseParts("5c1e:800,91bd:410"), []Part{{ID: "5c1e", Tokens: 800}, {ID: "91bd", Tokens: 410}})
+	for _, bad := range []string{"", "5c1e", "5c1e:x", ":8", "5c1e:-1", "5c1e:1,,"} {
+		is.Equal(len(ParseParts(bad)), 0)
+	}
+}
--- a/internal/follower/call.go
+++ b/internal/follower/call.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,29 @@
 	Body   []byte
 }
 
+// Number returns the number in a header field, or 0 if the answer doesn't have the field. A value that is no number is an
+// error.
+func (a Answer) Number(header string) (uint64, error) {
+	text := a.Header.Get(header)
+	if text == "" {
+		return 0, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(err, "the store's %s can't be parsed", header)
+	}
+	return value, nil
+}
+
+// CheckWrite returns an error unless the answer says that the write is done, or has doneStatus: the store is as the write
+// would leave it.
+func (a Answer) CheckWrite(doneStatus int) error {
+	if a.Status/100 == 2 || a.Status == doneStatus {
+		return nil
+	}
+	return errors.Errorf("the store answered with status %d", a.Status)
+}
+
 // Call sends an HTTP request to the store, with the body encoded as JSON unless it is nil.
 func Call(ctx context.Context, client *http.Client, method, url string, body any) (Answer, error) {
 	var content io.Reader
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -25,20 +24,14 @@
 	// WriteIdentityQuestion makes a request for an address one that no back end runs, and that every one answers
 	// with its ID if it can; see AnswerFacts.ActualBackEnd.
 	WriteIdentityQuestion(request *http.Request)
-	// NewStopCall returns the call that makes a back end stop a run and move its memory.
-	NewStopCall(ctx context.Context, call StopCall) (*http.Request, error)
+	// EncodeStopCall returns the path of a POST call, and the body to encode as JSON, that makes a back end stop the run of
+	// the request with the ID and move its memory to the back end with the target address.
+	EncodeStopCall(request, target string) (path string, body any)
 	// ReadStopAnswer parses the answer to that call.
 	ReadStopAnswer(status int, body []byte) StopAnswer
 }
 
-// StopCall is the call that makes a back end stop a run and move its memory to another back end.
-type StopCall struct {
-	// Address is the address of the back end, Request the ID of the request that it runs, and Target the address
-	// of the other back end.
-	Address, Request, Target string
-}
-
-// StopAnswer is the answer to a StopCall.
+// StopAnswer is the answer to the call that stops a run.
 type StopAnswer struct {
 	// Stopped is true if the back end doesn't work on the run, and Busy if another such call is under way.
 	Stopped, Busy bool
--- a/internal/gateway/runend.go
+++ b/internal/gateway/runend.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"syscall"
@@ -143,7 +145,7 @@
 
 // stop tells the back end to stop the run and to move its memory to the target.
 func (q *runEndInquiry) stop(ctx context.Context, run brokenRun, target string) (end runEnd, copyID string) {
-	request, err := q.dialect.NewStopCall(ctx, StopCall{Address: run.address, Request: run.request, Target: target})
+	request, err := q.newStopCall(ctx, run, target)
 	if err != nil {
 		return runEndUnknown, ""
 	}
@@ -167,6 +169,21 @@
 	}
 }
 
+// newStopCall returns the call that stops the run.
+func (q *runEndInquiry) newStopCall(ctx context.Context, run brokenRun, target string) (*http.Request, error) {
+	path, content := q.dialect.EncodeStopCall(run.request, target)
+	body, err := json.Marshal(content)
+	if err != nil {
+		return nil, err
+	}
+	request, err := hop.NewRequest(ctx, http.MethodPost, "http://"+run.address+path, io.NopCloser(bytes.NewReader(body)), int64(len(body)))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
 // confirmEnd finds out whether the run of a broken stream has ended, and lets the core decide how the stream goes on. The
 // decision is empty if the caller has left.
 func (h *Handler) confirmEnd(ctx context.Context, c *call, broken outcome, cause error, confirmation dispatch.Confirmation) (dispatch.Decision, runEnd) {
