A restored store without eras: its next list is merged whole

Cause: a fresh list of a lower position set back what is known of lists to its own position, and its new objects, which are older still, were then refused by it. Found by reading the change again. It also took an answer that was overtaken by a later one for that of a restored store.

Change: a fresh list that is older than a list merged before it was asked for shows the restore, and then no list that was merged tells what exists.

TestListsOfARestoredStoreAreMerged asks for the objects of that list too now, and TestOvertakenListIsNoRestoredStore is new. On the code before, the first fails as to the object of the list; the second passes there, as a guard.

--- a/internal/catalog/recordset.go
+++ b/internal/catalog/recordset.go
@@ -110,13 +110,6 @@
 	return changed
 }
 
-// revertList records that the store's revisions went back to the position without a new era.
-func (s *recordSet[R]) revertList(to Position) {
-	if to.Era == s.listedAt.Era && to.Compare(s.listedAt) < 0 {
-		s.listedAt = to
-	}
-}
-
 // predatesList reports whether a list that was merged is of the record's position or a later one. If it doesn't have
 // the object, the object had been removed by then.
 func (s *recordSet[R]) predatesList(position Position) bool {
--- a/internal/catalog/recordset_test.go
+++ b/internal/catalog/recordset_test.go
@@ -78,9 +78,11 @@
 	view.OfferList([]Entry{entry("a", 1)}, Position{Revision: 900})
 	view.OfferEntries([]Entry{entry("b", 60)})
 	is.Equal(idsOf(view), []string{"a"})
-	view.ObserveFreshList(Position{Revision: 50})
+	before := view.LatestList()
+	view.ObserveFreshList(before, Position{Revision: 50})
+	view.OfferList([]Entry{entry("a", 1), entry("c", 40)}, Position{Revision: 50})
 	view.OfferEntries([]Entry{entry("b", 60)})
-	is.Equal(idsOf(view), []string{"a", "b"})
+	is.Equal(idsOf(view), []string{"a", "b", "c"})
 
 	view = NewView()
 	view.ObserveEra(1)
@@ -90,6 +92,17 @@
 	is.Equal(idsOf(view), []string{"a", "b"})
 }
 
+// Guards against an answer that was overtaken by a later one and is taken for that of a store that was restored.
+func TestOvertakenListIsNoRestoredStore(t *testing.T) {
+	is := is.New(t)
+	view := NewView()
+	before := view.LatestList()
+	view.OfferList([]Entry{entry("a", 1)}, Position{Revision: 9})
+	view.ObserveFreshList(before, Position{Revision: 7})
+	view.OfferList([]Entry{entry("a", 1), entry("gone", 5)}, Position{Revision: 7})
+	is.Equal(idsOf(view), []string{"a"})
+}
+
 // Guards against a view that depends on the order in which lists of copies and updates of peers arrive: in any order, it has
 // what the latest list has.
 func TestViewsConvergeWhateverCopiesAnswer(t *testing.T) {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -215,15 +215,18 @@
 func (v *View) AddsEvacuations(evacuations []Evacuation) bool { return v.evacuations.adds(evacuations) }
 func (v *View) AddsRollouts(rollouts []Rollout) bool          { return v.rollouts.adds(rollouts) }
 
-// ObserveFreshList processes the position of a list that wasn't stale. If it is older than a list that was merged, the
-// store has lost changes, and its revisions are assigned again. Only a store without eras doesn't say so itself.
-func (v *View) ObserveFreshList(at Position) {
-	if at.Era > 0 {
-		return
+// LatestList returns the latest position of the lists that were merged, of any kind.
+func (v *View) LatestList() Position {
+	return slices.MaxFunc([]Position{v.entries.listedAt, v.evacuations.listedAt, v.rollouts.listedAt}, Position.Compare)
+}
+
+// ObserveFreshList processes the position of a list that wasn't stale. before is what LatestList returned before the list
+// was read. If the list is older than that, the store was restored: it assigns revisions again, and no list that was
+// merged tells what exists. Only a store without eras doesn't say so itself.
+func (v *View) ObserveFreshList(before, at Position) {
+	if at.Era == 0 && at.Compare(before) < 0 {
+		v.entries.listedAt, v.evacuations.listedAt, v.rollouts.listedAt = Position{}, Position{}, Position{}
 	}
-	v.entries.revertList(at)
-	v.evacuations.revertList(at)
-	v.rollouts.revertList(at)
 }
 
 // BackEnds returns the back ends in service, including leaving ones, sorted by ID.
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -99,6 +99,7 @@
 		name:     name,
 		progress: progress,
 		read: func(ctx context.Context, stale bool) (catalog.Position, error) {
+			before := progress.state.LatestList()
 			all, at, err := objects.List(ctx, stale)
 			if err == nil && stale && into.adds(all) {
 				all, at, stale, err = confirmList(ctx, objects, into, all, at)
@@ -108,7 +109,7 @@
 			}
 			progress.state.ObserveEra(at.Era)
 			if !stale {
-				progress.state.ObserveFreshList(at)
+				progress.state.ObserveFreshList(before, at)
 			}
 			into.list(all, at)
 			return at, nil
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -189,11 +189,19 @@
 	s.applyEntries(s.view.OfferList(entries, at), source)
 }
 
-// ObserveFreshList processes the position of a list that wasn't stale.
-func (s *State) ObserveFreshList(at catalog.Position) {
+// LatestList returns the latest position of the lists that were merged.
+func (s *State) LatestList() catalog.Position {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.view.ObserveFreshList(at)
+	return s.view.LatestList()
+}
+
+// ObserveFreshList processes the position of a list that wasn't stale. before is what LatestList returned before the list
+// was read.
+func (s *State) ObserveFreshList(before, at catalog.Position) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.view.ObserveFreshList(before, at)
 }
 
 // AddsBackEnds reports whether a list has back ends that are new to this gateway, although it knows all that a peer or
