Broken runs: one search for the target, one time-out, plainer comments

Reading the change again: mayContinue and TakeUp looked for the target twice, and the questions about a run had constants of their own with the values of the probes. A few comments were vague or figurative.

--- a/internal/catalog/recordset_test.go
+++ b/internal/catalog/recordset_test.go
@@ -71,7 +71,7 @@
 }
 
 // Guards against a store without eras that was restored, and whose new back ends are never added because their revisions
-// are lower than before. A fresh list shows that the revisions went back; a new era shows it by itself.
+// are lower than before. Without eras, a fresh list reveals the restore.
 func TestListsOfARestoredStoreAreMerged(t *testing.T) {
 	is := is.New(t)
 	view := NewView()
--- a/internal/dispatch/continuation.go
+++ b/internal/dispatch/continuation.go
@@ -83,9 +83,9 @@
 type Confirmation struct {
 	// Target is the address of the back end that has the copy.
 	Target string
-	// MayStop is true if the back ends of the service can be told to stop a run.
+	// MayStop is true if the back ends of the service accept the call that stops a run.
 	MayStop bool
-	// Until is when the caller's patience, or the pause that a further run would make needless, is used up.
+	// Until is the time by which the stream must go on.
 	Until time.Time
 }
 
@@ -110,9 +110,12 @@
 	return &Confirmation{Target: x.backup.target.Address, MayStop: c.services[x.service].Moves, Until: until}
 }
 
-// mayContinue reports whether a run whose stream broke off can be continued from its backup, if it has ended.
-func (c *Core) mayContinue(now time.Time, x *Exchange) bool {
-	return x.backup != nil && !c.withholds(now, x) && c.continuationTarget(now, x) != nil && c.budget(x.service).Tokens() >= 1
+// brokenRunTarget returns the member at which a run whose stream broke off can be continued once it has ended, or nil.
+func (c *Core) brokenRunTarget(now time.Time, x *Exchange) *member {
+	if x.backup == nil || c.withholds(now, x) || c.budget(x.service).Tokens() < 1 {
+		return nil
+	}
+	return c.continuationTarget(now, x)
 }
 
 // continueAt starts the attempt that continues the run of the engine with the source address at the
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -221,7 +221,7 @@
 		c.recordHealthChange(now, m)
 		c.noteConnectionLost(now, x, m)
 	}
-	if c.mayContinue(now, x) {
+	if c.brokenRunTarget(now, x) != nil {
 		return Decision{Confirm: c.confirmation(now, x)}
 	}
 	return c.resume(now, x)
@@ -230,8 +230,9 @@
 // TakeUp decides how a broken stream goes on, after it was found out whether its run has ended: its run is
 // continued from a backup, or the stream is resumed by a further run at another back end.
 func (c *Core) TakeUp(now time.Time, x *Exchange, end RunEnd) Decision {
-	if end.Ended && c.mayContinue(now, x) && c.budget(x.service).Spend() {
-		decision := c.continueAt(now, x, c.continuationTarget(now, x), x.backup.source)
+	target := c.brokenRunTarget(now, x)
+	if end.Ended && target != nil && c.budget(x.service).Spend() {
+		decision := c.continueAt(now, x, target, x.backup.source)
 		decision.Send.ContinueCopy = end.Copy
 		return decision
 	}
--- a/internal/follower/list.go
+++ b/internal/follower/list.go
@@ -140,9 +140,9 @@
 }
 
 // backEnds returns the list of back ends. Reading it takes many calls, and all gateways of a fleet
-// that restarts read it at the same time, so the first read may be stale. As to who has an address, an entry that is
-// seconds old is safe: every request names the ID of the back end that it is meant for, and any other one refuses it. A back end
-// that has been removed since is told by peers, which compare their lists with this gateway's. The
+// that restarts read it at the same time, so the first read may be stale. Two things make an entry that is seconds old
+// safe: every request names the ID of the back end that it is meant for, so that another one at the address refuses it,
+// and peers compare their lists with this gateway's and report the back ends that have been removed since. The
 // configuration and the evacuated zones are read fresh.
 func (f *Follower) backEnds() list {
 	followed := listOf("back_ends", f.newProgress(), f.config.Source.BackEnds(), f.mergingBackEnds())
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -31,7 +31,7 @@
 func (r reachability) String() string { return [...]string{"unknown", "reachable", "unreachable"}[r] }
 
 const (
-	// reachProbeTimeout is how long a probe waits for its connection.
+	// reachProbeTimeout is how long a probe waits for its connection, and how long the questions about a run may take.
 	reachProbeTimeout = 400 * time.Millisecond
 	// reachProbeLateness is how much later than that a probe may fail for its result to count.
 	reachProbeLateness = 100 * time.Millisecond
--- a/internal/gateway/runend.go
+++ b/internal/gateway/runend.go
@@ -27,7 +27,7 @@
 const (
 	// runEndUnasked: nobody asked, because the run can't be continued elsewhere.
 	runEndUnasked runEnd = iota
-	// runEndUnknown: no answer told.
+	// runEndUnknown: nothing showed whether it has ended.
 	runEndUnknown
 	// runGoesOn: the back end can be reached and wasn't found to have stopped.
 	runGoesOn
@@ -50,10 +50,6 @@
 func (e runEnd) hasEnded() bool { return e >= runRefused }
 
 const (
-	// runEndAnswerTimeout is how long one question to a back end may take, with its connection.
-	runEndAnswerTimeout = 400 * time.Millisecond
-	// runEndLateness is how much later than that a question may fail for its failure to say anything of the back end.
-	runEndLateness = 100 * time.Millisecond
 	// runEndPause is the time between two questions. A process that is ending may close its connections before its
 	// port refuses new ones.
 	runEndPause = 20 * time.Millisecond
@@ -96,9 +92,10 @@
 	}
 }
 
-// ask finds out who is at the address. The back end itself is told to stop the run, if back ends can be told that.
+// ask sends each question once: which back end has the address and, if that is the one that ran the request, the call
+// that stops the run. Both together take at most reachProbeTimeout.
 func (q *runEndInquiry) ask(ctx context.Context, run brokenRun, confirmation dispatch.Confirmation) (end runEnd, copyID string) {
-	ctx, cancel := context.WithTimeout(ctx, runEndAnswerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reachProbeTimeout)
 	defer cancel()
 	end = q.identify(ctx, run)
 	if end != runGoesOn || !confirmation.MayStop {
@@ -136,14 +133,14 @@
 		return runEndUnknown
 	case isRefused(err):
 		return runRefused
-	case isUnanswered(err) && r.unacknowledged && span <= runEndAnswerTimeout+runEndLateness:
+	case isUnanswered(err) && r.unacknowledged && span <= reachProbeTimeout+reachProbeLateness:
 		return runUnreachable
 	default:
 		return runEndUnknown
 	}
 }
 
-// stop tells the back end to stop the run and to move its memory to the target.
+// stop requests that the back end stops the run and moves its memory to the target.
 func (q *runEndInquiry) stop(ctx context.Context, run brokenRun, target string) (end runEnd, copyID string) {
 	request, err := q.newStopCall(ctx, run, target)
 	if err != nil {
--- a/internal/soak/lostanswers.go
+++ b/internal/soak/lostanswers.go
@@ -6,13 +6,13 @@
 )
 
 // A back end with Options.Backups that loses the answer of a stream ends its connection within the stream and works on
-// the run. Most back ends can be told to stop such a run.
+// the run. Most back ends accept the call that stops it.
 
 const (
 	// eventsBeforeLoss is the number of events that a back end sends before it loses the answer.
 	eventsBeforeLoss = 3
-	// unstoppable is the share of back ends, one in so many, that can't be told to stop a run.
-	unstoppable = 3
+	// stopRejecters is the number of back ends of which one rejects the call that stops a run.
+	stopRejecters = 3
 	// movedPrefix begins the ID of memory that was moved.
 	movedPrefix = "moved-"
 )
@@ -54,7 +54,7 @@
 func (b *backEnd) answerStopCall(w http.ResponseWriter, r *http.Request, body []byte) bool {
 	protocol := b.fleet.environment.Protocol()
 	call, ok := protocol.ReadStopCall(r, body)
-	if !ok || b.number%unstoppable == 0 {
+	if !ok || b.number%stopRejecters == 0 {
 		return false
 	}
 	copyID := ""
