Tests of draining: the server's listener is known before a shutdown can begin

A shutdown that began before that goroutine ran knew no listener and no connection, and so had nothing to wait for.

Ruled out: a connection that is in neither the backlog nor the open ones while it is accepted (in the traces no accept had begun). The product isn't concerned: the daemon gives the listener to Connections before it starts the goroutine.

No check of a test is changed.

--- a/internal/draining/draining_test.go
+++ b/internal/draining/draining_test.go
@@ -28,10 +28,11 @@
 	t.Helper()
 	connections := New()
 	server := &http.Server{Handler: connections.Handler(handler), ConnState: connections.ConnState}
+	listener := connections.Listener(inner) // before the goroutine: a shutdown closes only the listeners that it knows
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = server.Serve(connections.Listener(inner))
+		_ = server.Serve(listener)
 	}()
 	t.Cleanup(func() {
 		_ = server.Close()
