Comments on broken runs and older lists in the usual terms

Comments alone: "told to stop", "obeys" and "tells what exists" become stop calls, their answers and the positions of lists. No code or test changes.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -221,8 +221,8 @@
 }
 
 // ObserveFreshList processes the position of a list that wasn't stale. before is what LatestList returned before the list
-// was read. If the list is older than that, the store was restored: it assigns revisions again, and no list that was
-// merged tells what exists. Only a store without eras doesn't say so itself.
+// was read. If the list is older than that, the store was restored and assigns revisions again, so the positions of earlier
+// lists are forgotten. A store that sends eras reports a restore by a new era instead.
 func (v *View) ObserveFreshList(before, at Position) {
 	if at.Era == 0 && at.Compare(before) < 0 {
 		v.entries.listedAt, v.evacuations.listedAt, v.rollouts.listedAt = Position{}, Position{}, Position{}
--- a/internal/soak/lostanswers.go
+++ b/internal/soak/lostanswers.go
@@ -24,8 +24,8 @@
 	ended chan struct{}
 }
 
-// beginRun records that the back end begins to work on a stream. The context ends when it is told to stop; end must be called
-// when the work has ended.
+// beginRun records that the back end begins to work on a stream. The context is cancelled by a call that stops the run; the
+// caller calls end when the work has ended.
 func (b *backEnd) beginRun(ctx context.Context, request string) (_ context.Context, end func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	begun := &streamRun{stop: cancel, ended: make(chan struct{})}
