A record of withheld requests is written at once over a new connection

Cause: 0.2 s after the third crash two gateways began to write the record to the store, over connections that the fault silent_connections had silenced 1.2 s before. An attempt is given up after 1.2 s; 0.64 s after the crash all gateways were killed, and what they knew was gone. Such writes are rare, so they meet connections that have been idle for long.

Change: the first attempt to write a change of withheld requests gets 0.3 s. If it runs out, idle connections are closed, and the write is repeated at once over a new one, with the usual 1.2 s. A store that is slow costs one more call a record.

--- a/internal/follower/call.go
+++ b/internal/follower/call.go
@@ -87,3 +87,10 @@
 	defer cancel()
 	return call(ctx)
 }
+
+// writeWithin makes a write with a context that ends after the timeout.
+func writeWithin(ctx context.Context, timeout time.Duration, write func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return write(ctx)
+}
--- a/internal/follower/withheld.go
+++ b/internal/follower/withheld.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/harriernotch/harriernotch/internal/dispatch"
 )
 
@@ -26,11 +28,28 @@
 			return
 		}
 		for _, change := range f.config.State.TakeUnrecorded() {
-			f.retryCall(ctx, func(ctx context.Context) error { return f.writeWithheld(ctx, change) })
+			f.recordWithheld(ctx, change)
 		}
 	}
 }
 
+// firstWriteTimeout limits the first attempt to write a record. Such writes are rare, so the connection that one takes may have
+// been idle for long and have fallen silent since. A gateway that ended within callTimeout would take the finding with it.
+const firstWriteTimeout = 300 * time.Millisecond
+
+// recordWithheld writes a change to the store: first over any connection, and if that takes long, at once over a new one.
+func (f *Follower) recordWithheld(ctx context.Context, change dispatch.WithheldChange) {
+	write := func(ctx context.Context) error { return f.writeWithheld(ctx, change) }
+	err := writeWithin(ctx, firstWriteTimeout, write)
+	if err == nil {
+		return
+	}
+	if errors.Is(err, context.DeadlineExceeded) && f.config.Connections != nil {
+		f.config.Connections.CloseIdleConnections()
+	}
+	f.retryCall(ctx, write)
+}
+
 // maxRecordBackoff limits the wait after a failed call of retryCall. It is long, so that a store
 // that always refuses such calls is called rarely; nothing waits for them.
 const maxRecordBackoff = 10 * time.Second
--- a/internal/follower/withheld_test.go
+++ b/internal/follower/withheld_test.go
@@ -22,14 +22,20 @@
 type withheldSource struct {
 	mutex   sync.Mutex
 	records map[dispatch.Fingerprint]dispatch.CrashRecord
-	// refusals is the number of further calls that fail, and calls counts all calls.
-	refusals, calls int
+	// refusals is the number of further calls that fail, unanswered that of further calls that get no answer, and calls counts
+	// all calls.
+	refusals, unanswered, calls int
 }
 
-func (s *withheldSource) call(step func()) error {
+func (s *withheldSource) call(ctx context.Context, step func()) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls++
+	if s.unanswered > 0 {
+		s.unanswered--
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if s.refusals > 0 {
 		s.refusals--
 		return errors.New("refused")
@@ -45,8 +51,22 @@
 	return s.calls
 }
 
-func (s *source) Withheld(context.Context) (list []dispatch.CrashRecord, err error) {
-	err = s.withheld.call(func() {
+// leaveUnanswered makes the next call get no answer.
+func (s *withheldSource) leaveUnanswered() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unanswered = 1
+}
+
+// recordCount returns the number of records.
+func (s *withheldSource) recordCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.records)
+}
+
+func (s *source) Withheld(ctx context.Context) (list []dispatch.CrashRecord, err error) {
+	err = s.withheld.call(ctx, func() {
 		for _, each := range s.withheld.records {
 			list = append(list, each)
 		}
@@ -54,12 +74,12 @@
 	return list, err
 }
 
-func (s *source) Withhold(_ context.Context, record dispatch.CrashRecord) error {
-	return s.withheld.call(func() { s.withheld.records[record.Fingerprint] = record })
+func (s *source) Withhold(ctx context.Context, record dispatch.CrashRecord) error {
+	return s.withheld.call(ctx, func() { s.withheld.records[record.Fingerprint] = record })
 }
 
-func (s *source) Release(_ context.Context, fingerprint dispatch.Fingerprint) error {
-	return s.withheld.call(func() { delete(s.withheld.records, fingerprint) })
+func (s *source) Release(ctx context.Context, fingerprint dispatch.Fingerprint) error {
+	return s.withheld.call(ctx, func() { delete(s.withheld.records, fingerprint) })
 }
 
 // crashRecord returns a record of three crashes.
@@ -89,3 +109,22 @@
 		is.Equal(s.withheld.records[7].LastAt, crashRecord(7, bubbleStart).LastAt)
 	})
 }
+
+// A write is rare, so the idle connection that it takes may have fallen silent.
+func TestRecordIsWrittenSoonAlthoughItsFirstConnectionIsSilent(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{backEnds: 1}
+		s.withheld.records = map[dispatch.Fingerprint]dispatch.CrashRecord{7: crashRecord(7, time.Now())}
+		log := eventlog.New(io.Discard, logrus.InfoLevel, nil)
+		defer log.Close()
+		state := gateway.NewState(dispatch.New(dispatch.DefaultConfig()), log)
+		f := Start(Config{Source: s, State: state, ReadPeriod: time.Second, Log: log, Metrics: tally.NoopScope})
+		defer f.Close()
+		time.Sleep(5 * time.Second)
+		s.withheld.leaveUnanswered()
+		is.True(state.ReleaseWithheld(7))
+		time.Sleep(firstWriteTimeout + 100*time.Millisecond)
+		is.Equal(s.withheld.recordCount(), 0)
+	})
+}
